--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with regression bounds."""
--- /dev/null
+++ b/bergamotthread/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for long generations on engines that fail."""
--- /dev/null
+++ b/bergamotthread/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/bergamotthread/clock.py
@@ -0,0 +1,48 @@
+"""The only source of time, in milliseconds."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True)
+class Clock:
+    """Monotonic and calendar time in milliseconds.
+
+    Parameters
+    ----------
+    monotonic_s
+        Monotonic time in seconds; only differences are meaningful.
+    calendar_s
+        Seconds since the Unix epoch, used for records and never for timeouts.
+    """
+
+    monotonic_s: Callable[[], float]
+    calendar_s: Callable[[], float]
+
+    @classmethod
+    def from_system(cls) -> Clock:
+        """Return the clock of the machine."""
+        return cls(monotonic_s=time.monotonic, calendar_s=time.time)
+
+    @classmethod
+    def from_loop(cls, loop: asyncio.AbstractEventLoop) -> Clock:
+        """Return a clock that follows the time of an event loop."""
+        return cls(monotonic_s=loop.time, calendar_s=loop.time)
+
+    def now_ms(self) -> float:
+        """Return monotonic time in milliseconds."""
+        return self.monotonic_s() * _MS_PER_S
+
+    def calendar_ms(self) -> int:
+        """Return milliseconds since the Unix epoch."""
+        return int(self.calendar_s() * _MS_PER_S)
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Suspend the calling task for `duration_ms` milliseconds."""
+        await asyncio.sleep(duration_ms / _MS_PER_S)
--- /dev/null
+++ b/bergamotthread/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection between processes."""
--- /dev/null
+++ b/bergamotthread/process/placement.py
@@ -0,0 +1,66 @@
+"""Choice of the upstream for an attempt."""
+
+from __future__ import annotations
+
+import abc
+from dataclasses import dataclass
+
+from bergamotthread.wire.messages import LoadReport, Pin
+
+
+@dataclass(frozen=True)
+class PlacementRequest:
+    """What the choice of an upstream depends on.
+
+    Parameters
+    ----------
+    prompt_tokens, accepted_tokens
+        Lengths of the prompt and of the output that the caller already has.
+    prefix_hashes
+        Chained hashes of the prompt's blocks, shortest prefix first.
+    excluded
+        Agents that lost an attempt of this generation or declined it.
+    resume
+        Whether the attempt continues a generation after a loss.
+    """
+
+    generation: str
+    team: str
+    pin: Pin
+    prompt_tokens: int
+    accepted_tokens: int = 0
+    prefix_hashes: tuple[int, ...] = ()
+    excluded: frozenset[str] = frozenset()
+    resume: bool = False
+    cross_region: bool = True
+    regions: tuple[str, ...] = ()
+
+
+class Placement(abc.ABC):
+    """Chooses agents and learns from load reports and own dispatches."""
+
+    @abc.abstractmethod
+    def choose(self, request: PlacementRequest) -> str:
+        """Return the address of the agent to dispatch to.
+
+        Raises
+        ------
+        RefusedError
+            If no upstream may run the pin now.
+        """
+
+    @abc.abstractmethod
+    def record_load(self, agent: str, load: LoadReport) -> None:
+        """Take in a load report that arrived now."""
+
+    @abc.abstractmethod
+    def record_dispatch(self, agent: str, request: PlacementRequest) -> None:
+        """Count an attempt that was sent to `agent`."""
+
+    @abc.abstractmethod
+    def record_end(self, agent: str, request: PlacementRequest) -> None:
+        """Uncount an attempt that ended at `agent`."""
+
+    @abc.abstractmethod
+    def record_loss(self, agent: str) -> None:
+        """Avoid an agent until it is heard from again."""
--- /dev/null
+++ b/bergamotthread/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request."""
--- /dev/null
+++ b/bergamotthread/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Assertions and virtual time for tests."""
--- /dev/null
+++ b/bergamotthread/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one published version of the configuration."""
--- /dev/null
+++ b/bergamotthread/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes."""
--- /dev/null
+++ b/bergamotthread/wire/messages.py
@@ -0,0 +1,344 @@
+"""Typed messages between entries and agents.
+
+Messages are frozen `msgspec` structures, encoded as msgpack arrays with a tag,
+so that `match` tells them apart. A field may only be added at the end, with a
+default. Durations are relative, since processes share no clock.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class _Message(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=True,
+    gc=False,
+):
+    """Base of all messages."""
+
+
+class Pin(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Model, version and adapter that every attempt of a generation runs."""
+
+    model: str
+    version: str
+    adapter: str = ''
+
+
+class EndReason(enum.StrEnum):
+    """Why an attempt produces no more tokens."""
+
+    STOP = 'stop'
+    LENGTH = 'length'
+    ENGINE_LOST = 'engine_lost'
+    ENGINE_REFUSED = 'engine_refused'
+    STALLED = 'stalled'
+    CANCELLED = 'cancelled'
+    EXPIRED = 'expired'
+    HANDED_OVER = 'handed_over'
+
+
+class EndMark(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """End of an attempt with the token count of the whole answer."""
+
+    reason: EndReason
+    count: int
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Consecutive tokens of one attempt, from `offset` on."""
+
+    generation: str
+    attempt: int
+    offset: int
+    tokens: tuple[str, ...]
+    end: EndMark | None = None
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Load of one upstream as its agent knows it; `age_ms` is the lag."""
+
+    running: int = 0
+    queued: int = 0
+    kv_tokens: int = 0
+    kv_capacity: int = 0
+    age_ms: float = 0
+    draining: bool = False
+    cached_prefixes: tuple[int, ...] = ()
+
+
+class Dispatch(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to agent: run one attempt after the `accepted` tokens."""
+
+    generation: str
+    attempt: int
+    pin: Pin
+    prompt: str
+    accepted: tuple[str, ...]
+    max_tokens: int
+    remaining_ms: float
+    team: str = ''
+    priority: int = 0
+    fingerprint: int = 0
+    warm_only: bool = False
+    config_version: int = 0
+
+
+class Admitted(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: the attempt was sent to the upstream."""
+
+    generation: str
+    attempt: int
+
+
+class Declined(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: the attempt was not dispatched and never will be."""
+
+    generation: str
+    attempt: int
+    reason: str
+    retry_after_ms: int = 0
+
+
+class Cancel(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to agent: stop an attempt and forget its output."""
+
+    generation: str
+    attempt: int
+
+
+class Revoke(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to agent: never dispatch the attempt or call from now on."""
+
+    generation: str
+    attempt: int
+
+
+class Revoked(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: whether any byte of it had reached the upstream."""
+
+    generation: str
+    attempt: int
+    dispatched: bool
+
+
+class Fetch(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to agent: send output from `offset` on to the sender."""
+
+    generation: str
+    attempt: int
+    offset: int
+
+
+class Missing(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: the output of the attempt is not held here."""
+
+    generation: str
+    attempt: int
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Offset up to which the caller has taken the output."""
+
+    generation: str
+    attempt: int
+    offset: int
+
+
+class Acks(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to agent: coalesced acknowledgements; also a heartbeat."""
+
+    acks: tuple[Ack, ...]
+    config_version: int = 0
+
+
+class OutputBatch(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: all output since the last flush, and the load."""
+
+    frames: tuple[Frame, ...]
+    load: LoadReport
+    config_version: int = 0
+
+
+class CallDispatch(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to agent: send one call to the plain service beside it."""
+
+    call: str
+    attempt: int
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    remaining_ms: float
+    fence: int = 0
+    key: str = ''
+
+
+class CallStatus(enum.StrEnum):
+    """What the agent knows of a call after it."""
+
+    DONE = 'done'
+    NOT_DISPATCHED = 'not_dispatched'
+    UNKNOWN = 'unknown'
+
+
+class CallReply(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: answer of a plain service, or why there is none."""
+
+    call: str
+    attempt: int
+    outcome: CallStatus
+    reason: str = ''
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+
+
+class ConfigNotice(_Message, frozen=True, array_like=True, tag=True):
+    """Any to any: newest published version known to the sender.
+
+    `document` is the whole set as JSON, empty where only the number is told.
+    """
+
+    version: int
+    document: bytes = b''
+
+
+class ConfigRequest(_Message, frozen=True, array_like=True, tag=True):
+    """Any to any: send the published version if newer than `version`."""
+
+    version: int
+
+
+class ConfigState(_Message, frozen=True, array_like=True, tag=True):
+    """Any to entry: version in force at the sender, for `status`."""
+
+    version: int
+    region: str
+    serving: bool
+
+
+class MemberState(enum.StrEnum):
+    """State of a member as the sender sees it."""
+
+    ALIVE = 'alive'
+    SUSPECT = 'suspect'
+    LEAVING = 'leaving'
+    DEAD = 'dead'
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One process in the membership."""
+
+    address: str
+    incarnation: int
+    state: MemberState
+    role: str
+    region: str
+    failure_domain: str
+
+
+class Probe(_Message, frozen=True, array_like=True, tag=True):
+    """Heartbeat that asks for a `ProbeReply`; carries recent changes."""
+
+    sequence: int
+    members: tuple[Member, ...] = ()
+    config_version: int = 0
+
+
+class ProbeReply(_Message, frozen=True, array_like=True, tag=True):
+    """Answer to a `Probe`; carries recent changes."""
+
+    sequence: int
+    members: tuple[Member, ...] = ()
+    config_version: int = 0
+
+
+class ShareRequest(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to home entry: demand of a team, in units per second."""
+
+    team: str
+    demand: float
+
+
+class ShareGrant(_Message, frozen=True, array_like=True, tag=True):
+    """Home entry to entry: leased share of a team's limit."""
+
+    team: str
+    share: float
+    lease_ms: float
+
+
+class DrainNotice(_Message, frozen=True, array_like=True, tag=True):
+    """Any to agent: start or stop draining the upstream beside it."""
+
+    draining: bool
+    reason: str
+    deadline_ms: float
+
+
+class Order(_Message, frozen=True, array_like=True, tag=True):
+    """Lease holder to agent: order for the engine beside it."""
+
+    order: str
+    fence: int
+    action: str
+    pin: Pin
+    region: str = ''
+
+
+class OrderReply(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to lease holder: outcome of an order."""
+
+    order: str
+    fence: int
+    accepted: bool
+    reason: str = ''
+
+
+class Quarantine(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to entry: deaths attributed to a request fingerprint."""
+
+    fingerprint: int
+    deaths: int
+    confirmed: bool
+
+
+Message = (
+    Dispatch
+    | Admitted
+    | Declined
+    | Cancel
+    | Revoke
+    | Revoked
+    | Fetch
+    | Missing
+    | Acks
+    | OutputBatch
+    | CallDispatch
+    | CallReply
+    | ConfigNotice
+    | ConfigRequest
+    | ConfigState
+    | Probe
+    | ProbeReply
+    | ShareRequest
+    | ShareGrant
+    | DrainNotice
+    | Order
+    | OrderReply
+    | Quarantine
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Message with its sender; `incarnation` rises with each process start."""
+
+    sender: str
+    incarnation: int
+    message: Message
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, plain services and the platform."""
