Select subsets of upstreams by rendezvous from the upstream's side

Cause: 320 entries before 12,000 upstreams can't all know each other, and an entry that selects its upstreams leaves some of them without work. Change: select_upstreams, a pure function; own region first, two failure domains at least. Conclusion: upstreams select entries.

--- /dev/null
+++ b/bergamotthread/process/subset.py
@@ -0,0 +1,177 @@
+"""Deterministic subset of upstreams per model for one entry.
+
+Each upstream selects the entries of its region with the highest rendezvous
+scores, and an entry's subset is the upstreams that selected it. No upstream is
+left without an entry, and a process that comes or goes changes its own pairs
+and no others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from bergamotthread.process.settings import PlaceSettings
+
+
+@dataclass(frozen=True)
+class SubsetSizes:
+    """Sizes of subsets for one model.
+
+    Parameters
+    ----------
+    entries_per_upstream
+        Fewest entries that select each upstream, where there are as many.
+    upstreams_per_entry
+        Mean size of a region's subsets that more entries per upstream are
+        used for; also the size of a subset that no own upstream fills.
+    failure_domains
+        Fewest failure domains of a subset, where there are as many.
+    """
+
+    entries_per_upstream: int = 4
+    upstreams_per_entry: int = 24
+    failure_domains: int = 2
+
+
+DEFAULT_SIZES = SubsetSizes()
+
+
+def rendezvous_score(node: str, key: str) -> int:
+    """Return the highest-random-weight score of `node` for `key` (64 bits)."""
+    return xxhash.xxh3_64_intdigest(f'{node}|{key}'.encode())
+
+
+def top_nodes(nodes: Iterable[str], key: str, count: int) -> tuple[str, ...]:
+    """Return the `count` nodes with the highest scores for `key`."""
+    ranked = sorted(
+        nodes,
+        key=lambda node: (rendezvous_score(node, key), node),
+        reverse=True,
+    )
+    return tuple(ranked[:count])
+
+
+def select_upstreams(
+    own: PlaceSettings,
+    entries: Sequence[PlaceSettings],
+    upstreams: Sequence[PlaceSettings],
+    sizes: SubsetSizes = DEFAULT_SIZES,
+) -> tuple[str, ...]:
+    """Return the addresses of the agents that an entry deals with.
+
+    Parameters
+    ----------
+    own
+        Place of the entry.
+    entries
+        Live entries of all regions; `own` counts also where it is missing.
+    upstreams
+        Places of the agents whose upstreams run the model.
+    sizes
+        Sizes of subsets.
+
+    Returns
+    -------
+    tuple of str
+        Sorted addresses: upstreams of the own region that selected the entry,
+        then as many others as the sizes still ask for.
+    """
+    local = [place for place in upstreams if place.region == own.region]
+    chosen = _selected_by(own, entries, local, sizes)
+    remote = [place for place in upstreams if place.region != own.region]
+    _add_domains(own, chosen, local, sizes)
+    _fill(own, chosen, local, sizes)
+    _add_domains(own, chosen, remote, sizes)
+    _fill(own, chosen, remote, sizes)
+    return tuple(sorted(chosen))
+
+
+def _selected_by(
+    own: PlaceSettings,
+    entries: Sequence[PlaceSettings],
+    local: Sequence[PlaceSettings],
+    sizes: SubsetSizes,
+) -> dict[str, PlaceSettings]:
+    peers = {one.address for one in entries if one.region == own.region}
+    peers.discard(own.address)
+    rank_limit = _entries_per_upstream(len(peers) + 1, len(local), sizes)
+    others = sorted(peers)
+    return {
+        place.address: place
+        for place in local
+        if _ranks_within(own.address, others, place.address, rank_limit)
+    }
+
+
+def _entries_per_upstream(
+    entry_count: int,
+    upstream_count: int,
+    sizes: SubsetSizes,
+) -> int:
+    if not upstream_count:
+        return 0
+    pairs = sizes.upstreams_per_entry * entry_count
+    wanted = -(-pairs // upstream_count)
+    return max(sizes.entries_per_upstream, wanted)
+
+
+def _ranks_within(
+    own: str,
+    others: Sequence[str],
+    upstream: str,
+    rank_limit: int,
+) -> bool:
+    if len(others) < rank_limit:
+        return True
+    own_score = rendezvous_score(own, upstream)
+    higher = 0
+    for other in others:
+        if rendezvous_score(other, upstream) > own_score:
+            higher += 1
+            if higher >= rank_limit:
+                return False
+    return True
+
+
+def _add_domains(
+    own: PlaceSettings,
+    chosen: dict[str, PlaceSettings],
+    candidates: Sequence[PlaceSettings],
+    sizes: SubsetSizes,
+) -> None:
+    domains = {place.failure_domain for place in chosen.values()}
+    for place in _ranked(own, candidates):
+        if len(domains) >= sizes.failure_domains:
+            return
+        if place.failure_domain not in domains:
+            domains.add(place.failure_domain)
+            chosen[place.address] = place
+
+
+def _fill(
+    own: PlaceSettings,
+    chosen: dict[str, PlaceSettings],
+    candidates: Sequence[PlaceSettings],
+    sizes: SubsetSizes,
+) -> None:
+    floor = sizes.upstreams_per_entry // 2
+    if len(chosen) >= floor:
+        return
+    for place in _ranked(own, candidates):
+        if len(chosen) >= floor:
+            return
+        chosen[place.address] = place
+
+
+def _ranked(
+    own: PlaceSettings,
+    candidates: Sequence[PlaceSettings],
+) -> list[PlaceSettings]:
+    return sorted(
+        candidates,
+        key=lambda place: rendezvous_score(place.address, own.address),
+        reverse=True,
+    )
