--- /dev/null
+++ b/bergamotthread/cli/drain.py
@@ -0,0 +1,226 @@
+"""Commands that plan, start and follow stops of hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+import click
+import msgspec
+
+from bergamotthread.clock import Clock
+from bergamotthread.errors import BergamotError
+from bergamotthread.process.drain_plan import (
+    DrainLimits,
+    DrainPlan,
+    find_targets,
+    plan_stops,
+)
+from bergamotthread.process.drain_report import DrainVerdict, read_verdicts
+from bergamotthread.process.platform import HostList, Table
+from bergamotthread.version.objects import ObjectSet, Stop
+from bergamotthread.version.published import PublishedVersion
+
+
+class DrainContext(Protocol):
+    """What the command line gives these commands as the context's object."""
+
+    clock: Clock
+
+    def table(self) -> Table:
+        """Return a client of the platform's table."""
+
+    def host_list(self) -> HostList:
+        """Return a client of the platform's host list."""
+
+    async def read_version(self) -> PublishedVersion:
+        """Return the newest published version."""
+
+    async def publish(self, base_version: int, object_set: ObjectSet) -> int:
+        """Publish a set that replaces `base_version`; return its number."""
+
+
+_addresses = click.argument('addresses', nargs=-1, required=True)
+_per_failure_domain = click.option(
+    '--per-failure-domain',
+    default=DrainLimits.per_failure_domain,
+    show_default=True,
+    help='Most hosts of one failure domain at once.',
+)
+_model_percent = click.option(
+    '--model-percent',
+    default=DrainLimits.model_percent,
+    show_default=True,
+    help='Most upstreams of one model at once, in percent.',
+)
+_minutes = click.option(
+    '--minutes',
+    default=30,
+    show_default=True,
+    help='Time that each host has to finish its work.',
+)
+_reason = click.option('--reason', default='', help='Shown by status.')
+_MS_PER_MINUTE = 60_000
+
+
+@click.group('drain')
+def drain() -> None:
+    """Plan stops of hosts, start them, and see when a host is safe to stop."""
+
+
+@drain.command('plan')
+@_addresses
+@_per_failure_domain
+@_model_percent
+@_minutes
+@_reason
+@click.pass_obj
+def plan(
+    context: DrainContext,
+    addresses: tuple[str, ...],
+    per_failure_domain: int,
+    model_percent: int,
+    minutes: int,
+    reason: str,
+) -> None:
+    """Print stops for ADDRESSES within the limits; nothing is published."""
+    limits = _limits(per_failure_domain, model_percent, minutes)
+    _run(_print_plan(context, addresses, limits, reason))
+
+
+@drain.command('start')
+@_addresses
+@_per_failure_domain
+@_model_percent
+@_minutes
+@_reason
+@click.pass_obj
+def start(
+    context: DrainContext,
+    addresses: tuple[str, ...],
+    per_failure_domain: int,
+    model_percent: int,
+    minutes: int,
+    reason: str,
+) -> None:
+    """Publish the stops that `plan` prints."""
+    limits = _limits(per_failure_domain, model_percent, minutes)
+    _run(_publish_plan(context, addresses, limits, reason))
+
+
+@drain.command('status')
+@click.argument('addresses', nargs=-1)
+@click.pass_obj
+def status(context: DrainContext, addresses: tuple[str, ...]) -> None:
+    """Tell whether hosts are safe to stop, and what still holds them.
+
+    Without ADDRESSES all published stops are shown. The exit code is 1 where
+    a host is not safe to stop.
+    """
+    verdicts = _run(_verdicts(context, addresses))
+    for verdict in verdicts:
+        click.echo(_describe(verdict))
+    if not all(one.safe for one in verdicts):
+        sys.exit(1)
+
+
+COMMANDS: tuple[click.Command, ...] = (drain,)
+
+
+def _limits(
+    per_failure_domain: int,
+    model_percent: int,
+    minutes: int,
+) -> DrainLimits:
+    return DrainLimits(
+        per_failure_domain=per_failure_domain,
+        model_percent=model_percent,
+        duration_ms=minutes * _MS_PER_MINUTE,
+    )
+
+
+def _run(
+    action: Coroutine[Any, Any, tuple[DrainVerdict, ...]],
+) -> tuple[DrainVerdict, ...]:
+    try:
+        return asyncio.run(action)
+    except BergamotError as error:
+        raise click.ClickException(str(error)) from error
+
+
+async def _make_plan(
+    context: DrainContext,
+    version: PublishedVersion,
+    addresses: tuple[str, ...],
+    limits: DrainLimits,
+    reason: str,
+) -> DrainPlan:
+    hosts = await context.host_list().hosts()
+    targets = find_targets(version, hosts, addresses)
+    now_ms = context.clock.calendar_ms()
+    return plan_stops(version, targets, limits, now_ms, reason)
+
+
+async def _print_plan(
+    context: DrainContext,
+    addresses: tuple[str, ...],
+    limits: DrainLimits,
+    reason: str,
+) -> tuple[DrainVerdict, ...]:
+    version = await context.read_version()
+    made = await _make_plan(context, version, addresses, limits, reason)
+    _print_stops(made.stops)
+    return ()
+
+
+async def _publish_plan(
+    context: DrainContext,
+    addresses: tuple[str, ...],
+    limits: DrainLimits,
+    reason: str,
+) -> tuple[DrainVerdict, ...]:
+    version = await context.read_version()
+    made = await _make_plan(context, version, addresses, limits, reason)
+    object_set = _with_stops(
+        version.object_set, made.stops, context.clock.calendar_ms()
+    )
+    number = await context.publish(version.version, object_set)
+    _print_stops(made.stops)
+    click.echo(f'published as version {number}')
+    return ()
+
+
+def _with_stops(
+    object_set: ObjectSet,
+    added: tuple[Stop, ...],
+    calendar_ms: int,
+) -> ObjectSet:
+    kept = tuple(
+        stop for stop in object_set.stops if stop.deadline_ms > calendar_ms
+    )
+    return msgspec.structs.replace(object_set, stops=kept + added)
+
+
+async def _verdicts(
+    context: DrainContext,
+    addresses: tuple[str, ...],
+) -> tuple[DrainVerdict, ...]:
+    if not addresses:
+        version = await context.read_version()
+        stops = version.object_set.stops
+        addresses = tuple(dict.fromkeys(stop.address for stop in stops))
+    now_ms = context.clock.calendar_ms()
+    return await read_verdicts(context.table(), addresses, now_ms)
+
+
+def _print_stops(stops: tuple[Stop, ...]) -> None:
+    for stop in stops:
+        click.echo(msgspec.json.encode(stop).decode())
+
+
+def _describe(verdict: DrainVerdict) -> str:
+    if verdict.safe:
+        return f'{verdict.address}: safe to stop'
+    return f'{verdict.address}: not safe: {"; ".join(verdict.reasons)}'
--- /dev/null
+++ b/bergamotthread/process/drain_report.py
@@ -0,0 +1,166 @@
+"""Reports of drains in the platform's table, for operators."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from bergamotthread.clock import Clock
+from bergamotthread.errors import (
+    BergamotError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from bergamotthread.process.drain_state import DrainPhase
+from bergamotthread.process.platform import Row, Table
+
+KEY_PREFIX = 'drain/'
+REPORT_INTERVAL_MS = 10_000
+FRESH_MS = 30_000
+SCAN_LIMIT = 1000
+
+
+class DrainReport(msgspec.Struct, frozen=True):
+    """What one draining process last said of itself.
+
+    `held_by` names what keeps the host from being stopped, such as
+    ``generations: 3``; `updated_ms` is in milliseconds since the Unix epoch.
+    """
+
+    address: str
+    incarnation: int
+    phase: DrainPhase
+    held_by: tuple[str, ...]
+    updated_ms: int
+
+
+class DrainVerdict(msgspec.Struct, frozen=True):
+    """Whether a host is safe to stop, and why not."""
+
+    address: str
+    safe: bool
+    reasons: tuple[str, ...]
+
+
+class DrainReporter:
+    """Writes the report of one process at each change and every ten seconds.
+
+    Parameters
+    ----------
+    table
+        The platform's table.
+    clock
+        Clock of the process.
+    address, incarnation
+        Identity of the process.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        address: str,
+        incarnation: int,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._address = address
+        self._incarnation = incarnation
+        self._last: DrainReport | None = None
+
+    async def report(
+        self,
+        phase: DrainPhase,
+        held_by: tuple[str, ...],
+    ) -> bool:
+        """Write a report if it is due; return whether one was due and kept.
+
+        A store outage is no error: the next call writes it. A process that
+        starts replaces what an earlier one at its address left behind.
+        """
+        report = DrainReport(
+            address=self._address,
+            incarnation=self._incarnation,
+            phase=phase,
+            held_by=held_by,
+            updated_ms=self._clock.calendar_ms(),
+        )
+        if not self._is_due(report):
+            return False
+        try:
+            written = await self._write(report)
+        except StoreUnavailableError:
+            return False
+        if written:
+            self._last = report
+        return written
+
+    def _is_due(self, report: DrainReport) -> bool:
+        last = self._last
+        if last is None or report.phase is not last.phase:
+            return True
+        if report.phase is DrainPhase.SERVING:
+            return False
+        return report.updated_ms - last.updated_ms >= REPORT_INTERVAL_MS
+
+    async def _write(self, report: DrainReport) -> bool:
+        key = KEY_PREFIX + self._address
+        row = await self._table.read(key)
+        known = decode_report(row) if row else None
+        if known is None and report.phase is DrainPhase.SERVING:
+            return True
+        if known is not None and known.incarnation > self._incarnation:
+            return False
+        revision = row.revision if row else 0
+        body = msgspec.json.encode(report)
+        try:
+            await self._table.write(key, body, expected=revision)
+        except StoreConflictError:
+            return False
+        return True
+
+
+def decode_report(row: Row) -> DrainReport | None:
+    """Return the report in a row, or None where it can't be read."""
+    try:
+        return msgspec.json.decode(row.body, type=DrainReport)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
+async def read_verdicts(
+    table: Table,
+    addresses: Sequence[str],
+    calendar_ms: int,
+) -> tuple[DrainVerdict, ...]:
+    """Return for each address whether its host is safe to stop."""
+    verdicts = []
+    for address in addresses:
+        try:
+            row = await table.read(KEY_PREFIX + address)
+        except BergamotError as error:
+            reasons = (f'not known: {error}',)
+            verdicts.append(DrainVerdict(address, safe=False, reasons=reasons))
+            continue
+        report = decode_report(row) if row else None
+        verdicts.append(judge_report(address, report, calendar_ms))
+    return tuple(verdicts)
+
+
+def judge_report(
+    address: str,
+    report: DrainReport | None,
+    calendar_ms: int,
+) -> DrainVerdict:
+    """Return whether a report shows that its host is safe to stop."""
+    if report is None:
+        return DrainVerdict(address, safe=False, reasons=('no report yet',))
+    age_ms = calendar_ms - report.updated_ms
+    reasons = []
+    if abs(age_ms) > FRESH_MS:
+        reasons.append(f'last report is {age_ms} ms old')
+    if report.phase is not DrainPhase.DRAINED:
+        reasons.append(f'phase is {report.phase}')
+    reasons.extend(report.held_by)
+    return DrainVerdict(address, safe=not reasons, reasons=tuple(reasons))
--- /dev/null
+++ b/tests/test_cli_drain.py
@@ -0,0 +1,100 @@
+from dataclasses import dataclass
+
+import msgspec
+import pytest
+from click.testing import CliRunner, Result
+
+from bergamotthread.cli.drain import drain
+from bergamotthread.clock import Clock
+from bergamotthread.process.drain_report import KEY_PREFIX, DrainReport
+from bergamotthread.process.drain_state import DrainPhase
+from bergamotthread.process.platform import Row
+from bergamotthread.testing.memory_platform import (
+    MemoryHostList,
+    MemoryPlatform,
+    MemoryTable,
+)
+from bergamotthread.version.objects import (
+    FailureDomain,
+    ObjectSet,
+    Region,
+    Stop,
+    Upstream,
+)
+from bergamotthread.version.published import PublishedVersion
+
+NOW_MS = 1_700_000_000_000
+OLD_STOP = Stop('old', 'a1', 0, NOW_MS - 1)
+
+
+@dataclass
+class _Context:
+    object_set: ObjectSet
+    platform: MemoryPlatform
+    clock: Clock
+    version: int = 7
+
+    def table(self) -> MemoryTable:
+        return MemoryTable(self.platform)
+
+    def host_list(self) -> MemoryHostList:
+        return MemoryHostList(self.platform)
+
+    async def read_version(self) -> PublishedVersion:
+        return PublishedVersion.from_object_set(self.version, self.object_set)
+
+    async def publish(self, base_version: int, object_set: ObjectSet) -> int:
+        assert base_version == self.version
+        self.object_set = object_set
+        self.version += 1
+        return self.version
+
+
+@pytest.fixture
+def context() -> _Context:
+    clock = Clock(lambda: 0, lambda: NOW_MS / 1000)
+    object_set = ObjectSet(
+        regions=(Region('r0'),),
+        failure_domains=(FailureDomain('d0', 'r0'),),
+        upstreams=(Upstream('u1', 'a1', 'd0'), Upstream('u2', 'a2', 'd0')),
+        stops=(OLD_STOP,),
+    )
+    return _Context(object_set, MemoryPlatform(clock), clock)
+
+
+def _invoke(context: _Context, *arguments: str) -> Result:
+    return CliRunner().invoke(drain, arguments, obj=context)
+
+
+def test_plan_publishes_nothing(context: _Context) -> None:
+    shown = _invoke(context, 'plan', 'a1', 'a2', '--per-failure-domain', '1')
+    lines = [
+        msgspec.json.decode(line, type=Stop)
+        for line in shown.output.splitlines()
+    ]
+    assert [stop.address for stop in lines] == ['a1', 'a2']
+    assert lines[0].deadline_ms == lines[1].start_ms
+    assert context.version == 7
+
+
+def test_start_publishes_and_drops_past_stops(context: _Context) -> None:
+    shown = _invoke(context, 'start', 'a1', '--reason', 'kernel')
+    assert 'version 8' in shown.output
+    assert [stop.reason for stop in context.object_set.stops] == ['kernel']
+
+
+def test_unknown_address_fails(context: _Context) -> None:
+    shown = _invoke(context, 'start', 'a9')
+    assert shown.exit_code == 1
+    assert "'a9'" in shown.output
+
+
+@pytest.mark.parametrize('phase', [DrainPhase.DRAINED, DrainPhase.DRAINING])
+def test_status(context: _Context, phase: DrainPhase) -> None:
+    report = DrainReport('a1', 1, phase, (), NOW_MS)
+    key = f'{KEY_PREFIX}a1'
+    context.platform.rows_by_key[key] = Row(key, msgspec.json.encode(report), 1)
+    shown = _invoke(context, 'status')
+    drained = phase is DrainPhase.DRAINED
+    assert shown.exit_code == (0 if drained else 1)
+    assert ('not safe' in shown.output) is (not drained)
