Agree on live entries without a coordinator, and lease teams' limits

Cause: 320 entries need a common view of one another within 16 KB/s a node, and a team's limit has to hold across all of them. Change: membership after SWIM with the platform's list as a seed, own pauses taken into account, and a byte budget; TeamLimits with shares leased from a home entry. Messages ProbeRequest, ShareRequests and ShareGrants are new.

--- /dev/null
+++ b/benchmarks/shares.py
@@ -0,0 +1,244 @@
+"""Overshoot and unused share of teams' limits, leased against a static split.
+
+Run ``python -m benchmarks.shares [ENTRIES TEAMS]``. The real code runs in
+virtual time; each team's callers reach a few entries, and others every 20 s.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.shares import TeamLimits
+from bergamotthread.process.team_usage import TeamUsage
+from bergamotthread.testing.memory_network import MemoryNetwork
+from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.version.objects import ObjectSet, Team
+from bergamotthread.version.published import PublishedVersion
+
+REQUESTS_PER_S_PER_ENTRY = 20
+LARGE_TEAMS = 20
+LARGE_OVER_LIMIT = 1.25
+ENTRIES_PER_TEAM = 4
+STEP_MS = 100
+MOVE_MS = 20_000
+WARM_UP_MS = 40_000
+WATCH_MS = 60_000
+WINDOW_MS = 10_000
+LOSS = 0.01
+DELAY_MS = 40
+
+
+@dataclass(frozen=True)
+class StaticView:
+    """Entries that all answer."""
+
+    entries: tuple[str, ...]
+
+    def responsive_entries(self) -> tuple[str, ...]:
+        """Return all entries."""
+        return self.entries
+
+    def reachable_share(self) -> float:
+        """Return that all answer."""
+        return 1
+
+
+@dataclass
+class Tally:
+    """Admitted and offered requests by window and team."""
+
+    admitted: Counter[tuple[int, str]] = field(default_factory=Counter)
+    offered: Counter[tuple[int, str]] = field(default_factory=Counter)
+
+    def overshoot(self, limit_by_team: dict[str, float]) -> float:
+        """Return the worst window of a large team over its limit, less 1."""
+        seconds = WINDOW_MS / 1000
+        ratios = [
+            count / (limit_by_team[team] * seconds)
+            for (_, team), count in self.admitted.items()
+            if limit_by_team[team] * seconds >= WINDOW_MS / STEP_MS
+        ]
+        return max(ratios, default=1) - 1
+
+    def unused(self, limit_by_team: dict[str, float]) -> float:
+        """Return the part of what limits and demand allow that is refused."""
+        seconds = WINDOW_MS / 1000
+        allowed = sum(
+            min(count, limit_by_team[team] * seconds)
+            for (_, team), count in self.offered.items()
+        )
+        used = sum(
+            min(count, limit_by_team[team] * seconds)
+            for (_, team), count in self.admitted.items()
+        )
+        return 1 - used / allowed
+
+    def unused_large(self, limit_by_team: dict[str, float]) -> float:
+        """Return `unused` of the large teams alone."""
+        large = frozenset(list(limit_by_team)[:LARGE_TEAMS])
+        only = Tally(_of(self.admitted, large), _of(self.offered, large))
+        return only.unused(limit_by_team)
+
+
+def _of(
+    counts: Counter[tuple[int, str]], teams: frozenset[str]
+) -> Counter[tuple[int, str]]:
+    return Counter(
+        {key: count for key, count in counts.items() if key[1] in teams}
+    )
+
+
+@dataclass(frozen=True)
+class Figures:
+    """Figures of one size; rates in bytes per second of one entry."""
+
+    entries: int
+    teams: int
+    overshoot: float
+    unused: float
+    unused_large: float
+    static_overshoot: float
+    static_unused: float
+    static_unused_large: float
+    mean_rate: float
+    highest_rate: float
+    cpu_us_per_entry_s: float
+
+
+def make_teams(
+    team_count: int, requests_per_s: float
+) -> tuple[list[Team], list[float]]:
+    """Return teams by falling demand, and that demand in requests per s."""
+    weights = [1 / (rank + 1) for rank in range(team_count)]
+    scale = requests_per_s / sum(weights)
+    demands = [weight * scale for weight in weights]
+    teams = []
+    for rank, demand in enumerate(demands):
+        over = LARGE_OVER_LIMIT if rank < LARGE_TEAMS else 0.5
+        limit = max(1, demand / over)
+        teams.append(Team(f't{rank}', requests_per_s=limit))
+    return teams, demands
+
+
+async def _measure(entry_count: int, team_count: int) -> Figures:
+    clock = Clock.from_loop(asyncio.get_running_loop())
+    network = MemoryNetwork(delay_ms=DELAY_MS, loss=LOSS, seed=1)
+    entries = tuple(f'10.1.0.{number}:7000' for number in range(entry_count))
+    requests_per_s = REQUESTS_PER_S_PER_ENTRY * entry_count
+    teams, demands = make_teams(team_count, requests_per_s)
+    version = PublishedVersion.from_object_set(1, ObjectSet(teams=tuple(teams)))
+    limits = []
+    for entry in entries:
+        transport = network.transport(entry)
+        one = TeamLimits(transport, clock, StaticView(entries))
+        one.apply_version(version)
+        transport.start(one.on_message)
+        limits.append(one)
+    tasks = [asyncio.create_task(one.run()) for one in limits]
+    static = _StaticSplit(teams, entry_count)
+    leased_tally, static_tally = Tally(), Tally()
+    source = random.Random(3)
+    began_s = time.process_time()
+    offered_s = float(0)
+    at_ms = 0
+    while at_ms < WARM_UP_MS + WATCH_MS:
+        step_s = time.process_time()
+        if at_ms % MOVE_MS == 0:
+            places = [
+                source.sample(range(entry_count), ENTRIES_PER_TEAM)
+                for _ in teams
+            ]
+        window = at_ms // WINDOW_MS if at_ms >= WARM_UP_MS else -1
+        count = requests_per_s * STEP_MS // 1000
+        drawn = source.choices(range(team_count), weights=demands, k=count)
+        for rank in drawn:
+            name = teams[rank].name
+            place = source.choice(places[rank])
+            admitted = limits[place].try_admit(name) is None
+            if admitted:
+                limits[place].release(name)
+            static_admitted = static.try_admit(rank, place, at_ms)
+            if window >= 0:
+                leased_tally.offered[window, name] += 1
+                static_tally.offered[window, name] += 1
+                leased_tally.admitted[window, name] += admitted
+                static_tally.admitted[window, name] += static_admitted
+        offered_s += time.process_time() - step_s
+        at_ms += STEP_MS
+        await clock.sleep_ms(STEP_MS)
+    spent_s = time.process_time() - began_s - offered_s
+    for task in tasks:
+        task.cancel()
+    limit_by_team = {team.name: team.requests_per_s for team in teams}
+    watched_s = (WARM_UP_MS + WATCH_MS) / 1000
+    rates = [total / watched_s for total in network.bytes_by_sender.values()]
+    return Figures(
+        entries=entry_count,
+        teams=team_count,
+        overshoot=leased_tally.overshoot(limit_by_team),
+        unused=leased_tally.unused(limit_by_team),
+        unused_large=leased_tally.unused_large(limit_by_team),
+        static_overshoot=static_tally.overshoot(limit_by_team),
+        static_unused=static_tally.unused(limit_by_team),
+        static_unused_large=static_tally.unused_large(limit_by_team),
+        mean_rate=sum(rates) / entry_count,
+        highest_rate=max(rates),
+        cpu_us_per_entry_s=spent_s * 1_000_000 / entry_count / watched_s,
+    )
+
+
+class _StaticSplit:
+    """An equal part of each limit at each entry."""
+
+    def __init__(self, teams: list[Team], entry_count: int) -> None:
+        self._teams = teams
+        self._entry_count = entry_count
+        self._usage: dict[tuple[int, int], TeamUsage] = {}
+
+    def try_admit(self, rank: int, entry: int, now_ms: float) -> bool:
+        """Return whether the part of this entry has room."""
+        usage = self._usage.get((rank, entry))
+        if usage is None:
+            usage = TeamUsage(self._teams[rank], self._entry_count, now_ms)
+            share = 1 / self._entry_count - usage.floor
+            usage.set_lease(share, float('inf'), now_ms)
+            self._usage[rank, entry] = usage
+        admitted = usage.take(1, now_ms) is None
+        if admitted:
+            usage.release()
+        return admitted
+
+
+def measure(entry_count: int, team_count: int) -> Figures:
+    """Return the figures of one size."""
+    return run_virtual(_measure(entry_count, team_count))
+
+
+def main() -> None:
+    """Print the figures of one size."""
+    sizes = [int(one) for one in sys.argv[1:]] or [32, 10_000]
+    row = measure(*sizes)
+    print(f'{row.entries} entries, {row.teams} teams')
+    print('way | overshoot | unused | unused of the 20 large teams')
+    print(
+        f'leased | {row.overshoot:.3f} | {row.unused:.3f} '
+        f'| {row.unused_large:.3f}'
+    )
+    print(
+        f'static | {row.static_overshoot:.3f} | {row.static_unused:.3f} '
+        f'| {row.static_unused_large:.3f}'
+    )
+    print(
+        f'{row.mean_rate:.0f} B/s an entry, highest {row.highest_rate:.0f}; '
+        f'{row.cpu_us_per_entry_s:.0f} us an entry and s'
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bergamotthread/process/gossip_sender.py
@@ -0,0 +1,125 @@
+"""Sending of probes with the records that fit the byte budget."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.transport import Transport
+from bergamotthread.process.byte_budget import ByteBudget
+from bergamotthread.process.gossip_queue import GossipQueue, record_bytes
+from bergamotthread.process.member_table import MemberTable
+from bergamotthread.wire.messages import (
+    Member,
+    MemberState,
+    Probe,
+    ProbeReply,
+    ProbeRequest,
+)
+
+BYTES_PER_S = 4096
+BURST_BYTES = 8192
+MESSAGE_BYTES = 100
+RECORDS_PER_MESSAGE = 16
+REFRESHED_RECORDS = 2
+
+
+class GossipSender:
+    """Sends membership messages, none of them beyond the budget.
+
+    Each carries the own record, what the receiver has to refute, the least
+    often sent changes, and two records in rotation, so that views that have
+    drifted apart meet again.
+
+    Parameters
+    ----------
+    transport
+        Sends the messages.
+    clock
+        Clock of the process.
+    table
+        Records of the members.
+    config_version
+        Returns the version in force here.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        clock: Clock,
+        table: MemberTable,
+        config_version: Callable[[], int],
+    ) -> None:
+        self.unsent = 0
+        self._transport = transport
+        self._clock = clock
+        self._table = table
+        self._config_version = config_version
+        self._queue = GossipQueue()
+        self._budget = ByteBudget(BYTES_PER_S, BURST_BYTES, clock.now_ms())
+        self._rotation: list[str] = []
+
+    def push(self, member: Member) -> None:
+        """Let the next messages carry a change."""
+        self._queue.push(member)
+
+    def send_probe(self, peer: str, sequence: int) -> None:
+        """Send a probe."""
+        members = self._records_for(peer)
+        if members:
+            version = self._config_version()
+            self._transport.send(peer, Probe(sequence, members, version))
+
+    def send_reply(self, peer: str, sequence: int) -> None:
+        """Send the answer to a probe."""
+        members = self._records_for(peer)
+        if members:
+            version = self._config_version()
+            self._transport.send(peer, ProbeReply(sequence, members, version))
+
+    def send_request(self, peer: str, sequence: int, target: str) -> None:
+        """Ask `peer` to probe `target`."""
+        if self._budget.try_spend(MESSAGE_BYTES, self._clock.now_ms()):
+            self._transport.send(peer, ProbeRequest(sequence, target))
+        else:
+            self.unsent += 1
+
+    def _records_for(self, peer: str) -> tuple[Member, ...]:
+        """Return the records of one message, empty if it may not be sent."""
+        now_ms = self._clock.now_ms()
+        required = self._required(peer)
+        byte_count = MESSAGE_BYTES + sum(map(record_bytes, required))
+        if not self._budget.try_spend(byte_count, now_ms):
+            self.unsent += 1
+            return ()
+        changes = self._queue.take(
+            self._budget.available(now_ms) / 2,
+            RECORDS_PER_MESSAGE,
+            self._table.count,
+        )
+        self._budget.try_spend(sum(map(record_bytes, changes)), now_ms)
+        refreshed = [
+            member
+            for member in self._refreshed()
+            if self._budget.try_spend(record_bytes(member), now_ms)
+        ]
+        return (*required, *changes, *refreshed)
+
+    def _required(self, peer: str) -> tuple[Member, ...]:
+        own = self._table.own
+        known = self._table.get(peer)
+        if known is None or known.state is MemberState.ALIVE:
+            return (own,)
+        return (own, known)
+
+    def _refreshed(self) -> tuple[Member, ...]:
+        if len(self._rotation) < REFRESHED_RECORDS:
+            self._rotation = [
+                member.address
+                for member in self._table.others()
+                if member.state is not MemberState.DEAD
+            ]
+        return tuple(
+            self._table.get(self._rotation.pop()) or self._table.own
+            for _ in range(min(REFRESHED_RECORDS, len(self._rotation)))
+        )
--- /dev/null
+++ b/bergamotthread/process/share_home.py
@@ -0,0 +1,187 @@
+"""Leases of teams' limits at the home entry of each team."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from bergamotthread.process.subset import top_nodes
+from bergamotthread.wire.messages import TeamDemand, TeamShare
+
+LEASE_MS = 10_000
+VIEW_LAG_MS = 10_000
+HOLD_MS = LEASE_MS + VIEW_LAG_MS
+POOL_SHARE = 0.9
+HEADROOM = 1.25
+
+
+def home_of(team: str, entries: Sequence[str]) -> str:
+    """Return the entry that leases the limits of a team."""
+    return top_nodes(entries, team, 1)[0]
+
+
+@dataclass
+class _Lease:
+    share: float
+    wanted: float
+    until_ms: float
+
+
+@dataclass
+class _TeamLeases:
+    renewal_only_until_ms: float
+    lease_by_entry: dict[str, _Lease] = field(default_factory=dict)
+
+
+@dataclass
+class _View:
+    entries: tuple[str, ...]
+    left_ms: float
+
+
+class ShareHome:
+    """Leases that this entry has granted for the teams it is the home of.
+
+    The sum of the leases granted here for a team never passes its pool. A
+    lease that isn't renewed stays counted for ten seconds longer than it is
+    valid, the time that views of the membership may differ; for the same time
+    a new home only renews what entries say they hold.
+
+    Parameters
+    ----------
+    own
+        Address of this entry.
+    now_ms
+        Monotonic time.
+    """
+
+    def __init__(self, own: str, now_ms: float) -> None:
+        self._own = own
+        self._started_ms = now_ms
+        self._entries: tuple[str, ...] = (own,)
+        self._past_views: list[_View] = []
+        self._leases_by_team: dict[str, _TeamLeases] = {}
+        self._home_by_team: dict[str, str] = {}
+
+    def apply_view(self, entries: tuple[str, ...], now_ms: float) -> None:
+        """Take in the entries that may be homes."""
+        if entries == self._entries:
+            return
+        self._past_views = [
+            view for view in self._past_views if now_ms - view.left_ms < HOLD_MS
+        ]
+        self._past_views.append(_View(self._entries, now_ms))
+        self._entries = entries
+        self._home_by_team.clear()
+
+    def note_doubted(self, now_ms: float) -> None:
+        """Only renew for a while, since others may have taken over."""
+        self._started_ms = now_ms
+        for leases in self._leases_by_team.values():
+            leases.renewal_only_until_ms = now_ms + HOLD_MS
+
+    def home(self, team: str) -> str:
+        """Return the home of a team in the present view."""
+        home = self._home_by_team.get(team)
+        if home is None:
+            home = home_of(team, self._entries or (self._own,))
+            self._home_by_team[team] = home
+        return home
+
+    def grant(
+        self,
+        entry: str,
+        demand: TeamDemand,
+        reachable_share: float,
+        now_ms: float,
+    ) -> TeamShare:
+        """Return the share that an entry is leased now.
+
+        Parameters
+        ----------
+        entry
+            Address of the entry that asks.
+        demand
+            What it wants and holds.
+        reachable_share
+            Share of all entries that answer here; the pool shrinks with it,
+            so that both sides of a partition together stay in the limit.
+        now_ms
+            Monotonic time.
+        """
+        if self.home(demand.team) != self._own:
+            return TeamShare(demand.team, 0)
+        leases = self._leases(demand.team, now_ms)
+        others = _drop_expired(leases, entry, now_ms)
+        pool = POOL_SHARE * reachable_share
+        free = max(0, pool - sum(lease.share for lease in others))
+        wanted = max(0, demand.wanted) * HEADROOM
+        level = _fair_level(pool, [wanted, *(one.wanted for one in others)])
+        share = min(wanted, level, free)
+        if now_ms < leases.renewal_only_until_ms:
+            share = min(share, demand.held)
+        counted = max(share, demand.held)
+        leases.lease_by_entry[entry] = _Lease(counted, wanted, now_ms + HOLD_MS)
+        return TeamShare(demand.team, share, contended=share < wanted)
+
+    def leased(self, team: str, now_ms: float) -> float:
+        """Return the sum of the shares counted as leased."""
+        leases = self._leases_by_team.get(team)
+        if leases is None:
+            return 0
+        return sum(
+            lease.share
+            for lease in leases.lease_by_entry.values()
+            if lease.until_ms > now_ms
+        )
+
+    def forget_idle(self, now_ms: float) -> None:
+        """Forget teams without leases and past their renewal-only time."""
+        for team, leases in tuple(self._leases_by_team.items()):
+            _drop_expired(leases, '', now_ms)
+            idle = not leases.lease_by_entry
+            if idle and now_ms >= leases.renewal_only_until_ms:
+                self._leases_by_team.pop(team)
+
+    def _leases(self, team: str, now_ms: float) -> _TeamLeases:
+        leases = self._leases_by_team.get(team)
+        if leases is None:
+            until_ms = self._renewal_only_until_ms(team, now_ms)
+            leases = _TeamLeases(until_ms)
+            self._leases_by_team[team] = leases
+        return leases
+
+    def _renewal_only_until_ms(self, team: str, now_ms: float) -> float:
+        until_ms = self._started_ms + HOLD_MS
+        for view in self._past_views:
+            if now_ms - view.left_ms >= HOLD_MS:
+                continue
+            if home_of(team, view.entries) != self._own:
+                until_ms = max(until_ms, view.left_ms + HOLD_MS)
+        return until_ms
+
+
+def _drop_expired(
+    leases: _TeamLeases,
+    entry: str,
+    now_ms: float,
+) -> list[_Lease]:
+    others = []
+    for holder, lease in tuple(leases.lease_by_entry.items()):
+        if lease.until_ms <= now_ms:
+            leases.lease_by_entry.pop(holder)
+        elif holder != entry:
+            others.append(lease)
+    return others
+
+
+def _fair_level(pool: float, wanted: list[float]) -> float:
+    """Return the max-min fair level at which the wants fill the pool."""
+    left = pool
+    ascending = sorted(wanted)
+    for index, one in enumerate(ascending):
+        level = left / (len(ascending) - index)
+        if one >= level:
+            return level
+        left -= one
+    return pool
--- /dev/null
+++ b/bergamotthread/process/shares.py
@@ -0,0 +1,345 @@
+"""Limits of teams across entries, as shares leased from home entries."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Protocol
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.transport import Transport
+from bergamotthread.errors import Step
+from bergamotthread.process.byte_budget import ByteBudget
+from bergamotthread.process.share_home import HEADROOM, LEASE_MS, ShareHome
+from bergamotthread.process.team_usage import Shortage, TeamUsage
+from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
+from bergamotthread.version.objects import Team
+from bergamotthread.version.published import PublishedVersion
+from bergamotthread.wire.messages import (
+    Envelope,
+    ShareGrants,
+    ShareRequests,
+    TeamDemand,
+    TeamShare,
+)
+
+TICK_MS = 1000
+RENEW_MS = 5000
+RENEW_CONTENDED_MS = 2000
+PAUSE_MS = 2000
+FORGET_INTERVAL_MS = 10_000
+BYTES_PER_S = 6144
+BURST_BYTES = 12_288
+ANSWER_RESERVE_BYTES = 4096
+MESSAGE_BYTES = 90
+TEAM_BYTES = 28
+FLOOR_USE = 0.5
+KEPT_USE = 0.7
+
+
+class EntryView(Protocol):
+    """What the limits need to know of the membership."""
+
+    def responsive_entries(self) -> tuple[str, ...]:
+        """Return the entries that answer, the own one too."""
+
+    def reachable_share(self) -> float:
+        """Return the share of all entries that answer."""
+
+
+@dataclass
+class _Request:
+    sequence: int
+    sent_ms: float
+
+
+@dataclass
+class ShareCounters:
+    """Events since the start, for metrics."""
+
+    admitted: int = 0
+    refused: int = 0
+    unsent: int = 0
+
+
+class TeamLimits:
+    """Admission of requests within the limits of their teams.
+
+    Parameters
+    ----------
+    transport
+        Sends requests and grants.
+    clock
+        Clock of the process.
+    view
+        The membership.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        clock: Clock,
+        view: EntryView,
+    ) -> None:
+        now_ms = clock.now_ms()
+        self.counters = ShareCounters()
+        self.home = ShareHome(transport.address, now_ms)
+        self._transport = transport
+        self._clock = clock
+        self._view = view
+        self._version: PublishedVersion | None = None
+        self._usage_by_team: dict[str, TeamUsage] = {}
+        self._request_by_home: dict[str, _Request] = {}
+        self._active: set[str] = set()
+        self._asked_ms_by_team: dict[str, float] = {}
+        self._last_by_entry: dict[str, tuple[int, int]] = {}
+        self._budget = ByteBudget(BYTES_PER_S, BURST_BYTES, now_ms)
+        self._ticked_ms = now_ms
+
+    def apply_version(self, version: PublishedVersion) -> None:
+        """Take in the limits of a published version."""
+        self._version = version
+        now_ms = self._clock.now_ms()
+        count = self._entry_count()
+        for name, usage in tuple(self._usage_by_team.items()):
+            team = version.teams_by_name.get(name)
+            if team is None:
+                self._usage_by_team.pop(name)
+            else:
+                usage.resize(team, count, now_ms)
+
+    def try_admit(self, team: str, cost: float = 1) -> Refusal | None:
+        """Count a request that starts, or return why it may not.
+
+        Parameters
+        ----------
+        team
+            Name of the team.
+        cost
+            Units of its rate that the request takes.
+
+        Returns
+        -------
+        Refusal or None
+            None where the request may start; `release` ends it.
+        """
+        published = (
+            self._version.teams_by_name.get(team) if self._version else None
+        )
+        if published is None:
+            return _unknown_team(team)
+        usage = self._usage(published)
+        self._active.add(team)
+        shortage = usage.take(cost, self._clock.now_ms())
+        if shortage is None:
+            self.counters.admitted += 1
+            return None
+        self.counters.refused += 1
+        return self._refusal(published, shortage)
+
+    def release(self, team: str) -> None:
+        """Count an admitted request that has ended."""
+        usage = self._usage_by_team.get(team)
+        if usage is not None:
+            usage.release()
+
+    def on_message(self, envelope: Envelope) -> None:
+        """Take in a message; those of other matters are ignored."""
+        match envelope.message:
+            case ShareRequests() as requests:
+                self._answer(envelope, requests)
+            case ShareGrants() as grants:
+                self._apply_grants(envelope.sender, grants)
+
+    def note_doubted(self) -> None:
+        """Note that others took this entry for lost for a while."""
+        self.home.note_doubted(self._clock.now_ms())
+
+    async def run(self) -> None:
+        """Renew leases until cancelled."""
+        while True:
+            self.tick()
+            await self._clock.sleep_ms(TICK_MS)
+
+    def tick(self) -> None:
+        """Ask for the leases that are due."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._ticked_ms >= PAUSE_MS:
+            self.note_doubted()
+        if (
+            now_ms // FORGET_INTERVAL_MS
+            != self._ticked_ms // FORGET_INTERVAL_MS
+        ):
+            self._forget_idle(now_ms)
+        self._ticked_ms = now_ms
+        self.home.apply_view(self._view.responsive_entries(), now_ms)
+        demands_by_home: dict[str, list[TeamDemand]] = {}
+        for name in self._due_teams(now_ms):
+            usage = self._usage_by_team[name]
+            demands_by_home.setdefault(self.home.home(name), []).append(
+                _demand(name, usage, now_ms)
+            )
+        for home, demands in demands_by_home.items():
+            self._ask(home, tuple(demands), now_ms)
+
+    def _due_teams(self, now_ms: float) -> list[str]:
+        """Return the teams whose lease is due, by falling demand."""
+        due = []
+        for name in tuple(self._active):
+            usage = self._usage_by_team.get(name)
+            if usage is None or not _wants_lease(usage, now_ms):
+                self._active.discard(name)
+            elif self._is_due(name, usage, now_ms):
+                due.append((usage.wanted_per_s(now_ms), name))
+        return [one for _, one in sorted(due, reverse=True)]
+
+    def _usage(self, team: Team) -> TeamUsage:
+        usage = self._usage_by_team.get(team.name)
+        if usage is None:
+            now_ms = self._clock.now_ms()
+            usage = TeamUsage(team, self._entry_count(), now_ms)
+            self._usage_by_team[team.name] = usage
+        return usage
+
+    def _entry_count(self) -> int:
+        responsive = len(self._view.responsive_entries())
+        return math.ceil(responsive / max(self._view.reachable_share(), 1e-3))
+
+    def _is_due(self, name: str, usage: TeamUsage, now_ms: float) -> bool:
+        asked_ms = self._asked_ms_by_team.get(name, -math.inf)
+        wanted = usage.wanted(now_ms)
+        leased = usage.held(now_ms)
+        short = wanted > leased + usage.floor
+        unused = wanted * HEADROOM < leased * KEPT_USE
+        urgent = usage.contended or short or unused
+        interval_ms = RENEW_CONTENDED_MS if urgent else RENEW_MS
+        return now_ms - asked_ms >= interval_ms
+
+    def _ask(
+        self,
+        home: str,
+        demands: tuple[TeamDemand, ...],
+        now_ms: float,
+    ) -> None:
+        if home == self._transport.address:
+            for demand in demands:
+                self._apply_share(self._grant(home, demand), LEASE_MS, now_ms)
+                self._asked_ms_by_team[demand.team] = now_ms
+            return
+        if not self._may_ask(len(demands), now_ms):
+            return
+        known = self._request_by_home.get(home)
+        sequence = known.sequence + 1 if known else 1
+        self._request_by_home[home] = _Request(sequence, now_ms)
+        for demand in demands:
+            self._asked_ms_by_team[demand.team] = now_ms
+        self._transport.send(home, ShareRequests(sequence, demands))
+
+    def _answer(self, envelope: Envelope, requests: ShareRequests) -> None:
+        stamp = (envelope.incarnation, requests.sequence)
+        if stamp <= self._last_by_entry.get(envelope.sender, (0, 0)):
+            return
+        self._last_by_entry[envelope.sender] = stamp
+        if not self._may_send(len(requests.demands), self._clock.now_ms()):
+            return
+        shares = tuple(
+            self._grant(envelope.sender, demand) for demand in requests.demands
+        )
+        grants = ShareGrants(requests.sequence, LEASE_MS, shares)
+        self._transport.send(envelope.sender, grants)
+
+    def _grant(self, entry: str, demand: TeamDemand) -> TeamShare:
+        return self.home.grant(
+            entry,
+            demand,
+            self._view.reachable_share(),
+            self._clock.now_ms(),
+        )
+
+    def _apply_grants(self, home: str, grants: ShareGrants) -> None:
+        request = self._request_by_home.get(home)
+        if request is None or request.sequence != grants.sequence:
+            return
+        for share in grants.shares:
+            self._apply_share(share, grants.lease_ms, request.sent_ms)
+
+    def _apply_share(
+        self,
+        share: TeamShare,
+        lease_ms: float,
+        from_ms: float,
+    ) -> None:
+        usage = self._usage_by_team.get(share.team)
+        if usage is not None:
+            usage.contended = share.contended
+            now_ms = self._clock.now_ms()
+            usage.set_lease(share.share, from_ms + lease_ms, now_ms)
+
+    def _may_ask(self, team_count: int, now_ms: float) -> bool:
+        left = self._budget.available(now_ms) - _byte_count(team_count)
+        if left >= ANSWER_RESERVE_BYTES:
+            return self._may_send(team_count, now_ms)
+        self.counters.unsent += 1
+        return False
+
+    def _may_send(self, team_count: int, now_ms: float) -> bool:
+        if self._budget.try_spend(_byte_count(team_count), now_ms):
+            return True
+        self.counters.unsent += 1
+        return False
+
+    def _forget_idle(self, now_ms: float) -> None:
+        self.home.forget_idle(now_ms)
+        count = self._entry_count()
+        for name, usage in tuple(self._usage_by_team.items()):
+            usage.resize(usage.team, count, now_ms)
+            if usage.is_idle(now_ms):
+                self._usage_by_team.pop(name)
+                self._asked_ms_by_team.pop(name, None)
+
+    def _refusal(self, team: Team, shortage: Shortage) -> Refusal:
+        limit = getattr(team, shortage.limit)
+        return Refusal(
+            reason=ReasonCode.OVER_LIMIT,
+            detail=(
+                f'team {team.name} is over its {shortage.limit} of {limit}; '
+                f'{shortage.allowed:.3g} are leased to this entry'
+            ),
+            step=Step.ADMIT,
+            ran=Ran.NOT_RUN,
+            config_version=self._version.version if self._version else 0,
+            decided_by=f'teams/{team.name}',
+            retry_after_ms=shortage.retry_after_ms,
+            figures={
+                shortage.limit: limit,
+                f'{shortage.limit}_here': shortage.allowed,
+            },
+            team=team.name,
+        )
+
+
+def _byte_count(team_count: int) -> int:
+    return MESSAGE_BYTES + TEAM_BYTES * team_count
+
+
+def _wants_lease(usage: TeamUsage, now_ms: float) -> bool:
+    return usage.held(now_ms) > 0 or usage.needs_lease(now_ms)
+
+
+def _demand(name: str, usage: TeamUsage, now_ms: float) -> TeamDemand:
+    """Return the demand of a team, after giving up what it doesn't use."""
+    wanted = usage.wanted(now_ms)
+    if wanted <= usage.floor * FLOOR_USE:
+        wanted = 0
+    usage.reduce_lease(wanted * HEADROOM, now_ms)
+    return TeamDemand(name, wanted, usage.held(now_ms))
+
+
+def _unknown_team(team: str) -> Refusal:
+    return Refusal(
+        reason=ReasonCode.FORBIDDEN,
+        detail=f'team {team!r} is not published',
+        step=Step.ADMIT,
+        ran=Ran.NOT_RUN,
+        team=team,
+    )
--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -309,6 +309,51 @@
     confirmed: bool
 
 
+class ProbeRequest(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to entry: probe `target` and pass its answer on."""
+
+    sequence: int
+    target: str
+
+
+class TeamDemand(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Wanted and held share of one team's limits at the sender, 0 to 1."""
+
+    team: str
+    wanted: float
+    held: float
+
+
+class TeamShare(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Leased share of one team's limits, 0 to 1.
+
+    `contended` tells that more was wanted than there is.
+    """
+
+    team: str
+    share: float
+    contended: bool = False
+
+
+class ShareRequests(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to home entry: demands of the teams that it is the home of.
+
+    `sequence` is repeated in the answer, so that the lease counts from the
+    time at which the request was sent.
+    """
+
+    sequence: int
+    demands: tuple[TeamDemand, ...]
+
+
+class ShareGrants(_Message, frozen=True, array_like=True, tag=True):
+    """Home entry to entry: leased shares, for `lease_ms` from the request."""
+
+    sequence: int
+    lease_ms: float
+    shares: tuple[TeamShare, ...]
+
+
 Message = (
     Dispatch
     | Admitted
@@ -333,6 +378,9 @@
     | Order
     | OrderReply
     | Quarantine
+    | ProbeRequest
+    | ShareRequests
+    | ShareGrants
 )
 
 
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,196 @@
+import asyncio
+
+import msgspec
+import pytest
+
+from benchmarks.membership import Cluster
+from bergamotthread.process.member_table import SUSPICION_MS
+from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.wire.messages import (
+    Envelope,
+    Member,
+    MemberState,
+    Probe,
+)
+
+SETTLE_MS = 20_000
+DETECT_MS = 15_000
+
+
+def _make(size: int, loss: float = 0) -> tuple[Cluster, list[str]]:
+    cluster = Cluster(loss=loss)
+    return cluster, [cluster.add(number) for number in range(size)]
+
+
+async def _rejoin() -> None:
+    cluster, addresses = _make(5)
+    await cluster.clock.sleep_ms(SETTLE_MS)
+    cluster.crash(addresses[0])
+    gone_ms = await cluster.time_until_known(addresses[0], live=False)
+    assert SUSPICION_MS <= gone_ms <= SUSPICION_MS + DETECT_MS
+    cluster.add(0, incarnation=2)
+    back_ms = await cluster.time_until_known(addresses[0], live=True)
+    assert back_ms <= DETECT_MS
+    cluster.close()
+
+
+def test_crashed_member_goes_and_its_next_process_returns() -> None:
+    run_virtual(_rejoin())
+
+
+async def _partition() -> None:
+    cluster, addresses = _make(3)
+    await cluster.clock.sleep_ms(SETTLE_MS)
+    near, far = addresses[:1], addresses[1:]
+    for one in near:
+        for other in far:
+            cluster.network.cut_both(one, other)
+    await cluster.clock.sleep_ms(3_600_000)
+    for address in near:
+        assert cluster.members_by_address[address].live_entries() == tuple(near)
+    cluster.network.heal()
+    for address in addresses:
+        await cluster.time_until_known(address, live=True)
+    for member in cluster.members_by_address.values():
+        assert member.live_entries() == tuple(addresses)
+    cluster.close()
+
+
+def test_partition_of_an_hour_heals() -> None:
+    run_virtual(_partition())
+
+
+async def _one_link_cut() -> int:
+    cluster, addresses = _make(6)
+    cluster.network.cut_both(addresses[0], addresses[1])
+    await cluster.clock.sleep_ms(120_000)
+    cluster.close()
+    return cluster.suspicions()
+
+
+def test_one_cut_link_suspects_nobody() -> None:
+    assert run_virtual(_one_link_cut()) == 0
+
+
+async def _late_message() -> None:
+    cluster, addresses = _make(3)
+    await cluster.clock.sleep_ms(SETTLE_MS)
+    cluster.crash(addresses[0])
+    cluster.add(0, incarnation=2)
+    await cluster.clock.sleep_ms(SETTLE_MS)
+    member = cluster.members_by_address[addresses[1]]
+    heard: list[str] = []
+    member.add_version_listener(lambda address, version: heard.append(address))
+    member.on_message(Envelope(addresses[0], 1, Probe(1)))
+    assert not heard
+    member.on_message(Envelope(addresses[0], 2, Probe(1)))
+    assert heard == [addresses[0]]
+    cluster.close()
+
+
+def test_late_message_of_an_earlier_process_is_ignored() -> None:
+    run_virtual(_late_message())
+
+
+async def _paused_with_suspicion() -> int:
+    cluster, addresses = _make(4)
+    await cluster.clock.sleep_ms(SETTLE_MS)
+    paused = cluster.members_by_address[addresses[0]]
+    known = paused.table.get(addresses[1])
+    assert known is not None
+    suspected = msgspec.structs.replace(known, state=MemberState.SUSPECT)
+    paused.on_message(Envelope(addresses[2], 1, Probe(1, (suspected,))))
+    cluster.pause(addresses[0])
+    await cluster.clock.sleep_ms(SUSPICION_MS + 5000)
+    cluster.resume(addresses[0])
+    await cluster.clock.sleep_ms(SETTLE_MS)
+    cluster.close()
+    return paused.counters.removals
+
+
+def test_process_that_was_paused_blames_nobody() -> None:
+    assert run_virtual(_paused_with_suspicion()) == 0
+
+
+async def _leave() -> None:
+    cluster, addresses = _make(4)
+    await cluster.clock.sleep_ms(SETTLE_MS)
+    seen: list[Member] = []
+    cluster.members_by_address[addresses[1]].add_listener(seen.append)
+    cluster.members_by_address[addresses[0]].leave()
+    await cluster.clock.sleep_ms(DETECT_MS)
+    for address in addresses[1:]:
+        member = cluster.members_by_address[address]
+        assert addresses[0] not in member.responsive_entries()
+        assert addresses[0] in member.live_entries()
+    assert [one.state for one in seen] == [MemberState.LEAVING]
+    cluster.close()
+
+
+def test_leaving_member_is_told_to_all() -> None:
+    run_virtual(_leave())
+
+
+async def _rate_in_a_storm() -> float:
+    cluster, addresses = _make(12)
+    await cluster.clock.sleep_ms(SETTLE_MS)
+    began = dict(cluster.network.bytes_by_sender)
+    members = list(cluster.members_by_address.values())
+    for _ in range(1000):
+        for member in members:
+            member.on_message(Envelope(addresses[0], 1, Probe(1)))
+        await cluster.clock.sleep_ms(10)
+    cluster.close()
+    return cluster.highest_rate(began, 10_000)
+
+
+def test_byte_budget_holds_in_a_storm_of_probes() -> None:
+    burst_rate = 8192 / 10
+    assert run_virtual(_rate_in_a_storm()) <= 4096 + burst_rate
+
+
+async def _reachable_share() -> None:
+    cluster, addresses = _make(4)
+    await cluster.clock.sleep_ms(SETTLE_MS)
+    member = cluster.members_by_address[addresses[0]]
+    assert member.reachable_share() == 1
+    for other in addresses[1:]:
+        cluster.network.cut_both(addresses[0], other)
+    await cluster.clock.sleep_ms(DETECT_MS)
+    assert member.reachable_share() == 1 / 4
+    await cluster.clock.sleep_ms(3 * SUSPICION_MS)
+    assert member.reachable_share() == 1 / 4
+    cluster.close()
+
+
+def test_share_of_listed_entries_that_answer() -> None:
+    run_virtual(_reachable_share())
+
+
+async def _platform_down() -> tuple[str, ...]:
+    cluster, addresses = _make(2)
+    await cluster.clock.sleep_ms(SETTLE_MS)
+    cluster.platform.faults.down = True
+    await cluster.clock.sleep_ms(3_600_000)
+    cluster.close()
+    return cluster.members_by_address[addresses[0]].live_entries()
+
+
+def test_membership_lasts_through_an_hour_without_the_platform() -> None:
+    assert len(run_virtual(_platform_down())) == 2
+
+
+@pytest.mark.parametrize('version', [3, 9])
+def test_probe_tells_the_version(version: int) -> None:
+    async def run() -> set[int]:
+        cluster, addresses = _make(2)
+        seen: set[int] = set()
+        first = cluster.members_by_address[addresses[0]]
+        first.add_version_listener(lambda _, number: seen.add(number))
+        other = cluster.members_by_address[addresses[1]]
+        other._sender._config_version = lambda: version
+        await asyncio.sleep(5)
+        cluster.close()
+        return seen
+
+    assert run_virtual(run()) == {version}
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,275 @@
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.share_home import HOLD_MS, LEASE_MS, home_of
+from bergamotthread.process.shares import TeamLimits
+from bergamotthread.process.team_usage import FLOOR_BURST
+from bergamotthread.request.refusal import Ran, ReasonCode
+from bergamotthread.testing.memory_network import MemoryNetwork
+from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.version.objects import ObjectSet, Team
+from bergamotthread.version.published import PublishedVersion
+from bergamotthread.wire.messages import Envelope, ShareGrants, TeamShare
+
+LIMIT = 100
+TEAM = 'foundry'
+STEP_MS = 20
+SETTLED_MS = 40_000
+
+
+@dataclass
+class _View:
+    entries: tuple[str, ...]
+    reachable: float = 1
+
+    def responsive_entries(self) -> tuple[str, ...]:
+        return self.entries
+
+    def reachable_share(self) -> float:
+        return self.reachable
+
+
+@dataclass
+class _Bench:
+    """Entries under demand, with every admission's time."""
+
+    count: int
+    loss: float = 0
+    concurrent: int = 1_000_000
+    limits: dict[str, TeamLimits] = field(default_factory=dict)
+    views: dict[str, _View] = field(default_factory=dict)
+    tasks: dict[str, asyncio.Task[None]] = field(default_factory=dict)
+    admitted_ms: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.clock = Clock.from_loop(asyncio.get_running_loop())
+        self.network = MemoryNetwork(
+            delay_ms=20, jitter_ms=30, loss=self.loss, duplication=self.loss
+        )
+        self.entries = tuple(f'e{number}' for number in range(self.count))
+        team = Team(
+            TEAM, requests_per_s=LIMIT, concurrent_generations=self.concurrent
+        )
+        version = PublishedVersion.from_object_set(3, ObjectSet(teams=(team,)))
+        for entry in self.entries:
+            self.views[entry] = _View(self.entries)
+            transport = self.network.transport(entry)
+            one = TeamLimits(transport, self.clock, self.views[entry])
+            one.apply_version(version)
+            transport.start(one.on_message)
+            self.limits[entry] = one
+            self.tasks[entry] = asyncio.create_task(one.run())
+
+    @property
+    def home(self) -> str:
+        return home_of(TEAM, self.entries)
+
+    async def load(
+        self, duration_ms: float, entries: tuple[str, ...] | None = None
+    ) -> None:
+        """Ask at each of `entries` for twice the limit."""
+        until_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < until_ms:
+            for entry in entries or self.entries:
+                for _ in range(2 * LIMIT * STEP_MS // 1000):
+                    if self.limits[entry].try_admit(TEAM) is None:
+                        self.limits[entry].release(TEAM)
+                        self.admitted_ms.append(self.clock.now_ms())
+            await self.clock.sleep_ms(STEP_MS)
+
+    def highest(self, window_ms: float, since_ms: float = 0) -> float:
+        """Return the most admissions per s of any window."""
+        times = [at for at in self.admitted_ms if at >= since_ms]
+        first = 0
+        most = 0
+        for index, at_ms in enumerate(times):
+            while times[first] <= at_ms - window_ms:
+                first += 1
+            most = max(most, index - first + 1)
+        return most * 1000 / window_ms
+
+    def close(self) -> None:
+        for task in self.tasks.values():
+            task.cancel()
+
+
+def _run(
+    scenario: Callable[[_Bench], Coroutine[Any, Any, None]], **options: Any
+) -> None:
+    async def run() -> None:
+        bench = _Bench(**options)
+        await scenario(bench)
+        bench.close()
+
+    run_virtual(run())
+
+
+async def _steady(bench: _Bench) -> None:
+    await bench.load(80_000)
+    assert bench.highest(10_000, 0) <= LIMIT * 1.1 + 4 * FLOOR_BURST / 10
+    settled = [at for at in bench.admitted_ms if at >= SETTLED_MS]
+    assert len(settled) >= 0.9 * LIMIT * (80_000 - SETTLED_MS) / 1000
+
+
+@pytest.mark.parametrize('loss', [0, 0.05])
+def test_limit_holds_and_is_used(loss: float) -> None:
+    _run(_steady, count=4, loss=loss)
+
+
+async def _cut_off(bench: _Bench) -> None:
+    away = next(one for one in bench.entries if one != bench.home)
+    await bench.load(SETTLED_MS, (away,))
+    for other in bench.entries:
+        bench.network.cut_both(away, other)
+    await bench.load(LEASE_MS + 2000, (away,))
+    before = len(bench.admitted_ms)
+    await bench.load(20_000, (away,))
+    rate = (len(bench.admitted_ms) - before) / 20
+    assert rate == pytest.approx(LIMIT / 10 / 4, rel=0.1)
+
+
+def test_entry_that_is_cut_off_keeps_its_floor_alone() -> None:
+    _run(_cut_off, count=4)
+
+
+async def _home_lost(bench: _Bench) -> None:
+    await bench.load(SETTLED_MS)
+    lost = bench.home
+    bench.tasks.pop(lost).cancel()
+    bench.network.ends_by_address.pop(lost)
+    rest = tuple(one for one in bench.entries if one != lost)
+    await bench.load(3000, rest)
+    for entry in rest:
+        bench.views[entry].entries = rest
+    await bench.load(60_000, rest)
+    assert bench.highest(10_000, SETTLED_MS) <= LIMIT * 1.1
+    late = [at for at in bench.admitted_ms if at >= SETTLED_MS + 40_000]
+    assert len(late) >= 0.85 * LIMIT * 23
+
+
+def test_lost_home_is_replaced_without_passing_the_limit() -> None:
+    _run(_home_lost, count=4)
+
+
+async def _changing_view(bench: _Bench) -> None:
+    await bench.load(SETTLED_MS)
+    near = tuple(one for one in bench.entries if one != bench.home)
+    for entry in near[:2]:
+        bench.views[entry].entries = near
+    await bench.load(8000)
+    for entry in bench.entries:
+        bench.views[entry].entries = near
+    await bench.load(40_000)
+    assert bench.highest(10_000, SETTLED_MS) <= LIMIT * 1.1
+
+
+def test_views_that_differ_for_a_while_do_not_lease_twice() -> None:
+    _run(_changing_view, count=5)
+
+
+async def _partition(bench: _Bench) -> None:
+    await bench.load(SETTLED_MS)
+    near, far = bench.entries[:2], bench.entries[2:]
+    for one in near:
+        for other in far:
+            bench.network.cut_both(one, other)
+    for side in (near, far):
+        for entry in side:
+            bench.views[entry].entries = side
+            bench.views[entry].reachable = len(side) / bench.count
+    await bench.load(60_000)
+    assert bench.highest(10_000, SETTLED_MS) <= LIMIT * 1.1
+    late = [at for at in bench.admitted_ms if at >= SETTLED_MS + 40_000]
+    assert len(late) >= 0.8 * LIMIT * 20
+
+
+def test_both_sides_of_a_partition_together_stay_in_the_limit() -> None:
+    _run(_partition, count=5)
+
+
+async def _paused_home(bench: _Bench) -> None:
+    await bench.load(SETTLED_MS)
+    lost = bench.home
+    rest = tuple(one for one in bench.entries if one != lost)
+    bench.tasks.pop(lost).cancel()
+    for entry in rest:
+        bench.views[entry].entries = rest
+        bench.network.cut_both(entry, lost)
+    await bench.load(30_000, rest)
+    bench.network.heal()
+    for entry in rest:
+        bench.views[entry].entries = bench.entries
+    bench.tasks[lost] = asyncio.create_task(bench.limits[lost].run())
+    await bench.load(40_000)
+    assert bench.highest(10_000, SETTLED_MS) <= LIMIT * 1.1
+
+
+def test_home_that_wakes_does_not_lease_what_others_did() -> None:
+    _run(_paused_home, count=4)
+
+
+async def _late_grant(bench: _Bench) -> None:
+    away = next(one for one in bench.entries if one != bench.home)
+    await bench.load(SETTLED_MS, (away,))
+    usage = bench.limits[away]._usage_by_team[TEAM]
+    late = ShareGrants(1, LEASE_MS, (TeamShare(TEAM, 0.1),))
+    bench.limits[away].on_message(Envelope(bench.home, 1, late))
+    assert usage.leased > 0.5
+
+
+def test_late_grant_is_ignored() -> None:
+    _run(_late_grant, count=3)
+
+
+async def _retry_after(bench: _Bench) -> None:
+    only = bench.limits['e0']
+    await bench.clock.sleep_ms(HOLD_MS)
+    while (refusal := only.try_admit(TEAM)) is None:
+        only.release(TEAM)
+    assert refusal.reason is ReasonCode.OVER_LIMIT
+    assert refusal.ran is Ran.NOT_RUN
+    assert refusal.decided_by == 'teams/foundry'
+    assert refusal.config_version == 3
+    second = only.try_admit(TEAM)
+    assert second is not None
+    assert second.retry_after_ms > refusal.retry_after_ms
+    await bench.clock.sleep_ms(second.retry_after_ms)
+    assert only.try_admit(TEAM) is None
+
+
+def test_refusal_tells_truly_when_to_come_back() -> None:
+    _run(_retry_after, count=1)
+
+
+async def _concurrent(bench: _Bench) -> None:
+    running = 0
+    for _ in range(60):
+        for entry in bench.entries:
+            running += bench.limits[entry].try_admit(TEAM) is None
+        await bench.clock.sleep_ms(1000)
+    assert 18 <= running <= 20 + bench.count
+    one = bench.limits['e0']
+    refusal = one.try_admit(TEAM)
+    assert refusal is not None
+    assert 'concurrent_generations' in refusal.figures
+    one.release(TEAM)
+    assert one.try_admit(TEAM) is None
+
+
+def test_running_requests_are_limited_across_entries() -> None:
+    _run(_concurrent, count=2, concurrent=20)
+
+
+async def _unknown(bench: _Bench) -> None:
+    refusal = bench.limits['e0'].try_admit('nobody')
+    assert refusal is not None
+    assert refusal.reason is ReasonCode.FORBIDDEN
+
+
+def test_unknown_team_is_refused() -> None:
+    _run(_unknown, count=1)
