Order engines through one lease holder per region, with a fence

Cause: engines load models on orders, some ignore fencing numbers, and a holder may wake long after another has taken over. Ruled out: rereading the fence before the first order only; an agent that has had an order would still carry out the old holder's.

--- /dev/null
+++ b/bergamotthread/process/orders.py
@@ -0,0 +1,249 @@
+"""Orders to the engines of a region, from its lease holder."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.transport import Transport
+from bergamotthread.process.byte_budget import ByteBudget
+from bergamotthread.process.region_lease import RegionLease
+from bergamotthread.version.objects import Upstream
+from bergamotthread.version.published import PublishedVersion
+from bergamotthread.wire.messages import Envelope, Order, OrderReply, Pin
+
+TICK_MS = 2000
+REPLY_TIMEOUT_MS = 120_000
+ORDERS_PER_TICK = 20
+
+
+class OrderAction(enum.StrEnum):
+    """What an order tells the engine to do with a pin."""
+
+    LOAD = 'load'
+    UNLOAD = 'unload'
+
+
+@dataclass(frozen=True)
+class WeightRate:
+    """Rate of the weight store that one region may use, in bytes."""
+
+    bytes_per_s: float = 2_000_000_000
+    burst_bytes: float = 200_000_000_000
+
+
+@dataclass(frozen=True)
+class PlannedOrder:
+    """Order that is due, with the bytes that it loads."""
+
+    agent: str
+    action: OrderAction
+    pin: Pin
+    load_bytes: int = 0
+
+
+@dataclass(frozen=True)
+class _Sent:
+    order: PlannedOrder
+    name: str
+    sent_ms: float
+
+
+LoadedPins = Mapping[str, frozenset[Pin]]
+
+
+def plan_orders(
+    version: PublishedVersion,
+    region: str,
+    loaded_by_agent: LoadedPins,
+    demand_by_pin: Mapping[Pin, float],
+    busy: frozenset[str],
+) -> tuple[PlannedOrder, ...]:
+    """Return at most one order per upstream, the most needed first.
+
+    Parameters
+    ----------
+    version
+        Published version: an upstream is to run the pins that it names.
+    region
+        Region whose upstreams are planned.
+    loaded_by_agent
+        Pins that each agent's engine is known to have loaded.
+    demand_by_pin
+        Demand of each pin, in requests per second.
+    busy
+        Agents that still carry out an order.
+
+    Returns
+    -------
+    tuple of PlannedOrder
+        By falling demand per upstream that has the pin loaded.
+    """
+    loaded_counts = _count_loaded(loaded_by_agent)
+    ranked = []
+    for upstream in version.upstreams_by_agent.values():
+        if upstream.agent in busy or version.region_of(upstream) != region:
+            continue
+        loaded = loaded_by_agent.get(upstream.agent, frozenset())
+        order = _next_order(version, upstream, loaded, demand_by_pin)
+        if order is not None:
+            demand = demand_by_pin.get(order.pin, 0)
+            need = demand / (1 + loaded_counts.get(order.pin, 0))
+            ranked.append((-need, order.agent, order))
+    ranked.sort(key=lambda one: one[:2])
+    return tuple(order for _, _, order in ranked)
+
+
+def _count_loaded(loaded_by_agent: LoadedPins) -> dict[Pin, int]:
+    counts: dict[Pin, int] = {}
+    for pins in loaded_by_agent.values():
+        for pin in pins:
+            counts[pin] = counts.get(pin, 0) + 1
+    return counts
+
+
+def _next_order(
+    version: PublishedVersion,
+    upstream: Upstream,
+    loaded: frozenset[Pin],
+    demand_by_pin: Mapping[Pin, float],
+) -> PlannedOrder | None:
+    missing = [pin for pin in upstream.models if pin not in loaded]
+    if missing:
+        pin = max(missing, key=lambda one: demand_by_pin.get(one, 0))
+        model = version.models_by_name.get(pin.model)
+        load_bytes = model.load_bytes if model else 0
+        return PlannedOrder(upstream.agent, OrderAction.LOAD, pin, load_bytes)
+    excess = sorted(
+        loaded.difference(upstream.models),
+        key=lambda one: (one.model, one.version, one.adapter),
+    )
+    if excess:
+        return PlannedOrder(upstream.agent, OrderAction.UNLOAD, excess[0])
+    return None
+
+
+class RegionOrders:
+    """Sends the orders of a region while this process holds its lease.
+
+    Parameters
+    ----------
+    transport
+        Sends the orders.
+    clock
+        Clock of the process.
+    region
+        The region.
+    lease
+        Its lease.
+    rate
+        What the region may load from the weight store.
+    demand
+        Returns the demand of each pin, in requests per second.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        clock: Clock,
+        region: str,
+        lease: RegionLease,
+        rate: WeightRate,
+        demand: Callable[[], Mapping[Pin, float]],
+    ) -> None:
+        self._transport = transport
+        self._clock = clock
+        self._region = region
+        self._lease = lease
+        self._demand = demand
+        self._weights = ByteBudget(
+            rate.bytes_per_s, rate.burst_bytes, clock.now_ms()
+        )
+        self._version: PublishedVersion | None = None
+        self._fence = 0
+        self._number = 0
+        self._loaded_by_agent: dict[str, frozenset[Pin]] = {}
+        self._sent_by_agent: dict[str, _Sent] = {}
+
+    def apply_version(self, version: PublishedVersion) -> None:
+        """Take in a published version."""
+        self._version = version
+
+    async def run(self) -> None:
+        """Send what is due until cancelled."""
+        while True:
+            self.tick()
+            await self._clock.sleep_ms(TICK_MS)
+
+    def tick(self) -> None:
+        """Send the orders that are due, if the lease is held."""
+        if self._version is None or not self._lease.valid():
+            return
+        if self._lease.fence != self._fence:
+            self._start_over()
+        self._drop_unanswered()
+        due = plan_orders(
+            self._version,
+            self._region,
+            self._loaded_by_agent,
+            self._demand(),
+            frozenset(self._sent_by_agent),
+        )
+        for order in due[:ORDERS_PER_TICK]:
+            if not self._send(order):
+                return
+
+    def on_message(self, envelope: Envelope) -> None:
+        """Take in a message; those of other matters are ignored."""
+        match envelope.message:
+            case OrderReply(fence=fence) as reply if fence == self._fence:
+                self._apply_reply(envelope.sender, reply)
+            case OrderReply(fence=fence) if fence > self._lease.fence:
+                self._lease.give_up()
+
+    def _start_over(self) -> None:
+        """Forget what an earlier term knew; agents tell it again."""
+        self._fence = self._lease.fence
+        self._loaded_by_agent.clear()
+        self._sent_by_agent.clear()
+
+    def _drop_unanswered(self) -> None:
+        now_ms = self._clock.now_ms()
+        for agent, sent in tuple(self._sent_by_agent.items()):
+            if now_ms - sent.sent_ms >= REPLY_TIMEOUT_MS:
+                self._sent_by_agent.pop(agent)
+
+    def _send(self, order: PlannedOrder) -> bool:
+        now_ms = self._clock.now_ms()
+        if not self._weights.try_spend(order.load_bytes, now_ms):
+            return False
+        self._number += 1
+        message = Order(
+            order=f'{self._region}/{self._fence}/{self._number}',
+            fence=self._fence,
+            action=order.action,
+            pin=order.pin,
+            region=self._region,
+            number=self._number,
+        )
+        if not self._lease.valid():
+            return False
+        self._transport.send(order.agent, message)
+        self._sent_by_agent[order.agent] = _Sent(order, message.order, now_ms)
+        return True
+
+    def _apply_reply(self, agent: str, reply: OrderReply) -> None:
+        sent = self._sent_by_agent.get(agent)
+        if sent is None or reply.order != sent.name:
+            return
+        if not reply.accepted:
+            return
+        self._sent_by_agent.pop(agent)
+        loaded = self._loaded_by_agent.get(agent, frozenset())
+        match sent.order.action:
+            case OrderAction.LOAD:
+                self._loaded_by_agent[agent] = loaded | {sent.order.pin}
+            case OrderAction.UNLOAD:
+                self._loaded_by_agent[agent] = loaded - {sent.order.pin}
--- /dev/null
+++ b/bergamotthread/process/region_lease.py
@@ -0,0 +1,153 @@
+"""Lease on a row of the platform's table, one per region, with a fence."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from bergamotthread.clock import Clock
+from bergamotthread.errors import StoreConflictError, StoreUnavailableError
+from bergamotthread.process.platform import Row, Table
+
+KEY_PREFIX = 'lease/orders/'
+LEASE_MS = 15_000
+TAKE_OVER_MARGIN_MS = 5000
+RENEW_MS = 5000
+
+
+class LeaseRow(msgspec.Struct, frozen=True):
+    """Content of the row; `attempt` tells the writer its own write."""
+
+    holder: str
+    fence: int
+    attempt: str
+
+
+@dataclass(frozen=True)
+class _Seen:
+    revision: int
+    since_ms: float
+
+
+def lease_key(region: str) -> str:
+    """Return the key of a region's row."""
+    return KEY_PREFIX + region
+
+
+def decode_lease(row: Row | None) -> LeaseRow | None:
+    """Return the content of a row, or None where there is none."""
+    if row is None:
+        return None
+    return msgspec.json.decode(row.body, type=LeaseRow)
+
+
+class RegionLease:
+    """Lease of one region as one process sees it.
+
+    The holder counts its time from before the write that renewed it. Others
+    count from when they first saw the row's revision, and take over where it
+    hasn't changed for longer than the lease, with the next fence. Both use
+    their own monotonic clock, so no calendar has to agree.
+
+    Parameters
+    ----------
+    table
+        The platform's table.
+    clock
+        Clock of the process.
+    region
+        Region of the lease.
+    holder
+        Address of the process.
+    incarnation
+        Incarnation of the process.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        region: str,
+        holder: str,
+        incarnation: int,
+    ) -> None:
+        self.fence = 0
+        self._table = table
+        self._clock = clock
+        self._key = lease_key(region)
+        self._holder = holder
+        self._name = f'{holder}/{incarnation}'
+        self._attempts = 0
+        self._attempt_sent_ms: dict[str, float] = {}
+        self._valid_until_ms = float(0)
+        self._seen: _Seen | None = None
+
+    def valid(self) -> bool:
+        """Return whether this process holds the lease now."""
+        return self.fence > 0 and self._clock.now_ms() < self._valid_until_ms
+
+    def give_up(self) -> None:
+        """Stop to act as the holder, since a newer fence was seen."""
+        self._valid_until_ms = float(0)
+
+    async def run(self, is_candidate: Callable[[], bool]) -> None:
+        """Renew or watch the lease until cancelled."""
+        while True:
+            if is_candidate() or self.valid():
+                await self.step()
+            await self._clock.sleep_ms(RENEW_MS)
+
+    async def step(self) -> None:
+        """Read the row once, and renew or take over where that is due."""
+        try:
+            await self._step()
+        except StoreUnavailableError:
+            return
+        except StoreConflictError:
+            self._seen = None
+
+    async def _step(self) -> None:
+        row = await self._table.read(self._key)
+        lease = decode_lease(row)
+        if row is None or lease is None:
+            await self._write(expected=0, fence=1)
+            return
+        self._recognise(row, lease)
+        if self.valid() and lease.fence == self.fence:
+            await self._write(expected=row.revision, fence=self.fence)
+        elif self._is_lapsed(row):
+            await self._write(expected=row.revision, fence=lease.fence + 1)
+
+    def _recognise(self, row: Row, lease: LeaseRow) -> None:
+        """Take in a write of this process whose answer was lost."""
+        sent_ms = self._attempt_sent_ms.get(lease.attempt)
+        if sent_ms is not None and lease.fence >= self.fence:
+            self._hold(lease.fence, sent_ms)
+        elif lease.fence > self.fence:
+            self.give_up()
+        now_ms = self._clock.now_ms()
+        if self._seen is None or self._seen.revision != row.revision:
+            self._seen = _Seen(row.revision, now_ms)
+
+    def _is_lapsed(self, row: Row) -> bool:
+        seen = self._seen
+        if seen is None or seen.revision != row.revision:
+            return False
+        watched_ms = self._clock.now_ms() - seen.since_ms
+        return watched_ms >= LEASE_MS + TAKE_OVER_MARGIN_MS
+
+    async def _write(self, *, expected: int, fence: int) -> None:
+        self._attempts += 1
+        attempt = f'{self._name}/{self._attempts}'
+        sent_ms = self._clock.now_ms()
+        self._attempt_sent_ms = {attempt: sent_ms}
+        body = msgspec.json.encode(LeaseRow(self._holder, fence, attempt))
+        row = await self._table.write(self._key, body, expected=expected)
+        self._seen = _Seen(row.revision, sent_ms)
+        self._hold(fence, sent_ms)
+
+    def _hold(self, fence: int, sent_ms: float) -> None:
+        self.fence = fence
+        self._valid_until_ms = max(self._valid_until_ms, sent_ms + LEASE_MS)
--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -283,13 +283,17 @@
 
 
 class Order(_Message, frozen=True, array_like=True, tag=True):
-    """Lease holder to agent: order for the engine beside it."""
+    """Lease holder to agent: order for the engine beside it.
+
+    `number` rises with each order of one fence.
+    """
 
     order: str
     fence: int
     action: str
     pin: Pin
     region: str = ''
+    number: int = 0
 
 
 class OrderReply(_Message, frozen=True, array_like=True, tag=True):
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,232 @@
+import asyncio
+
+import pytest
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.order_gate import EngineControl, OrderGate
+from bergamotthread.process.orders import (
+    ORDERS_PER_TICK,
+    OrderAction,
+    RegionOrders,
+    WeightRate,
+    plan_orders,
+)
+from bergamotthread.process.region_lease import RegionLease
+from bergamotthread.testing.memory_network import MemoryNetwork
+from bergamotthread.testing.memory_platform import (
+    MemoryPlatform,
+    MemoryTable,
+)
+from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.version.objects import (
+    FailureDomain,
+    Model,
+    ObjectSet,
+    Region,
+    Upstream,
+)
+from bergamotthread.version.published import PublishedVersion
+from bergamotthread.wire.messages import Envelope, Order, OrderReply, Pin
+
+LOAD_BYTES = 1000
+ONE, TWO = Pin('m', '1'), Pin('m', '2')
+PAUSE_MS = 60_000
+
+
+def _version(
+    pins_by_agent: dict[str, tuple[Pin, ...]], region: str = 'r0'
+) -> PublishedVersion:
+    return PublishedVersion.from_object_set(
+        1,
+        ObjectSet(
+            regions=(Region('r0'), Region('r1')),
+            failure_domains=(FailureDomain('d', region),),
+            models=(Model('m', ('1', '2'), load_bytes=LOAD_BYTES),),
+            upstreams=tuple(
+                Upstream(agent, agent, 'd', pins)
+                for agent, pins in pins_by_agent.items()
+            ),
+        ),
+    )
+
+
+def test_missing_pins_are_loaded_before_others_are_unloaded() -> None:
+    version = _version({'a': (TWO,)})
+    loaded = {'a': frozenset({ONE})}
+    due = plan_orders(version, 'r0', loaded, {}, frozenset())
+    assert [(order.action, order.pin) for order in due] == [
+        (OrderAction.LOAD, TWO)
+    ]
+    loaded = {'a': frozenset({ONE, TWO})}
+    due = plan_orders(version, 'r0', loaded, {}, frozenset())
+    assert [(order.action, order.pin) for order in due] == [
+        (OrderAction.UNLOAD, ONE)
+    ]
+
+
+def test_demand_per_loaded_upstream_decides_the_order() -> None:
+    version = _version({'a': (ONE,), 'b': (TWO,), 'c': (ONE,)})
+    loaded = {'c': frozenset({ONE})}
+    due = plan_orders(version, 'r0', loaded, {ONE: 3, TWO: 2}, frozenset())
+    assert [order.agent for order in due] == ['b', 'a']
+
+
+@pytest.mark.parametrize(
+    ('region', 'busy'), [('r1', frozenset()), ('r0', frozenset({'a'}))]
+)
+def test_other_regions_and_busy_agents_get_none(
+    region: str, busy: frozenset[str]
+) -> None:
+    version = _version({'a': (ONE,)}, region)
+    assert plan_orders(version, 'r0', {}, {}, busy) == ()
+
+
+class _Engine(EngineControl):
+    """Ignores fences."""
+
+    def __init__(self) -> None:
+        self.fences: list[int] = []
+
+    async def execute(self, order: Order) -> None:
+        self.fences.append(order.fence)
+
+
+class _Bench:
+    """Two candidates for the lease and some agents."""
+
+    def __init__(self, agents: tuple[str, ...], rate: WeightRate) -> None:
+        self.clock = Clock.from_loop(asyncio.get_running_loop())
+        self.network = MemoryNetwork(delay_ms=20)
+        self.platform = MemoryPlatform(self.clock)
+        self.table = MemoryTable(self.platform)
+        self.engines = {agent: _Engine() for agent in agents}
+        self.gates = {
+            agent: OrderGate(self.table, 'r0', engine)
+            for agent, engine in self.engines.items()
+        }
+        self.pending: set[asyncio.Task[None]] = set()
+        for agent in agents:
+            self._start_agent(agent)
+        self.leases = []
+        self.orders = []
+        for holder in ('e0', 'e1'):
+            lease = RegionLease(self.table, self.clock, 'r0', holder, 1)
+            transport = self.network.transport(holder)
+            orders = RegionOrders(
+                transport, self.clock, 'r0', lease, rate, dict
+            )
+            transport.start(orders.on_message)
+            self.leases.append(lease)
+            self.orders.append(orders)
+
+    def _start_agent(self, agent: str) -> None:
+        transport = self.network.transport(agent)
+
+        async def carry_out(envelope: Envelope, order: Order) -> None:
+            reply = await self.gates[agent].carry_out(order)
+            transport.send(envelope.sender, reply)
+
+        def receive(envelope: Envelope) -> None:
+            if isinstance(envelope.message, Order):
+                task = asyncio.create_task(
+                    carry_out(envelope, envelope.message)
+                )
+                self.pending.add(task)
+
+        transport.start(receive)
+
+    def publish(self, pin: Pin) -> None:
+        version = _version(dict.fromkeys(self.engines, (pin,)))
+        for orders in self.orders:
+            orders.apply_version(version)
+
+    async def run(self, duration_ms: float, *numbers: int) -> None:
+        until_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < until_ms:
+            for number in numbers:
+                await self.leases[number].step()
+                self.orders[number].tick()
+            await self.clock.sleep_ms(2000)
+
+    def executed(self) -> list[int]:
+        return [fence for one in self.engines.values() for fence in one.fences]
+
+
+async def _paused_holder(holder_checks: bool) -> None:
+    bench = _Bench(('a', 'b'), WeightRate())
+    bench.publish(ONE)
+    await bench.run(20_000, 0, 1)
+    assert bench.executed() == [1, 1]
+    await bench.run(PAUSE_MS, 1)
+    assert bench.leases[1].fence == 2
+    before = bench.executed()
+    bench.publish(TWO)
+    old = bench.orders[0]
+    if not holder_checks:
+        bench.leases[0]._valid_until_ms = float('inf')
+    old.tick()
+    await bench.clock.sleep_ms(1000)
+    assert bench.executed() == before
+    assert not bench.leases[0].valid()
+
+
+@pytest.mark.parametrize('holder_checks', [True, False])
+def test_paused_holder_that_wakes_has_no_effect(holder_checks: bool) -> None:
+    run_virtual(_paused_holder(holder_checks))
+
+
+async def _weight_rate() -> list[int]:
+    agents = tuple(f'a{number}' for number in range(10))
+    bench = _Bench(agents, WeightRate(LOAD_BYTES / 10, 2 * LOAD_BYTES))
+    bench.publish(ONE)
+    counts = []
+    for _ in range(3):
+        await bench.run(30_000, 0)
+        counts.append(len(bench.executed()))
+    return counts
+
+
+def test_loads_share_the_rate_of_the_weight_store() -> None:
+    assert run_virtual(_weight_rate()) == [4, 7, 10]
+
+
+async def _many() -> int:
+    agents = tuple(f'a{number}' for number in range(50))
+    bench = _Bench(agents, WeightRate())
+    bench.publish(ONE)
+    await bench.leases[0].step()
+    bench.orders[0].tick()
+    await bench.clock.sleep_ms(100)
+    return len(bench.executed())
+
+
+def test_orders_are_spread_over_ticks() -> None:
+    assert run_virtual(_many()) == ORDERS_PER_TICK
+
+
+async def _unanswered() -> int:
+    bench = _Bench(('a',), WeightRate())
+    bench.publish(ONE)
+    bench.network.cut_both('e0', 'a')
+    await bench.run(60_000, 0)
+    bench.network.heal()
+    await bench.run(130_000, 0)
+    return len(bench.executed())
+
+
+def test_lost_order_is_sent_again() -> None:
+    assert run_virtual(_unanswered()) == 1
+
+
+async def _newer_fence() -> None:
+    bench = _Bench(('a',), WeightRate())
+    bench.publish(ONE)
+    await bench.run(20_000, 0)
+    assert bench.leases[0].valid()
+    reply = OrderReply('x', 7, accepted=False)
+    bench.orders[0].on_message(Envelope('a', 1, reply))
+    assert not bench.leases[0].valid()
+
+
+def test_newer_fence_ends_the_term() -> None:
+    run_virtual(_newer_fence())
