Name the use of shares by what it is

Cause: another module has the name team_usage for the smoothed use of teams at one process. Change: ShareUsage in share_usage; no behaviour changes.

--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
+from bergamotthread.process.share_usage import ShareUsage
 from bergamotthread.process.shares import TeamLimits
-from bergamotthread.process.team_usage import TeamUsage
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.virtual_loop import run_virtual
 from bergamotthread.version.objects import ObjectSet, Team
@@ -199,13 +199,13 @@
     def __init__(self, teams: list[Team], entry_count: int) -> None:
         self._teams = teams
         self._entry_count = entry_count
-        self._usage: dict[tuple[int, int], TeamUsage] = {}
+        self._usage: dict[tuple[int, int], ShareUsage] = {}
 
     def try_admit(self, rank: int, entry: int, now_ms: float) -> bool:
         """Return whether the part of this entry has room."""
         usage = self._usage.get((rank, entry))
         if usage is None:
-            usage = TeamUsage(self._teams[rank], self._entry_count, now_ms)
+            usage = ShareUsage(self._teams[rank], self._entry_count, now_ms)
             share = 1 / self._entry_count - usage.floor
             usage.set_lease(share, float('inf'), now_ms)
             self._usage[rank, entry] = usage
--- /dev/null
+++ b/bergamotthread/process/share_usage.py
@@ -0,0 +1,167 @@
+"""Use of one team's limits at one entry, within its share of them."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from bergamotthread.version.objects import Team
+
+MAX_RETRY_AFTER_MS = 30_000
+MIN_RETRY_AFTER_MS = 50
+DEMAND_WINDOW_MS = 2000
+BURST_MS = 1000
+FLOOR_BURST = 4
+FLOOR_SHARE = 0.1
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True)
+class Shortage:
+    """Limit that a request would pass, and when there is room again."""
+
+    limit: str
+    allowed: float
+    retry_after_ms: int
+
+
+class ShareUsage:
+    """Token bucket and running count of one team at one entry.
+
+    Each entry may always use an equal part of a tenth of the limits; the rest
+    is leased. A bucket holds what one second brings, and at least four
+    requests.
+
+    Parameters
+    ----------
+    team
+        The team with its limits.
+    entry_count
+        Number of entries that share the tenth.
+    now_ms
+        Monotonic time.
+    """
+
+    def __init__(self, team: Team, entry_count: int, now_ms: float) -> None:
+        self.team = team
+        self.running = 0
+        self.leased = float(0)
+        self.lease_until_ms = -math.inf
+        self.contended = False
+        self._entry_count = max(1, entry_count)
+        self._filled_ms = now_ms
+        self._tokens = self._depth(self._rate(now_ms))
+        self._demand = float(0)
+        self._promised = float(0)
+
+    def resize(self, team: Team, entry_count: int, now_ms: float) -> None:
+        """Take in other limits or another number of entries."""
+        self._fill(now_ms)
+        self.team = team
+        self._entry_count = max(1, entry_count)
+
+    def set_lease(self, share: float, until_ms: float, now_ms: float) -> None:
+        """Replace the leased share."""
+        self._fill(now_ms)
+        self.leased = share
+        self.lease_until_ms = until_ms
+
+    def reduce_lease(self, share: float, now_ms: float) -> None:
+        """Give up what a lease holds above `share`."""
+        self._fill(now_ms)
+        self.leased = min(self.leased, share)
+
+    def take(self, cost: float, now_ms: float) -> Shortage | None:
+        """Count a request that starts, or tell which limit it would pass."""
+        self._fill(now_ms)
+        self._demand += cost
+        rate = self._rate(now_ms)
+        if self._tokens < cost:
+            self._promised += cost
+            missing = self._promised - self._tokens
+            return Shortage('requests_per_s', rate, _wait_ms(missing, rate))
+        allowed = self._allowed_running(now_ms)
+        if self.running >= allowed:
+            wait_ms = _wait_ms(cost, rate)
+            return Shortage('concurrent_generations', allowed, wait_ms)
+        self._tokens -= cost
+        self._promised = max(0, self._promised - cost)
+        self.running += 1
+        return None
+
+    def release(self) -> None:
+        """Count a request that ended."""
+        self.running = max(0, self.running - 1)
+
+    def wanted(self, now_ms: float) -> float:
+        """Return the share of the limits that the demand here asks for."""
+        self._fill(now_ms)
+        per_s = self._demand * _MS_PER_S / DEMAND_WINDOW_MS
+        return max(
+            per_s / self.team.requests_per_s,
+            self.running / self.team.concurrent_generations,
+        )
+
+    def held(self, now_ms: float) -> float:
+        """Return the share in use: what is leased, or still running."""
+        running = self.running / self.team.concurrent_generations
+        return max(self._valid_lease(now_ms), running - self.floor)
+
+    @property
+    def floor(self) -> float:
+        """Return the share that needs no lease."""
+        return FLOOR_SHARE / self._entry_count
+
+    def needs_lease(self, now_ms: float) -> bool:
+        """Return whether the floor alone is being used up."""
+        self._fill(now_ms)
+        half_depth = self._depth(self._rate(now_ms)) / 2
+        half_running = self._allowed_running(now_ms) / 2
+        return self._tokens < half_depth or self.running > half_running
+
+    def wanted_per_s(self, now_ms: float) -> float:
+        """Return the demand here in requests per second."""
+        return self.wanted(now_ms) * self.team.requests_per_s
+
+    def is_idle(self, now_ms: float) -> bool:
+        """Return whether nothing is lost by forgetting the team."""
+        full = self._tokens >= self._depth(self._rate(now_ms))
+        leased = self._valid_lease(now_ms) > 0
+        return not self.running and not leased and full
+
+    def _valid_lease(self, now_ms: float) -> float:
+        return self.leased if now_ms < self.lease_until_ms else 0
+
+    def _rate(self, now_ms: float) -> float:
+        share = self.floor + self._valid_lease(now_ms)
+        return share * self.team.requests_per_s
+
+    def _allowed_running(self, now_ms: float) -> float:
+        share = self.floor + self._valid_lease(now_ms)
+        return max(1, share * self.team.concurrent_generations)
+
+    def _fill(self, now_ms: float) -> None:
+        passed_ms = now_ms - self._filled_ms
+        if passed_ms <= 0:
+            return
+        gained = self._gained(now_ms)
+        self._filled_ms = now_ms
+        rate = self._rate(now_ms)
+        filled = min(self._tokens + gained, self._depth(rate))
+        self._tokens = max(filled, min(self._tokens, self._depth(rate)))
+        self._promised = max(0, self._promised - gained)
+        self._demand *= math.exp(-passed_ms / DEMAND_WINDOW_MS)
+
+    def _gained(self, now_ms: float) -> float:
+        leased_ms = min(now_ms, self.lease_until_ms) - self._filled_ms
+        leased = self.leased * max(0, leased_ms)
+        floor = self.floor * (now_ms - self._filled_ms)
+        return (leased + floor) * self.team.requests_per_s / _MS_PER_S
+
+    def _depth(self, rate: float) -> float:
+        return max(FLOOR_BURST, rate * BURST_MS / _MS_PER_S)
+
+
+def _wait_ms(missing: float, rate: float) -> int:
+    wait_ms = math.ceil(missing * _MS_PER_S / rate)
+    return min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
--- a/bergamotthread/process/shares.py
+++ b/bergamotthread/process/shares.py
@@ -11,7 +11,7 @@
 from bergamotthread.errors import Step
 from bergamotthread.process.byte_budget import ByteBudget
 from bergamotthread.process.share_home import HEADROOM, LEASE_MS, ShareHome
-from bergamotthread.process.team_usage import Shortage, TeamUsage
+from bergamotthread.process.share_usage import ShareUsage, Shortage
 from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
 from bergamotthread.version.objects import Team
 from bergamotthread.version.published import PublishedVersion
@@ -88,7 +88,7 @@
         self._clock = clock
         self._view = view
         self._version: PublishedVersion | None = None
-        self._usage_by_team: dict[str, TeamUsage] = {}
+        self._usage_by_team: dict[str, ShareUsage] = {}
         self._request_by_home: dict[str, _Request] = {}
         self._active: set[str] = set()
         self._asked_ms_by_team: dict[str, float] = {}
@@ -193,11 +193,11 @@
                 due.append((usage.wanted_per_s(now_ms), name))
         return [one for _, one in sorted(due, reverse=True)]
 
-    def _usage(self, team: Team) -> TeamUsage:
+    def _usage(self, team: Team) -> ShareUsage:
         usage = self._usage_by_team.get(team.name)
         if usage is None:
             now_ms = self._clock.now_ms()
-            usage = TeamUsage(team, self._entry_count(), now_ms)
+            usage = ShareUsage(team, self._entry_count(), now_ms)
             self._usage_by_team[team.name] = usage
         return usage
 
@@ -205,7 +205,7 @@
         responsive = len(self._view.responsive_entries())
         return math.ceil(responsive / max(self._view.reachable_share(), 1e-3))
 
-    def _is_due(self, name: str, usage: TeamUsage, now_ms: float) -> bool:
+    def _is_due(self, name: str, usage: ShareUsage, now_ms: float) -> bool:
         asked_ms = self._asked_ms_by_team.get(name, -math.inf)
         wanted = usage.wanted(now_ms)
         leased = usage.held(now_ms)
@@ -322,11 +322,11 @@
     return MESSAGE_BYTES + TEAM_BYTES * team_count
 
 
-def _wants_lease(usage: TeamUsage, now_ms: float) -> bool:
+def _wants_lease(usage: ShareUsage, now_ms: float) -> bool:
     return usage.held(now_ms) > 0 or usage.needs_lease(now_ms)
 
 
-def _demand(name: str, usage: TeamUsage, now_ms: float) -> TeamDemand:
+def _demand(name: str, usage: ShareUsage, now_ms: float) -> TeamDemand:
     """Return the demand of a team, after giving up what it doesn't use."""
     wanted = usage.wanted(now_ms)
     if wanted <= usage.floor * FLOOR_USE:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -7,8 +7,8 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.share_home import HOLD_MS, LEASE_MS, home_of
+from bergamotthread.process.share_usage import FLOOR_BURST
 from bergamotthread.process.shares import TeamLimits
-from bergamotthread.process.team_usage import FLOOR_BURST
 from bergamotthread.request.refusal import Ran, ReasonCode
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.virtual_loop import run_virtual
