--- a/bergamotthread/process/orders.py
+++ b/bergamotthread/process/orders.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
 from bergamotthread.process.byte_budget import ByteBudget
 from bergamotthread.process.region_lease import RegionLease
-from bergamotthread.version.objects import Upstream
+from bergamotthread.version.objects import Model, Upstream
 from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import Envelope, Order, OrderReply, Pin
 
@@ -55,8 +55,8 @@
 
 
 def plan_orders(
-    version: PublishedVersion,
-    region: str,
+    upstreams: Sequence[Upstream],
+    models_by_name: Mapping[str, Model],
     loaded_by_agent: LoadedPins,
     demand_by_pin: Mapping[Pin, float],
     busy: frozenset[str],
@@ -65,10 +65,10 @@
 
     Parameters
     ----------
-    version
-        Published version: an upstream is to run the pins that it names.
-    region
-        Region whose upstreams are planned.
+    upstreams
+        Published upstreams of the region; each is to run the pins it names.
+    models_by_name
+        Published models.
     loaded_by_agent
         Pins that each agent's engine is known to have loaded.
     demand_by_pin
@@ -83,11 +83,11 @@
     """
     loaded_counts = _count_loaded(loaded_by_agent)
     ranked = []
-    for upstream in version.upstreams_by_agent.values():
-        if upstream.agent in busy or version.region_of(upstream) != region:
+    for upstream in upstreams:
+        if upstream.agent in busy:
             continue
         loaded = loaded_by_agent.get(upstream.agent, frozenset())
-        order = _next_order(version, upstream, loaded, demand_by_pin)
+        order = _next_order(upstream, models_by_name, loaded, demand_by_pin)
         if order is not None:
             demand = demand_by_pin.get(order.pin, 0)
             need = demand / (1 + loaded_counts.get(order.pin, 0))
@@ -105,15 +105,15 @@
 
 
 def _next_order(
-    version: PublishedVersion,
     upstream: Upstream,
+    models_by_name: Mapping[str, Model],
     loaded: frozenset[Pin],
     demand_by_pin: Mapping[Pin, float],
 ) -> PlannedOrder | None:
     missing = [pin for pin in upstream.models if pin not in loaded]
     if missing:
         pin = max(missing, key=lambda one: demand_by_pin.get(one, 0))
-        model = version.models_by_name.get(pin.model)
+        model = models_by_name.get(pin.model)
         load_bytes = model.load_bytes if model else 0
         return PlannedOrder(upstream.agent, OrderAction.LOAD, pin, load_bytes)
     excess = sorted(
@@ -161,7 +161,8 @@
         self._weights = ByteBudget(
             rate.bytes_per_s, rate.burst_bytes, clock.now_ms()
         )
-        self._version: PublishedVersion | None = None
+        self._upstreams: tuple[Upstream, ...] = ()
+        self._models_by_name: Mapping[str, Model] = {}
         self._fence = 0
         self._number = 0
         self._loaded_by_agent: dict[str, frozenset[Pin]] = {}
@@ -169,7 +170,12 @@
 
     def apply_version(self, version: PublishedVersion) -> None:
         """Take in a published version."""
-        self._version = version
+        self._models_by_name = version.models_by_name
+        self._upstreams = tuple(
+            upstream
+            for upstream in version.upstreams_by_agent.values()
+            if version.region_of(upstream) == self._region
+        )
 
     async def run(self) -> None:
         """Send what is due until cancelled."""
@@ -179,14 +185,14 @@
 
     def tick(self) -> None:
         """Send the orders that are due, if the lease is held."""
-        if self._version is None or not self._lease.valid():
+        if not self._lease.valid():
             return
         if self._lease.fence != self._fence:
             self._start_over()
         self._drop_unanswered()
         due = plan_orders(
-            self._version,
-            self._region,
+            self._upstreams,
+            self._models_by_name,
             self._loaded_by_agent,
             self._demand(),
             frozenset(self._sent_by_agent),
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,6 +7,7 @@
 from bergamotthread.process.orders import (
     ORDERS_PER_TICK,
     OrderAction,
+    PlannedOrder,
     RegionOrders,
     WeightRate,
     plan_orders,
@@ -50,15 +51,26 @@
     )
 
 
+def _plan(
+    version: PublishedVersion,
+    loaded: dict[str, frozenset[Pin]],
+    demand: dict[Pin, float],
+    busy: frozenset[str] = frozenset(),
+) -> list[PlannedOrder]:
+    upstreams = version.object_set.upstreams
+    models = version.models_by_name
+    return list(plan_orders(upstreams, models, loaded, demand, busy))
+
+
 def test_missing_pins_are_loaded_before_others_are_unloaded() -> None:
     version = _version({'a': (TWO,)})
     loaded = {'a': frozenset({ONE})}
-    due = plan_orders(version, 'r0', loaded, {}, frozenset())
+    due = _plan(version, loaded, {})
     assert [(order.action, order.pin) for order in due] == [
         (OrderAction.LOAD, TWO)
     ]
     loaded = {'a': frozenset({ONE, TWO})}
-    due = plan_orders(version, 'r0', loaded, {}, frozenset())
+    due = _plan(version, loaded, {})
     assert [(order.action, order.pin) for order in due] == [
         (OrderAction.UNLOAD, ONE)
     ]
@@ -67,18 +79,25 @@
 def test_demand_per_loaded_upstream_decides_the_order() -> None:
     version = _version({'a': (ONE,), 'b': (TWO,), 'c': (ONE,)})
     loaded = {'c': frozenset({ONE})}
-    due = plan_orders(version, 'r0', loaded, {ONE: 3, TWO: 2}, frozenset())
+    due = _plan(version, loaded, {ONE: 3, TWO: 2})
     assert [order.agent for order in due] == ['b', 'a']
 
 
-@pytest.mark.parametrize(
-    ('region', 'busy'), [('r1', frozenset()), ('r0', frozenset({'a'}))]
-)
-def test_other_regions_and_busy_agents_get_none(
-    region: str, busy: frozenset[str]
-) -> None:
-    version = _version({'a': (ONE,)}, region)
-    assert plan_orders(version, 'r0', {}, {}, busy) == ()
+def test_busy_agents_get_none() -> None:
+    version = _version({'a': (ONE,)})
+    assert _plan(version, {}, {}, frozenset({'a'})) == []
+
+
+async def _other_region() -> list[int]:
+    bench = _Bench(('a',), WeightRate())
+    for orders in bench.orders:
+        orders.apply_version(_version({'a': (ONE,)}, 'r1'))
+    await bench.run(20_000, 0)
+    return bench.executed()
+
+
+def test_agents_of_other_regions_get_none() -> None:
+    assert run_virtual(_other_region()) == []
 
 
 class _Engine(EngineControl):
