Put the new messages beside their kin

Change: ProbeRequest stands after ProbeReply, the messages of shares after ShareGrant; tags are class names, so the encoding doesn't change.

--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -259,6 +259,13 @@
     config_version: int = 0
 
 
+class ProbeRequest(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to entry: probe `target` and pass its answer on."""
+
+    sequence: int
+    target: str
+
+
 class ShareRequest(_Message, frozen=True, array_like=True, tag=True):
     """Entry to home entry: demand of a team, in units per second."""
 
@@ -274,6 +281,44 @@
     lease_ms: float
 
 
+class TeamDemand(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Wanted and held share of one team's limits at the sender, 0 to 1."""
+
+    team: str
+    wanted: float
+    held: float
+
+
+class TeamShare(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Leased share of one team's limits, 0 to 1.
+
+    `contended` tells that more was wanted than there is.
+    """
+
+    team: str
+    share: float
+    contended: bool = False
+
+
+class ShareRequests(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to home entry: demands of the teams that it is the home of.
+
+    `sequence` is repeated in the answer, so that the lease counts from the
+    time at which the request was sent.
+    """
+
+    sequence: int
+    demands: tuple[TeamDemand, ...]
+
+
+class ShareGrants(_Message, frozen=True, array_like=True, tag=True):
+    """Home entry to entry: leased shares, for `lease_ms` from the request."""
+
+    sequence: int
+    lease_ms: float
+    shares: tuple[TeamShare, ...]
+
+
 class DrainNotice(_Message, frozen=True, array_like=True, tag=True):
     """Any to agent: start or stop draining the upstream beside it."""
 
@@ -313,51 +358,6 @@
     confirmed: bool
 
 
-class ProbeRequest(_Message, frozen=True, array_like=True, tag=True):
-    """Entry to entry: probe `target` and pass its answer on."""
-
-    sequence: int
-    target: str
-
-
-class TeamDemand(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """Wanted and held share of one team's limits at the sender, 0 to 1."""
-
-    team: str
-    wanted: float
-    held: float
-
-
-class TeamShare(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """Leased share of one team's limits, 0 to 1.
-
-    `contended` tells that more was wanted than there is.
-    """
-
-    team: str
-    share: float
-    contended: bool = False
-
-
-class ShareRequests(_Message, frozen=True, array_like=True, tag=True):
-    """Entry to home entry: demands of the teams that it is the home of.
-
-    `sequence` is repeated in the answer, so that the lease counts from the
-    time at which the request was sent.
-    """
-
-    sequence: int
-    demands: tuple[TeamDemand, ...]
-
-
-class ShareGrants(_Message, frozen=True, array_like=True, tag=True):
-    """Home entry to entry: leased shares, for `lease_ms` from the request."""
-
-    sequence: int
-    lease_ms: float
-    shares: tuple[TeamShare, ...]
-
-
 Message = (
     Dispatch
     | Admitted
@@ -376,15 +376,15 @@
     | ConfigState
     | Probe
     | ProbeReply
+    | ProbeRequest
     | ShareRequest
     | ShareGrant
+    | ShareRequests
+    | ShareGrants
     | DrainNotice
     | Order
     | OrderReply
     | Quarantine
-    | ProbeRequest
-    | ShareRequests
-    | ShareGrants
 )
 
 
