Split limits equally among few entries, and tell when a running request ends

Cause: a tenth of the limit was all that one or two entries had for 20 s after their start, and the refusal over the limit of running requests named a time that came from the rate. Change: the n-th part of a limit, at least a tenth, needs no lease; a process that has not read the platform's list takes itself for one of ten; the wait for a running request follows from the times between ends. Before: one entry alone was admitted a tenth for 20 s. After: its whole limit from the start (test_only_entry_needs_no_lease...). The test of retry_after_ms asks for twenty waits in order instead of two, since at the whole limit the first two are both below the least wait of 50 ms.

--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -17,6 +17,7 @@
     LOSSES_PER_DAY,
     MODELS,
     REGIONS,
+    REQUESTS_PER_S,
     RESTARTS_PER_DAY,
     S_PER_DAY,
     TEAMS,
@@ -32,6 +33,7 @@
 )
 from benchmarks.drain_day import make_version, plan_day
 from benchmarks.membership import Cluster, make_place
+from benchmarks.shares import StaticView
 from benchmarks.shares import measure as measure_shares
 from benchmarks.subsets import make_places
 from bergamotthread.clock import Clock
@@ -39,7 +41,9 @@
 from bergamotthread.process.member_table import MemberTable
 from bergamotthread.process.orders import plan_orders
 from bergamotthread.process.share_usage import ShareUsage
+from bergamotthread.process.shares import TeamLimits
 from bergamotthread.process.subset import select_upstreams
+from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.virtual_loop import run_virtual
 from bergamotthread.version.objects import ObjectSet, Team
 from bergamotthread.version.published import PublishedVersion
@@ -220,6 +224,18 @@
             _over(TEAM_SIZES, _usage_memory),
             'idle teams are forgotten',
         ),
+        MeasuredRow(
+            role=Role.ENTRY,
+            figure='admission against the limits, one per request',
+            budget=Budget.CPU,
+            per='team',
+            at_count=TEAMS,
+            points=_over(TEAM_SIZES, _admission_cpu),
+            carried_by='token bucket in memory',
+            command=COMMAND,
+            factor=REQUESTS_PER_S / ENTRIES,
+            factor_note=', 19.4 requests/s',
+        ),
     ]
 
 
@@ -232,6 +248,24 @@
     )
 
 
+def _admission_cpu(size: int) -> float:
+    clock = Clock.from_system()
+    teams = tuple(Team(str(number)) for number in range(size))
+    transport = MemoryNetwork().transport('10.1.0.1:7000')
+    limits = TeamLimits(transport, clock, StaticView((transport.address,)))
+    limits.apply_version(
+        PublishedVersion.from_object_set(1, ObjectSet(teams=teams))
+    )
+    return cpu_us(lambda: _admit_once(limits, size)) / size
+
+
+def _admit_once(limits: TeamLimits, size: int) -> None:
+    for number in range(size):
+        name = str(number)
+        limits.try_admit(name)
+        limits.release(name)
+
+
 def _full_set(upstream_count: int) -> ObjectSet:
     teams = tuple(
         Team(f'team-{number}', ('0' * 64,))
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -151,7 +151,9 @@
         step_s = time.process_time()
         if at_ms % MOVE_MS == 0:
             places = [
-                source.sample(range(entry_count), ENTRIES_PER_TEAM)
+                source.sample(
+                    range(entry_count), min(ENTRIES_PER_TEAM, entry_count)
+                )
                 for _ in teams
             ]
         window = at_ms // WINDOW_MS if at_ms >= WARM_UP_MS else -1
@@ -211,7 +213,7 @@
             self._usage[rank, entry] = usage
         admitted = usage.take(1, now_ms) is None
         if admitted:
-            usage.release()
+            usage.release(now_ms)
         return admitted
 
 
--- a/bergamotthread/process/membership.py
+++ b/bergamotthread/process/membership.py
@@ -41,6 +41,7 @@
 JOIN_INTERVAL_MS = 250
 PAUSE_MS = 2000
 INDIRECT_PROBES = 3
+UNKNOWN_SHARE = 0.1
 
 MemberListener = Callable[[Member], None]
 VersionListener = Callable[[str, int], None]
@@ -102,7 +103,8 @@
         self._source = random.Random(f'{place.address}/{transport.incarnation}')
         self._prober = Prober(self._source)
         self._seeds = dict.fromkeys(peers)
-        self._listed: frozenset[str] = frozenset()
+        self._peers = frozenset(peers)
+        self._listed: frozenset[str] | None = None if hosts else frozenset()
         self._listeners: list[MemberListener] = []
         self._version_listeners: list[VersionListener] = []
         now_ms = clock.now_ms()
@@ -159,9 +161,15 @@
         )
 
     def reachable_share(self) -> float:
-        """Return the share of known and listed entries that answer."""
+        """Return the share of known and listed entries that answer.
+
+        Small until the platform's list was read once: a process that has
+        just started doesn't know how many others there are.
+        """
+        if self._listed is None:
+            return UNKNOWN_SHARE
         responsive = frozenset(self.responsive_entries())
-        known = responsive.union(self.live_entries(), self._listed)
+        known = responsive.union(self.live_entries(), self._listed, self._peers)
         return len(responsive) / len(known)
 
     def entry_places(self) -> tuple[PlaceSettings, ...]:
--- a/bergamotthread/process/share_home.py
+++ b/bergamotthread/process/share_home.py
@@ -11,7 +11,6 @@
 LEASE_MS = 10_000
 VIEW_LAG_MS = 10_000
 HOLD_MS = LEASE_MS + VIEW_LAG_MS
-POOL_SHARE = 0.9
 HEADROOM = 1.25
 
 
@@ -92,7 +91,7 @@
         self,
         entry: str,
         demand: TeamDemand,
-        reachable_share: float,
+        pool: float,
         now_ms: float,
     ) -> TeamShare:
         """Return the share that an entry is leased now.
@@ -103,9 +102,10 @@
             Address of the entry that asks.
         demand
             What it wants and holds.
-        reachable_share
-            Share of all entries that answer here; the pool shrinks with it,
-            so that both sides of a partition together stay in the limit.
+        pool
+            Share of the limits that may be leased in all. It shrinks with the
+            share of entries that answer here, so that both sides of a
+            partition together stay in the limit.
         now_ms
             Monotonic time.
         """
@@ -113,7 +113,6 @@
             return TeamShare(demand.team, 0)
         leases = self._leases(demand.team, now_ms)
         others = _drop_expired(leases, entry, now_ms)
-        pool = POOL_SHARE * reachable_share
         free = max(0, pool - sum(lease.share for lease in others))
         wanted = max(0, demand.wanted) * HEADROOM
         level = _fair_level(pool, [wanted, *(one.wanted for one in others)])
--- a/bergamotthread/process/share_usage.py
+++ b/bergamotthread/process/share_usage.py
@@ -12,10 +12,20 @@
 DEMAND_WINDOW_MS = 2000
 BURST_MS = 1000
 FLOOR_BURST = 4
-FLOOR_SHARE = 0.1
+MIN_FLOOR_SHARE = 0.1
+INITIAL_RELEASE_INTERVAL_MS = 1000
+RELEASE_SMOOTHING = 0.2
 _MS_PER_S = 1000
 
 
+def floor_share(entry_count: int) -> float:
+    """Return the part of each limit that is split equally, without leases.
+
+    One entry has it all, few entries much of it, ten and more a tenth.
+    """
+    return max(MIN_FLOOR_SHARE, 1 / max(1, entry_count))
+
+
 @dataclass(frozen=True)
 class Shortage:
     """Limit that a request would pass, and when there is room again."""
@@ -28,8 +38,8 @@
 class ShareUsage:
     """Token bucket and running count of one team at one entry.
 
-    Each entry may always use an equal part of a tenth of the limits; the rest
-    is leased. A bucket holds what one second brings, and at least four
+    Each entry may always use an equal part of `floor_share`; the rest of the
+    limits is leased. A bucket holds what one second brings, and at least four
     requests.
 
     Parameters
@@ -37,7 +47,7 @@
     team
         The team with its limits.
     entry_count
-        Number of entries that share the tenth.
+        Number of entries that split it.
     now_ms
         Monotonic time.
     """
@@ -53,6 +63,9 @@
         self._tokens = self._depth(self._rate(now_ms))
         self._demand = float(0)
         self._promised = float(0)
+        self._waiting = 0
+        self._released_ms = now_ms
+        self._release_interval_ms = float(INITIAL_RELEASE_INTERVAL_MS)
 
     def resize(self, team: Team, entry_count: int, now_ms: float) -> None:
         """Take in other limits or another number of entries."""
@@ -82,16 +95,22 @@
             return Shortage('requests_per_s', rate, _wait_ms(missing, rate))
         allowed = self._allowed_running(now_ms)
         if self.running >= allowed:
-            wait_ms = _wait_ms(cost, rate)
+            self._waiting += 1
+            wait_ms = _bounded_ms(self._release_interval_ms * self._waiting)
             return Shortage('concurrent_generations', allowed, wait_ms)
         self._tokens -= cost
         self._promised = max(0, self._promised - cost)
         self.running += 1
         return None
 
-    def release(self) -> None:
+    def release(self, now_ms: float) -> None:
         """Count a request that ended."""
         self.running = max(0, self.running - 1)
+        self._waiting = max(0, self._waiting - 1)
+        interval_ms = now_ms - self._released_ms
+        self._released_ms = now_ms
+        change_ms = interval_ms - self._release_interval_ms
+        self._release_interval_ms += RELEASE_SMOOTHING * change_ms
 
     def wanted(self, now_ms: float) -> float:
         """Return the share of the limits that the demand here asks for."""
@@ -110,7 +129,7 @@
     @property
     def floor(self) -> float:
         """Return the share that needs no lease."""
-        return FLOOR_SHARE / self._entry_count
+        return floor_share(self._entry_count) / self._entry_count
 
     def needs_lease(self, now_ms: float) -> bool:
         """Return whether the floor alone is being used up."""
@@ -163,5 +182,8 @@
 
 
 def _wait_ms(missing: float, rate: float) -> int:
-    wait_ms = math.ceil(missing * _MS_PER_S / rate)
-    return min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+    return _bounded_ms(missing * _MS_PER_S / rate)
+
+
+def _bounded_ms(wait_ms: float) -> int:
+    return min(max(math.ceil(wait_ms), MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
--- a/bergamotthread/process/shares.py
+++ b/bergamotthread/process/shares.py
@@ -11,7 +11,11 @@
 from bergamotthread.errors import Step
 from bergamotthread.process.byte_budget import ByteBudget
 from bergamotthread.process.share_home import HEADROOM, LEASE_MS, ShareHome
-from bergamotthread.process.share_usage import ShareUsage, Shortage
+from bergamotthread.process.share_usage import (
+    ShareUsage,
+    Shortage,
+    floor_share,
+)
 from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
 from bergamotthread.version.objects import Team
 from bergamotthread.version.published import PublishedVersion
@@ -141,7 +145,7 @@
         """Count an admitted request that has ended."""
         usage = self._usage_by_team.get(team)
         if usage is not None:
-            usage.release()
+            usage.release(self._clock.now_ms())
 
     def on_message(self, envelope: Envelope) -> None:
         """Take in a message; those of other matters are ignored."""
@@ -249,12 +253,9 @@
         self._transport.send(envelope.sender, grants)
 
     def _grant(self, entry: str, demand: TeamDemand) -> TeamShare:
-        return self.home.grant(
-            entry,
-            demand,
-            self._view.reachable_share(),
-            self._clock.now_ms(),
-        )
+        reachable = self._view.reachable_share()
+        pool = (1 - floor_share(self._entry_count())) * reachable
+        return self.home.grant(entry, demand, pool, self._clock.now_ms())
 
     def _apply_grants(self, home: str, grants: ShareGrants) -> None:
         request = self._request_by_home.get(home)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,6 +5,7 @@
 
 from benchmarks.membership import Cluster
 from bergamotthread.process.member_table import SUSPICION_MS
+from bergamotthread.process.membership import UNKNOWN_SHARE
 from bergamotthread.testing.virtual_loop import run_virtual
 from bergamotthread.wire.messages import (
     Envelope,
@@ -151,6 +152,8 @@
 
 async def _reachable_share() -> None:
     cluster, addresses = _make(4)
+    first = cluster.members_by_address[addresses[0]]
+    assert first.reachable_share() == UNKNOWN_SHARE
     await cluster.clock.sleep_ms(SETTLE_MS)
     member = cluster.members_by_address[addresses[0]]
     assert member.reachable_share() == 1
--- a/tests/test_share_home.py
+++ b/tests/test_share_home.py
@@ -5,13 +5,13 @@
 from bergamotthread.process.share_home import (
     HOLD_MS,
     LEASE_MS,
-    POOL_SHARE,
     ShareHome,
     home_of,
 )
 from bergamotthread.wire.messages import TeamDemand
 
 TEAM = 't'
+POOL_SHARE = 0.9
 START_MS = HOLD_MS
 
 
@@ -19,7 +19,7 @@
     home: ShareHome, entry: str, wanted: float, held: float, now_ms: float
 ) -> float:
     demand = TeamDemand(TEAM, wanted, held)
-    return home.grant(entry, demand, 1, now_ms).share
+    return home.grant(entry, demand, POOL_SHARE, now_ms).share
 
 
 def test_new_process_only_renews_at_first() -> None:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -130,7 +130,7 @@
     before = len(bench.admitted_ms)
     await bench.load(20_000, (away,))
     rate = (len(bench.admitted_ms) - before) / 20
-    assert rate == pytest.approx(LIMIT / 10 / 4, rel=0.1)
+    assert rate == pytest.approx(LIMIT / 4 / 4, rel=0.1)
 
 
 def test_entry_that_is_cut_off_keeps_its_floor_alone() -> None:
@@ -235,11 +235,14 @@
     assert refusal.ran is Ran.NOT_RUN
     assert refusal.decided_by == 'teams/foundry'
     assert refusal.config_version == 3
-    second = only.try_admit(TEAM)
-    assert second is not None
-    assert second.retry_after_ms > refusal.retry_after_ms
-    await bench.clock.sleep_ms(second.retry_after_ms)
-    assert only.try_admit(TEAM) is None
+    later = [only.try_admit(TEAM) for _ in range(19)]
+    waits_ms = [one.retry_after_ms for one in later if one is not None]
+    assert len(waits_ms) == 19
+    assert waits_ms == sorted(waits_ms)
+    assert waits_ms[-1] == pytest.approx(20 * 1000 / LIMIT, abs=10)
+    await bench.clock.sleep_ms(waits_ms[-1])
+    for _ in range(20):
+        assert only.try_admit(TEAM) is None
 
 
 def test_refusal_tells_truly_when_to_come_back() -> None:
@@ -257,6 +260,7 @@
     refusal = one.try_admit(TEAM)
     assert refusal is not None
     assert 'concurrent_generations' in refusal.figures
+    await bench.clock.sleep_ms(refusal.retry_after_ms)
     one.release(TEAM)
     assert one.try_admit(TEAM) is None
 
@@ -265,6 +269,34 @@
     _run(_concurrent, count=2, concurrent=20)
 
 
+async def _running_retry_after(bench: _Bench) -> None:
+    only = bench.limits['e0']
+    while only.try_admit(TEAM) is None:
+        await bench.clock.sleep_ms(100)
+    for _ in range(50):
+        await bench.clock.sleep_ms(400)
+        only.release(TEAM)
+        assert only.try_admit(TEAM) is None
+    first, second = only.try_admit(TEAM), only.try_admit(TEAM)
+    assert first is not None
+    assert second is not None
+    assert first.retry_after_ms == pytest.approx(400, rel=0.05)
+    assert second.retry_after_ms == pytest.approx(800, rel=0.05)
+
+
+def test_running_limit_tells_when_the_next_request_ends() -> None:
+    _run(_running_retry_after, count=1, concurrent=5)
+
+
+async def _alone(bench: _Bench) -> None:
+    await bench.load(10_000)
+    assert len(bench.admitted_ms) == pytest.approx(10 * LIMIT, rel=0.15)
+
+
+def test_only_entry_needs_no_lease_from_its_start() -> None:
+    _run(_alone, count=1)
+
+
 async def _unknown(bench: _Bench) -> None:
     refusal = bench.limits['e0'].try_admit('nobody')
     assert refusal is not None
