Join membership, limits, subsets and orders in one part of an entry

Cause: an entry process would have to know how five mechanisms feed one another, such as that limits only renew after a refuted suspicion. Change: EntryControl with ControlSources; on_message, apply_version, run.

--- /dev/null
+++ b/tests/test_entry_control.py
@@ -0,0 +1,147 @@
+import asyncio
+
+import pytest
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.entry_control import ControlSources, EntryControl
+from bergamotthread.process.platform import HostEntry
+from bergamotthread.process.settings import PlaceSettings
+from bergamotthread.testing.memory_network import MemoryNetwork
+from bergamotthread.testing.memory_platform import (
+    MemoryHostList,
+    MemoryPlatform,
+    MemoryTable,
+)
+from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.version.objects import (
+    FailureDomain,
+    ObjectSet,
+    Region,
+    Team,
+    Upstream,
+)
+from bergamotthread.version.published import PublishedVersion
+from bergamotthread.wire.messages import Envelope, Order, Pin
+
+UPSTREAMS = 40
+TEAM = 'foundry'
+LIMIT = 100
+
+
+class _Deployment:
+    """Entries of one region on one network and platform."""
+
+    def __init__(self, count: int) -> None:
+        self.clock = Clock.from_loop(asyncio.get_running_loop())
+        self.network = MemoryNetwork(delay_ms=2, loss=0.02)
+        self.platform = MemoryPlatform(self.clock)
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.controls: dict[str, EntryControl] = {}
+        self.ordered: set[str] = set()
+        for number in range(count):
+            self._add(f'10.0.0.{number}:1')
+        for number in range(UPSTREAMS):
+            agent = f'10.1.0.{number}:1'
+            self.network.transport(agent).start(self._note_order)
+
+    def _add(self, address: str) -> None:
+        place = PlaceSettings(address, 'r0', 'd0')
+        self.platform.hosts_by_address[address] = HostEntry(
+            address, 'entry', 'r0', 'd0'
+        )
+        transport = self.network.transport(address)
+        control = EntryControl(
+            transport,
+            self.clock,
+            place,
+            ControlSources(
+                table=MemoryTable(self.platform),
+                hosts=MemoryHostList(self.platform),
+            ),
+        )
+        control.apply_version(_version())
+        transport.start(control.on_message)
+        self.controls[address] = control
+        self.tasks[address] = asyncio.create_task(control.run())
+
+    def _note_order(self, envelope: Envelope) -> None:
+        if isinstance(envelope.message, Order):
+            self.ordered.add(envelope.sender)
+
+    def crash(self, address: str) -> None:
+        self.tasks.pop(address).cancel()
+        self.controls.pop(address)
+        self.network.ends_by_address.pop(address)
+
+    def close(self) -> None:
+        for task in self.tasks.values():
+            task.cancel()
+
+
+def _version() -> PublishedVersion:
+    return PublishedVersion.from_object_set(
+        1,
+        ObjectSet(
+            regions=(Region('r0'),),
+            failure_domains=(
+                FailureDomain('d0', 'r0'),
+                FailureDomain('d1', 'r0'),
+            ),
+            teams=(Team(TEAM, requests_per_s=LIMIT),),
+            upstreams=tuple(
+                Upstream(
+                    f'u{number}',
+                    f'10.1.0.{number}:1',
+                    f'd{number % 2}',
+                    (Pin('m', '1'),),
+                )
+                for number in range(UPSTREAMS)
+            ),
+        ),
+    )
+
+
+async def _crash() -> None:
+    deployment = _Deployment(12)
+    await deployment.clock.sleep_ms(60_000)
+    holders = [
+        address
+        for address, control in deployment.controls.items()
+        if control.lease.valid()
+    ]
+    assert len(holders) == 1
+    assert deployment.ordered == set(holders)
+    lost = holders[0]
+    before = deployment.controls[lost].subset('m')
+    deployment.crash(lost)
+    await deployment.clock.sleep_ms(90_000)
+    controls = deployment.controls.values()
+    assert sum(control.lease.valid() for control in controls) == 1
+    covered = {agent for control in controls for agent in control.subset('m')}
+    assert covered.issuperset(before)
+    assert len(covered) == UPSTREAMS
+    deployment.close()
+
+
+def test_lost_entry_is_replaced_in_every_part() -> None:
+    run_virtual(_crash())
+
+
+async def _limit() -> None:
+    deployment = _Deployment(3)
+    await deployment.clock.sleep_ms(40_000)
+    admitted = 0
+    for _ in range(1000):
+        for control in deployment.controls.values():
+            for _ in range(2):
+                if control.limits.try_admit(TEAM) is None:
+                    control.limits.release(TEAM)
+                    admitted += 1
+        await deployment.clock.sleep_ms(20)
+    deployment.close()
+    assert admitted == pytest.approx(20 * LIMIT, rel=0.2)
+    assert admitted <= 21 * LIMIT + 12
+
+
+def test_limit_holds_over_the_real_membership() -> None:
+    run_virtual(_limit())
