Tell listeners of members that the platform lists, and test subsets exactly

The stricter test also showed that a member that only the list named reached no listener, so that a subset computed before it stayed. Change: listeners hear of listed members; the test compares each subset with a fresh computation, before, 100 ms after the start and after a crash.

--- a/bergamotthread/process/membership.py
+++ b/bergamotthread/process/membership.py
@@ -288,7 +288,7 @@
         )
         now_ms = self._clock.now_ms()
         if self.table.add_listed(listed, now_ms):
-            self._live = None
+            self._notify(listed)
         elif host.leaving:
             merged = self.table.merge(listed, now_ms)
             if merged is not None:
@@ -344,8 +344,11 @@
         self.table.postpone(gap_ms)
 
     def _change(self, member: Member) -> None:
-        self._live = None
         self._sender.push(member)
+        self._notify(member)
+
+    def _notify(self, member: Member) -> None:
+        self._live = None
         for listener in self._listeners:
             listener(member)
 
--- a/tests/test_entry_control.py
+++ b/tests/test_entry_control.py
@@ -6,6 +6,7 @@
 from bergamotthread.process.entry_control import ControlSources, EntryControl
 from bergamotthread.process.platform import HostEntry
 from bergamotthread.process.settings import PlaceSettings
+from bergamotthread.process.subset import select_upstreams
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.memory_platform import (
     MemoryHostList,
@@ -101,8 +102,22 @@
     )
 
 
+def _is_current(deployment: _Deployment) -> bool:
+    rest = [
+        PlaceSettings(address, 'r0', 'd0') for address in deployment.controls
+    ]
+    return all(
+        control.subset('m')
+        == select_upstreams(own, rest, control.roster.places('m'))
+        for own, control in zip(rest, deployment.controls.values(), strict=True)
+    )
+
+
 async def _crash() -> None:
     deployment = _Deployment(12)
+    assert not _is_current(deployment)
+    await deployment.clock.sleep_ms(100)
+    assert _is_current(deployment)
     await deployment.clock.sleep_ms(60_000)
     holders = [
         address
@@ -112,14 +127,14 @@
     assert len(holders) == 1
     assert deployment.ordered == set(holders)
     lost = holders[0]
-    before = deployment.controls[lost].subset('m')
+    assert _is_current(deployment)
     deployment.crash(lost)
     await deployment.clock.sleep_ms(90_000)
     controls = deployment.controls.values()
     assert sum(control.lease.valid() for control in controls) == 1
-    covered = {agent for control in controls for agent in control.subset('m')}
-    assert covered.issuperset(before)
-    assert len(covered) == UPSTREAMS
+    for control in controls:
+        assert len(control.membership.live_entries()) == 11
+    assert _is_current(deployment)
     deployment.close()
 
 
