--- a/bergamotthread/version/objects.py
+++ b/bergamotthread/version/objects.py
@@ -164,7 +164,12 @@
     forbid_unknown_fields=True,
     omit_defaults=True,
 ):
-    """All objects of one version."""
+    """All objects of one version.
+
+    `outage_lease_ms` is how long a registered process may go on admitting
+    requests by its version without proof that no newer one is published;
+    0 means the version lease alone.
+    """
 
     regions: tuple[Region, ...] = ()
     failure_domains: tuple[FailureDomain, ...] = ()
@@ -175,3 +180,17 @@
     routes: tuple[Route, ...] = ()
     upstreams: tuple[Upstream, ...] = ()
     stops: tuple[Stop, ...] = ()
+    outage_lease_ms: int = 0
+
+
+KINDS = (
+    'regions',
+    'failure_domains',
+    'teams',
+    'operators',
+    'models',
+    'services',
+    'routes',
+    'upstreams',
+    'stops',
+)
