--- /dev/null
+++ b/bergamotthread/version/diff.py
@@ -0,0 +1,147 @@
+"""Differences between two sets: for machines as change sets, and as text."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from bergamotthread.version.objects import KINDS, ObjectSet
+
+MAX_SHOWN_VALUE_CHARS = 60
+
+
+class ObjectName(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    order=True,
+):
+    """Kind and name of one object, such as `teams` and `rosario-gears`."""
+
+    kind: str
+    name: str
+
+    def __str__(self) -> str:
+        return f'{self.kind}/{self.name}'
+
+
+class ChangeSet(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """What turns one set into the next.
+
+    `upserts` holds added and changed objects, and the outage lease of the next
+    set whether it changed or not.
+    """
+
+    upserts: ObjectSet = ObjectSet()
+    removals: tuple[ObjectName, ...] = ()
+
+    def names(self) -> frozenset[ObjectName]:
+        """Return the names of all objects that the change set touches."""
+        upserted = (
+            ObjectName(kind, one.name)
+            for kind in KINDS
+            for one in getattr(self.upserts, kind)
+        )
+        return frozenset(upserted) | frozenset(self.removals)
+
+
+def diff_sets(old: ObjectSet, new: ObjectSet) -> ChangeSet:
+    """Return the change set that turns `old` into `new`.
+
+    The order of objects within a kind is not a difference.
+    """
+    removals: list[ObjectName] = []
+    upserts_by_kind: dict[str, tuple[Any, ...]] = {}
+    for kind in KINDS:
+        old_by_name = _index(old, kind)
+        new_by_name = _index(new, kind)
+        upserts_by_kind[kind] = tuple(
+            one
+            for name, one in new_by_name.items()
+            if old_by_name.get(name) != one
+        )
+        removals.extend(
+            ObjectName(kind, name)
+            for name in old_by_name
+            if name not in new_by_name
+        )
+    upserts = ObjectSet(outage_lease_ms=new.outage_lease_ms, **upserts_by_kind)
+    return ChangeSet(upserts, tuple(removals))
+
+
+def apply_changes(old: ObjectSet, changes: ChangeSet) -> ObjectSet:
+    """Return the set that `changes` turns `old` into.
+
+    Objects keep their places; added ones come last within their kind.
+    """
+    changed_by_kind: dict[str, tuple[Any, ...]] = {}
+    touched = {one.kind for one in changes.names()}
+    for kind in KINDS:
+        if kind not in touched:
+            continue
+        by_name = _index(old, kind) | _index(changes.upserts, kind)
+        for removal in changes.removals:
+            if removal.kind == kind:
+                by_name.pop(removal.name, None)
+        changed_by_kind[kind] = tuple(by_name.values())
+    return msgspec.structs.replace(
+        old,
+        outage_lease_ms=changes.upserts.outage_lease_ms,
+        **changed_by_kind,
+    )
+
+
+def render_diff(old: ObjectSet, new: ObjectSet) -> str:
+    """Return the difference as text, a line for each object or field.
+
+    Added objects are marked `+`, removed ones `-`, changed fields `~`.
+    """
+    return '\n'.join(_render_lines(old, new))
+
+
+def _index(object_set: ObjectSet, kind: str) -> dict[str, Any]:
+    return {one.name: one for one in getattr(object_set, kind)}
+
+
+def _render_lines(old: ObjectSet, new: ObjectSet) -> Iterator[str]:
+    changes = diff_sets(old, new)
+    for removal in sorted(changes.removals):
+        yield f'- {removal}'
+    for kind in KINDS:
+        old_by_name = _index(old, kind)
+        for one in getattr(changes.upserts, kind):
+            before = old_by_name.get(one.name)
+            if before is None:
+                yield f'+ {kind}/{one.name}'
+            else:
+                yield from _render_fields(f'{kind}/{one.name}', before, one)
+    if old.outage_lease_ms != new.outage_lease_ms:
+        yield f'~ {_render_field("outage_lease_ms", old, new)}'
+
+
+def _render_fields(
+    name: str,
+    old: msgspec.Struct,
+    new: msgspec.Struct,
+) -> Iterator[str]:
+    for field in new.__struct_fields__:
+        if getattr(old, field) != getattr(new, field):
+            yield f'~ {name}.{_render_field(field, old, new)}'
+
+
+def _render_field(field: str, old: msgspec.Struct, new: msgspec.Struct) -> str:
+    return f'{field}: {_show(old, field)} -> {_show(new, field)}'
+
+
+def _show(one: msgspec.Struct, field: str) -> str:
+    encoded = msgspec.json.encode(getattr(one, field)).decode()
+    if len(encoded) <= MAX_SHOWN_VALUE_CHARS:
+        return encoded
+    return f'{encoded[:MAX_SHOWN_VALUE_CHARS]}...'
--- /dev/null
+++ b/bergamotthread/version/publication.py
@@ -0,0 +1,366 @@
+"""Publishing of a new version by compare-and-set on one row."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass, replace
+
+import msgspec
+
+from bergamotthread.clock import Clock
+from bergamotthread.errors import (
+    BergamotError,
+    Step,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from bergamotthread.process.platform import ObjectStore, Table
+from bergamotthread.version.archive import Archive, snapshot_of
+from bergamotthread.version.checks import check_object_set
+from bergamotthread.version.diff import (
+    ChangeSet,
+    ObjectName,
+    apply_changes,
+    diff_sets,
+)
+from bergamotthread.version.objects import ObjectSet
+from bergamotthread.version.record import (
+    SNAPSHOT_INTERVAL,
+    VERSION_KEY,
+    Publication,
+    VersionRow,
+    VersionState,
+    decode_record,
+    encode_record,
+    publication_name,
+    trim_recent,
+)
+
+PUBLICATION_ID_BYTES = 12
+WRITE_TIMEOUT_MS = 10_000
+RETRY_INTERVAL_MS = 250
+MAX_SHOWN_OBJECTS = 4
+
+
+class PublicationConflictError(BergamotError):
+    """Another version was published since the one that was edited.
+
+    Parameters
+    ----------
+    newer
+        The publications since then, oldest first.
+    clashes
+        Objects that both sides changed; empty where that was not compared.
+    """
+
+    def __init__(
+        self,
+        newer: tuple[Publication, ...],
+        clashes: frozenset[ObjectName],
+    ) -> None:
+        named = '; '.join(describe_publication(one) for one in newer)
+        both = ', '.join(str(one) for one in sorted(clashes))
+        changed_by_both = f'; changed by both: {both}' if both else ''
+        super().__init__(
+            f'published meanwhile: {named}{changed_by_both}',
+            step=Step.PUBLISH,
+        )
+        self.newer = newer
+        self.clashes = clashes
+
+
+class PublicationUnknownError(BergamotError):
+    """The store did not say whether the publication took effect."""
+
+
+@dataclass(frozen=True)
+class NewestVersion:
+    """The newest row with its revision and the version that it names."""
+
+    row: VersionRow | None
+    revision: int
+    state: VersionState
+
+
+@dataclass(frozen=True)
+class Draft:
+    """What an operator asks to publish.
+
+    Parameters
+    ----------
+    base
+        Version that the set was edited from, 0 for the first publication.
+    rebase
+        Whether changes of others since `base` are kept, where they touch other
+        objects than this draft does.
+    """
+
+    object_set: ObjectSet
+    who: str
+    base: int
+    note: str = ''
+    rebase: bool = False
+
+
+@dataclass(frozen=True)
+class Publisher:
+    """Publishes sets of objects through the platform."""
+
+    table: Table
+    archive: Archive
+    clock: Clock
+
+    @classmethod
+    def from_platform(
+        cls,
+        table: Table,
+        object_store: ObjectStore,
+        clock: Clock,
+    ) -> Publisher:
+        """Return a publisher that uses a table and an object store."""
+        return cls(table, Archive(object_store), clock)
+
+    async def newest(self) -> NewestVersion:
+        """Read the newest version."""
+        return await self._newest_after(VersionState())
+
+    async def publish(self, draft: Draft) -> NewestVersion:
+        """Check a draft as a whole and publish it as the next version.
+
+        A draft that changes nothing is not published; the newest version is
+        returned as it is.
+
+        Raises
+        ------
+        ObjectsError
+            If the set is not valid.
+        PublicationConflictError
+            If another version was published since `draft.base`.
+        PublicationUnknownError
+            If the store gave no answer; `status` tells later.
+        StoreUnavailableError
+            If nothing was written because the store gave no answer.
+        """
+        check_object_set(draft.object_set)
+        newest = await self.newest()
+        while True:
+            draft = await self._rebased(draft, newest)
+            changes = diff_sets(newest.state.object_set, draft.object_set)
+            if newest.row is not None and _is_empty(changes, newest.state):
+                return newest
+            written = await self._write(draft, changes, newest)
+            if written is not None:
+                return written
+            newest = await self._newest_after(newest.state)
+
+    async def rollback(
+        self,
+        version: int,
+        *,
+        who: str,
+        base: int,
+    ) -> NewestVersion:
+        """Publish the set of an earlier version as a new version."""
+        newest = await self.newest()
+        if newest.row is None:
+            raise BergamotError('nothing is published', step=Step.PUBLISH)
+        state = await self.archive.version(newest.row, version)
+        note = f'rollback to version {version}'
+        return await self.publish(Draft(state.object_set, who, base, note))
+
+    async def _newest_after(self, held: VersionState) -> NewestVersion:
+        row = await self.table.read(VERSION_KEY)
+        if row is None:
+            return NewestVersion(None, 0, VersionState())
+        version_row = decode_record(row.body, VersionRow)
+        state = await self.archive.newest(version_row, held)
+        return NewestVersion(version_row, row.revision, state)
+
+    async def _rebased(self, draft: Draft, newest: NewestVersion) -> Draft:
+        if draft.base == newest.state.version:
+            return draft
+        if newest.row is None or draft.base > newest.state.version:
+            raise BergamotError(
+                f'base version {draft.base}, expected at most '
+                f'{newest.state.version}',
+                step=Step.PUBLISH,
+            )
+        newer = await self.archive.publications(newest.row, draft.base)
+        if not (draft.rebase and draft.base):
+            raise PublicationConflictError(newer, frozenset())
+        base = await self.archive.version(newest.row, draft.base)
+        return _rebase(draft, base, newest.state, newer)
+
+    async def _write(
+        self,
+        draft: Draft,
+        changes: ChangeSet,
+        newest: NewestVersion,
+    ) -> NewestVersion | None:
+        """Write one publication; None where another one came first."""
+        publication = self._publication(draft, changes, newest.state)
+        state = newest.state.follow(publication)
+        row = await self._put_objects(publication, state, newest.row)
+        return await self._advance(NewestVersion(row, newest.revision, state))
+
+    def _publication(
+        self,
+        draft: Draft,
+        changes: ChangeSet,
+        state: VersionState,
+    ) -> Publication:
+        bare = Publication(
+            version=state.version + 1,
+            publication_id=secrets.token_hex(PUBLICATION_ID_BYTES),
+            previous_id=state.publication_id,
+            who=draft.who,
+            published_ms=self.clock.calendar_ms(),
+            changes=changes,
+            note=draft.note,
+        )
+        # Numbers are encoded as they come back from JSON, as the digest is.
+        bare = decode_record(encode_record(bare), Publication)
+        digest = bare.digest_after(state.digest)
+        return msgspec.structs.replace(bare, digest=digest)
+
+    async def _put_objects(
+        self,
+        publication: Publication,
+        state: VersionState,
+        before: VersionRow | None,
+    ) -> VersionRow:
+        store = self.archive.store
+        name = publication_name(publication.publication_id)
+        await store.put(name, encode_record(publication))
+        snapshot_name = before.snapshot if before else ''
+        snapshot_version = before.snapshot_version if before else 0
+        due = state.version - snapshot_version >= SNAPSHOT_INTERVAL
+        if due or before is None:
+            snapshot_name, snapshot = snapshot_of(state, snapshot_name)
+            snapshot_version = state.version
+            await store.put(snapshot_name, encode_record(snapshot))
+        recent = before.recent if before else ()
+        return VersionRow(
+            version=state.version,
+            publication_id=state.publication_id,
+            digest=state.digest,
+            who=publication.who,
+            published_ms=publication.published_ms,
+            recent=trim_recent((*recent, publication)),
+            snapshot=snapshot_name,
+            snapshot_version=snapshot_version,
+            note=publication.note,
+        )
+
+    async def _advance(self, wanted: NewestVersion) -> NewestVersion | None:
+        """Write the row until the outcome is known; None: another came first.
+
+        An answer that is lost leaves two possibilities. The same write with
+        the same expected revision is repeated, so that it takes effect at most
+        once; a conflict is then told apart by the publication id.
+        """
+        body = b'' if wanted.row is None else encode_record(wanted.row)
+        give_up_ms = self.clock.now_ms() + WRITE_TIMEOUT_MS
+        while True:
+            try:
+                return await self._write_row(wanted, body)
+            except StoreConflictError:
+                return await self._recognise(wanted, give_up_ms)
+            except StoreUnavailableError as error:
+                await self._pause(wanted, give_up_ms, error)
+
+    async def _write_row(
+        self,
+        wanted: NewestVersion,
+        body: bytes,
+    ) -> NewestVersion:
+        expected = wanted.revision
+        row = await self.table.write(VERSION_KEY, body, expected=expected)
+        return replace(wanted, revision=row.revision)
+
+    async def _recognise(
+        self,
+        wanted: NewestVersion,
+        give_up_ms: float,
+    ) -> NewestVersion | None:
+        """Return `wanted` where it is in the history that the row names."""
+        while True:
+            try:
+                return await self._if_own(wanted)
+            except StoreUnavailableError as error:
+                await self._pause(wanted, give_up_ms, error)
+
+    async def _if_own(self, wanted: NewestVersion) -> NewestVersion | None:
+        row = await self.table.read(VERSION_KEY)
+        if row is None:
+            return None
+        version_row = decode_record(row.body, VersionRow)
+        since = wanted.state.version - 1
+        history = await self.archive.publications(version_row, since)
+        own_id = wanted.state.publication_id
+        is_own = any(one.publication_id == own_id for one in history)
+        return wanted if is_own else None
+
+    async def _pause(
+        self,
+        wanted: NewestVersion,
+        give_up_ms: float,
+        error: StoreUnavailableError,
+    ) -> None:
+        if self.clock.now_ms() >= give_up_ms:
+            raise PublicationUnknownError(
+                f'no answer from the store; publication '
+                f'{wanted.state.publication_id} of version '
+                f'{wanted.state.version} may have taken effect',
+                step=Step.PUBLISH,
+            ) from error
+        await self.clock.sleep_ms(RETRY_INTERVAL_MS)
+
+
+def _is_empty(changes: ChangeSet, state: VersionState) -> bool:
+    lease_ms = changes.upserts.outage_lease_ms
+    same_lease = lease_ms == state.object_set.outage_lease_ms
+    return same_lease and not changes.names()
+
+
+def _rebase(
+    draft: Draft,
+    base: VersionState,
+    newest: VersionState,
+    newer: tuple[Publication, ...],
+) -> Draft:
+    """Return the draft as an edit of the newest version.
+
+    Raises
+    ------
+    ObjectsError
+        If the changes of both sides together are not valid.
+    PublicationConflictError
+        If both sides changed the same object.
+    """
+    own = diff_sets(base.object_set, draft.object_set)
+    theirs = frozenset[ObjectName]().union(
+        *(one.changes.names() for one in newer),
+    )
+    clashes = own.names() & theirs
+    if clashes:
+        raise PublicationConflictError(newer, clashes)
+    merged = apply_changes(newest.object_set, own)
+    if draft.object_set.outage_lease_ms == base.object_set.outage_lease_ms:
+        lease_ms = newest.object_set.outage_lease_ms
+        merged = msgspec.structs.replace(merged, outage_lease_ms=lease_ms)
+    check_object_set(merged)
+    return replace(draft, object_set=merged, base=newest.version)
+
+
+def describe_publication(publication: Publication) -> str:
+    """Return version, publisher and touched objects as one line."""
+    names = sorted(publication.changes.names())
+    touched = ', '.join(str(one) for one in names[:MAX_SHOWN_OBJECTS])
+    hidden = len(names) - MAX_SHOWN_OBJECTS
+    more = f' and {hidden} more' if hidden > 0 else ''
+    note = f' ({publication.note})' if publication.note else ''
+    return (
+        f'version {publication.version} by {publication.who}{note}: '
+        f'{touched or "outage_lease_ms"}{more}'
+    )
--- /dev/null
+++ b/tests/test_publication.py
@@ -0,0 +1,305 @@
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import pytest
+
+from bergamotthread.clock import Clock
+from bergamotthread.errors import StoreUnavailableError
+from bergamotthread.testing.memory_platform import (
+    MemoryObjectStore,
+    MemoryPlatform,
+    MemoryTable,
+)
+from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.version.archive import MissingObjectError
+from bergamotthread.version.checks import ObjectsError
+from bergamotthread.version.diff import ObjectName
+from bergamotthread.version.objects import ObjectSet, Region, Team
+from bergamotthread.version.publication import (
+    Draft,
+    PublicationConflictError,
+    PublicationUnknownError,
+    Publisher,
+)
+from bergamotthread.version.record import (
+    INLINE_BYTES,
+    SNAPSHOT_INTERVAL,
+    VERSION_KEY,
+    ChainError,
+    VersionState,
+    encode_record,
+)
+
+Scenario = Callable[[Publisher, MemoryPlatform], Awaitable[None]]
+
+
+def _set(**weights: float) -> ObjectSet:
+    teams = tuple(Team(name, weight=one) for name, one in weights.items())
+    return ObjectSet(regions=(Region('cuyo'),), teams=teams)
+
+
+def _run(scenario: Scenario) -> None:
+    async def _main() -> None:
+        clock = Clock.from_loop(asyncio.get_running_loop())
+        platform = MemoryPlatform(clock)
+        await scenario(_publisher(platform), platform)
+
+    run_virtual(_main())
+
+
+def _publisher(platform: MemoryPlatform) -> Publisher:
+    return Publisher.from_platform(
+        MemoryTable(platform),
+        MemoryObjectStore(platform),
+        platform.clock,
+    )
+
+
+def test_versions_follow_one_another() -> None:
+    async def _scenario(publisher: Publisher, _: MemoryPlatform) -> None:
+        first = await publisher.publish(Draft(_set(a=1), 'ana', 0))
+        second = await publisher.publish(Draft(_set(a=2, b=1), 'eva', 1))
+        assert (first.state.version, second.state.version) == (1, 2)
+        newest = await publisher.newest()
+        assert newest == second
+        assert newest.state.object_set == _set(a=2, b=1)
+
+    _run(_scenario)
+
+
+def test_unchanged_set_is_not_published() -> None:
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        await publisher.publish(Draft(_set(a=1), 'ana', 0))
+        writes = platform.writes
+        again = await publisher.publish(Draft(_set(a=1), 'ana', 1))
+        assert (again.state.version, platform.writes) == (1, writes)
+
+    _run(_scenario)
+
+
+def test_invalid_set_writes_nothing() -> None:
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        with pytest.raises(ObjectsError):
+            await publisher.publish(Draft(_set(a=0), 'ana', 0))
+        assert platform.writes == 0
+
+    _run(_scenario)
+
+
+def test_stale_base_is_refused_with_who_and_what() -> None:
+    async def _scenario(publisher: Publisher, _: MemoryPlatform) -> None:
+        await publisher.publish(Draft(_set(a=1), 'ana', 0))
+        await publisher.publish(Draft(_set(a=1, b=1), 'eva', 1))
+        with pytest.raises(PublicationConflictError) as caught:
+            await publisher.publish(Draft(_set(a=1, c=1), 'ana', 1))
+        assert 'version 2 by eva: teams/b' in str(caught.value)
+        newest = await publisher.newest()
+        assert newest.state.object_set == _set(a=1, b=1)
+
+    _run(_scenario)
+
+
+def test_rebase_keeps_changes_of_both_sides() -> None:
+    async def _scenario(publisher: Publisher, _: MemoryPlatform) -> None:
+        await publisher.publish(Draft(_set(a=1, b=1), 'ana', 0))
+        await publisher.publish(Draft(_set(a=1, b=2), 'eva', 1))
+        draft = Draft(_set(a=3, b=1), 'ana', 1, rebase=True)
+        newest = await publisher.publish(draft)
+        assert newest.state.object_set == _set(a=3, b=2)
+        with pytest.raises(PublicationConflictError) as caught:
+            draft = Draft(_set(a=1, b=9), 'ana', 1, rebase=True)
+            await publisher.publish(draft)
+        assert caught.value.clashes == {ObjectName('teams', 'b')}
+
+    _run(_scenario)
+
+
+def test_rebase_checks_the_merged_set() -> None:
+    async def _scenario(publisher: Publisher, _: MemoryPlatform) -> None:
+        await publisher.publish(Draft(_set(a=1), 'ana', 0))
+        without_region = ObjectSet(teams=(Team('a'),))
+        await publisher.publish(Draft(without_region, 'eva', 1))
+        team = Team('b', home_region='cuyo')
+        mine = msgspec.structs.replace(_set(a=1), teams=(Team('a'), team))
+        with pytest.raises(ObjectsError, match='not valid'):
+            await publisher.publish(Draft(mine, 'ana', 1, rebase=True))
+
+    _run(_scenario)
+
+
+def test_twenty_racing_publishers() -> None:
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        platform.faults.delay_ms = 5
+        await publisher.publish(Draft(_set(a=1), 'ana', 0))
+        drafts = [
+            Draft(_set(a=1, **{f't{one}': 1}), f'op-{one}', 1)
+            for one in range(20)
+        ]
+        outcomes = await asyncio.gather(
+            *(_publisher(platform).publish(one) for one in drafts),
+            return_exceptions=True,
+        )
+        conflicts = [
+            one for one in outcomes if isinstance(one, PublicationConflictError)
+        ]
+        assert len(conflicts) == 19
+        newest = await publisher.newest()
+        assert newest.state.version == 2
+        assert all(one.newer[0].version == 2 for one in conflicts)
+
+    _run(_scenario)
+
+
+def test_twenty_racing_rebases_all_land() -> None:
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        platform.faults.delay_ms = 1
+        await publisher.publish(Draft(_set(a=1), 'ana', 0))
+        drafts = [
+            Draft(_set(a=1, **{f't{one}': 1}), f'op-{one}', 1, rebase=True)
+            for one in range(20)
+        ]
+        await asyncio.gather(
+            *(_publisher(platform).publish(one) for one in drafts),
+        )
+        newest = await publisher.newest()
+        assert newest.state.version == 21
+        assert len(newest.state.object_set.teams) == 21
+
+    _run(_scenario)
+
+
+@pytest.mark.parametrize('lost', [1, 2, 3])
+@pytest.mark.parametrize('overtaken', [False, True])
+def test_own_publication_is_recognised_after_a_lost_answer(
+    lost: int,
+    *,
+    overtaken: bool,
+) -> None:
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        await publisher.publish(Draft(_set(a=1), 'ana', 0))
+        table = _LossyTable(platform, lost=lost, overtaken=overtaken)
+        lossy = Publisher(table, publisher.archive, platform.clock)
+        published = await lossy.publish(Draft(_set(a=2), 'eva', 1))
+        assert published.state.version == 2
+        history = await publisher.newest()
+        assert history.state.version == (3 if overtaken else 2)
+        assert table.effective == 1
+
+    _run(_scenario)
+
+
+class _LossyTable(MemoryTable):
+    """Loses the first answers; another publisher may come before the retry."""
+
+    def __init__(
+        self,
+        platform: MemoryPlatform,
+        *,
+        lost: int,
+        overtaken: bool,
+    ) -> None:
+        super().__init__(platform)
+        self.lost = lost
+        self.overtaken = overtaken
+        self.effective = 0
+
+    async def write(self, key: str, body: bytes, *, expected: int) -> None:
+        row = await super().write(key, body, expected=expected)
+        self.effective += 1
+        if self.overtaken:
+            other = _publisher(self.platform)
+            await other.publish(Draft(_set(a=2, z=1), 'ida', 2))
+        self.lost -= 1
+        if self.lost >= 0:
+            raise StoreUnavailableError('answer lost', step='store')
+        return row
+
+
+def test_unknown_outcome_is_told_as_unknown() -> None:
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        await publisher.publish(Draft(_set(a=1), 'ana', 0))
+        table = _LossyTable(platform, lost=1_000, overtaken=False)
+        original = table.write
+
+        async def _write_then_down(*args: object, **names: object) -> None:
+            platform.faults.down = False
+            try:
+                await original(*args, **names)
+            finally:
+                platform.faults.down = True
+
+        table.write = _write_then_down
+        lossy = Publisher(table, publisher.archive, platform.clock)
+        with pytest.raises(PublicationUnknownError, match='version 2 may have'):
+            await lossy.publish(Draft(_set(a=2), 'eva', 1))
+
+    _run(_scenario)
+
+
+def test_store_down_before_the_write_is_told_as_unavailable() -> None:
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        platform.faults.down = True
+        with pytest.raises(StoreUnavailableError):
+            await publisher.publish(Draft(_set(a=1), 'ana', 0))
+
+    _run(_scenario)
+
+
+def test_rollback_is_a_new_version() -> None:
+    async def _scenario(publisher: Publisher, _: MemoryPlatform) -> None:
+        await publisher.publish(Draft(_set(a=1), 'ana', 0))
+        await publisher.publish(Draft(_set(a=2), 'ana', 1))
+        newest = await publisher.rollback(1, who='eva', base=2)
+        assert newest.state.version == 3
+        assert newest.state.object_set == _set(a=1)
+        assert newest.row is not None
+        assert newest.row.note == 'rollback to version 1'
+        with pytest.raises(MissingObjectError):
+            await publisher.rollback(9, who='eva', base=3)
+
+    _run(_scenario)
+
+
+def test_every_earlier_version_can_be_read() -> None:
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        count = 2 * SNAPSHOT_INTERVAL + 3
+        for version in range(count):
+            draft = Draft(_set(a=version + 1), 'ana', version)
+            newest = await publisher.publish(draft)
+        assert newest.row is not None
+        for version in (1, 2, 64, 65, 66, 128, 129, count):
+            state = await publisher.archive.version(newest.row, version)
+            assert state.object_set == _set(a=version)
+        reads = platform.reads
+        assert await publisher.newest() == newest
+        assert platform.reads - reads <= SNAPSHOT_INTERVAL + 2
+
+    _run(_scenario)
+
+
+def test_row_stays_small() -> None:
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        for version in range(40):
+            draft = Draft(_set(a=version + 1), 'ana', version)
+            await publisher.publish(draft)
+        body = platform.rows_by_key[VERSION_KEY].body
+        assert len(body) < INLINE_BYTES + 500
+
+    _run(_scenario)
+
+
+def test_altered_publication_breaks_the_chain() -> None:
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        newest = await publisher.publish(Draft(_set(a=1), 'ana', 0))
+        assert newest.row is not None
+        [publication] = newest.row.recent
+        forged = msgspec.structs.replace(publication, who='eva')
+        with pytest.raises(ChainError):
+            VersionState().follow(forged)
+        name = next(
+            one for one in platform.bodies_by_name if 'publication' in one
+        )
+        assert platform.bodies_by_name[name] == encode_record(publication)
+
+    _run(_scenario)
