--- /dev/null
+++ b/bergamotthread/testing/version_group.py
@@ -0,0 +1,222 @@
+"""Group of version holders over memory, with pauses, cuts and loss."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.platform import Row
+from bergamotthread.process.settings import PlaceSettings
+from bergamotthread.testing.memory_network import MemoryNetwork, MemoryTransport
+from bergamotthread.testing.memory_platform import (
+    MemoryObjectStore,
+    MemoryPlatform,
+    MemoryTable,
+)
+from bergamotthread.version.acceptance import Acceptance, AcceptanceWatch
+from bergamotthread.version.distribution import VersionHolder
+from bergamotthread.version.publication import Publisher
+from bergamotthread.wire.messages import Envelope
+
+SAMPLE_INTERVAL_MS = 10
+
+
+@dataclass(frozen=True)
+class PausableClock(Clock):
+    """Clock whose sleepers wake only while the process runs."""
+
+    running: asyncio.Event
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """Suspend the calling task, also as long as the process is paused."""
+        await super().sleep_ms(duration_ms)
+        await self.running.wait()
+
+
+@dataclass
+class PausableTable(MemoryTable):
+    """Table client whose answers are seen only while the process runs."""
+
+    running: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def read(self, key: str) -> Row | None:
+        """Return the row once the process runs."""
+        row = await super().read(key)
+        await self.running.wait()
+        return row
+
+    async def write(self, key: str, body: bytes, *, expected: int) -> Row:
+        """Write the row, and see the answer once the process runs."""
+        row = await super().write(key, body, expected=expected)
+        await self.running.wait()
+        return row
+
+
+@dataclass(frozen=True)
+class Admission:
+    """Moment at which a holder would admit, and by which version."""
+
+    at_ms: float
+    address: str
+    version: int
+
+
+@dataclass
+class GroupMember:
+    """One process of the group."""
+
+    holder: VersionHolder
+    transport: MemoryTransport
+    table: PausableTable
+    region: str
+    running: asyncio.Event
+    held_back: list[Envelope] = field(default_factory=list)
+    task: asyncio.Task[None] | None = None
+
+    @property
+    def address(self) -> str:
+        """Return the address of the process."""
+        return self.transport.address
+
+    def receive(self, envelope: Envelope) -> None:
+        """Hand an envelope to the holder, or keep it during a pause."""
+        if self.running.is_set():
+            self.holder.on_message(envelope)
+        else:
+            self.held_back.append(envelope)
+
+
+@dataclass
+class VersionGroup:
+    """Holders of a few regions, their platform and what they would admit."""
+
+    clock: Clock
+    platform: MemoryPlatform
+    network: MemoryNetwork
+    holder_type: type[VersionHolder] = VersionHolder
+    members_by_address: dict[str, GroupMember] = field(default_factory=dict)
+    admissions: list[Admission] = field(default_factory=list)
+    in_force_ms_by_version: dict[int, float] = field(default_factory=dict)
+    accepted_ms_by_version: dict[int, float] = field(default_factory=dict)
+
+    @classmethod
+    def from_loop(cls, network: MemoryNetwork) -> VersionGroup:
+        """Return a group on the running loop; the store answers in 5 ms."""
+        clock = Clock.from_loop(asyncio.get_running_loop())
+        platform = MemoryPlatform(clock)
+        platform.faults.delay_ms = 5
+        return cls(clock, platform, network)
+
+    def publisher(self) -> Publisher:
+        """Return an operator's client."""
+        return Publisher.from_platform(
+            MemoryTable(self.platform),
+            MemoryObjectStore(self.platform),
+            self.clock,
+        )
+
+    def add(
+        self, region: str, address: str, incarnation: int = 1
+    ) -> GroupMember:
+        """Start a process, in place of any earlier one at its address."""
+        running = asyncio.Event()
+        running.set()
+        clock = PausableClock(
+            self.clock.monotonic_s,
+            self.clock.calendar_s,
+            running,
+        )
+        transport = self.network.transport(address, incarnation)
+        table = PausableTable(self.platform, running=running)
+        holder = self.holder_type(
+            table,
+            MemoryObjectStore(self.platform),
+            transport,
+            clock,
+            lambda: self.peers_of(region),
+            place=PlaceSettings(address, region, f'{region}-a'),
+        )
+        member = GroupMember(holder, transport, table, region, running)
+        transport.start(member.receive)
+        self.members_by_address[address] = member
+        member.task = asyncio.ensure_future(holder.run())
+        return member
+
+    def peers_of(self, region: str) -> list[str]:
+        """Return the addresses of a region's processes."""
+        return [
+            member.address
+            for member in self.members_by_address.values()
+            if member.region == region
+        ]
+
+    def kill(self, address: str) -> None:
+        """End a process without notice."""
+        member = self.members_by_address.pop(address)
+        member.transport.close()
+        if member.task is not None:
+            member.task.cancel()
+
+    def pause(self, address: str) -> None:
+        """Stop a process between two instructions."""
+        self.members_by_address[address].running.clear()
+
+    def resume(self, address: str) -> None:
+        """Let a paused process go on, with a request as its first event."""
+        member = self.members_by_address[address]
+        member.running.set()
+        self._sample_member(member)
+        held_back, member.held_back = member.held_back, []
+        for envelope in held_back:
+            member.holder.on_message(envelope)
+
+    def sample(self) -> None:
+        """Note what every running process would admit now."""
+        for member in self.members_by_address.values():
+            if member.running.is_set():
+                self._sample_member(member)
+
+    async def sample_forever(self) -> None:
+        """Sample at an interval until cancelled."""
+        while True:
+            self.sample()
+            self._note_in_force()
+            await self.clock.sleep_ms(SAMPLE_INTERVAL_MS)
+
+    async def accept(
+        self,
+        version: int,
+        timeout_ms: float = 60_000,
+    ) -> Acceptance:
+        """Wait for acceptance as the command line does, and note its time."""
+        watch = AcceptanceWatch(MemoryTable(self.platform), self.clock)
+        acceptance = await watch.wait(version, timeout_ms=timeout_ms)
+        if acceptance.is_accepted:
+            self.accepted_ms_by_version[version] = self.clock.now_ms()
+        return acceptance
+
+    def violations(self) -> list[Admission]:
+        """Return admissions after acceptance that an older version decided."""
+        return [
+            admission
+            for admission in self.admissions
+            for version, accepted_ms in self.accepted_ms_by_version.items()
+            if admission.at_ms >= accepted_ms and admission.version < version
+        ]
+
+    def _sample_member(self, member: GroupMember) -> None:
+        if member.holder.may_admit() is None:
+            now_ms = self.clock.now_ms()
+            version = member.holder.version
+            self.admissions.append(Admission(now_ms, member.address, version))
+
+    def _note_in_force(self) -> None:
+        lowest = min(
+            (one.holder.version for one in self.members_by_address.values()),
+            default=0,
+        )
+        for version in range(lowest, 0, -1):
+            if version in self.in_force_ms_by_version:
+                break
+            self.in_force_ms_by_version[version] = self.clock.now_ms()
--- a/bergamotthread/version/distribution.py
+++ b/bergamotthread/version/distribution.py
@@ -2,18 +2,115 @@
 
 from __future__ import annotations
 
-from bergamotthread.request.refusal import Refusal
+import asyncio
+import math
+from collections import deque
+from collections.abc import Callable, Sequence
+
+from absl import logging
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.transport import Receiver, Transport
+from bergamotthread.errors import BergamotError, Step
+from bergamotthread.process.platform import ObjectStore, Table
+from bergamotthread.process.settings import PlaceSettings
+from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
+from bergamotthread.version.archive import Archive
+from bergamotthread.version.lease import VersionLease
 from bergamotthread.version.objects import ObjectSet
 from bergamotthread.version.published import PublishedVersion
-from bergamotthread.wire.messages import Envelope
+from bergamotthread.version.record import (
+    VERSION_KEY,
+    Bundle,
+    Publication,
+    Snapshot,
+    VersionRow,
+    VersionState,
+    decode_record,
+    encode_record,
+)
+from bergamotthread.version.registration import Registration
+from bergamotthread.version.sources import (
+    MAX_FANOUT,
+    PendingRequests,
+    SourceChoice,
+    is_reader,
+)
+from bergamotthread.wire.codec import MAX_ENVELOPE_BYTES
+from bergamotthread.wire.messages import (
+    Acks,
+    ConfigNotice,
+    ConfigRequest,
+    Envelope,
+    Message,
+    OutputBatch,
+    Probe,
+    ProbeReply,
+)
+
+POLL_INTERVAL_MS = 500
+FRESH_PROOF_MS = 1500
+READ_BACKOFF_MS = 1000
+REGISTER_INTERVAL_MS = 1000
+HEARD_ASK_INTERVAL_MS = 50
+WATCHER_TIMEOUT_MS = 3000
+RETRY_AFTER_MS = 1000
+MAX_WATCHERS = 512
+MAX_RECENT_PUBLICATIONS = 256
+START_FANOUT = 2
+_HEADROOM_BYTES = 1024
 
 
 class VersionHolder:
-    """Holds the newest published version known to this process."""
+    """Holds the newest published version known to this process.
+
+    A few readers of a group read the table; the others ask them. An answer
+    carries its proof's age, so that the asker counts its lease from the moment
+    at which it asked, less that age.
+
+    Parameters
+    ----------
+    table, object_store
+        None where the process may not use the platform, as at an agent.
+    peers
+        Addresses to ask; those of the own region, where there are any.
+    place
+        Where the process runs; None where it is not to be registered.
+    """
 
-    def __init__(self, current: PublishedVersion | None = None) -> None:
-        self.current = current
-        self._refusal: Refusal | None = None
+    def __init__(
+        self,
+        table: Table | None,
+        object_store: ObjectStore | None,
+        transport: Transport,
+        clock: Clock,
+        peers: Callable[[], Sequence[str]],
+        *,
+        place: PlaceSettings | None = None,
+    ) -> None:
+        self.current: PublishedVersion | None = None
+        self.lease = VersionLease()
+        self.poll_interval_ms: float = POLL_INTERVAL_MS
+        self._table = table
+        self._archive = Archive(object_store) if object_store else None
+        self._transport = transport
+        self._clock = clock
+        self._peers = peers
+        self._registration: Registration | None = None
+        if table is not None and place is not None:
+            incarnation = transport.incarnation
+            self._registration = Registration(table, place, incarnation)
+        self._state = VersionState()
+        self._recent: deque[Publication] = deque(maxlen=MAX_RECENT_PUBLICATIONS)
+        self._snapshot: bytes = b''
+        self._sources = SourceChoice(transport.address)
+        self._requests = PendingRequests(transport.incarnation)
+        self._watched_ms_by_address: dict[str, float] = {}
+        self._proof = asyncio.Event()
+        self._why = 'nothing was heard yet'
+        self._register_after_ms = -math.inf
+        self._heard_ask_after_ms = -math.inf
+        self._is_closed = False
 
     @classmethod
     def from_object_set(
@@ -22,16 +119,312 @@
         version: int = 1,
     ) -> VersionHolder:
         """Return a holder of one fixed set, for tests and demonstrations."""
-        return cls(PublishedVersion.from_object_set(version, object_set))
+        holder = cls(None, None, _NoTransport(), Clock.from_system(), tuple)
+        holder._adopt(VersionState(version, object_set=object_set), ())
+        holder.lease.prove(math.inf)
+        return holder
+
+    @property
+    def version(self) -> int:
+        """Return the number of the version in force, 0 where there is none."""
+        return self._state.version
 
     def may_admit(self) -> Refusal | None:
         """Return None, or the refusal that a new request is answered with."""
-        return self._refusal
+        now_ms = self._clock.now_ms()
+        if self.current is None or self._is_closed:
+            return self._refuse('no configuration is in force', {})
+        if self.lease.remaining_ms(now_ms) > 0:
+            return None
+        figures = {
+            'proof_age_ms': now_ms - self.lease.proven_ms,
+            'lease_ms': self.lease.length_ms(),
+        }
+        if math.isinf(self.lease.proven_ms):
+            figures.pop('proof_age_ms')
+        return self._refuse('the lease on the configuration lapsed', figures)
 
     def on_message(self, envelope: Envelope) -> None:
-        """Take in a message from a peer."""
+        """Take in a message from a peer; others are passed over."""
+        peer = envelope.sender
+        match envelope.message:
+            case ConfigRequest(version=version, nonce=nonce):
+                self._answer(peer, version, nonce)
+            case ConfigNotice() as notice:
+                self._on_notice(peer, notice)
+            case (
+                Probe(config_version=version)
+                | ProbeReply(config_version=version)
+                | Acks(config_version=version)
+                | OutputBatch(config_version=version)
+            ):
+                self.on_version_heard(peer, version)
+
+    def on_version_heard(self, peer: str, version: int) -> None:
+        """Ask a peer that is known to hold a newer version."""
+        now_ms = self._clock.now_ms()
+        if version > self.version and now_ms >= self._heard_ask_after_ms:
+            self._heard_ask_after_ms = now_ms + HEARD_ASK_INTERVAL_MS
+            self._ask(peer)
+
+    async def run(self) -> None:
+        """Keep the version and the lease up to date until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._ask_peers())
+            if self._table is not None:
+                tasks.create_task(self._read_table(self._table))
+
+    async def wait_serving(self) -> None:
+        """Return once requests may be admitted by the current version."""
+        while self.may_admit() is not None:
+            self._proof.clear()
+            await self._proof.wait()
+
+    async def close(self) -> None:
+        """Stop admitting for good, and say so in the table."""
+        self._is_closed = True
+        if self._registration is not None:
+            await self._registration.remove()
+
+    def _refuse(self, what: str, figures: dict[str, float]) -> Refusal:
+        return Refusal(
+            reason=ReasonCode.NO_CONFIGURATION,
+            detail=f'{what}: {self._why}',
+            step=Step.ADMIT,
+            ran=Ran.NOT_RUN,
+            config_version=self.version,
+            retry_after_ms=RETRY_AFTER_MS,
+            figures=figures,
+        )
+
+    async def _ask_peers(self) -> None:
+        while True:
+            if self._is_question_due():
+                fanout = MAX_FANOUT if self.version else START_FANOUT
+                for peer in self._sources.choose(
+                    self._peers(),
+                    max_fanout=fanout,
+                ):
+                    self._ask(peer)
+            await self._clock.sleep_ms(self.poll_interval_ms)
+
+    async def _read_table(self, table: Table) -> None:
+        while True:
+            pause_ms = self.poll_interval_ms
+            if self._is_read_due():
+                try:
+                    await self._read_newest(table)
+                except BergamotError as error:
+                    self._why = str(error)
+                    pause_ms = READ_BACKOFF_MS
+            await self._register()
+            await self._clock.sleep_ms(pause_ms)
+
+    def _is_question_due(self) -> bool:
+        is_fresh = self._proof_age_ms() < FRESH_PROOF_MS
+        return not (is_fresh and self._is_reader())
+
+    def _is_read_due(self) -> bool:
+        is_fresh = self._proof_age_ms() < FRESH_PROOF_MS
+        return self._is_reader() or not is_fresh
+
+    def _is_reader(self) -> bool:
+        if self._table is None:
+            return False
+        return is_reader(self._transport.address, self._peers())
+
+    async def _read_newest(self, table: Table) -> None:
+        held_version = self.version
+        asked_ms = self._clock.now_ms()
+        row = await table.read(VERSION_KEY)
+        if row is None:
+            self._why = 'nothing is published'
+            return
+        newest = decode_record(row.body, VersionRow)
+        if newest.version < held_version:
+            raise BergamotError(
+                f'the table holds version {newest.version}, older than '
+                f'{held_version}, which is in force',
+                step=Step.STORE,
+            )
+        if newest.version > self.version:
+            await self._fetch(newest)
+        self._prove(asked_ms)
+
+    async def _fetch(self, newest: VersionRow) -> None:
+        if self._archive is None:
+            raise BergamotError('no object store', step=Step.STORE)
+        held = self._state
+        state = await self._archive.newest(newest, held)
+        inline = tuple(
+            one for one in newest.recent if one.version > held.version
+        )
+        self._adopt(state, inline)
+
+    async def _register(self) -> None:
+        registration = self._registration
+        if registration is None or self.current is None or self._is_closed:
+            return
+        outage_lease_ms = self.current.object_set.outage_lease_ms
+        recorded = registration.recorded
+        if recorded is not None and recorded.version == self.version:
+            return
+        if not (outage_lease_ms or self._is_reader()):
+            return
+        if self._clock.now_ms() < self._register_after_ms:
+            return
+        self._register_after_ms = self._clock.now_ms() + REGISTER_INTERVAL_MS
+        version = self.version
+        try:
+            await registration.record(version, outage_lease_ms)
+        except BergamotError as error:
+            logging.warning('not registered: %s', error)
+            return
+        if version == self.version:
+            self.lease.register(self._clock.now_ms(), outage_lease_ms)
+
+    def _ask(self, peer: str) -> None:
+        nonce = self._requests.add(self._clock.now_ms())
+        self._transport.send(peer, ConfigRequest(self.version, nonce))
+
+    def _answer(self, peer: str, version: int, nonce: int) -> None:
+        now_ms = self._clock.now_ms()
+        self._watch(peer, now_ms)
+        if version > self.version:
+            self._ask(peer)
+        proof_age_ms = -1.0
+        if self.version and self.lease.remaining_ms(now_ms) > 0:
+            proof_age_ms = max(now_ms - self.lease.proven_ms, 0)
+        self._transport.send(
+            peer,
+            ConfigNotice(
+                self.version,
+                self._bundle_since(version),
+                nonce,
+                proof_age_ms,
+            ),
+        )
+
+    def _watch(self, peer: str, now_ms: float) -> None:
+        self._watched_ms_by_address.pop(peer, None)
+        self._watched_ms_by_address[peer] = now_ms
+        if len(self._watched_ms_by_address) > MAX_WATCHERS:
+            oldest = next(iter(self._watched_ms_by_address))
+            self._watched_ms_by_address.pop(oldest)
+
+    def _bundle_since(self, version: int) -> bytes:
+        if version >= self.version:
+            return b''
+        publications = tuple(
+            one for one in self._recent if one.version > version
+        )
+        if version and publications and publications[0].version == version + 1:
+            return encode_record(Bundle(publications))
+        if not self._snapshot:
+            state = self._state
+            snapshot = Snapshot(
+                state.version,
+                state.publication_id,
+                state.digest,
+                state.object_set,
+            )
+            self._snapshot = encode_record(Bundle(snapshot=snapshot))
+        fits = len(self._snapshot) <= MAX_ENVELOPE_BYTES - _HEADROOM_BYTES
+        return self._snapshot if fits else b''
+
+    def _on_notice(self, peer: str, notice: ConfigNotice) -> None:
+        if notice.document and notice.version > self.version:
+            self._take_bundle(peer, notice.document)
+        sent_ms = self._requests.sent_ms(notice.nonce)
+        if notice.version > self.version:
+            if sent_ms is None:
+                self._ask(peer)
+            return
+        if sent_ms is not None and notice.proof_age_ms >= 0 and notice.version:
+            self._prove(sent_ms - notice.proof_age_ms)
+            if self._proof_age_ms() < FRESH_PROOF_MS:
+                self._sources.record_answer()
+
+    def _take_bundle(self, peer: str, document: bytes) -> None:
+        try:
+            bundle = decode_record(document, Bundle)
+            state, publications = _follow_bundle(self._state, bundle)
+        except BergamotError as error:
+            logging.warning('bundle from %s not taken: %s', peer, error)
+            return
+        self._adopt(state, publications)
+
+    def _adopt(
+        self,
+        state: VersionState,
+        publications: tuple[Publication, ...],
+    ) -> None:
+        """Put a newer version in force and pass it on to those who ask here."""
+        before = self.version
+        if state.version <= before:
+            return
+        self.current = PublishedVersion.from_object_set(
+            state.version,
+            state.object_set,
+        )
+        self._state = state
+        self._snapshot = b''
+        self.lease.forget_registration()
+        self._remember(publications)
+        logging.info('version %d in force, before %d', state.version, before)
+        self._notify_watchers(before)
+
+    def _remember(self, publications: tuple[Publication, ...]) -> None:
+        for publication in publications:
+            last = self._recent[-1].version if self._recent else 0
+            if publication.version != last + 1:
+                self._recent.clear()
+            self._recent.append(publication)
+        if self._recent and self._recent[-1].version != self.version:
+            self._recent.clear()
+
+    def _notify_watchers(self, before: int) -> None:
+        since_ms = self._clock.now_ms() - WATCHER_TIMEOUT_MS
+        document = self._bundle_since(before) if before else b''
+        notice: Message = ConfigNotice(self.version, document)
+        for address, watched_ms in self._watched_ms_by_address.items():
+            if watched_ms >= since_ms:
+                self._transport.send(address, notice)
+
+    def _prove(self, moment_ms: float) -> None:
+        self.lease.prove(moment_ms)
+        self._proof.set()
+
+    def _proof_age_ms(self) -> float:
+        return self._clock.now_ms() - self.lease.proven_ms
+
+
+class _NoTransport(Transport):
+    """Transport of a holder that has no peers."""
+
+    address = ''
+    incarnation = 0
+
+    def send(self, peer: str, message: Message) -> None:
+        """Send nothing."""
+
+    def start(self, receiver: Receiver) -> None:
+        """Receive nothing."""
+
+    def close(self) -> None:
+        """Hold nothing open."""
+
 
-    async def wait_serving(self) -> PublishedVersion:
-        """Return the current version once requests may be admitted."""
-        assert self.current is not None
-        return self.current
+def _follow_bundle(
+    state: VersionState,
+    bundle: Bundle,
+) -> tuple[VersionState, tuple[Publication, ...]]:
+    snapshot = bundle.snapshot
+    if snapshot is not None and snapshot.version > state.version:
+        state = VersionState.from_snapshot(snapshot)
+    taken: list[Publication] = []
+    for publication in bundle.publications:
+        if publication.version > state.version:
+            state = state.follow(publication)
+            taken.append(publication)
+    return state, tuple(taken)
--- /dev/null
+++ b/bergamotthread/version/registration.py
@@ -0,0 +1,123 @@
+"""Rows by which processes tell the table what version they have in force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from bergamotthread.errors import StoreConflictError
+from bergamotthread.process.platform import Row, Table
+from bergamotthread.process.settings import PlaceSettings
+
+HOLDER_PREFIX = 'version/holder/'
+MAX_HOLDERS = 10_000
+
+
+class HolderRow(
+    msgspec.Struct,
+    frozen=True,
+    omit_defaults=True,
+    forbid_unknown_fields=True,
+):
+    """Version in force at one process, and how long it may outlast proof."""
+
+    address: str
+    region: str
+    failure_domain: str
+    version: int
+    outage_lease_ms: int = 0
+
+
+@dataclass(frozen=True)
+class StoredHolder:
+    """Holder row with its place in the table."""
+
+    key: str
+    revision: int
+    holder: HolderRow
+
+
+class Registration:
+    """Writes the holder row of this process.
+
+    A key that was deleted is never used again, so that a delayed deletion
+    can't hit a row that was written anew.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        place: PlaceSettings,
+        incarnation: int,
+    ) -> None:
+        self._table = table
+        self._place = place
+        self._prefix = f'{HOLDER_PREFIX}{place.address}/{incarnation}'
+        self._generation = 0
+        self._revision = 0
+        self.recorded: HolderRow | None = None
+
+    async def record(self, version: int, outage_lease_ms: int) -> None:
+        """Write the version in force; returns once the table has it.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the table did not answer.
+        StoreConflictError
+            If the row was changed by others again and again.
+        """
+        holder = HolderRow(
+            self._place.address,
+            self._place.region,
+            self._place.failure_domain,
+            version,
+            outage_lease_ms,
+        )
+        try:
+            await self._write(holder)
+        except StoreConflictError:
+            await self._reread()
+            await self._write(holder)
+        self.recorded = holder
+
+    async def remove(self) -> None:
+        """Delete the row of a process that admits nothing any more."""
+        if self._revision:
+            await self._table.delete(self._key(), expected=self._revision)
+            self._start_new_key()
+
+    async def _write(self, holder: HolderRow) -> None:
+        row = await self._table.write(
+            self._key(),
+            msgspec.json.encode(holder),
+            expected=self._revision,
+        )
+        self._revision = row.revision
+
+    async def _reread(self) -> None:
+        row = await self._table.read(self._key())
+        if row is None:
+            self._start_new_key()
+        else:
+            self._revision = row.revision
+
+    def _key(self) -> str:
+        return f'{self._prefix}.{self._generation}'
+
+    def _start_new_key(self) -> None:
+        self._generation += 1
+        self._revision = 0
+        self.recorded = None
+
+
+async def read_holders(table: Table) -> tuple[StoredHolder, ...]:
+    """Return all registered processes."""
+    rows = await table.scan(HOLDER_PREFIX, limit=MAX_HOLDERS)
+    return tuple(_stored_holder(row) for row in rows)
+
+
+def _stored_holder(row: Row) -> StoredHolder:
+    holder = msgspec.json.decode(row.body, type=HolderRow)
+    return StoredHolder(row.key, row.revision, holder)
--- /dev/null
+++ b/bergamotthread/version/sources.py
@@ -0,0 +1,80 @@
+"""Choice of the peers that a process asks for the published version."""
+
+from __future__ import annotations
+
+import itertools
+from collections import OrderedDict
+from collections.abc import Iterable
+
+import xxhash
+
+READERS_PER_GROUP = 3
+MAX_PENDING_REQUESTS = 64
+MAX_FANOUT = 8
+_NONCE_BITS = 32
+
+
+def rank_addresses(addresses: Iterable[str]) -> tuple[str, ...]:
+    """Return addresses in an order that all processes agree on.
+
+    The order is that of their hashes (rendezvous hashing with one key), so
+    that a process which joins or leaves changes no other's place.
+    """
+    return tuple(sorted(set(addresses), key=_hash))
+
+
+def is_reader(address: str, peers: Iterable[str]) -> bool:
+    """Return whether the process at `address` reads the table for its group."""
+    ranked = rank_addresses((*peers, address))
+    return address in ranked[:READERS_PER_GROUP]
+
+
+class SourceChoice:
+    """Chooses whom to ask next, and more at once the longer none answers."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._next = _hash(address) % READERS_PER_GROUP
+        self._unanswered = 0
+
+    def choose(self, peers: Iterable[str], *, max_fanout: int) -> list[str]:
+        """Return the peers to ask now."""
+        ranked = rank_addresses(peers)
+        others = [one for one in ranked if one != self._address]
+        if not others:
+            return []
+        fanout = min(1 << self._unanswered, max_fanout, len(others))
+        if self._unanswered:
+            self._next += fanout
+        self._unanswered = min(self._unanswered + 1, MAX_FANOUT)
+        first = self._next % len(others)
+        return (others * 2)[first : first + fanout]
+
+    def record_answer(self) -> None:
+        """Note that a peer gave a proof that is fresh enough."""
+        self._unanswered = 0
+
+
+class PendingRequests:
+    """Times at which requests were sent, by nonce."""
+
+    def __init__(self, incarnation: int) -> None:
+        first = (incarnation % (1 << _NONCE_BITS - 1)) << _NONCE_BITS - 1
+        self._nonces = itertools.count(first + 1)
+        self._sent_ms_by_nonce: OrderedDict[int, float] = OrderedDict()
+
+    def add(self, now_ms: float) -> int:
+        """Return the nonce of a request that is sent now."""
+        nonce = next(self._nonces)
+        self._sent_ms_by_nonce[nonce] = now_ms
+        if len(self._sent_ms_by_nonce) > MAX_PENDING_REQUESTS:
+            self._sent_ms_by_nonce.popitem(last=False)
+        return nonce
+
+    def sent_ms(self, nonce: int) -> float | None:
+        """Return when the request was sent, None where it is not known."""
+        return self._sent_ms_by_nonce.get(nonce)
+
+
+def _hash(address: str) -> int:
+    return xxhash.xxh64_intdigest(address.encode())
--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -202,17 +202,23 @@
 class ConfigNotice(_Message, frozen=True, array_like=True, tag=True):
     """Any to any: newest published version known to the sender.
 
-    `document` is the whole set as JSON, empty where only the number is told.
+    `document` is a `bergamotthread.version.record.Bundle` as JSON, empty where
+    only the number is told. `nonce` is that of the request answered, 0 for
+    none; `proof_age_ms` is how long before the answer the table held no newer
+    version, negative where that is not known.
     """
 
     version: int
     document: bytes = b''
+    nonce: int = 0
+    proof_age_ms: float = -1
 
 
 class ConfigRequest(_Message, frozen=True, array_like=True, tag=True):
     """Any to any: send the published version if newer than `version`."""
 
     version: int
+    nonce: int = 0
 
 
 class ConfigState(_Message, frozen=True, array_like=True, tag=True):
