Completions over HTTP, with server-sent events, cursors and refusals

Cause: a test with two engines that die in turn used up all attempts within 0.3 s: each dispatch to an unreachable engine counted as a lost attempt. Ruled out: the offset logic (the events before were whole). Change: an agent whose engine is unreachable declines new attempts, and a declined attempt is not counted; the entry serves POST /v1/completions. Before: retries_exhausted after 5 attempts. After: one whole answer of 60 tokens. Conclusion: only an attempt that may have run spends the budget.

--- a/bergamotthread/process/agent.py
+++ b/bergamotthread/process/agent.py
@@ -79,6 +79,7 @@
         clock: Clock,
     ) -> None:
         self.draining = False
+        self.engine_is_up = True
         self._config = config
         self._transport = transport
         self._engine = engine
@@ -138,20 +139,29 @@
         known = self._buffers_by_key.get(key)
         if known:
             self._repeat(known, dispatch, sender)
-        elif key in self._revoked:
-            self._decline(dispatch, sender, 'revoked')
-        elif self.draining:
-            self._decline(dispatch, sender, 'draining')
+            return
+        reason = self._reason_to_decline(key)
+        if reason:
+            self._decline(dispatch, sender, reason)
         else:
             self._start(key, dispatch, sender)
 
+    def _reason_to_decline(self, key: AttemptKey) -> str:
+        if key in self._revoked:
+            return 'revoked'
+        if self.draining:
+            return 'draining'
+        if self.engine_is_up:
+            return ''
+        return 'engine unreachable'
+
     def _start(self, key: AttemptKey, dispatch: Dispatch, sender: str) -> None:
         now_ms = self._clock.now_ms()
         buffer = OutputBuffer.from_dispatch(dispatch, sender, now_ms)
         self._buffers_by_key[key] = buffer
         task = asyncio.create_task(self._runner.run(buffer))
         self._tasks_by_key[key] = task
-        task.add_done_callback(lambda _: self._tasks_by_key.pop(key, None))
+        task.add_done_callback(lambda _: self._on_stopped(key, buffer))
         self._transport.send(
             sender,
             Admitted(dispatch.generation, dispatch.attempt),
@@ -217,6 +227,12 @@
         buffer.resubscribe(sender, fetch.offset, self._clock.now_ms())
         self._flusher.mark(buffer)
 
+    def _on_stopped(self, key: AttemptKey, buffer: OutputBuffer) -> None:
+        self._tasks_by_key.pop(key, None)
+        if buffer.end is not None:
+            lost = buffer.end.reason is EndReason.ENGINE_LOST
+            self.engine_is_up = self.engine_is_up and not lost
+
     def _stop(self, key: AttemptKey) -> None:
         task = self._tasks_by_key.pop(key, None)
         if task is not None:
@@ -249,7 +265,9 @@
             try:
                 self._flusher.load = await self._engine.load()
             except EngineLostError:
-                await self._clock.sleep_ms(LOAD_INTERVAL_MS)
+                self.engine_is_up = False
+            else:
+                self.engine_is_up = True
             await self._clock.sleep_ms(LOAD_INTERVAL_MS)
 
     async def _evict_forever(self) -> None:
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -23,7 +23,7 @@
     Lost,
     Outcome,
     Rejected,
-    loss_cause,
+    outcome_of,
 )
 from bergamotthread.request.refusal import (
     Ran,
@@ -215,7 +215,7 @@
         if live.generation.is_over:
             live.settle(Finished())
         elif frame.end is not None:
-            live.settle(Lost(loss_cause(frame.end.reason)))
+            live.settle(outcome_of(frame.end.reason))
         live.notify()
 
     def _record_tokens(self, live: LiveGeneration) -> None:
--- a/bergamotthread/request/generation.py
+++ b/bergamotthread/request/generation.py
@@ -42,27 +42,27 @@
 
 _TRANSITIONS = (
     {
-        'trigger': 'dispatch',
+        'trigger': 'dispatched',
         'source': (GenerationState.PENDING, GenerationState.INTERRUPTED),
         'dest': GenerationState.RUNNING,
     },
     {
-        'trigger': 'interrupt',
+        'trigger': 'interrupted',
         'source': GenerationState.RUNNING,
         'dest': GenerationState.INTERRUPTED,
     },
     {
-        'trigger': 'complete',
+        'trigger': 'completed',
         'source': GenerationState.RUNNING,
         'dest': GenerationState.COMPLETE,
     },
     {
-        'trigger': 'refuse',
+        'trigger': 'refused',
         'source': (GenerationState.PENDING, GenerationState.INTERRUPTED),
         'dest': GenerationState.REFUSED,
     },
     {
-        'trigger': 'cancel',
+        'trigger': 'cancelled',
         'source': (
             GenerationState.PENDING,
             GenerationState.RUNNING,
@@ -142,19 +142,19 @@
 
     def begin_attempt(self, agent: str) -> AttemptPlace:
         """Start the next attempt at `agent`; all earlier ones turn stale."""
-        self._trigger('dispatch')
+        self._trigger('dispatched')
         self.place = AttemptPlace(self.place.number + 1, agent)
         return self.place
 
     def adopt_attempt(self, agent: str, number: int) -> AttemptPlace:
         """Take over a running attempt that another entry had started."""
-        self._trigger('dispatch')
+        self._trigger('dispatched')
         self.place = AttemptPlace(number, agent)
         return self.place
 
     def interrupt(self) -> None:
         """Give up the current attempt; its later frames are stale."""
-        self._trigger('interrupt')
+        self._trigger('interrupted')
         self.place = AttemptPlace(self.place.number, '')
 
     def restore(self, tokens: tuple[str, ...]) -> None:
@@ -168,12 +168,12 @@
 
     def refuse(self, refusal: Refusal) -> None:
         """End with a refusal."""
-        self._trigger('refuse')
+        self._trigger('refused')
         self.refusal = refusal
 
     def cancel(self) -> None:
         """End because the caller wants no more output."""
-        self._trigger('cancel')
+        self._trigger('cancelled')
 
     def is_current(self, agent: str, incarnation: int, attempt: int) -> bool:
         """Return whether a message belongs to the current attempt."""
@@ -220,7 +220,7 @@
         if end.count < self.offset:
             return Verdict.CORRUPT
         self.end = end
-        self._trigger('complete')
+        self._trigger('completed')
         return Verdict.ACCEPTED
 
     def _trigger(self, event: str) -> None:
--- a/bergamotthread/request/live_generation.py
+++ b/bergamotthread/request/live_generation.py
@@ -38,9 +38,11 @@
 Outcome = Finished | Lost | Rejected
 
 
-def loss_cause(reason: EndReason) -> str:
-    """Return the cause of a loss that the agent reported."""
-    return f'agent reported {reason}'
+def outcome_of(reason: EndReason) -> Lost | Rejected:
+    """Return the outcome of an attempt that its agent ended early."""
+    if reason is EndReason.ENGINE_REFUSED:
+        return Rejected('engine refused', 0)
+    return Lost(f'agent reported {reason}')
 
 
 class LiveGeneration:
--- /dev/null
+++ b/tests/test_entry_app.py
@@ -0,0 +1,253 @@
+"""The HTTP side of an entry, over real sockets on loopback."""
+
+import asyncio
+import hashlib
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import msgspec
+from aiosonic import HTTPClient
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.http_engine import HttpEngineClient
+from bergamotthread.connection.http_server import HttpServer
+from bergamotthread.process.agent import Agent, AgentConfig
+from bergamotthread.process.completions import Completions
+from bergamotthread.process.entry_app import EntryApp
+from bergamotthread.process.generations import Generations
+from bergamotthread.process.round_robin import RoundRobinPlacement
+from bergamotthread.process.settings import LimitSettings
+from bergamotthread.request.cursor import CursorSigner
+from bergamotthread.testing.memory_network import MemoryNetwork
+from bergamotthread.version.published import PublishedVersion
+from standins.engine import create_app
+from standins.engine_core import Engine, EngineSpeed
+from standins.serving import server
+from standins.small_deployment import small_set
+from standins.tokens import verify_answer
+
+CREDENTIAL = 'secret of the foundry'
+PROMPT = 'soak times of batch 17'
+SPEED = EngineSpeed(token_interval_ms=2)
+
+
+@dataclass
+class _FixedVersions:
+    current: PublishedVersion
+
+    def may_admit(self) -> None:
+        return None
+
+
+@dataclass
+class _Path:
+    base: str
+    engines: list[Engine]
+    generations: Generations
+    client: HTTPClient
+
+    async def post(self, body: dict, headers: dict | None = None):
+        return await self.client.request(
+            f'{self.base}/v1/completions',
+            method='POST',
+            headers={
+                'authorization': f'Bearer {CREDENTIAL}',
+                **(headers or {}),
+            },
+            data=msgspec.json.encode(body),
+            stream=True,
+        )
+
+
+def _published() -> PublishedVersion:
+    plain = small_set(2)
+    digest = hashlib.sha256(CREDENTIAL.encode()).hexdigest()
+    team = msgspec.structs.replace(plain.teams[0], credential_hashes=(digest,))
+    return PublishedVersion.from_object_set(
+        1,
+        msgspec.structs.replace(plain, teams=(team,)),
+    )
+
+
+@asynccontextmanager
+async def _path():
+    clock = Clock.from_system()
+    network = MemoryNetwork(delay_ms=0)
+    engines = [Engine(clock, SPEED, seed=index) for index in range(2)]
+    servers: list[HttpServer] = []
+    tasks = []
+    addresses = [f'10.0.0.{index + 1}:7000' for index in range(2)]
+    for engine, address in zip(engines, addresses, strict=True):
+        engine_server = server(create_app(engine), '127.0.0.1:0')
+        await engine_server.start()
+        servers.append(engine_server)
+        client = HttpEngineClient(f'127.0.0.1:{engine_server.port}')
+        agent = Agent(AgentConfig(), network.transport(address), client, clock)
+        tasks.append(asyncio.create_task(agent.run()))
+    transport = network.transport('10.9.0.1:7000')
+    generations = Generations(transport, RoundRobinPlacement(addresses), clock)
+    transport.start(generations.on_message)
+    tasks.append(asyncio.create_task(generations.run()))
+    app = EntryApp(
+        generations,
+        Completions(generations, CursorSigner((b'test key',)), clock),
+        _FixedVersions(_published()),
+        LimitSettings(body_bytes=10_000),
+        clock,
+    )
+    entry = server(app.starlette(), '127.0.0.1:0')
+    await entry.start()
+    servers.append(entry)
+    base = f'http://127.0.0.1:{entry.port}'
+    try:
+        yield _Path(base, engines, generations, HTTPClient())
+    finally:
+        for task in tasks:
+            task.cancel()
+        for one in servers:
+            await one.abort()
+
+
+def _events(stream: bytes) -> list[dict]:
+    lines = stream.decode().splitlines()
+    payloads = [line[6:] for line in lines if line.startswith('data: {')]
+    return [msgspec.json.decode(payload) for payload in payloads]
+
+
+def _ids(stream: bytes) -> list[str]:
+    lines = stream.decode().splitlines()
+    return [line[4:] for line in lines if line.startswith('id: ')]
+
+
+def _text(stream: bytes) -> str:
+    return ''.join(one['choices'][0]['text'] for one in _events(stream))
+
+
+async def _read(response) -> bytes:
+    return b''.join([chunk async for chunk in response.read_chunks()])
+
+
+def _total(path: _Path, count: str) -> int:
+    return sum(getattr(engine.counts, count) for engine in path.engines)
+
+
+async def _until(condition) -> None:
+    while not condition():  # noqa: ASYNC110
+        await asyncio.sleep(0.01)
+
+
+def test_json_answer_is_whole() -> None:
+    async def scenario() -> None:
+        async with _path() as path:
+            response = await path.post(
+                {'model': 'furnace-log', 'prompt': PROMPT, 'max_tokens': 20},
+            )
+            answer = msgspec.json.decode(await response.content())
+        assert response.status_code == 200
+        assert answer['usage']['completion_tokens'] == 20
+        verify_answer(PROMPT, answer['choices'][0]['text'], 20)
+
+    asyncio.run(scenario())
+
+
+def test_stream_is_whole_although_the_engine_dies() -> None:
+    async def scenario() -> None:
+        async with _path() as path:
+            path.engines[0].faults.die_after_tokens = 25
+            path.engines[1].faults.die_after_tokens = 40
+            asyncio.get_running_loop().call_later(
+                0.3,
+                path.engines[0].revive,
+            )
+            response = await path.post(
+                {
+                    'model': 'furnace',
+                    'prompt': PROMPT,
+                    'max_tokens': 60,
+                    'stream': True,
+                },
+            )
+            stream = await _read(response)
+        assert stream.endswith(b'data: [DONE]\n\n')
+        verify_answer(PROMPT, _text(stream), 60)
+        last = _events(stream)[-1]
+        assert last['usage']['completion_tokens'] == 60
+
+    asyncio.run(scenario())
+
+
+def test_reconnect_continues_at_the_cursor() -> None:
+    async def scenario() -> None:
+        async with _path() as path:
+            body = {
+                'model': 'furnace',
+                'prompt': PROMPT,
+                'max_tokens': 50,
+                'stream': True,
+            }
+            first = await path.post(body)
+            head = b''
+            async for chunk in first.read_chunks():
+                head += chunk
+                if head.count(b'id: ') >= 2 and head.endswith(b'\n\n'):
+                    break
+            await first.aclose()
+            cursor = _ids(head)[-1]
+            second = await path.post(body, {'last-event-id': cursor})
+            tail = await _read(second)
+        verify_answer(PROMPT, _text(head) + _text(tail), 50)
+
+    asyncio.run(scenario())
+
+
+def test_caller_that_goes_away_is_cancelled_at_the_engine() -> None:
+    async def scenario() -> None:
+        async with _path() as path:
+            body = {'model': 'furnace', 'prompt': PROMPT, 'max_tokens': 9000}
+            task = asyncio.create_task(path.post(body))
+            await _until(lambda: _total(path, 'started'))
+            task.cancel()
+            await _until(lambda: _total(path, 'cancelled'))
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_refusals_are_problem_json() -> None:
+    cases = (
+        ({'model': 'nothing', 'prompt': 'x'}, {}, 404, 'not_found'),
+        ({'prompt': 'x'}, {}, 400, 'bad_request'),
+        (
+            {'model': 'furnace', 'prompt': 'x', 'tokens': 3},
+            {},
+            400,
+            'bad_request',
+        ),
+        ({'model': 'furnace', 'prompt': 'x' * 20_000}, {}, 413, 'too_large'),
+        (
+            {'model': 'furnace', 'prompt': 'x'},
+            {'authorization': 'Bearer wrong'},
+            401,
+            'unauthenticated',
+        ),
+        (
+            {'model': 'furnace', 'prompt': 'x'},
+            {'last-event-id': 'forged'},
+            400,
+            'bad_cursor',
+        ),
+    )
+
+    async def scenario() -> None:
+        async with _path() as path:
+            for body, headers, status, reason in cases:
+                response = await path.post(body, headers)
+                problem = msgspec.json.decode(await response.content())
+                assert (response.status_code, problem['reason']) == (
+                    status,
+                    reason,
+                )
+                assert problem['ran'] == 'no'
+                assert problem['request_id']
+            assert not any(engine.counts.started for engine in path.engines)
+
+    asyncio.run(scenario())
