--- /dev/null
+++ b/bergamotthread/process/circuit.py
@@ -0,0 +1,73 @@
+"""Circuit breaker that stops asking a peer that does not answer."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from bergamotthread.clock import Clock
+
+_GROWTH = 2
+
+
+@dataclass
+class Circuit:
+    """Opens after failures in a row; lets one probe through at a time.
+
+    Parameters
+    ----------
+    clock
+        Source of time.
+    threshold
+        Failures in a row that open the circuit.
+    open_ms, max_open_ms
+        First and longest time for which the circuit stays open; it doubles
+        with each failed probe and varies by up to half.
+    """
+
+    clock: Clock
+    threshold: int = 3
+    open_ms: float = 200
+    max_open_ms: float = 5000
+    rng: random.Random = field(default_factory=random.Random)
+    _failures: int = 0
+    _until_ms: float = 0
+    _probing: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether requests are being turned away, but for a probe."""
+        return self._failures >= self.threshold
+
+    @property
+    def ready(self) -> bool:
+        """Whether a request would be admitted now."""
+        if not self.is_open:
+            return True
+        return not self._probing and self.clock.now_ms() >= self._until_ms
+
+    def admit(self) -> bool:
+        """Return whether a request may be sent now; it is a probe if open."""
+        admitted = self.ready
+        self._probing = self._probing or (admitted and self.is_open)
+        return admitted
+
+    def release(self) -> None:
+        """Allow another probe, since one was given up without an outcome."""
+        self._probing = False
+
+    def record_success(self) -> None:
+        """Close the circuit."""
+        self._failures = 0
+        self._probing = False
+
+    def record_failure(self) -> None:
+        """Count a failure and open the circuit if there were enough."""
+        self._failures += 1
+        self._probing = False
+        excess = self._failures - self.threshold
+        if excess < 0:
+            return
+        longest_ms = min(self.max_open_ms, self.open_ms * _GROWTH**excess)
+        open_ms = longest_ms * (1 + self.rng.random()) / 2
+        self._until_ms = self.clock.now_ms() + open_ms
--- /dev/null
+++ b/bergamotthread/process/rate_share.py
@@ -0,0 +1,68 @@
+"""Share of the store's rate that one process may use."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from bergamotthread.clock import Clock
+
+_MS_PER_S = 1000
+
+
+@dataclass
+class RateShare:
+    """Token bucket with a part reserved for accesses that go first.
+
+    Accesses that may use the reserve are granted tokens in order of arrival;
+    the others are granted a token only while the reserve is full.
+
+    Parameters
+    ----------
+    clock
+        Source of time.
+    per_s
+        Tokens added each second.
+    burst_s
+        Seconds of rate that the bucket holds.
+    reserved
+        Part of the bucket, 0 to 1, that only preferred accesses may use.
+    """
+
+    clock: Clock
+    per_s: float
+    burst_s: float = 10
+    reserved: float = 0.5
+    _tokens: float = field(init=False)
+    _filled_ms: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._tokens = self.capacity
+        self._filled_ms = self.clock.now_ms()
+
+    @property
+    def capacity(self) -> float:
+        """Tokens in a full bucket, at least two."""
+        return max(2, self.per_s * self.burst_s)
+
+    async def acquire(self, *, preferred: bool, limit_ms: float) -> bool:
+        """Wait for a token, at most `limit_ms`; return whether it came."""
+        self._fill()
+        floor = float(0) if preferred else self.capacity * self.reserved
+        wait_ms = (floor + 1 - self._tokens) / self.per_s * _MS_PER_S
+        if wait_ms <= 0:
+            self._tokens -= 1
+            return True
+        if wait_ms > limit_ms:
+            return False
+        if preferred:
+            self._tokens -= 1
+            await self.clock.sleep_ms(wait_ms)
+            return True
+        await self.clock.sleep_ms(wait_ms)
+        return await self.acquire(preferred=False, limit_ms=limit_ms - wait_ms)
+
+    def _fill(self) -> None:
+        now_ms = self.clock.now_ms()
+        gained = (now_ms - self._filled_ms) * self.per_s / _MS_PER_S
+        self._tokens = min(self.capacity, self._tokens + gained)
+        self._filled_ms = now_ms
--- /dev/null
+++ b/bergamotthread/process/store_client.py
@@ -0,0 +1,292 @@
+"""Client of the platform that no slow or silent store can stall.
+
+Every access has a deadline, a share of the store's rate and a place among a
+bounded number of concurrent ones; a circuit breaker turns accesses away while
+the store does not answer. Reads are retried under a budget. A write is sent
+once, since only its writer can tell whether an unanswered one took effect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import TypeVar
+
+from bergamotthread.clock import Clock
+from bergamotthread.errors import (
+    Step,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from bergamotthread.process.circuit import Circuit
+from bergamotthread.process.platform import (
+    HostEntry,
+    HostList,
+    ObjectStore,
+    Row,
+    Table,
+)
+from bergamotthread.process.platform_http import (
+    HttpHostList,
+    HttpObjectStore,
+    HttpTable,
+    PlatformConnection,
+)
+from bergamotthread.process.rate_share import RateShare
+from bergamotthread.process.retry_budget import RetryBudget
+from bergamotthread.process.settings import PlatformSettings
+
+_Answer = TypeVar('_Answer')
+_Access = Callable[[], Awaitable[_Answer]]
+_MS_PER_S = 1000
+_BACKOFF_MS = 50
+_MAX_READS = 3
+
+
+class StoreNotAskedError(StoreUnavailableError):
+    """The access was turned away before it was sent; it has no effect."""
+
+
+class StoreUse(enum.Enum):
+    """What accesses are for; audit records wait behind all else."""
+
+    CALLS = 'calls'
+    PUBLICATION = 'publication'
+    LEASES = 'leases'
+    AUDIT = 'audit'
+
+
+@dataclass(frozen=True)
+class StoreLimits:
+    """Limits of one process towards the store.
+
+    Parameters
+    ----------
+    reads_per_s, writes_per_s
+        Rate shares of the process.
+    timeout_ms
+        Limit on one access, waiting for its rate share included.
+    concurrent
+        Accesses under way at once.
+    """
+
+    reads_per_s: float = 2
+    writes_per_s: float = 1
+    timeout_ms: float = 1000
+    concurrent: int = 64
+
+    @classmethod
+    def from_settings(cls, settings: PlatformSettings) -> StoreLimits:
+        """Take the limits from the settings of the platform."""
+        return cls(
+            reads_per_s=settings.reads_per_s,
+            writes_per_s=settings.writes_per_s,
+            timeout_ms=settings.timeout_ms,
+        )
+
+
+def _not_asked(cause: str) -> StoreNotAskedError:
+    return StoreNotAskedError(f'store not asked: {cause}', step=Step.STORE)
+
+
+@dataclass
+class StoreGuard:
+    """Passes accesses to the store within the limits of the process."""
+
+    limits: StoreLimits
+    clock: Clock
+    rng: random.Random = field(default_factory=random.Random)
+
+    def __post_init__(self) -> None:
+        self.circuit = Circuit(self.clock, rng=self.rng)
+        self.reads = RateShare(self.clock, self.limits.reads_per_s)
+        self.writes = RateShare(self.clock, self.limits.writes_per_s)
+        self.budget = RetryBudget()
+        self._slots = asyncio.Semaphore(self.limits.concurrent)
+
+    async def write(
+        self,
+        use: StoreUse,
+        access: _Access[_Answer],
+    ) -> _Answer:
+        """Send a write once.
+
+        Raises
+        ------
+        StoreNotAskedError
+            If the write was not sent.
+        StoreUnavailableError
+            If it was sent and may have taken effect.
+        """
+        return await self._pass(self.writes, use, access)
+
+    async def read(self, use: StoreUse, access: _Access[_Answer]) -> _Answer:
+        """Send a read and repeat it under the budget."""
+        self.budget.earn()
+        for attempt in range(1, _MAX_READS):
+            try:
+                return await self._pass(self.reads, use, access)
+            except StoreNotAskedError:
+                raise
+            except StoreUnavailableError:
+                if self.circuit.is_open or not self.budget.spend():
+                    raise
+            await self.clock.sleep_ms(
+                self.rng.random() * _BACKOFF_MS * 2**attempt,
+            )
+        return await self._pass(self.reads, use, access)
+
+    async def _pass(
+        self,
+        share: RateShare,
+        use: StoreUse,
+        access: _Access[_Answer],
+    ) -> _Answer:
+        if self._slots.locked():
+            raise _not_asked(f'{self.limits.concurrent} accesses under way')
+        started_ms = self.clock.now_ms()
+        async with self._slots:
+            await self._admit(share, use)
+            waited_ms = self.clock.now_ms() - started_ms
+            return await self._ask(access, self.limits.timeout_ms - waited_ms)
+
+    async def _admit(self, share: RateShare, use: StoreUse) -> None:
+        if not self.circuit.ready:
+            raise _not_asked('circuit is open')
+        granted = await share.acquire(
+            preferred=use is not StoreUse.AUDIT,
+            limit_ms=self.limits.timeout_ms / 2,
+        )
+        if not granted:
+            raise _not_asked(f'rate share of {share.per_s}/s is used up')
+        if not self.circuit.admit():
+            raise _not_asked('circuit is open')
+
+    async def _ask(self, access: _Access[_Answer], limit_ms: float) -> _Answer:
+        try:
+            async with asyncio.timeout(limit_ms / _MS_PER_S):
+                answer = await access()
+        except StoreConflictError:
+            self.circuit.record_success()
+            raise
+        except (StoreUnavailableError, TimeoutError) as error:
+            self.circuit.record_failure()
+            raise StoreUnavailableError(str(error), step=Step.STORE) from error
+        except asyncio.CancelledError:
+            self.circuit.release()
+            raise
+        self.circuit.record_success()
+        return answer
+
+
+@dataclass(frozen=True)
+class GuardedTable(Table):
+    """Table whose accesses pass a `StoreGuard`."""
+
+    inner: Table
+    guard: StoreGuard
+    use: StoreUse
+
+    async def read(self, key: str) -> Row | None:
+        """Return the row, or None where there is none."""
+        access = partial(self.inner.read, key)
+        return await self.guard.read(self.use, access)
+
+    async def write(self, key: str, body: bytes, *, expected: int) -> Row:
+        """Write a row whose revision is `expected`."""
+        access = partial(self.inner.write, key, body, expected=expected)
+        return await self.guard.write(self.use, access)
+
+    async def delete(self, key: str, *, expected: int) -> None:
+        """Delete a row whose revision is `expected`."""
+        access = partial(self.inner.delete, key, expected=expected)
+        await self.guard.write(self.use, access)
+
+    async def scan(self, prefix: str, *, limit: int) -> tuple[Row, ...]:
+        """Return up to `limit` rows whose keys start with `prefix`."""
+        access = partial(self.inner.scan, prefix, limit=limit)
+        return await self.guard.read(self.use, access)
+
+
+@dataclass(frozen=True)
+class GuardedObjectStore(ObjectStore):
+    """Object store whose accesses pass a `StoreGuard`."""
+
+    inner: ObjectStore
+    guard: StoreGuard
+    use: StoreUse
+
+    async def put(self, name: str, body: bytes) -> None:
+        """Store an object; the same name and body again is no error."""
+        access = partial(self.inner.put, name, body)
+        await self.guard.write(self.use, access)
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object, or None where there is none."""
+        access = partial(self.inner.get, name)
+        return await self.guard.read(self.use, access)
+
+    async def names(self, prefix: str, *, limit: int) -> tuple[str, ...]:
+        """Return up to `limit` names that start with `prefix`, sorted."""
+        access = partial(self.inner.names, prefix, limit=limit)
+        return await self.guard.read(self.use, access)
+
+
+@dataclass(frozen=True)
+class GuardedHostList(HostList):
+    """Host list whose reads pass a `StoreGuard`."""
+
+    inner: HostList
+    guard: StoreGuard
+
+    async def hosts(self) -> tuple[HostEntry, ...]:
+        """Return all hosts that the platform lists."""
+        return await self.guard.read(StoreUse.LEASES, self.inner.hosts)
+
+
+@dataclass(frozen=True)
+class StoreClient:
+    """The platform's table, object store and host list, within limits."""
+
+    inner_table: Table
+    inner_objects: ObjectStore
+    inner_hosts: HostList
+    guard: StoreGuard
+    connection: PlatformConnection | None = None
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: PlatformSettings,
+        clock: Clock,
+    ) -> StoreClient:
+        """Connect to the platform over HTTP."""
+        connection = PlatformConnection(settings.address, settings.timeout_ms)
+        return cls(
+            HttpTable(connection),
+            HttpObjectStore(connection),
+            HttpHostList(connection),
+            StoreGuard(StoreLimits.from_settings(settings), clock),
+            connection,
+        )
+
+    def table(self, use: StoreUse) -> GuardedTable:
+        """Return the table for one use."""
+        return GuardedTable(self.inner_table, self.guard, use)
+
+    def object_store(self, use: StoreUse) -> GuardedObjectStore:
+        """Return the object store for one use."""
+        return GuardedObjectStore(self.inner_objects, self.guard, use)
+
+    def hosts(self) -> GuardedHostList:
+        """Return the host list."""
+        return GuardedHostList(self.inner_hosts, self.guard)
+
+    async def close(self) -> None:
+        """Close the connections to the platform."""
+        if self.connection is not None:
+            await self.connection.close()
--- a/bergamotthread/testing/memory_platform.py
+++ b/bergamotthread/testing/memory_platform.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import Any, TypeVar
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import (
@@ -18,14 +21,46 @@
     Table,
 )
 
+_MS_PER_S = 1000
+
+
+_Answer = TypeVar('_Answer')
+
+
+async def _detach(access: Coroutine[Any, Any, _Answer]) -> _Answer:
+    task = asyncio.ensure_future(access)
+    task.add_done_callback(_retrieve)
+    return await asyncio.shield(task)
+
+
+def _retrieve(task: asyncio.Task[Any]) -> None:
+    if not task.cancelled():
+        task.exception()
+
 
 @dataclass
 class PlatformFaults:
-    """Faults in force; `lost_answers` counts writes that take effect mutely."""
+    """Faults in force; `lost_answers` counts writes that take effect mutely.
+
+    Parameters
+    ----------
+    down
+        Whether every access fails; a write then has no effect.
+    delay_ms
+        Time that each access takes before it has its effect.
+    lost_answers
+        Number of next writes that take effect but are answered by an error.
+    late_answer_ms
+        Time between the effect of a write and its answer.
+    writes_per_s
+        Rate at which writes are served, one after another; 0 for no limit.
+    """
 
     down: bool = False
     delay_ms: float = 0
     lost_answers: int = 0
+    late_answer_ms: float = 0
+    writes_per_s: float = 0
 
 
 @dataclass
@@ -39,6 +74,7 @@
     hosts_by_address: dict[str, HostEntry] = field(default_factory=dict)
     reads: int = 0
     writes: int = 0
+    next_write_ms: float = 0
 
     async def before_read(self) -> None:
         """Apply delay and outage to a read."""
@@ -48,14 +84,25 @@
     async def before_write(self) -> None:
         """Apply delay and outage to a write."""
         self.writes += 1
+        await self._queue_write()
         await self._delay()
 
-    def after_write(self) -> None:
-        """Lose the answer of a write that took effect, if told to."""
+    async def after_write(self) -> None:
+        """Delay or lose the answer of a write that took effect, if told to."""
+        if self.faults.late_answer_ms:
+            await self.clock.sleep_ms(self.faults.late_answer_ms)
         if self.faults.lost_answers > 0:
             self.faults.lost_answers -= 1
             raise StoreUnavailableError('answer lost', step=Step.STORE)
 
+    async def _queue_write(self) -> None:
+        if not self.faults.writes_per_s:
+            return
+        now_ms = self.clock.now_ms()
+        start_ms = max(now_ms, self.next_write_ms)
+        self.next_write_ms = start_ms + _MS_PER_S / self.faults.writes_per_s
+        await self.clock.sleep_ms(start_ms - now_ms)
+
     async def _delay(self) -> None:
         if self.faults.delay_ms:
             await self.clock.sleep_ms(self.faults.delay_ms)
@@ -65,7 +112,11 @@
 
 @dataclass
 class MemoryTable(Table):
-    """Client of the table of a `MemoryPlatform`; `cut` isolates this client."""
+    """Client of the table of a `MemoryPlatform`; `cut` isolates this client.
+
+    A write goes on when its caller is cancelled, as one sent over a network
+    does, so that it can take effect after the caller's timeout.
+    """
 
     platform: MemoryPlatform
     cut: bool = False
@@ -79,20 +130,12 @@
     async def write(self, key: str, body: bytes, *, expected: int) -> Row:
         """Write a row whose revision is `expected`."""
         self._check_cut()
-        await self.platform.before_write()
-        self._check_revision(key, expected)
-        row = Row(key, body, expected + 1)
-        self.platform.rows_by_key[key] = row
-        self.platform.after_write()
-        return row
+        return await _detach(self._write(Row(key, body, expected + 1)))
 
     async def delete(self, key: str, *, expected: int) -> None:
         """Delete a row whose revision is `expected`."""
         self._check_cut()
-        await self.platform.before_write()
-        self._check_revision(key, expected)
-        self.platform.rows_by_key.pop(key, None)
-        self.platform.after_write()
+        await _detach(self._delete(key, expected))
 
     async def scan(self, prefix: str, *, limit: int) -> tuple[Row, ...]:
         """Return up to `limit` rows whose keys start with `prefix`."""
@@ -102,6 +145,19 @@
         chosen = [key for key in keys if key.startswith(prefix)]
         return tuple(self.platform.rows_by_key[key] for key in chosen[:limit])
 
+    async def _write(self, row: Row) -> Row:
+        await self.platform.before_write()
+        self._check_revision(row.key, row.revision - 1)
+        self.platform.rows_by_key[row.key] = row
+        await self.platform.after_write()
+        return row
+
+    async def _delete(self, key: str, expected: int) -> None:
+        await self.platform.before_write()
+        self._check_revision(key, expected)
+        self.platform.rows_by_key.pop(key, None)
+        await self.platform.after_write()
+
     def _check_revision(self, key: str, expected: int) -> None:
         row = self.platform.rows_by_key.get(key)
         revision = row.revision if row else 0
@@ -127,7 +183,7 @@
         await self.platform.before_write()
         if self.platform.bodies_by_name.setdefault(name, body) != body:
             raise StoreConflictError(f'{name} exists', step=Step.STORE)
-        self.platform.after_write()
+        await self.platform.after_write()
 
     async def get(self, name: str) -> bytes | None:
         """Return an object, or None where there is none."""
--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -11,6 +11,9 @@
 
 import msgspec
 
+KEY_HEADER = 'Idempotency-Key'
+FENCE_HEADER = 'Fencing-Token'
+
 
 class _Message(
     msgspec.Struct,
@@ -166,7 +169,11 @@
 
 
 class CallDispatch(_Message, frozen=True, array_like=True, tag=True):
-    """Entry to agent: send one call to the plain service beside it."""
+    """Entry to agent: send one call to the plain service beside it.
+
+    `incarnation` is that of the only agent process that may send the call; 0
+    allows any and is used for idempotent calls alone.
+    """
 
     call: str
     attempt: int
@@ -177,6 +184,7 @@
     remaining_ms: float
     fence: int = 0
     key: str = ''
+    incarnation: int = 0
 
 
 class CallStatus(enum.StrEnum):
@@ -309,6 +317,23 @@
     confirmed: bool
 
 
+class CallOffer(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to agent: would a call be taken; nothing is sent yet."""
+
+    call: str
+    attempt: int
+
+
+class CallOfferReply(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: answer to `CallOffer`; binds nobody."""
+
+    call: str
+    attempt: int
+    accepted: bool
+    reason: str = ''
+    retry_after_ms: int = 0
+
+
 Message = (
     Dispatch
     | Admitted
@@ -333,6 +358,8 @@
     | Order
     | OrderReply
     | Quarantine
+    | CallOffer
+    | CallOfferReply
 )
 
 
