--- /dev/null
+++ b/bergamotthread/process/load_view.py
@@ -0,0 +1,191 @@
+"""Load of each agent's upstream, from late reports and own dispatches."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from bergamotthread.clock import Clock
+from bergamotthread.wire.messages import LoadReport
+
+REPORT_HALF_LIFE_MS = 2000
+REPORT_TRANSIT_MS = 50
+DEFAULT_PREFILL_PER_S = 8000
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True)
+class LoadEstimate:
+    """Expected load of one upstream now.
+
+    `prefill_ms` is the time that the prefill ahead of a new attempt takes,
+    `kv_share` the share of the cache in use; both count own dispatches.
+    """
+
+    running: float = 0
+    queued: float = 0
+    kv_tokens: float = 0
+    kv_capacity: float = 0
+    prefill_tokens: float = 0
+    prefill_per_s: float = DEFAULT_PREFILL_PER_S
+
+    @property
+    def prefill_ms(self) -> float:
+        """Return the time in milliseconds that the prefill ahead takes."""
+        return self.prefill_tokens / self.prefill_per_s * _MS_PER_S
+
+    @property
+    def kv_share(self) -> float:
+        """Return the share of the cache in use, 0 where unknown."""
+        return self.kv_tokens / self.kv_capacity if self.kv_capacity else 0
+
+
+@dataclass(frozen=True)
+class _OwnDispatch:
+    sent_ms: float
+    kv_tokens: int
+    prefill_tokens: int
+
+
+@dataclass
+class _AgentLoad:
+    report: LoadReport = LoadReport()
+    sampled_ms: float = -math.inf
+    own_by_generation: dict[str, _OwnDispatch] = field(default_factory=dict)
+
+
+@dataclass
+class LoadView:
+    """Estimates the load of every agent that reports or is dispatched to.
+
+    A report is weighted by its age, with a half-life, against the mean of all
+    reports; own dispatches that a report can't show yet are added in full.
+    """
+
+    clock: Clock
+    half_life_ms: float = REPORT_HALF_LIFE_MS
+    _load_by_agent: dict[str, _AgentLoad] = field(default_factory=dict)
+    _mean: LoadEstimate = LoadEstimate()
+    _mean_ms: float = -math.inf
+
+    def record_report(self, agent: str, report: LoadReport) -> None:
+        """Take in a report that arrived now, unless a newer one is known."""
+        load = self._load_by_agent.setdefault(agent, _AgentLoad())
+        sampled_ms = self.clock.now_ms() - report.age_ms
+        if sampled_ms >= load.sampled_ms:
+            load.report = report
+            load.sampled_ms = sampled_ms
+
+    def record_dispatch(
+        self,
+        agent: str,
+        generation: str,
+        kv_tokens: int,
+        prefill_tokens: int,
+    ) -> None:
+        """Add an own dispatch that no report shows yet."""
+        load = self._load_by_agent.setdefault(agent, _AgentLoad())
+        load.own_by_generation[generation] = _OwnDispatch(
+            sent_ms=self.clock.now_ms(),
+            kv_tokens=kv_tokens,
+            prefill_tokens=prefill_tokens,
+        )
+
+    def record_end(self, agent: str, generation: str) -> None:
+        """Remove an own dispatch."""
+        load = self._load_by_agent.get(agent)
+        if load is not None:
+            load.own_by_generation.pop(generation, None)
+
+    def is_draining(self, agent: str) -> bool:
+        """Return whether the newest report says that the agent drains."""
+        load = self._load_by_agent.get(agent)
+        return load is not None and load.report.draining
+
+    def estimate(self, agent: str) -> LoadEstimate:
+        """Return the expected load of an agent's upstream now."""
+        load = self._load_by_agent.get(agent)
+        if load is None:
+            return self._fleet_mean()
+        age_ms = self.clock.now_ms() - load.sampled_ms
+        trust = 2 ** (-age_ms / self.half_life_ms)
+        estimate = _blend(_as_estimate(load.report), self._fleet_mean(), trust)
+        return _add_own(estimate, _unseen(load))
+
+    def forget(self, agent: str) -> None:
+        """Drop what is known of an agent."""
+        self._load_by_agent.pop(agent, None)
+
+    def _fleet_mean(self) -> LoadEstimate:
+        now_ms = self.clock.now_ms()
+        if now_ms - self._mean_ms >= self.half_life_ms / 4:
+            self._mean = _mean_of(tuple(self._load_by_agent.values()))
+            self._mean_ms = now_ms
+        return self._mean
+
+
+def _as_estimate(report: LoadReport) -> LoadEstimate:
+    return LoadEstimate(
+        running=report.running,
+        queued=report.queued,
+        kv_tokens=report.kv_tokens,
+        kv_capacity=report.kv_capacity,
+        prefill_tokens=report.prefill_tokens,
+        prefill_per_s=report.prefill_per_s or DEFAULT_PREFILL_PER_S,
+    )
+
+
+def _mean_of(loads: tuple[_AgentLoad, ...]) -> LoadEstimate:
+    known = [load.report for load in loads if load.sampled_ms > -math.inf]
+    if not known:
+        return LoadEstimate()
+    count = len(known)
+    rates = [one.prefill_per_s or DEFAULT_PREFILL_PER_S for one in known]
+    return LoadEstimate(
+        running=sum(one.running for one in known) / count,
+        queued=sum(one.queued for one in known) / count,
+        kv_tokens=sum(one.kv_tokens for one in known) / count,
+        kv_capacity=sum(one.kv_capacity for one in known) / count,
+        prefill_tokens=sum(one.prefill_tokens for one in known) / count,
+        prefill_per_s=sum(rates) / count,
+    )
+
+
+def _blend(
+    reported: LoadEstimate,
+    mean: LoadEstimate,
+    trust: float,
+) -> LoadEstimate:
+    doubt = 1 - trust
+    return LoadEstimate(
+        running=trust * reported.running + doubt * mean.running,
+        queued=trust * reported.queued + doubt * mean.queued,
+        kv_tokens=trust * reported.kv_tokens + doubt * mean.kv_tokens,
+        kv_capacity=reported.kv_capacity or mean.kv_capacity,
+        prefill_tokens=(
+            trust * reported.prefill_tokens + doubt * mean.prefill_tokens
+        ),
+        prefill_per_s=reported.prefill_per_s,
+    )
+
+
+def _unseen(load: _AgentLoad) -> tuple[_OwnDispatch, ...]:
+    since_ms = load.sampled_ms - REPORT_TRANSIT_MS
+    own = load.own_by_generation.values()
+    return tuple(one for one in own if one.sent_ms > since_ms)
+
+
+def _add_own(
+    estimate: LoadEstimate,
+    own: tuple[_OwnDispatch, ...],
+) -> LoadEstimate:
+    kv_tokens = sum(one.kv_tokens for one in own)
+    prefill_tokens = sum(one.prefill_tokens for one in own)
+    return LoadEstimate(
+        running=estimate.running + len(own),
+        queued=estimate.queued,
+        kv_tokens=estimate.kv_tokens + kv_tokens,
+        kv_capacity=estimate.kv_capacity,
+        prefill_tokens=estimate.prefill_tokens + prefill_tokens,
+        prefill_per_s=estimate.prefill_per_s,
+    )
--- /dev/null
+++ b/bergamotthread/process/upstream_pool.py
@@ -0,0 +1,108 @@
+"""Upstreams that may run a pin, and which of them may be tried now."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bergamotthread.version.objects import Upstream
+from bergamotthread.version.published import PublishedVersion
+from bergamotthread.wire.messages import Pin
+
+DOMAIN_AVOIDANCE_MS = 5000
+
+_Upstreams = tuple[Upstream, ...]
+Subset = Callable[[Pin, _Upstreams], _Upstreams]
+
+
+@dataclass(frozen=True)
+class Target:
+    """Upstream as the placement sees it."""
+
+    agent: str
+    region: str
+    failure_domain: str
+    kv_capacity: int
+    max_running: int
+
+
+@dataclass(frozen=True)
+class UpstreamPool:
+    """Targets of one published version by pin and by agent."""
+
+    version: int
+    targets_by_pin: dict[Pin, tuple[Target, ...]]
+    targets_by_agent: dict[str, Target]
+    stop_start_ms_by_agent: dict[str, int]
+    egress_price_by_region: dict[str, float]
+
+    @classmethod
+    def from_published(
+        cls,
+        published: PublishedVersion,
+        subset: Subset | None = None,
+    ) -> UpstreamPool:
+        """Return the targets of a version.
+
+        Parameters
+        ----------
+        subset
+            Picks the upstreams of a pin that this process deals with; all of
+            them where there is none.
+        """
+        targets_by_pin = {
+            pin: tuple(_target(published, one) for one in upstreams)
+            for pin, upstreams in _by_pin(published, subset).items()
+        }
+        return cls(
+            version=published.version,
+            targets_by_pin=targets_by_pin,
+            targets_by_agent={
+                target.agent: target
+                for targets in targets_by_pin.values()
+                for target in targets
+            },
+            stop_start_ms_by_agent={
+                stop.address: stop.start_ms
+                for stop in published.object_set.stops
+            },
+            egress_price_by_region={
+                name: region.egress_price_per_gb
+                for name, region in published.regions_by_name.items()
+            },
+        )
+
+    def is_stopping(self, agent: str, calendar_ms: int) -> bool:
+        """Return whether a planned stop of the agent's host has started."""
+        start_ms = self.stop_start_ms_by_agent.get(agent)
+        return start_ms is not None and start_ms <= calendar_ms
+
+    def domain_of(self, agent: str) -> str:
+        """Return the failure domain of an agent, empty where unknown."""
+        target = self.targets_by_agent.get(agent)
+        return target.failure_domain if target else ''
+
+
+def _by_pin(
+    published: PublishedVersion,
+    subset: Subset | None,
+) -> dict[Pin, tuple[Upstream, ...]]:
+    upstreams_by_pin: dict[Pin, list[Upstream]] = {}
+    for upstream in published.object_set.upstreams:
+        for pin in upstream.models:
+            upstreams_by_pin.setdefault(pin, []).append(upstream)
+    chosen_by_pin = {}
+    for pin, upstreams in upstreams_by_pin.items():
+        every = tuple(upstreams)
+        chosen_by_pin[pin] = subset(pin, every) if subset else every
+    return chosen_by_pin
+
+
+def _target(published: PublishedVersion, upstream: Upstream) -> Target:
+    return Target(
+        agent=upstream.agent,
+        region=published.region_of(upstream),
+        failure_domain=upstream.failure_domain,
+        kv_capacity=upstream.kv_capacity,
+        max_running=upstream.max_running,
+    )
--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -61,7 +61,11 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """Load of one upstream as its agent knows it; `age_ms` is the lag."""
+    """Load of one upstream as its agent knows it; `age_ms` is the lag.
+
+    `prefill_tokens` are waiting or under way; `prefill_per_s` is the rate in
+    tokens per second that the agent has seen, 0 where it has seen none.
+    """
 
     running: int = 0
     queued: int = 0
@@ -70,6 +74,9 @@
     age_ms: float = 0
     draining: bool = False
     cached_prefixes: tuple[int, ...] = ()
+    prefill_tokens: int = 0
+    prefill_per_s: float = 0
+    between_tokens_ms: float = 0
 
 
 class Dispatch(_Message, frozen=True, array_like=True, tag=True):
--- /dev/null
+++ b/tests/test_prefix_hash.py
@@ -0,0 +1,54 @@
+import pytest
+
+from bergamotthread.process.prefix_hash import (
+    PREFIX_BLOCK_CHARS,
+    PrefixView,
+    block_hashes,
+)
+
+_BLOCK = 'x' * PREFIX_BLOCK_CHARS
+
+
+def test_equal_prefixes_share_leading_hashes_only() -> None:
+    one = block_hashes(f'{_BLOCK}{_BLOCK}a{_BLOCK}')
+    other = block_hashes(f'{_BLOCK}{_BLOCK}b{_BLOCK}')
+    assert one[:2] == other[:2]
+    assert one[2] != other[2]
+    assert len(set(one)) == 3
+
+
+def test_hash_depends_on_the_pin_and_on_earlier_blocks() -> None:
+    assert block_hashes(_BLOCK, 'm/1') != block_hashes(_BLOCK, 'm/2')
+    assert (
+        block_hashes(f'y{_BLOCK[1:]}{_BLOCK}')[1] != block_hashes(2 * _BLOCK)[1]
+    )
+
+
+@pytest.mark.parametrize(
+    ('known', 'covered'),
+    [((), 0), ((1,), 1), ((3,), 3), ((1, 3), 3), ((9,), 0)],
+)
+def test_gaps_in_events_do_not_hide_a_longer_prefix(known, covered) -> None:
+    view = PrefixView()
+    view.record('a', known)
+    assert view.covered_blocks('a', (1, 2, 3, 4)) == covered
+    assert view.holders((1, 2, 3, 4), 2) == (('a',) if covered else ())
+
+
+def test_least_recently_used_hashes_go_first() -> None:
+    view = PrefixView(hashes_max=3)
+    view.record('a', (1, 2, 3))
+    view.record('a', (1,))
+    view.record('a', (4,))
+    assert view.covered_blocks('a', (2,)) == 0
+    assert view.covered_blocks('a', (1,)) == 1
+    assert view.holders((2,), 1) == ()
+
+
+def test_forgotten_agent_holds_nothing() -> None:
+    view = PrefixView()
+    view.record('a', (1, 2))
+    view.record('b', (1,))
+    view.forget('a')
+    assert view.covered_blocks('a', (1, 2)) == 0
+    assert view.holders((1, 2), 5) == ('b',)
