Gate each engine: run, queue or decline with a true retry time

Cause: an engine that takes all it is sent lets resumptions and small teams wait behind new work of large ones. Change: AdmissionGate decides without input or output. Resumptions first; start-time fair queueing by team weight; bounds on prefill under way, on cache tokens with expected output, on slots of one team while others are active, and on expected wait; no start after a deadline; one suspect at a time. Dispatch gains suspect at its end. Measurement: tests/test_admission.py passes (23 tests). Conclusion: decisions hold one by one; figures under load follow.

--- /dev/null
+++ b/bergamotthread/process/admission.py
@@ -0,0 +1,410 @@
+"""Admission to the engine beside an agent: run now, queue or decline.
+
+The gate decides and does no input or output. Its caller sends what `offer`
+and `next_ready` return, and tells it of first tokens, progress and ends.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.fair_queue import FairQueue, QueuedDispatch
+from bergamotthread.process.running_attempts import (
+    AttemptKey,
+    RunningAttempt,
+    RunningAttempts,
+    attempt_key,
+)
+from bergamotthread.request.refusal import ReasonCode
+from bergamotthread.version.objects import Upstream
+from bergamotthread.wire.messages import Dispatch, LoadReport
+
+CHARS_PER_TOKEN = 4
+OUTPUT_TOKEN_COST = 40
+DECIDED_MAX = 4096
+ACTIVE_TEAM_MS = 60_000
+RETRY_AFTER_MIN_MS = 50
+RETRY_AFTER_MAX_MS = 30_000
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True)
+class GateLimits:
+    """Capacity of an engine and bounds of its queue.
+
+    Parameters
+    ----------
+    prefill_tokens
+        Prefill tokens under way at a time; one attempt may exceed it alone.
+    queue_wait_ms
+        Longest expected wait of new work; resumptions wait longer.
+    team_threshold
+        A team may hold this many times the free slots (Choudhury and Hahne
+        1998) while other teams are active, so that some slots stay free.
+    """
+
+    max_running: int = 64
+    kv_capacity: int = 200_000
+    prefill_tokens: int = 4096
+    max_queued: int = 64
+    queue_wait_ms: float = 1000
+    team_threshold: float = 3
+
+    @classmethod
+    def from_upstream(cls, upstream: Upstream) -> GateLimits:
+        """Return the limits that a published upstream states."""
+        return cls(
+            max_running=upstream.max_running,
+            kv_capacity=upstream.kv_capacity,
+        )
+
+
+@dataclass(frozen=True)
+class Run:
+    """Send the dispatch to the engine now."""
+
+    dispatch: Dispatch
+
+
+@dataclass(frozen=True)
+class Queued:
+    """The dispatch waits; a later `next_ready` returns it."""
+
+    ahead: int
+    expected_ms: float
+
+
+@dataclass(frozen=True)
+class Known:
+    """The attempt was offered before: a doubled message."""
+
+    dispatched: bool
+
+
+@dataclass(frozen=True)
+class Refused:
+    """The attempt was not dispatched and never will be."""
+
+    generation: str
+    attempt: int
+    reason: ReasonCode
+    retry_after_ms: int = 0
+
+
+Decision = Run | Queued | Known | Refused
+
+
+def _characters_to_tokens(text: str) -> int:
+    return len(text) // CHARS_PER_TOKEN
+
+
+def _no_coverage(dispatch: Dispatch) -> int:
+    return 0
+
+
+def _equal_weight(team: str) -> float:
+    return 1
+
+
+@dataclass(frozen=True)
+class GateRules:
+    """What the gate needs to know of prompts and teams.
+
+    Parameters
+    ----------
+    count_tokens
+        Length of a prompt in tokens.
+    covered_tokens
+        Tokens of a dispatch that the engine's prefix cache holds.
+    weight_of
+        Weight of a team.
+    """
+
+    count_tokens: Callable[[str], int] = _characters_to_tokens
+    covered_tokens: Callable[[Dispatch], int] = _no_coverage
+    weight_of: Callable[[str], float] = _equal_weight
+
+
+@dataclass
+class AdmissionGate:
+    """Decides when each attempt may use one engine.
+
+    Resumptions go first. New work is shared between teams by weight, held back
+    while too much prefill is under way or the cache is full, and refused where
+    its expected wait passes the limit or its deadline.
+    """
+
+    clock: Clock
+    limits: GateLimits
+    rules: GateRules = GateRules()
+    draining: bool = False
+    running: RunningAttempts = field(default_factory=RunningAttempts)
+    _refused: list[Refused] = field(default_factory=list)
+    _dispatched_by_key: OrderedDict[AttemptKey, bool] = field(
+        default_factory=OrderedDict,
+    )
+    _seen_ms_by_team: dict[str, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._queue = FairQueue(self.rules.weight_of)
+
+    def offer(self, dispatch: Dispatch) -> Decision:
+        """Decide on a dispatch that has arrived."""
+        key = attempt_key(dispatch)
+        if self._dispatched_by_key.get(key):
+            return Known(dispatched=True)
+        if self._queued(key) is not None:
+            return Known(dispatched=False)
+        self._see_team(dispatch.team)
+        reason = self._early_refusal(dispatch)
+        if reason is not None:
+            return self._refuse(dispatch, reason)
+        return self._decide(self._place(dispatch))
+
+    def next_ready(self) -> tuple[Dispatch, ...]:
+        """Return dispatches to start now; their capacity is reserved."""
+        self._drop_expired()
+        started: list[Dispatch] = []
+        queued = self._startable()
+        while queued is not None:
+            self._start(queued)
+            started.append(queued.dispatch)
+            queued = self._startable()
+        return tuple(started)
+
+    def take_refused(self) -> tuple[Refused, ...]:
+        """Return queued attempts given up since the last call."""
+        refused = tuple(self._refused)
+        self._refused.clear()
+        return refused
+
+    def started(self, generation: str, attempt: int) -> None:
+        """Set the start of an attempt to now, when its bytes were sent."""
+        running = self.running.by_key.get((generation, attempt))
+        if running is not None:
+            running.started_ms = self.clock.now_ms()
+
+    def first_token(self, generation: str, attempt: int) -> None:
+        """Take in that the prefill of an attempt is over."""
+        self.progress(generation, attempt, 1)
+
+    def progress(self, generation: str, attempt: int, produced: int) -> None:
+        """Take in the tokens that an attempt has produced in all."""
+        running = self.running.by_key.get((generation, attempt))
+        if running is not None:
+            self.running.record_tokens(running, produced, self.clock.now_ms())
+
+    def ended(self, generation: str, attempt: int) -> None:
+        """Release the capacity of an attempt."""
+        self.running.end((generation, attempt), self.clock.now_ms())
+
+    def revoke(self, generation: str, attempt: int) -> bool:
+        """Never start an attempt from now on.
+
+        Returns
+        -------
+        bool
+            True where it has not been started and never will be; False where
+            it was given out to be started.
+        """
+        key = (generation, attempt)
+        queued = self._queued(key)
+        if queued is not None:
+            self._queue.remove(queued)
+        self._remember(key, dispatched=False)
+        return not self._dispatched_by_key[key]
+
+    def drain(self, *, draining: bool) -> None:
+        """Start or stop refusing work; what is queued is given up."""
+        self.draining = draining
+        if draining:
+            for queued in self._queue.waiting:
+                self._give_up(queued, ReasonCode.DRAINING)
+
+    def load_report(self) -> LoadReport:
+        """Return the load now, with queued work counted as held."""
+        waiting = [one.dispatch for one in self._queue.waiting]
+        context = sum(self._context_tokens(one) for one in waiting)
+        prefill = sum(self._prefill_tokens(one) for one in waiting)
+        prefill += int(self.running.prefill_left(self.clock.now_ms()))
+        statistics = self.running.statistics
+        return LoadReport(
+            running=len(self.running),
+            queued=len(waiting),
+            kv_tokens=int(self.running.kv_tokens) + context,
+            kv_capacity=self.limits.kv_capacity,
+            draining=self.draining,
+            prefill_tokens=prefill,
+            prefill_per_s=statistics.prefill_per_s,
+            between_tokens_ms=statistics.between_tokens_ms,
+        )
+
+    def _decide(self, queued: QueuedDispatch) -> Decision:
+        wait_ms = self._expected_wait_ms(queued)
+        now_ms = self.clock.now_ms()
+        if now_ms + wait_ms >= queued.deadline_ms:
+            return self._refuse(queued.dispatch, ReasonCode.DEADLINE)
+        if not queued.is_resumption and wait_ms > self.limits.queue_wait_ms:
+            return self._refuse(queued.dispatch, ReasonCode.OVERLOADED)
+        self._queue.push(queued)
+        if self._startable() == queued:
+            self._start(queued)
+            return Run(queued.dispatch)
+        if len(self._queue) > self.limits.max_queued:
+            return self._displace(queued, wait_ms)
+        return Queued(self._queue.ahead_of(queued), wait_ms)
+
+    def _displace(self, queued: QueuedDispatch, wait_ms: float) -> Decision:
+        victim = self._queue.newest_of_heaviest_team() or queued
+        if victim == queued:
+            self._queue.remove(queued)
+            return self._refuse(queued.dispatch, ReasonCode.OVERLOADED)
+        self._give_up(victim, ReasonCode.OVERLOADED)
+        return Queued(self._queue.ahead_of(queued), wait_ms)
+
+    def _early_refusal(self, dispatch: Dispatch) -> ReasonCode | None:
+        if attempt_key(dispatch) in self._dispatched_by_key:
+            return ReasonCode.IN_PROGRESS
+        if self.draining:
+            return ReasonCode.DRAINING
+        if dispatch.remaining_ms <= 0:
+            return ReasonCode.DEADLINE
+        if self._context_tokens(dispatch) >= self.limits.kv_capacity:
+            return ReasonCode.TOO_LARGE
+        return None
+
+    def _refuse(self, dispatch: Dispatch, reason: ReasonCode) -> Refused:
+        self._remember(attempt_key(dispatch), dispatched=False)
+        retry_after_ms = 0
+        if reason is ReasonCode.OVERLOADED:
+            retry_after_ms = self._retry_after_ms(dispatch)
+        return Refused(
+            dispatch.generation,
+            dispatch.attempt,
+            reason,
+            retry_after_ms,
+        )
+
+    def _give_up(self, queued: QueuedDispatch, reason: ReasonCode) -> None:
+        self._queue.remove(queued)
+        self._refused.append(self._refuse(queued.dispatch, reason))
+
+    def _drop_expired(self) -> None:
+        now_ms = self.clock.now_ms()
+        for queued in self._queue.waiting:
+            if queued.deadline_ms <= now_ms:
+                self._give_up(queued, ReasonCode.DEADLINE)
+
+    def _startable(self) -> QueuedDispatch | None:
+        """Return the first that may start; none passes a larger one."""
+        if len(self.running) >= self.limits.max_running:
+            return None
+        now_ms = self.clock.now_ms()
+        count_by_team = self.running.count_by_team()
+        for queued in self._queue.waiting:
+            if queued.deadline_ms <= now_ms or self._must_wait(
+                queued,
+                count_by_team[queued.dispatch.team],
+            ):
+                continue
+            return queued if self._fits(queued.dispatch) else None
+        return None
+
+    def _must_wait(self, queued: QueuedDispatch, running: int) -> bool:
+        if queued.dispatch.suspect and self.running.suspects:
+            return True
+        if queued.is_resumption or running == 0:
+            return False
+        if len(self._seen_ms_by_team) < 2:
+            return False
+        free = self.limits.max_running - len(self.running)
+        return running >= self.limits.team_threshold * free
+
+    def _fits(self, dispatch: Dispatch) -> bool:
+        prefilling = self.running.prefill_tokens
+        prefill = prefilling + self._prefill_tokens(dispatch)
+        if prefilling and prefill > self.limits.prefill_tokens:
+            return False
+        if not len(self.running):
+            return True
+        kv_tokens = self.running.kv_tokens + self._kv_tokens(dispatch)
+        return kv_tokens <= self.limits.kv_capacity
+
+    def _start(self, queued: QueuedDispatch) -> None:
+        dispatch = queued.dispatch
+        self._queue.start(queued)
+        self._remember(attempt_key(dispatch), dispatched=True)
+        self.running.by_key[attempt_key(dispatch)] = RunningAttempt(
+            dispatch=dispatch,
+            context_tokens=self._context_tokens(dispatch),
+            prefill_tokens=self._prefill_tokens(dispatch),
+            reserved_tokens=self._output_tokens(dispatch),
+            started_ms=self.clock.now_ms(),
+        )
+
+    def _remember(self, key: AttemptKey, *, dispatched: bool) -> None:
+        """Keep the first decision on an attempt; the oldest go first."""
+        self._dispatched_by_key.setdefault(key, dispatched)
+        if len(self._dispatched_by_key) > DECIDED_MAX:
+            self._dispatched_by_key.popitem(last=False)
+
+    def _queued(self, key: AttemptKey) -> QueuedDispatch | None:
+        for queued in self._queue.waiting:
+            if attempt_key(queued.dispatch) == key:
+                return queued
+        return None
+
+    def _place(self, dispatch: Dispatch) -> QueuedDispatch:
+        prefill = self._prefill_tokens(dispatch)
+        output = self._output_tokens(dispatch)
+        return self._queue.place(
+            dispatch,
+            deadline_ms=self.clock.now_ms() + dispatch.remaining_ms,
+            cost=prefill + OUTPUT_TOKEN_COST * output,
+        )
+
+    def _expected_wait_ms(self, queued: QueuedDispatch) -> float:
+        """Return the wait for a slot and for the prefill ahead."""
+        ahead = self._queue.ahead_of(queued)
+        statistics = self.running.statistics
+        waiting = self._queue.waiting[:ahead]
+        prefill = self.running.prefill_left(self.clock.now_ms())
+        prefill += sum(self._prefill_tokens(one.dispatch) for one in waiting)
+        prefill_ms = prefill / statistics.prefill_per_s * _MS_PER_S
+        free = self.limits.max_running - len(self.running)
+        slot_ms = statistics.run_ms / self.limits.max_running
+        return max(prefill_ms, max(0, ahead + 1 - free) * slot_ms)
+
+    def _retry_after_ms(self, dispatch: Dispatch) -> int:
+        """Return when the expected wait will have fallen below its limit."""
+        wait_ms = self._expected_wait_ms(self._place(dispatch))
+        excess_ms = wait_ms - self.limits.queue_wait_ms
+        bounded_ms = min(RETRY_AFTER_MAX_MS, excess_ms)
+        return int(max(RETRY_AFTER_MIN_MS, bounded_ms))
+
+    def _see_team(self, team: str) -> None:
+        now_ms = self.clock.now_ms()
+        self._seen_ms_by_team[team] = now_ms
+        self._seen_ms_by_team = {
+            name: seen_ms
+            for name, seen_ms in self._seen_ms_by_team.items()
+            if seen_ms > now_ms - ACTIVE_TEAM_MS
+        }
+
+    def _context_tokens(self, dispatch: Dispatch) -> int:
+        prompt = self.rules.count_tokens(dispatch.prompt)
+        return prompt + len(dispatch.accepted)
+
+    def _prefill_tokens(self, dispatch: Dispatch) -> int:
+        covered = self.rules.covered_tokens(dispatch)
+        return max(0, self._context_tokens(dispatch) - covered)
+
+    def _output_tokens(self, dispatch: Dispatch) -> float:
+        expected = self.running.statistics.output_tokens
+        return min(dispatch.max_tokens, expected)
+
+    def _kv_tokens(self, dispatch: Dispatch) -> float:
+        return self._context_tokens(dispatch) + self._output_tokens(dispatch)
--- /dev/null
+++ b/bergamotthread/process/fair_queue.py
@@ -0,0 +1,132 @@
+"""Bounded queue of dispatches that teams share by weight."""
+
+from __future__ import annotations
+
+import bisect
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bergamotthread.wire.messages import Dispatch
+
+WEIGHT_MIN = 0.000_001
+_FINISH_TAGS_MAX = 1024
+
+
+@dataclass(frozen=True)
+class QueuedDispatch:
+    """Dispatch that waits, with its place in the order.
+
+    Parameters
+    ----------
+    cost
+        Expected use of the engine, in prefill tokens.
+    start_tag
+        Virtual time of the start; -1 for resumptions, which go first.
+    """
+
+    dispatch: Dispatch
+    deadline_ms: float
+    cost: float
+    start_tag: float
+    order: int
+
+    @property
+    def rank(self) -> tuple[float, int]:
+        """Return the sort key."""
+        return (self.start_tag, self.order)
+
+    @property
+    def is_resumption(self) -> bool:
+        """Return whether it goes ahead of all new work."""
+        return self.start_tag < 0
+
+
+@dataclass
+class FairQueue:
+    """Start-time fair queue over teams (Goyal, Vin, Cheng 1996).
+
+    A team's dispatch starts, in virtual time, when the team's previous one
+    finishes or now, whichever is later; the earliest start goes first.
+    """
+
+    weight_of: Callable[[str], float]
+    _waiting: list[QueuedDispatch] = field(default_factory=list)
+    _finish_tag_by_team: dict[str, float] = field(default_factory=dict)
+    _virtual_time: float = 0
+    _order: int = 0
+
+    def __len__(self) -> int:
+        """Return the number of dispatches that wait."""
+        return len(self._waiting)
+
+    @property
+    def waiting(self) -> tuple[QueuedDispatch, ...]:
+        """Return all that wait, in order."""
+        return tuple(self._waiting)
+
+    def place(
+        self,
+        dispatch: Dispatch,
+        deadline_ms: float,
+        cost: float,
+    ) -> QueuedDispatch:
+        """Return what `push` would add, without adding it."""
+        finish_tag = self._finish_tag_by_team.get(dispatch.team, 0)
+        start_tag = max(self._virtual_time, finish_tag)
+        if dispatch.accepted or dispatch.priority > 0:
+            start_tag = -1
+        return QueuedDispatch(
+            dispatch, deadline_ms, cost, start_tag, self._order
+        )
+
+    def push(self, queued: QueuedDispatch) -> None:
+        """Add what `place` returned."""
+        self._order += 1
+        bisect.insort(self._waiting, queued, key=_rank)
+        if queued.is_resumption:
+            return
+        team = queued.dispatch.team
+        virtual_cost = queued.cost / self._weight(team)
+        self._finish_tag_by_team[team] = queued.start_tag + virtual_cost
+        if len(self._finish_tag_by_team) > _FINISH_TAGS_MAX:
+            self._forget_idle_teams()
+
+    def ahead_of(self, queued: QueuedDispatch) -> int:
+        """Return how many go before one."""
+        return bisect.bisect_left(self._waiting, queued.rank, key=_rank)
+
+    def remove(self, queued: QueuedDispatch) -> None:
+        """Take one out that will not start."""
+        self._waiting.remove(queued)
+
+    def start(self, queued: QueuedDispatch) -> None:
+        """Take one out that starts, and advance virtual time."""
+        self._waiting.remove(queued)
+        self._virtual_time = max(self._virtual_time, queued.start_tag)
+
+    def newest_of_heaviest_team(self) -> QueuedDispatch | None:
+        """Return the last new dispatch of the team with the largest backlog."""
+        backlog: Counter[str] = Counter()
+        fresh = [one for one in self._waiting if not one.is_resumption]
+        for queued in fresh:
+            team = queued.dispatch.team
+            backlog[team] += int(queued.cost / self._weight(team))
+        if not backlog:
+            return None
+        heaviest = max(sorted(backlog), key=backlog.__getitem__)
+        return [one for one in fresh if one.dispatch.team == heaviest][-1]
+
+    def _weight(self, team: str) -> float:
+        return max(self.weight_of(team), WEIGHT_MIN)
+
+    def _forget_idle_teams(self) -> None:
+        self._finish_tag_by_team = {
+            team: finish_tag
+            for team, finish_tag in self._finish_tag_by_team.items()
+            if finish_tag > self._virtual_time
+        }
+
+
+def _rank(queued: QueuedDispatch) -> tuple[float, int]:
+    return queued.rank
--- a/bergamotthread/process/placement_score.py
+++ b/bergamotthread/process/placement_score.py
@@ -61,16 +61,12 @@
 ) -> float:
     """Return the expected time to the first token and the harm to others."""
     own_prefill_s = attempted.uncovered_tokens / load.prefill_per_s
-    waiting = load.queued + max(0, load.running + 1 - target.max_running)
+    prefill_ms = load.prefill_ms + own_prefill_s * _MS_PER_S
+    surplus = max(0, load.running + 1 - target.max_running)
     kv_share = _kv_share(attempted, load, target)
-    terms_ms = (
-        load.prefill_ms,
-        own_prefill_s * _MS_PER_S,
-        waiting * weights.queued_ms,
-        load.running * weights.running_ms,
-        kv_share**2 * weights.kv_full_ms,
-    )
-    return sum(terms_ms)
+    queue_ms = prefill_ms + (load.queued + surplus) * weights.queued_ms
+    harm_ms = load.running * weights.running_ms
+    return queue_ms + harm_ms + kv_share**2 * weights.kv_full_ms
 
 
 def _kv_share(
--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -80,7 +80,11 @@
 
 
 class Dispatch(_Message, frozen=True, array_like=True, tag=True):
-    """Entry to agent: run one attempt after the `accepted` tokens."""
+    """Entry to agent: run one attempt after the `accepted` tokens.
+
+    `suspect` marks a request whose upstreams died; at most one such runs on an
+    upstream at a time.
+    """
 
     generation: str
     attempt: int
@@ -94,6 +98,7 @@
     fingerprint: int = 0
     warm_only: bool = False
     config_version: int = 0
+    suspect: bool = False
 
 
 class Admitted(_Message, frozen=True, array_like=True, tag=True):
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,257 @@
+from collections import Counter
+
+import pytest
+
+from bergamotthread.process.admission import (
+    AdmissionGate,
+    GateLimits,
+    GateRules,
+    Known,
+    Queued,
+    Refused,
+    Run,
+)
+from bergamotthread.request.refusal import ReasonCode
+from tests.placement_fixtures import ManualTime, dispatch
+
+
+def _gate(time: ManualTime, weights=None, **limits) -> AdmissionGate:
+    defaults = {'max_running': 4, 'queue_wait_ms': 1e9, 'prefill_tokens': 10**6}
+    weight_by_team = weights or {}
+    return AdmissionGate(
+        clock=time.clock,
+        limits=GateLimits(**(defaults | limits)),
+        rules=GateRules(
+            count_tokens=int,
+            weight_of=lambda team: weight_by_team.get(team, 1),
+        ),
+    )
+
+
+def _fill(gate: AdmissionGate, count: int, team: str = 'filler') -> None:
+    for index in range(count):
+        offered = dispatch(f'{team}{index}', team=team)
+        assert isinstance(gate.offer(offered), Run)
+
+
+def _started(gate: AdmissionGate) -> list[str]:
+    return [one.generation for one in gate.next_ready()]
+
+
+def test_runs_until_full_then_queues_then_starts_on_an_end() -> None:
+    gate = _gate(ManualTime(), max_running=2)
+    _fill(gate, 2)
+    assert isinstance(gate.offer(dispatch('a')), Queued)
+    assert _started(gate) == []
+    gate.ended('filler0', 1)
+    assert _started(gate) == ['a']
+    assert gate.load_report().running == 2
+
+
+def test_resumptions_go_first_whatever_their_team_has_used() -> None:
+    gate = _gate(ManualTime(), max_running=1)
+    _fill(gate, 1)
+    gate.offer(dispatch('new'))
+    gate.offer(dispatch('resumed', accepted=('t',), attempt=2, team='filler'))
+    gate.ended('filler0', 1)
+    assert _started(gate) == ['resumed']
+
+
+def test_prefill_under_way_is_bounded_until_the_first_token() -> None:
+    gate = _gate(ManualTime(), prefill_tokens=2500)
+    _fill(gate, 2)
+    assert isinstance(gate.offer(dispatch('c')), Queued)
+    gate.first_token('filler0', 1)
+    assert _started(gate) == ['c']
+
+
+def test_one_prompt_above_the_prefill_bound_runs_alone() -> None:
+    gate = _gate(ManualTime(), prefill_tokens=2500)
+    assert isinstance(gate.offer(dispatch('a', prompt='9000')), Run)
+    assert isinstance(gate.offer(dispatch('b', prompt='10')), Queued)
+
+
+def test_cache_capacity_counts_expected_output() -> None:
+    gate = _gate(ManualTime(), kv_capacity=2250)
+    _fill(gate, 2)
+    assert isinstance(gate.offer(dispatch('c', prompt='51')), Queued)
+    gate.progress('filler0', 1, 300)
+    gate.ended('filler1', 1)
+    assert _started(gate) == ['c']
+    assert gate.load_report().kv_tokens == 1300 + 151
+
+
+def test_prompt_that_never_fits_is_refused() -> None:
+    gate = _gate(ManualTime(), kv_capacity=900)
+    refused = gate.offer(dispatch('a'))
+    assert isinstance(refused, Refused)
+    assert refused.reason is ReasonCode.TOO_LARGE
+
+
+@pytest.mark.parametrize('remaining_ms', [0, -5])
+def test_expired_work_is_refused_at_once(remaining_ms: float) -> None:
+    refused = _gate(ManualTime()).offer(dispatch(remaining_ms=remaining_ms))
+    assert refused == Refused('g', 1, ReasonCode.DEADLINE)
+
+
+def test_work_that_expires_while_queued_never_starts() -> None:
+    time = ManualTime()
+    gate = _gate(time, max_running=1)
+    _fill(gate, 1)
+    gate.running.statistics.run_ms = 10
+    assert isinstance(gate.offer(dispatch('a', remaining_ms=500)), Queued)
+    time.advance_ms(500)
+    gate.ended('filler0', 1)
+    assert _started(gate) == []
+    assert gate.take_refused() == (Refused('a', 1, ReasonCode.DEADLINE),)
+    assert gate.take_refused() == ()
+
+
+def test_work_that_can_not_start_before_its_deadline_is_refused() -> None:
+    gate = _gate(ManualTime(), max_running=1)
+    _fill(gate, 1)
+    refused = gate.offer(dispatch('a', remaining_ms=500))
+    assert isinstance(refused, Refused)
+    assert refused.reason is ReasonCode.DEADLINE
+
+
+def test_retry_after_is_the_time_until_it_would_be_queued() -> None:
+    time = ManualTime()
+    gate = _gate(time, max_running=1, queue_wait_ms=2000)
+    gate.running.statistics.run_ms = 900
+    _fill(gate, 1)
+    gate.offer(dispatch('a'))
+    gate.offer(dispatch('b'))
+    refused = gate.offer(dispatch('c'))
+    assert isinstance(refused, Refused)
+    assert refused.reason is ReasonCode.OVERLOADED
+    assert refused.retry_after_ms == 700
+    time.advance_ms(refused.retry_after_ms + 200)
+    gate.ended('filler0', 1)
+    gate.next_ready()
+    assert isinstance(gate.offer(dispatch('c', attempt=2)), Queued)
+
+
+def test_resumption_is_queued_beyond_the_wait_of_new_work() -> None:
+    gate = _gate(ManualTime(), max_running=1, queue_wait_ms=0)
+    _fill(gate, 1)
+    assert isinstance(gate.offer(dispatch('new')), Refused)
+    resumed = gate.offer(dispatch('resumed', accepted=('t',)))
+    assert isinstance(resumed, Queued)
+
+
+def test_full_queue_gives_up_the_newest_of_the_heaviest_team() -> None:
+    gate = _gate(ManualTime(), max_running=1, max_queued=3)
+    _fill(gate, 1)
+    for index in range(3):
+        gate.offer(dispatch(f'large{index}', team='large'))
+    assert isinstance(gate.offer(dispatch('s', team='small')), Queued)
+    (refused,) = gate.take_refused()
+    assert (refused.generation, refused.retry_after_ms > 0) == ('large2', True)
+    last = gate.offer(dispatch('large3', team='large'))
+    assert isinstance(last, Refused)
+
+
+@pytest.mark.parametrize(('weight', 'expected'), [(1, 10), (3, 15)])
+def test_queue_is_shared_by_weight(weight: float, expected: int) -> None:
+    gate = _gate(ManualTime(), {'heavy': weight}, max_running=1)
+    _fill(gate, 1)
+    for team in ('heavy', 'light'):
+        for index in range(20):
+            offered = dispatch(f'{team}{index}', team=team, remaining_ms=1e9)
+            assert isinstance(gate.offer(offered), Queued)
+    running = 'filler0'
+    starts: Counter[str] = Counter()
+    for _ in range(20):
+        gate.ended(running, 1)
+        (running,) = _started(gate)
+        starts[running[0]] += 1
+    assert abs(starts['h'] - expected) <= 1
+
+
+def test_busy_team_leaves_a_slot_while_others_are_active() -> None:
+    gate = _gate(ManualTime(), max_running=8)
+    gate.offer(dispatch('s', team='small'))
+    decisions = [
+        gate.offer(dispatch(f'b{index}', team='busy')) for index in range(9)
+    ]
+    assert sum(isinstance(one, Run) for one in decisions) == 6
+    assert isinstance(gate.offer(dispatch('t', team='third')), Run)
+
+
+def test_single_team_may_use_all_slots() -> None:
+    gate = _gate(ManualTime(), max_running=8)
+    _fill(gate, 8)
+
+
+def test_suspects_never_share_an_engine() -> None:
+    gate = _gate(ManualTime())
+    assert isinstance(gate.offer(dispatch('a', suspect=True)), Run)
+    assert isinstance(gate.offer(dispatch('b', suspect=True)), Queued)
+    assert isinstance(gate.offer(dispatch('c')), Run)
+    gate.ended('a', 1)
+    assert _started(gate) == ['b']
+
+
+def test_doubled_and_late_dispatches_never_start_twice() -> None:
+    gate = _gate(ManualTime(), max_running=1)
+    _fill(gate, 1)
+    gate.offer(dispatch('a'))
+    assert gate.offer(dispatch('a')) == Known(dispatched=False)
+    gate.ended('filler0', 1)
+    assert _started(gate) == ['a']
+    assert gate.offer(dispatch('a')) == Known(dispatched=True)
+    gate.ended('a', 1)
+    assert gate.offer(dispatch('a')) == Known(dispatched=True)
+    assert gate.load_report().running == 0
+
+
+def test_revoke_is_true_only_where_nothing_was_started() -> None:
+    gate = _gate(ManualTime(), max_running=1)
+    _fill(gate, 1)
+    gate.offer(dispatch('queued'))
+    assert gate.revoke('queued', 1)
+    assert not gate.revoke('filler0', 1)
+    gate.ended('filler0', 1)
+    assert not gate.revoke('filler0', 1)
+    assert _started(gate) == []
+
+
+def test_dispatch_that_arrives_after_its_revoke_never_starts() -> None:
+    gate = _gate(ManualTime())
+    assert gate.revoke('g', 1)
+    refused = gate.offer(dispatch('g'))
+    assert isinstance(refused, Refused)
+    assert isinstance(gate.offer(dispatch('g', attempt=2)), Run)
+
+
+def test_drain_refuses_new_and_queued_work_and_keeps_what_runs() -> None:
+    gate = _gate(ManualTime(), max_running=1)
+    _fill(gate, 1)
+    gate.offer(dispatch('queued'))
+    gate.drain(draining=True)
+    (refused,) = gate.take_refused()
+    assert refused.reason is ReasonCode.DRAINING
+    resumed = gate.offer(dispatch('new', accepted=('t',)))
+    assert isinstance(resumed, Refused)
+    report = gate.load_report()
+    assert (report.draining, report.running) == (True, 1)
+    gate.drain(draining=False)
+    gate.ended('filler0', 1)
+    assert isinstance(gate.offer(dispatch('later')), Run)
+
+
+def test_report_shows_rates_seen() -> None:
+    time = ManualTime()
+    gate = _gate(time)
+    gate.offer(dispatch('a', prompt='50000'))
+    gate.started('a', 1)
+    assert gate.load_report().prefill_tokens == 50_000
+    time.advance_ms(5_000)
+    gate.first_token('a', 1)
+    time.advance_ms(300)
+    gate.progress('a', 1, 11)
+    report = gate.load_report()
+    assert report.prefill_tokens == 0
+    assert report.prefill_per_s == pytest.approx(9700, rel=0.02)
+    assert report.between_tokens_ms == pytest.approx(30)
