--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -64,7 +64,11 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """Load of one upstream as its agent knows it; `age_ms` is the lag."""
+    """Load of one upstream as its agent knows it; `age_ms` is the lag.
+
+    `prefill_tokens` are waiting or under way; `prefill_per_s` is the rate in
+    tokens per second that the agent has seen, 0 where it has seen none.
+    """
 
     running: int = 0
     queued: int = 0
@@ -73,10 +77,17 @@
     age_ms: float = 0
     draining: bool = False
     cached_prefixes: tuple[int, ...] = ()
+    prefill_tokens: int = 0
+    prefill_per_s: float = 0
+    between_tokens_ms: float = 0
 
 
 class Dispatch(_Message, frozen=True, array_like=True, tag=True):
-    """Entry to agent: run one attempt after the `accepted` tokens."""
+    """Entry to agent: run one attempt after the `accepted` tokens.
+
+    `suspect` marks a request whose upstreams died; at most one such runs on an
+    upstream at a time.
+    """
 
     generation: str
     attempt: int
@@ -90,6 +101,7 @@
     fingerprint: int = 0
     warm_only: bool = False
     config_version: int = 0
+    suspect: bool = False
 
 
 class Admitted(_Message, frozen=True, array_like=True, tag=True):
