The agent admits through the gate and hands over before a stop

Cause: the agent took every dispatch. Change: AdmissionGate and DrainState decide; queued attempts are told as waiting, so that a refusal of one is a true ran: no.

--- a/bergamotthread/process/agent.py
+++ b/bergamotthread/process/agent.py
@@ -3,16 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
 from dataclasses import dataclass
 
+import msgspec
+
 from bergamotthread.clock import Clock
 from bergamotthread.connection.engine_client import (
     EngineClient,
     EngineLostError,
 )
 from bergamotthread.connection.transport import Transport
+from bergamotthread.process.admission import (
+    AdmissionGate,
+    GateLimits,
+    Known,
+    Queued,
+    Refused,
+    Run,
+)
 from bergamotthread.process.attempt_runner import AttemptRunner
+from bergamotthread.process.attempts import AttemptKey, Attempts, key_of
+from bergamotthread.process.drain_state import DrainPhase, DrainState
 from bergamotthread.process.output_flusher import OutputFlusher
 from bergamotthread.process.settings import AgentSettings
 from bergamotthread.request.output_buffer import OutputBuffer
@@ -23,27 +34,19 @@
     Cancel,
     Declined,
     Dispatch,
-    EndMark,
+    DrainNotice,
     EndReason,
     Envelope,
     Fetch,
     Missing,
     Revoke,
     Revoked,
+    Waiting,
 )
 
 LOAD_INTERVAL_MS = 250
-EVICTION_INTERVAL_MS = 1000
-DELIVERED_RETENTION_MS = 5000
-MAX_REVOKED = 10_000
-
-
-@dataclass(frozen=True)
-class AttemptKey:
-    """Identity of an attempt at an agent."""
-
-    generation: str
-    attempt: int
+MAINTENANCE_INTERVAL_MS = 250
+ENGINE_RETRY_MS = 1000
 
 
 @dataclass(frozen=True)
@@ -53,6 +56,7 @@
     flush_interval_ms: float = 20
     retention_ms: float = 60_000
     window_tokens: int = 4096
+    gate: GateLimits = GateLimits()
 
     @classmethod
     def from_settings(cls, settings: AgentSettings) -> AgentConfig:
@@ -78,27 +82,27 @@
         engine: EngineClient,
         clock: Clock,
     ) -> None:
-        self.draining = False
         self.engine_is_up = True
+        self.drain = DrainState(clock, transport.address, self._on_phase)
+        self.gate = AdmissionGate(clock, config.gate)
         self._config = config
         self._transport = transport
         self._engine = engine
         self._clock = clock
         self._flusher = OutputFlusher(transport, clock)
-        self._runner = AttemptRunner(
-            engine,
+        self.attempts = Attempts(
+            AttemptRunner(
+                engine,
+                self._flusher,
+                clock,
+                config.window_tokens,
+                self._flush,
+            ),
             self._flusher,
             clock,
-            config.window_tokens,
+            config.retention_ms,
         )
-        self._buffers_by_key: dict[AttemptKey, OutputBuffer] = {}
-        self._tasks_by_key: dict[AttemptKey, asyncio.Task[None]] = {}
-        self._revoked: OrderedDict[AttemptKey, None] = OrderedDict()
-
-    @property
-    def running(self) -> int:
-        """Return how many attempts run at the engine."""
-        return len(self._tasks_by_key)
+        self._waiting_by_key: dict[AttemptKey, str] = {}
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -107,9 +111,9 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._flush_forever())
                 group.create_task(self._poll_load_forever())
-                group.create_task(self._evict_forever())
+                group.create_task(self._maintain_forever())
         finally:
-            self._cancel_all()
+            self.attempts.stop_all()
 
     def on_message(self, envelope: Envelope) -> None:
         """Take in a message from an entry."""
@@ -125,47 +129,53 @@
                 self._on_revoke(AttemptKey(generation, attempt), sender)
             case Fetch() as fetch:
                 self._on_fetch(fetch, sender)
-
-    def hand_over(self) -> None:
-        """End all running attempts so that they go on at other upstreams."""
-        for key in tuple(self._tasks_by_key):
-            buffer = self._buffers_by_key[key]
-            self._stop(key)
-            self._end(buffer, EndReason.HANDED_OVER)
-        self._flusher.flush()
+            case DrainNotice() as notice:
+                self.drain.apply_notice(notice)
+                self.refresh_drain()
+
+    def refresh_drain(self) -> None:
+        """Put the newest announcements of a drain in force."""
+        draining = not self.drain.may_dispatch()
+        if draining != self.gate.draining:
+            self.gate.drain(draining=draining)
+            self._send_refused()
+        held = self.attempts.running_count + len(self._waiting_by_key)
+        self.drain.refresh(held)
+
+    def _on_phase(self, phase: DrainPhase) -> None:
+        if phase is DrainPhase.STOPPING:
+            self.attempts.hand_over()
+            self._flusher.flush()
 
     def _on_dispatch(self, dispatch: Dispatch, sender: str) -> None:
-        key = AttemptKey(dispatch.generation, dispatch.attempt)
-        known = self._buffers_by_key.get(key)
+        key = key_of(dispatch)
+        known = self.attempts.buffers_by_key.get(key)
         if known:
             self._repeat(known, dispatch, sender)
             return
-        reason = self._reason_to_decline(key)
-        if reason:
-            self._decline(dispatch, sender, reason)
-        else:
-            self._start(key, dispatch, sender)
-
-    def _reason_to_decline(self, key: AttemptKey) -> str:
-        if key in self._revoked:
-            return 'revoked'
-        if self.draining:
-            return 'draining'
-        if self.engine_is_up:
-            return ''
-        return 'engine unreachable'
-
-    def _start(self, key: AttemptKey, dispatch: Dispatch, sender: str) -> None:
-        now_ms = self._clock.now_ms()
-        buffer = OutputBuffer.from_dispatch(dispatch, sender, now_ms)
-        self._buffers_by_key[key] = buffer
-        task = asyncio.create_task(self._runner.run(buffer))
-        self._tasks_by_key[key] = task
-        task.add_done_callback(lambda _: self._on_stopped(key, buffer))
-        self._transport.send(
-            sender,
-            Admitted(dispatch.generation, dispatch.attempt),
-        )
+        self.refresh_drain()
+        if not self.engine_is_up:
+            self._decline(key, sender, 'engine_unreachable', ENGINE_RETRY_MS)
+            return
+        match self.gate.offer(dispatch):
+            case Run():
+                self._start(dispatch, sender)
+            case Queued() | Known(dispatched=False):
+                self._waiting_by_key[key] = sender
+                waiting = Waiting(key.generation, key.attempt)
+                self._transport.send(sender, waiting)
+            case Known():
+                self._decline(key, sender, 'ended', 0)
+            case Refused(reason=reason, retry_after_ms=retry_after_ms):
+                self._decline(key, sender, reason, retry_after_ms)
+
+    def _start(self, dispatch: Dispatch, sender: str) -> None:
+        self.attempts.start(dispatch, sender)
+        self._admit(dispatch, sender)
+
+    def _admit(self, dispatch: Dispatch, sender: str) -> None:
+        admitted = Admitted(dispatch.generation, dispatch.attempt)
+        self._transport.send(sender, admitted)
 
     def _repeat(
         self,
@@ -174,114 +184,128 @@
         sender: str,
     ) -> None:
         if dispatch.accepted != buffer.dispatch.accepted:
-            self._decline(dispatch, sender, 'attempt has another prefix')
+            self._decline(key_of(dispatch), sender, 'another prefix', 0)
             return
         offset = len(dispatch.accepted)
         buffer.resubscribe(sender, offset, self._clock.now_ms())
         self._flusher.mark(buffer)
-        self._transport.send(
-            sender,
-            Admitted(dispatch.generation, dispatch.attempt),
-        )
+        self._admit(dispatch, sender)
 
-    def _decline(self, dispatch: Dispatch, sender: str, reason: str) -> None:
-        declined = Declined(dispatch.generation, dispatch.attempt, reason)
+    def _decline(
+        self,
+        key: AttemptKey,
+        sender: str,
+        reason: str,
+        retry_after_ms: int,
+    ) -> None:
+        declined = Declined(
+            key.generation,
+            key.attempt,
+            reason,
+            retry_after_ms,
+        )
         self._transport.send(sender, declined)
 
     def _on_acks(self, acks: tuple[Ack, ...], sender: str) -> None:
         now_ms = self._clock.now_ms()
         for ack in acks:
             key = AttemptKey(ack.generation, ack.attempt)
-            buffer = self._buffers_by_key.get(key)
+            buffer = self.attempts.buffers_by_key.get(key)
             if buffer is None:
-                self._transport.send(
-                    sender, Missing(key.generation, key.attempt)
-                )
+                self._report_missing(key, sender)
             elif buffer.subscriber == sender:
                 buffer.acknowledge(ack.offset, now_ms)
 
+    def _report_missing(self, key: AttemptKey, sender: str) -> None:
+        if key not in self._waiting_by_key:
+            missing = Missing(key.generation, key.attempt)
+            self._transport.send(sender, missing)
+
     def _on_cancel(self, key: AttemptKey, sender: str) -> None:
-        buffer = self._buffers_by_key.get(key)
+        buffer = self.attempts.buffers_by_key.get(key)
         if buffer is not None and buffer.subscriber == sender:
-            self._stop(key)
-            self._buffers_by_key.pop(key)
+            self.attempts.drop(key)
+            self.gate.ended(key.generation, key.attempt)
 
     def _on_revoke(self, key: AttemptKey, sender: str) -> None:
-        dispatched = key in self._buffers_by_key
-        if dispatched:
-            self._on_cancel(key, sender)
-        self._revoked[key] = None
-        if len(self._revoked) > MAX_REVOKED:
-            self._revoked.popitem(last=False)
+        never = self.gate.revoke(key.generation, key.attempt)
+        self._waiting_by_key.pop(key, None)
+        self._on_cancel(key, sender)
         self._transport.send(
             sender,
-            Revoked(key.generation, key.attempt, dispatched),
+            Revoked(key.generation, key.attempt, not never),
         )
 
     def _on_fetch(self, fetch: Fetch, sender: str) -> None:
         key = AttemptKey(fetch.generation, fetch.attempt)
-        buffer = self._buffers_by_key.get(key)
+        buffer = self.attempts.buffers_by_key.get(key)
         if buffer is None:
-            self._transport.send(sender, Missing(key.generation, key.attempt))
+            self._report_missing(key, sender)
             return
         buffer.resubscribe(sender, fetch.offset, self._clock.now_ms())
         self._flusher.mark(buffer)
 
-    def _on_stopped(self, key: AttemptKey, buffer: OutputBuffer) -> None:
-        self._tasks_by_key.pop(key, None)
-        if buffer.end is not None:
-            lost = buffer.end.reason is EndReason.ENGINE_LOST
-            self.engine_is_up = self.engine_is_up and not lost
-
-    def _stop(self, key: AttemptKey) -> None:
-        task = self._tasks_by_key.pop(key, None)
-        if task is not None:
-            task.cancel()
-
-    def _end(self, buffer: OutputBuffer, reason: EndReason) -> None:
-        end = EndMark(reason, len(buffer.tokens))
-        buffer.finish(end, self._clock.now_ms())
-        self._flusher.mark(buffer)
-
-    def _cancel_all(self) -> None:
-        for key in tuple(self._tasks_by_key):
-            self._stop(key)
-
     async def _flush_forever(self) -> None:
         while True:
             await self._clock.sleep_ms(self._config.flush_interval_ms)
-            self._flusher.flush()
-            self._flusher.beat(self._active_entries())
+            self._start_ready()
+            self._flush()
+            self._flusher.beat(self._awaited_by())
+
+    def _flush(self) -> None:
+        self._record_progress()
+        self._flusher.flush()
+
+    def _record_progress(self) -> None:
+        for buffer in self._flusher.marked():
+            key = key_of(buffer.dispatch)
+            if buffer.end is None:
+                produced = len(buffer.tokens) - len(buffer.dispatch.accepted)
+                self.gate.progress(key.generation, key.attempt, produced)
+                continue
+            self.gate.ended(key.generation, key.attempt)
+            if buffer.end.reason is EndReason.ENGINE_LOST:
+                self.engine_is_up = False
 
-    def _active_entries(self) -> set[str]:
-        return {
-            buffer.subscriber
-            for buffer in self._buffers_by_key.values()
-            if buffer.end is None
-        }
+    def _start_ready(self) -> None:
+        for dispatch in self.gate.next_ready():
+            key = key_of(dispatch)
+            sender = self._waiting_by_key.pop(key, '')
+            if sender:
+                self._start(dispatch, sender)
+        self._send_refused()
+
+    def _send_refused(self) -> None:
+        for refused in self.gate.take_refused():
+            key = AttemptKey(refused.generation, refused.attempt)
+            sender = self._waiting_by_key.pop(key, '')
+            self._decline(
+                key,
+                sender,
+                refused.reason,
+                refused.retry_after_ms,
+            )
+
+    def _awaited_by(self) -> set[str]:
+        waiting = set(self._waiting_by_key.values())
+        return waiting | self.attempts.unfinished_subscribers()
 
     async def _poll_load_forever(self) -> None:
         while True:
             try:
-                self._flusher.load = await self._engine.load()
+                reported = await self._engine.load()
             except EngineLostError:
                 self.engine_is_up = False
             else:
                 self.engine_is_up = True
+                self._flusher.load = msgspec.structs.replace(
+                    self.gate.load_report(),
+                    cached_prefixes=reported.cached_prefixes,
+                )
             await self._clock.sleep_ms(LOAD_INTERVAL_MS)
 
-    async def _evict_forever(self) -> None:
+    async def _maintain_forever(self) -> None:
         while True:
-            await self._clock.sleep_ms(EVICTION_INTERVAL_MS)
-            now_ms = self._clock.now_ms()
-            for key, buffer in tuple(self._buffers_by_key.items()):
-                if self._is_evictable(buffer, now_ms):
-                    self._stop(key)
-                    self._buffers_by_key.pop(key)
-
-    def _is_evictable(self, buffer: OutputBuffer, now_ms: float) -> bool:
-        if now_ms - buffer.heard_ms > self._config.retention_ms:
-            return True
-        if buffer.end is None or buffer.unacknowledged:
-            return False
-        return now_ms - buffer.ended_ms > DELIVERED_RETENTION_MS
+            await self._clock.sleep_ms(MAINTENANCE_INTERVAL_MS)
+            self.refresh_drain()
+            self.attempts.evict()
--- a/bergamotthread/process/attempt_runner.py
+++ b/bergamotthread/process/attempt_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from contextlib import aclosing
 
 from bergamotthread.clock import Clock
@@ -48,6 +49,8 @@
     window_tokens
         Unacknowledged tokens from which on the stream is not read, so that
         the engine is slowed by the connection and memory stays bounded.
+    on_failure
+        Called after an attempt has failed, so that it is reported at once.
     """
 
     def __init__(
@@ -56,11 +59,13 @@
         flusher: OutputFlusher,
         clock: Clock,
         window_tokens: int,
+        on_failure: Callable[[], None],
     ) -> None:
         self._engine = engine
         self._flusher = flusher
         self._clock = clock
         self._window_tokens = window_tokens
+        self._on_failure = on_failure
 
     async def run(self, buffer: OutputBuffer) -> None:
         """Run until the attempt has ended; cancelling the task cancels it."""
@@ -97,4 +102,4 @@
         end = EndMark(reason, len(buffer.tokens))
         buffer.finish(end, self._clock.now_ms())
         self._flusher.mark(buffer)
-        self._flusher.flush()
+        self._on_failure()
--- /dev/null
+++ b/bergamotthread/process/attempts.py
@@ -0,0 +1,113 @@
+"""Attempts that an agent runs or holds the output of."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.attempt_runner import AttemptRunner
+from bergamotthread.process.output_flusher import OutputFlusher
+from bergamotthread.request.output_buffer import OutputBuffer
+from bergamotthread.wire.messages import Dispatch, EndMark, EndReason
+
+DELIVERED_RETENTION_MS = 5000
+
+
+@dataclass(frozen=True)
+class AttemptKey:
+    """Identity of an attempt at an agent."""
+
+    generation: str
+    attempt: int
+
+
+def key_of(dispatch: Dispatch) -> AttemptKey:
+    """Return the identity of a dispatched attempt."""
+    return AttemptKey(dispatch.generation, dispatch.attempt)
+
+
+class Attempts:
+    """Output buffers and the tasks that fill them, by attempt.
+
+    Parameters
+    ----------
+    retention_ms
+        How long output is held for a subscriber that is silent.
+    """
+
+    def __init__(
+        self,
+        runner: AttemptRunner,
+        flusher: OutputFlusher,
+        clock: Clock,
+        retention_ms: float,
+    ) -> None:
+        self.buffers_by_key: dict[AttemptKey, OutputBuffer] = {}
+        self._tasks_by_key: dict[AttemptKey, asyncio.Task[None]] = {}
+        self._runner = runner
+        self._flusher = flusher
+        self._clock = clock
+        self._retention_ms = retention_ms
+
+    @property
+    def running_count(self) -> int:
+        """Return how many attempts run at the engine."""
+        return len(self._tasks_by_key)
+
+    def start(self, dispatch: Dispatch, subscriber: str) -> OutputBuffer:
+        """Send an attempt to the engine."""
+        key = key_of(dispatch)
+        now_ms = self._clock.now_ms()
+        buffer = OutputBuffer.from_dispatch(dispatch, subscriber, now_ms)
+        self.buffers_by_key[key] = buffer
+        task = asyncio.create_task(self._runner.run(buffer))
+        self._tasks_by_key[key] = task
+        task.add_done_callback(lambda _: self._tasks_by_key.pop(key, None))
+        return buffer
+
+    def drop(self, key: AttemptKey) -> None:
+        """Stop an attempt and forget its output."""
+        self._stop(key)
+        self.buffers_by_key.pop(key, None)
+
+    def hand_over(self) -> None:
+        """End all running attempts so that others continue them."""
+        for key in tuple(self._tasks_by_key):
+            buffer = self.buffers_by_key[key]
+            self._stop(key)
+            end = EndMark(EndReason.HANDED_OVER, len(buffer.tokens))
+            buffer.finish(end, self._clock.now_ms())
+            self._flusher.mark(buffer)
+
+    def stop_all(self) -> None:
+        """Stop all attempts, as the process ends."""
+        for key in tuple(self._tasks_by_key):
+            self._stop(key)
+
+    def evict(self) -> None:
+        """Drop output that was delivered or whose subscriber is gone."""
+        now_ms = self._clock.now_ms()
+        for key, buffer in tuple(self.buffers_by_key.items()):
+            if self._is_evictable(buffer, now_ms):
+                self.drop(key)
+
+    def unfinished_subscribers(self) -> set[str]:
+        """Return the entries that wait for output."""
+        return {
+            buffer.subscriber
+            for buffer in self.buffers_by_key.values()
+            if buffer.end is None
+        }
+
+    def _stop(self, key: AttemptKey) -> None:
+        task = self._tasks_by_key.pop(key, None)
+        if task is not None:
+            task.cancel()
+
+    def _is_evictable(self, buffer: OutputBuffer, now_ms: float) -> bool:
+        if now_ms - buffer.heard_ms > self._retention_ms:
+            return True
+        if buffer.end is None or buffer.unacknowledged:
+            return False
+        return now_ms - buffer.ended_ms > DELIVERED_RETENTION_MS
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -45,6 +45,7 @@
     OutputBatch,
     Revoke,
     Revoked,
+    Waiting,
 )
 
 WATCH_INTERVAL_MS = 50
@@ -132,6 +133,10 @@
                 if live is not None:
                     live.admit()
                     live.progress.restart(self._clock.now_ms())
+            case Waiting(generation=generation, attempt=attempt):
+                live = self._current(generation, attempt, envelope)
+                if live is not None:
+                    live.confirmed = True
             case Declined() as declined:
                 self._on_declined(declined, envelope)
             case Missing(generation=generation, attempt=attempt):
@@ -471,9 +476,9 @@
             live.settle(Lost('deadline passed'))
         elif self._peer(place.agent).is_suspect(now_ms):
             live.settle(Lost('agent silent'))
-        elif not live.admitted:
+        elif not live.confirmed:
             self._watch_admission(live, now_ms)
-        elif live.progress.is_suspect(now_ms):
+        elif live.admitted and live.progress.is_suspect(now_ms):
             self._watch_progress(live, now_ms)
 
     def _watch_admission(self, live: LiveGeneration, now_ms: float) -> None:
--- a/bergamotthread/process/output_flusher.py
+++ b/bergamotthread/process/output_flusher.py
@@ -31,6 +31,10 @@
         """Send the new output of `buffer` with the next flush."""
         self._fresh[buffer] = None
 
+    def marked(self) -> tuple[OutputBuffer, ...]:
+        """Return the buffers that the next flush sends."""
+        return tuple(self._fresh)
+
     def flush(self) -> None:
         """Send all marked output now."""
         frames_by_entry: dict[str, list[Frame]] = defaultdict(list)
--- a/bergamotthread/request/live_generation.py
+++ b/bergamotthread/request/live_generation.py
@@ -72,6 +72,7 @@
         self.readers = 0
         self.abandoned_ms = now_ms
         self.consumed = generation.offset
+        self.confirmed = False
         self.admitted = False
         self.produced = False
         self.was_admitted = False
@@ -96,12 +97,14 @@
 
     def admit(self) -> None:
         """Note that the current attempt was sent to an engine."""
+        self.confirmed = True
         self.admitted = True
         self.was_admitted = True
 
     def expect_outcome(self, now_ms: float) -> asyncio.Future[Outcome]:
         """Return the future of the attempt that starts now."""
         self._outcome = asyncio.get_running_loop().create_future()
+        self.confirmed = False
         self.admitted = False
         self.produced = False
         self.attempts += 1
--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -111,6 +111,13 @@
     attempt: int
 
 
+class Waiting(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: the attempt waits for capacity, nothing was sent."""
+
+    generation: str
+    attempt: int
+
+
 class Declined(_Message, frozen=True, array_like=True, tag=True):
     """Agent to entry: the attempt was not dispatched and never will be."""
 
@@ -350,6 +357,7 @@
     Dispatch
     | Admitted
     | Declined
+    | Waiting
     | Cancel
     | Revoke
     | Revoked
