--- a/bergamotthread/process/completions.py
+++ b/bergamotthread/process/completions.py
@@ -9,8 +9,10 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import DecodeError, Step
+from bergamotthread.process.admission import CHARS_PER_TOKEN
 from bergamotthread.process.generations import Generations
 from bergamotthread.process.placement import PlacementRequest
+from bergamotthread.process.prefix_hash import block_hashes
 from bergamotthread.request.completion import (
     CompletionRequest,
     request_digest,
@@ -201,7 +203,8 @@
             generation=identity,
             team=caller.team,
             pin=pin,
-            prompt_tokens=len(request.prompt.split()),
+            prompt_tokens=len(request.prompt) // CHARS_PER_TOKEN,
+            prefix_hashes=block_hashes(request.prompt, _pin_key(pin)),
             cross_region=service.resume.cross_region,
             regions=route.regions,
         )
@@ -261,8 +264,12 @@
     return service.deadline_ms
 
 
+def _pin_key(pin: Pin) -> str:
+    return '\0'.join((pin.model, pin.version, pin.adapter))
+
+
 def _fingerprint(team: str, pin: Pin, prompt: str) -> int:
-    parts = '\0'.join((team, pin.model, pin.version, pin.adapter, prompt))
+    parts = '\0'.join((team, _pin_key(pin), prompt))
     return xxhash.xxh64_intdigest(parts.encode())
 
 
--- a/standins/small_deployment.py
+++ b/standins/small_deployment.py
@@ -12,6 +12,7 @@
 from bergamotthread.process.generations import Generations
 from bergamotthread.process.placement import Placement
 from bergamotthread.process.round_robin import RoundRobinPlacement
+from bergamotthread.process.routing import ScoredPlacement
 from bergamotthread.request.completion import CompletionRequest
 from bergamotthread.request.completion_stream import CompletionStream
 from bergamotthread.request.cursor import CursorSigner
@@ -133,7 +134,7 @@
     limits: GenerationLimits = field(default_factory=GenerationLimits)
     agent_config: AgentConfig = field(default_factory=AgentConfig)
     network: MemoryNetwork = field(default_factory=MemoryNetwork)
-    placement: Placement | None = None
+    round_robin: bool = False
 
     def __post_init__(self) -> None:
         loop = asyncio.get_running_loop()
@@ -168,7 +169,18 @@
         """Start an entry."""
         transport = self.network.transport(entry_address(index), incarnation)
         addresses = [agent_address(one) for one in range(self.agent_count)]
-        placement = self.placement or RoundRobinPlacement(addresses)
+        published = PublishedVersion.from_object_set(
+            1,
+            small_set(self.agent_count),
+        )
+        placement: Placement = ScoredPlacement.from_published(
+            published,
+            'cuyo',
+            self.clock,
+            seed=index,
+        )
+        if self.round_robin:
+            placement = RoundRobinPlacement(addresses)
         generations = Generations(
             transport,
             placement,
@@ -185,7 +197,7 @@
             generations,
             completions,
             transport,
-            PublishedVersion.from_object_set(1, small_set(self.agent_count)),
+            published,
             asyncio.create_task(generations.run()),
         )
 
