Survive partitions, replaced agents, lost entries and disorder

Cause, found by the new tests: (1) an agent marked lost was never heard from again, because agents speak only to entries with running attempts, so that with 5% loss all three agents ended up lost and a whole answer was refused; (2) a slow caller's engine was judged stalled and its generation restarted elsewhere, although the agent had stopped reading because of the window; (3) a lost end mark cost a further attempt although the length was reached. Ruled out: the offset rules (no answer was broken). Change: lost agents are probed with growing intervals; silence is not judged while the caller is behind; max_tokens ends an answer; stand-in tokens carry a salt for each attempt, so that mixed attempts show. Conclusion: the only way back for a lost agent has to start at the entry.

--- a/bergamotthread/process/agent.py
+++ b/bergamotthread/process/agent.py
@@ -207,6 +207,8 @@
         self._transport.send(sender, declined)
 
     def _on_acks(self, acks: tuple[Ack, ...], sender: str) -> None:
+        if not acks:
+            self._flusher.report(sender)
         now_ms = self._clock.now_ms()
         for ack in acks:
             key = AttemptKey(ack.generation, ack.attempt)
--- a/bergamotthread/process/generation_watch.py
+++ b/bergamotthread/process/generation_watch.py
@@ -8,6 +8,7 @@
 from bergamotthread.request.live_generation import LiveGeneration, Lost
 
 RETENTION_MS = 60_000
+BACKLOG_TOKENS = 32
 
 
 @dataclass(frozen=True)
@@ -50,7 +51,9 @@
             return Lost('agent silent')
         if not live.confirmed:
             return self._unconfirmed_loss(live, now_ms)
-        if live.admitted and live.progress.is_suspect(now_ms):
+        if live.backlog > BACKLOG_TOKENS:
+            live.progress.restart(now_ms)
+        elif live.admitted and live.progress.is_suspect(now_ms):
             return self._stalled_loss(live, now_ms)
         return None
 
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -15,6 +15,7 @@
     GenerationLimits,
     GenerationWatch,
 )
+from bergamotthread.process.loss_probe import LossProbe
 from bergamotthread.process.placement import Placement, PlacementRequest
 from bergamotthread.request.generation import (
     AttemptPlace,
@@ -77,6 +78,7 @@
         self._placement = placement
         self._clock = clock
         self._peers = PeerHistories(clock)
+        self._probe = LossProbe(transport, clock)
         self._watch = GenerationWatch(self._peers, self.limits)
 
     async def run(self) -> None:
@@ -164,6 +166,7 @@
         return None
 
     def _on_batch(self, batch: OutputBatch, envelope: Envelope) -> None:
+        self._probe.remove(envelope.sender)
         self._placement.record_load(envelope.sender, batch.load)
         for frame in batch.frames:
             live = self.by_id.get(frame.generation)
@@ -336,6 +339,7 @@
                     live.unconfirmed.add(unpinned)
                 self._send_cancel(live, place)
                 self._placement.record_loss(place.agent)
+                self._probe.add(place.agent)
         live.excluded |= {place.agent}
         generation.interrupt()
 
@@ -384,6 +388,7 @@
     async def _watch_forever(self) -> None:
         while True:
             await self._clock.sleep_ms(WATCH_INTERVAL_MS)
+            self._probe.send_due()
             now_ms = self._clock.now_ms()
             for identity, live in tuple(self.by_id.items()):
                 self._check(identity, live, now_ms)
--- a/bergamotthread/process/output_flusher.py
+++ b/bergamotthread/process/output_flusher.py
@@ -46,6 +46,10 @@
         for entry, frames in frames_by_entry.items():
             self._send(entry, tuple(frames))
 
+    def report(self, entry: str) -> None:
+        """Send the load report to an entry that asked for it."""
+        self._send(entry, ())
+
     def beat(self, entries: set[str]) -> None:
         """Send a heartbeat to those of `entries` that heard nothing lately."""
         now_ms = self._clock.now_ms()
--- a/bergamotthread/request/generation.py
+++ b/bergamotthread/request/generation.py
@@ -208,6 +208,8 @@
         fresh = frame.tokens[known:] if known else frame.tokens
         self.tokens.extend(fresh)
         end = frame.end
+        if end is None and self.offset == self.spec.max_tokens:
+            end = EndMark(EndReason.LENGTH, self.offset)
         if end is not None:
             return self._finish(end)
         return Verdict.ACCEPTED if fresh else Verdict.DUPLICATE
--- a/bergamotthread/request/live_generation.py
+++ b/bergamotthread/request/live_generation.py
@@ -96,6 +96,15 @@
         """Return whether any attempt may have reached an engine."""
         return self.was_admitted or bool(self.unconfirmed)
 
+    @property
+    def backlog(self) -> int:
+        """Return how many accepted tokens the caller has not taken.
+
+        An agent stops to read its engine while the backlog fills its window,
+        so an engine is not judged by its silence then.
+        """
+        return self.generation.offset - self.consumed
+
     def admit(self) -> None:
         """Note that the current attempt was sent to an engine."""
         self.confirmed = True
--- a/standins/engine_core.py
+++ b/standins/engine_core.py
@@ -33,6 +33,7 @@
     max_running: int = 64
     kv_capacity: int = 200_000
     checks_fencing: bool = False
+    stop_at: int | None = None
 
 
 @dataclass
@@ -51,6 +52,7 @@
 class _Sequence:
     request: GenerateRequest
     last_token: str
+    salt: str
     produced: int
     prefill_left_ms: float
     outputs: asyncio.Queue[EngineOutput | None] = field(
@@ -175,7 +177,6 @@
             await self._clock.sleep_ms(remaining_ms)
 
     def _sequence(self, request: GenerateRequest) -> _Sequence:
-        nonce = f'{self._random.getrandbits(32):08x}'
         prefix = request.prefix_tokens
         tokens = len(request.prompt.split()) + len(prefix)
         uncovered = self._uncovered(request.prompt, tokens)
@@ -183,7 +184,8 @@
         self.counts.started += 1
         return _Sequence(
             request=request,
-            last_token=prefix[-1] if prefix else nonce,
+            last_token=prefix[-1] if prefix else '',
+            salt=f'{self._random.getrandbits(32):08x}',
             produced=len(prefix),
             prefill_left_ms=uncovered * self.speed.prefill_ms_per_token,
         )
@@ -247,19 +249,27 @@
         if self._dies_at(sequence):
             self.die()
             return
-        if sequence.produced >= request.max_tokens:
+        finish = self._finish_of(sequence)
+        if finish:
             self._running.remove(sequence)
-            sequence.outputs.put_nowait(EngineOutput(finish='length'))
+            sequence.outputs.put_nowait(EngineOutput(finish=finish))
             return
         if sequence.produced:
-            token = next_token(sequence.last_token)
+            token = next_token(sequence.last_token, sequence.salt)
         else:
-            token = first_token(request.prompt, sequence.last_token)
+            token = first_token(request.prompt, sequence.salt)
         sequence.last_token = token
         sequence.produced += 1
         self.counts.decoded_tokens += 1
         sequence.outputs.put_nowait(EngineOutput(tokens=(token,)))
 
+    def _finish_of(self, sequence: _Sequence) -> str:
+        if sequence.produced == self.speed.stop_at:
+            return 'stop'
+        if sequence.produced >= sequence.request.max_tokens:
+            return 'length'
+        return ''
+
     def _dies_at(self, sequence: _Sequence) -> bool:
         marker = self.faults.die_on_prompt
         if marker is not None and marker in sequence.request.prompt:
--- a/standins/tokens.py
+++ b/standins/tokens.py
@@ -1,9 +1,9 @@
 """Tokens that prove their own order, and the checker of whole answers.
 
-A token is `index:digest `. The first one also carries a nonce that is drawn
-for each fresh generation; its digest covers the prompt and the nonce, every
-later digest covers the one before. A missing, repeated or foreign token, or
-one of a second generation, breaks the chain.
+A token is `index:salt:digest `. The salt is drawn anew for each attempt, as a
+real engine samples anew, and the digest covers the one before, the index and
+the salt; that of token 0 covers the prompt. A missing, repeated or foreign
+token, or one of another attempt or generation, breaks the chain.
 """
 
 from __future__ import annotations
@@ -12,19 +12,18 @@
 
 
 class BrokenAnswerError(AssertionError):
-    """An answer is not the one whole chain of its prompt."""
+    """An answer is not one whole chain of its prompt."""
 
 
-def first_token(prompt: str, nonce: str) -> str:
+def first_token(prompt: str, salt: str) -> str:
     """Return token 0 of a fresh generation."""
-    return f'0:{nonce}:{_digest(prompt + nonce)} '
+    return _token(0, salt, prompt)
 
 
-def next_token(previous: str) -> str:
-    """Return the token that follows `previous`."""
-    parts = previous.strip().split(':')
-    index = int(parts[0]) + 1
-    return f'{index}:{_digest(parts[-1] + str(index))} '
+def next_token(previous: str, salt: str) -> str:
+    """Return the token that follows `previous` in an attempt with `salt`."""
+    index, _, digest = previous.strip().split(':')
+    return _token(int(index) + 1, salt, digest)
 
 
 def verify_answer(prompt: str, text: str, count: int) -> None:
@@ -33,20 +32,21 @@
     Raises
     ------
     BrokenAnswerError
-        If a token is missing, repeated, out of order or of another generation.
+        If a token is missing, repeated, out of order or of another attempt.
     """
     tokens = [f'{token} ' for token in text.split()]
     if len(tokens) != count:
         raise BrokenAnswerError(f'{len(tokens)} tokens, expected {count}')
-    if not tokens:
-        return
-    nonce = tokens[0].split(':')[1]
-    expected = first_token(prompt, nonce)
+    covered = prompt
     for index, token in enumerate(tokens):
+        _, salt, digest = token.strip().split(':')
+        expected = _token(index, salt, covered)
         if token != expected:
             raise BrokenAnswerError(f'token {index}: {token}, not {expected}')
-        expected = next_token(token)
+        covered = digest
 
 
-def _digest(text: str) -> str:
-    return f'{xxhash.xxh64_intdigest(text.encode()):016x}'[:8]
+def _token(index: int, salt: str, covered: str) -> str:
+    chained = f'{covered}/{index}/{salt}'.encode()
+    digest = f'{xxhash.xxh64_intdigest(chained):016x}'[:8]
+    return f'{index}:{salt}:{digest} '
--- /dev/null
+++ b/tests/test_continuity_faults.py
@@ -0,0 +1,347 @@
+"""Partitions, replaced processes, lost entries, disorder and slow callers."""
+
+import msgspec
+import pytest
+
+from bergamotthread.process.agent import AgentConfig
+from bergamotthread.process.completions import Caller
+from bergamotthread.request.completion import CompletionRequest
+from bergamotthread.request.generation import Generation, Verdict
+from bergamotthread.request.refusal import Ran, ReasonCode, RefusedError
+from bergamotthread.testing.memory_network import MemoryNetwork
+from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.wire.messages import Frame
+from standins.engine_core import EngineSpeed
+from standins.small_deployment import (
+    TEAM,
+    SmallDeployment,
+    entry_address,
+)
+from standins.tokens import BrokenAnswerError, verify_answer
+
+PROMPT = 'atmosphere readings of furnace 4'
+COUNT = 120
+REQUEST = CompletionRequest(
+    'furnace',
+    PROMPT,
+    max_tokens=2 * COUNT,
+    stream=True,
+    include_tokens=True,
+)
+SPEED = EngineSpeed(stop_at=COUNT)
+
+
+async def _until_offset(live, offset: int) -> None:
+    while live.generation.offset < offset and not live.generation.is_over:
+        live.consumed = live.generation.offset
+        await live.wait_change()
+
+
+async def _until_over(live) -> None:
+    while not live.generation.is_over:
+        live.consumed = live.generation.offset
+        await live.wait_change()
+
+
+async def _check_whole(live) -> None:
+    await _until_over(live)
+    assert live.generation.refusal is None, live.generation.refusal
+    verify_answer(PROMPT, ''.join(live.generation.tokens), COUNT)
+
+
+@pytest.mark.parametrize('direction', ['to agent', 'from agent', 'both'])
+@pytest.mark.parametrize('offset', [0, 40, COUNT - 1])
+@pytest.mark.parametrize('heal_after_ms', [300, 20_000])
+def test_partition(direction: str, offset: int, heal_after_ms: float) -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED)
+        live, _ = deployment.entries[0].open(REQUEST)
+        await deployment.clock.sleep_ms(5)
+        await _until_offset(live, offset)
+        agent = live.generation.place.agent
+        if direction != 'from agent':
+            deployment.network.cut(entry_address(0), agent)
+        if direction != 'to agent':
+            deployment.network.cut(agent, entry_address(0))
+        await deployment.clock.sleep_ms(heal_after_ms)
+        deployment.network.heal()
+        await _check_whole(live)
+        await deployment.clock.sleep_ms(30_000)
+        await _check_whole(live)
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize('offset', [0, 40, COUNT - 1])
+def test_replaced_agent_is_not_taken_for_the_old_one(offset: int) -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED)
+        live, _ = deployment.entries[0].open(REQUEST)
+        await deployment.clock.sleep_ms(5)
+        await _until_offset(live, offset)
+        index = [node.transport.address for node in deployment.agents].index(
+            live.generation.place.agent
+        )
+        deployment.agents[index].kill()
+        deployment.agents[index] = deployment.start_agent(index, incarnation=2)
+        await _check_whole(live)
+
+    run_virtual(scenario())
+
+
+def test_resumed_engine_dies_as_well() -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED, agent_count=4)
+        live, _ = deployment.entries[0].open(REQUEST)
+        for offset in (30, 60, 90):
+            await _until_offset(live, offset)
+            deployment.node_of(live).engine.die()
+        await _check_whole(live)
+        assert live.attempts == 4
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_frames_late_doubled_lost_and_out_of_order(seed: int) -> None:
+    async def scenario() -> None:
+        network = MemoryNetwork(
+            delay_ms=5,
+            jitter_ms=80,
+            loss=0.05,
+            duplication=0.2,
+            seed=seed,
+        )
+        deployment = SmallDeployment(speed=SPEED, network=network)
+        opened = [deployment.entries[0].open(REQUEST)[0] for _ in range(8)]
+        for live in opened:
+            await _check_whole(live)
+
+    run_virtual(scenario())
+
+
+async def _read_events(stream, events: list[bytes], count: int) -> None:
+    async for event in stream.events():
+        events.append(event)
+        if len(events) >= count:
+            return
+
+
+def _field(event: bytes, name: str) -> str:
+    for line in event.decode().splitlines():
+        if line.startswith(f'{name}: '):
+            return line.removeprefix(f'{name}: ')
+    raise AssertionError(f'no {name} in {event!r}')
+
+
+def _tokens(events: list[bytes]) -> list[str]:
+    tokens: list[str] = []
+    for event in events:
+        for line in event.decode().splitlines():
+            if line.startswith('data: {'):
+                choice = msgspec.json.decode(line[6:])['choices'][0]
+                tokens.extend(choice.get('tokens', ()))
+    return tokens
+
+
+@pytest.mark.parametrize('lose_agent', [False, True])
+@pytest.mark.parametrize('bring_tokens', [False, True])
+def test_reconnect_through_another_entry(
+    lose_agent: bool,
+    bring_tokens: bool,
+) -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED, entry_count=2)
+        live, stream = deployment.entries[0].open(REQUEST)
+        head: list[bytes] = []
+        await _read_events(stream, head, 10)
+        node = deployment.node_of(live)
+        deployment.entries[0].kill()
+        if lose_agent:
+            node.kill()
+        await deployment.clock.sleep_ms(500)
+        request = REQUEST
+        if bring_tokens:
+            request = CompletionRequest(
+                'furnace',
+                PROMPT,
+                max_tokens=2 * COUNT,
+                include_tokens=True,
+                accepted_tokens=tuple(_tokens(head)),
+            )
+        caller = Caller(TEAM, last_event_id=_field(head[-1], 'id'))
+        again, rest = deployment.entries[1].open(request, caller)
+        tail: list[bytes] = []
+        await _read_events(rest, tail, 10_000)
+        if lose_agent and not bring_tokens:
+            assert again.generation.refusal is not None
+            assert again.generation.refusal.reason is ReasonCode.OUTPUT_LOST
+            assert again.generation.refusal.ran is Ran.MAYBE
+            assert tail[-1].startswith(b'event: error')
+            return
+        verify_answer(PROMPT, ''.join(_tokens(head) + _tokens(tail)), COUNT)
+        assert again.attempts == (2 if lose_agent else 1)
+
+    run_virtual(scenario())
+
+
+def test_old_entry_that_wakes_does_not_stop_the_new_one() -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED, entry_count=2)
+        live, stream = deployment.entries[0].open(REQUEST)
+        head: list[bytes] = []
+        await _read_events(stream, head, 5)
+        caller = Caller(TEAM, last_event_id=_field(head[-1], 'id'))
+        again, rest = deployment.entries[1].open(REQUEST, caller)
+        await deployment.clock.sleep_ms(100)
+        deployment.entries[0].generations.cancel(live)
+        tail: list[bytes] = []
+        await _read_events(rest, tail, 10_000)
+        verify_answer(PROMPT, ''.join(_tokens(head) + _tokens(tail)), COUNT)
+        assert again.attempts == 1
+
+    run_virtual(scenario())
+
+
+def test_same_key_joins_the_running_generation() -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED)
+        caller = Caller(TEAM, idempotency_key='batch-17')
+        live, _ = deployment.entries[0].open(REQUEST, caller)
+        await _until_offset(live, 50)
+        again, stream = deployment.entries[0].open(REQUEST, caller)
+        assert again is live
+        events: list[bytes] = []
+        await _read_events(stream, events, 10_000)
+        verify_answer(PROMPT, ''.join(_tokens(events)), COUNT)
+        started = sum(one.engine.counts.started for one in deployment.agents)
+        assert started == 1
+        other = CompletionRequest('furnace', 'another prompt')
+        with pytest.raises(RefusedError) as refused:
+            deployment.entries[0].open(other, caller)
+        assert refused.value.refusal.reason is ReasonCode.KEY_REUSED
+
+    run_virtual(scenario())
+
+
+def test_cursor_of_another_team_is_refused() -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED)
+        _, stream = deployment.entries[0].open(REQUEST)
+        events: list[bytes] = []
+        await _read_events(stream, events, 3)
+        cursor = _field(events[-1], 'id')
+        for stolen in (cursor, f'{cursor[:-2]}AA'):
+            with pytest.raises(RefusedError) as refused:
+                deployment.entries[0].open(
+                    REQUEST,
+                    Caller('other', last_event_id=stolen),
+                )
+            assert refused.value.refusal.reason is ReasonCode.BAD_CURSOR
+
+    run_virtual(scenario())
+
+
+def test_slow_caller_stops_its_engine_and_no_other() -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(
+            agent_count=1,
+            agent_config=AgentConfig(window_tokens=64),
+        )
+        slow_request = CompletionRequest('furnace', 'slow', max_tokens=2000)
+        slow, stream = deployment.entries[0].open(slow_request)
+        events: list[bytes] = []
+        await _read_events(stream, events, 1)
+        fast, fast_stream = deployment.entries[0].open(REQUEST)
+        fast_events: list[bytes] = []
+        await _read_events(fast_stream, fast_events, 10_000)
+        assert fast.generation.offset == 2 * COUNT
+        await deployment.clock.sleep_ms(2000)
+        assert slow.generation.offset < 100
+        assert slow.attempts == 1
+        await _read_events(stream, events, 10_000)
+        verify_answer('slow', ''.join(slow.generation.tokens), 2000)
+
+    run_virtual(scenario())
+
+
+def test_caller_that_does_not_come_back_is_cancelled() -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment()
+        request = CompletionRequest('furnace', PROMPT, max_tokens=50_000)
+        live, _ = deployment.entries[0].open(request)
+        await _until_offset(live, 10)
+        engine = deployment.node_of(live).engine
+        live.readers -= 1
+        live.abandoned_ms = deployment.clock.now_ms()
+        await deployment.clock.sleep_ms(12_000)
+        assert engine.counts.cancelled == 1
+
+    run_virtual(scenario())
+
+
+def test_no_upstream_left_is_refused_at_once_as_not_run() -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED)
+        for node in deployment.agents:
+            node.engine.die()
+        await deployment.clock.sleep_ms(1000)
+        started_ms = deployment.clock.now_ms()
+        live, _ = deployment.entries[0].open(REQUEST)
+        await _until_over(live)
+        refusal = live.generation.refusal
+        assert refusal is not None
+        assert refusal.ran is Ran.NOT_RUN
+        assert refusal.retry_after_ms > 0
+        assert deployment.clock.now_ms() - started_ms < 1000
+        started = sum(one.engine.counts.started for one in deployment.agents)
+        assert started == 0
+
+    run_virtual(scenario())
+
+
+async def _outrun_by_the_lost_attempt() -> None:
+    """Let a lost attempt's output arrive late and ahead of the new one."""
+    network = MemoryNetwork(duplication=0.3, seed=1)
+    deployment = SmallDeployment(speed=SPEED, network=network)
+    live, _ = deployment.entries[0].open(REQUEST)
+    await _until_offset(live, 10)
+    first = deployment.node_of(live)
+    for node in deployment.agents:
+        if node is not first:
+            node.engine.faults.slow_factor = 20
+    link = (first.transport.address, entry_address(0))
+    network.delay_ms_by_link[link] = 1500
+    await _check_whole(live)
+    assert live.attempts == 2
+
+
+def test_late_output_of_a_lost_attempt_is_dropped() -> None:
+    run_virtual(_outrun_by_the_lost_attempt())
+
+
+def _accept_any_attempt(self: Generation, *_: object) -> bool:
+    return True
+
+
+def _append_without_offset(self: Generation, frame: Frame) -> Verdict:
+    self.tokens.extend(frame.tokens)
+    return Verdict.ACCEPTED if frame.end is None else self._finish(frame.end)
+
+
+@pytest.mark.parametrize(
+    ('name', 'broken'),
+    [
+        ('is_current', _accept_any_attempt),
+        ('_append', _append_without_offset),
+    ],
+)
+def test_checks_notice_a_broken_rule(
+    name: str,
+    broken: object,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The fault above breaks the answer as soon as one rule is missing."""
+    monkeypatch.setattr(Generation, name, broken)
+    with pytest.raises((BrokenAnswerError, AssertionError)):
+        run_virtual(_outrun_by_the_lost_attempt())
