--- /dev/null
+++ b/bergamotthread/connection/curve.py
@@ -0,0 +1,117 @@
+"""Authentication of peers by CURVE keys.
+
+Every process of a deployment holds the same key pair. While keys rotate, old
+and new pairs are in use together: a process accepts the public keys of both
+and tries the accepted keys in turn when it connects.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import zmq
+from absl import logging
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.settings import KeySettings
+
+LOG_INTERVAL_MS = 60_000
+MAX_REMEMBERED_KEYS = 256
+
+_MIN_ZAP_FRAMES = 6
+_ZAP_ADDRESS_FRAME = 3
+
+
+@dataclass
+class CurveGate:
+    """Decides which peers may connect, by their public keys.
+
+    Parameters
+    ----------
+    accepted
+        Z85 text of the public keys that may connect.
+    """
+
+    accepted: frozenset[str]
+    clock: Clock
+    refused: int = 0
+    peer_ip: str = ''
+    logged_ms_by_key: dict[str, float] = field(default_factory=dict)
+
+    @classmethod
+    def from_settings(cls, keys: KeySettings, clock: Clock) -> CurveGate:
+        """Accept the own public key and those that the settings list."""
+        accepted = frozenset((keys.curve_public, *keys.curve_accepted))
+        return cls(accepted=accepted, clock=clock)
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a peer with this public key may connect."""
+        public = key.decode('ascii', 'replace')
+        if public in self.accepted:
+            return True
+        self.refuse(f'CURVE key {public} is not accepted')
+        return False
+
+    def refuse(self, reason: str) -> None:
+        """Count a refused peer and log it once an interval."""
+        self.refused += 1
+        now_ms = self.clock.now_ms()
+        logged_ms = self.logged_ms_by_key.get(reason)
+        if logged_ms is not None and now_ms - logged_ms < LOG_INTERVAL_MS:
+            return
+        if len(self.logged_ms_by_key) >= MAX_REMEMBERED_KEYS:
+            self.logged_ms_by_key.clear()
+        self.logged_ms_by_key[reason] = now_ms
+        logging.warning(
+            'refused a connection: %s',
+            reason,
+            extra={'step': 'transport', 'peer': self.peer_ip},
+        )
+
+
+class _GateAuthenticator(AsyncioAuthenticator):
+    """Tells the gate the IP number of the peer that it decides about."""
+
+    def __init__(
+        self,
+        context: zmq.Context[zmq.Socket[bytes]],
+        gate: CurveGate,
+    ) -> None:
+        super().__init__(context)
+        self._gate = gate
+
+    async def handle_zap_message(self, msg: list[bytes]) -> None:
+        if len(msg) >= _MIN_ZAP_FRAMES:
+            peer_ip = msg[_ZAP_ADDRESS_FRAME]
+            self._gate.peer_ip = peer_ip.decode('ascii', 'replace')
+        await super().handle_zap_message(msg)
+
+
+def start_authenticator(
+    context: zmq.Context[zmq.Socket[bytes]],
+    gate: CurveGate,
+) -> AsyncioAuthenticator:
+    """Start to ask `gate` about each peer that connects to `context`."""
+    authenticator = _GateAuthenticator(context, gate)
+    authenticator.start()
+    authenticator.configure_curve_callback('*', credentials_provider=gate)
+    return authenticator
+
+
+def secure_server(socket: zmq.Socket[bytes], keys: KeySettings) -> None:
+    """Let only peers with an accepted key talk to a bound socket."""
+    socket.curve_server = True
+    socket.curve_publickey = keys.curve_public.encode()
+    socket.curve_secretkey = keys.curve_secret.encode()
+
+
+def secure_client(
+    socket: zmq.Socket[bytes],
+    keys: KeySettings,
+    server_key: str,
+) -> None:
+    """Let a connecting socket talk only to a holder of `server_key`."""
+    socket.curve_serverkey = server_key.encode()
+    socket.curve_publickey = keys.curve_public.encode()
+    socket.curve_secretkey = keys.curve_secret.encode()
