--- a/bergamotthread/process/settings.py
+++ b/bergamotthread/process/settings.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Annotated, Literal
+
 import msgspec
 
+PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+LogFormat = Literal['text', 'json']
+LogLevel = Literal['debug', 'info', 'warning', 'error']
+
 
 class _Settings(
     msgspec.Struct,
@@ -14,7 +22,7 @@
 
 
 class KeySettings(_Settings, frozen=True):
-    """Keys of a deployment; files are PEM (TLS) or Z85 text (CURVE).
+    """Keys of a deployment; files are PEM (TLS), CURVE keys are Z85 text.
 
     `cursor_keys` are hex; the first one signs, all of them verify.
     """
@@ -31,9 +39,9 @@
     """Address (IP number and port) of the platform's table and store."""
 
     address: str
-    reads_per_s: float = 2
-    writes_per_s: float = 1
-    timeout_ms: int = 1000
+    reads_per_s: PositiveFloat = 2
+    writes_per_s: PositiveFloat = 1
+    timeout_ms: PositiveInt = 1000
 
 
 class PlaceSettings(_Settings, frozen=True):
@@ -43,17 +51,24 @@
     """
 
     address: str
-    region: str
-    failure_domain: str
+    region: Name
+    failure_domain: Name
 
 
 class LimitSettings(_Settings, frozen=True):
     """Limits on what a caller may send, in bytes and milliseconds."""
 
-    body_bytes: int = 4_194_304
-    header_bytes: int = 32_768
-    header_timeout_ms: int = 10_000
-    concurrent_requests: int = 2000
+    body_bytes: PositiveInt = 4_194_304
+    header_bytes: PositiveInt = 32_768
+    header_timeout_ms: PositiveInt = 10_000
+    concurrent_requests: PositiveInt = 2000
+
+
+class LogSettings(_Settings, frozen=True):
+    """Form and least severity of the log on standard error."""
+
+    format: LogFormat = 'json'
+    level: LogLevel = 'info'
 
 
 class EntrySettings(_Settings, frozen=True):
@@ -66,6 +81,7 @@
     limits: LimitSettings = LimitSettings()
     peers: tuple[str, ...] = ()
     allow_without_keys: bool = False
+    log: LogSettings = LogSettings()
 
 
 class AgentSettings(_Settings, frozen=True):
@@ -76,11 +92,13 @@
 
     place: PlaceSettings
     upstream: str
-    upstream_name: str
+    upstream_name: Name
     platform: PlatformSettings | None = None
     keys: KeySettings = KeySettings()
     entries: tuple[str, ...] = ()
-    flush_interval_ms: int = 20
-    retention_ms: int = 60_000
-    window_tokens: int = 4096
+    flush_interval_ms: PositiveInt = 20
+    retention_ms: PositiveInt = 60_000
+    window_tokens: PositiveInt = 4096
     checks_fencing: bool = False
+    allow_without_keys: bool = False
+    log: LogSettings = LogSettings()
