Refuse requests whose upstreams die under them, within a bound

Cause: a request that crashes each upstream that runs it, sent again by its caller, would take down the fleet one by one. Ruled out: counting every death, since the loss of a failure domain would then condemn what ran there. Change: PoisonGuard charges deaths by content fingerprint, does not count those of one failure domain within 5 s, clears on 16 tokens of progress, and refuses after 3 counted deaths or 6 of any kind without a completion. A last death that may still prove to be a domain loss is waited for. Charges reach peers once a second, quarantines at once and the table as a row. Measurement: tests/test_poison.py passes (19 tests); the loss of a domain with 100 requests sends 0 bytes of charges. Conclusion: 3 deaths for resends in turn through all entries that hear one another.

--- /dev/null
+++ b/bergamotthread/process/poison.py
@@ -0,0 +1,278 @@
+"""Requests that kill the upstreams that run them.
+
+Every attempt on an upstream that dies is charged with the death, by the
+fingerprint of its content. Progress clears the charges; a death in a failure
+domain that loses several upstreams at once is not counted. A fingerprint with
+`COUNTED_DEATHS_MAX` counted deaths and no progress between them is refused, and
+so is one with `CHARGED_DEATHS_MAX` deaths of any kind and no completion.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from dataclasses import dataclass, field, replace
+from typing import Protocol
+
+import xxhash
+
+from bergamotthread.clock import Clock
+from bergamotthread.errors import Step
+from bergamotthread.process.death_log import CORRELATION_MS, DeathLog
+from bergamotthread.process.running_attempts import CLEARING_TOKENS
+from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
+from bergamotthread.wire.messages import Pin, Quarantine
+
+COUNTED_DEATHS_MAX = 3
+CHARGED_DEATHS_MAX = 6
+QUARANTINE_MS = 86_400_000
+RECORDS_MAX = 4096
+_FIELD_SEPARATOR = '\x1f'
+
+
+def fingerprint(team: str, pin: Pin, prompt: str) -> int:
+    """Return the 64-bit fingerprint of a request's content, never 0."""
+    parts = (team, pin.model, pin.version, pin.adapter, prompt)
+    joined = _FIELD_SEPARATOR.join(parts).encode()
+    return xxhash.xxh3_64_intdigest(joined) or 1
+
+
+@dataclass(frozen=True)
+class Clear:
+    """Nothing speaks against the request."""
+
+
+@dataclass(frozen=True)
+class Suspect:
+    """Upstreams died under the request; it shares none with a suspect."""
+
+    deaths: int
+
+
+@dataclass(frozen=True)
+class Undecided:
+    """The last death may still prove to be the loss of a failure domain."""
+
+    deaths: int
+    wait_ms: float
+
+
+@dataclass(frozen=True)
+class Quarantined:
+    """The request is refused everywhere."""
+
+    deaths: int
+    remaining_ms: float
+
+
+Verdict = Clear | Suspect | Undecided | Quarantined
+
+
+class QuarantineSink(Protocol):
+    """Takes changes of the charges to peers, the table and the audit trail."""
+
+    def charged(self, notice: Quarantine) -> None:
+        """Take in a changed charge of this process."""
+
+    def quarantined(self, notice: Quarantine) -> None:
+        """Take in that this process confirmed a quarantine."""
+
+
+@dataclass(frozen=True)
+class _Attempt:
+    fingerprint: int
+    produced: int = 0
+
+
+@dataclass
+class _Record:
+    death_ids: list[int] = field(default_factory=list)
+    charged: int = 0
+    deaths_by_peer: dict[str, int] = field(default_factory=dict)
+    peer_ms: float = -math.inf
+    quarantined_until_ms: float = 0
+    confirmed_deaths: int = 0
+
+
+@dataclass
+class PoisonGuard:
+    """Charges deaths to fingerprints and refuses those that pass the bounds."""
+
+    clock: Clock
+    sink: QuarantineSink
+    deaths: DeathLog = field(init=False)
+    _attempts_by_agent: dict[str, dict[str, _Attempt]] = field(
+        default_factory=dict,
+    )
+    _record_by_fingerprint: OrderedDict[int, _Record] = field(
+        default_factory=OrderedDict,
+    )
+
+    def __post_init__(self) -> None:
+        self.deaths = DeathLog(self.clock)
+
+    def check(self, content_hash: int) -> Verdict:
+        """Return whether an attempt with this fingerprint may be sent."""
+        record = self._record_by_fingerprint.get(content_hash)
+        if record is None:
+            return Clear()
+        now_ms = self.clock.now_ms()
+        if record.quarantined_until_ms > now_ms:
+            remaining_ms = record.quarantined_until_ms - now_ms
+            return Quarantined(record.confirmed_deaths, remaining_ms)
+        counted = self._counted(content_hash, record)
+        if counted < COUNTED_DEATHS_MAX and record.charged < CHARGED_DEATHS_MAX:
+            return Suspect(counted) if counted else Clear()
+        if record.charged < CHARGED_DEATHS_MAX:
+            wait_ms = self._unsettled_ms(record)
+            if wait_ms > 0:
+                return Undecided(counted, wait_ms)
+        return self._confirm(content_hash, record, max(counted, record.charged))
+
+    def avoided_agents(self, content_hash: int) -> frozenset[str]:
+        """Return agents on which another suspect of this process runs."""
+        return frozenset(
+            agent
+            for agent, attempts in self._attempts_by_agent.items()
+            if any(
+                one.fingerprint != content_hash and self._endangers(one)
+                for one in attempts.values()
+            )
+        )
+
+    def record_start(
+        self, agent: str, generation: str, content_hash: int
+    ) -> None:
+        """Take in that an attempt was sent to an agent."""
+        attempts = self._attempts_by_agent.setdefault(agent, {})
+        attempts[generation] = _Attempt(content_hash)
+
+    def record_progress(
+        self,
+        agent: str,
+        generation: str,
+        produced: int,
+    ) -> None:
+        """Take in the tokens that the attempt has produced in all."""
+        attempts = self._attempts_by_agent.get(agent, {})
+        attempt = attempts.get(generation)
+        if attempt is None or attempt.produced >= CLEARING_TOKENS:
+            return
+        attempts[generation] = replace(attempt, produced=produced)
+        if produced >= CLEARING_TOKENS:
+            self._clear_counted(attempt.fingerprint)
+
+    def record_end(
+        self,
+        agent: str,
+        generation: str,
+        *,
+        completed: bool,
+    ) -> None:
+        """Take in that an attempt ended while its upstream lived."""
+        attempt = self._attempts_by_agent.get(agent, {}).pop(generation, None)
+        if attempt is None or not completed:
+            return
+        record = self._record_by_fingerprint.get(attempt.fingerprint)
+        if record is not None and not record.quarantined_until_ms:
+            self._clear_counted(attempt.fingerprint)
+            self._record_by_fingerprint.pop(attempt.fingerprint)
+
+    def record_death(self, agent: str, failure_domain: str) -> None:
+        """Charge the death of an upstream to all that ran on it from here.
+
+        Deaths of upstreams that ran nothing from here are recorded as well,
+        since they show the loss of a failure domain.
+        """
+        attempts = self._attempts_by_agent.pop(agent, {})
+        content_hashes = frozenset(one.fingerprint for one in attempts.values())
+        death_id = self.deaths.record(failure_domain, content_hashes)
+        for content_hash in content_hashes:
+            record = self._record(content_hash)
+            record.death_ids.append(death_id)
+            record.charged += 1
+        for affected in sorted(self.deaths.contents_near(death_id)):
+            self._notify(affected)
+
+    def merge(self, sender: str, notice: Quarantine) -> None:
+        """Take in charges or a confirmed quarantine from another entry."""
+        record = self._record(notice.fingerprint)
+        if notice.confirmed:
+            self.restore(notice, QUARANTINE_MS)
+        else:
+            record.deaths_by_peer[sender] = notice.deaths
+            record.peer_ms = self.clock.now_ms()
+
+    def restore(self, notice: Quarantine, remaining_ms: float) -> None:
+        """Take in a quarantine, such as one that the table holds."""
+        record = self._record(notice.fingerprint)
+        record.confirmed_deaths = max(record.confirmed_deaths, notice.deaths)
+        record.quarantined_until_ms = self.clock.now_ms() + remaining_ms
+
+    def release(self, content_hash: int) -> None:
+        """Forget a fingerprint, on an operator's word."""
+        self._record_by_fingerprint.pop(content_hash, None)
+
+    def _counted(self, content_hash: int, record: _Record) -> int:
+        own = self.deaths.counted(content_hash, record.death_ids)
+        return own + sum(record.deaths_by_peer.values())
+
+    def _unsettled_ms(self, record: _Record) -> float:
+        peer_ms = record.peer_ms + CORRELATION_MS - self.clock.now_ms()
+        return max(peer_ms, self.deaths.unsettled_ms(record.death_ids))
+
+    def _endangers(self, attempt: _Attempt) -> bool:
+        record = self._record_by_fingerprint.get(attempt.fingerprint)
+        if record is None or attempt.produced >= CLEARING_TOKENS:
+            return False
+        return self._counted(attempt.fingerprint, record) > 0
+
+    def _confirm(
+        self, content_hash: int, record: _Record, deaths: int
+    ) -> Verdict:
+        record.confirmed_deaths = deaths
+        record.quarantined_until_ms = self.clock.now_ms() + QUARANTINE_MS
+        self.sink.quarantined(Quarantine(content_hash, deaths, confirmed=True))
+        return Quarantined(deaths, QUARANTINE_MS)
+
+    def _clear_counted(self, content_hash: int) -> None:
+        record = self._record_by_fingerprint.get(content_hash)
+        if record is None or record.quarantined_until_ms:
+            return
+        record.death_ids.clear()
+        record.deaths_by_peer.clear()
+        self.sink.charged(Quarantine(content_hash, 0, confirmed=False))
+
+    def _notify(self, content_hash: int) -> None:
+        record = self._record_by_fingerprint.get(content_hash)
+        if record is None or record.quarantined_until_ms:
+            return
+        own = self.deaths.counted(content_hash, record.death_ids)
+        self.sink.charged(Quarantine(content_hash, own, confirmed=False))
+
+    def _record(self, content_hash: int) -> _Record:
+        record = self._record_by_fingerprint.setdefault(content_hash, _Record())
+        self._record_by_fingerprint.move_to_end(content_hash)
+        if len(self._record_by_fingerprint) > RECORDS_MAX:
+            self._record_by_fingerprint.popitem(last=False)
+        return record
+
+
+def quarantine_refusal(verdict: Quarantined, *, ran: Ran) -> Refusal:
+    """Return the refusal of a quarantined request."""
+    return Refusal(
+        reason=ReasonCode.QUARANTINED,
+        detail=(
+            f'{verdict.deaths} upstreams died while they ran a request of this'
+            ' content; it is not sent to another one'
+        ),
+        step=Step.ADMIT,
+        ran=ran,
+        decided_by='quarantine',
+        retry_after_ms=int(verdict.remaining_ms),
+        figures={
+            'deaths': verdict.deaths,
+            'counted_deaths_max': COUNTED_DEATHS_MAX,
+            'correlation_ms': CORRELATION_MS,
+        },
+    )
--- /dev/null
+++ b/bergamotthread/process/quarantine_store.py
@@ -0,0 +1,144 @@
+"""Takes charges and quarantines to peers, the table and the audit trail."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import msgspec
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.transport import Transport
+from bergamotthread.errors import StoreConflictError
+from bergamotthread.process.platform import Table
+from bergamotthread.process.poison import (
+    QUARANTINE_MS,
+    PoisonGuard,
+    QuarantineSink,
+)
+from bergamotthread.wire.messages import Quarantine
+
+QUARANTINE_PREFIX = 'quarantine/'
+QUARANTINE_ROWS_MAX = 1000
+UNSAVED_MAX = 256
+CHARGES_MAX = 4096
+
+
+class QuarantineRow(msgspec.Struct, frozen=True):
+    """Body of a row; `until_ms` counts from the Unix epoch."""
+
+    fingerprint: int
+    deaths: int
+    until_ms: int
+    decided_by: str
+
+
+class AuditSink(Protocol):
+    """Takes what the audit trail must show."""
+
+    def quarantine_recorded(self, row: QuarantineRow) -> None:
+        """Take in a quarantine that this process confirmed."""
+
+
+def quarantine_key(content_hash: int) -> str:
+    """Return the key of the row of a fingerprint."""
+    return f'{QUARANTINE_PREFIX}{content_hash:016x}'
+
+
+@dataclass
+class QuarantinePublisher(QuarantineSink):
+    """Tells peers and keeps rows until the table has taken them.
+
+    A quarantine is told at once. Charges wait for `flush`, which tells only
+    the newest of each fingerprint, so that the loss of a failure domain, whose
+    charges fall to zero again, costs no traffic.
+    """
+
+    clock: Clock
+    transport: Transport
+    table: Table
+    audit: AuditSink
+    peers: Callable[[], tuple[str, ...]]
+    lost_rows: int = 0
+    _charge_by_fingerprint: dict[int, Quarantine] = field(default_factory=dict)
+    _told_by_fingerprint: dict[int, int] = field(default_factory=dict)
+    _unsaved: list[QuarantineRow] = field(default_factory=list)
+
+    def charged(self, notice: Quarantine) -> None:
+        """Keep a changed charge for the next `flush`."""
+        self._charge_by_fingerprint[notice.fingerprint] = notice
+
+    def quarantined(self, notice: Quarantine) -> None:
+        """Tell all peers at once and keep the row to be saved."""
+        self._tell_peers(notice)
+        row = QuarantineRow(
+            fingerprint=notice.fingerprint,
+            deaths=notice.deaths,
+            until_ms=self.clock.calendar_ms() + QUARANTINE_MS,
+            decided_by=self.transport.address,
+        )
+        self.audit.quarantine_recorded(row)
+        self._unsaved.append(row)
+        if len(self._unsaved) > UNSAVED_MAX:
+            self._unsaved.pop(0)
+            self.lost_rows += 1
+
+    def flush(self) -> None:
+        """Tell peers the charges that have changed; call about once a second.
+
+        Charges that rose and fell to zero between two calls are not told.
+        """
+        for content_hash, notice in self._charge_by_fingerprint.items():
+            if notice.deaths == self._told_by_fingerprint.get(content_hash, 0):
+                continue
+            self._told_by_fingerprint[content_hash] = notice.deaths
+            self._tell_peers(notice)
+        self._charge_by_fingerprint.clear()
+        while len(self._told_by_fingerprint) > CHARGES_MAX:
+            oldest = next(iter(self._told_by_fingerprint))
+            self._told_by_fingerprint.pop(oldest)
+
+    async def save(self) -> None:
+        """Write all rows that the table has not taken yet.
+
+        Raises
+        ------
+        StoreUnavailableError
+            If the table does not answer; the rows are kept for the next call.
+        """
+        while self._unsaved:
+            row = self._unsaved[0]
+            await self._write(row)
+            if row in self._unsaved:
+                self._unsaved.remove(row)
+
+    async def load(self, guard: PoisonGuard) -> None:
+        """Hand all rows of the table that still hold to a guard."""
+        rows = await self.table.scan(
+            QUARANTINE_PREFIX,
+            limit=QUARANTINE_ROWS_MAX,
+        )
+        calendar_ms = self.clock.calendar_ms()
+        for stored in rows:
+            row = msgspec.json.decode(stored.body, type=QuarantineRow)
+            notice = Quarantine(row.fingerprint, row.deaths, confirmed=True)
+            if row.until_ms > calendar_ms:
+                guard.restore(notice, row.until_ms - calendar_ms)
+
+    async def _write(self, row: QuarantineRow) -> None:
+        key = quarantine_key(row.fingerprint)
+        held = await self.table.read(key)
+        expected = held.revision if held else 0
+        try:
+            await self.table.write(
+                key,
+                msgspec.json.encode(row),
+                expected=expected,
+            )
+        except StoreConflictError:
+            return
+
+    def _tell_peers(self, notice: Quarantine) -> None:
+        for peer in self.peers():
+            self.transport.send(peer, notice)
--- a/bergamotthread/process/running_attempts.py
+++ b/bergamotthread/process/running_attempts.py
@@ -10,6 +10,7 @@
 DEFAULT_OUTPUT_TOKENS = 300
 DEFAULT_RUN_MS = 10_000
 DEFAULT_PREFILL_PER_S = 8000
+CLEARING_TOKENS = 16
 _SMOOTHING = 0.05
 _RATE_DECAY = 0.9
 _MS_PER_S = 1000
@@ -105,8 +106,11 @@
 
     @property
     def suspects(self) -> int:
-        """Return how many suspect attempts run."""
-        return sum(one.dispatch.suspect for one in self.by_key.values())
+        """Return how many suspect attempts run without progress yet."""
+        return sum(
+            one.dispatch.suspect and one.produced < CLEARING_TOKENS
+            for one in self.by_key.values()
+        )
 
     def count_by_team(self) -> Counter[str]:
         """Return the number of attempts of each team."""
--- /dev/null
+++ b/tests/test_poison.py
@@ -0,0 +1,319 @@
+import asyncio
+
+import pytest
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.poison import (
+    CHARGED_DEATHS_MAX,
+    COUNTED_DEATHS_MAX,
+    Clear,
+    PoisonGuard,
+    Quarantined,
+    Suspect,
+    Undecided,
+    fingerprint,
+    quarantine_refusal,
+)
+from bergamotthread.process.quarantine_store import (
+    QuarantinePublisher,
+    QuarantineRow,
+)
+from bergamotthread.request.refusal import Ran, ReasonCode
+from bergamotthread.testing.memory_network import MemoryNetwork
+from bergamotthread.testing.memory_platform import MemoryPlatform, MemoryTable
+from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.wire.messages import Pin, Quarantine
+from tests.placement_fixtures import ManualTime
+
+_POISON = 666
+_SETTLED_MS = 6000
+
+
+class _Sink:
+    def __init__(self) -> None:
+        self.charges: list[Quarantine] = []
+        self.confirmed: list[Quarantine] = []
+
+    def charged(self, notice: Quarantine) -> None:
+        self.charges.append(notice)
+
+    def quarantined(self, notice: Quarantine) -> None:
+        self.confirmed.append(notice)
+
+
+def _guard(time: ManualTime) -> PoisonGuard:
+    return PoisonGuard(time.clock, _Sink())
+
+
+def _die(guard, time, index, content=_POISON, beside=(), domain=None) -> None:
+    agent = f'agent{index}'
+    for one in (content, *beside):
+        guard.record_start(agent, f'g{one}', one)
+    guard.record_death(agent, domain or f'd{index}')
+    time.advance_ms(_SETTLED_MS)
+
+
+@pytest.mark.parametrize(
+    'other',
+    [
+        ('team2', Pin('m', '1'), 'text'),
+        ('team', Pin('m', '2'), 'text'),
+        ('team', Pin('m', '1', 'a'), 'text'),
+        ('team', Pin('m', '1'), 'text2'),
+    ],
+)
+def test_fingerprint_covers_team_pin_and_prompt(other) -> None:
+    same = fingerprint('team', Pin('m', '1'), 'text')
+    assert same == fingerprint('team', Pin('m', '1'), 'text') != 0
+    assert fingerprint(*other) != same
+
+
+def test_bounded_deaths_quarantine_once_and_explain() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    for index in range(COUNTED_DEATHS_MAX):
+        assert not isinstance(guard.check(_POISON), Quarantined)
+        _die(guard, time, index)
+    verdict = guard.check(_POISON)
+    assert isinstance(verdict, Quarantined)
+    assert isinstance(guard.check(_POISON), Quarantined)
+    assert len(guard.sink.confirmed) == 1
+    refusal = quarantine_refusal(verdict, ran=Ran.MAYBE)
+    assert refusal.reason is ReasonCode.QUARANTINED
+    assert '3 upstreams died' in refusal.detail
+
+
+def test_request_beside_a_poison_is_kept_apart_and_then_cleared() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    innocent = 7
+    _die(guard, time, 0, beside=(innocent,))
+    assert guard.check(innocent) == Suspect(1)
+    guard.record_start('agent1', 'g7', innocent)
+    assert guard.avoided_agents(_POISON) == {'agent1'}
+    assert guard.avoided_agents(innocent) == frozenset()
+    guard.record_progress('agent1', 'g7', 16)
+    assert guard.check(innocent) == Clear()
+    assert guard.avoided_agents(_POISON) == frozenset()
+    for index in (2, 3):
+        _die(guard, time, index)
+    assert isinstance(guard.check(_POISON), Quarantined)
+    assert guard.check(innocent) == Clear()
+
+
+@pytest.mark.parametrize('order', [(0, 1, 2), (2, 0, 1)])
+def test_loss_of_a_failure_domain_condemns_nobody(order) -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    for round_index in range(COUNTED_DEATHS_MAX):
+        for index in order:
+            agent = f'agent{round_index}-{index}'
+            guard.record_start(agent, f'g{index}', index + 1)
+        for index in order:
+            agent = f'agent{round_index}-{index}'
+            guard.record_death(agent, f'd{round_index}')
+            time.advance_ms(1500)
+        time.advance_ms(_SETTLED_MS)
+    for index in order:
+        assert guard.check(index + 1) == Clear()
+
+
+def test_upstream_that_ran_nothing_from_here_shows_the_domain_loss() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    guard.record_start('agent0', 'g', _POISON)
+    guard.record_death('agent0', 'd0')
+    assert guard.check(_POISON) == Suspect(1)
+    guard.record_death('agent1', 'd0')
+    assert guard.check(_POISON) == Clear()
+
+
+def test_poison_that_stays_in_one_domain_is_still_counted() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    for index in range(COUNTED_DEATHS_MAX):
+        guard.record_start(f'agent{index}', 'g', _POISON)
+        guard.record_death(f'agent{index}', 'd0')
+        time.advance_ms(500)
+    time.advance_ms(_SETTLED_MS)
+    assert isinstance(guard.check(_POISON), Quarantined)
+
+
+def test_last_death_is_settled_before_a_request_is_condemned() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    _die(guard, time, 0)
+    _die(guard, time, 1)
+    guard.record_start('agent2', 'g', _POISON)
+    guard.record_death('agent2', 'd2')
+    verdict = guard.check(_POISON)
+    assert verdict == Undecided(3, pytest.approx(5000))
+    time.advance_ms(1000)
+    guard.record_death('agent3', 'd2')
+    assert guard.check(_POISON) == Suspect(2)
+
+
+def test_poison_that_produces_tokens_first_is_bounded_too() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    for index in range(CHARGED_DEATHS_MAX):
+        assert not isinstance(guard.check(_POISON), Quarantined)
+        guard.record_start(f'agent{index}', 'g', _POISON)
+        guard.record_progress(f'agent{index}', 'g', 100)
+        guard.record_death(f'agent{index}', f'd{index}')
+        time.advance_ms(_SETTLED_MS)
+    assert isinstance(guard.check(_POISON), Quarantined)
+
+
+def test_completion_forgets_the_charges() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    for index in range(CHARGED_DEATHS_MAX - 1):
+        guard.record_start(f'agent{index}', 'g', _POISON)
+        guard.record_progress(f'agent{index}', 'g', 100)
+        guard.record_death(f'agent{index}', f'd{index}')
+        time.advance_ms(_SETTLED_MS)
+    guard.record_start('last', 'g', _POISON)
+    guard.record_end('last', 'g', completed=True)
+    _die(guard, time, 90)
+    assert guard.check(_POISON) == Suspect(1)
+
+
+def test_charges_of_peers_add_up_whatever_order_they_come_in() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    guard.merge('entry1', Quarantine(_POISON, 1, confirmed=False))
+    guard.merge('entry1', Quarantine(_POISON, 1, confirmed=False))
+    guard.merge('entry2', Quarantine(_POISON, 1, confirmed=False))
+    time.advance_ms(_SETTLED_MS)
+    assert guard.check(_POISON) == Suspect(2)
+    _die(guard, time, 0)
+    assert isinstance(guard.check(_POISON), Quarantined)
+
+
+def test_released_fingerprint_may_run_again() -> None:
+    guard = _guard(ManualTime())
+    guard.merge('entry1', Quarantine(_POISON, 3, confirmed=True))
+    assert isinstance(guard.check(_POISON), Quarantined)
+    guard.release(_POISON)
+    assert guard.check(_POISON) == Clear()
+
+
+class _Audit:
+    def __init__(self) -> None:
+        self.rows: list[QuarantineRow] = []
+
+    def quarantine_recorded(self, row: QuarantineRow) -> None:
+        self.rows.append(row)
+
+
+class _Entry:
+    def __init__(self, network, platform, name, peers) -> None:
+        clock = platform.clock
+        self.audit = _Audit()
+        self.publisher = QuarantinePublisher(
+            clock=clock,
+            transport=network.transport(name),
+            table=MemoryTable(platform),
+            audit=self.audit,
+            peers=lambda: peers,
+        )
+        self.guard = PoisonGuard(clock, self.publisher)
+        self.publisher.transport.start(
+            lambda envelope: self.guard.merge(
+                envelope.sender,
+                envelope.message,
+            ),
+        )
+
+
+def _entries() -> tuple[Clock, MemoryNetwork, MemoryPlatform, list[_Entry]]:
+    clock = Clock.from_loop(asyncio.get_running_loop())
+    network = MemoryNetwork(delay_ms=20)
+    platform = MemoryPlatform(clock)
+    names = ('e0', 'e1', 'e2')
+    entries = [
+        _Entry(network, platform, name, tuple(set(names) - {name}))
+        for name in names
+    ]
+    return clock, network, platform, entries
+
+
+async def _kill_from(entry: _Entry, clock: Clock, deaths: int) -> None:
+    for index in range(deaths):
+        entry.guard.record_start(f'a{index}', 'g', _POISON)
+        entry.guard.record_death(f'a{index}', f'd{index}')
+        entry.publisher.flush()
+        await clock.sleep_ms(_SETTLED_MS)
+
+
+async def _resend() -> None:
+    clock, _, platform, entries = _entries()
+    await _kill_from(entries[0], clock, 3)
+    assert isinstance(entries[0].guard.check(_POISON), Quarantined)
+    platform.faults.down = True
+    with pytest.raises(Exception, match='platform is down'):
+        await entries[0].publisher.save()
+    await clock.sleep_ms(50)
+    for entry in entries:
+        assert isinstance(entry.guard.check(_POISON), Quarantined)
+    platform.faults.down = False
+    await entries[0].publisher.save()
+    assert len(platform.rows_by_key) == 1
+    assert len(entries[0].audit.rows) == 1
+    late = _Entry(MemoryNetwork(), platform, 'late', ())
+    await late.publisher.load(late.guard)
+    assert isinstance(late.guard.check(_POISON), Quarantined)
+
+
+def test_resend_through_another_entry_is_refused() -> None:
+    run_virtual(_resend())
+
+
+async def _spread_resends() -> int:
+    clock, _, _, entries = _entries()
+    deaths = 0
+    for index in range(9):
+        entry = entries[index % 3]
+        if isinstance(entry.guard.check(_POISON), Quarantined):
+            continue
+        entry.guard.record_start(f'a{index}', 'g', _POISON)
+        entry.guard.record_death(f'a{index}', f'd{index}')
+        entry.publisher.flush()
+        deaths += 1
+        await clock.sleep_ms(_SETTLED_MS)
+    return deaths
+
+
+def test_resends_in_turn_through_all_entries_kill_no_more() -> None:
+    assert run_virtual(_spread_resends()) == COUNTED_DEATHS_MAX
+
+
+async def _domain_loss_traffic() -> int:
+    clock, network, _, entries = _entries()
+    for index in range(100):
+        entries[0].guard.record_start(f'a{index}', f'g{index}', index + 1)
+    for index in range(100):
+        entries[0].guard.record_death(f'a{index}', 'd0')
+    entries[0].publisher.flush()
+    await clock.sleep_ms(100)
+    return network.bytes_by_sender.get('e0', 0)
+
+
+def test_domain_loss_sends_no_charges() -> None:
+    assert run_virtual(_domain_loss_traffic()) == 0
+
+
+async def _lost_answer() -> None:
+    clock, _, platform, entries = _entries()
+    await _kill_from(entries[0], clock, 3)
+    entries[0].guard.check(_POISON)
+    platform.faults.lost_answers = 1
+    with pytest.raises(Exception, match='answer lost'):
+        await entries[0].publisher.save()
+    await entries[0].publisher.save()
+    assert len(platform.rows_by_key) == 1
+
+
+def test_row_whose_answer_was_lost_is_written_again() -> None:
+    run_virtual(_lost_answer())
