Budget retries per team and per process

Cause: retries without a budget keep an overload alive after its cause. Change: token buckets fed by successes, whose size grows with what is in flight, so that a lost share can be resumed at once. Measurement: tests/test_retry_budget.py passes (8 tests); half of 40 in flight is granted at once, requests that all fail earn nothing.

--- /dev/null
+++ b/bergamotthread/process/retry_budget.py
@@ -0,0 +1,159 @@
+"""Budgets that keep retries from multiplying an overload."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from bergamotthread.clock import Clock
+
+TEAMS_MAX = 10_000
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True)
+class RetryLimits:
+    """Refill and size of a budget, in retries.
+
+    Parameters
+    ----------
+    per_success
+        Retries earned by each attempt that succeeds.
+    per_s
+        Retries earned each second without any success.
+    burst
+        Retries that can be saved up with nothing in flight.
+    per_in_flight
+        Further retries that can be saved up for each request in flight, so
+        that the loss of a share of the upstreams can be resumed at once.
+    """
+
+    per_success: float = 0.1
+    per_s: float = 0.5
+    burst: float = 10
+    per_in_flight: float = 0.5
+
+
+@dataclass
+class TokenBucket:
+    """Retries left; starts full."""
+
+    limits: RetryLimits
+    clock: Clock
+    in_flight: int = 0
+    _balance: float = field(init=False)
+    _refilled_ms: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._balance = self.limits.burst
+        self._refilled_ms = self.clock.now_ms()
+
+    @property
+    def capacity(self) -> float:
+        """Return how many retries can be saved up now."""
+        return self.limits.burst + self.limits.per_in_flight * self.in_flight
+
+    @property
+    def balance(self) -> float:
+        """Return the retries left now."""
+        now_ms = self.clock.now_ms()
+        earned = (now_ms - self._refilled_ms) / _MS_PER_S * self.limits.per_s
+        self._refilled_ms = now_ms
+        self._balance = min(self.capacity, self._balance + earned)
+        return self._balance
+
+    def start(self) -> None:
+        """Count a request in flight, whose share can be spent at once."""
+        self.in_flight += 1
+        self._balance += self.limits.per_in_flight
+
+    def end(self, *, succeeded: bool) -> None:
+        """Uncount a request and its share; a success earns its own.
+
+        What was spent from the share becomes a debt, so that requests that
+        fail earn nothing.
+        """
+        self.in_flight = max(0, self.in_flight - 1)
+        self._balance -= self.limits.per_in_flight
+        if succeeded:
+            self._balance += self.limits.per_success
+        self._balance = min(self.capacity, self._balance)
+
+    def spend(self) -> None:
+        """Take one retry out."""
+        self._balance = self.balance - 1
+
+    def wait_ms(self) -> float:
+        """Return the time until one retry is there without a success."""
+        missing = max(0, 1 - self.balance)
+        return missing / self.limits.per_s * _MS_PER_S
+
+
+@dataclass(frozen=True)
+class Granted:
+    """The retry may be sent; it has been taken from both budgets."""
+
+
+@dataclass(frozen=True)
+class Denied:
+    """The retry must not be sent.
+
+    `decided_by` is the budget that was empty: `process` or `teams/<name>`.
+    """
+
+    decided_by: str
+    retry_after_ms: int
+
+
+@dataclass
+class RetryBudget:
+    """Budgets of this process and of each team that uses it."""
+
+    clock: Clock
+    team_limits: RetryLimits = RetryLimits()
+    process_limits: RetryLimits = RetryLimits(burst=100, per_s=5)
+    _bucket_by_team: OrderedDict[str, TokenBucket] = field(
+        default_factory=OrderedDict,
+    )
+
+    def __post_init__(self) -> None:
+        self._process = TokenBucket(self.process_limits, self.clock)
+
+    def record_start(self, team: str) -> None:
+        """Count a request that was accepted."""
+        self._process.start()
+        self._bucket(team).start()
+
+    def record_end(self, team: str, *, succeeded: bool) -> None:
+        """Uncount a request that `record_start` counted."""
+        self._process.end(succeeded=succeeded)
+        self._bucket(team).end(succeeded=succeeded)
+
+    def spend(self, team: str) -> Granted | Denied:
+        """Take one retry of a team, or tell when to come again."""
+        bucket = self._bucket(team)
+        if bucket.balance < 1:
+            return Denied(f'teams/{team}', int(bucket.wait_ms()) + 1)
+        if self._process.balance < 1:
+            return Denied('process', int(self._process.wait_ms()) + 1)
+        bucket.spend()
+        self._process.spend()
+        return Granted()
+
+    def _bucket(self, team: str) -> TokenBucket:
+        bucket = self._bucket_by_team.get(team)
+        if bucket is None:
+            bucket = TokenBucket(self.team_limits, self.clock)
+            self._bucket_by_team[team] = bucket
+            self._forget_idle()
+        self._bucket_by_team.move_to_end(team)
+        return bucket
+
+    def _forget_idle(self) -> None:
+        """Drop the least recently used team that has nothing in flight."""
+        if len(self._bucket_by_team) <= TEAMS_MAX:
+            return
+        for team, bucket in self._bucket_by_team.items():
+            if not bucket.in_flight:
+                self._bucket_by_team.pop(team)
+                return
--- /dev/null
+++ b/tests/test_retry_budget.py
@@ -0,0 +1,96 @@
+import pytest
+
+from bergamotthread.process import retry_budget
+from bergamotthread.process.retry_budget import (
+    Denied,
+    Granted,
+    RetryBudget,
+    RetryLimits,
+)
+from tests.placement_fixtures import ManualTime
+
+
+def _budget(time: ManualTime, process_burst: float = 100) -> RetryBudget:
+    return RetryBudget(
+        time.clock,
+        RetryLimits(per_success=0.5, per_s=0.5, burst=2, per_in_flight=0.5),
+        RetryLimits(per_success=0, per_s=1, burst=process_burst),
+    )
+
+
+def _granted(budget: RetryBudget, count: int, team: str = 't') -> int:
+    spent = [budget.spend(team) for _ in range(count)]
+    return sum(isinstance(one, Granted) for one in spent)
+
+
+def test_burst_then_denied_with_the_true_time_to_come_again() -> None:
+    time = ManualTime()
+    budget = _budget(time)
+    assert _granted(budget, 5) == 2
+    denied = budget.spend('t')
+    assert isinstance(denied, Denied)
+    assert denied.decided_by == 'teams/t'
+    assert denied.retry_after_ms == 2001
+    time.advance_ms(denied.retry_after_ms - 2)
+    assert isinstance(budget.spend('t'), Denied)
+    time.advance_ms(3)
+    assert isinstance(budget.spend('t'), Granted)
+
+
+def test_one_team_does_not_use_up_another() -> None:
+    budget = _budget(ManualTime())
+    assert _granted(budget, 9, 'large') == 2
+    assert _granted(budget, 9, 'small') == 2
+
+
+def test_process_budget_bounds_all_teams() -> None:
+    budget = _budget(ManualTime(), process_burst=3)
+    granted = sum(_granted(budget, 2, f't{index}') for index in range(5))
+    assert granted == 3
+    denied = budget.spend('t9')
+    assert isinstance(denied, Denied)
+    assert denied.decided_by == 'process'
+    assert _granted(budget, 1, 't9') == 0
+
+
+def test_successes_earn_retries() -> None:
+    budget = _budget(ManualTime())
+    _granted(budget, 2)
+    for _ in range(4):
+        budget.record_start('t')
+        budget.record_end('t', succeeded=True)
+    assert _granted(budget, 9) == 2
+
+
+def test_failures_earn_nothing() -> None:
+    budget = _budget(ManualTime())
+    granted = 0
+    for _ in range(50):
+        budget.record_start('t')
+        budget.record_start('t')
+        granted += _granted(budget, 3)
+        budget.record_end('t', succeeded=False)
+        budget.record_end('t', succeeded=False)
+    assert granted <= 3
+
+
+@pytest.mark.parametrize(('in_flight', 'granted'), [(0, 2), (40, 22)])
+def test_half_of_what_is_in_flight_can_be_resumed_at_once(
+    in_flight: int,
+    granted: int,
+) -> None:
+    budget = _budget(ManualTime())
+    for _ in range(in_flight):
+        budget.record_start('t')
+    assert _granted(budget, 100) == granted
+
+
+def test_idle_teams_are_forgotten_and_busy_ones_kept(monkeypatch) -> None:
+    monkeypatch.setattr(retry_budget, 'TEAMS_MAX', 2)
+    budget = _budget(ManualTime())
+    budget.record_start('busy')
+    _granted(budget, 9, 'busy')
+    for team in ('a', 'b', 'c'):
+        _granted(budget, 9, team)
+    assert _granted(budget, 9, 'busy') == 0
+    assert _granted(budget, 9, 'a') == 2
