--- /dev/null
+++ b/bergamotthread/process/http_server.py
@@ -0,0 +1,53 @@
+"""Configuration of the HTTP server from settings."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import uvicorn
+from starlette.types import ASGIApp
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.address import Address
+from bergamotthread.connection.body_limit import BodyLimit
+from bergamotthread.connection.http_limits import HttpConfig
+from bergamotthread.process.settings import EntrySettings
+from bergamotthread.request.refusal import Refusal
+
+KEEP_ALIVE_TIMEOUT_S = 75
+
+
+def create_http_config(
+    app: ASGIApp,
+    settings: EntrySettings,
+    clock: Clock,
+    refuse: Callable[[Refusal], Refusal],
+) -> uvicorn.Config:
+    """Return the configuration of the server that callers reach.
+
+    Parameters
+    ----------
+    app
+        Application; it receives each body in one part.
+    refuse
+        Stamps a refusal with a request id, records it and returns it.
+    """
+    address = Address.from_text(settings.listen)
+    return HttpConfig(
+        BodyLimit(app, settings.limits, refuse),
+        settings.limits,
+        clock,
+        host=str(address.ip),
+        port=address.port,
+        loop='asyncio',
+        ws='none',
+        lifespan='off',
+        interface='asgi3',
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        timeout_keep_alive=KEEP_ALIVE_TIMEOUT_S,
+        ssl_certfile=settings.keys.tls_certificate_file or None,
+        ssl_keyfile=settings.keys.tls_key_file or None,
+    )
--- a/bergamotthread/process/settings.py
+++ b/bergamotthread/process/settings.py
@@ -56,11 +56,16 @@
 
 
 class LimitSettings(_Settings, frozen=True):
-    """Limits on what a caller may send, in bytes and milliseconds."""
+    """Limits on what callers may send, in bytes and milliseconds.
+
+    `held_body_bytes` bounds all bodies that one process holds at once.
+    """
 
     body_bytes: PositiveInt = 4_194_304
     header_bytes: PositiveInt = 32_768
     header_timeout_ms: PositiveInt = 10_000
+    body_timeout_ms: PositiveInt = 30_000
+    held_body_bytes: PositiveInt = 67_108_864
     concurrent_requests: PositiveInt = 2000
 
 
