--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -11,6 +11,9 @@
 
 import msgspec
 
+KEY_HEADER = 'Idempotency-Key'
+FENCE_HEADER = 'Fencing-Token'
+
 
 class _Message(
     msgspec.Struct,
@@ -61,7 +64,11 @@
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """Load of one upstream as its agent knows it; `age_ms` is the lag."""
+    """Load of one upstream as its agent knows it; `age_ms` is the lag.
+
+    `prefill_tokens` are waiting or under way; `prefill_per_s` is the rate in
+    tokens per second that the agent has seen, 0 where it has seen none.
+    """
 
     running: int = 0
     queued: int = 0
@@ -70,10 +77,17 @@
     age_ms: float = 0
     draining: bool = False
     cached_prefixes: tuple[int, ...] = ()
+    prefill_tokens: int = 0
+    prefill_per_s: float = 0
+    between_tokens_ms: float = 0
 
 
 class Dispatch(_Message, frozen=True, array_like=True, tag=True):
-    """Entry to agent: run one attempt after the `accepted` tokens."""
+    """Entry to agent: run one attempt after the `accepted` tokens.
+
+    `suspect` marks a request whose upstreams died; at most one such runs on an
+    upstream at a time.
+    """
 
     generation: str
     attempt: int
@@ -87,6 +101,7 @@
     fingerprint: int = 0
     warm_only: bool = False
     config_version: int = 0
+    suspect: bool = False
 
 
 class Admitted(_Message, frozen=True, array_like=True, tag=True):
@@ -96,6 +111,13 @@
     attempt: int
 
 
+class Waiting(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: the attempt waits for capacity, nothing was sent."""
+
+    generation: str
+    attempt: int
+
+
 class Declined(_Message, frozen=True, array_like=True, tag=True):
     """Agent to entry: the attempt was not dispatched and never will be."""
 
@@ -166,7 +188,11 @@
 
 
 class CallDispatch(_Message, frozen=True, array_like=True, tag=True):
-    """Entry to agent: send one call to the plain service beside it."""
+    """Entry to agent: send one call to the plain service beside it.
+
+    `incarnation` is that of the only agent process that may send the call; 0
+    allows any and is used for idempotent calls alone.
+    """
 
     call: str
     attempt: int
@@ -177,6 +203,7 @@
     remaining_ms: float
     fence: int = 0
     key: str = ''
+    incarnation: int = 0
 
 
 class CallStatus(enum.StrEnum):
@@ -309,10 +336,28 @@
     confirmed: bool
 
 
+class CallOffer(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to agent: would a call be taken; nothing is sent yet."""
+
+    call: str
+    attempt: int
+
+
+class CallOfferReply(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: answer to `CallOffer`; binds nobody."""
+
+    call: str
+    attempt: int
+    accepted: bool
+    reason: str = ''
+    retry_after_ms: int = 0
+
+
 Message = (
     Dispatch
     | Admitted
     | Declined
+    | Waiting
     | Cancel
     | Revoke
     | Revoked
@@ -333,6 +378,8 @@
     | Order
     | OrderReply
     | Quarantine
+    | CallOffer
+    | CallOfferReply
 )
 
 
