Authenticate callers and operators by bearer credentials

Cause: a request has to be tied to one team, and an operator's command to an operator, before anything else is decided.

Conclusion: lookups take the digest only, so their time tells nothing.

--- /dev/null
+++ b/bergamotthread/request/authentication.py
@@ -0,0 +1,109 @@
+"""Who sends a request, from its bearer credential."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+from bergamotthread.errors import Step
+from bergamotthread.request.refusal import (
+    Ran,
+    ReasonCode,
+    Refusal,
+    RefusedError,
+)
+from bergamotthread.version.objects import Operator, Team
+from bergamotthread.version.published import PublishedVersion
+
+MAX_CREDENTIAL_CHARACTERS = 512
+
+_SCHEME = 'bearer'
+
+
+def authenticate_team(authorization: str, published: PublishedVersion) -> Team:
+    """Return the team that a credential belongs to.
+
+    Parameters
+    ----------
+    authorization
+        Value of the ``Authorization`` header; empty where there is none.
+
+    Raises
+    ------
+    RefusedError
+        If no team of the version has the credential.
+    """
+    digest = _digest(authorization, published)
+    team = published.teams_by_credential_hash.get(digest)
+    if team is None:
+        detail = 'the credential belongs to no team'
+        raise _refused(ReasonCode.UNAUTHENTICATED, detail, published)
+    return team
+
+
+def authenticate_operator(
+    authorization: str,
+    published: PublishedVersion,
+) -> Operator:
+    """Return the operator that a credential belongs to.
+
+    Raises
+    ------
+    RefusedError
+        If no operator of the version has the credential; with the reason
+        `forbidden` where it is a team's.
+    """
+    digest = _digest(authorization, published)
+    for operator in published.object_set.operators:
+        if _holds(operator, digest):
+            return operator
+    if digest in published.teams_by_credential_hash:
+        detail = 'the credential is that of a team, expected an operator'
+        raise _refused(ReasonCode.FORBIDDEN, detail, published)
+    detail = 'the credential belongs to no operator'
+    raise _refused(ReasonCode.UNAUTHENTICATED, detail, published)
+
+
+def _holds(operator: Operator, digest: str) -> bool:
+    matches = [
+        hmac.compare_digest(digest, known)
+        for known in operator.credential_hashes
+    ]
+    return any(matches)
+
+
+def _digest(authorization: str, published: PublishedVersion) -> str:
+    """Return the SHA-256 digest of the credential in hex.
+
+    Credentials are found by their digest alone, so that the time of a lookup
+    tells nothing about a credential.
+    """
+    scheme, _, secret = authorization.partition(' ')
+    if scheme.lower() != _SCHEME or not secret:
+        detail = 'expected the header "Authorization: Bearer CREDENTIAL"'
+        raise _refused(ReasonCode.UNAUTHENTICATED, detail, published)
+    if len(secret) > MAX_CREDENTIAL_CHARACTERS:
+        detail = (
+            f'credential of {len(secret)} characters, '
+            f'expected at most {MAX_CREDENTIAL_CHARACTERS}'
+        )
+        raise _refused(ReasonCode.UNAUTHENTICATED, detail, published)
+    encoded = secret.strip().encode('utf-8', 'surrogatepass')
+    return hashlib.sha256(encoded).hexdigest()
+
+
+def _refused(
+    reason: ReasonCode,
+    detail: str,
+    published: PublishedVersion,
+) -> RefusedError:
+    return RefusedError(
+        Refusal(
+            reason=reason,
+            detail=detail,
+            step=Step.AUTHENTICATE,
+            ran=Ran.NOT_RUN,
+            config_version=published.version,
+            decided_by='teams, operators',
+        ),
+    )
