The thin path: entry, agent, CLI and demo over real sockets

Cause: the parts ran only in virtual time. Change: entry and agent processes with their commands, a loopback deployment of each user, and the demo. Found on the way: an entry admitted by a version that its placement had not taken yet (0 known upstreams for up to 20 ms after the start), so a version is now put in force for all decisions at once, when it is first used.

--- /dev/null
+++ b/bergamotthread/cli/demo.py
@@ -0,0 +1,27 @@
+"""The demonstration command."""
+
+from __future__ import annotations
+
+import asyncio
+
+import click
+
+from standins.demo import DemoError, run_demo
+from standins.tokens import BrokenAnswerError
+
+
+@click.command('demo')
+def demo() -> None:
+    """Run both users' deployments in small on loopback.
+
+    Streams a reading, kills the engine under it, and publishes a change. The
+    exit code is 1 if anything that is shown does not hold.
+    """
+    try:
+        asyncio.run(run_demo(click.echo))
+    except (DemoError, BrokenAnswerError) as error:
+        raise click.ClickException(str(error)) from error
+    click.echo('all of it held')
+
+
+COMMANDS: tuple[click.Command, ...] = (demo,)
--- a/bergamotthread/process/agent.py
+++ b/bergamotthread/process/agent.py
@@ -106,7 +106,6 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        self._transport.start(self.on_message)
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._flush_forever())
--- /dev/null
+++ b/bergamotthread/process/agent_process.py
@@ -0,0 +1,105 @@
+"""One agent: all that a process beside an engine consists of."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.http_engine import HttpEngineClient
+from bergamotthread.connection.transport import Transport
+from bergamotthread.connection.zmq_transport import ZmqTransport
+from bergamotthread.process.agent import Agent, AgentConfig
+from bergamotthread.process.drain_state import DrainPhase
+from bergamotthread.process.settings import AgentSettings
+from bergamotthread.version.distribution import VersionHolder
+from bergamotthread.wire.messages import Envelope
+
+CHECK_INTERVAL_MS = 100
+MAX_HEARD_ENTRIES = 8
+
+
+class AgentProcess:
+    """Serves entries until its task is cancelled or its drain is over."""
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        transport: Transport,
+        clock: Clock,
+    ) -> None:
+        self.transport = transport
+        self.agent = Agent(
+            AgentConfig.from_settings(settings),
+            transport,
+            HttpEngineClient(settings.upstream),
+            clock,
+        )
+        self.versions = VersionHolder(
+            None,
+            None,
+            transport,
+            clock,
+            self._entries,
+        )
+        self._settings = settings
+        self._heard_entries: OrderedDict[str, None] = OrderedDict()
+        self._clock = clock
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: AgentSettings,
+        clock: Clock,
+    ) -> AgentProcess:
+        """Bind the process's address."""
+        transport = ZmqTransport.from_settings(
+            settings.place,
+            settings.keys,
+            clock,
+        )
+        return cls(settings, transport, clock)
+
+    async def run(self) -> None:
+        """Serve until cancelled or until a drain has ended."""
+        self.transport.start(self.on_message)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.agent.run())
+                group.create_task(self.versions.run())
+                group.create_task(self._follow_versions())
+        finally:
+            self.transport.close()
+
+    async def drain(self) -> None:
+        """Take no new work and return when none is left."""
+        self.agent.drain.apply_signal()
+        self.agent.refresh_drain()
+        while self.agent.drain.phase is not DrainPhase.DRAINED:
+            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+
+    def on_message(self, envelope: Envelope) -> None:
+        """Hand a message to the parts that take it."""
+        self._hear(envelope.sender)
+        self.versions.on_message(envelope)
+        self.agent.on_message(envelope)
+
+    def _hear(self, entry: str) -> None:
+        self._heard_entries[entry] = None
+        self._heard_entries.move_to_end(entry)
+        if len(self._heard_entries) > MAX_HEARD_ENTRIES:
+            self._heard_entries.popitem(last=False)
+
+    def _entries(self) -> tuple[str, ...]:
+        """Return entries to ask for the version, latest heard from first."""
+        heard = reversed(self._heard_entries)
+        return tuple(dict.fromkeys((*heard, *self._settings.entries)))
+
+    async def _follow_versions(self) -> None:
+        known = 0
+        while True:
+            published = self.versions.current
+            if published is not None and published.version != known:
+                known = published.version
+                self.agent.drain.apply_stops(published.object_set.stops)
+            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
--- a/bergamotthread/process/entry_app.py
+++ b/bergamotthread/process/entry_app.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import uuid
 from typing import Protocol
 
@@ -21,7 +20,7 @@
 from bergamotthread.errors import Step
 from bergamotthread.process.completions import Caller, Completions
 from bergamotthread.process.generations import Generations
-from bergamotthread.process.settings import LimitSettings
+from bergamotthread.request.authentication import authenticate_team
 from bergamotthread.request.completion import decode_completion
 from bergamotthread.request.completion_stream import CompletionStream
 from bergamotthread.request.live_generation import LiveGeneration
@@ -34,7 +33,6 @@
 )
 from bergamotthread.version.published import PublishedVersion
 
-_BEARER = 'bearer '
 _CLIENT_CLOSED_STATUS = 499
 
 
@@ -60,13 +58,13 @@
         generations: Generations,
         completions: Completions,
         versions: VersionSource,
-        limits: LimitSettings,
         clock: Clock,
     ) -> None:
+        self.draining = False
+        self.open_requests = 0
         self._generations = generations
         self._completions = completions
         self._versions = versions
-        self._limits = limits
         self._clock = clock
 
     def starlette(self) -> Starlette:
@@ -74,27 +72,56 @@
         return Starlette(
             routes=[
                 Route('/v1/completions', self.complete, methods=['POST']),
+                Route('/healthz', self.healthy),
+                Route('/readyz', self.ready),
             ],
             exception_handlers={RefusedError: self._refuse},
         )
 
+    def stamp(self, refusal: Refusal) -> Refusal:
+        """Return a refusal with the request id that explains it."""
+        if refusal.request_id:
+            return refusal
+        identity = f'req-{uuid.uuid4().hex}'
+        return msgspec.structs.replace(refusal, request_id=identity)
+
+    async def healthy(self, _: Request) -> Response:
+        """Answer `GET /healthz`: the process lives."""
+        return Response('ok')
+
+    async def ready(self, _: Request) -> Response:
+        """Answer `GET /readyz`: whether the balancer may send requests."""
+        if self.draining:
+            return Response('draining', status_code=503)
+        refusal = self._versions.may_admit()
+        if refusal is None:
+            return Response('ok')
+        return Response(refusal.detail, status_code=503)
+
     async def complete(self, request: Request) -> Response:
         """Answer `POST /v1/completions`."""
         published = self._published()
-        body = await self._body(request)
-        completion = decode_completion(body)
+        authorization = request.headers.get('authorization', '')
+        team = authenticate_team(authorization, published)
+        completion = decode_completion(await request.body())
         caller = Caller(
-            team=_authenticate(request, published),
+            team=team.name,
             idempotency_key=request.headers.get('idempotency-key', ''),
             last_event_id=request.headers.get('last-event-id', ''),
         )
         live, stream = self._completions.open(completion, caller, published)
         live.readers += 1
+        self.open_requests += 1
         if completion.stream:
             return self._event_stream(live, stream)
         return await self._whole(request, live, stream)
 
     def _published(self) -> PublishedVersion:
+        if self.draining:
+            raise _refused(
+                ReasonCode.DRAINING,
+                'this entry is draining, try again for another one',
+            )
         refusal = self._versions.may_admit()
         if refusal is not None:
             raise RefusedError(refusal)
@@ -104,22 +131,9 @@
                 ReasonCode.NO_CONFIGURATION,
                 'no published version is in force here yet',
             )
-        self._generations.config_version = published.version
+        self._generations.put_in_force(published)
         return published
 
-    async def _body(self, request: Request) -> bytes:
-        parts = []
-        size = 0
-        async for part in request.stream():
-            size += len(part)
-            if size > self._limits.body_bytes:
-                raise _refused(
-                    ReasonCode.TOO_LARGE,
-                    f'body exceeds {self._limits.body_bytes} bytes',
-                )
-            parts.append(part)
-        return b''.join(parts)
-
     def _event_stream(
         self,
         live: LiveGeneration,
@@ -157,15 +171,12 @@
 
     def _leave(self, live: LiveGeneration) -> None:
         live.readers -= 1
+        self.open_requests -= 1
         live.abandoned_ms = self._clock.now_ms()
 
     async def _refuse(self, request: Request, error: Exception) -> Response:
         assert isinstance(error, RefusedError)
-        refusal = error.refusal
-        if not refusal.request_id:
-            identity = f'req-{uuid.uuid4().hex}'
-            refusal = msgspec.structs.replace(refusal, request_id=identity)
-        return problem_response(refusal)
+        return problem_response(self.stamp(error.refusal))
 
 
 async def _collect(stream: CompletionStream, answers: list[bytes]) -> None:
@@ -185,24 +196,6 @@
     )
 
 
-def _authenticate(request: Request, published: PublishedVersion) -> str:
-    authorization = request.headers.get('authorization', '')
-    if authorization[: len(_BEARER)].lower() != _BEARER:
-        raise _refused(
-            ReasonCode.UNAUTHENTICATED,
-            'no bearer credential in the authorization header',
-        )
-    credential = authorization[len(_BEARER) :].strip()
-    digest = hashlib.sha256(credential.encode()).hexdigest()
-    team = published.teams_by_credential_hash.get(digest)
-    if team is None:
-        raise _refused(
-            ReasonCode.UNAUTHENTICATED,
-            'the credential is of no team',
-        )
-    return team.name
-
-
 def _refused(reason: ReasonCode, detail: str) -> RefusedError:
     return RefusedError(
         Refusal(reason=reason, detail=detail, step=Step.ADMIT, ran=Ran.NOT_RUN),
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -38,6 +38,7 @@
     ReasonCode,
     RefusedError,
 )
+from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import (
     Ack,
     Acks,
@@ -87,6 +88,12 @@
             group.create_task(self._watch_forever())
             group.create_task(self._acknowledge_forever())
 
+    def put_in_force(self, published: PublishedVersion) -> None:
+        """Decide by a newer version from now on."""
+        if published.version > self.config_version:
+            self.config_version = published.version
+            self._placement.publish(published)
+
     def start(self, live: LiveGeneration) -> None:
         """Run a generation until it is over."""
         self.by_id[live.generation.spec.generation] = live
--- a/bergamotthread/process/placement.py
+++ b/bergamotthread/process/placement.py
@@ -5,6 +5,7 @@
 import abc
 from dataclasses import dataclass
 
+from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import LoadReport, Pin
 
 
@@ -49,6 +50,10 @@
             If no upstream may run the pin now.
         """
 
+    @abc.abstractmethod
+    def publish(self, published: PublishedVersion) -> None:
+        """Move on to the upstreams of a newer version."""
+
     @abc.abstractmethod
     def record_load(self, agent: str, load: LoadReport) -> None:
         """Take in a load report that arrived now."""
--- a/bergamotthread/process/round_robin.py
+++ b/bergamotthread/process/round_robin.py
@@ -13,6 +13,7 @@
     Refusal,
     RefusedError,
 )
+from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import LoadReport
 
 
@@ -38,6 +39,10 @@
             ),
         )
 
+    def publish(self, published: PublishedVersion) -> None:
+        """Take the agents of a newer version."""
+        self._agents = tuple(published.upstreams_by_agent)
+
     def record_load(self, agent: str, load: LoadReport) -> None:
         """Ignore the report."""
 
--- a/standins/small_deployment.py
+++ b/standins/small_deployment.py
@@ -162,6 +162,7 @@
             MemoryEngineClient(engine),
             self.clock,
         )
+        transport.start(agent.on_message)
         task = asyncio.create_task(agent.run())
         return AgentNode(agent, engine, transport, task)
 
--- a/standins/tokens.py
+++ b/standins/tokens.py
@@ -26,6 +26,11 @@
     return _token(int(index) + 1, salt, digest)
 
 
+def salt_of(token: str) -> str:
+    """Return the salt of the attempt that produced a token."""
+    return token.strip().split(':')[1]
+
+
 def verify_answer(prompt: str, text: str, count: int) -> None:
     """Check that `text` is one whole generation of `count` tokens.
 
--- a/tests/test_entry_app.py
+++ b/tests/test_entry_app.py
@@ -9,6 +9,7 @@
 from aiosonic import HTTPClient
 
 from bergamotthread.clock import Clock
+from bergamotthread.connection.body_limit import BodyLimit
 from bergamotthread.connection.http_engine import HttpEngineClient
 from bergamotthread.connection.http_server import HttpServer
 from bergamotthread.process.agent import Agent, AgentConfig
@@ -82,7 +83,9 @@
         await engine_server.start()
         servers.append(engine_server)
         client = HttpEngineClient(f'127.0.0.1:{engine_server.port}')
-        agent = Agent(AgentConfig(), network.transport(address), client, clock)
+        end = network.transport(address)
+        agent = Agent(AgentConfig(), end, client, clock)
+        end.start(agent.on_message)
         tasks.append(asyncio.create_task(agent.run()))
     transport = network.transport('10.9.0.1:7000')
     generations = Generations(transport, RoundRobinPlacement(addresses), clock)
@@ -92,10 +95,14 @@
         generations,
         Completions(generations, CursorSigner((b'test key',)), clock),
         _FixedVersions(_published()),
-        LimitSettings(body_bytes=10_000),
         clock,
     )
-    entry = server(app.starlette(), '127.0.0.1:0')
+    limited = BodyLimit(
+        app.starlette(),
+        LimitSettings(body_bytes=10_000),
+        app.stamp,
+    )
+    entry = server(limited, '127.0.0.1:0')
     await entry.start()
     servers.append(entry)
     base = f'http://127.0.0.1:{entry.port}'
