--- /dev/null
+++ b/bergamotthread/request/call_row.py
@@ -0,0 +1,297 @@
+"""Row of a call that may run at most once, and its transitions.
+
+A row is moved by compare-and-set alone:
+
+    reserved -> dispatched -> done | unknown
+    reserved -> refused
+    unknown -> done | resolved
+    dispatched | unknown -> refused, where the upstream's agent has confirmed
+    that it never sent the call and never will
+
+Every function here is pure; `bergamotthread.request.call_protocol` runs them.
+"""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+import msgspec
+import xxhash
+
+from bergamotthread.errors import DecodeError, Step
+
+CALL_PREFIX = 'calls/'
+UNKNOWN_PREFIX = 'calls-unknown/'
+
+
+class _State(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of the states of a row."""
+
+
+class Reserved(_State, frozen=True, array_like=True, tag=True):
+    """`owner` may move the row to dispatched; nothing has been sent."""
+
+    owner: str
+    lease_until_ms: int
+
+
+class Sending(msgspec.Struct, frozen=True, array_like=True):
+    """The one sending of a call: who sends it, through which agent process.
+
+    `ticket` was issued by the process `incarnation` of the agent, which sends
+    nothing without it.
+    """
+
+    owner: str
+    agent: str
+    incarnation: int
+    ticket: int
+
+
+class Dispatched(_State, frozen=True, array_like=True, tag=True):
+    """The call may have been sent as `sending` says."""
+
+    sending: Sending
+    lease_until_ms: int
+
+
+class Done(_State, frozen=True, array_like=True, tag=True):
+    """The call has run; its answer is inline or in the object `stored_as`.
+
+    `omitted` tells that the answer was too large to be kept.
+    """
+
+    sending: Sending
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+    stored_as: str = ''
+    omitted: bool = False
+
+
+class Unknown(_State, frozen=True, array_like=True, tag=True):
+    """The call may have run; its answer did not arrive."""
+
+    sending: Sending
+    reason: str = ''
+
+
+class Refused(_State, frozen=True, array_like=True, tag=True):
+    """No sending of this key has reached an upstream, nor ever will."""
+
+    owner: str
+    reason: str = ''
+
+
+class Resolved(_State, frozen=True, array_like=True, tag=True):
+    """An operator found out whether the call ran."""
+
+    ran: bool
+    who: str
+    note: str = ''
+
+
+State = Reserved | Dispatched | Done | Unknown | Refused | Resolved
+
+
+class CallRow(msgspec.Struct, frozen=True, array_like=True):
+    """What the table holds for one key.
+
+    Parameters
+    ----------
+    fingerprint
+        Digest of method, path and body; a key belongs to one of them.
+    fence
+        Fencing token; rises with each reservation.
+    write_id
+        Identifies the write that made this row what it is.
+    state
+        Where the call stands.
+    changed_ms
+        Calendar time of the write.
+    lifetime_ms
+        Time after `changed_ms` during which the row must be kept.
+    """
+
+    fingerprint: str
+    fence: int
+    write_id: str
+    state: State
+    changed_ms: int = 0
+    lifetime_ms: int = 0
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """One request's claim on a key.
+
+    Parameters
+    ----------
+    owner
+        Unique among all requests of all processes.
+    fingerprint
+        Digest of what is asked.
+    lease_ms
+        Time for which a reservation or a dispatch is left alone by others.
+    lifetime_ms
+        Key lifetime of the service.
+    first_send
+        Whether the caller states that it never used the key before.
+    """
+
+    owner: str
+    fingerprint: str
+    lease_ms: int = 0
+    lifetime_ms: int = 0
+    first_send: bool = False
+
+
+def row_key(service: str, team: str, key: str) -> str:
+    """Return the table key of a call.
+
+    A digest comes first, so that rows spread evenly over short prefixes,
+    which the cleaner scans one after another.
+    """
+    parts = (service, team, key)
+    name = '/'.join([quote(part, safe='') for part in parts])
+    digest = xxhash.xxh3_64_hexdigest(name.encode())
+    return f'{CALL_PREFIX}{digest}/{name}'
+
+
+def unknown_key(key: str) -> str:
+    """Return the key of the index row of a call whose outcome is unknown."""
+    return UNKNOWN_PREFIX + key.removeprefix(CALL_PREFIX)
+
+
+def fingerprint_of(method: str, path: str, body: bytes) -> str:
+    """Return the digest of what a call asks."""
+    digest = xxhash.xxh3_128(method.encode())
+    for part in (path.encode(), body):
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def encode_row(row: CallRow) -> bytes:
+    """Return the bytes that the table holds."""
+    return msgspec.msgpack.encode(row)
+
+
+def decode_row(body: bytes) -> CallRow:
+    """Return the row of bytes from the table.
+
+    Raises
+    ------
+    DecodeError
+        If the bytes are not a row.
+    """
+    try:
+        return msgspec.msgpack.decode(body, type=CallRow)
+    except msgspec.MsgspecError as error:
+        raise DecodeError(
+            f'not a call row: {error}', step=Step.STORE
+        ) from error
+
+
+def lease_until_ms(row: CallRow) -> int:
+    """Return the calendar time until which others leave the row alone."""
+    if isinstance(row.state, Reserved | Dispatched):
+        return row.state.lease_until_ms
+    return 0
+
+
+def sending_of(row: CallRow | None) -> Sending | None:
+    """Return the sending whose outcome is open, if there is one."""
+    if row is not None and isinstance(row.state, Dispatched | Unknown):
+        return row.state.sending
+    return None
+
+
+def reserve(row: CallRow | None, claim: Claim, now_ms: int) -> CallRow:
+    """Return the row reserved by `claim`, after no row or `row`."""
+    fence = row.fence + 1 if row else 1
+    return CallRow(
+        claim.fingerprint,
+        fence,
+        f'{claim.owner}/reserve/{fence}',
+        Reserved(claim.owner, now_ms + claim.lease_ms),
+        now_ms,
+        claim.lifetime_ms,
+    )
+
+
+def dispatch(
+    row: CallRow,
+    claim: Claim,
+    sending: Sending,
+    now_ms: int,
+) -> CallRow:
+    """Return a row reserved by `claim` as dispatched."""
+    return msgspec.structs.replace(
+        row,
+        write_id=f'{claim.owner}/dispatch/{row.fence}',
+        state=Dispatched(sending, now_ms + claim.lease_ms),
+        changed_ms=now_ms,
+    )
+
+
+def settle(
+    row: CallRow, goal: State, owner: str, now_ms: int
+) -> CallRow | None:
+    """Return the row moved to `goal`, or None where it must not be moved.
+
+    Parameters
+    ----------
+    row
+        Row as last read.
+    goal
+        Done, unknown or refused, for the sending or owner that it names.
+    owner
+        Request that writes.
+    now_ms
+        Calendar time.
+    """
+    if not _may_settle(row.state, goal):
+        return None
+    return msgspec.structs.replace(
+        row,
+        write_id=f'{owner}/{type(goal).__name__}/{row.fence}',
+        state=goal,
+        changed_ms=now_ms,
+    )
+
+
+def resolve(row: CallRow, resolved: Resolved, now_ms: int) -> CallRow | None:
+    """Return an unknown row as resolved, or None where it is not unknown."""
+    if not isinstance(row.state, Unknown):
+        return None
+    return msgspec.structs.replace(
+        row,
+        write_id=f'{resolved.who}/resolve/{row.fence}',
+        state=resolved,
+        changed_ms=now_ms,
+    )
+
+
+def is_expired(row: CallRow, now_ms: int) -> bool:
+    """Return whether the row may be deleted.
+
+    Rows that are unknown stay until an operator resolves them.
+    """
+    if not isinstance(row.state, Done | Refused | Resolved):
+        return False
+    return now_ms > row.changed_ms + row.lifetime_ms
+
+
+def _may_settle(state: State, goal: State) -> bool:
+    match (state, goal):
+        case (Reserved(owner=owner), Refused(owner=refused_by)):
+            return owner == refused_by
+        case (Dispatched(sending=sending), Refused(owner=refused_by)):
+            return sending.owner == refused_by
+        case (Unknown(sending=sending), Refused(owner=refused_by)):
+            return sending.owner == refused_by
+        case (Dispatched(sending=sending), Done() | Unknown()):
+            return sending == goal.sending
+        case (Unknown(sending=sending), Done()):
+            return sending == goal.sending
+    return False
--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -171,8 +171,8 @@
 class CallDispatch(_Message, frozen=True, array_like=True, tag=True):
     """Entry to agent: send one call to the plain service beside it.
 
-    `incarnation` is that of the only agent process that may send the call; 0
-    allows any and is used for idempotent calls alone.
+    For a guarded call `attempt` is the agent's ticket and `incarnation` that
+    of the agent process that issued it; an idempotent call has incarnation 0.
     """
 
     call: str
@@ -318,17 +318,16 @@
 
 
 class CallOffer(_Message, frozen=True, array_like=True, tag=True):
-    """Entry to agent: would a call be taken; nothing is sent yet."""
+    """Entry to agent: asks for a ticket to dispatch one guarded call."""
 
     call: str
-    attempt: int
 
 
 class CallOfferReply(_Message, frozen=True, array_like=True, tag=True):
-    """Agent to entry: answer to `CallOffer`; binds nobody."""
+    """Agent to entry: ticket for one dispatch, or why there is none."""
 
     call: str
-    attempt: int
+    ticket: int
     accepted: bool
     reason: str = ''
     retry_after_ms: int = 0
