--- a/standins/serving.py
+++ b/standins/serving.py
@@ -4,33 +4,44 @@
 
 import asyncio
 import contextlib
-import socket
 from collections.abc import AsyncIterator
 
 import click
 import uvicorn
-from starlette.applications import Starlette
+from starlette.types import ASGIApp
 
-_LOOPBACK = '127.0.0.1'
+from bergamotthread.connection.http_server import HttpServer
 
+_ANY_LOOPBACK_PORT = '127.0.0.1:0'
 
-def serve(app: Starlette, listen: str) -> None:
-    """Serve an application at an IP number and port until interrupted."""
+
+def server(app: ASGIApp, listen: str) -> HttpServer:
+    """Return a server of `app` on `listen` (`IP:PORT`, port 0 for any)."""
     host, _, port = listen.rpartition(':')
     if not port.isdecimal():
         raise click.BadParameter(f'{listen!r} is not IP:PORT')
-    uvicorn.run(app, host=host, port=int(port), log_level='warning')
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=int(port),
+        log_level='critical',
+        access_log=False,
+        lifespan='off',
+    )
+    return HttpServer(config)
+
+
+def serve(app: ASGIApp, listen: str) -> None:
+    """Serve an application at an IP number and port until interrupted."""
+    asyncio.run(server(app, listen).serve())
 
 
 @contextlib.asynccontextmanager
-async def serving(app: Starlette) -> AsyncIterator[str]:
+async def serving(app: ASGIApp) -> AsyncIterator[str]:
     """Serve an application on a free loopback port; yield its address."""
-    listener = socket.create_server((_LOOPBACK, 0))
-    config = uvicorn.Config(app, log_level='critical', lifespan='off')
-    server = uvicorn.Server(config)
-    task = asyncio.ensure_future(server.serve([listener]))
+    running = server(app, _ANY_LOOPBACK_PORT)
+    await running.start()
     try:
-        yield f'{_LOOPBACK}:{listener.getsockname()[1]}'
+        yield f'127.0.0.1:{running.port}'
     finally:
-        server.should_exit = True
-        await task
+        await running.stop()
