Audit trail in objects that no two writers share, with chained digests

Cause: each change must be told later with who and when, and a record that is altered or missing must show. Change: AuditTrail buffers, numbers and chains the records of one writer and writes batches as immutable objects by hour and writer; audit_reader reads, filters and verifies them. While the store is away the first 1,000 records are kept, later ones are dropped, counted, and the count is recorded afterwards.

--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,214 @@
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import pytest
+
+from bergamotthread.clock import Clock
+from bergamotthread.errors import DecodeError, StoreUnavailableError
+from bergamotthread.process.audit import (
+    LOST_KIND,
+    MAX_BUFFERED_RECORDS,
+    AuditRecord,
+    AuditTrail,
+)
+from bergamotthread.process.audit_reader import (
+    AuditFilter,
+    hours_between,
+    read_audit,
+    verify_chains,
+)
+from bergamotthread.testing.memory_platform import (
+    MemoryObjectStore,
+    MemoryPlatform,
+)
+from bergamotthread.testing.virtual_loop import run_virtual
+
+Scenario = Callable[[MemoryPlatform], Awaitable[None]]
+
+
+def _run(scenario: Scenario) -> None:
+    async def _main() -> None:
+        clock = Clock.from_loop(asyncio.get_running_loop())
+        await scenario(MemoryPlatform(clock))
+
+    run_virtual(_main())
+
+
+def _trail(platform: MemoryPlatform, writer: str = 'cli') -> AuditTrail:
+    return AuditTrail(MemoryObjectStore(platform), platform.clock, writer)
+
+
+async def _append(trail: AuditTrail, count: int = 1) -> list[bool]:
+    return [
+        await trail.append(
+            'drain', f'10.0.0.{one}', {'reason': 'kernel'}, 'ana'
+        )
+        for one in range(count)
+    ]
+
+
+async def _read(platform: MemoryPlatform) -> tuple[AuditRecord, ...]:
+    hours = hours_between(0, platform.clock.calendar_ms())
+    return await read_audit(MemoryObjectStore(platform), hours)
+
+
+def test_records_are_read_back_in_order() -> None:
+    async def _scenario(platform: MemoryPlatform) -> None:
+        one, other = _trail(platform), _trail(platform)
+        assert one.writer != other.writer
+        for trail in (one, other, one):
+            await trail.append(
+                'publish', 'v', {}, 'eva', version_before=1, version_after=2
+            )
+            await trail.flush()
+            await platform.clock.sleep_ms(10)
+        records = await _read(platform)
+        assert [record.writer for record in records] == [
+            one.writer,
+            other.writer,
+            one.writer,
+        ]
+        assert (records[0].version_before, records[0].version_after) == (1, 2)
+        assert verify_chains(records) == ()
+
+    _run(_scenario)
+
+
+def test_hours_are_read_apart() -> None:
+    async def _scenario(platform: MemoryPlatform) -> None:
+        trail = _trail(platform)
+        await _append(trail)
+        await trail.flush()
+        await platform.clock.sleep_ms(2 * 3_600_000)
+        await _append(trail)
+        await trail.flush()
+        store = MemoryObjectStore(platform)
+        later = await read_audit(store, ['1970-01-01T02'])
+        assert [record.sequence for record in later] == [2]
+        assert verify_chains(later) == (trail.writer,)
+        assert len(await read_audit(store, ['1970-01-01'])) == 2
+
+    _run(_scenario)
+
+
+@pytest.mark.parametrize(
+    ('damage', 'message'),
+    [
+        (lambda records: records[:2] + records[3:], 'record 3 is missing'),
+        (lambda records: (*records, records[1]), 'record 3 stands twice'),
+        (
+            lambda records: tuple(
+                msgspec.structs.replace(one, who='nobody')
+                if one.sequence == 4
+                else one
+                for one in records
+            ),
+            'record 4 was altered',
+        ),
+        (
+            lambda records: tuple(
+                msgspec.structs.replace(one, sequence=9 - one.sequence)
+                for one in records
+            ),
+            'was altered',
+        ),
+    ],
+)
+def test_tampering_shows(damage: Callable, message: str) -> None:
+    async def _scenario(platform: MemoryPlatform) -> None:
+        trail = _trail(platform)
+        await _append(trail, 8)
+        await trail.flush()
+        records = await _read(platform)
+        with pytest.raises(ExceptionGroup) as caught:
+            verify_chains(damage(records))
+        assert message in str(caught.value.exceptions[0])
+
+    _run(_scenario)
+
+
+def test_outage_keeps_the_first_records_and_counts_the_lost() -> None:
+    async def _scenario(platform: MemoryPlatform) -> None:
+        platform.faults.down = True
+        trail = _trail(platform)
+        taken = await _append(trail, MAX_BUFFERED_RECORDS + 5)
+        assert taken.count(False) == trail.lost == 5
+        with pytest.raises(StoreUnavailableError):
+            await trail.flush()
+        running = asyncio.ensure_future(trail.run())
+        await platform.clock.sleep_ms(60_000)
+        platform.faults.down = False
+        await platform.clock.sleep_ms(2000)
+        running.cancel()
+        await _append(trail)
+        await trail.flush()
+        records = sorted(await _read(platform), key=lambda one: one.sequence)
+        assert records[-2].kind == LOST_KIND
+        assert records[-2].detail == {'count': '5'}
+        assert len(records) == MAX_BUFFERED_RECORDS + 2
+        assert verify_chains(records) == ()
+
+    _run(_scenario)
+
+
+def test_lost_answers_write_each_record_once() -> None:
+    async def _scenario(platform: MemoryPlatform) -> None:
+        platform.faults.lost_answers = 3
+        trail = _trail(platform)
+        for count in (1, 2, 3):
+            await _append(trail, count)
+            with pytest.raises(StoreUnavailableError):
+                await trail.flush()
+        await trail.flush()
+        records = await _read(platform)
+        assert [record.sequence for record in records] == [1, 2, 3, 4, 5, 6]
+        assert verify_chains(records) == ()
+
+    _run(_scenario)
+
+
+def test_name_taken_by_another_body_starts_a_new_chain() -> None:
+    async def _scenario(platform: MemoryPlatform) -> None:
+        trail = _trail(platform)
+        name = f'audit/1970-01-01T00/{trail.writer}/0000000001'
+        platform.bodies_by_name[name] = b'[]'
+        await _append(trail, 3)
+        await trail.flush()
+        records = await _read(platform)
+        assert [record.sequence for record in records] == [1, 2, 3]
+        assert verify_chains(records) == ()
+        assert platform.bodies_by_name[name] == b'[]'
+
+    _run(_scenario)
+
+
+@pytest.mark.parametrize('body', [b'{', b'[{}]', b'\xff', b'[' * 100_000])
+def test_damaged_object_is_a_clear_error(body: bytes) -> None:
+    async def _scenario(platform: MemoryPlatform) -> None:
+        platform.bodies_by_name['audit/1970-01-01T00/x/1'] = body
+        with pytest.raises(DecodeError, match='audit/1970-01-01T00/x/1'):
+            await _read(platform)
+
+    _run(_scenario)
+
+
+@pytest.mark.parametrize(
+    ('wanted', 'count'),
+    [
+        (AuditFilter(), 4),
+        (AuditFilter(kind='drain'), 3),
+        (AuditFilter(subject='10.0.0.1'), 1),
+        (AuditFilter(who='eva'), 1),
+    ],
+)
+def test_filter(wanted: AuditFilter, count: int) -> None:
+    async def _scenario(platform: MemoryPlatform) -> None:
+        trail = _trail(platform)
+        await _append(trail, 3)
+        await trail.append('publish', 'configuration', {}, 'eva')
+        await trail.flush()
+        records = await _read(platform)
+        assert len([one for one in records if wanted.selects(one)]) == count
+
+    _run(_scenario)
