--- /dev/null
+++ b/tests/test_publish_commands.py
@@ -0,0 +1,198 @@
+import asyncio
+import json
+from collections.abc import Coroutine
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner, Result
+
+from bergamotthread.cli import audit, publish
+from bergamotthread.clock import Clock
+from bergamotthread.errors import StoreUnavailableError
+from bergamotthread.testing.memory_platform import (
+    MemoryObjectStore,
+    MemoryPlatform,
+    MemoryTable,
+)
+from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.version.objects import ObjectSet
+from bergamotthread.version.registration import HolderRow, Registration
+
+EXAMPLE = Path(__file__).parent.parent / 'examples/termolab/objects.json'
+DAY_SHIFT = 'example-operator-day-shift-20'
+COMMANDS = {one.name: one for one in (*publish.COMMANDS, *audit.COMMANDS)}
+
+
+class _Context:
+    """Context of commands over memory, in virtual time."""
+
+    def __init__(self) -> None:
+        self.platform = MemoryPlatform(Clock.from_system())
+
+    @property
+    def clock(self) -> Clock:
+        return Clock.from_loop(asyncio.get_running_loop())
+
+    def table(self) -> MemoryTable:
+        return MemoryTable(self.platform)
+
+    def object_store(self) -> MemoryObjectStore:
+        return MemoryObjectStore(self.platform)
+
+    def run(self, action: Coroutine) -> object:
+        return run_virtual(action)
+
+
+@pytest.fixture
+def context() -> _Context:
+    return _Context()
+
+
+def _invoke(context: _Context, *arguments: object) -> Result:
+    name, *rest = map(str, arguments)
+    environment = {'BERGAMOTTHREAD_CREDENTIAL': DAY_SHIFT}
+    return CliRunner(env=environment).invoke(
+        COMMANDS[name],
+        rest,
+        obj=context,
+        catch_exceptions=False,
+    )
+
+
+def _edited(tmp_path: Path, **fields: object) -> Path:
+    document = json.loads(EXAMPLE.read_bytes())
+    document['teams'][0].update(fields)
+    path = tmp_path / 'objects.json'
+    path.write_text(json.dumps(document))
+    return path
+
+
+def test_validate_prints_all_faults(tmp_path: Path, context: _Context) -> None:
+    assert 'valid' in _invoke(context, 'validate', EXAMPLE).output
+    path = _edited(tmp_path, weight=-1, home_region='x')
+    refused = _invoke(context, 'validate', path)
+    assert refused.exit_code == 2
+    assert '$.teams[0].weight' in refused.output
+    assert 'valid: cuyo, litoral, pampa' in refused.output
+
+
+def test_publish_waits_until_in_force(
+    tmp_path: Path, context: _Context
+) -> None:
+    first = _invoke(context, 'publish', EXAMPLE, '--base', 0)
+    assert first.exit_code == 0
+    assert 'version 1: accepted, in force everywhere' in first.output
+    path = _edited(tmp_path, weight=2)
+    assert 'weight: 4.0 -> 2.0' in _invoke(context, 'diff', path).output
+    second = _invoke(context, 'publish', path, '--base', 1, '--note', 'less')
+    assert '~ teams/rosario-gears.weight: 4.0 -> 2.0' in second.output
+    again = _invoke(context, 'publish', path, '--base', 2)
+    assert 'no changes; version 2 stays' in again.output
+    shown = _invoke(context, 'status').output
+    assert 'version 2 by day-shift (less): teams/rosario-gears' in shown
+
+
+def test_conflict_tells_who_and_what(tmp_path: Path, context: _Context) -> None:
+    _invoke(context, 'publish', EXAMPLE, '--base', 0)
+    _invoke(context, 'publish', _edited(tmp_path, weight=2), '--base', 1)
+    path = _edited(tmp_path, weight=3)
+    refused = _invoke(context, 'publish', path, '--base', 1)
+    assert refused.exit_code == 4
+    assert 'version 2 by day-shift: teams/rosario-gears' in refused.output
+
+
+def test_publish_tells_where_it_is_not_in_force(
+    tmp_path: Path,
+    context: _Context,
+) -> None:
+    _invoke(context, 'publish', EXAMPLE, '--base', 0)
+    holder = HolderRow('10.0.0.1:7000', 'pampa', 'pampa-a', 1, 3_600_000)
+
+    async def _register() -> None:
+        registration = Registration(context.table(), holder, 1)
+        await registration.record(holder.version, holder.outage_lease_ms)
+
+    run_virtual(_register())
+    path = _edited(tmp_path, weight=2)
+    published = _invoke(context, 'publish', path, '--base', 1)
+    assert published.exit_code == 3
+    expected = 'published, not yet in force in: pampa (10.0.0.1:7000)'
+    assert expected in published.output
+    shown = _invoke(context, 'status', '--version', 2, '--timeout-s', 7200)
+    assert 'region pampa: version 1 at 1 registered' in shown.output
+    assert shown.exit_code == 0
+
+
+def test_rollback_and_export(tmp_path: Path, context: _Context) -> None:
+    _invoke(context, 'publish', EXAMPLE, '--base', 0)
+    _invoke(context, 'publish', _edited(tmp_path, weight=2), '--base', 1)
+    result = _invoke(context, 'rollback', 1, '--base', 2)
+    assert 'published as version 3' in result.output
+    exported = _invoke(context, 'export')
+    assert exported.stderr == 'version 3\n'
+    original = msgspec.json.decode(EXAMPLE.read_bytes(), type=ObjectSet)
+    assert msgspec.json.decode(exported.stdout, type=ObjectSet) == original
+    assert _invoke(context, 'rollback', 9, '--base', 3).exit_code == 1
+
+
+def test_unknown_credential_publishes_nothing(context: _Context) -> None:
+    arguments = ['publish', EXAMPLE, '--base', 0, '--credential', 'guess']
+    refused = _invoke(context, *arguments)
+    assert refused.exit_code == 1
+    assert 'of no operator' in refused.output
+    assert context.platform.writes == 0
+
+
+def test_unknown_outcome_has_its_exit_code(context: _Context) -> None:
+    class _MuteTable(MemoryTable):
+        async def write(self, key: str, body: bytes, *, expected: int) -> None:
+            raise StoreUnavailableError('no answer', step='store')
+
+    context.table = lambda: _MuteTable(context.platform)
+    refused = _invoke(context, 'publish', EXAMPLE, '--base', 0)
+    assert refused.exit_code == 5
+
+
+def test_store_down_is_told(context: _Context) -> None:
+    context.platform.faults.down = True
+    for arguments in (['status'], ['audit'], ['export']):
+        refused = _invoke(context, *arguments)
+        assert refused.exit_code == 1
+        assert 'platform is down' in refused.output
+
+
+def test_audit_shows_publications(context: _Context) -> None:
+    _invoke(context, 'publish', EXAMPLE, '--base', 0, '--note', 'first')
+    shown = _invoke(context, 'audit', '--verify')
+    assert '0->1  day-shift' in shown.output
+    assert '1 records of 1 writers verified' in shown.stderr
+    line = _invoke(context, 'audit', '--json', '--kind', 'publish').output
+    assert json.loads(line)['detail']['note'] == 'first'
+    assert not _invoke(context, 'audit', '--kind', 'drain').output
+
+
+def test_audit_verify_finds_an_altered_record(context: _Context) -> None:
+    _invoke(context, 'publish', EXAMPLE, '--base', 0)
+    [name] = [
+        one
+        for one in context.platform.bodies_by_name
+        if one.startswith('audit')
+    ]
+    body = context.platform.bodies_by_name[name]
+    altered = body.replace(b'day-shift', b'night-shift')
+    context.platform.bodies_by_name[name] = altered
+    shown = _invoke(context, 'audit', '--verify')
+    assert shown.exit_code == 6
+    assert 'record 1 was altered' in shown.output
+
+
+def test_schema_knows_every_kind(context: _Context) -> None:
+    schema = json.loads(_invoke(context, 'schema').output)
+    properties = schema['$defs']['ObjectSet']['properties']
+    assert set(json.loads(EXAMPLE.read_bytes())) <= set(properties)
+
+
+@pytest.mark.parametrize('name', sorted(COMMANDS))
+def test_help_is_worth_reading(name: str, context: _Context) -> None:
+    assert len(_invoke(context, name, '--help').output) > 200
