--- a/bergamotthread/testing/version_group.py
+++ b/bergamotthread/testing/version_group.py
@@ -55,7 +55,7 @@
 
 @dataclass(frozen=True)
 class Admission:
-    """Moment at which a holder would admit, and by which version."""
+    """Moment at which a holder was asked to admit, and by which version."""
 
     at_ms: float
     address: str
@@ -98,6 +98,7 @@
     sample_interval_ms: float = SAMPLE_INTERVAL_MS
     members_by_address: dict[str, GroupMember] = field(default_factory=dict)
     admissions: list[Admission] = field(default_factory=list)
+    refusals: list[Admission] = field(default_factory=list)
     in_force_ms_by_version: dict[int, float] = field(default_factory=dict)
     accepted_ms_by_version: dict[int, float] = field(default_factory=dict)
 
@@ -206,10 +207,13 @@
         ]
 
     def _sample_member(self, member: GroupMember) -> None:
+        now_ms = self.clock.now_ms()
+        version = member.holder.version
+        sample = Admission(now_ms, member.address, version)
         if member.holder.may_admit() is None:
-            now_ms = self.clock.now_ms()
-            version = member.holder.version
-            self.admissions.append(Admission(now_ms, member.address, version))
+            self.admissions.append(sample)
+        else:
+            self.refusals.append(sample)
 
     def _note_in_force(self) -> None:
         lowest = min(
