A restarted or replaced process holds up no acceptance

Cause: with an outage lease a crashed process leaves a registration that acceptance waits for, although its successor serves at the same address. Change: the first registration of an incarnation removes those of earlier ones at its address, which it has bound. forget-host removes those of a host that an operator knows to be gone, and is recorded in the audit trail. Holder rows that can't be decoded are told as such. Conclusion: only a host that is lost without a successor delays acceptance.

--- a/bergamotthread/cli/publish.py
+++ b/bergamotthread/cli/publish.py
@@ -27,7 +27,7 @@
     describe_publication,
 )
 from bergamotthread.version.record import VersionState
-from bergamotthread.version.registration import read_holders
+from bergamotthread.version.registration import forget_holders, read_holders
 from bergamotthread.version.schema import object_set_schema
 
 EXIT_CODE_FAILED = 1
@@ -196,6 +196,27 @@
             context.run(_wait(context, version, timeout_s))
 
 
+@click.command('forget-host')
+@click.argument('address')
+@_credential
+@click.pass_obj
+def forget_host_command(
+    context: OperatorContext,
+    address: str,
+    credential: str,
+) -> None:
+    """Tell that the process at ADDRESS (IP number and port) is gone for good.
+
+    With an outage lease a lost process holds up acceptance until its lease
+    has lapsed. Use this only where its host is destroyed or replaced: one that
+    is merely paused could admit requests by an older version. The command is
+    recorded in the audit trail.
+    """
+    with _told_by_exit_code():
+        count = context.run(_forget_host(context, address, credential))
+    click.echo(f'{address}: {count} registrations removed')
+
+
 @click.command('schema')
 def schema_command() -> None:
     """Print the JSON Schema of the set of objects, for editors.
@@ -215,6 +236,7 @@
     rollback_command,
     export_command,
     status_command,
+    forget_host_command,
     schema_command,
 )
 
@@ -298,6 +320,21 @@
         await _wait(context, published.state.version, timeout_s)
 
 
+async def _forget_host(
+    context: OperatorContext,
+    address: str,
+    credential: str,
+) -> int:
+    newest = await _publisher(context).newest()
+    who = find_operator(newest.state.object_set, credential).name
+    count = await forget_holders(context.table(), address)
+    trail = AuditTrail(context.object_store(), context.clock, f'cli-{who}')
+    detail = {'registrations': str(count)}
+    await trail.append('forget_host', address, detail, who)
+    await _flush(trail)
+    return count
+
+
 async def _record(context: OperatorContext, published: NewestVersion) -> None:
     row = published.row
     if row is None:
@@ -311,6 +348,10 @@
         version_before=row.version - 1,
         version_after=row.version,
     )
+    await _flush(trail)
+
+
+async def _flush(trail: AuditTrail) -> None:
     for _ in range(AUDIT_ATTEMPTS):
         with contextlib.suppress(StoreUnavailableError):
             await trail.flush()
--- a/bergamotthread/version/registration.py
+++ b/bergamotthread/version/registration.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bergamotthread.errors import StoreConflictError
+from bergamotthread.errors import DecodeError, Step, StoreConflictError
 from bergamotthread.process.platform import Row, Table
 from bergamotthread.process.settings import PlaceSettings
 
@@ -35,6 +35,7 @@
 
     key: str
     revision: int
+    incarnation: int
     holder: HolderRow
 
 
@@ -42,7 +43,9 @@
     """Writes the holder row of this process.
 
     A key that was deleted is never used again, so that a delayed deletion
-    can't hit a row that was written anew.
+    can't hit a row that was written anew. The first write removes the rows of
+    earlier incarnations at the same address: the process has bound it, so no
+    earlier one serves there.
     """
 
     def __init__(
@@ -53,7 +56,8 @@
     ) -> None:
         self._table = table
         self._place = place
-        self._prefix = f'{HOLDER_PREFIX}{place.address}/{incarnation}'
+        self._incarnation = incarnation
+        self._is_alone = False
         self._generation = 0
         self._revision = 0
         self.recorded: HolderRow | None = None
@@ -75,6 +79,9 @@
             version,
             outage_lease_ms,
         )
+        if not self._is_alone:
+            await self._remove_earlier()
+            self._is_alone = True
         try:
             await self._write(holder)
         except StoreConflictError:
@@ -88,6 +95,11 @@
             await self._table.delete(self._key(), expected=self._revision)
             self._start_new_key()
 
+    async def _remove_earlier(self) -> None:
+        for one in await read_holders(self._table, self._place.address):
+            if one.incarnation < self._incarnation:
+                await self._table.delete(one.key, expected=one.revision)
+
     async def _write(self, holder: HolderRow) -> None:
         row = await self._table.write(
             self._key(),
@@ -104,7 +116,8 @@
             self._revision = row.revision
 
     def _key(self) -> str:
-        return f'{self._prefix}.{self._generation}'
+        prefix = _key_prefix(self._place.address)
+        return f'{prefix}{self._incarnation}.{self._generation}'
 
     def _start_new_key(self) -> None:
         self._generation += 1
@@ -112,12 +125,46 @@
         self.recorded = None
 
 
-async def read_holders(table: Table) -> tuple[StoredHolder, ...]:
-    """Return all registered processes."""
-    rows = await table.scan(HOLDER_PREFIX, limit=MAX_HOLDERS)
+async def read_holders(
+    table: Table,
+    address: str = '',
+) -> tuple[StoredHolder, ...]:
+    """Return all registered processes, or those at one address.
+
+    Raises
+    ------
+    DecodeError
+        If a row is not a holder row.
+    """
+    prefix = _key_prefix(address) if address else HOLDER_PREFIX
+    rows = await table.scan(prefix, limit=MAX_HOLDERS)
     return tuple(_stored_holder(row) for row in rows)
 
 
+async def forget_holders(table: Table, address: str) -> int:
+    """Delete the rows of processes at an address that are gone for good.
+
+    Returns
+    -------
+    int
+        How many rows there were.
+    """
+    stored = await read_holders(table, address)
+    for one in stored:
+        await table.delete(one.key, expected=one.revision)
+    return len(stored)
+
+
+def _key_prefix(address: str) -> str:
+    return f'{HOLDER_PREFIX}{address}/'
+
+
 def _stored_holder(row: Row) -> StoredHolder:
-    holder = msgspec.json.decode(row.body, type=HolderRow)
-    return StoredHolder(row.key, row.revision, holder)
+    _, _, serial = row.key.rpartition('/')
+    incarnation, _, _ = serial.partition('.')
+    try:
+        holder = msgspec.json.decode(row.body, type=HolderRow)
+        return StoredHolder(row.key, row.revision, int(incarnation), holder)
+    except (msgspec.DecodeError, ValueError) as error:
+        message = f'{row.key} is not a holder row: {error}'
+        raise DecodeError(message, step=Step.STORE) from error
