--- /dev/null
+++ b/benchmarks/engine_model.py
@@ -0,0 +1,103 @@
+"""Queueing model of an engine with continuous batching and a prefix cache.
+
+Each step decodes one token of every sequence whose prefill is done and
+computes a chunk of the prefill of each other one. A step takes longer with
+more cached tokens to read and with more prefill in it.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from benchmarks.workload import BLOCK_TOKENS, Job
+
+STEP_MS = 16
+KV_MS_PER_TOKEN = 0.00025
+PREFILL_TOKENS_PER_MS = 16
+CHUNK_TOKENS = 192
+STEP_PREFILL_TOKENS = 1536
+KV_CAPACITY = 48_000
+CACHE_BLOCKS = 160
+MAX_RUNNING = 8
+
+
+@dataclass
+class Sequence:
+    """One attempt on the engine."""
+
+    job: Job
+    accepted: int
+    prefill_left: int
+    produced: int = 0
+
+    @property
+    def kv_tokens(self) -> int:
+        """Return the cache tokens in use."""
+        return self.job.prompt_tokens + self.accepted + self.produced
+
+    @property
+    def is_done(self) -> bool:
+        """Return whether the whole output has been produced."""
+        return self.accepted + self.produced >= self.job.output_tokens
+
+
+@dataclass
+class Engine:
+    """Engine state; steps take `slowdown` times as long."""
+
+    slowdown: float = 1
+    by_key: dict[tuple[str, int], Sequence] = field(default_factory=dict)
+    cached: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    new_cached: list[int] = field(default_factory=list)
+    prefilled_tokens: int = 0
+
+    @property
+    def kv_tokens(self) -> int:
+        """Return the cache tokens of all sequences."""
+        return sum(one.kv_tokens for one in self.by_key.values())
+
+    def covered_tokens(self, job: Job) -> int:
+        """Return the leading prompt tokens in the prefix cache."""
+        for count in range(len(job.prefix_hashes), 0, -1):
+            if job.prefix_hashes[count - 1] in self.cached:
+                return min(count * BLOCK_TOKENS, job.prompt_tokens)
+        return 0
+
+    def add(self, attempt: int, job: Job, accepted: int) -> Sequence:
+        """Start an attempt."""
+        uncovered = job.prompt_tokens + accepted - self.covered_tokens(job)
+        sequence = Sequence(job, accepted, max(uncovered, 1))
+        self.prefilled_tokens += sequence.prefill_left
+        self.by_key[job.generation, attempt] = sequence
+        return sequence
+
+    def step(self) -> tuple[float, tuple[Sequence, ...]]:
+        """Run one step; return its duration and who made a token in it."""
+        chunk_total = 0
+        made: list[Sequence] = []
+        for sequence in self.by_key.values():
+            if not sequence.prefill_left:
+                made.append(sequence)
+                continue
+            room = min(CHUNK_TOKENS, STEP_PREFILL_TOKENS - chunk_total)
+            chunk = min(sequence.prefill_left, room)
+            chunk_total += chunk
+            sequence.prefill_left -= chunk
+            if not sequence.prefill_left:
+                made.append(sequence)
+                self._cache(sequence.job)
+        for sequence in made:
+            sequence.produced += 1
+        duration_ms = STEP_MS + KV_MS_PER_TOKEN * self.kv_tokens
+        duration_ms += chunk_total / PREFILL_TOKENS_PER_MS
+        return duration_ms * self.slowdown, tuple(made)
+
+    def _cache(self, job: Job) -> None:
+        for one in job.prefix_hashes:
+            if one not in self.cached:
+                self.new_cached.append(one)
+            self.cached[one] = None
+            self.cached.move_to_end(one)
+        while len(self.cached) > CACHE_BLOCKS:
+            self.cached.popitem(last=False)
--- /dev/null
+++ b/benchmarks/figures.py
@@ -0,0 +1,57 @@
+"""What a run of the fleet measured."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+
+@dataclass
+class Figures:
+    """What a run measured from `since_ms` on."""
+
+    since_ms: float
+    first_token_ms_by_team: dict[str, list[float]] = field(default_factory=dict)
+    between_tokens_by_ms: Counter[int] = field(default_factory=Counter)
+    between_by_second: dict[int, Counter[int]] = field(default_factory=dict)
+    resume_ms: list[float] = field(default_factory=list)
+    refused_by_second: Counter[int] = field(default_factory=Counter)
+    refused_by_reason: Counter[str] = field(default_factory=Counter)
+    served_by_second: Counter[int] = field(default_factory=Counter)
+    first_token_by_second: dict[int, list[float]] = field(default_factory=dict)
+    offered: int = 0
+    finished: int = 0
+    lost: int = 0
+    deaths: int = 0
+    prefilled_tokens: int = 0
+    needed_tokens: int = 0
+    cross_region_bytes: int = 0
+    imbalances: list[float] = field(default_factory=list)
+    quarantined_teams: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def first_token_ms(self) -> list[float]:
+        """Return the times to first token of all teams."""
+        by_team = self.first_token_ms_by_team.values()
+        return list(itertools.chain.from_iterable(by_team))
+
+
+def percentile(values: Iterable[float], share: float) -> float:
+    """Return the nearest-rank percentile, NaN where there is no value."""
+    ordered = sorted(values)
+    if not ordered:
+        return float('nan')
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def counted_percentile(counts: Counter[int], share: float) -> float:
+    """Return the percentile of counted values."""
+    total = sum(counts.values())
+    passed = 0
+    for value in sorted(counts):
+        passed += counts[value]
+        if passed >= share * total:
+            return value
+    return float('nan')
--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,629 @@
+"""Event-driven harness around real placements and gates.
+
+Entries, agents and links are reduced to what the decisions depend on: delays,
+lagging reports, missing cache events and deaths.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from functools import partial
+
+import msgspec
+
+from benchmarks.engine_model import (
+    KV_CAPACITY,
+    MAX_RUNNING,
+    Engine,
+    Sequence,
+)
+from benchmarks.figures import Figures
+from benchmarks.topology import (
+    ALL_AGENTS,
+    ENTRY_REGIONS,
+    PIN,
+)
+from benchmarks.workload import Arrival, Job, Workload
+from bergamotthread.clock import Clock
+from bergamotthread.process.admission import (
+    AdmissionGate,
+    GateLimits,
+    GateRules,
+    Refused,
+    Run,
+)
+from bergamotthread.process.overload import Overloaded, OverloadGuard
+from bergamotthread.process.placement import Placement, PlacementRequest
+from bergamotthread.process.poison import (
+    PoisonGuard,
+    Quarantined,
+    Suspect,
+    Undecided,
+)
+from bergamotthread.process.retry_budget import Denied, RetryBudget
+from bergamotthread.process.routing import ScoredPlacement
+from bergamotthread.request.refusal import RefusedError
+from bergamotthread.wire.messages import Dispatch, LoadReport, Quarantine
+
+LOCAL_DELAY_MS = 1
+REMOTE_DELAY_MS = 30
+REPORT_INTERVAL_MS = 100
+SAMPLE_INTERVAL_MS = 250
+DECLINES_MAX = 2
+DEADLINE_MS = 300_000
+BYTES_PER_TOKEN = 4
+
+_Event = tuple[float, int, Callable[[], None]]
+GateFactory = Callable[[Clock, GateRules], AdmissionGate]
+
+
+@dataclass(frozen=True)
+class Conditions:
+    """What is wrong with the fleet.
+
+    Parameters
+    ----------
+    report_lag_ms
+        Age of a load report when it arrives.
+    lost_event_share
+        Part of the cache events that never arrive.
+    slow_agent, slowdown
+        One engine whose steps take `slowdown` times as long.
+    """
+
+    report_lag_ms: float = 50
+    lost_event_share: float = 0
+    slow_agent: str = ''
+    slowdown: float = 1
+
+
+NOMINAL = Conditions()
+
+
+@dataclass(frozen=True)
+class Loss:
+    """Death of engines, noticed by all entries after `detection_ms`."""
+
+    at_ms: float
+    agents: tuple[str, ...]
+    detection_ms: float
+
+
+def bounded_gate(clock: Clock, rules: GateRules) -> AdmissionGate:
+    """Return the product's gate with the engine's capacity."""
+    limits = GateLimits(max_running=MAX_RUNNING, kv_capacity=KV_CAPACITY)
+    return AdmissionGate(clock=clock, limits=limits, rules=rules)
+
+
+@dataclass
+class Generation:
+    """One request with its current attempt and the caller's tokens."""
+
+    job: Job
+    entry: int
+    arrived_ms: float
+    attempt: int = 0
+    agent: str = ''
+    produced: int = 0
+    declines: int = 0
+    excluded: frozenset[str] = frozenset()
+    lost_ms: float = 0
+    last_token_ms: float = 0
+    request: PlacementRequest | None = None
+    over: bool = False
+    poisonous: bool = False
+
+    @property
+    def content(self) -> int:
+        """Return the fingerprint: poisonous requests share their team's."""
+        text = self.job.team if self.poisonous else self.job.generation
+        return hash_text(text)
+
+
+def hash_text(text: str) -> int:
+    """Return a number for a text, the same in every run."""
+    return int.from_bytes(text.encode(), 'big')
+
+
+class Agent:
+    """Engine with its gate."""
+
+    def __init__(
+        self,
+        name: str,
+        engine: Engine,
+        gate: AdmissionGate,
+    ) -> None:
+        self.name = name
+        self.region = name[:2]
+        self.domain = name[:4]
+        self.engine = engine
+        self.gate = gate
+        self.alive = True
+        self.stepping = False
+
+
+class _PeerSink:
+    """Carries quarantine notices between entries with a delay."""
+
+    def __init__(self, fleet: Fleet, entry: int) -> None:
+        self._fleet = fleet
+        self._entry = entry
+
+    def charged(self, notice: Quarantine) -> None:
+        """Tell peers."""
+        self._send(notice)
+
+    def quarantined(self, notice: Quarantine) -> None:
+        """Tell peers."""
+        self._send(notice)
+
+    def _send(self, notice: Quarantine) -> None:
+        for index, peer in enumerate(self._fleet.poison_guards):
+            if index != self._entry:
+                merge = partial(peer.merge, f'entry{self._entry}', notice)
+                self._fleet.after(REMOTE_DELAY_MS, merge)
+
+
+class Fleet:
+    """Runs a workload on all agents in virtual time."""
+
+    def __init__(
+        self,
+        make_placement: Callable[[Clock, int], Placement],
+        make_gate: GateFactory = bounded_gate,
+        conditions: Conditions = NOMINAL,
+        *,
+        warm_up_ms: float = 0,
+        guarded: bool = True,
+        poison_teams: tuple[str, ...] = (),
+        restart_from_zero: bool = False,
+        seed: int = 3,
+    ) -> None:
+        self.now_ms = float(0)
+        self.clock = Clock(
+            lambda: self.now_ms / 1000, lambda: self.now_ms / 1000
+        )
+        self.figures = Figures(warm_up_ms)
+        self.conditions = conditions
+        self._guarded = guarded
+        self._poison_teams = poison_teams
+        self._restart_from_zero = restart_from_zero
+        self._draw = random.Random(seed)
+        self._events: list[_Event] = []
+        self._serial = itertools.count()
+        self._by_generation: dict[str, Generation] = {}
+        self.placements = [
+            make_placement(self.clock, index)
+            for index, _ in enumerate(ENTRY_REGIONS)
+        ]
+        self.guards = [OverloadGuard(self.clock) for _ in ENTRY_REGIONS]
+        self.budgets = [RetryBudget(self.clock) for _ in ENTRY_REGIONS]
+        self.poison_guards = [
+            PoisonGuard(self.clock, _PeerSink(self, index))
+            for index, _ in enumerate(ENTRY_REGIONS)
+        ]
+        self.agents = {
+            name: self._agent(name, make_gate) for name in ALL_AGENTS
+        }
+
+    def _now_s(self) -> float:
+        return self.now_ms / 1000
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Run an action later."""
+        due_ms = self.now_ms + delay_ms
+        heapq.heappush(self._events, (due_ms, next(self._serial), action))
+
+    def run(
+        self,
+        workload: Workload,
+        losses: tuple[Loss, ...] = (),
+        *,
+        until_ms: float,
+    ) -> Figures:
+        """Return the figures of a workload."""
+        arrivals = workload.arrivals()
+        self._next_arrival(arrivals)
+        self._report_all()
+        self._sample()
+        for loss in losses:
+            self.after(loss.at_ms, partial(self.lose, loss))
+        while self._events and self._events[0][0] <= until_ms:
+            event = heapq.heappop(self._events)
+            self.now_ms = event[0]
+            event[2]()
+        return self.figures
+
+    def lose(self, loss: Loss) -> None:
+        """Kill engines now; entries notice later."""
+        for name in loss.agents:
+            agent = self.agents[name]
+            if agent.alive:
+                self._kill(agent, loss.detection_ms)
+
+    def _agent(self, name: str, make_gate: GateFactory) -> Agent:
+        slow = name == self.conditions.slow_agent
+        engine = Engine(self.conditions.slowdown if slow else 1)
+        rules = GateRules(
+            count_tokens=int,
+            covered_tokens=lambda dispatch: engine.covered_tokens(
+                self._by_generation[dispatch.generation].job,
+            ),
+        )
+        return Agent(name, engine, make_gate(self.clock, rules))
+
+    # Entry side.
+
+    def _next_arrival(self, arrivals: Iterator[Arrival]) -> None:
+        arrival = next(arrivals, None)
+        if arrival is None:
+            return
+
+        self.after(
+            arrival.at_ms - self.now_ms,
+            partial(self._arrive_and_go_on, arrival, arrivals),
+        )
+
+    def _arrive_and_go_on(
+        self,
+        arrival: Arrival,
+        arrivals: Iterator[Arrival],
+    ) -> None:
+        self._arrive(arrival.job, arrival.entry)
+        self._next_arrival(arrivals)
+
+    def _arrive(self, job: Job, entry: int) -> None:
+        generation = Generation(
+            job,
+            entry,
+            self.now_ms,
+            poisonous=job.team in self._poison_teams,
+        )
+        self._by_generation[job.generation] = generation
+        if self.now_ms >= self.figures.since_ms:
+            self.figures.offered += 1
+        placement = self.placements[entry]
+        guard = self.guards[entry]
+        if self._guarded and isinstance(placement, ScoredPlacement):
+            verdict = guard.check(job.team, placement.utilisation(PIN))
+            if isinstance(verdict, Overloaded):
+                self._refuse(generation, f'entry {verdict.decided_by[:5]}')
+                return
+        guard.record_start(job.team)
+        self.budgets[entry].record_start(job.team)
+        self._place(generation)
+
+    def _place(self, generation: Generation) -> None:
+        if generation.over:
+            return
+        poison_guard = self.poison_guards[generation.entry]
+        suspect = False
+        avoided: frozenset[str] = frozenset()
+        if self._guarded:
+            match poison_guard.check(generation.content):
+                case Quarantined():
+                    self.figures.quarantined_teams[generation.job.team] += 1
+                    self._end(generation, 'quarantined')
+                    return
+                case Undecided(wait_ms=wait_ms):
+                    self.after(wait_ms + 1, lambda: self._place(generation))
+                    return
+                case Suspect():
+                    suspect = True
+                    avoided = poison_guard.avoided_agents(generation.content)
+                case _:
+                    suspect = False
+        job = generation.job
+        request = PlacementRequest(
+            generation=job.generation,
+            team=job.team,
+            pin=PIN,
+            prompt_tokens=job.prompt_tokens,
+            accepted_tokens=generation.produced,
+            prefix_hashes=job.prefix_hashes,
+            excluded=generation.excluded | avoided,
+            resume=generation.attempt > generation.declines,
+        )
+        placement = self.placements[generation.entry]
+        try:
+            name = placement.choose(request)
+        except RefusedError:
+            self._end(generation, 'no upstream')
+            return
+        placement.record_dispatch(name, request)
+        generation.attempt += 1
+        generation.agent = name
+        generation.request = request
+        self.poison_guards[generation.entry].record_start(
+            name,
+            job.generation,
+            generation.content,
+        )
+        agent = self.agents[name]
+        self._count_bytes(generation, agent, job.prompt_tokens)
+        dispatch = Dispatch(
+            generation=job.generation,
+            attempt=generation.attempt,
+            pin=PIN,
+            prompt=str(job.prompt_tokens),
+            accepted=('',) * generation.produced,
+            max_tokens=job.output_tokens - generation.produced,
+            remaining_ms=DEADLINE_MS - (self.now_ms - generation.arrived_ms),
+            team=job.team,
+            suspect=suspect,
+        )
+        self.after(
+            self._delay_ms(generation, agent),
+            lambda: self._deliver(agent, dispatch),
+        )
+
+    def _declined(self, refused: Refused) -> None:
+        generation = self._by_generation[refused.generation]
+        if generation.over or generation.attempt != refused.attempt:
+            return
+        self._leave_agent(generation)
+        generation.declines += 1
+        generation.excluded |= {generation.agent}
+        spent = self.budgets[generation.entry].spend(generation.job.team)
+        if generation.declines > DECLINES_MAX or isinstance(spent, Denied):
+            self._end(generation, f'agent {refused.reason}')
+            return
+        self._place(generation)
+
+    def _noticed(self, entry: int, agent: Agent) -> None:
+        placement = self.placements[entry]
+        placement.record_loss(agent.name)
+        self.poison_guards[entry].record_death(agent.name, agent.domain)
+        for generation in tuple(self._by_generation.values()):
+            if generation.over or generation.entry != entry:
+                continue
+            if generation.agent == agent.name:
+                self._resume(generation)
+
+    def _resume(self, generation: Generation) -> None:
+        request = generation.request
+        if request is not None:
+            self.placements[generation.entry].record_end(
+                generation.agent,
+                request,
+            )
+        if self._restart_from_zero:
+            generation.produced = 0
+        generation.excluded |= {generation.agent}
+        spent = self.budgets[generation.entry].spend(generation.job.team)
+        if self._guarded and isinstance(spent, Denied):
+            self._end(generation, 'retries exhausted')
+            return
+        self._place(generation)
+
+    def _leave_agent(self, generation: Generation) -> None:
+        request = generation.request
+        if request is not None:
+            self.placements[generation.entry].record_end(
+                generation.agent,
+                request,
+            )
+        self.poison_guards[generation.entry].record_end(
+            generation.agent,
+            generation.job.generation,
+            completed=False,
+        )
+
+    def _refuse(self, generation: Generation, reason: str) -> None:
+        generation.over = True
+        if self.now_ms >= self.figures.since_ms:
+            self.figures.refused_by_reason[reason] += 1
+            self.figures.refused_by_second[int(self.now_ms // 1000)] += 1
+            if generation.produced:
+                self.figures.lost += 1
+        self._by_generation.pop(generation.job.generation, None)
+
+    def _end(self, generation: Generation, reason: str) -> None:
+        entry = generation.entry
+        self.guards[entry].record_end(generation.job.team, 0)
+        self.budgets[entry].record_end(generation.job.team, succeeded=False)
+        self._refuse(generation, reason)
+
+    def _finish(self, generation: Generation) -> None:
+        generation.over = True
+        entry = generation.entry
+        if generation.request is not None:
+            self.placements[entry].record_end(
+                generation.agent,
+                generation.request,
+            )
+        self.poison_guards[entry].record_end(
+            generation.agent,
+            generation.job.generation,
+            completed=True,
+        )
+        run_ms = self.now_ms - generation.arrived_ms
+        self.guards[entry].record_end(generation.job.team, run_ms)
+        self.budgets[entry].record_end(generation.job.team, succeeded=True)
+        if self.now_ms >= self.figures.since_ms:
+            self.figures.finished += 1
+            self.figures.served_by_second[int(self.now_ms // 1000)] += 1
+        self._by_generation.pop(generation.job.generation, None)
+
+    # Agent side.
+
+    def _deliver(self, agent: Agent, dispatch: Dispatch) -> None:
+        if not agent.alive or dispatch.generation not in self._by_generation:
+            return
+        match agent.gate.offer(dispatch):
+            case Run():
+                self._start(agent, dispatch)
+            case Refused() as refused:
+                self.after(LOCAL_DELAY_MS, partial(self._declined, refused))
+            case _:
+                pass
+        self._advance(agent)
+
+    def _advance(self, agent: Agent) -> None:
+        for dispatch in agent.gate.next_ready():
+            self._start(agent, dispatch)
+        for refused in agent.gate.take_refused():
+            self.after(LOCAL_DELAY_MS, partial(self._declined, refused))
+        if not agent.stepping and agent.engine.by_key:
+            self._step(agent)
+
+    def _start(self, agent: Agent, dispatch: Dispatch) -> None:
+        generation = self._by_generation[dispatch.generation]
+        if generation.over or generation.attempt != dispatch.attempt:
+            agent.gate.ended(dispatch.generation, dispatch.attempt)
+            return
+        sequence = agent.engine.add(
+            dispatch.attempt,
+            generation.job,
+            len(dispatch.accepted),
+        )
+        if self.now_ms >= self.figures.since_ms:
+            self.figures.prefilled_tokens += sequence.prefill_left
+            self.figures.needed_tokens += (
+                generation.job.prompt_tokens - generation.job.shared_tokens
+            )
+
+    def _step(self, agent: Agent) -> None:
+        agent.stepping = True
+        duration_ms, made = agent.engine.step()
+        self.after(duration_ms, partial(self._stepped, agent, made))
+
+    def _stepped(self, agent: Agent, made: tuple[Sequence, ...]) -> None:
+        agent.stepping = False
+        if not agent.alive:
+            return
+        for sequence in made:
+            self._token(agent, sequence)
+        self._advance(agent)
+
+    def _token(self, agent: Agent, sequence: Sequence) -> None:
+        job = sequence.job
+        generation = self._by_generation.get(job.generation)
+        if generation is None or generation.agent != agent.name:
+            return
+        key = (job.generation, generation.attempt)
+        agent.gate.progress(*key, sequence.produced)
+        if generation.poisonous and sequence.produced >= 2:
+            self._kill(agent, 50)
+            return
+        if agent.alive:
+            self._received(generation, agent, sequence)
+        if sequence.is_done:
+            agent.engine.by_key.pop(key)
+            agent.gate.ended(*key)
+            self._finish(generation)
+
+    def _received(
+        self,
+        generation: Generation,
+        agent: Agent,
+        sequence: Sequence,
+    ) -> None:
+        generation.produced = sequence.accepted + sequence.produced
+        poison_guard = self.poison_guards[generation.entry]
+        if sequence.produced in {1, 16}:
+            poison_guard.record_progress(
+                agent.name,
+                generation.job.generation,
+                sequence.produced,
+            )
+        self._count_bytes(generation, agent, 1)
+        if self.now_ms >= self.figures.since_ms:
+            self._measure(generation, agent, sequence)
+        generation.lost_ms = 0
+        generation.last_token_ms = self.now_ms
+
+    def _measure(
+        self,
+        generation: Generation,
+        agent: Agent,
+        sequence: Sequence,
+    ) -> None:
+        second = int(self.now_ms // 1000)
+        received_ms = self.now_ms + self._delay_ms(generation, agent)
+        if generation.lost_ms:
+            self.figures.resume_ms.append(received_ms - generation.lost_ms)
+        elif generation.produced == 1:
+            waited_ms = received_ms - generation.arrived_ms
+            self.figures.first_token_ms_by_team.setdefault(
+                generation.job.team,
+                [],
+            ).append(waited_ms)
+            by_second = self.figures.first_token_by_second
+            by_second.setdefault(second, []).append(waited_ms)
+        elif sequence.produced > 1:
+            between_ms = round(self.now_ms - generation.last_token_ms)
+            self.figures.between_tokens_by_ms[between_ms] += 1
+            by_second_ms = self.figures.between_by_second
+            by_second_ms.setdefault(second, Counter())[between_ms] += 1
+
+    def _kill(self, agent: Agent, detection_ms: float) -> None:
+        agent.alive = False
+        self.figures.deaths += 1
+        for generation in self._by_generation.values():
+            if generation.agent == agent.name and not generation.over:
+                generation.lost_ms = generation.lost_ms or self.now_ms
+        for entry, _ in enumerate(ENTRY_REGIONS):
+            self.after(detection_ms, partial(self._noticed, entry, agent))
+
+    # Reports and samples.
+
+    def _report_all(self) -> None:
+        for agent in self.agents.values():
+            if agent.alive:
+                self._report(agent)
+        self.after(REPORT_INTERVAL_MS, self._report_all)
+
+    def _report(self, agent: Agent) -> None:
+        lag_ms = self.conditions.report_lag_ms
+        keep = 1 - self.conditions.lost_event_share
+        cached = tuple(
+            one
+            for one in agent.engine.new_cached
+            if keep == 1 or self._draw.random() < keep
+        )
+        agent.engine.new_cached.clear()
+        report = msgspec.structs.replace(
+            agent.gate.load_report(),
+            age_ms=lag_ms,
+            cached_prefixes=cached,
+        )
+        self.after(lag_ms, partial(self._reported, agent, report))
+
+    def _reported(self, agent: Agent, report: LoadReport) -> None:
+        if agent.alive:
+            for placement in self.placements:
+                placement.record_load(agent.name, report)
+
+    def _sample(self) -> None:
+        if self.now_ms >= self.figures.since_ms:
+            loads = [
+                one.engine.kv_tokens
+                for one in self.agents.values()
+                if one.alive
+            ]
+            mean = sum(loads) / max(len(loads), 1)
+            if mean:
+                self.figures.imbalances.append(max(loads) / mean)
+        self.after(SAMPLE_INTERVAL_MS, self._sample)
+
+    def _delay_ms(self, generation: Generation, agent: Agent) -> float:
+        local = ENTRY_REGIONS[generation.entry] == agent.region
+        return LOCAL_DELAY_MS if local else REMOTE_DELAY_MS
+
+    def _count_bytes(
+        self,
+        generation: Generation,
+        agent: Agent,
+        tokens: int,
+    ) -> None:
+        if ENTRY_REGIONS[generation.entry] == agent.region:
+            return
+        if self.now_ms >= self.figures.since_ms:
+            self.figures.cross_region_bytes += tokens * BYTES_PER_TOKEN
--- /dev/null
+++ b/benchmarks/workload.py
@@ -0,0 +1,103 @@
+"""Requests of the two deployments' kind, drawn with a fixed seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+BLOCK_TOKENS = 256
+LONG_SHARE = 0.04
+SHORT_OUTPUT_TOKENS = 180
+LONG_OUTPUT_TOKENS = (1000, 3000)
+PREFIX_BLOCKS = (2, 14)
+SUFFIX_BLOCKS = (1, 4)
+TEMPLATES_PER_TEAM = 6
+
+
+@dataclass(frozen=True)
+class Job:
+    """One request; hashes of its own blocks are unique to it."""
+
+    generation: str
+    team: str
+    prompt_tokens: int
+    shared_tokens: int
+    output_tokens: int
+    prefix_hashes: tuple[int, ...]
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """Job with the time and the entry that it arrives at."""
+
+    at_ms: float
+    entry: int
+    job: Job
+
+
+@dataclass(frozen=True)
+class Phase:
+    """Stretch of time with a constant rate of arrivals of all teams."""
+
+    duration_ms: float
+    per_s: float
+
+
+@dataclass(frozen=True)
+class Workload:
+    """Arrivals of several teams at several entries.
+
+    Parameters
+    ----------
+    share_by_team
+        Parts of the arrivals by team; they need not add up to one.
+    entry_shares
+        Parts of the arrivals by entry.
+    """
+
+    share_by_team: dict[str, float]
+    entry_shares: tuple[float, ...]
+    phases: tuple[Phase, ...]
+    seed: int = 7
+
+    def arrivals(self) -> Iterator[Arrival]:
+        """Yield all arrivals in order of time."""
+        draw = random.Random(self.seed)
+        teams = sorted(self.share_by_team)
+        shares = [self.share_by_team[team] for team in teams]
+        entries = range(len(self.entry_shares))
+        phase_start_ms = float(0)
+        serial = 0
+        for phase in self.phases:
+            at_ms = phase_start_ms
+            phase_start_ms += phase.duration_ms
+            while True:
+                at_ms += draw.expovariate(phase.per_s / 1000)
+                if at_ms >= phase_start_ms:
+                    break
+                serial += 1
+                team = draw.choices(teams, shares)[0]
+                entry = draw.choices(entries, self.entry_shares)[0]
+                yield Arrival(at_ms, entry, draw_job(draw, team, serial))
+
+
+def draw_job(draw: random.Random, team: str, serial: int) -> Job:
+    """Return one request of a team, with one of its prompt templates."""
+    template = draw.randrange(TEMPLATES_PER_TEAM)
+    shape = random.Random(f'{team}/{template}')
+    shared_blocks = shape.randint(*PREFIX_BLOCKS)
+    own_blocks = draw.randint(*SUFFIX_BLOCKS)
+    output_tokens = int(draw.expovariate(1 / SHORT_OUTPUT_TOKENS)) + 8
+    if draw.random() < LONG_SHARE:
+        output_tokens = draw.randint(*LONG_OUTPUT_TOKENS)
+    shared = [shape.getrandbits(62) for _ in range(shared_blocks)]
+    own = [(serial << 8) + index for index in range(own_blocks)]
+    return Job(
+        generation=f'g{serial}',
+        team=team,
+        prompt_tokens=(shared_blocks + own_blocks) * BLOCK_TOKENS,
+        shared_tokens=shared_blocks * BLOCK_TOKENS,
+        output_tokens=output_tokens,
+        prefix_hashes=tuple(shared + own),
+    )
--- a/bergamotthread/process/placement_score.py
+++ b/bergamotthread/process/placement_score.py
@@ -29,9 +29,9 @@
         Delay that is worth one cost unit of paid cross-region traffic.
     """
 
-    queued_ms: float = 500
+    queued_ms: float = 1000
     running_ms: float = 15
-    kv_full_ms: float = 400
+    kv_full_ms: float = 1200
     cost_unit_ms: float = 1_000_000
     cross_region_ms: float = 60
 
--- a/bergamotthread/process/prefix_hash.py
+++ b/bergamotthread/process/prefix_hash.py
@@ -75,17 +75,13 @@
                 return count
         return 0
 
-    def holders(
-        self,
-        prefix_hashes: tuple[int, ...],
-        limit: int,
-    ) -> tuple[str, ...]:
-        """Return up to `limit` agents with the longest cached prefix."""
+    def holders(self, prefix_hashes: tuple[int, ...]) -> frozenset[str]:
+        """Return all agents with the longest cached prefix."""
         for one in reversed(prefix_hashes):
             agents = self._agents_by_hash.get(one)
             if agents:
-                return tuple(sorted(agents)[:limit])
-        return ()
+                return frozenset(agents)
+        return frozenset()
 
     def _drop(self, agent: str, one: int) -> None:
         agents = self._agents_by_hash.get(one)
--- a/bergamotthread/process/routing.py
+++ b/bergamotthread/process/routing.py
@@ -4,7 +4,6 @@
 
 import random
 from collections import Counter
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
@@ -32,11 +31,11 @@
     RefusedError,
 )
 from bergamotthread.version.published import PublishedVersion
-from bergamotthread.wire.messages import LoadReport
+from bergamotthread.wire.messages import LoadReport, Pin
 
 SAMPLED_CANDIDATES = 4
 REMOTE_CANDIDATES = 1
-PREFIX_CANDIDATES = 2
+PREFIX_CANDIDATES = 4
 NO_UPSTREAM_RETRY_MS = 1000
 
 
@@ -135,6 +134,27 @@
         price = self.pool.egress_price_by_region.get(self.region, 0)
         return score + region_cost_ms(request, price, self.weights)
 
+    def utilisation(self, pin: Pin) -> float:
+        """Return attempts over slots of the own region's live upstreams.
+
+        Attempts count as running, queued or sent and not yet reported. With
+        no live upstream in the own region, those of other regions count.
+        """
+        calendar_ms = self.clock.calendar_ms()
+        live = [
+            target
+            for target in self.pool.targets_by_pin.get(pin, ())
+            if self._accepts(target.agent, calendar_ms)
+        ]
+        local = [one for one in live if one.region == self.region]
+        slots = 0
+        attempts = float(0)
+        for target in local or live:
+            load = self.load_view.estimate(target.agent)
+            slots += target.max_running
+            attempts += load.running + load.queued
+        return attempts / slots if slots else 0
+
     def record_load(self, agent: str, load: LoadReport) -> None:
         """Take in a load report that arrived now."""
         self._lost.discard(agent)
@@ -222,12 +242,10 @@
         self,
         request: PlacementRequest,
         preferred: tuple[Target, ...],
-    ) -> Iterable[Target]:
-        holders = self.prefix_view.holders(
-            request.prefix_hashes,
-            PREFIX_CANDIDATES,
-        )
-        return [one for one in preferred if one.agent in holders]
+    ) -> list[Target]:
+        holders = self.prefix_view.holders(request.prefix_hashes)
+        holding = [one for one in preferred if one.agent in holders]
+        return self._sample(holding, PREFIX_CANDIDATES)
 
     def _attempted(self, agent: str, request: PlacementRequest) -> Attempted:
         covered = self.prefix_view.covered_blocks(agent, request.prefix_hashes)
--- a/tests/test_prefix_hash.py
+++ b/tests/test_prefix_hash.py
@@ -32,7 +32,7 @@
     view = PrefixView()
     view.record('a', known)
     assert view.covered_blocks('a', (1, 2, 3, 4)) == covered
-    assert view.holders((1, 2, 3, 4), 2) == (('a',) if covered else ())
+    assert view.holders((1, 2, 3, 4)) == ({'a'} if covered else set())
 
 
 def test_least_recently_used_hashes_go_first() -> None:
@@ -42,7 +42,7 @@
     view.record('a', (4,))
     assert view.covered_blocks('a', (2,)) == 0
     assert view.covered_blocks('a', (1,)) == 1
-    assert view.holders((2,), 1) == ()
+    assert view.holders((2,)) == set()
 
 
 def test_forgotten_agent_holds_nothing() -> None:
@@ -51,4 +51,4 @@
     view.record('b', (1,))
     view.forget('a')
     assert view.covered_blocks('a', (1, 2)) == 0
-    assert view.holders((1, 2), 5) == ('b',)
+    assert view.holders((1, 2)) == {'b'}
