--- a/bergamotthread/process/store_client.py
+++ b/bergamotthread/process/store_client.py
@@ -37,7 +37,7 @@
     PlatformConnection,
 )
 from bergamotthread.process.rate_share import RateShare
-from bergamotthread.process.retry_budget import RetryBudget
+from bergamotthread.process.retry_credit import RetryCredit
 from bergamotthread.process.settings import PlatformSettings
 
 _Answer = TypeVar('_Answer')
@@ -105,7 +105,7 @@
         self.circuit = Circuit(self.clock, rng=self.rng)
         self.reads = RateShare(self.clock, self.limits.reads_per_s)
         self.writes = RateShare(self.clock, self.limits.writes_per_s)
-        self.budget = RetryBudget()
+        self.budget = RetryCredit()
         self._slots = asyncio.Semaphore(self.limits.concurrent)
 
     async def write(
