Pass generations through overload, retry and quarantine guards, with standbys

Cause: the guards and the resume policy existed but nothing called them. Change: GenerationDriver leads a generation through its attempts and asks the guards before each; a warmed standby in another failure domain is used first.

--- a/bergamotthread/process/attempt_runner.py
+++ b/bergamotthread/process/attempt_runner.py
@@ -89,9 +89,8 @@
                     await self._clock.sleep_ms(WINDOW_POLL_MS)
 
     def _take(self, buffer: OutputBuffer, output: EngineOutput) -> None:
-        if buffer.dispatch.warm_only:
-            return
-        buffer.tokens.extend(output.tokens)
+        if not buffer.dispatch.warm_only:
+            buffer.tokens.extend(output.tokens)
         if output.finish:
             reason = _REASON_BY_FINISH.get(output.finish, EndReason.STOP)
             end = EndMark(reason, len(buffer.tokens))
--- a/bergamotthread/process/entry_process.py
+++ b/bergamotthread/process/entry_process.py
@@ -13,7 +13,7 @@
 from bergamotthread.process.completions import Completions
 from bergamotthread.process.entry_app import EntryApp
 from bergamotthread.process.generations import Generations
-from bergamotthread.process.http_server import create_http_config
+from bergamotthread.process.http_config import create_http_config
 from bergamotthread.process.routing import ScoredPlacement
 from bergamotthread.process.settings import EntrySettings
 from bergamotthread.process.store_client import StoreClient, StoreUse
--- /dev/null
+++ b/bergamotthread/process/generation_driver.py
@@ -0,0 +1,276 @@
+"""Leads one generation through its attempts until it is over."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+import msgspec
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.peer_histories import PeerHistories
+from bergamotthread.connection.transport import Transport
+from bergamotthread.process.generation_guards import (
+    GenerationGuards,
+    Go,
+    Wait,
+)
+from bergamotthread.process.generation_watch import GenerationLimits
+from bergamotthread.process.loss_probe import LossProbe
+from bergamotthread.process.placement import Placement, PlacementRequest
+from bergamotthread.request.generation import AttemptPlace
+from bergamotthread.request.generation_refusal import (
+    generation_refusal,
+    limit_refusal,
+    placement_refusal,
+)
+from bergamotthread.request.live_generation import (
+    Finished,
+    LiveGeneration,
+    Lost,
+    Outcome,
+    Rejected,
+)
+from bergamotthread.request.refusal import (
+    ReasonCode,
+    Refusal,
+    RefusedError,
+)
+from bergamotthread.wire.messages import Cancel, Dispatch, Fetch, Revoke
+
+PLACEMENT_RETRY_MS = 100
+
+
+@dataclass(frozen=True)
+class _Chosen:
+    """Agent that the next attempt is sent to."""
+
+    agent: str
+    request: PlacementRequest
+    suspect: bool
+
+
+@dataclass(frozen=True)
+class DriverParts:
+    """What the driver shares with the rest of the entry."""
+
+    transport: Transport
+    placement: Placement
+    guards: GenerationGuards
+    peers: PeerHistories
+    probe: LossProbe
+
+
+class GenerationDriver:
+    """Dispatches attempts, and resumes after a loss at another upstream."""
+
+    def __init__(
+        self,
+        parts: DriverParts,
+        clock: Clock,
+        limits: GenerationLimits,
+    ) -> None:
+        self._transport = parts.transport
+        self._placement = parts.placement
+        self._guards = parts.guards
+        self._peers = parts.peers
+        self._probe = parts.probe
+        self._clock = clock
+        self._limits = limits
+
+    async def drive(self, live: LiveGeneration) -> None:
+        """Run attempts until the generation is over."""
+        while not live.generation.is_over:
+            chosen = await self._choose(live)
+            if chosen is None:
+                break
+            outcome = await self._attempt(live, chosen)
+            self._conclude(live, outcome)
+        live.notify()
+
+    async def adopt(
+        self,
+        live: LiveGeneration,
+        agent: str,
+        attempt: int,
+    ) -> None:
+        """Fetch the output of a running attempt, then go on from there."""
+        live.was_admitted = True
+        generation = live.generation
+        outcome = live.expect_outcome(self._clock.now_ms())
+        place = generation.adopt_attempt(agent, attempt)
+        self._peers.restart(agent)
+        self._guards.attempt_started(live, agent)
+        fetch = Fetch(generation.spec.generation, place.number, 0)
+        self._transport.send(agent, fetch)
+        self._conclude(live, await outcome)
+        if not generation.is_over:
+            self._restore_output(live, agent)
+        await self.drive(live)
+
+    def send_cancel(self, live: LiveGeneration, place: AttemptPlace) -> None:
+        """Stop an attempt; one that is not known to run is revoked."""
+        identity = live.generation.spec.generation
+        message: Cancel | Revoke = Cancel(identity, place.number)
+        if not live.admitted:
+            message = Revoke(identity, place.number)
+        self._transport.send(place.agent, message)
+
+    def _restore_output(self, live: LiveGeneration, agent: str) -> None:
+        generation = live.generation
+        if generation.offset >= live.required_offset:
+            return
+        if len(live.fallback_tokens) == live.required_offset:
+            generation.restore(live.fallback_tokens)
+            return
+        refusal = generation_refusal(
+            live,
+            ReasonCode.OUTPUT_LOST,
+            'the output is no longer held; send it as accepted_tokens',
+        )
+        generation.refuse(msgspec.structs.replace(refusal, peer=agent))
+
+    async def _choose(self, live: LiveGeneration) -> _Chosen | None:
+        while True:
+            go = await self._pass_guards(live)
+            if go is None:
+                return None
+            request = self._placement_request(live, go)
+            try:
+                agent = self._preferred(live, request)
+            except RefusedError as error:
+                refused = error.refusal
+            else:
+                return _Chosen(agent, request, go.suspect)
+            if not self._may_wait(live, request):
+                live.generation.refuse(placement_refusal(live, refused))
+                return None
+            live.excluded = frozenset()
+            await self._clock.sleep_ms(PLACEMENT_RETRY_MS)
+
+    async def _pass_guards(self, live: LiveGeneration) -> Go | None:
+        """Return when an attempt may start; None if it was refused."""
+        while True:
+            decision: Go | Wait | Refusal | None = limit_refusal(
+                live,
+                self._clock.now_ms(),
+            )
+            if decision is None:
+                decision = self._guards.before_attempt(live)
+            match decision:
+                case Go():
+                    return decision
+                case Wait(wait_ms=wait_ms):
+                    await self._clock.sleep_ms(wait_ms)
+                case Refusal():
+                    live.generation.refuse(decision)
+                    return None
+
+    def _preferred(
+        self,
+        live: LiveGeneration,
+        request: PlacementRequest,
+    ) -> str:
+        """Return the standby if it may be used, else the best agent."""
+        standby = live.standby
+        live.standby = ''
+        if standby and standby not in request.excluded:
+            return standby
+        return self._placement.choose(request)
+
+    def _may_wait(
+        self,
+        live: LiveGeneration,
+        request: PlacementRequest,
+    ) -> bool:
+        waited_ms = self._clock.now_ms() - live.interrupted_ms
+        return request.resume and waited_ms <= self._limits.resume_patience_ms
+
+    def _placement_request(
+        self,
+        live: LiveGeneration,
+        go: Go,
+    ) -> PlacementRequest:
+        return replace(
+            live.placement_request,
+            accepted_tokens=live.generation.offset,
+            excluded=live.excluded | go.avoided,
+            resume=live.may_have_run,
+        )
+
+    async def _attempt(
+        self,
+        live: LiveGeneration,
+        chosen: _Chosen,
+    ) -> Outcome:
+        now_ms = self._clock.now_ms()
+        agent = chosen.agent
+        outcome = live.expect_outcome(now_ms)
+        place = live.generation.begin_attempt(agent)
+        self._peers.restart(agent)
+        self._guards.attempt_started(live, agent)
+        self._placement.record_dispatch(agent, chosen.request)
+        dispatch = make_dispatch(live, place, now_ms, suspect=chosen.suspect)
+        self._transport.send(agent, dispatch)
+        try:
+            return await outcome
+        finally:
+            self._placement.record_end(agent, chosen.request)
+
+    def _conclude(self, live: LiveGeneration, outcome: Outcome) -> None:
+        generation = live.generation
+        place = generation.place
+        match outcome:
+            case Finished():
+                self._guards.attempt_ended(live, place.agent)
+                return
+            case Rejected():
+                live.attempts -= 1
+                live.rejection = outcome
+                self._guards.attempt_ended(live, place.agent)
+            case Lost():
+                self._conclude_lost(live, outcome)
+        live.excluded |= {place.agent}
+        generation.interrupt()
+
+    def _conclude_lost(self, live: LiveGeneration, lost: Lost) -> None:
+        place = live.generation.place
+        live.interrupted_ms = self._clock.now_ms()
+        live.must_spend_retry = True
+        if not live.admitted:
+            unpinned = AttemptPlace(place.number, place.agent)
+            live.unconfirmed.add(unpinned)
+        self.send_cancel(live, place)
+        if lost.upstream_died:
+            domain = self._placement.failure_domain(place.agent)
+            self._guards.upstream_died(place.agent, domain)
+        self._guards.attempt_ended(live, place.agent)
+        self._placement.record_loss(place.agent)
+        self._probe.add(place.agent)
+
+
+def make_dispatch(
+    live: LiveGeneration,
+    place: AttemptPlace,
+    now_ms: float,
+    *,
+    suspect: bool = False,
+    warm_only: bool = False,
+) -> Dispatch:
+    """Return the message that starts an attempt after the accepted tokens."""
+    generation = live.generation
+    spec = generation.spec
+    return Dispatch(
+        generation=spec.generation,
+        attempt=place.number,
+        pin=spec.pin,
+        prompt=spec.prompt,
+        accepted=tuple(generation.tokens),
+        max_tokens=spec.max_tokens,
+        remaining_ms=spec.deadline_ms - now_ms,
+        team=spec.team,
+        priority=spec.priority,
+        fingerprint=spec.fingerprint,
+        warm_only=warm_only,
+        config_version=live.config_version,
+        suspect=suspect,
+    )
--- a/bergamotthread/process/generation_watch.py
+++ b/bergamotthread/process/generation_watch.py
@@ -48,7 +48,7 @@
         if now_ms >= live.generation.spec.deadline_ms:
             return Lost('deadline passed')
         if self._peers.is_suspect(place.agent):
-            return Lost('agent silent')
+            return Lost('agent silent', upstream_died=True)
         if not live.confirmed:
             return self._unconfirmed_loss(live, now_ms)
         if live.backlog > BACKLOG_TOKENS:
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -4,40 +4,34 @@
 
 import asyncio
 from collections import defaultdict
-from dataclasses import replace
-
-import msgspec
+from collections.abc import Coroutine
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.peer_histories import PeerHistories
 from bergamotthread.connection.transport import Transport
+from bergamotthread.process.generation_driver import (
+    DriverParts,
+    GenerationDriver,
+)
+from bergamotthread.process.generation_guards import GenerationGuards
 from bergamotthread.process.generation_watch import (
     GenerationLimits,
     GenerationWatch,
 )
 from bergamotthread.process.loss_probe import LossProbe
-from bergamotthread.process.placement import Placement, PlacementRequest
+from bergamotthread.process.placement import Placement
+from bergamotthread.process.standby import Standbys
 from bergamotthread.request.generation import (
     AttemptPlace,
     Verdict,
 )
-from bergamotthread.request.generation_refusal import (
-    generation_refusal,
-    limit_refusal,
-    placement_refusal,
-)
 from bergamotthread.request.live_generation import (
     Finished,
     LiveGeneration,
     Lost,
-    Outcome,
     Rejected,
     outcome_of,
 )
-from bergamotthread.request.refusal import (
-    ReasonCode,
-    RefusedError,
-)
 from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import (
     Ack,
@@ -45,13 +39,11 @@
     Admitted,
     Cancel,
     Declined,
-    Dispatch,
     Envelope,
     Fetch,
     Frame,
     Missing,
     OutputBatch,
-    Revoke,
     Revoked,
     Waiting,
 )
@@ -71,15 +63,26 @@
         placement: Placement,
         clock: Clock,
         limits: GenerationLimits | None = None,
+        guards: GenerationGuards | None = None,
     ) -> None:
         self.by_id: dict[str, LiveGeneration] = {}
         self.config_version = 0
         self.limits = limits or GenerationLimits()
+        self.guards = guards or GenerationGuards(clock)
+        self.standbys = Standbys(transport, placement, clock)
         self._transport = transport
         self._placement = placement
         self._clock = clock
         self._peers = PeerHistories(clock)
         self._probe = LossProbe(transport, clock)
+        parts = DriverParts(
+            transport,
+            placement,
+            self.guards,
+            self._peers,
+            self._probe,
+        )
+        self._driver = GenerationDriver(parts, clock, self.limits)
         self._watch = GenerationWatch(self._peers, self.limits)
 
     async def run(self) -> None:
@@ -95,14 +98,21 @@
             self._placement.publish(published)
 
     def start(self, live: LiveGeneration) -> None:
-        """Run a generation until it is over."""
-        self.by_id[live.generation.spec.generation] = live
-        live.task = asyncio.create_task(self._drive(live))
+        """Admit a generation and run it until it is over.
+
+        Raises
+        ------
+        RefusedError
+            If a guard refuses it; nothing has run then.
+        """
+        pin = live.generation.spec.pin
+        self.guards.admit(live, self._placement.utilisation(pin))
+        self._run(live, self._driver.drive(live))
 
     def adopt(self, live: LiveGeneration, agent: str, attempt: int) -> None:
         """Take over a generation whose entry was lost, at its agent."""
-        self.by_id[live.generation.spec.generation] = live
-        live.task = asyncio.create_task(self._adopt(live, agent, attempt))
+        self.guards.adopt(live)
+        self._run(live, self._driver.adopt(live, agent, attempt))
 
     def cancel(self, live: LiveGeneration) -> None:
         """End a generation that nobody reads and stop its attempt."""
@@ -112,7 +122,8 @@
         place = generation.place
         generation.cancel()
         if place.agent:
-            self._send_cancel(live, place)
+            self._driver.send_cancel(live, place)
+            self.guards.attempt_ended(live, place.agent)
         if live.task is not None:
             live.task.cancel()
         live.notify()
@@ -142,6 +153,19 @@
             case Revoked() as revoked:
                 self._on_revoked(revoked, envelope.sender)
 
+    def _run(
+        self,
+        live: LiveGeneration,
+        work: Coroutine[None, None, None],
+    ) -> None:
+        self.by_id[live.generation.spec.generation] = live
+        live.task = asyncio.create_task(work)
+        live.task.add_done_callback(lambda _: self._on_over(live))
+
+    def _on_over(self, live: LiveGeneration) -> None:
+        run_ms = self._clock.now_ms() - live.started_ms
+        self.guards.over(live, run_ms)
+
     def _lose_earlier(self, peer: str, incarnation: int) -> None:
         for live in self.by_id.values():
             place = live.generation.place
@@ -207,6 +231,8 @@
         live.admit()
         if frame.tokens:
             self._record_tokens(live)
+            self.guards.progressed(live, live.generation.place.agent)
+            self.standbys.progressed(live)
         if live.generation.is_over:
             live.settle(Finished())
         elif frame.end is not None:
@@ -246,152 +272,6 @@
             Fetch(generation.spec.generation, place.number, generation.offset),
         )
 
-    async def _adopt(
-        self,
-        live: LiveGeneration,
-        agent: str,
-        attempt: int,
-    ) -> None:
-        live.was_admitted = True
-        generation = live.generation
-        outcome = live.expect_outcome(self._clock.now_ms())
-        place = generation.adopt_attempt(agent, attempt)
-        self._peers.restart(agent)
-        self._transport.send(
-            agent,
-            Fetch(generation.spec.generation, place.number, 0),
-        )
-        self._conclude(live, await outcome)
-        if not generation.is_over:
-            self._restore_output(live, agent)
-        await self._drive(live)
-
-    def _restore_output(self, live: LiveGeneration, agent: str) -> None:
-        generation = live.generation
-        if generation.offset >= live.required_offset:
-            return
-        if len(live.fallback_tokens) == live.required_offset:
-            generation.restore(live.fallback_tokens)
-            return
-        refusal = generation_refusal(
-            live,
-            ReasonCode.OUTPUT_LOST,
-            'the output is no longer held; send it as accepted_tokens',
-        )
-        generation.refuse(msgspec.structs.replace(refusal, peer=agent))
-
-    async def _drive(self, live: LiveGeneration) -> None:
-        generation = live.generation
-        while not generation.is_over:
-            request = self._placement_request(live)
-            agent = await self._choose(live, request)
-            if not agent:
-                break
-            outcome = await self._attempt(live, agent, request)
-            self._conclude(live, outcome)
-        live.notify()
-
-    async def _attempt(
-        self,
-        live: LiveGeneration,
-        agent: str,
-        request: PlacementRequest,
-    ) -> Outcome:
-        now_ms = self._clock.now_ms()
-        outcome = live.expect_outcome(now_ms)
-        place = live.generation.begin_attempt(agent)
-        self._peers.restart(agent)
-        self._placement.record_dispatch(agent, request)
-        self._transport.send(agent, self._dispatch(live, place, now_ms))
-        try:
-            return await outcome
-        finally:
-            self._placement.record_end(agent, request)
-
-    def _dispatch(
-        self,
-        live: LiveGeneration,
-        place: AttemptPlace,
-        now_ms: float,
-    ) -> Dispatch:
-        generation = live.generation
-        spec = generation.spec
-        return Dispatch(
-            generation=spec.generation,
-            attempt=place.number,
-            pin=spec.pin,
-            prompt=spec.prompt,
-            accepted=tuple(generation.tokens),
-            max_tokens=spec.max_tokens,
-            remaining_ms=spec.deadline_ms - now_ms,
-            team=spec.team,
-            priority=spec.priority,
-            fingerprint=spec.fingerprint,
-            config_version=live.config_version,
-        )
-
-    def _conclude(self, live: LiveGeneration, outcome: Outcome) -> None:
-        generation = live.generation
-        place = generation.place
-        match outcome:
-            case Finished():
-                return
-            case Rejected():
-                live.attempts -= 1
-                live.rejection = outcome
-            case Lost():
-                live.interrupted_ms = self._clock.now_ms()
-                if not live.admitted:
-                    unpinned = AttemptPlace(place.number, place.agent)
-                    live.unconfirmed.add(unpinned)
-                self._send_cancel(live, place)
-                self._placement.record_loss(place.agent)
-                self._probe.add(place.agent)
-        live.excluded |= {place.agent}
-        generation.interrupt()
-
-    def _send_cancel(self, live: LiveGeneration, place: AttemptPlace) -> None:
-        identity = live.generation.spec.generation
-        message: Cancel | Revoke = Cancel(identity, place.number)
-        if not live.admitted:
-            message = Revoke(identity, place.number)
-        self._transport.send(place.agent, message)
-
-    def _placement_request(self, live: LiveGeneration) -> PlacementRequest:
-        return replace(
-            live.placement_request,
-            accepted_tokens=live.generation.offset,
-            excluded=live.excluded,
-            resume=live.may_have_run,
-        )
-
-    async def _choose(
-        self,
-        live: LiveGeneration,
-        request: PlacementRequest,
-    ) -> str:
-        while True:
-            refusal = limit_refusal(live, self._clock.now_ms())
-            if refusal is not None:
-                live.generation.refuse(refusal)
-                return ''
-            try:
-                return self._placement.choose(request)
-            except RefusedError as error:
-                refusal = error.refusal
-            if not self._may_wait(live, request):
-                live.generation.refuse(placement_refusal(live, refusal))
-                return ''
-            request = replace(request, excluded=frozenset())
-            live.excluded = frozenset()
-            await self._clock.sleep_ms(PLACEMENT_RETRY_MS)
-
-    def _may_wait(
-        self, live: LiveGeneration, request: PlacementRequest
-    ) -> bool:
-        waited_ms = self._clock.now_ms() - live.interrupted_ms
-        return request.resume and waited_ms <= self.limits.resume_patience_ms
-
     async def _watch_forever(self) -> None:
         while True:
             await self._clock.sleep_ms(WATCH_INTERVAL_MS)
--- a/bergamotthread/process/placement.py
+++ b/bergamotthread/process/placement.py
@@ -21,6 +21,8 @@
         Chained hashes of the prompt's blocks, shortest prefix first.
     excluded
         Agents that lost an attempt of this generation or declined it.
+    apart_from
+        Agent in whose failure domain no upstream is wanted.
     resume
         Whether the attempt continues a generation after a loss.
     """
@@ -35,6 +37,7 @@
     resume: bool = False
     cross_region: bool = True
     regions: tuple[str, ...] = ()
+    apart_from: str = ''
 
 
 class Placement(abc.ABC):
@@ -50,6 +53,14 @@
             If no upstream may run the pin now.
         """
 
+    @abc.abstractmethod
+    def failure_domain(self, agent: str) -> str:
+        """Return the failure domain of an agent, empty if unknown."""
+
+    def utilisation(self, pin: Pin) -> float:
+        """Return attempts over slots of the upstreams, 0 if unknown."""
+        return 0
+
     @abc.abstractmethod
     def publish(self, published: PublishedVersion) -> None:
         """Move on to the upstreams of a newer version."""
--- a/bergamotthread/process/round_robin.py
+++ b/bergamotthread/process/round_robin.py
@@ -39,6 +39,10 @@
             ),
         )
 
+    def failure_domain(self, agent: str) -> str:
+        """Return nothing, since the domains are not known."""
+        return ''
+
     def publish(self, published: PublishedVersion) -> None:
         """Take the agents of a newer version."""
         self._agents = tuple(published.upstreams_by_agent)
--- a/bergamotthread/process/routing.py
+++ b/bergamotthread/process/routing.py
@@ -134,6 +134,10 @@
         price = self.pool.egress_price_by_region.get(self.region, 0)
         return score + region_cost_ms(request, price, self.weights)
 
+    def failure_domain(self, agent: str) -> str:
+        """Return the failure domain of an agent, empty if unknown."""
+        return self.pool.domain_of(agent)
+
     def utilisation(self, pin: Pin) -> float:
         """Return attempts over slots of the own region's live upstreams.
 
@@ -207,6 +211,7 @@
             for domain, losses in self._losses_by_domain().items()
             if losses > tolerated
         }
+        avoided.add(self.failure_domain(request.apart_from))
         preferred = tuple(
             one for one in eligible if one.failure_domain not in avoided
         )
--- /dev/null
+++ b/bergamotthread/process/standby.py
@@ -0,0 +1,68 @@
+"""Warms the prefix of long generations at a second upstream."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.transport import Transport
+from bergamotthread.process.generation_driver import make_dispatch
+from bergamotthread.process.placement import Placement
+from bergamotthread.request.generation import AttemptPlace
+from bergamotthread.request.live_generation import LiveGeneration
+from bergamotthread.request.refusal import RefusedError
+from bergamotthread.version.objects import ResumeMode
+
+REWARM_TOKENS = 1024
+
+
+class Standbys:
+    """Keeps a warmed upstream for generations whose policy asks for one.
+
+    The standby stands in another failure domain than the current attempt. It
+    is warmed again every `REWARM_TOKENS`, so that a resume has little to
+    prefill. Attempts that only warm have negative numbers.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        placement: Placement,
+        clock: Clock,
+    ) -> None:
+        self.warmed = 0
+        self._transport = transport
+        self._placement = placement
+        self._clock = clock
+
+    def progressed(self, live: LiveGeneration) -> None:
+        """Warm a standby if the policy and the progress call for it."""
+        policy = live.policy
+        if policy.mode is not ResumeMode.WARM_STANDBY:
+            return
+        context = live.placement_request.prompt_tokens + live.generation.offset
+        if context < policy.standby_after_tokens:
+            return
+        if not live.standby or context - live.warmed_at >= REWARM_TOKENS:
+            self._warm(live, context)
+
+    def _warm(self, live: LiveGeneration, context: int) -> None:
+        current = live.generation.place.agent
+        live.warmed_at = context
+        request = replace(
+            live.placement_request,
+            accepted_tokens=live.generation.offset,
+            excluded=live.excluded | {current},
+            apart_from=current,
+        )
+        try:
+            standby = live.standby or self._placement.choose(request)
+        except RefusedError:
+            return
+        live.standby = standby
+        self.warmed += 1
+        live.warm_attempts += 1
+        place = AttemptPlace(-live.warm_attempts, standby)
+        now_ms = self._clock.now_ms()
+        dispatch = make_dispatch(live, place, now_ms, warm_only=True)
+        self._transport.send(standby, dispatch)
--- a/bergamotthread/request/live_generation.py
+++ b/bergamotthread/request/live_generation.py
@@ -25,6 +25,7 @@
     """The attempt gives no more output; `cause` says how that was noticed."""
 
     cause: str
+    upstream_died: bool = False
 
 
 @dataclass(frozen=True)
@@ -42,7 +43,8 @@
     """Return the outcome of an attempt that its agent ended early."""
     if reason is EndReason.ENGINE_REFUSED:
         return Rejected('engine refused', 0)
-    return Lost(f'agent reported {reason}')
+    died = reason is EndReason.ENGINE_LOST
+    return Lost(f'agent reported {reason}', upstream_died=died)
 
 
 class LiveGeneration:
@@ -85,6 +87,11 @@
         self.attempts = 0
         self.excluded: frozenset[str] = frozenset()
         self.standby = ''
+        self.warmed_at = 0
+        self.warm_attempts = 0
+        self.resumed_at = generation.offset
+        self.must_spend_retry = False
+        self.started_ms = now_ms
         self.required_offset = 0
         self.fallback_tokens: tuple[str, ...] = ()
         self.task: asyncio.Task[None] | None = None
@@ -118,6 +125,7 @@
         self.admitted = False
         self.produced = False
         self.attempts += 1
+        self.resumed_at = self.generation.offset
         self.dispatched_ms = now_ms
         self.fetched_ms = now_ms
         self.progress.restart(now_ms)
