A generation whose own task fails ends in a refusal

Cause: an exception in the driver's task left callers waiting for ever. Change: the end of the task aborts the generation with reason internal. Before: the new test waits until the virtual loop reports a deadlock. After: it passes.

--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -5,6 +5,9 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Coroutine
+from functools import partial
+
+from absl import logging
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.peer_histories import PeerHistories
@@ -25,6 +28,7 @@
     AttemptPlace,
     Verdict,
 )
+from bergamotthread.request.generation_refusal import internal_refusal
 from bergamotthread.request.live_generation import (
     Finished,
     LiveGeneration,
@@ -160,11 +164,20 @@
     ) -> None:
         self.by_id[live.generation.spec.generation] = live
         live.task = asyncio.create_task(work)
-        live.task.add_done_callback(lambda _: self._on_over(live))
+        live.task.add_done_callback(partial(self._on_over, live))
 
-    def _on_over(self, live: LiveGeneration) -> None:
+    def _on_over(self, live: LiveGeneration, task: asyncio.Task[None]) -> None:
         run_ms = self._clock.now_ms() - live.started_ms
         self.guards.over(live, run_ms)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            logging.error(
+                'generation %s failed: %r',
+                live.generation.spec.generation,
+                error,
+            )
+            live.generation.abort(internal_refusal(live, error))
+            live.notify()
 
     def _lose_earlier(self, peer: str, incarnation: int) -> None:
         for live in self.by_id.values():
--- a/bergamotthread/request/generation.py
+++ b/bergamotthread/request/generation.py
@@ -171,6 +171,13 @@
         self._trigger('refused')
         self.refusal = refusal
 
+    def abort(self, refusal: Refusal) -> None:
+        """End with a refusal from any state that is not final."""
+        if self.state is GenerationState.RUNNING:
+            self.interrupt()
+        if not self.is_over:
+            self.refuse(refusal)
+
     def cancel(self) -> None:
         """End because the caller wants no more output."""
         self._trigger('cancelled')
--- a/bergamotthread/request/generation_refusal.py
+++ b/bergamotthread/request/generation_refusal.py
@@ -78,3 +78,12 @@
         base,
         retry_after_ms=rejection.retry_after_ms or DECLINED_RETRY_MS,
     )
+
+
+def internal_refusal(live: LiveGeneration, error: BaseException) -> Refusal:
+    """Return the refusal of a generation whose own task failed."""
+    return generation_refusal(
+        live,
+        ReasonCode.INTERNAL,
+        f'the entry failed: {type(error).__name__}',
+    )
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -17,6 +17,7 @@
 TOKENS = 80
 KILL_AFTER_TOKENS = 30
 FORCE_TIMEOUT_S = 5
+USER_TIMEOUT_S = 30
 _EVENT_PREFIX = b'data: {'
 
 Say = Callable[[str], None]
@@ -35,15 +36,23 @@
         If a step does not show what it should.
     """
     for user in USERS:
-        say(f'--- {user.name}: regions {", ".join(user.regions)}')
-        speed = EngineSpeed(token_interval_ms=15)
-        deployment = Loopback(user, speed=speed)
         try:
-            await deployment.start()
-            await _show_resume(deployment, say)
-            await _show_publication(deployment, say)
-        finally:
-            await deployment.close()
+            async with asyncio.timeout(USER_TIMEOUT_S):
+                await _show_user(user, say)
+        except TimeoutError as error:
+            raise DemoError(f'not done after {USER_TIMEOUT_S} s') from error
+
+
+async def _show_user(user: User, say: Say) -> None:
+    say(f'--- {user.name}: regions {", ".join(user.regions)}')
+    speed = EngineSpeed(token_interval_ms=15)
+    deployment = Loopback(user, speed=speed)
+    try:
+        await deployment.start()
+        await _show_resume(deployment, say)
+        await _show_publication(deployment, say)
+    finally:
+        await deployment.close()
 
 
 async def _show_resume(deployment: Loopback, say: Say) -> None:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -44,4 +44,4 @@
     try:
         yield f'127.0.0.1:{running.port}'
     finally:
-        await running.stop()
+        await running.abort()
--- a/tests/test_continuity_faults.py
+++ b/tests/test_continuity_faults.py
@@ -5,6 +5,7 @@
 
 from bergamotthread.process.agent import AgentConfig
 from bergamotthread.process.completions import Caller
+from bergamotthread.process.generation_driver import GenerationDriver
 from bergamotthread.request.completion import CompletionRequest
 from bergamotthread.request.generation import Generation, Verdict
 from bergamotthread.request.refusal import Ran, ReasonCode, RefusedError
@@ -345,3 +346,20 @@
     monkeypatch.setattr(Generation, name, broken)
     with pytest.raises((BrokenAnswerError, AssertionError)):
         run_virtual(_outrun_by_the_lost_attempt())
+
+
+def test_failure_of_the_entry_ends_in_a_refusal(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED)
+        live, _ = deployment.entries[0].open(REQUEST)
+        await _until_offset(live, 10)
+        monkeypatch.setattr(GenerationDriver, '_conclude', None)
+        deployment.node_of(live).engine.die()
+        await _until_over(live)
+        assert live.generation.refusal is not None
+        assert live.generation.refusal.reason is ReasonCode.INTERNAL
+        assert live.generation.refusal.ran is Ran.MAYBE
+
+    run_virtual(scenario())
