--- a/bergamotthread/connection/http_service.py
+++ b/bergamotthread/connection/http_service.py
@@ -2,16 +2,15 @@
 
 The HTTP library repeats a request of an idempotent method by itself when a
 kept connection drops. A call by `PUT` or `DELETE` that may not be repeated
-would then run twice, so each connection carries one request.
+would then run twice, so each call has a client and a connection of its own.
 """
 
 from __future__ import annotations
 
 import asyncio
 
-from aiosonic import HTTPClient, HttpResponse, TCPConnector, Timeouts
+from aiosonic import HTTPClient, HttpResponse, Timeouts
 from aiosonic.exceptions import AiosonicError, ConnectTimeout
-from aiosonic.pools import PoolConfig
 
 from bergamotthread.connection.service_client import (
     ServiceAnswer,
@@ -24,7 +23,6 @@
 
 CONNECT_TIMEOUT_S = 1
 ANSWER_LIMIT_BYTES = 8_388_608
-CONCURRENT_CALLS = 256
 _MS_PER_S = 1000
 _LOST = (AiosonicError, OSError, ValueError, asyncio.IncompleteReadError)
 _UNREACHED = (ConnectionRefusedError, ConnectTimeout)
@@ -47,14 +45,11 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        pool = PoolConfig(size=CONCURRENT_CALLS, max_conn_requests=1)
-        connector = TCPConnector(pool_configs={':default': pool})
-        self._client = HTTPClient(connector)
 
     async def call(self, request: ServiceRequest) -> ServiceAnswer:
         """Send a call and return its answer."""
         try:
-            return await self._exchange(request)
+            return await self._call(request)
         except _UNREACHED as error:
             raise ServiceNotReachedError(
                 f'no connection: {error!r}',
@@ -69,12 +64,19 @@
             ) from error
 
     async def close(self) -> None:
-        """Close all connections."""
-        await self._client.aclose()
+        """Close nothing, since no connection outlives its call."""
 
-    async def _exchange(self, request: ServiceRequest) -> ServiceAnswer:
+    async def _call(self, request: ServiceRequest) -> ServiceAnswer:
+        async with HTTPClient() as client:
+            return await self._exchange(client, request)
+
+    async def _exchange(
+        self,
+        client: HTTPClient,
+        request: ServiceRequest,
+    ) -> ServiceAnswer:
         answer_s = request.remaining_ms / _MS_PER_S
-        response: HttpResponse = await self._client.request(
+        response: HttpResponse = await client.request(
             f'http://{self._address}{request.path}',
             request.method,
             headers=dict(_end_to_end(request.headers)),
--- a/bergamotthread/request/call_row.py
+++ b/bergamotthread/request/call_row.py
@@ -280,9 +280,10 @@
 def is_expired(row: CallRow, now_ms: int) -> bool:
     """Return whether the row may be deleted.
 
-    Rows that are unknown stay until an operator resolves them.
+    Rows that are dispatched become unknown first, and unknown ones stay until
+    they are resolved.
     """
-    if not isinstance(row.state, Done | Refused | Resolved):
+    if isinstance(row.state, Dispatched | Unknown):
         return False
     return now_ms > row.changed_ms + row.lifetime_ms
 
