--- a/bergamotthread/process/call_limits.py
+++ b/bergamotthread/process/call_limits.py
@@ -29,13 +29,16 @@
         Largest answer that is kept in the row.
     result_bytes
         Largest answer that is kept at all, in the object store.
+    held_bytes
+        Large answers that wait for the object store, all together; an answer
+        beyond that reaches its caller but is not kept.
     concurrent
         Guarded calls under way at once, those waiting for late answers too.
     """
 
     lease_margin_ms: int = 5000
     store_wait_ms: float = 1500
-    settle_ms: float = 60_000
+    settle_ms: float = 120_000
     park_ms: float = 300_000
     offer_ms: float = 300
     ask_ms: float = 500
@@ -43,4 +46,5 @@
     poll_max_ms: float = 1000
     inline_bytes: int = 16_384
     result_bytes: int = 4_194_304
+    held_bytes: int = 33_554_432
     concurrent: int = 2000
--- a/bergamotthread/process/call_runner.py
+++ b/bergamotthread/process/call_runner.py
@@ -22,6 +22,7 @@
 from bergamotthread.request.call_row import Claim, fingerprint_of, row_key
 from bergamotthread.request.call_store import CallStore
 from bergamotthread.request.guarded_call import GuardedCall
+from bergamotthread.request.held_bodies import ByteBudget, HeldBodies
 from bergamotthread.request.plain_call import PlainCall
 from bergamotthread.request.refusal import Ran, ReasonCode
 from bergamotthread.wire.messages import Envelope
@@ -63,6 +64,7 @@
         self._mailboxes = CallMailboxes()
         self._budget = RetryCredit()
         self._sequence = 0
+        self._held = ByteBudget(self.limits.held_bytes)
         self._call_by_task: dict[asyncio.Task[None], GuardedCall] = {}
 
     @property
@@ -127,7 +129,7 @@
         )
 
     def _guarded(self, request: CallRequest, owner: str) -> GuardedCall:
-        bodies_by_name: dict[str, bytes] = {}
+        bodies = HeldBodies(self._held)
         store = CallStore(
             self._table,
             self._object_store,
@@ -135,7 +137,7 @@
             self._rng,
             self.limits,
             row_key(request.service, request.team, request.key),
-            bodies_by_name,
+            bodies,
         )
         agents = CallAgents(
             request,
@@ -144,7 +146,7 @@
             self._mailboxes,
             self._clock,
             self.limits,
-            bodies_by_name,
+            bodies,
         )
         claim = self._claim(request, owner)
         return GuardedCall(
--- a/bergamotthread/request/call_agents.py
+++ b/bergamotthread/request/call_agents.py
@@ -27,6 +27,7 @@
 )
 from bergamotthread.request.call_request import CallRequest
 from bergamotthread.request.call_row import Done, Sending, result_name
+from bergamotthread.request.held_bodies import HeldBodies
 from bergamotthread.wire.messages import (
     CallDispatch,
     CallOffer,
@@ -51,7 +52,7 @@
         The request and its unique name.
     transport, mailboxes, clock, limits
         What the entry's calls share.
-    bodies_by_name
+    bodies
         Receives answers that are too large for a row.
     declined
         Why agents did not take the call.
@@ -63,7 +64,7 @@
     mailboxes: CallMailboxes
     clock: Clock
     limits: CallLimits
-    bodies_by_name: dict[str, bytes]
+    bodies: HeldBodies
     declined: list[str] = field(default_factory=list)
     retry_after_ms: int = 0
     _awaited: dict[Sending, Mailbox] = field(default_factory=dict)
@@ -211,7 +212,7 @@
 
     def _done(self, reply: CallReply, sending: Sending) -> Done:
         done = Done(sending, reply.status, reply.headers)
-        return keep_body(done, reply.body, self.limits, self.bodies_by_name)
+        return keep_body(done, reply.body, self.limits, self.bodies)
 
     def _dispatch(self, action: Send) -> CallDispatch:
         sending = action.sending
@@ -234,13 +235,13 @@
     done: Done,
     body: bytes,
     limits: CallLimits,
-    bodies_by_name: dict[str, bytes],
+    bodies: HeldBodies,
 ) -> Done:
     """Return `done` with its body inline, or with the name of an object."""
     if len(body) <= limits.inline_bytes:
         return structs.replace(done, body=body)
     name = result_name(done.sending)
-    bodies_by_name[name] = body
-    if len(body) > limits.result_bytes:
+    granted = bodies.hold(name, body)
+    if len(body) > limits.result_bytes or not granted:
         return structs.replace(done, omitted=True)
     return structs.replace(done, stored_as=name)
--- a/bergamotthread/request/call_store.py
+++ b/bergamotthread/request/call_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreConflictError, StoreUnavailableError
@@ -22,6 +22,7 @@
     result_name,
     unknown_key,
 )
+from bergamotthread.request.held_bodies import HeldBodies
 
 _BACKOFF_MS = 20
 _GROWTH = 2
@@ -72,7 +73,7 @@
         Limits of calls.
     key
         Key of the row.
-    bodies_by_name
+    bodies
         Answers that go to the object store once their row is written.
     """
 
@@ -82,7 +83,7 @@
     rng: random.Random
     limits: CallLimits
     key: str
-    bodies_by_name: dict[str, bytes] = field(default_factory=dict)
+    bodies: HeldBodies
     _polls: int = 0
 
     def __post_init__(self) -> None:
@@ -90,6 +91,11 @@
         self._reads = _Patience(self.clock, self.rng, limit_ms)
         self._writes = _Patience(self.clock, self.rng, limit_ms)
 
+    def wait_at_most(self, limit_ms: float) -> None:
+        """Set the time for which the store may fail from now on."""
+        self._reads.limit_ms = limit_ms
+        self._writes.limit_ms = limit_ms
+
     async def write(self, action: Write) -> Written | NotWritten:
         """Write the row, and before it what the row refers to.
 
@@ -135,7 +141,7 @@
 
     async def body_of(self, done: Done) -> bytes | None:
         """Return the whole answer, or None if it is not kept."""
-        held = self.bodies_by_name.get(result_name(done.sending))
+        held = self.bodies.get(result_name(done.sending))
         if held is not None:
             return held
         if done.stored_as:
@@ -164,7 +170,7 @@
             await write_unknown_index(self.table, self.key)
         if not isinstance(row.state, Done):
             return
-        body = self.bodies_by_name.get(row.state.stored_as)
+        body = self.bodies.get(row.state.stored_as)
         if body is not None:
             await self.object_store.put(row.state.stored_as, body)
 
--- a/bergamotthread/request/guarded_call.py
+++ b/bergamotthread/request/guarded_call.py
@@ -42,6 +42,7 @@
     Done,
     Refused,
     Reserved,
+    result_name,
 )
 from bergamotthread.request.call_store import CallStore
 from bergamotthread.request.refusal import Ran, ReasonCode
@@ -92,9 +93,13 @@
         except BergamotError as error:
             self._fail(error)
         finally:
-            self.agents.close()
-            if self._offer is not None:
-                self._offer.cancel()
+            self._close()
+
+    def _close(self) -> None:
+        self.agents.close()
+        self.store.bodies.release()
+        if self._offer is not None:
+            self._offer.cancel()
 
     async def _run(self) -> None:
         progress, actions = begin(self.claim, self.clock.calendar_ms())
@@ -179,6 +184,7 @@
 
     async def _answer(self, answer: Answer) -> None:
         self._limit_ms = self.clock.now_ms() + self.limits.settle_ms
+        self.store.wait_at_most(self.limits.settle_ms)
         if self.answer.done():
             return
         if answer.verdict is Verdict.RAN and isinstance(answer.state, Done):
@@ -202,6 +208,8 @@
                 'the call ran; its answer was too large to be kept',
             )
             return
+        if done.omitted:
+            self.store.bodies.drop(result_name(done.sending))
         self.answer.set_result(
             CallAnswer(
                 done.status,
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bergamotthread.errors import StoreUnavailableError
+from bergamotthread.process.call_limits import CallLimits
 from bergamotthread.process.platform import Row, Table
 from bergamotthread.request.call_request import CallAnswer
 from bergamotthread.request.call_row import (
@@ -177,6 +178,18 @@
     assert again.body == b'k ran 1'
 
 
+async def _store_down_for_a_minute_after(group: CallGroup) -> None:
+    group.service.delay_ms = 100
+    first = asyncio.ensure_future(_run(group))
+    await group.clock.sleep_ms(50)
+    group.platform.faults = PlatformFaults(down=True)
+    assert (await first).status == 200
+    await group.clock.sleep_ms(60_000)
+    group.platform.faults = PlatformFaults()
+    await group.clock.sleep_ms(5000)
+    assert isinstance(group.row().state, Done)
+
+
 def _lose_answers(times: int, effects: bool = True) -> Any:
     left = [times]
 
@@ -426,6 +439,22 @@
     assert (again.reason, again.ran) == (ReasonCode.OUTPUT_LOST, Ran.MAYBE)
 
 
+async def _large_answers_are_bounded(group: CallGroup) -> None:
+    group.limits = CallLimits(held_bytes=250_000)
+    group.start_entry('entry-1')
+    group.service.answer_bytes = 100_000
+    keys = [f'k{index}' for index in range(3)]
+    answers = await asyncio.gather(*(_run(group, key=key) for key in keys))
+    assert [len(one.body) for one in answers] == [100_000] * 3
+    await group.clock.sleep_ms(1000)
+    again = [await _run(group, 'entry-2', key=key) for key in keys]
+    lost = [one for one in again if isinstance(one, Refusal)]
+    assert [one.reason for one in lost] == [ReasonCode.OUTPUT_LOST]
+    assert (await _run(group, key='later')).status == 200
+    await group.clock.sleep_ms(1000)
+    assert len((await _run(group, 'entry-2', key='later')).body) == 100_000
+
+
 async def _key_is_checked(group: CallGroup) -> None:
     for key in ('', 'x' * 201):
         answer = await _run(group, key=key)
@@ -454,6 +483,7 @@
         _store_down_at_resend,
         _store_down_during,
         _store_down_after,
+        _store_down_for_a_minute_after,
         _agent_dies_after_dispatch,
         _agent_lost_is_told_at_once,
         _upstream_answers_late,
@@ -468,6 +498,7 @@
         _replaced_agent_gets_old_dispatch,
         _large_answer,
         _too_large_answer,
+        _large_answers_are_bounded,
         _key_is_checked,
         _caller_leaves,
     ],
