--- a/bergamotthread/request/call_row.py
+++ b/bergamotthread/request/call_row.py
@@ -162,6 +162,11 @@
     return UNKNOWN_PREFIX + key.removeprefix(CALL_PREFIX)
 
 
+def result_name(sending: Sending) -> str:
+    """Return the name of the object that holds a large answer."""
+    return f'call-results/{sending.owner}/{sending.ticket}'
+
+
 def fingerprint_of(method: str, path: str, body: bytes) -> str:
     """Return the digest of what a call asks."""
     digest = xxhash.xxh3_128(method.encode())
@@ -275,9 +280,10 @@
 def is_expired(row: CallRow, now_ms: int) -> bool:
     """Return whether the row may be deleted.
 
-    Rows that are unknown stay until an operator resolves them.
+    Rows that are dispatched become unknown first, and unknown ones stay until
+    they are resolved.
     """
-    if not isinstance(row.state, Done | Refused | Resolved):
+    if isinstance(row.state, Dispatched | Unknown):
         return False
     return now_ms > row.changed_ms + row.lifetime_ms
 
