--- a/tests/test_checks.py
+++ b/tests/test_checks.py
@@ -13,7 +13,7 @@
     decode_object_set,
     load_object_set,
 )
-from bergamotthread.version.objects import ObjectSet
+from bergamotthread.version.objects import KINDS, ObjectSet
 
 EXAMPLES = Path(__file__).parent.parent / 'examples'
 EXAMPLE_FILES = sorted(EXAMPLES.glob('*/objects.json'))
@@ -201,10 +201,9 @@
     data: st.DataObject,
 ) -> None:
     document = _document()
-    kind = data.draw(
-        st.sampled_from([key for key in document if document[key]])
-    )
-    one = data.draw(st.sampled_from(document[kind]))
+    kinds = [kind for kind in KINDS if document[kind]]
+    objects = document[data.draw(st.sampled_from(kinds))]
+    one = data.draw(st.sampled_from([*objects, document]))
     field = data.draw(st.sampled_from(sorted(one)))
     one[field] = data.draw(_JSON)
     encoded = json.dumps(document).encode()
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -482,7 +482,7 @@
         ).violations()
         for seed in range(8)
     ]
-    assert any(violations)
+    assert sum(map(bool, violations)) >= 4
 
 
 @pytest.mark.parametrize(
