Read versions in three accesses, and go on where a read was cut short

Objects that were read are kept until the version is complete. A conflict with many names the last five.

--- a/bergamotthread/version/archive.py
+++ b/bergamotthread/version/archive.py
@@ -2,20 +2,22 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bergamotthread.errors import BergamotError, Step
 from bergamotthread.process.platform import ObjectStore
 from bergamotthread.version.record import (
     Publication,
     Snapshot,
+    Tail,
     VersionRow,
     VersionState,
     decode_record,
-    publication_name,
-    snapshot_name,
+    tail_name,
 )
 
+MAX_FOLLOWED = 256
+
 
 class MissingObjectError(BergamotError):
     """An object that a record names is not in the store."""
@@ -23,9 +25,14 @@
 
 @dataclass(frozen=True)
 class Archive:
-    """Publications and snapshots by the ids that records name."""
+    """Publications and snapshots by the ids that records name.
+
+    Objects never change, so those that were read are kept until a version is
+    complete: a reader that the store's limits interrupt goes on where it was.
+    """
 
     store: ObjectStore
+    _bodies_by_name: dict[str, bytes] = field(default_factory=dict)
 
     async def newest(self, row: VersionRow, held: VersionState) -> VersionState:
         """Return the state of the row's version.
@@ -33,17 +40,16 @@
         Parameters
         ----------
         held
-            State to continue from; read anew where it is too old.
+            State to continue from; a snapshot is read where it is too old.
         """
         if held.version == row.version:
             return held
-        if held.version < row.snapshot_version:
-            held = VersionState.from_snapshot(
-                await self._snapshot(row.snapshot)
-            )
-        following = await self._since(row, held.version)
-        for publication in following:
+        is_far = row.version - held.version > MAX_FOLLOWED
+        if not held.version or is_far:
+            held = await self._snapshot(row.snapshot)
+        for publication in await self.publications(row, held.version):
             held = held.follow(publication)
+        self._bodies_by_name.clear()
         return held
 
     async def version(self, row: VersionRow, version: int) -> VersionState:
@@ -59,15 +65,17 @@
                 f'version {version}, expected one from 1 to {row.version}',
                 step=Step.PUBLISH,
             )
-        last_id = row.publication_id
-        snapshot = await self._snapshot(row.snapshot)
-        while snapshot.version > version:
-            last_id = snapshot.publication_id
-            snapshot = await self._snapshot(snapshot.previous)
-        state = VersionState.from_snapshot(snapshot)
-        for publication in await self._walk(last_id, state.version):
-            if publication.version <= version:
+        tail = await self.tail(row.publication_id)
+        walked = tail.publications
+        while not _covers(tail, walked, version):
+            tail = await self.tail(walked[0].previous_id)
+            kept = walked if tail.snapshot_version < version else ()
+            walked = tail.publications + kept
+        state = await self._snapshot(tail.snapshot)
+        for publication in walked:
+            if state.version < publication.version <= version:
                 state = state.follow(publication)
+        self._bodies_by_name.clear()
         return state
 
     async def publications(
@@ -76,54 +84,44 @@
         since: int,
     ) -> tuple[Publication, ...]:
         """Return the publications after version `since`, oldest first."""
-        return await self._since(row, since)
+        walked = tuple(one for one in row.recent if one.version > since)
+        next_id = walked[0].previous_id if walked else row.publication_id
+        next_version = walked[0].version - 1 if walked else row.version
+        while next_version > since:
+            tail = await self.tail(next_id)
+            older = tuple(
+                one for one in tail.publications if one.version > since
+            )
+            walked = older + walked
+            next_id = walked[0].previous_id
+            next_version = walked[0].version - 1
+        return walked
 
-    async def _since(
-        self,
-        row: VersionRow,
-        version: int,
-    ) -> tuple[Publication, ...]:
-        inline = tuple(one for one in row.recent if one.version > version)
-        if not inline:
-            return await self._walk(row.publication_id, version)
-        if inline[0].version == version + 1:
-            return inline
-        return await self._walk(inline[0].previous_id, version) + inline
-
-    async def _walk(
-        self,
-        publication_id: str,
-        version: int,
-    ) -> tuple[Publication, ...]:
-        walked: list[Publication] = []
-        while publication_id:
-            encoded = await self._get(publication_name(publication_id))
-            publication = decode_record(encoded, Publication)
-            if publication.version <= version:
-                break
-            walked.append(publication)
-            publication_id = publication.previous_id
-            if publication.version == version + 1:
-                break
-        return tuple(reversed(walked))
-
-    async def _snapshot(self, name: str) -> Snapshot:
-        return decode_record(await self._get(name), Snapshot)
+    async def tail(self, publication_id: str) -> Tail:
+        """Return a publication with those before it."""
+        return decode_record(await self._get(tail_name(publication_id)), Tail)
+
+    async def _snapshot(self, name: str) -> VersionState:
+        if not name:
+            return VersionState()
+        snapshot = decode_record(await self._get(name), Snapshot)
+        return VersionState.from_snapshot(snapshot)
 
     async def _get(self, name: str) -> bytes:
-        encoded = await self.store.get(name)
-        if encoded is None:
+        body = self._bodies_by_name.get(name)
+        if body is None:
+            body = await self.store.get(name)
+        if body is None:
             raise MissingObjectError(f'no object {name}', step=Step.PUBLISH)
-        return encoded
-
-
-def snapshot_of(state: VersionState, previous: str) -> tuple[str, Snapshot]:
-    """Return a snapshot of a state with its object name."""
-    snapshot = Snapshot(
-        state.version,
-        state.publication_id,
-        state.digest,
-        state.object_set,
-        previous,
-    )
-    return snapshot_name(state.publication_id), snapshot
+        self._bodies_by_name[name] = body
+        return body
+
+
+def _covers(
+    tail: Tail,
+    walked: tuple[Publication, ...],
+    version: int,
+) -> bool:
+    """Return whether the tail's snapshot and `walked` lead to `version`."""
+    starts_early = tail.snapshot_version < version
+    return starts_early and walked[0].version <= tail.snapshot_version + 1
--- a/bergamotthread/version/publication.py
+++ b/bergamotthread/version/publication.py
@@ -15,7 +15,7 @@
     StoreUnavailableError,
 )
 from bergamotthread.process.platform import ObjectStore, Table
-from bergamotthread.version.archive import Archive, snapshot_of
+from bergamotthread.version.archive import Archive
 from bergamotthread.version.checks import check_object_set
 from bergamotthread.version.diff import (
     ChangeSet,
@@ -25,21 +25,27 @@
 )
 from bergamotthread.version.objects import ObjectSet
 from bergamotthread.version.record import (
+    INLINE_BYTES,
     SNAPSHOT_INTERVAL,
+    TAIL_BYTES,
     VERSION_KEY,
     Publication,
+    Snapshot,
+    Tail,
     VersionRow,
     VersionState,
     decode_record,
     encode_record,
-    publication_name,
-    trim_recent,
+    snapshot_name,
+    tail_name,
+    trim_publications,
 )
 
 PUBLICATION_ID_BYTES = 12
 WRITE_TIMEOUT_MS = 10_000
 RETRY_INTERVAL_MS = 250
 MAX_SHOWN_OBJECTS = 4
+MAX_SHOWN_PUBLICATIONS = 5
 
 
 class PublicationConflictError(BergamotError):
@@ -58,11 +64,14 @@
         newer: tuple[Publication, ...],
         clashes: frozenset[ObjectName],
     ) -> None:
-        named = '; '.join(describe_publication(one) for one in newer)
+        shown = newer[-MAX_SHOWN_PUBLICATIONS:]
+        named = '; '.join(describe_publication(one) for one in shown)
+        hidden = len(newer) - len(shown)
+        earlier = f'{hidden} earlier ones; ' if hidden else ''
         both = ', '.join(str(one) for one in sorted(clashes))
         changed_by_both = f'; changed by both: {both}' if both else ''
         super().__init__(
-            f'published meanwhile: {named}{changed_by_both}',
+            f'published meanwhile: {earlier}{named}{changed_by_both}',
             step=Step.PUBLISH,
         )
         self.newer = newer
@@ -229,16 +238,16 @@
         state: VersionState,
         before: VersionRow | None,
     ) -> VersionRow:
-        store = self.archive.store
-        name = publication_name(publication.publication_id)
-        await store.put(name, encode_record(publication))
-        snapshot_name = before.snapshot if before else ''
-        snapshot_version = before.snapshot_version if before else 0
-        due = state.version - snapshot_version >= SNAPSHOT_INTERVAL
-        if due or before is None:
-            snapshot_name, snapshot = snapshot_of(state, snapshot_name)
-            snapshot_version = state.version
-            await store.put(snapshot_name, encode_record(snapshot))
+        """Store what the next row names; only a row that is written counts."""
+        tail = await self._tail_after(publication, before)
+        name = tail_name(publication.publication_id)
+        await self.archive.store.put(name, encode_record(tail))
+        snapshot, snapshot_version = tail.snapshot, tail.snapshot_version
+        if (
+            not snapshot
+            or state.version - snapshot_version >= SNAPSHOT_INTERVAL
+        ):
+            snapshot, snapshot_version = await self._put_snapshot(state)
         recent = before.recent if before else ()
         return VersionRow(
             version=state.version,
@@ -246,12 +255,43 @@
             digest=state.digest,
             who=publication.who,
             published_ms=publication.published_ms,
-            recent=trim_recent((*recent, publication)),
-            snapshot=snapshot_name,
+            recent=trim_publications((*recent, publication), INLINE_BYTES),
+            snapshot=snapshot,
             snapshot_version=snapshot_version,
             note=publication.note,
         )
 
+    async def _tail_after(
+        self,
+        publication: Publication,
+        before: VersionRow | None,
+    ) -> Tail:
+        if before is None:
+            return Tail((publication,), '', 0)
+        earlier = await self.archive.tail(before.publication_id)
+        since_snapshot = tuple(
+            one
+            for one in earlier.publications
+            if one.version > before.snapshot_version
+        )
+        room = TAIL_BYTES - len(encode_record(publication))
+        return Tail(
+            (*trim_publications(since_snapshot, room), publication),
+            before.snapshot,
+            before.snapshot_version,
+        )
+
+    async def _put_snapshot(self, state: VersionState) -> tuple[str, int]:
+        snapshot = Snapshot(
+            state.version,
+            state.publication_id,
+            state.digest,
+            state.object_set,
+        )
+        name = snapshot_name(state.publication_id)
+        await self.archive.store.put(name, encode_record(snapshot))
+        return name, state.version
+
     async def _advance(self, wanted: NewestVersion) -> NewestVersion | None:
         """Write the row until the outcome is known; None: another came first.
 
--- a/bergamotthread/version/record.py
+++ b/bergamotthread/version/record.py
@@ -16,6 +16,7 @@
 PUBLICATION_PREFIX = 'version/publication/'
 SNAPSHOT_PREFIX = 'version/snapshot/'
 INLINE_BYTES = 2048
+TAIL_BYTES = 32_768
 SNAPSHOT_INTERVAL = 64
 
 
@@ -62,13 +63,24 @@
 
 
 class Snapshot(_Record, frozen=True):
-    """Whole set of one version; `previous` names the snapshot before."""
+    """Whole set of one version."""
 
     version: int
     publication_id: str
     digest: str
     object_set: ObjectSet
-    previous: str = ''
+
+
+class Tail(_Record, frozen=True):
+    """A publication with those before it, oldest first, as the store has it.
+
+    They go back to the snapshot that they build upon, as far as they fit
+    `TAIL_BYTES`; the snapshot's name is empty where there was none.
+    """
+
+    publications: tuple[Publication, ...]
+    snapshot: str
+    snapshot_version: int
 
 
 class VersionRow(_Record, frozen=True):
@@ -144,7 +156,7 @@
         )
 
 
-_Decoded = TypeVar('_Decoded', VersionRow, Publication, Snapshot, Bundle)
+_Decoded = TypeVar('_Decoded', VersionRow, Tail, Snapshot, Bundle, Publication)
 
 
 def encode_record(record: _Record) -> bytes:
@@ -167,8 +179,8 @@
         raise DecodeError(message, step=Step.DECODE) from error
 
 
-def publication_name(publication_id: str) -> str:
-    """Return the object name of a publication."""
+def tail_name(publication_id: str) -> str:
+    """Return the object name of a publication with those before it."""
     return f'{PUBLICATION_PREFIX}{publication_id}'
 
 
@@ -177,15 +189,15 @@
     return f'{SNAPSHOT_PREFIX}{publication_id}'
 
 
-def trim_recent(
+def trim_publications(
     publications: tuple[Publication, ...],
+    max_bytes: int,
 ) -> tuple[Publication, ...]:
-    """Return the newest publications that fit `INLINE_BYTES` together."""
-    remaining = INLINE_BYTES
+    """Return the newest publications that fit `max_bytes` together."""
     kept: list[Publication] = []
     for publication in reversed(publications):
-        remaining -= len(encode_record(publication))
-        if remaining < 0:
+        max_bytes -= len(encode_record(publication))
+        if max_bytes < 0:
             break
         kept.append(publication)
     return tuple(reversed(kept))
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -12,7 +13,7 @@
     MemoryTable,
 )
 from bergamotthread.testing.virtual_loop import run_virtual
-from bergamotthread.version.archive import MissingObjectError
+from bergamotthread.version.archive import Archive, MissingObjectError
 from bergamotthread.version.checks import ObjectsError
 from bergamotthread.version.diff import ObjectName
 from bergamotthread.version.objects import ObjectSet, Region, Team
@@ -28,7 +29,6 @@
     VERSION_KEY,
     ChainError,
     VersionState,
-    encode_record,
 )
 
 Scenario = Callable[[Publisher, MemoryPlatform], Awaitable[None]]
@@ -100,6 +100,18 @@
     _run(_scenario)
 
 
+def test_conflict_with_many_names_the_last() -> None:
+    async def _scenario(publisher: Publisher, _: MemoryPlatform) -> None:
+        for version in range(9):
+            await publisher.publish(Draft(_set(a=version + 1), 'eva', version))
+        with pytest.raises(PublicationConflictError) as caught:
+            await publisher.publish(Draft(_set(a=99), 'ana', 1))
+        assert '3 earlier ones; version 5 by eva' in str(caught.value)
+        assert len(caught.value.newer) == 8
+
+    _run(_scenario)
+
+
 def test_rebase_keeps_changes_of_both_sides() -> None:
     async def _scenario(publisher: Publisher, _: MemoryPlatform) -> None:
         await publisher.publish(Draft(_set(a=1, b=1), 'ana', 0))
@@ -273,11 +285,45 @@
             assert state.object_set == _set(a=version)
         reads = platform.reads
         assert await publisher.newest() == newest
-        assert platform.reads - reads <= SNAPSHOT_INTERVAL + 2
+        assert platform.reads - reads <= 3
+
+    _run(_scenario)
+
+
+def test_reader_that_is_interrupted_goes_on_where_it_was() -> None:
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        for version in range(SNAPSHOT_INTERVAL + 30):
+            note = 'long ' * 200
+            draft = Draft(_set(a=version + 1), 'ana', version, note)
+            newest = await publisher.publish(draft)
+        store = _InterruptedStore(platform)
+        archive = Archive(store)
+        assert newest.row is not None
+        attempts = 0
+        while store.gets < 4:
+            attempts += 1
+            with contextlib.suppress(StoreUnavailableError):
+                await archive.newest(newest.row, VersionState())
+                break
+        state = await archive.newest(newest.row, VersionState())
+        assert state == newest.state
+        assert attempts > 1
 
     _run(_scenario)
 
 
+class _InterruptedStore(MemoryObjectStore):
+    """Answers every second read."""
+
+    gets = 0
+
+    async def get(self, name: str) -> bytes | None:
+        self.gets += 1
+        if self.gets % 2 == 0:
+            raise StoreUnavailableError('store not asked', step='store')
+        return await super().get(name)
+
+
 def test_row_stays_small() -> None:
     async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
         for version in range(40):
@@ -297,9 +343,7 @@
         forged = msgspec.structs.replace(publication, who='eva')
         with pytest.raises(ChainError):
             VersionState().follow(forged)
-        name = next(
-            one for one in platform.bodies_by_name if 'publication' in one
-        )
-        assert platform.bodies_by_name[name] == encode_record(publication)
+        stored = await publisher.archive.tail(publication.publication_id)
+        assert stored.publications == (publication,)
 
     _run(_scenario)
