Tell a write that was never sent from one whose outcome is unknown

Cause: while the store client's circuit is open a publication was told as "may have taken effect" although nothing was sent. Change: PublicationWrite is the life cycle of the row's write (transitions); it gives up as abandoned or as unknown. VersionRelay holds what a process passes on and takes that out of VersionHolder.

--- a/bergamotthread/cli/publish.py
+++ b/bergamotthread/cli/publish.py
@@ -22,10 +22,10 @@
     Draft,
     NewestVersion,
     PublicationConflictError,
-    PublicationUnknownError,
     Publisher,
     describe_publication,
 )
+from bergamotthread.version.publication_write import PublicationUnknownError
 from bergamotthread.version.record import VersionState
 from bergamotthread.version.registration import forget_holders, read_holders
 from bergamotthread.version.schema import object_set_schema
--- a/bergamotthread/version/distribution.py
+++ b/bergamotthread/version/distribution.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-from collections import deque
 from collections.abc import Callable, Sequence
 
 from absl import logging
@@ -23,20 +22,18 @@
     VERSION_KEY,
     Bundle,
     Publication,
-    Snapshot,
     VersionRow,
     VersionState,
     decode_record,
-    encode_record,
 )
 from bergamotthread.version.registration import Registration
+from bergamotthread.version.relay import VersionRelay, follow_bundle
 from bergamotthread.version.sources import (
     MAX_FANOUT,
     PendingRequests,
     SourceChoice,
     is_reader,
 )
-from bergamotthread.wire.codec import MAX_ENVELOPE_BYTES
 from bergamotthread.wire.messages import (
     Acks,
     ConfigNotice,
@@ -54,13 +51,9 @@
 READ_BACKOFF_MS = 1000
 REGISTER_INTERVAL_MS = 1000
 HEARD_ASK_INTERVAL_MS = 50
-WATCHER_TIMEOUT_MS = 12_000
 RETRY_AFTER_MS = 1000
-MAX_WATCHERS = 512
-MAX_RECENT_PUBLICATIONS = 256
 START_FANOUT = 2
 LOG_INTERVAL_S = 60
-_HEADROOM_BYTES = 1024
 
 
 class VersionHolder:
@@ -104,11 +97,9 @@
             incarnation = transport.incarnation
             self._registration = Registration(table, place, incarnation)
         self._state = VersionState()
-        self._recent: deque[Publication] = deque(maxlen=MAX_RECENT_PUBLICATIONS)
-        self._snapshot: bytes = b''
+        self._relay = VersionRelay(transport, clock)
         self._sources = SourceChoice(transport.address)
         self._requests = PendingRequests(transport.incarnation)
-        self._watched_ms_by_address: dict[str, float] = {}
         self._proof = asyncio.Event()
         self._why = 'nothing was heard yet'
         self._register_after_ms = -math.inf
@@ -302,7 +293,7 @@
 
     def _answer(self, peer: str, version: int, nonce: int) -> None:
         now_ms = self._clock.now_ms()
-        self._watch(peer, now_ms)
+        self._relay.watch(peer)
         if version > self.version:
             self._ask(peer)
         proof_age_ms = -1.0
@@ -312,39 +303,12 @@
             peer,
             ConfigNotice(
                 self.version,
-                self._bundle_since(version),
+                self._relay.bundle_since(version),
                 nonce,
                 proof_age_ms,
             ),
         )
 
-    def _watch(self, peer: str, now_ms: float) -> None:
-        self._watched_ms_by_address.pop(peer, None)
-        self._watched_ms_by_address[peer] = now_ms
-        if len(self._watched_ms_by_address) > MAX_WATCHERS:
-            oldest = next(iter(self._watched_ms_by_address))
-            self._watched_ms_by_address.pop(oldest)
-
-    def _bundle_since(self, version: int) -> bytes:
-        if version >= self.version:
-            return b''
-        publications = tuple(
-            one for one in self._recent if one.version > version
-        )
-        if version and publications and publications[0].version == version + 1:
-            return encode_record(Bundle(publications))
-        if not self._snapshot:
-            state = self._state
-            snapshot = Snapshot(
-                state.version,
-                state.publication_id,
-                state.digest,
-                state.object_set,
-            )
-            self._snapshot = encode_record(Bundle(snapshot=snapshot))
-        fits = len(self._snapshot) <= MAX_ENVELOPE_BYTES - _HEADROOM_BYTES
-        return self._snapshot if fits else b''
-
     def _on_notice(self, peer: str, notice: ConfigNotice) -> None:
         if notice.document and notice.version > self.version:
             self._take_bundle(peer, notice.document)
@@ -361,7 +325,7 @@
     def _take_bundle(self, peer: str, document: bytes) -> None:
         try:
             bundle = decode_record(document, Bundle)
-            state, publications = _follow_bundle(self._state, bundle)
+            state, publications = follow_bundle(self._state, bundle)
         except BergamotError as error:
             logging.warning('bundle from %s not taken: %s', peer, error)
             return
@@ -381,28 +345,9 @@
             state.object_set,
         )
         self._state = state
-        self._snapshot = b''
         self.lease.forget_registration()
-        self._remember(publications)
         logging.info('version %d in force, before %d', state.version, before)
-        self._notify_watchers(before)
-
-    def _remember(self, publications: tuple[Publication, ...]) -> None:
-        for publication in publications:
-            last = self._recent[-1].version if self._recent else 0
-            if publication.version != last + 1:
-                self._recent.clear()
-            self._recent.append(publication)
-        if self._recent and self._recent[-1].version != self.version:
-            self._recent.clear()
-
-    def _notify_watchers(self, before: int) -> None:
-        since_ms = self._clock.now_ms() - WATCHER_TIMEOUT_MS
-        document = self._bundle_since(before) if before else b''
-        notice: Message = ConfigNotice(self.version, document)
-        for address, watched_ms in self._watched_ms_by_address.items():
-            if watched_ms >= since_ms:
-                self._transport.send(address, notice)
+        self._relay.adopt(state, publications)
 
     def _prove(self, moment_ms: float) -> None:
         self.lease.prove(moment_ms)
@@ -426,20 +371,3 @@
 
     def close(self) -> None:
         """Hold nothing open."""
-
-
-def _follow_bundle(
-    state: VersionState,
-    bundle: Bundle,
-) -> tuple[VersionState, tuple[Publication, ...]]:
-    snapshot = bundle.snapshot
-    if snapshot is not None and snapshot.version > state.version:
-        state = VersionState.from_snapshot(snapshot)
-    taken: list[Publication] = []
-    for publication in bundle.publications:
-        if publication.version > state.version + 1:
-            break
-        if publication.version > state.version:
-            state = state.follow(publication)
-            taken.append(publication)
-    return state, tuple(taken)
--- a/bergamotthread/version/publication.py
+++ b/bergamotthread/version/publication.py
@@ -8,12 +8,7 @@
 import msgspec
 
 from bergamotthread.clock import Clock
-from bergamotthread.errors import (
-    BergamotError,
-    Step,
-    StoreConflictError,
-    StoreUnavailableError,
-)
+from bergamotthread.errors import BergamotError, Step
 from bergamotthread.process.platform import ObjectStore, Table
 from bergamotthread.version.archive import Archive
 from bergamotthread.version.checks import check_object_set
@@ -24,6 +19,7 @@
     diff_sets,
 )
 from bergamotthread.version.objects import ObjectSet
+from bergamotthread.version.publication_write import PublicationWrite
 from bergamotthread.version.record import (
     INLINE_BYTES,
     SNAPSHOT_INTERVAL,
@@ -42,8 +38,6 @@
 )
 
 PUBLICATION_ID_BYTES = 12
-WRITE_TIMEOUT_MS = 10_000
-RETRY_INTERVAL_MS = 250
 MAX_SHOWN_OBJECTS = 4
 MAX_SHOWN_PUBLICATIONS = 5
 
@@ -78,10 +72,6 @@
         self.clashes = clashes
 
 
-class PublicationUnknownError(BergamotError):
-    """The store did not say whether the publication took effect."""
-
-
 @dataclass(frozen=True)
 class NewestVersion:
     """The newest row with its revision and the version that it names."""
@@ -210,7 +200,15 @@
         publication = self._publication(draft, changes, newest.state)
         state = newest.state.follow(publication)
         row = await self._put_objects(publication, state, newest.row)
-        return await self._advance(NewestVersion(row, newest.revision, state))
+        write = PublicationWrite(
+            self.table,
+            self.archive,
+            self.clock,
+            row,
+            newest.revision,
+        )
+        revision = await write.run()
+        return None if revision is None else NewestVersion(row, revision, state)
 
     def _publication(
         self,
@@ -292,70 +290,6 @@
         await self.archive.store.put(name, encode_record(snapshot))
         return name, state.version
 
-    async def _advance(self, wanted: NewestVersion) -> NewestVersion | None:
-        """Write the row until the outcome is known; None: another came first.
-
-        An answer that is lost leaves two possibilities. The same write with
-        the same expected revision is repeated, so that it takes effect at most
-        once; a conflict is then told apart by the publication id.
-        """
-        body = b'' if wanted.row is None else encode_record(wanted.row)
-        give_up_ms = self.clock.now_ms() + WRITE_TIMEOUT_MS
-        while True:
-            try:
-                return await self._write_row(wanted, body)
-            except StoreConflictError:
-                return await self._recognise(wanted, give_up_ms)
-            except StoreUnavailableError as error:
-                await self._pause(wanted, give_up_ms, error)
-
-    async def _write_row(
-        self,
-        wanted: NewestVersion,
-        body: bytes,
-    ) -> NewestVersion:
-        expected = wanted.revision
-        row = await self.table.write(VERSION_KEY, body, expected=expected)
-        return replace(wanted, revision=row.revision)
-
-    async def _recognise(
-        self,
-        wanted: NewestVersion,
-        give_up_ms: float,
-    ) -> NewestVersion | None:
-        """Return `wanted` where it is in the history that the row names."""
-        while True:
-            try:
-                return await self._if_own(wanted)
-            except StoreUnavailableError as error:
-                await self._pause(wanted, give_up_ms, error)
-
-    async def _if_own(self, wanted: NewestVersion) -> NewestVersion | None:
-        row = await self.table.read(VERSION_KEY)
-        if row is None:
-            return None
-        version_row = decode_record(row.body, VersionRow)
-        since = wanted.state.version - 1
-        history = await self.archive.publications(version_row, since)
-        own_id = wanted.state.publication_id
-        is_own = any(one.publication_id == own_id for one in history)
-        return wanted if is_own else None
-
-    async def _pause(
-        self,
-        wanted: NewestVersion,
-        give_up_ms: float,
-        error: StoreUnavailableError,
-    ) -> None:
-        if self.clock.now_ms() >= give_up_ms:
-            raise PublicationUnknownError(
-                f'no answer from the store; publication '
-                f'{wanted.state.publication_id} of version '
-                f'{wanted.state.version} may have taken effect',
-                step=Step.PUBLISH,
-            ) from error
-        await self.clock.sleep_ms(RETRY_INTERVAL_MS)
-
 
 def _is_empty(changes: ChangeSet, state: VersionState) -> bool:
     lease_ms = changes.upserts.outage_lease_ms
--- /dev/null
+++ b/bergamotthread/version/relay.py
@@ -0,0 +1,127 @@
+"""What a process passes on of the versions that it holds."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.transport import Transport
+from bergamotthread.version.record import (
+    Bundle,
+    Publication,
+    Snapshot,
+    VersionState,
+    encode_record,
+)
+from bergamotthread.wire.codec import MAX_ENVELOPE_BYTES
+from bergamotthread.wire.messages import ConfigNotice
+
+WATCHER_TIMEOUT_MS = 12_000
+MAX_WATCHERS = 512
+MAX_RECENT_PUBLICATIONS = 256
+_HEADROOM_BYTES = 1024
+
+
+class VersionRelay:
+    """Passes versions on to the peers that ask for them."""
+
+    def __init__(self, transport: Transport, clock: Clock) -> None:
+        self._transport = transport
+        self._clock = clock
+        self._state = VersionState()
+        self._recent: deque[Publication] = deque(maxlen=MAX_RECENT_PUBLICATIONS)
+        self._snapshot = b''
+        self._watched_ms_by_address: dict[str, float] = {}
+
+    def watch(self, peer: str) -> None:
+        """Pass new versions on to a peer that asked now."""
+        self._watched_ms_by_address.pop(peer, None)
+        self._watched_ms_by_address[peer] = self._clock.now_ms()
+        if len(self._watched_ms_by_address) > MAX_WATCHERS:
+            oldest = next(iter(self._watched_ms_by_address))
+            self._watched_ms_by_address.pop(oldest)
+
+    def adopt(
+        self,
+        state: VersionState,
+        publications: tuple[Publication, ...],
+    ) -> None:
+        """Take in a newer version and tell the peers that asked lately.
+
+        Parameters
+        ----------
+        publications
+            The newest ones that led to the version, as far as they are known.
+        """
+        before = self._state.version
+        self._state = state
+        self._snapshot = b''
+        self._remember(publications)
+        self._notify_watchers(before)
+
+    def bundle_since(self, version: int) -> bytes:
+        """Return what follows `version`: the publications or the whole set.
+
+        Empty where nothing follows, or where the set is too large to send.
+        """
+        if version >= self._state.version:
+            return b''
+        publications = tuple(
+            one for one in self._recent if one.version > version
+        )
+        if version and publications and publications[0].version == version + 1:
+            return encode_record(Bundle(publications))
+        self._snapshot = self._snapshot or _encode_snapshot(self._state)
+        fits = len(self._snapshot) <= MAX_ENVELOPE_BYTES - _HEADROOM_BYTES
+        return self._snapshot if fits else b''
+
+    def _remember(self, publications: tuple[Publication, ...]) -> None:
+        for publication in publications:
+            last = self._recent[-1].version if self._recent else 0
+            if publication.version != last + 1:
+                self._recent.clear()
+            self._recent.append(publication)
+        if self._recent and self._recent[-1].version != self._state.version:
+            self._recent.clear()
+
+    def _notify_watchers(self, before: int) -> None:
+        since_ms = self._clock.now_ms() - WATCHER_TIMEOUT_MS
+        document = self.bundle_since(before) if before else b''
+        notice = ConfigNotice(self._state.version, document)
+        for address, watched_ms in self._watched_ms_by_address.items():
+            if watched_ms >= since_ms:
+                self._transport.send(address, notice)
+
+
+def follow_bundle(
+    state: VersionState,
+    bundle: Bundle,
+) -> tuple[VersionState, tuple[Publication, ...]]:
+    """Return the state that a bundle leads to, and what was taken from it.
+
+    Raises
+    ------
+    ChainError
+        If the bundle's history is another than that of `state`.
+    """
+    snapshot = bundle.snapshot
+    if snapshot is not None and snapshot.version > state.version:
+        state = VersionState.from_snapshot(snapshot)
+    taken: list[Publication] = []
+    for publication in bundle.publications:
+        if publication.version > state.version + 1:
+            break
+        if publication.version > state.version:
+            state = state.follow(publication)
+            taken.append(publication)
+    return state, tuple(taken)
+
+
+def _encode_snapshot(state: VersionState) -> bytes:
+    snapshot = Snapshot(
+        state.version,
+        state.publication_id,
+        state.digest,
+        state.object_set,
+    )
+    return encode_record(Bundle(snapshot=snapshot))
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -7,6 +7,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreUnavailableError
+from bergamotthread.process.store_client import StoreNotAskedError
 from bergamotthread.testing.memory_platform import (
     MemoryObjectStore,
     MemoryPlatform,
@@ -20,9 +21,9 @@
 from bergamotthread.version.publication import (
     Draft,
     PublicationConflictError,
-    PublicationUnknownError,
     Publisher,
 )
+from bergamotthread.version.publication_write import PublicationUnknownError
 from bergamotthread.version.record import (
     INLINE_BYTES,
     SNAPSHOT_INTERVAL,
@@ -249,6 +250,20 @@
     _run(_scenario)
 
 
+def test_write_that_was_never_sent_is_not_told_as_unknown() -> None:
+    class _ClosedTable(MemoryTable):
+        async def write(self, key: str, body: bytes, *, expected: int) -> None:
+            raise StoreNotAskedError('circuit is open', step='store')
+
+    async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
+        table = _ClosedTable(platform)
+        closed = Publisher(table, publisher.archive, platform.clock)
+        with pytest.raises(StoreNotAskedError):
+            await closed.publish(Draft(_set(a=1), 'ana', 0))
+
+    _run(_scenario)
+
+
 def test_store_down_before_the_write_is_told_as_unavailable() -> None:
     async def _scenario(publisher: Publisher, platform: MemoryPlatform) -> None:
         platform.faults.down = True
