--- a/bergamotthread/cli/operator_context.py
+++ b/bergamotthread/cli/operator_context.py
@@ -3,22 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Coroutine
 from typing import Any, NoReturn, Protocol, TypeVar
 
 import click
 
 from bergamotthread.clock import Clock
+from bergamotthread.errors import StoreUnavailableError
+from bergamotthread.process.audit import AuditTrail
 from bergamotthread.process.platform import HostList, ObjectStore, Table
 from bergamotthread.process.settings import PlatformSettings
 from bergamotthread.process.store_client import StoreClient, StoreUse
 from bergamotthread.version.objects import ObjectSet
-from bergamotthread.version.publication import Draft, Publisher
+from bergamotthread.version.operators import find_operator
+from bergamotthread.version.publication import Draft, NewestVersion, Publisher
 from bergamotthread.version.published import PublishedVersion
 
 OPERATOR_READS_PER_S = 100
 OPERATOR_WRITES_PER_S = 20
 OPERATOR_TIMEOUT_MS = 5000
+AUDIT_ATTEMPTS = 3
 
 _Answer = TypeVar('_Answer')
 
@@ -47,13 +52,19 @@
     ----------
     address
         IP number and port.
-    who
-        Name under which `publish` publishes.
+    credential
+        The operator's, for `publish`.
     """
 
-    def __init__(self, address: str, clock: Clock, *, who: str = '') -> None:
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        *,
+        credential: str = '',
+    ) -> None:
         self.clock = clock
-        self._who = who
+        self._credential = credential
         self._settings = PlatformSettings(
             address=address,
             reads_per_s=OPERATOR_READS_PER_S,
@@ -76,20 +87,40 @@
 
     async def read_version(self) -> PublishedVersion:
         """Return the newest published version."""
-        newest = await self._publisher().newest()
+        newest = await self.publisher().newest()
         state = newest.state
         return PublishedVersion.from_object_set(state.version, state.object_set)
 
     async def publish(self, base_version: int, object_set: ObjectSet) -> int:
         """Publish a set that replaces `base_version`; return its number."""
-        draft = Draft(object_set, self._who, base_version)
-        published = await self._publisher().publish(draft)
+        publisher = self.publisher()
+        known = await publisher.newest()
+        who = find_operator(known.state.object_set, self._credential).name
+        draft = Draft(object_set, who, base_version)
+        published = await publisher.publish(draft)
+        if published.state.version > base_version:
+            await record_publication(self, published)
         return published.state.version
 
     def run(self, action: Coroutine[Any, Any, _Answer]) -> _Answer:
         """Run an action to its end and close the clients."""
         return asyncio.run(self._run_and_close(action))
 
+    async def close(self) -> None:
+        """Close the clients that are open."""
+        client = self._client
+        self._client = None
+        if client is not None:
+            await client.close()
+
+    def publisher(self) -> Publisher:
+        """Return a publisher on this platform."""
+        return Publisher.from_platform(
+            self.table(),
+            self.object_store(),
+            self.clock,
+        )
+
     async def _run_and_close(
         self,
         action: Coroutine[Any, Any, _Answer],
@@ -97,25 +128,41 @@
         try:
             return await action
         finally:
-            await self._close()
-
-    async def _close(self) -> None:
-        client = self._client
-        self._client = None
-        if client is not None:
-            await client.close()
+            await self.close()
 
     def _opened(self) -> StoreClient:
         if self._client is None:
             self._client = StoreClient.from_settings(self._settings, self.clock)
         return self._client
 
-    def _publisher(self) -> Publisher:
-        return Publisher.from_platform(
-            self.table(),
-            self.object_store(),
-            self.clock,
-        )
+
+async def record_publication(
+    context: OperatorContext,
+    published: NewestVersion,
+) -> None:
+    """Append a publication to the audit trail, with a few attempts."""
+    row = published.row
+    if row is None:
+        return
+    trail = AuditTrail(context.object_store(), context.clock, f'cli-{row.who}')
+    await trail.append(
+        'publish',
+        'configuration',
+        {'note': row.note, 'publication': row.publication_id},
+        row.who,
+        version_before=row.version - 1,
+        version_after=row.version,
+    )
+    await flush_audit(trail)
+
+
+async def flush_audit(trail: AuditTrail) -> None:
+    """Write what a command did, or say that it could not be written."""
+    for _ in range(AUDIT_ATTEMPTS):
+        with contextlib.suppress(StoreUnavailableError):
+            await trail.flush()
+            return
+    click.echo('the audit record could not be written', err=True)
 
 
 def fail(message: str, exit_code: int) -> NoReturn:
--- a/bergamotthread/cli/publish.py
+++ b/bergamotthread/cli/publish.py
@@ -10,8 +10,13 @@
 import click
 import msgspec
 
-from bergamotthread.cli.operator_context import OperatorContext, fail
-from bergamotthread.errors import BergamotError, StoreUnavailableError
+from bergamotthread.cli.operator_context import (
+    OperatorContext,
+    fail,
+    flush_audit,
+    record_publication,
+)
+from bergamotthread.errors import BergamotError
 from bergamotthread.process.audit import AuditTrail
 from bergamotthread.version.acceptance import Acceptance, AcceptanceWatch
 from bergamotthread.version.checks import ObjectsError, load_object_set
@@ -35,7 +40,6 @@
 EXIT_CODE_NOT_IN_FORCE = 3
 EXIT_CODE_CONFLICT = 4
 EXIT_CODE_UNKNOWN = 5
-AUDIT_ATTEMPTS = 3
 _MS_PER_S = 1000
 
 _path = click.argument('path', type=click.Path(path_type=Path))
@@ -315,7 +319,7 @@
         return
     _echo_changes(before.object_set, published.state.object_set)
     click.echo(f'published as version {published.state.version}')
-    await _record(context, published)
+    await record_publication(context, published)
     if timeout_s:
         await _wait(context, published.state.version, timeout_s)
 
@@ -331,34 +335,10 @@
     trail = AuditTrail(context.object_store(), context.clock, f'cli-{who}')
     detail = {'registrations': str(count)}
     await trail.append('forget_host', address, detail, who)
-    await _flush(trail)
+    await flush_audit(trail)
     return count
 
 
-async def _record(context: OperatorContext, published: NewestVersion) -> None:
-    row = published.row
-    if row is None:
-        return
-    trail = AuditTrail(context.object_store(), context.clock, f'cli-{row.who}')
-    await trail.append(
-        'publish',
-        'configuration',
-        {'note': row.note, 'publication': row.publication_id},
-        row.who,
-        version_before=row.version - 1,
-        version_after=row.version,
-    )
-    await _flush(trail)
-
-
-async def _flush(trail: AuditTrail) -> None:
-    for _ in range(AUDIT_ATTEMPTS):
-        with contextlib.suppress(StoreUnavailableError):
-            await trail.flush()
-            return
-    click.echo('the audit record could not be written', err=True)
-
-
 async def _wait(
     context: OperatorContext,
     version: int,
