Test holders within the store client's limits and after outages

Change: the group can put a holder's table behind the store client's guard. Conclusion: a reader uses its whole share of 2 reads/s, so the holder needs a share of its own.

--- a/bergamotthread/testing/version_group.py
+++ b/bergamotthread/testing/version_group.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.platform import Row
+from bergamotthread.process.platform import Row, Table
 from bergamotthread.process.settings import PlaceSettings
+from bergamotthread.process.store_client import (
+    GuardedTable,
+    StoreGuard,
+    StoreLimits,
+    StoreUse,
+)
 from bergamotthread.testing.memory_network import MemoryNetwork, MemoryTransport
 from bergamotthread.testing.memory_platform import (
     MemoryObjectStore,
@@ -125,6 +132,7 @@
         incarnation: int = 1,
         *,
         has_table: bool = True,
+        limits: StoreLimits | None = None,
     ) -> GroupMember:
         """Start a process, in place of any earlier one at its address."""
         running = asyncio.Event()
@@ -136,8 +144,12 @@
         )
         transport = self.network.transport(address, incarnation)
         table = PausableTable(self.platform, running=running)
+        held_table: Table | None = table if has_table else None
+        if limits is not None:
+            guard = StoreGuard(limits, clock, random.Random(1))
+            held_table = GuardedTable(table, guard, StoreUse.PUBLICATION)
         holder = self.holder_type(
-            table if has_table else None,
+            held_table,
             MemoryObjectStore(self.platform),
             transport,
             clock,
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bergamotthread.process.platform import Row
+from bergamotthread.process.store_client import StoreLimits
 from bergamotthread.request.refusal import Ran, ReasonCode
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.memory_platform import MemoryTable
@@ -289,6 +290,36 @@
     _run(_scenario)
 
 
+def test_default_limits_of_the_store_client_suffice() -> None:
+    async def _scenario(group: VersionGroup) -> None:
+        for number in range(4):
+            group.add('guarded', f'10.2.0.{number}:7000', limits=StoreLimits())
+        await group.clock.sleep_ms(3000)
+        group.refusals.clear()
+        for weight in range(2, 32):
+            await _publish(group, weight)
+            await group.clock.sleep_ms(1500)
+        assert _versions(group) == {31}
+        assert not group.refusals
+
+    _run(_scenario, count=1)
+
+
+@pytest.mark.parametrize('outage_ms', [10_000, HOUR_MS])
+def test_admission_resumes_after_an_outage(outage_ms: float) -> None:
+    async def _scenario(group: VersionGroup) -> None:
+        late = group.add('guarded', '10.2.0.1:7000', limits=StoreLimits())
+        await group.clock.sleep_ms(3000)
+        group.platform.faults.down = True
+        await group.clock.sleep_ms(outage_ms)
+        assert late.holder.may_admit() is not None
+        group.platform.faults.down = False
+        await group.clock.sleep_ms(10_000)
+        assert late.holder.may_admit() is None
+
+    _run(_scenario, count=1, sample_ms=1000)
+
+
 def test_burst_of_changes_converges() -> None:
     async def _scenario(group: VersionGroup) -> None:
         for weight in range(2, 22):
