Refuse to judge acceptance by rows that can't all be seen; record quarantines

Cause: a scan that reaches its limit could hide a process that still admits by an older version. QuarantineAudit carries confirmed quarantines to the audit trail, whose record is taken in without awaiting.

--- a/bergamotthread/process/audit.py
+++ b/bergamotthread/process/audit.py
@@ -126,7 +126,30 @@
         version_before: int = 0,
         version_after: int = 0,
     ) -> bool:
-        """Take in a record; False where it was dropped for lack of room."""
+        """Take in a record as `record` does."""
+        return self.record(
+            kind,
+            subject,
+            detail,
+            who,
+            version_before=version_before,
+            version_after=version_after,
+        )
+
+    def record(
+        self,
+        kind: str,
+        subject: str,
+        detail: dict[str, str],
+        who: str,
+        *,
+        version_before: int = 0,
+        version_after: int = 0,
+    ) -> bool:
+        """Take in a record; False where it was dropped for lack of room.
+
+        Nothing is awaited: `run` or `flush` writes what was taken in.
+        """
         if len(self._waiting) >= MAX_BUFFERED_RECORDS:
             self.lost += 1
             self._unreported += 1
--- /dev/null
+++ b/bergamotthread/process/audit_sinks.py
@@ -0,0 +1,35 @@
+"""What parts of a process tell the audit trail."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bergamotthread.process.audit import AuditTrail
+from bergamotthread.process.quarantine_store import AuditSink, QuarantineRow
+
+
+@dataclass(frozen=True)
+class QuarantineAudit(AuditSink):
+    """Records quarantines.
+
+    Parameters
+    ----------
+    version
+        Returns the version of the configuration in force.
+    """
+
+    trail: AuditTrail
+    version: Callable[[], int]
+
+    def quarantine_recorded(self, row: QuarantineRow) -> None:
+        """Take in a quarantine that this process confirmed."""
+        version = self.version()
+        self.trail.record(
+            'quarantine',
+            f'fingerprints/{row.fingerprint:016x}',
+            {'deaths': str(row.deaths), 'until_ms': str(row.until_ms)},
+            row.decided_by,
+            version_before=version,
+            version_after=version,
+        )
--- a/bergamotthread/version/registration.py
+++ b/bergamotthread/version/registration.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from bergamotthread.errors import DecodeError, Step, StoreConflictError
+from bergamotthread.errors import (
+    BergamotError,
+    DecodeError,
+    Step,
+    StoreConflictError,
+)
 from bergamotthread.process.platform import Row, Table
 from bergamotthread.process.settings import PlaceSettings
 
@@ -135,9 +140,17 @@
     ------
     DecodeError
         If a row is not a holder row.
+    BergamotError
+        If there are too many rows to see all of them.
     """
     prefix = _key_prefix(address) if address else HOLDER_PREFIX
     rows = await table.scan(prefix, limit=MAX_HOLDERS)
+    if len(rows) >= MAX_HOLDERS:
+        raise BergamotError(
+            f'{len(rows)} rows under {prefix}, expected fewer than '
+            f'{MAX_HOLDERS}; remove those of lost hosts by forget-host',
+            step=Step.STORE,
+        )
     return tuple(_stored_holder(row) for row in rows)
 
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -18,6 +18,8 @@
     read_audit,
     verify_chains,
 )
+from bergamotthread.process.audit_sinks import QuarantineAudit
+from bergamotthread.process.quarantine_store import QuarantineRow
 from bergamotthread.testing.memory_platform import (
     MemoryObjectStore,
     MemoryPlatform,
@@ -212,3 +214,17 @@
         assert len([one for one in records if wanted.selects(one)]) == count
 
     _run(_scenario)
+
+
+def test_quarantine_is_recorded() -> None:
+    async def _scenario(platform: MemoryPlatform) -> None:
+        trail = _trail(platform)
+        sink = QuarantineAudit(trail, lambda: 7)
+        sink.quarantine_recorded(QuarantineRow(255, 3, 9, '10.0.0.1:7000'))
+        await trail.flush()
+        [record] = await _read(platform)
+        assert record.subject == 'fingerprints/00000000000000ff'
+        assert (record.who, record.version_after) == ('10.0.0.1:7000', 7)
+        assert record.detail == {'deaths': '3', 'until_ms': '9'}
+
+    _run(_scenario)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -305,6 +305,29 @@
     _run(_scenario, count=1)
 
 
+@pytest.mark.parametrize(
+    ('delay_ms', 'is_admitting'),
+    [(400, True), (900, True), (1500, False)],
+)
+def test_slow_store_within_the_timeout_stops_nothing(
+    delay_ms: float,
+    *,
+    is_admitting: bool,
+) -> None:
+    async def _scenario(group: VersionGroup) -> None:
+        for number in range(4):
+            group.add('guarded', f'10.2.0.{number}:7000', limits=StoreLimits())
+        await group.clock.sleep_ms(3000)
+        group.platform.faults.delay_ms = delay_ms
+        await group.clock.sleep_ms(VERSION_LEASE_MS)
+        group.refusals.clear()
+        await group.clock.sleep_ms(30_000)
+        refused = {one.address.startswith('10.2.') for one in group.refusals}
+        assert (True in refused) != is_admitting
+
+    _run(_scenario, count=1)
+
+
 @pytest.mark.parametrize('outage_ms', [10_000, HOUR_MS])
 def test_admission_resumes_after_an_outage(outage_ms: float) -> None:
     async def _scenario(group: VersionGroup) -> None:
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -4,12 +4,18 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.errors import DecodeError, StoreUnavailableError
+from bergamotthread.errors import (
+    BergamotError,
+    DecodeError,
+    StoreUnavailableError,
+)
+from bergamotthread.process.platform import Row
 from bergamotthread.process.settings import PlaceSettings
 from bergamotthread.testing.memory_platform import MemoryPlatform, MemoryTable
 from bergamotthread.testing.virtual_loop import run_virtual
 from bergamotthread.version.registration import (
     HOLDER_PREFIX,
+    MAX_HOLDERS,
     Registration,
     forget_holders,
     read_holders,
@@ -92,3 +98,15 @@
             await read_holders(table)
 
     _run(_scenario)
+
+
+def test_more_rows_than_can_be_seen_are_told() -> None:
+    async def _scenario(table: MemoryTable) -> None:
+        rows = table.platform.rows_by_key
+        for number in range(MAX_HOLDERS):
+            key = f'{HOLDER_PREFIX}x/{number}.0'
+            rows[key] = Row(key, b'{}', 1)
+        with pytest.raises(BergamotError, match='expected fewer than'):
+            await read_holders(table)
+
+    _run(_scenario)
