VersionHolder.admit gives the version to decide by, or refuses

Cause: may_admit and current are two calls, between which an await lets a request be decided by a version whose lease has lapsed.

--- a/bergamotthread/version/distribution.py
+++ b/bergamotthread/version/distribution.py
@@ -13,7 +13,12 @@
 from bergamotthread.errors import BergamotError, Step
 from bergamotthread.process.platform import ObjectStore, Table
 from bergamotthread.process.settings import PlaceSettings
-from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
+from bergamotthread.request.refusal import (
+    Ran,
+    ReasonCode,
+    Refusal,
+    RefusedError,
+)
 from bergamotthread.version.archive import Archive
 from bergamotthread.version.lease import VersionLease
 from bergamotthread.version.objects import ObjectSet
@@ -138,6 +143,25 @@
             figures.pop('proof_age_ms')
         return self._refuse('the lease on the configuration lapsed', figures)
 
+    def admit(self) -> PublishedVersion:
+        """Return the version by which to decide on a request now.
+
+        The decision must follow without an `await` in between, and be made
+        anew after one, such as after the body was read: the lease may have
+        lapsed meanwhile.
+
+        Raises
+        ------
+        RefusedError
+            If no request may be admitted now.
+        """
+        refusal = self.may_admit()
+        if refusal is not None:
+            raise RefusedError(refusal)
+        if self.current is None:
+            raise RefusedError(self._refuse('no configuration is in force', {}))
+        return self.current
+
     def on_message(self, envelope: Envelope) -> None:
         """Take in a message from a peer; others are passed over."""
         peer = envelope.sender
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -7,7 +7,7 @@
 
 from bergamotthread.process.platform import Row
 from bergamotthread.process.store_client import StoreLimits
-from bergamotthread.request.refusal import Ran, ReasonCode
+from bergamotthread.request.refusal import Ran, ReasonCode, RefusedError
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.memory_platform import MemoryTable
 from bergamotthread.testing.version_group import VersionGroup
@@ -420,8 +420,20 @@
 def test_fixed_holder_admits() -> None:
     holder = VersionHolder.from_object_set(_set(1), version=7)
     assert holder.may_admit() is None
-    assert holder.current is not None
-    assert holder.current.version == 7
+    assert holder.admit().version == 7
+
+
+def test_admit_refuses_once_the_lease_lapsed() -> None:
+    async def _scenario(group: VersionGroup) -> None:
+        holder = group.members_by_address[_address('cuyo', 0)].holder
+        assert holder.admit().version == 1
+        group.platform.faults.down = True
+        await group.clock.sleep_ms(VERSION_LEASE_MS + 1)
+        with pytest.raises(RefusedError) as caught:
+            holder.admit()
+        assert caught.value.refusal.reason is ReasonCode.NO_CONFIGURATION
+
+    _run(_scenario)
 
 
 def test_reads_of_the_table_do_not_grow_with_the_group() -> None:
