--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -6,13 +6,20 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from benchmarks.engine_model import KV_CAPACITY, MAX_RUNNING
 from bergamotthread.clock import Clock
+from bergamotthread.process.admission import (
+    AdmissionGate,
+    GateLimits,
+    GateRules,
+)
 from bergamotthread.process.load_view import LoadView
 from bergamotthread.process.placement import Placement, PlacementRequest
 from bergamotthread.process.prefix_hash import PrefixView
 from bergamotthread.wire.messages import LoadReport
 
 LOAD_BOUND = 1.25
+UNBOUNDED = 1_000_000_000
 
 
 @dataclass
@@ -171,3 +178,23 @@
         """Avoid an agent and forget its cache."""
         super().record_loss(agent)
         self.prefix_view.forget(agent)
+
+
+class UnboundedPrefixView(PrefixView):
+    """View that ignores how much an engine can cache."""
+
+    def bound(self, agent: str, kv_capacity: int) -> None:
+        """Keep the fixed bound."""
+
+
+def unbounded_gate(clock: Clock, rules: GateRules) -> AdmissionGate:
+    """Return a gate that queues everything and bounds only the slots."""
+    limits = GateLimits(
+        max_running=MAX_RUNNING,
+        kv_capacity=KV_CAPACITY,
+        prefill_tokens=UNBOUNDED,
+        max_queued=UNBOUNDED,
+        queue_wait_ms=UNBOUNDED,
+        team_threshold=UNBOUNDED,
+    )
+    return AdmissionGate(clock=clock, limits=limits, rules=rules)
--- a/benchmarks/engine_model.py
+++ b/benchmarks/engine_model.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
+import random
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from benchmarks.workload import BLOCK_TOKENS, Job
+from benchmarks.workload import BLOCK_TOKENS, TEAMS, Job, draw_job
 
 STEP_MS = 16
 KV_MS_PER_TOKEN = 0.00025
@@ -20,6 +21,7 @@
 KV_CAPACITY = 48_000
 CACHE_BLOCKS = 160
 MAX_RUNNING = 8
+_MS_PER_S = 1000
 
 
 @dataclass
@@ -101,3 +103,25 @@
             self.cached.move_to_end(one)
         while len(self.cached) > CACHE_BLOCKS:
             self.cached.popitem(last=False)
+
+
+def saturated_per_s(duration_ms: float = 300_000) -> float:
+    """Return the requests per second of an engine with all slots busy.
+
+    No prompt prefix is cached; the load of the fleet is given as a part of
+    this figure, so that provisioning does not count on the caches.
+    """
+    draw = random.Random(1)
+    engine = Engine()
+    now_ms = float(0)
+    serial = 0
+    while now_ms < duration_ms:
+        while len(engine.by_key) < MAX_RUNNING:
+            serial += 1
+            engine.cached.clear()
+            engine.add(1, draw_job(draw, draw.choice(TEAMS), serial), 0)
+        now_ms += engine.step()[0]
+        for key, sequence in tuple(engine.by_key.items()):
+            if sequence.is_done:
+                engine.by_key.pop(key)
+    return (serial - len(engine.by_key)) / now_ms * _MS_PER_S
--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -22,6 +22,7 @@
     served_by_second: Counter[int] = field(default_factory=Counter)
     first_token_by_second: dict[int, list[float]] = field(default_factory=dict)
     offered: int = 0
+    offered_by_team: Counter[str] = field(default_factory=Counter)
     finished: int = 0
     lost: int = 0
     deaths_by_region: Counter[str] = field(default_factory=Counter)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -267,6 +267,10 @@
             event[2]()
         return self.figures
 
+    def still_lost(self) -> int:
+        """Return how many generations wait for a resumption."""
+        return sum(one.lost_ms > 0 for one in self._by_generation.values())
+
     def lose(self, loss: Loss) -> None:
         """Kill engines now; entries notice later."""
         for name in loss.agents:
@@ -317,6 +321,7 @@
         self._job_by_generation[job.generation] = job
         if self.now_ms >= self.figures.since_ms:
             self.figures.offered += 1
+            self.figures.offered_by_team[job.team] += 1
         placement = self.placements[entry]
         guard = self.guards[entry]
         if self._behaviour.guarded and isinstance(placement, ScoredPlacement):
--- a/benchmarks/workload.py
+++ b/benchmarks/workload.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 BLOCK_TOKENS = 256
 LONG_SHARE = 0.04
@@ -13,6 +13,7 @@
 PREFIX_BLOCKS = (2, 14)
 SUFFIX_BLOCKS = (1, 4)
 TEMPLATES_PER_TEAM = 6
+TEAMS = tuple(f't{index}' for index in range(10))
 
 
 @dataclass(frozen=True)
@@ -54,12 +55,15 @@
         Parts of the arrivals by team; they need not add up to one.
     entry_shares
         Parts of the arrivals by entry.
+    start_ms_by_team
+        Time of the first request of teams that come late.
     """
 
     share_by_team: dict[str, float]
     entry_shares: tuple[float, ...]
     phases: tuple[Phase, ...]
     seed: int = 7
+    start_ms_by_team: dict[str, float] = field(default_factory=dict)
 
     def arrivals(self) -> Iterator[Arrival]:
         """Yield all arrivals in order of time."""
@@ -79,7 +83,9 @@
                 serial += 1
                 team = draw.choices(teams, shares)[0]
                 entry = draw.choices(entries, self.entry_shares)[0]
-                yield Arrival(at_ms, entry, draw_job(draw, team, serial))
+                job = draw_job(draw, team, serial)
+                if at_ms >= self.start_ms_by_team.get(team, 0):
+                    yield Arrival(at_ms, entry, job)
 
 
 def draw_job(draw: random.Random, team: str, serial: int) -> Job:
