Keep the module name http_server that the entry imports

Change: the name is as before; python -m bergamotthread runs the command.

Conclusion: the entry starts again.

--- /dev/null
+++ b/bergamotthread/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line."""
+
+from __future__ import annotations
+
+from bergamotthread.cli.main import main
+
+main(prog_name='bergamotthread')
--- a/tests/test_http_config.py
+++ b/tests/test_http_server.py
@@ -10,7 +10,7 @@
 from starlette.types import ASGIApp, Receive, Scope, Send
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.http_config import create_http_config
+from bergamotthread.process.http_server import create_http_config
 from bergamotthread.process.keys import generate_tls_pair
 from bergamotthread.process.settings import (
     EntrySettings,
