Leave the log alone when a stand-in's server starts

Cause: the server's default log configuration shuts down every log handler, which closes standard error under absl; the demo's test failed with "I/O operation on closed file" once anything had logged.

Change: the stand-ins' server is given no log configuration.

After: tests/test_demo.py passes.

Conclusion: a process's log is configured in one place.

--- a/standins/serving.py
+++ b/standins/serving.py
@@ -24,7 +24,7 @@
         app,
         host=host,
         port=int(port),
-        log_level='critical',
+        log_config=None,
         access_log=False,
         lifespan='off',
     )
