Build one binary that stays one process

Cause: the one-file modes of the freezing tools start a child process, which the deployment forbids, and hosts have no Python.

Ruled out: a zip application, since it needs a Python of the same build on each host; linking the interpreter statically, since many installations lack the static library.

Change: scripts/build-binary joins a small launcher, the native files and an archive of modules; the launcher unpacks the native files into a directory in memory that BERGAMOTTHREAD_MEMORY_DIR names and runs the interpreter in the same process.

--- /dev/null
+++ b/tests/test_binary.py
@@ -0,0 +1,164 @@
+import json
+import os
+import shutil
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import psutil
+import pytest
+
+_ROOT = Path(__file__).parent.parent
+_BUILD = _ROOT / 'scripts' / 'build-binary'
+_MEMORY = Path('/dev/shm')
+_VARIABLE = 'BERGAMOTTHREAD_MEMORY_DIR'
+_START_TIMEOUT_S = 15
+
+
+def _build(target: Path, path: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        ['/bin/bash', str(_BUILD), str(target)],
+        env={'PYTHON': sys.executable, 'PATH': path},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@pytest.fixture(scope='module')
+def binary(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    target = tmp_path_factory.mktemp('binary') / 'bergamotthread'
+    built = _build(target, os.environ['PATH'])
+    assert built.returncode == 0, built.stderr
+    return target
+
+
+@pytest.fixture
+def memory() -> Iterator[Path]:
+    path = Path(tempfile.mkdtemp(dir=_MEMORY))
+    yield path
+    shutil.rmtree(path)
+
+
+def _free_ports() -> tuple[int, int]:
+    with (
+        socket.create_server(('127.0.0.1', 0)) as one,
+        socket.create_server(('127.0.0.1', 0)) as other,
+    ):
+        return one.getsockname()[1], other.getsockname()[1]
+
+
+def _write_settings(path: Path) -> int:
+    document = json.loads((_ROOT / 'examples' / 'entry.json').read_bytes())
+    own, listen = _free_ports()
+    document['place']['address'] = f'127.0.0.1:{own}'
+    document['listen'] = f'127.0.0.1:{listen}'
+    path.write_text(json.dumps(document))
+    return listen
+
+
+def _ask_health(port: int) -> bytes:
+    for _ in range(_START_TIMEOUT_S * 50):
+        try:
+            with socket.create_connection(('127.0.0.1', port), 1) as caller:
+                caller.sendall(b'GET /healthz HTTP/1.0\r\n\r\n')
+                return caller.recv(1000)
+        except ConnectionRefusedError:
+            time.sleep(0.02)
+    raise AssertionError('no answer')
+
+
+def _mapped_files(process: psutil.Process) -> set[str]:
+    paths = {one.path for one in process.memory_maps()}
+    return {path for path in paths if path.startswith('/')}
+
+
+def test_entry_stays_one_process(
+    binary: Path, memory: Path, tmp_path: Path
+) -> None:
+    settings = tmp_path / 'entry.json'
+    port = _write_settings(settings)
+    files_before = set(tmp_path.iterdir())
+    with subprocess.Popen(
+        [str(binary), 'entry', '--settings', str(settings)],
+        env={_VARIABLE: str(memory)},
+        cwd=tmp_path,
+        stderr=subprocess.DEVNULL,
+    ) as started:
+        answer = _ask_health(port)
+        process = psutil.Process(started.pid)
+        listening = [one.laddr.port for one in process.net_connections()]
+        children = process.children(recursive=True)
+        loaded = _mapped_files(process)
+        started.terminate()
+        started.wait(_START_TIMEOUT_S)
+    assert answer.startswith(b'HTTP/1.')
+    assert (port in listening, children) == (True, [])
+    unpacked = {path for path in loaded if path.startswith(str(memory))}
+    assert any('libpython' in path for path in unpacked)
+    assert not any('python' in path for path in loaded - unpacked)
+    assert set(tmp_path.iterdir()) == files_before
+    assert len(list(memory.iterdir())) == 1
+
+
+def test_second_start_unpacks_nothing(binary: Path, memory: Path) -> None:
+    times = []
+    for _ in range(2):
+        shown = subprocess.run(
+            [str(binary), '--version'],
+            env={_VARIABLE: str(memory)},
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        assert 'bergamotthread' in shown.stdout
+        (unpacked,) = memory.iterdir()
+        times.append(unpacked.stat().st_mtime_ns)
+    assert times[0] == times[1]
+
+
+@pytest.mark.parametrize(
+    ('directory', 'message'),
+    [
+        ('', 'expected the absolute path of a directory in memory'),
+        ('relative', 'expected the absolute path of a directory in memory'),
+        ('/proc', 'expected a directory in memory (tmpfs or ramfs)'),
+        ('/missing', 'No such file'),
+    ],
+)
+def test_other_directories_are_refused(
+    binary: Path, directory: str, message: str
+) -> None:
+    refused = subprocess.run(
+        [str(binary), '--version'],
+        env={_VARIABLE: directory} if directory else {},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert (refused.returncode, message in refused.stderr) == (2, True)
+
+
+def test_unpacked_directory_of_others_is_not_trusted(
+    binary: Path, memory: Path
+) -> None:
+    command = [str(binary), '--version']
+    environment = {_VARIABLE: str(memory)}
+    subprocess.run(command, env=environment, check=True, capture_output=True)
+    (unpacked,) = memory.iterdir()
+    unpacked.chmod(0o777)
+    refused = subprocess.run(
+        command, env=environment, check=False, capture_output=True
+    )
+    assert refused.returncode == 2
+
+
+def test_build_without_tools_says_so(tmp_path: Path) -> None:
+    shutil.copy(shutil.which('dirname') or '', tmp_path / 'dirname')
+    built = _build(tmp_path / 'bergamotthread', str(tmp_path))
+    assert built.returncode == 1
+    assert 'cc not found, expected the C tools' in built.stderr
