The entry serves plain services, explains refusals and keeps team limits

Cause: calls, membership, team shares, subsets, quarantine, audit, metrics and explanations stood beside the entry.

--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -16,6 +16,7 @@
 from bergamotthread.process.load_view import LoadView
 from bergamotthread.process.placement import Placement, PlacementRequest
 from bergamotthread.process.prefix_hash import PrefixView
+from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import LoadReport
 
 LOAD_BOUND = 1.25
@@ -49,6 +50,14 @@
         """Return the cache tokens at an agent, as reported and as sent."""
         return self.load_view.estimate(agent).kv_tokens
 
+    def failure_domain(self, agent: str) -> str:
+        """Return nothing, since the domains are not known."""
+        return ''
+
+    def publish(self, published: PublishedVersion) -> None:
+        """Take the agents of a newer version."""
+        self.agents = tuple(published.upstreams_by_agent)
+
     def record_load(self, agent: str, load: LoadReport) -> None:
         """Take in a load report that arrived now."""
         self.lost.discard(agent)
--- a/bergamotthread/process/agent_process.py
+++ b/bergamotthread/process/agent_process.py
@@ -1,4 +1,4 @@
-"""One agent: all that a process beside an engine consists of."""
+"""One agent: all that a process beside an upstream consists of."""
 
 from __future__ import annotations
 
@@ -7,10 +7,12 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http_engine import HttpEngineClient
+from bergamotthread.connection.http_service import HttpServiceClient
 from bergamotthread.connection.transport import Transport
 from bergamotthread.connection.zmq_transport import ZmqTransport
 from bergamotthread.process.agent import Agent, AgentConfig
 from bergamotthread.process.drain_state import DrainPhase
+from bergamotthread.process.service_agent import ServiceAgent
 from bergamotthread.process.settings import AgentSettings
 from bergamotthread.version.distribution import VersionHolder
 from bergamotthread.wire.messages import Envelope
@@ -19,6 +21,27 @@
 MAX_HEARD_ENTRIES = 8
 
 
+def make_agent(
+    settings: AgentSettings,
+    transport: Transport,
+    clock: Clock,
+) -> Agent | ServiceAgent:
+    """Return the agent for the kind of upstream that the settings name."""
+    if settings.upstream_kind == 'service':
+        return ServiceAgent(
+            transport,
+            HttpServiceClient(settings.upstream),
+            clock,
+            checks_fencing=settings.checks_fencing,
+        )
+    return Agent(
+        AgentConfig.from_settings(settings),
+        transport,
+        HttpEngineClient(settings.upstream),
+        clock,
+    )
+
+
 class AgentProcess:
     """Serves entries until its task is cancelled or its drain is over."""
 
@@ -29,12 +52,7 @@
         clock: Clock,
     ) -> None:
         self.transport = transport
-        self.agent = Agent(
-            AgentConfig.from_settings(settings),
-            transport,
-            HttpEngineClient(settings.upstream),
-            clock,
-        )
+        self.agent = make_agent(settings, transport, clock)
         self.versions = VersionHolder(
             None,
             None,
--- a/bergamotthread/process/completions.py
+++ b/bergamotthread/process/completions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import uuid
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import xxhash
@@ -61,7 +62,9 @@
         generations: Generations,
         signer: CursorSigner,
         clock: Clock,
+        stamp: Callable[[Refusal], Refusal],
     ) -> None:
+        self._stamp = stamp
         self._generations = generations
         self._signer = signer
         self._clock = clock
@@ -96,7 +99,8 @@
             digest,
             request.include_tokens,
         )
-        return live, CompletionStream(live, self._signer, options)
+        stream = CompletionStream(live, self._signer, self._stamp, options)
+        return live, stream
 
     def forget_released(self) -> None:
         """Drop the keys of generations that are no longer held."""
--- a/bergamotthread/process/entry_app.py
+++ b/bergamotthread/process/entry_app.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import uuid
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -19,8 +19,18 @@
 )
 from bergamotthread.errors import Step
 from bergamotthread.process.completions import Caller, Completions
+from bergamotthread.process.entry_metrics import EntryMetrics
+from bergamotthread.process.explanation_routes import explanation_routes
+from bergamotthread.process.explanations import Explanations
 from bergamotthread.process.generations import Generations
+from bergamotthread.process.health import Readiness, health_routes
+from bergamotthread.process.refusal_recorder import RefusalRecorder
+from bergamotthread.process.service_calls import (
+    ServiceRequestParts,
+    call_request,
+)
 from bergamotthread.request.authentication import authenticate_team
+from bergamotthread.request.call_request import CallAnswer, CallRequest
 from bergamotthread.request.completion import decode_completion
 from bergamotthread.request.completion_stream import CompletionStream
 from bergamotthread.request.live_generation import LiveGeneration
@@ -34,19 +44,53 @@
 from bergamotthread.version.published import PublishedVersion
 
 _CLIENT_CLOSED_STATUS = 499
+_MS_PER_S = 1000
+_SERVICE_METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
+_REQUEST_ID_HEADER = 'x-request-id'
+_DRAINING_RETRY_MS = 100
 
 
 class VersionSource(Protocol):
     """Where the published version in force comes from."""
 
-    @property
-    def current(self) -> PublishedVersion | None:
-        """Return the version in force, or None before the first."""
+    def admit(self) -> PublishedVersion:
+        """Return the version to decide by, or raise `RefusedError`."""
 
     def may_admit(self) -> Refusal | None:
         """Return why no request may be admitted now, or None."""
 
 
+class CallSource(Protocol):
+    """Runs calls of plain services."""
+
+    async def run(self, request: CallRequest) -> CallAnswer:
+        """Return the answer of a call, or raise `RefusedError`."""
+
+
+class TeamGate(Protocol):
+    """Limits of teams across entries."""
+
+    def try_admit(self, team: str, cost: float = 1) -> Refusal | None:
+        """Return why a request of a team is over its limit, or None."""
+
+    def release(self, team: str) -> None:
+        """Count out a request that was admitted."""
+
+
+class EntryParts(msgspec.Struct, frozen=True):
+    """What the HTTP side hands requests to."""
+
+    generations: Generations
+    completions: Completions
+    versions: VersionSource
+    calls: CallSource
+    teams: TeamGate
+    explanations: Explanations
+    metrics: EntryMetrics
+    put_in_force: Callable[[PublishedVersion], None]
+    region: str = ''
+
+
 class EntryApp:
     """Serves callers.
 
@@ -55,16 +99,14 @@
 
     def __init__(
         self,
-        generations: Generations,
-        completions: Completions,
-        versions: VersionSource,
+        parts: EntryParts,
+        recorder: RefusalRecorder,
         clock: Clock,
     ) -> None:
         self.draining = False
         self.open_requests = 0
-        self._generations = generations
-        self._completions = completions
-        self._versions = versions
+        self._parts = parts
+        self._recorder = recorder
         self._clock = clock
 
     def starlette(self) -> Starlette:
@@ -72,77 +114,137 @@
         return Starlette(
             routes=[
                 Route('/v1/completions', self.complete, methods=['POST']),
-                Route('/healthz', self.healthy),
-                Route('/readyz', self.ready),
+                Route(
+                    '/v1/services/{service}/{path:path}',
+                    self.call,
+                    methods=_SERVICE_METHODS,
+                ),
+                *explanation_routes(self._parts.explanations, self._version),
+                *health_routes(self._parts.metrics.registry, self.readiness),
             ],
             exception_handlers={RefusedError: self._refuse},
         )
 
-    def stamp(self, refusal: Refusal) -> Refusal:
-        """Return a refusal with the request id that explains it."""
-        if refusal.request_id:
-            return refusal
-        identity = f'req-{uuid.uuid4().hex}'
-        return msgspec.structs.replace(refusal, request_id=identity)
-
-    async def healthy(self, _: Request) -> Response:
-        """Answer `GET /healthz`: the process lives."""
-        return Response('ok')
-
-    async def ready(self, _: Request) -> Response:
-        """Answer `GET /readyz`: whether the balancer may send requests."""
+    def readiness(self) -> Readiness:
+        """Return whether the balancer may send requests."""
         if self.draining:
-            return Response('draining', status_code=503)
-        refusal = self._versions.may_admit()
-        if refusal is None:
-            return Response('ok')
-        return Response(refusal.detail, status_code=503)
+            return Readiness(('draining',))
+        refusal = self._parts.versions.may_admit()
+        return Readiness(() if refusal is None else (refusal.detail,))
 
     async def complete(self, request: Request) -> Response:
         """Answer `POST /v1/completions`."""
+        body = await request.body()
         published = self._published()
-        authorization = request.headers.get('authorization', '')
-        team = authenticate_team(authorization, published)
-        completion = decode_completion(await request.body())
+        team = self._admit_team(request, published)
+        try:
+            live, stream, streams = self._open(request, body, team, published)
+        except RefusedError:
+            self._parts.teams.release(team)
+            raise
+        live.readers += 1
+        self.open_requests += 1
+        if streams:
+            return self._event_stream(live, stream, team)
+        return await self._whole(request, live, stream, team)
+
+    async def call(self, request: Request) -> Response:
+        """Answer `/v1/services/{service}/{path}`."""
+        body = await request.body()
+        published = self._published()
+        team = self._admit_team(request, published)
+        self.open_requests += 1
+        try:
+            answer = await self._call(request, body, team, published)
+        finally:
+            self.open_requests -= 1
+            self._parts.teams.release(team)
+        response = Response(answer.body, status_code=answer.status)
+        response.headers.update(dict(answer.headers))
+        response.headers['idempotency-key-lifetime-ms'] = str(
+            answer.key_lifetime_ms,
+        )
+        response.headers['idempotency-replayed'] = str(answer.replayed).lower()
+        return response
+
+    async def _call(
+        self,
+        request: Request,
+        body: bytes,
+        team: str,
+        published: PublishedVersion,
+    ) -> CallAnswer:
+        path = request.path_params['path']
+        parts = ServiceRequestParts(
+            team=team,
+            service=request.path_params['service'],
+            method=request.method,
+            path=f'/{path}',
+            query=request.url.query,
+            headers=tuple(request.headers.items()),
+            body=body,
+            key=request.headers.get('idempotency-key', ''),
+        )
+        started_ms = self._clock.now_ms()
+        answer = await self._parts.calls.run(
+            call_request(parts, published, self._parts.region),
+        )
+        self._parts.metrics.called(self._clock.now_ms() - started_ms)
+        return answer
+
+    def _open(
+        self,
+        request: Request,
+        body: bytes,
+        team: str,
+        published: PublishedVersion,
+    ) -> tuple[LiveGeneration, CompletionStream, bool]:
+        completion = decode_completion(body)
         caller = Caller(
-            team=team.name,
+            team=team,
             idempotency_key=request.headers.get('idempotency-key', ''),
             last_event_id=request.headers.get('last-event-id', ''),
         )
-        live, stream = self._completions.open(completion, caller, published)
-        live.readers += 1
-        self.open_requests += 1
-        if completion.stream:
-            return self._event_stream(live, stream)
-        return await self._whole(request, live, stream)
+        live, stream = self._parts.completions.open(
+            completion,
+            caller,
+            published,
+        )
+        return live, stream, completion.stream
+
+    def _version(self) -> PublishedVersion:
+        return self._parts.versions.admit()
 
     def _published(self) -> PublishedVersion:
         if self.draining:
-            raise _refused(
-                ReasonCode.DRAINING,
-                'this entry is draining, try again for another one',
-            )
-        refusal = self._versions.may_admit()
+            raise RefusedError(_draining_refusal())
+        published = self._version()
+        self._parts.put_in_force(published)
+        return published
+
+    def _admit_team(
+        self,
+        request: Request,
+        published: PublishedVersion,
+    ) -> str:
+        authorization = request.headers.get('authorization', '')
+        team = authenticate_team(authorization, published).name
+        refusal = self._parts.teams.try_admit(team)
         if refusal is not None:
             raise RefusedError(refusal)
-        published = self._versions.current
-        if published is None:
-            raise _refused(
-                ReasonCode.NO_CONFIGURATION,
-                'no published version is in force here yet',
-            )
-        self._generations.put_in_force(published)
-        return published
+        self._parts.metrics.admitted()
+        return team
 
     def _event_stream(
         self,
         live: LiveGeneration,
         stream: CompletionStream,
+        team: str,
     ) -> Response:
         return EventStreamResponse(
             stream.events(),
-            on_close=lambda: self._leave(live),
-            headers={'x-request-id': live.generation.spec.generation},
+            on_close=lambda: self._leave(live, team),
+            headers={_REQUEST_ID_HEADER: live.generation.spec.generation},
         )
 
     async def _whole(
@@ -150,6 +252,7 @@
         request: Request,
         live: LiveGeneration,
         stream: CompletionStream,
+        team: str,
     ) -> Response:
         answers: list[bytes] = []
         try:
@@ -158,25 +261,27 @@
                 until_disconnected(request.receive),
             )
         finally:
-            self._leave(live)
+            self._leave(live, team)
         if answers:
             return Response(
                 answers[0],
                 media_type='application/json',
-                headers={'x-request-id': live.generation.spec.generation},
+                headers={_REQUEST_ID_HEADER: live.generation.spec.generation},
             )
         if not live.readers:
-            self._generations.cancel(live)
+            self._parts.generations.cancel(live)
         return Response(status_code=_CLIENT_CLOSED_STATUS)
 
-    def _leave(self, live: LiveGeneration) -> None:
+    def _leave(self, live: LiveGeneration, team: str) -> None:
         live.readers -= 1
         self.open_requests -= 1
         live.abandoned_ms = self._clock.now_ms()
+        self._parts.teams.release(team)
 
     async def _refuse(self, request: Request, error: Exception) -> Response:
-        assert isinstance(error, RefusedError)
-        return problem_response(self.stamp(error.refusal))
+        if not isinstance(error, RefusedError):
+            raise error
+        return problem_response(self._recorder.stamp(error.refusal))
 
 
 async def _collect(stream: CompletionStream, answers: list[bytes]) -> None:
@@ -185,9 +290,10 @@
 
 def problem_response(refusal: Refusal) -> Response:
     """Return the answer that tells a refusal."""
-    headers = {'x-request-id': refusal.request_id}
+    headers = {_REQUEST_ID_HEADER: refusal.request_id}
     if refusal.retry_after_ms:
-        headers['retry-after'] = str(-(-refusal.retry_after_ms // 1000))
+        seconds = -(-refusal.retry_after_ms // _MS_PER_S)
+        headers['retry-after'] = str(seconds)
     return Response(
         problem_json(refusal),
         status_code=refusal.status,
@@ -196,7 +302,11 @@
     )
 
 
-def _refused(reason: ReasonCode, detail: str) -> RefusedError:
-    return RefusedError(
-        Refusal(reason=reason, detail=detail, step=Step.ADMIT, ran=Ran.NOT_RUN),
+def _draining_refusal() -> Refusal:
+    return Refusal(
+        reason=ReasonCode.DRAINING,
+        detail='this entry is draining, send the request again',
+        step=Step.ADMIT,
+        ran=Ran.NOT_RUN,
+        retry_after_ms=_DRAINING_RETRY_MS,
     )
--- a/bergamotthread/process/entry_process.py
+++ b/bergamotthread/process/entry_process.py
@@ -4,26 +4,41 @@
 
 import asyncio
 import secrets
-from collections.abc import Sequence
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http_server import HttpServer
 from bergamotthread.connection.transport import Transport
 from bergamotthread.connection.zmq_transport import ZmqTransport
+from bergamotthread.process.agent_roster import AgentRoster
+from bergamotthread.process.audit import AuditTrail
+from bergamotthread.process.call_runner import CallRunner
 from bergamotthread.process.completions import Completions
-from bergamotthread.process.entry_app import EntryApp
+from bergamotthread.process.entry_app import EntryApp, EntryParts
+from bergamotthread.process.entry_metrics import EntryMetrics
+from bergamotthread.process.explanation_batch import new_writer_id
+from bergamotthread.process.explanation_metrics import (
+    add_explanation_metrics,
+)
+from bergamotthread.process.explanations import Explanations
+from bergamotthread.process.generation_guards import GenerationGuards
 from bergamotthread.process.generations import Generations
-from bergamotthread.process.http_config import create_http_config
+from bergamotthread.process.http_server import create_http_config
+from bergamotthread.process.membership import Membership
+from bergamotthread.process.quarantines import Quarantines
+from bergamotthread.process.refusal_recorder import RefusalRecorder
 from bergamotthread.process.routing import ScoredPlacement
 from bergamotthread.process.settings import EntrySettings
+from bergamotthread.process.shares import TeamLimits
 from bergamotthread.process.store_client import StoreClient, StoreUse
+from bergamotthread.process.subset import select_upstreams
 from bergamotthread.request.cursor import CursorSigner
 from bergamotthread.version.distribution import VersionHolder
-from bergamotthread.version.objects import ObjectSet
+from bergamotthread.version.objects import ObjectSet, Upstream
 from bergamotthread.version.published import PublishedVersion
-from bergamotthread.wire.messages import Envelope
+from bergamotthread.wire.messages import Envelope, Pin
 
 VERSION_CHECK_INTERVAL_MS = 20
+SUBSET_INTERVAL_MS = 1000
 DRAIN_CHECK_INTERVAL_MS = 100
 _CURSOR_KEY_BYTES = 32
 
@@ -39,41 +54,27 @@
         clock: Clock,
     ) -> None:
         self.transport = transport
-        self.versions = VersionHolder(
-            store.table(StoreUse.PUBLICATION),
-            store.object_store(StoreUse.PUBLICATION),
-            transport,
-            clock,
-            self._peers,
-            place=settings.place,
-        )
         self._settings = settings
         self._store = store
         self._clock = clock
-        empty = PublishedVersion.from_object_set(0, ObjectSet())
-        self.placement = ScoredPlacement.from_published(
-            empty,
-            settings.place.region,
-            clock,
-        )
-        self.generations = Generations(transport, self.placement, clock)
-        self.completions = Completions(
-            self.generations,
-            CursorSigner(_cursor_keys(settings)),
-            clock,
-        )
-        self.app = EntryApp(
-            self.generations,
-            self.completions,
-            self.versions,
+        self._roster = AgentRoster(clock)
+        self._subset_entries: tuple[str, ...] = ()
+        self._start_membership()
+        self._start_records()
+        self._start_generations()
+        self.calls = CallRunner(
+            store.table(StoreUse.CALLS),
+            store.object_store(StoreUse.CALLS),
+            transport,
             clock,
         )
+        self.app = EntryApp(self._parts(), self._recorder, clock)
         self.server = HttpServer(
             create_http_config(
                 self.app.starlette(),
                 settings,
                 clock,
-                self.app.stamp,
+                self._recorder.stamp,
             ),
         )
 
@@ -98,36 +99,170 @@
         await self.server.start()
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self.versions.run())
-                group.create_task(self.generations.run())
-                group.create_task(self._follow_versions())
+                for work in (
+                    self.versions.run(),
+                    self.membership.run(),
+                    self.teams.run(),
+                    self.generations.run(),
+                    self.explanations.run(),
+                    self.audit.run(),
+                    self.quarantines.run(),
+                    self._follow_versions(),
+                    self._follow_members(),
+                ):
+                    group.create_task(work)
         finally:
             await self._close()
 
     async def drain(self) -> None:
         """Admit nothing, fail the balancer's check, return when idle."""
         self.app.draining = True
+        self.membership.leave()
         while self.app.open_requests:
             await self._clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
+        await self.calls.finish()
         await self.versions.close()
 
     def on_message(self, envelope: Envelope) -> None:
         """Hand a message to the parts that take it."""
+        if self.calls.on_message(envelope):
+            return
         self.versions.on_message(envelope)
+        self.membership.on_message(envelope)
+        self.teams.on_message(envelope)
+        self.quarantines.on_message(envelope)
         self.generations.on_message(envelope)
 
-    def _peers(self) -> Sequence[str]:
-        return self._settings.peers
+    def put_in_force(self, published: PublishedVersion) -> None:
+        """Decide by a newer version from now on."""
+        if published.version <= self.generations.config_version:
+            return
+        self._roster.apply_version(published)
+        self.teams.apply_version(published)
+        self.generations.put_in_force(published)
+
+    def _start_membership(self) -> None:
+        settings = self._settings
+        self.membership = Membership(
+            self.transport,
+            self._clock,
+            settings.place,
+            self._store.hosts(),
+            settings.peers,
+            lambda: self.versions.version,
+        )
+        self.versions = VersionHolder(
+            self._store.table(StoreUse.PUBLICATION),
+            self._store.object_store(StoreUse.PUBLICATION),
+            self.transport,
+            self._clock,
+            self._peers,
+            place=settings.place,
+        )
+        self.teams = TeamLimits(self.transport, self._clock, self.membership)
+
+    def _start_records(self) -> None:
+        audit_store = self._store.object_store(StoreUse.AUDIT)
+        self.explanations = Explanations(
+            audit_store,
+            self._clock,
+            new_writer_id(),
+        )
+        self.metrics = EntryMetrics(self._clock)
+        add_explanation_metrics(self.metrics.registry, self.explanations)
+        self._recorder = RefusalRecorder(self.explanations, self.metrics)
+        self.audit = AuditTrail(
+            audit_store,
+            self._clock,
+            self.transport.address,
+        )
+
+    def _start_generations(self) -> None:
+        self.quarantines = Quarantines(
+            self.transport,
+            self._store.table(StoreUse.CALLS),
+            self.audit,
+            self._peers,
+            self._clock,
+        )
+        guards = GenerationGuards(self._clock, self.quarantines.publisher)
+        self.quarantines.guard = guards.poison
+        empty = PublishedVersion.from_object_set(0, ObjectSet())
+        self.placement = ScoredPlacement.from_published(
+            empty,
+            self._settings.place.region,
+            self._clock,
+            self._subset,
+        )
+        self.generations = Generations(
+            self.transport,
+            self.placement,
+            self._clock,
+            guards=guards,
+            metrics=self.metrics,
+        )
+        self.completions = Completions(
+            self.generations,
+            CursorSigner(_cursor_keys(self._settings)),
+            self._clock,
+            self._recorder.stamp,
+        )
+
+    def _parts(self) -> EntryParts:
+        return EntryParts(
+            completions=self.completions,
+            generations=self.generations,
+            versions=self.versions,
+            calls=self.calls,
+            teams=self.teams,
+            explanations=self.explanations,
+            metrics=self.metrics,
+            region=self._settings.place.region,
+            put_in_force=self.put_in_force,
+        )
+
+    def _peers(self) -> tuple[str, ...]:
+        """Return live entries, those of the settings before any is known."""
+        return self.membership.responsive_entries() or self._settings.peers
+
+    def _subset(
+        self,
+        pin: Pin,
+        upstreams: tuple[Upstream, ...],
+    ) -> tuple[Upstream, ...]:
+        """Return the upstreams that this entry deals with."""
+        running = {one.agent for one in upstreams}
+        places = [
+            place
+            for place in self._roster.places(pin.model)
+            if place.address in running
+        ]
+        chosen = select_upstreams(
+            self._settings.place,
+            self.membership.entry_places(),
+            places,
+        )
+        return tuple(one for one in upstreams if one.agent in chosen)
 
     async def _follow_versions(self) -> None:
-        """Put each newer version in force for placement and agents."""
+        """Put each newer version in force, also while no request comes."""
         while True:
             published = self.versions.current
             if published is not None:
-                self.generations.put_in_force(published)
+                self.put_in_force(published)
             self.completions.forget_released()
             await self._clock.sleep_ms(VERSION_CHECK_INTERVAL_MS)
 
+    async def _follow_members(self) -> None:
+        """Choose the subset anew when other entries come or go."""
+        while True:
+            await self._clock.sleep_ms(SUBSET_INTERVAL_MS)
+            entries = self.membership.live_entries()
+            published = self.versions.current
+            if published is not None and entries != self._subset_entries:
+                self._subset_entries = entries
+                self.placement.publish(published)
+
     async def _close(self) -> None:
         await self.server.abort()
         self.transport.close()
--- a/bergamotthread/process/generation_driver.py
+++ b/bergamotthread/process/generation_driver.py
@@ -5,10 +5,13 @@
 from dataclasses import dataclass, replace
 
 import msgspec
+from absl import logging
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.peer_histories import PeerHistories
 from bergamotthread.connection.transport import Transport
+from bergamotthread.errors import Step
+from bergamotthread.process.entry_metrics import EntryMetrics
 from bergamotthread.process.generation_guards import (
     GenerationGuards,
     Go,
@@ -56,6 +59,7 @@
     transport: Transport
     placement: Placement
     guards: GenerationGuards
+    metrics: EntryMetrics
     peers: PeerHistories
     probe: LossProbe
 
@@ -72,6 +76,7 @@
         self._transport = parts.transport
         self._placement = parts.placement
         self._guards = parts.guards
+        self._metrics = parts.metrics
         self._peers = parts.peers
         self._probe = parts.probe
         self._clock = clock
@@ -236,6 +241,17 @@
         place = live.generation.place
         live.interrupted_ms = self._clock.now_ms()
         live.must_spend_retry = True
+        self._metrics.lost(lost.cause)
+        logging.warning(
+            'attempt lost: %s',
+            lost.cause,
+            extra={
+                'request_id': live.generation.spec.generation,
+                'attempt': place.number,
+                'step': str(Step.GENERATE),
+                'peer': place.agent,
+            },
+        )
         if not live.admitted:
             unpinned = AttemptPlace(place.number, place.agent)
             live.unconfirmed.add(unpinned)
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -12,6 +12,7 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.peer_histories import PeerHistories
 from bergamotthread.connection.transport import Transport
+from bergamotthread.process.entry_metrics import EntryMetrics
 from bergamotthread.process.generation_driver import (
     DriverParts,
     GenerationDriver,
@@ -68,11 +69,13 @@
         clock: Clock,
         limits: GenerationLimits | None = None,
         guards: GenerationGuards | None = None,
+        metrics: EntryMetrics | None = None,
     ) -> None:
         self.by_id: dict[str, LiveGeneration] = {}
         self.config_version = 0
         self.limits = limits or GenerationLimits()
         self.guards = guards or GenerationGuards(clock)
+        self.metrics = metrics or EntryMetrics(clock)
         self.standbys = Standbys(transport, placement, clock)
         self._transport = transport
         self._placement = placement
@@ -83,6 +86,7 @@
             transport,
             placement,
             self.guards,
+            self.metrics,
             self._peers,
             self._probe,
         )
@@ -243,7 +247,7 @@
     def _on_progress(self, live: LiveGeneration, frame: Frame) -> None:
         live.admit()
         if frame.tokens:
-            self._record_tokens(live)
+            self._record_tokens(live, len(frame.tokens))
             self.guards.progressed(live, live.generation.place.agent)
             self.standbys.progressed(live)
         if live.generation.is_over:
@@ -252,13 +256,18 @@
             live.settle(outcome_of(frame.end.reason))
         live.notify()
 
-    def _record_tokens(self, live: LiveGeneration) -> None:
+    def _record_tokens(self, live: LiveGeneration, count: int) -> None:
         now_ms = self._clock.now_ms()
+        self.metrics.tokens(count)
         if live.produced:
             live.progress.record(now_ms)
-        else:
-            live.progress.restart(now_ms)
+            return
+        live.progress.restart(now_ms)
         live.produced = True
+        if live.interrupted_ms:
+            self.metrics.resumed(now_ms - live.interrupted_ms)
+        else:
+            self.metrics.first_token(now_ms - live.started_ms)
 
     def _on_declined(self, declined: Declined, envelope: Envelope) -> None:
         live = self._current(declined.generation, declined.attempt, envelope)
--- /dev/null
+++ b/bergamotthread/process/quarantines.py
@@ -0,0 +1,81 @@
+"""Keeps quarantines in step between peers, the table and the audit trail."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.transport import Transport
+from bergamotthread.errors import StoreUnavailableError
+from bergamotthread.process.audit import AuditTrail
+from bergamotthread.process.platform import Table
+from bergamotthread.process.poison import PoisonGuard
+from bergamotthread.process.quarantine_store import (
+    QuarantinePublisher,
+    QuarantineRow,
+)
+from bergamotthread.wire.messages import Envelope, Quarantine
+
+FLUSH_INTERVAL_MS = 1000
+
+
+class _AuditAdapter:
+    """Writes quarantines to the audit trail."""
+
+    def __init__(self, audit: AuditTrail) -> None:
+        self._audit = audit
+
+    def quarantine_recorded(self, row: QuarantineRow) -> None:
+        """Take in a quarantine that this process confirmed."""
+        self._audit.record(
+            'quarantine',
+            f'{row.fingerprint:016x}',
+            {'deaths': str(row.deaths), 'until_ms': str(row.until_ms)},
+            row.decided_by,
+        )
+
+
+class Quarantines:
+    """Tells charges to peers and keeps confirmed quarantines in the table.
+
+    `guard` is set once, before `run`.
+    """
+
+    def __init__(
+        self,
+        transport: Transport,
+        table: Table,
+        audit: AuditTrail,
+        peers: Callable[[], tuple[str, ...]],
+        clock: Clock,
+    ) -> None:
+        self.guard: PoisonGuard | None = None
+        self.publisher = QuarantinePublisher(
+            clock,
+            transport,
+            table,
+            _AuditAdapter(audit),
+            peers,
+        )
+        self._clock = clock
+        self._is_loaded = False
+
+    async def run(self) -> None:
+        """Exchange with peers and the table until cancelled."""
+        while True:
+            await self._clock.sleep_ms(FLUSH_INTERVAL_MS)
+            self.publisher.flush()
+            with contextlib.suppress(StoreUnavailableError):
+                await self._exchange()
+
+    def on_message(self, envelope: Envelope) -> None:
+        """Take in what a peer tells."""
+        if isinstance(envelope.message, Quarantine) and self.guard:
+            self.guard.merge(envelope.sender, envelope.message)
+
+    async def _exchange(self) -> None:
+        if not self._is_loaded and self.guard is not None:
+            await self.publisher.load(self.guard)
+            self._is_loaded = True
+        await self.publisher.save()
--- a/bergamotthread/process/routing.py
+++ b/bergamotthread/process/routing.py
@@ -57,6 +57,7 @@
     load_view: LoadView
     prefix_view: PrefixView = field(default_factory=PrefixView)
     weights: ScoreWeights = ScoreWeights()
+    subset: Subset | None = None
     seed: int = 0
     leaving: frozenset[str] = frozenset()
     _lost: set[str] = field(default_factory=set)
@@ -81,16 +82,13 @@
             region=region,
             pool=UpstreamPool.from_published(published, subset),
             load_view=LoadView(clock),
+            subset=subset,
             seed=seed,
         )
 
-    def publish(
-        self,
-        published: PublishedVersion,
-        subset: Subset | None = None,
-    ) -> None:
+    def publish(self, published: PublishedVersion) -> None:
         """Move on to a newer version and keep what is known of the load."""
-        self.pool = UpstreamPool.from_published(published, subset)
+        self.pool = UpstreamPool.from_published(published, self.subset)
 
     def mark_leaving(self, agents: frozenset[str]) -> None:
         """Replace the agents that the platform's list shows as leaving."""
--- /dev/null
+++ b/bergamotthread/process/service_agent.py
@@ -0,0 +1,57 @@
+"""The agent beside a plain service: guard of its calls."""
+
+from __future__ import annotations
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.service_client import ServiceClient
+from bergamotthread.connection.transport import Transport
+from bergamotthread.process.call_executor import CallExecutor
+from bergamotthread.process.drain_state import DrainState
+from bergamotthread.wire.messages import DrainNotice, Envelope
+
+MAINTENANCE_INTERVAL_MS = 250
+
+
+class ServiceAgent:
+    """Sends calls to one plain service, each attempt at most once."""
+
+    def __init__(
+        self,
+        transport: Transport,
+        client: ServiceClient,
+        clock: Clock,
+        *,
+        checks_fencing: bool,
+    ) -> None:
+        self.drain = DrainState(clock, transport.address)
+        self.executor = CallExecutor(
+            transport,
+            client,
+            clock,
+            checks_fencing=checks_fencing,
+        )
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        try:
+            while True:
+                await self._clock.sleep_ms(MAINTENANCE_INTERVAL_MS)
+                self.refresh_drain()
+        finally:
+            await self.executor.close()
+
+    def on_message(self, envelope: Envelope) -> None:
+        """Take in a message from an entry."""
+        match envelope.message:
+            case DrainNotice() as notice:
+                self.drain.apply_notice(notice)
+                self.refresh_drain()
+            case _:
+                self.refresh_drain()
+                self.executor.on_message(envelope)
+
+    def refresh_drain(self) -> None:
+        """Put the newest announcements of a drain in force."""
+        self.executor.set_draining(not self.drain.may_dispatch())
+        self.drain.refresh(self.executor.running)
--- /dev/null
+++ b/bergamotthread/process/service_calls.py
@@ -0,0 +1,199 @@
+"""Leads calls of plain services to their rule and their upstreams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bergamotthread.errors import Step
+from bergamotthread.request.call_request import CallRequest
+from bergamotthread.request.refusal import (
+    Ran,
+    ReasonCode,
+    Refusal,
+    RefusedError,
+)
+from bergamotthread.version.objects import (
+    CallRule,
+    Service,
+    ServiceKind,
+)
+from bergamotthread.version.published import PublishedVersion
+
+_HOP_HEADERS = frozenset(
+    (
+        'authorization',
+        'connection',
+        'content-length',
+        'host',
+        'idempotency-key',
+        'keep-alive',
+        'te',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+
+
+@dataclass(frozen=True)
+class ServiceRequestParts:
+    """A caller's request as it arrived; `path` starts with a slash."""
+
+    team: str
+    service: str
+    method: str
+    path: str
+    query: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    key: str = ''
+
+
+def call_request(
+    parts: ServiceRequestParts,
+    published: PublishedVersion,
+    region: str,
+) -> CallRequest:
+    """Return the call that a request asks for.
+
+    Raises
+    ------
+    RefusedError
+        If the service, the call or an upstream is missing, or a call that may
+        not be repeated comes without an idempotency key.
+    """
+    service = _find_service(parts, published)
+    rule = _find_rule(parts, service, published)
+    agents = _agents(service, published, region)
+    if not agents:
+        raise _refused(
+            ReasonCode.NO_UPSTREAM,
+            f'no upstream serves {service.name!r}',
+            published,
+        )
+    if not rule.idempotent and not parts.key:
+        raise _refused(
+            ReasonCode.BAD_REQUEST,
+            f'{parts.method} {parts.path} needs an Idempotency-Key header, '
+            'since it runs at most once',
+            published,
+        )
+    query = f'?{parts.query}' if parts.query else ''
+    return CallRequest(
+        service=service.name,
+        team=parts.team,
+        key=parts.key,
+        method=parts.method,
+        path=f'{parts.path}{query}',
+        headers=_forwarded(parts.headers),
+        body=parts.body,
+        idempotent=rule.idempotent,
+        agents=agents,
+        timeout_ms=rule.timeout_ms,
+        key_lifetime_ms=service.key_lifetime_ms,
+        config_version=published.version,
+    )
+
+
+def _find_service(
+    parts: ServiceRequestParts,
+    published: PublishedVersion,
+) -> Service:
+    plain = {
+        name: service
+        for name, service in published.services_by_name.items()
+        if service.kind is ServiceKind.PLAIN
+    }
+    service = plain.get(parts.service)
+    if service is None:
+        valid = ', '.join(sorted(plain)) or 'none'
+        raise _refused(
+            ReasonCode.NOT_FOUND,
+            f'no plain service {parts.service!r}, valid ones: {valid}',
+            published,
+        )
+    if _is_open(service, parts.team, published):
+        return service
+    raise _refused(
+        ReasonCode.FORBIDDEN,
+        f'no route opens {parts.service!r} to team {parts.team!r}',
+        published,
+    )
+
+
+def _is_open(
+    service: Service,
+    team: str,
+    published: PublishedVersion,
+) -> bool:
+    return any(
+        route.service == service.name
+        and (not route.teams or team in route.teams)
+        for route in published.object_set.routes
+    )
+
+
+def _find_rule(
+    parts: ServiceRequestParts,
+    service: Service,
+    published: PublishedVersion,
+) -> CallRule:
+    """Return the rule with the longest path prefix that matches."""
+    matching = [
+        rule
+        for rule in service.calls
+        if rule.method == parts.method
+        and parts.path.startswith(rule.path_prefix)
+    ]
+    if matching:
+        return max(matching, key=lambda rule: len(rule.path_prefix))
+    valid = ', '.join(
+        f'{rule.method} {rule.path_prefix}' for rule in service.calls
+    )
+    raise _refused(
+        ReasonCode.NOT_FOUND,
+        f'{service.name!r} has no call {parts.method} {parts.path}, '
+        f'valid ones: {valid}',
+        published,
+    )
+
+
+def _agents(
+    service: Service,
+    published: PublishedVersion,
+    region: str,
+) -> tuple[str, ...]:
+    """Return the agents of a service, those of the own region first."""
+    serving = [
+        upstream
+        for upstream in published.object_set.upstreams
+        if upstream.service == service.name
+    ]
+    local = [one for one in serving if published.region_of(one) == region]
+    remote = [one for one in serving if one not in local]
+    return tuple(one.agent for one in (*local, *remote))
+
+
+def _forwarded(
+    headers: tuple[tuple[str, str], ...],
+) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, text)
+        for name, text in headers
+        if name.lower() not in _HOP_HEADERS
+    )
+
+
+def _refused(
+    reason: ReasonCode,
+    detail: str,
+    published: PublishedVersion,
+) -> RefusedError:
+    return RefusedError(
+        Refusal(
+            reason=reason,
+            detail=detail,
+            step=Step.ROUTE,
+            ran=Ran.NOT_RUN,
+            config_version=published.version,
+        ),
+    )
--- a/bergamotthread/process/settings.py
+++ b/bergamotthread/process/settings.py
@@ -9,6 +9,7 @@
 PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+UpstreamKind = Literal['engine', 'service']
 LogFormat = Literal['text', 'json']
 LogLevel = Literal['debug', 'info', 'warning', 'error']
 
@@ -105,5 +106,6 @@
     retention_ms: PositiveInt = 60_000
     window_tokens: PositiveInt = 4096
     checks_fencing: bool = False
+    upstream_kind: UpstreamKind = 'engine'
     allow_without_keys: bool = False
     log: LogSettings = LogSettings()
--- a/bergamotthread/request/completion_stream.py
+++ b/bergamotthread/request/completion_stream.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -15,8 +15,13 @@
 )
 from bergamotthread.request.cursor import Cursor, CursorSigner
 from bergamotthread.request.live_generation import LiveGeneration
-from bergamotthread.request.refusal import RefusedError, problem_json
+from bergamotthread.request.refusal import (
+    Refusal,
+    RefusedError,
+    problem_json,
+)
 
+_ERROR_EVENT = b'event: error\ndata: %b\n\n'
 _DONE_EVENT = b'data: [DONE]\n\n'
 
 
@@ -37,10 +42,12 @@
         self,
         live: LiveGeneration,
         signer: CursorSigner,
+        stamp: Callable[[Refusal], Refusal],
         options: StreamOptions,
     ) -> None:
         self._live = live
         self._signer = signer
+        self._stamp = stamp
         self._options = options
         self._offset = options.offset
         self._digest = xxhash.xxh64()
@@ -96,7 +103,7 @@
     def _last_event(self) -> bytes:
         refusal = self._live.generation.refusal
         if refusal is not None:
-            return b'event: error\ndata: %b\n\n' % problem_json(refusal)
+            return _ERROR_EVENT % problem_json(self._stamp(refusal))
         return self._render(self._final_chunk('')) + _DONE_EVENT
 
     def _final_chunk(self, text: str) -> CompletionChunk:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 import msgspec
@@ -35,6 +36,8 @@
     DemoError
         If a step does not show what it should.
     """
+    # Stand-ins break connections on purpose; the server logs each.
+    logging.getLogger('uvicorn.error').disabled = True
     for user in USERS:
         try:
             async with asyncio.timeout(USER_TIMEOUT_S):
@@ -50,6 +53,7 @@
     try:
         await deployment.start()
         await _show_resume(deployment, say)
+        await _show_guarded_call(deployment, say)
         await _show_publication(deployment, say)
     finally:
         await deployment.close()
@@ -67,6 +71,29 @@
     )
 
 
+async def _show_guarded_call(deployment: Loopback, say: Say) -> None:
+    user = deployment.user
+    headers = {**_headers(user), 'idempotency-key': 'batch-17'}
+    answers = []
+    async with HTTPClient() as client:
+        for entry in range(deployment.entry_count):
+            url = deployment.entry_url(entry)
+            response = await client.request(
+                f'{url}/v1/services/{user.plain_service}{user.guarded_path}',
+                method='POST',
+                headers=headers,
+                data=b'{"batch": 17}',
+            )
+            answers.append((response.status_code, await response.content()))
+    ran = sum(sum(one.runs_by_key.values()) for one in deployment.services)
+    if ran != 1 or len(set(answers)) != 1:
+        raise DemoError(f'ran {ran} times, answers {answers}')
+    say(
+        f'POST {user.guarded_path} sent twice with one key through '
+        f'{deployment.entry_count} entries: ran once, same answer',
+    )
+
+
 async def _show_publication(deployment: Loopback, say: Say) -> None:
     publisher = deployment.publisher()
     newest = await publisher.newest()
@@ -94,7 +121,8 @@
 
 async def _until_in_force(deployment: Loopback, version: int) -> None:
     holders = [entry.versions for entry in deployment.entries]
-    holders.extend(agent.versions for agent in deployment.agents)
+    agents = (*deployment.engine_agents, *deployment.service_agents)
+    holders.extend(agent.versions for agent in agents)
     while any(holder.version < version for holder in holders):
         await deployment.clock.sleep_ms(5)
 
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -16,6 +16,7 @@
     KeySettings,
     PlaceSettings,
     PlatformSettings,
+    UpstreamKind,
 )
 from bergamotthread.process.store_client import StoreClient, StoreUse
 from bergamotthread.testing.memory_platform import MemoryPlatform
@@ -23,6 +24,8 @@
 from standins.engine import create_app as create_engine_app
 from standins.engine_core import Engine, EngineSpeed
 from standins.platform import create_app as create_platform_app
+from standins.service import PlainService
+from standins.service import create_app as create_service_app
 from standins.serving import serving
 from standins.users import User, domain_name, user_set
 
@@ -43,7 +46,9 @@
         self.clock = Clock.from_system()
         self.platform = MemoryPlatform(self.clock)
         self.engines: list[Engine] = []
-        self.agents: list[AgentProcess] = []
+        self.services: list[PlainService] = []
+        self.engine_agents: list[AgentProcess] = []
+        self.service_agents: list[AgentProcess] = []
         self.entries: list[EntryProcess] = []
         self._stack = AsyncExitStack()
         self._tasks: list[asyncio.Task[None]] = []
@@ -68,7 +73,9 @@
             for index in range(self.entry_count)
         ]
         for index in range(self.engine_count):
-            await self._start_agent(index)
+            await self._start_engine(index)
+        for index, _ in enumerate(self.user.regions):
+            await self._start_service(index)
         await self.publish_initial()
         self._start_entries()
         async with asyncio.timeout(10):
@@ -92,8 +99,11 @@
 
     async def publish_initial(self) -> None:
         """Publish the user's objects as the first version."""
-        agents = [agent.transport.address for agent in self.agents]
-        objects = user_set(self.user, agents)
+        objects = user_set(
+            self.user,
+            [agent.transport.address for agent in self.engine_agents],
+            [agent.transport.address for agent in self.service_agents],
+        )
         draft = Draft(objects, who='operator', base=0)
         await self.publisher().publish(draft)
 
@@ -103,28 +113,48 @@
 
     def engine_of(self, agent: str) -> Engine:
         """Return the engine beside the agent with an address."""
-        for process, engine in zip(self.agents, self.engines, strict=True):
+        pairs = zip(self.engine_agents, self.engines, strict=True)
+        for process, engine in pairs:
             if process.transport.address == agent:
                 return engine
         raise LookupError(f'no agent has address {agent!r}')
 
-    async def _start_agent(self, index: int) -> None:
+    async def _start_engine(self, index: int) -> None:
         engine = Engine(self.clock, self.speed, seed=index)
         address = await self._stack.enter_async_context(
             serving(create_engine_app(engine)),
         )
+        self.engines.append(engine)
+        agent = self._start_agent(index, address, 'engine')
+        self.engine_agents.append(agent)
+
+    async def _start_service(self, index: int) -> None:
+        service = PlainService(self.clock)
+        address = await self._stack.enter_async_context(
+            serving(create_service_app(service)),
+        )
+        self.services.append(service)
+        agent = self._start_agent(index, address, 'service')
+        self.service_agents.append(agent)
+
+    def _start_agent(
+        self,
+        index: int,
+        upstream: str,
+        kind: UpstreamKind,
+    ) -> AgentProcess:
         place = self._place(index)
         settings = AgentSettings(
             place,
-            address,
-            f'engine-{index}',
+            upstream,
+            f'{kind}-{index}',
             entries=tuple(one.address for one in self._transports),
+            upstream_kind=kind,
         )
         transport = ZmqTransport.from_settings(place, _KEYS, self.clock)
         process = AgentProcess(settings, transport, self.clock)
-        self.engines.append(engine)
-        self.agents.append(process)
         self._tasks.append(asyncio.create_task(process.run()))
+        return process
 
     def _start_entries(self) -> None:
         addresses = [transport.address for transport in self._transports]
--- a/standins/small_deployment.py
+++ b/standins/small_deployment.py
@@ -17,6 +17,7 @@
 from bergamotthread.request.completion_stream import CompletionStream
 from bergamotthread.request.cursor import CursorSigner
 from bergamotthread.request.live_generation import LiveGeneration
+from bergamotthread.request.refusal import Refusal
 from bergamotthread.testing.memory_network import (
     MemoryNetwork,
     MemoryTransport,
@@ -76,6 +77,10 @@
     )
 
 
+def _unrecorded(refusal: Refusal) -> Refusal:
+    return refusal
+
+
 @dataclass
 class AgentNode:
     """An agent, its engine and the task that runs it."""
@@ -193,6 +198,7 @@
             generations,
             CursorSigner((_SIGNER_KEY,)),
             self.clock,
+            _unrecorded,
         )
         return EntryNode(
             generations,
--- a/tests/test_entry_app.py
+++ b/tests/test_entry_app.py
@@ -14,12 +14,21 @@
 from bergamotthread.connection.http_server import HttpServer
 from bergamotthread.process.agent import Agent, AgentConfig
 from bergamotthread.process.completions import Completions
-from bergamotthread.process.entry_app import EntryApp
+from bergamotthread.process.entry_app import EntryApp, EntryParts
+from bergamotthread.process.entry_metrics import EntryMetrics
+from bergamotthread.process.explanation_batch import new_writer_id
+from bergamotthread.process.explanations import Explanations
 from bergamotthread.process.generations import Generations
+from bergamotthread.process.refusal_recorder import RefusalRecorder
 from bergamotthread.process.round_robin import RoundRobinPlacement
 from bergamotthread.process.settings import LimitSettings
 from bergamotthread.request.cursor import CursorSigner
 from bergamotthread.testing.memory_network import MemoryNetwork
+from bergamotthread.testing.memory_platform import (
+    MemoryObjectStore,
+    MemoryPlatform,
+)
+from bergamotthread.version.distribution import VersionHolder
 from bergamotthread.version.published import PublishedVersion
 from standins.engine import create_app
 from standins.engine_core import Engine, EngineSpeed
@@ -32,11 +41,11 @@
 SPEED = EngineSpeed(token_interval_ms=2)
 
 
-@dataclass
-class _FixedVersions:
-    current: PublishedVersion
+class _NoLimits:
+    def try_admit(self, team: str, cost: float = 1) -> None:
+        return None
 
-    def may_admit(self) -> None:
+    def release(self, team: str) -> None:
         return None
 
 
@@ -91,16 +100,35 @@
     generations = Generations(transport, RoundRobinPlacement(addresses), clock)
     transport.start(generations.on_message)
     tasks.append(asyncio.create_task(generations.run()))
-    app = EntryApp(
-        generations,
-        Completions(generations, CursorSigner((b'test key',)), clock),
-        _FixedVersions(_published()),
+    platform = MemoryPlatform(clock)
+    metrics = EntryMetrics(clock)
+    explanations = Explanations(
+        MemoryObjectStore(platform),
         clock,
+        new_writer_id(),
+    )
+    recorder = RefusalRecorder(explanations, metrics)
+    versions = VersionHolder.from_object_set(_published().object_set)
+    parts = EntryParts(
+        generations=generations,
+        completions=Completions(
+            generations,
+            CursorSigner((b'test key',)),
+            clock,
+            recorder.stamp,
+        ),
+        versions=versions,
+        calls=None,
+        teams=_NoLimits(),
+        explanations=explanations,
+        metrics=metrics,
+        put_in_force=generations.put_in_force,
     )
+    app = EntryApp(parts, recorder, clock)
     limited = BodyLimit(
         app.starlette(),
         LimitSettings(body_bytes=10_000),
-        app.stamp,
+        recorder.stamp,
     )
     entry = server(limited, '127.0.0.1:0')
     await entry.start()
