Choose an agent anew when the first ticket is old

Cause: a request that waited for another's lease used the ticket that it got at its start; after 15 s the agent had closed it, and the call was refused although agents were free. Change: a ticket older than 2 s when it is needed is replaced by a new one. Before: test_fault[_takeover_after_a_long_lease] failed for both kinds of upstream. After: tests/test_call_runner.py 110 passed. Conclusion: a take-over after a long lease runs the call.

--- a/bergamotthread/request/guarded_call.py
+++ b/bergamotthread/request/guarded_call.py
@@ -47,6 +47,7 @@
 from bergamotthread.request.call_store import CallStore
 from bergamotthread.request.refusal import Ran, ReasonCode
 
+OFFER_AGE_MAX_MS = 2000
 _MS_PER_S = 1000
 
 
@@ -172,8 +173,7 @@
         return await self.store.write(action)
 
     async def _choose(self) -> Event:
-        offer = self._offer or asyncio.ensure_future(self.agents.choose())
-        self._offer = None
+        offer = self._fresh_offer()
         try:
             event = await offer
         finally:
@@ -182,6 +182,17 @@
         self._cause = (ReasonCode.NO_UPSTREAM, declined or 'no agent is known')
         return event
 
+    def _fresh_offer(self) -> asyncio.Task[Event]:
+        """Return the offer made at the start, or a new one if it is old."""
+        offer = self._offer
+        self._offer = None
+        age_ms = self.clock.now_ms() - self._started_ms
+        if offer is not None and age_ms <= OFFER_AGE_MAX_MS:
+            return offer
+        if offer is not None:
+            offer.cancel()
+        return asyncio.ensure_future(self.agents.choose())
+
     async def _answer(self, answer: Answer) -> None:
         self._limit_ms = self.clock.now_ms() + self.limits.settle_ms
         self.store.wait_at_most(self.limits.settle_ms)
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -301,6 +301,16 @@
     run_virtual(_with_group(scenario, checks_fencing))
 
 
+async def _takeover_after_a_long_lease(group: CallGroup) -> None:
+    first = asyncio.ensure_future(_run(group, timeout_ms=30_000))
+    await group.clock.sleep_ms(8)
+    group.stop_entry('entry-1')
+    assert isinstance(group.row().state, Reserved)
+    again = await _run(group, 'entry-2', timeout_ms=30_000, remaining_ms=60_000)
+    first.cancel()
+    assert again.body == b'k ran 1'
+
+
 async def _agent_dies_after_dispatch(group: CallGroup) -> None:
     group.service.delay_ms = 1000
     first = asyncio.ensure_future(_run(group))
@@ -484,6 +494,7 @@
         _store_down_during,
         _store_down_after,
         _store_down_for_a_minute_after,
+        _takeover_after_a_long_lease,
         _agent_dies_after_dispatch,
         _agent_lost_is_told_at_once,
         _upstream_answers_late,
