--- a/bergamotthread/version/publication.py
+++ b/bergamotthread/version/publication.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
+import random
 import secrets
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
 from bergamotthread.clock import Clock
-from bergamotthread.errors import (
-    BergamotError,
-    Step,
-    StoreConflictError,
-    StoreUnavailableError,
-)
+from bergamotthread.errors import BergamotError, Step
 from bergamotthread.process.platform import ObjectStore, Table
-from bergamotthread.version.archive import Archive, snapshot_of
+from bergamotthread.version.archive import Archive
 from bergamotthread.version.checks import check_object_set
 from bergamotthread.version.diff import (
     ChangeSet,
@@ -24,22 +20,29 @@
     diff_sets,
 )
 from bergamotthread.version.objects import ObjectSet
+from bergamotthread.version.publication_write import PublicationWrite
 from bergamotthread.version.record import (
+    INLINE_BYTES,
     SNAPSHOT_INTERVAL,
+    TAIL_BYTES,
     VERSION_KEY,
     Publication,
+    Snapshot,
+    Tail,
     VersionRow,
     VersionState,
     decode_record,
     encode_record,
-    publication_name,
-    trim_recent,
+    snapshot_name,
+    tail_name,
+    trim_publications,
 )
 
 PUBLICATION_ID_BYTES = 12
-WRITE_TIMEOUT_MS = 10_000
-RETRY_INTERVAL_MS = 250
+BACKOFF_MS = 100
+MAX_BACKOFF_MS = 2000
 MAX_SHOWN_OBJECTS = 4
+MAX_SHOWN_PUBLICATIONS = 5
 
 
 class PublicationConflictError(BergamotError):
@@ -58,21 +61,20 @@
         newer: tuple[Publication, ...],
         clashes: frozenset[ObjectName],
     ) -> None:
-        named = '; '.join(describe_publication(one) for one in newer)
+        shown = newer[-MAX_SHOWN_PUBLICATIONS:]
+        named = '; '.join(describe_publication(one) for one in shown)
+        hidden = len(newer) - len(shown)
+        earlier = f'{hidden} earlier ones; ' if hidden else ''
         both = ', '.join(str(one) for one in sorted(clashes))
         changed_by_both = f'; changed by both: {both}' if both else ''
         super().__init__(
-            f'published meanwhile: {named}{changed_by_both}',
+            f'published meanwhile: {earlier}{named}{changed_by_both}',
             step=Step.PUBLISH,
         )
         self.newer = newer
         self.clashes = clashes
 
 
-class PublicationUnknownError(BergamotError):
-    """The store did not say whether the publication took effect."""
-
-
 @dataclass(frozen=True)
 class NewestVersion:
     """The newest row with its revision and the version that it names."""
@@ -109,6 +111,7 @@
     table: Table
     archive: Archive
     clock: Clock
+    rng: random.Random = field(default_factory=random.Random)
 
     @classmethod
     def from_platform(
@@ -143,6 +146,7 @@
         """
         check_object_set(draft.object_set)
         newest = await self.newest()
+        attempt = 0
         while True:
             draft = await self._rebased(draft, newest)
             changes = diff_sets(newest.state.object_set, draft.object_set)
@@ -151,6 +155,8 @@
             written = await self._write(draft, changes, newest)
             if written is not None:
                 return written
+            attempt += 1
+            await self._back_off(attempt)
             newest = await self._newest_after(newest.state)
 
     async def rollback(
@@ -168,6 +174,11 @@
         note = f'rollback to version {version}'
         return await self.publish(Draft(state.object_set, who, base, note))
 
+    async def _back_off(self, attempt: int) -> None:
+        """Wait at random, so that racing publishers write one at a time."""
+        longest_ms = min(BACKOFF_MS * 2**attempt, MAX_BACKOFF_MS)
+        await self.clock.sleep_ms(self.rng.random() * longest_ms)
+
     async def _newest_after(self, held: VersionState) -> NewestVersion:
         row = await self.table.read(VERSION_KEY)
         if row is None:
@@ -201,7 +212,15 @@
         publication = self._publication(draft, changes, newest.state)
         state = newest.state.follow(publication)
         row = await self._put_objects(publication, state, newest.row)
-        return await self._advance(NewestVersion(row, newest.revision, state))
+        write = PublicationWrite(
+            self.table,
+            self.archive,
+            self.clock,
+            row,
+            newest.revision,
+        )
+        revision = await write.run()
+        return None if revision is None else NewestVersion(row, revision, state)
 
     def _publication(
         self,
@@ -229,16 +248,16 @@
         state: VersionState,
         before: VersionRow | None,
     ) -> VersionRow:
-        store = self.archive.store
-        name = publication_name(publication.publication_id)
-        await store.put(name, encode_record(publication))
-        snapshot_name = before.snapshot if before else ''
-        snapshot_version = before.snapshot_version if before else 0
-        due = state.version - snapshot_version >= SNAPSHOT_INTERVAL
-        if due or before is None:
-            snapshot_name, snapshot = snapshot_of(state, snapshot_name)
-            snapshot_version = state.version
-            await store.put(snapshot_name, encode_record(snapshot))
+        """Store what the next row names; only a row that is written counts."""
+        tail = await self._tail_after(publication, before)
+        name = tail_name(publication.publication_id)
+        await self.archive.store.put(name, encode_record(tail))
+        snapshot, snapshot_version = tail.snapshot, tail.snapshot_version
+        if (
+            not snapshot
+            or state.version - snapshot_version >= SNAPSHOT_INTERVAL
+        ):
+            snapshot, snapshot_version = await self._put_snapshot(state)
         recent = before.recent if before else ()
         return VersionRow(
             version=state.version,
@@ -246,75 +265,42 @@
             digest=state.digest,
             who=publication.who,
             published_ms=publication.published_ms,
-            recent=trim_recent((*recent, publication)),
-            snapshot=snapshot_name,
+            recent=trim_publications((*recent, publication), INLINE_BYTES),
+            snapshot=snapshot,
             snapshot_version=snapshot_version,
             note=publication.note,
         )
 
-    async def _advance(self, wanted: NewestVersion) -> NewestVersion | None:
-        """Write the row until the outcome is known; None: another came first.
-
-        An answer that is lost leaves two possibilities. The same write with
-        the same expected revision is repeated, so that it takes effect at most
-        once; a conflict is then told apart by the publication id.
-        """
-        body = b'' if wanted.row is None else encode_record(wanted.row)
-        give_up_ms = self.clock.now_ms() + WRITE_TIMEOUT_MS
-        while True:
-            try:
-                return await self._write_row(wanted, body)
-            except StoreConflictError:
-                return await self._recognise(wanted, give_up_ms)
-            except StoreUnavailableError as error:
-                await self._pause(wanted, give_up_ms, error)
-
-    async def _write_row(
-        self,
-        wanted: NewestVersion,
-        body: bytes,
-    ) -> NewestVersion:
-        expected = wanted.revision
-        row = await self.table.write(VERSION_KEY, body, expected=expected)
-        return replace(wanted, revision=row.revision)
-
-    async def _recognise(
+    async def _tail_after(
         self,
-        wanted: NewestVersion,
-        give_up_ms: float,
-    ) -> NewestVersion | None:
-        """Return `wanted` where it is in the history that the row names."""
-        while True:
-            try:
-                return await self._if_own(wanted)
-            except StoreUnavailableError as error:
-                await self._pause(wanted, give_up_ms, error)
-
-    async def _if_own(self, wanted: NewestVersion) -> NewestVersion | None:
-        row = await self.table.read(VERSION_KEY)
-        if row is None:
-            return None
-        version_row = decode_record(row.body, VersionRow)
-        since = wanted.state.version - 1
-        history = await self.archive.publications(version_row, since)
-        own_id = wanted.state.publication_id
-        is_own = any(one.publication_id == own_id for one in history)
-        return wanted if is_own else None
+        publication: Publication,
+        before: VersionRow | None,
+    ) -> Tail:
+        if before is None:
+            return Tail((publication,), '', 0)
+        earlier = await self.archive.tail(before.publication_id)
+        since_snapshot = tuple(
+            one
+            for one in earlier.publications
+            if one.version > before.snapshot_version
+        )
+        room = TAIL_BYTES - len(encode_record(publication))
+        return Tail(
+            (*trim_publications(since_snapshot, room), publication),
+            before.snapshot,
+            before.snapshot_version,
+        )
 
-    async def _pause(
-        self,
-        wanted: NewestVersion,
-        give_up_ms: float,
-        error: StoreUnavailableError,
-    ) -> None:
-        if self.clock.now_ms() >= give_up_ms:
-            raise PublicationUnknownError(
-                f'no answer from the store; publication '
-                f'{wanted.state.publication_id} of version '
-                f'{wanted.state.version} may have taken effect',
-                step=Step.PUBLISH,
-            ) from error
-        await self.clock.sleep_ms(RETRY_INTERVAL_MS)
+    async def _put_snapshot(self, state: VersionState) -> tuple[str, int]:
+        snapshot = Snapshot(
+            state.version,
+            state.publication_id,
+            state.digest,
+            state.object_set,
+        )
+        name = snapshot_name(state.publication_id)
+        await self.archive.store.put(name, encode_record(snapshot))
+        return name, state.version
 
 
 def _is_empty(changes: ChangeSet, state: VersionState) -> bool:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -24,7 +24,7 @@
         app,
         host=host,
         port=int(port),
-        log_level='critical',
+        log_config=None,
         access_log=False,
         lifespan='off',
     )
@@ -44,4 +44,4 @@
     try:
         yield f'127.0.0.1:{running.port}'
     finally:
-        await running.stop()
+        await running.abort()
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -6,7 +6,8 @@
 import pytest
 
 from bergamotthread.process.platform import Row
-from bergamotthread.request.refusal import Ran, ReasonCode
+from bergamotthread.process.store_client import StoreLimits
+from bergamotthread.request.refusal import Ran, ReasonCode, RefusedError
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.memory_platform import MemoryTable
 from bergamotthread.testing.version_group import VersionGroup
@@ -270,6 +271,78 @@
     assert not _run(_scenario).violations()
 
 
+def test_process_without_table_follows_by_its_peers() -> None:
+    async def _scenario(group: VersionGroup) -> None:
+        agent = group.add('agents', '10.1.0.1:7100', has_table=False)
+        for member in list(group.members_by_address.values()):
+            if member.region == 'cuyo':
+                member.region = 'agents'
+        await group.clock.sleep_ms(6000)
+        sent = group.network.bytes_by_sender[agent.address]
+        await group.clock.sleep_ms(60_000)
+        sent = group.network.bytes_by_sender[agent.address] - sent
+        assert sent < 60 * 16
+        for weight in range(2, 6):
+            version = await _publish(group, weight)
+            await group.clock.sleep_ms(1500)
+            assert agent.holder.version == version
+
+    _run(_scenario)
+
+
+def test_default_limits_of_the_store_client_suffice() -> None:
+    async def _scenario(group: VersionGroup) -> None:
+        for number in range(4):
+            group.add('guarded', f'10.2.0.{number}:7000', limits=StoreLimits())
+        await group.clock.sleep_ms(3000)
+        group.refusals.clear()
+        for weight in range(2, 32):
+            await _publish(group, weight)
+            await group.clock.sleep_ms(1500)
+        assert _versions(group) == {31}
+        assert not group.refusals
+
+    _run(_scenario, count=1)
+
+
+@pytest.mark.parametrize(
+    ('delay_ms', 'is_admitting'),
+    [(400, True), (900, True), (1500, False)],
+)
+def test_slow_store_within_the_timeout_stops_nothing(
+    delay_ms: float,
+    *,
+    is_admitting: bool,
+) -> None:
+    async def _scenario(group: VersionGroup) -> None:
+        for number in range(4):
+            group.add('guarded', f'10.2.0.{number}:7000', limits=StoreLimits())
+        await group.clock.sleep_ms(3000)
+        group.platform.faults.delay_ms = delay_ms
+        await group.clock.sleep_ms(VERSION_LEASE_MS)
+        group.refusals.clear()
+        await group.clock.sleep_ms(30_000)
+        refused = {one.address.startswith('10.2.') for one in group.refusals}
+        assert (True in refused) != is_admitting
+
+    _run(_scenario, count=1)
+
+
+@pytest.mark.parametrize('outage_ms', [10_000, HOUR_MS])
+def test_admission_resumes_after_an_outage(outage_ms: float) -> None:
+    async def _scenario(group: VersionGroup) -> None:
+        late = group.add('guarded', '10.2.0.1:7000', limits=StoreLimits())
+        await group.clock.sleep_ms(3000)
+        group.platform.faults.down = True
+        await group.clock.sleep_ms(outage_ms)
+        assert late.holder.may_admit() is not None
+        group.platform.faults.down = False
+        await group.clock.sleep_ms(10_000)
+        assert late.holder.may_admit() is None
+
+    _run(_scenario, count=1, sample_ms=1000)
+
+
 def test_burst_of_changes_converges() -> None:
     async def _scenario(group: VersionGroup) -> None:
         for weight in range(2, 22):
@@ -347,8 +420,20 @@
 def test_fixed_holder_admits() -> None:
     holder = VersionHolder.from_object_set(_set(1), version=7)
     assert holder.may_admit() is None
-    assert holder.current is not None
-    assert holder.current.version == 7
+    assert holder.admit().version == 7
+
+
+def test_admit_refuses_once_the_lease_lapsed() -> None:
+    async def _scenario(group: VersionGroup) -> None:
+        holder = group.members_by_address[_address('cuyo', 0)].holder
+        assert holder.admit().version == 1
+        group.platform.faults.down = True
+        await group.clock.sleep_ms(VERSION_LEASE_MS + 1)
+        with pytest.raises(RefusedError) as caught:
+            holder.admit()
+        assert caught.value.refusal.reason is ReasonCode.NO_CONFIGURATION
+
+    _run(_scenario)
 
 
 def test_reads_of_the_table_do_not_grow_with_the_group() -> None:
@@ -482,7 +567,7 @@
         ).violations()
         for seed in range(8)
     ]
-    assert any(violations)
+    assert sum(map(bool, violations)) >= 4
 
 
 @pytest.mark.parametrize(
