Charge only confirmed attempts; keep a reserve of retries for resumptions

Cause: the first figures showed two innocent requests quarantined after a scattered loss (each resumed to several dead engines in turn and charged for each), 9 deaths by one poison request since deaths by its copies elsewhere excused it as domain losses, and one answer given up on an empty budget that declines had used. A domain loss with 300 requests took 1.9 s of the loop. Change: an attempt counts from the agent's Admitted on; a death is excused by half of its domain, at most 3, and charges are settled once a second in one pass; retries after declines leave half of each budget to resumptions; resumptions look at twice as many candidates and at prefix holders. Tests: benchmarks/test_routing.py bounds by the targets and the baselines.

--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -18,13 +18,16 @@
     between_by_second: dict[int, Counter[int]] = field(default_factory=dict)
     resume_ms: list[float] = field(default_factory=list)
     refused_by_second: Counter[int] = field(default_factory=Counter)
+    refused_by_team: Counter[str] = field(default_factory=Counter)
     refused_by_reason: Counter[str] = field(default_factory=Counter)
     served_by_second: Counter[int] = field(default_factory=Counter)
     first_token_by_second: dict[int, list[float]] = field(default_factory=dict)
     offered: int = 0
     offered_by_team: Counter[str] = field(default_factory=Counter)
+    offered_by_second: Counter[int] = field(default_factory=Counter)
     finished: int = 0
     lost: int = 0
+    lost_innocent: int = 0
     deaths_by_region: Counter[str] = field(default_factory=Counter)
     prefilled_tokens: int = 0
     needed_tokens: int = 0
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -24,6 +24,7 @@
 )
 from benchmarks.figures import Figures
 from benchmarks.topology import (
+    AGENTS_PER_DOMAIN,
     ALL_AGENTS,
     ENTRY_REGIONS,
     PIN,
@@ -53,7 +54,7 @@
 _SEED = 3
 LOCAL_DELAY_MS = 1
 REMOTE_DELAY_MS = 30
-CHARGE_DELAY_MS = 1000
+CHARGE_INTERVAL_MS = 1000
 RESEND_DELAY_MS = 1000
 RESENDS_MAX = 3
 PATIENCE_MS = 10_000
@@ -125,6 +126,10 @@
     detection_ms: float
 
 
+def _domain_size(failure_domain: str) -> int:
+    return AGENTS_PER_DOMAIN
+
+
 def bounded_gate(clock: Clock, rules: GateRules) -> AdmissionGate:
     """Return the product's gate with the engine's capacity."""
     limits = GateLimits(max_running=MAX_RUNNING, kv_capacity=KV_CAPACITY)
@@ -188,19 +193,16 @@
         self._fleet = fleet
         self._entry = entry
 
-    def charged(self, notice: Quarantine) -> None:
-        """Tell peers after the flush interval."""
-        self._send(notice, CHARGE_DELAY_MS)
-
     def quarantined(self, notice: Quarantine) -> None:
         """Tell peers at once."""
-        self._send(notice, REMOTE_DELAY_MS)
+        self.send(notice)
 
-    def _send(self, notice: Quarantine, delay_ms: float) -> None:
+    def send(self, notice: Quarantine) -> None:
+        """Carry a notice to all peers."""
         for index, peer in enumerate(self._fleet.poison_guards):
             if index != self._entry:
                 merge = partial(peer.merge, f'entry{self._entry}', notice)
-                self._fleet.after(delay_ms, merge)
+                self._fleet.after(REMOTE_DELAY_MS, merge)
 
 
 class Fleet:
@@ -233,9 +235,11 @@
         ]
         self.guards = [OverloadGuard(self.clock) for _ in ENTRY_REGIONS]
         self.budgets = [RetryBudget(self.clock) for _ in ENTRY_REGIONS]
+        self._sinks = [
+            _PeerSink(self, index) for index, _ in enumerate(ENTRY_REGIONS)
+        ]
         self.poison_guards = [
-            PoisonGuard(self.clock, _PeerSink(self, index))
-            for index, _ in enumerate(ENTRY_REGIONS)
+            PoisonGuard(self.clock, sink, _domain_size) for sink in self._sinks
         ]
         self.agents = {name: self._agent(name) for name in ALL_AGENTS}
 
@@ -259,6 +263,7 @@
         self._next_arrival(arrivals)
         self._report_all()
         self._sample()
+        self._tell_charges()
         for loss in losses:
             self.after(loss.at_ms, partial(self.lose, loss))
         while self._events and self._events[0][0] <= until_ms:
@@ -321,6 +326,7 @@
         self._job_by_generation[job.generation] = job
         if self.now_ms >= self.figures.since_ms:
             self.figures.offered += 1
+            self.figures.offered_by_second[int(self.now_ms // 1000)] += 1
             self.figures.offered_by_team[job.team] += 1
         placement = self.placements[entry]
         guard = self.guards[entry]
@@ -407,11 +413,6 @@
         generation.attempt += 1
         generation.agent = name
         generation.request = request
-        self.poison_guards[generation.entry].record_start(
-            name,
-            job.generation,
-            generation.content,
-        )
         agent = self.agents[name]
         self._count_bytes(generation, agent, job.prompt_tokens)
         dispatch = Dispatch(
@@ -437,7 +438,9 @@
         self._leave_agent(generation)
         generation.declines += 1
         generation.excluded |= {generation.agent}
-        spent = self.budgets[generation.entry].spend(generation.job.team)
+        spent = self.budgets[generation.entry].spend(
+            generation.job.team, resume=False
+        )
         if generation.declines > DECLINES_MAX or isinstance(spent, Denied):
             self._end(generation, f'agent {refused.reason}')
             self._resend(generation, refused.retry_after_ms)
@@ -465,7 +468,9 @@
         if self._behaviour.from_zero:
             generation.produced = 0
         generation.excluded |= {generation.agent}
-        spent = self.budgets[generation.entry].spend(generation.job.team)
+        spent = self.budgets[generation.entry].spend(
+            generation.job.team, resume=True
+        )
         if self._behaviour.guarded and isinstance(spent, Denied):
             self._end(generation, 'retries exhausted')
             return
@@ -488,9 +493,11 @@
         generation.over = True
         if self.now_ms >= self.figures.since_ms:
             self.figures.refused_by_reason[reason] += 1
+            self.figures.refused_by_team[generation.job.team] += 1
             self.figures.refused_by_second[int(self.now_ms // 1000)] += 1
             if generation.produced:
                 self.figures.lost += 1
+                self.figures.lost_innocent += not generation.poisonous
         self._by_generation.pop(generation.job.generation, None)
 
     def _end(self, generation: Generation, reason: str) -> None:
@@ -549,10 +556,27 @@
             job,
             len(dispatch.accepted),
         )
+        generation = self._by_generation.get(dispatch.generation)
+        if generation is not None:
+            admitted = partial(self._admitted, generation, dispatch, agent)
+            self.after(self._delay_ms(generation, agent), admitted)
         if self.now_ms >= self.figures.since_ms:
             self.figures.prefilled_tokens += sequence.prefill_left
             self.figures.needed_tokens += job.prompt_tokens - job.shared_tokens
 
+    def _admitted(
+        self,
+        generation: Generation,
+        dispatch: Dispatch,
+        agent: Agent,
+    ) -> None:
+        if generation.attempt == dispatch.attempt and not generation.over:
+            self.poison_guards[generation.entry].record_start(
+                agent.name,
+                dispatch.generation,
+                generation.content,
+            )
+
     def _step(self, agent: Agent) -> None:
         agent.stepping = True
         duration_ms, made = agent.engine.step()
@@ -650,6 +674,13 @@
         for entry, _ in enumerate(ENTRY_REGIONS):
             self.after(detection_ms, partial(self._noticed, entry, agent))
 
+    def _tell_charges(self) -> None:
+        pairs = zip(self.poison_guards, self._sinks, strict=True)
+        for guard, sink in pairs:
+            for notice in guard.take_charges():
+                sink.send(notice)
+        self.after(CHARGE_INTERVAL_MS, self._tell_charges)
+
     def _restart(self, name: str) -> None:
         self.agents[name] = self._agent(name)
 
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -90,10 +90,11 @@
         )
 
 
-def _table(head: tuple[str, ...], lines: Iterable[tuple[str, ...]]) -> str:
-    rule = tuple('---' for _ in head)
-    rows = (head, rule, *lines)
-    return '\n'.join('| ' + ' | '.join(row) + ' |' for row in rows) + '\n'
+def _table(head: Iterable[str], lines: Iterable[Iterable[str]]) -> str:
+    titles = tuple(head)
+    rule = tuple('---' for _ in titles)
+    rows = [' | '.join(row) for row in (titles, rule, *lines)]
+    return ''.join(f'| {row} |\n' for row in rows)
 
 
 _LOAD_HEAD = (
@@ -108,8 +109,8 @@
 )
 
 
-def _load_line(case: LoadCase, row: LoadRow) -> tuple[str, ...]:
-    return (
+def _load_line(case: LoadCase, row: LoadRow) -> list[str]:
+    return [
         case.placement,
         f'{case.load:.0%}',
         '/'.join(f'{one:.0f}' for one in row.first_token_ms),
@@ -118,7 +119,7 @@
         f'{row.recomputed:.0%}',
         f'{row.cross_region_mb:.1f}',
         f'{row.refused:.1%}',
-    )
+    ]
 
 
 def _loads(pool: ProcessPoolExecutor) -> str:
@@ -138,15 +139,15 @@
     return '\n'.join(parts)
 
 
-def _overload_line(name: str, row: OverloadRow) -> tuple[str, ...]:
+def _overload_line(name: str, row: OverloadRow) -> list[str]:
     recovery = 'never' if row.recovery_s is None else f'{row.recovery_s}'
-    return (
+    return [
         name,
         f'{row.served_per_s:.1f}',
         f'{row.overload_p95_ms:.0f}',
         recovery,
         f'{row.after_p95_ms:.0f}',
-    )
+    ]
 
 
 def _overloads(rows: dict[str, OverloadRow]) -> str:
@@ -160,8 +161,8 @@
     return _table(head, itertools.starmap(_overload_line, rows.items()))
 
 
-def _loss_line(name: str, row: LossRow) -> tuple[str, ...]:
-    return (
+def _loss_line(name: str, row: LossRow) -> list[str]:
+    return [
         name,
         str(row.resumed),
         str(row.unresumed),
@@ -169,7 +170,7 @@
         f'{row.between_p95_ms:.0f}',
         f'{row.first_token_p95_ms:.0f}',
         str(row.refused),
-    )
+    ]
 
 
 def _losses(pool: ProcessPoolExecutor) -> str:
@@ -187,15 +188,15 @@
     return _table(head, itertools.starmap(_loss_line, named))
 
 
-def _fairness_line(case: FairnessCase, row: FairnessRow) -> tuple[str, ...]:
-    return (
+def _fairness_line(case: FairnessCase, row: FairnessRow) -> list[str]:
+    return [
         f'{case.load:.0%}',
         f'{case.factor:g}',
         'yes' if case.guarded else 'no',
         f'{row.small_p95_ms:.0f}',
         f'{row.small_refused:.1%}',
         f'{row.large_served_per_s:.2f}',
-    )
+    ]
 
 
 def _fairness(pool: ProcessPoolExecutor) -> str:
@@ -219,9 +220,11 @@
     return _table(head, itertools.starmap(_fairness_line, rows))
 
 
-def _poison_line(case: PoisonCase, row: PoisonRow) -> tuple[str, ...]:
-    deaths = ', '.join(f'{one} {n}' for one, n in row.deaths_by_region.items())
-    return (
+def _poison_line(case: PoisonCase, row: PoisonRow) -> list[str]:
+    deaths = ', '.join(
+        f'{name} {count}' for name, count in row.deaths_by_region.items()
+    )
+    return [
         'product' if case.guarded else 'no poison guard',
         str(row.sent),
         f'{sum(row.deaths_by_region.values())} ({deaths})',
@@ -229,7 +232,7 @@
         str(row.refused_innocent),
         str(row.lost),
         f'{row.first_token_p95_ms:.0f}',
-    )
+    ]
 
 
 def _poison(pool: ProcessPoolExecutor) -> str:
@@ -293,11 +296,12 @@
 _PAGE = """# Figures of routing, overload, loss, fairness and poison
 
 Written by `python -m benchmarks.routing`; do not edit. Virtual time, fixed
-seeds: the same code gives the same figures. {engines} modelled engines in {domains} failure
-domains of two regions, three entries, the product's placement, gate, guards
-and budgets. 100% load is what the engines finish with all slots busy and no
-cached prefix, {per_s:.2f} requests per second each. Targets: first token 880 ms
-and 37 ms between tokens for 95 in 100, output again within 3 s of a loss.
+seeds: the same code gives the same figures. {engines} modelled engines in
+{domains} failure domains of two regions, three entries, the product's
+placement, gate, guards and budgets. 100% load is what the engines finish with
+all slots busy and no cached prefix, {per_s:.2f} requests per second each.
+Targets: first token 880 ms and 37 ms between tokens for 95 in 100, output again
+within 3 s of a loss.
 
 ## Placement
 
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -249,7 +249,6 @@
 
 
 def _recovery_s(figures: Figures, back_s: int, end_s: int) -> int | None:
-    needed = 0.9 * NORMAL_LOAD * fleet_per_s() * AFTERMATH_S
     recovered: int | None = None
     for start_s in range(end_s - AFTERMATH_S, back_s - 1, -1):
         stop_s = start_s + AFTERMATH_S
@@ -257,6 +256,8 @@
             len(figures.first_token_by_second.get(second, ()))
             for second in range(start_s, stop_s)
         )
+        offered = figures.offered_by_second
+        needed = 0.9 * sum(offered[one] for one in range(start_s, stop_s))
         p95_ms = _first_token_p95(figures, start_s, stop_s)
         if begun < needed or p95_ms > FIRST_TOKEN_TARGET_MS:
             return recovered
@@ -366,6 +367,7 @@
     small: list[float] = []
     large = 0
     offered = 0
+    refused = 0
     for seed in case.seeds:
         behaviour = replace(PRODUCT, guarded=case.guarded)
         fleet = Fleet(scored, bounded_gate, NOMINAL, behaviour, WARM_UP_MS)
@@ -377,10 +379,11 @@
         for team in TEAMS[1:]:
             small += by_team.get(team, [])
             offered += figures.offered_by_team[team]
+            refused += figures.refused_by_team[team]
     seconds = len(case.seeds) * case.measured_ms / 1000
     return FairnessRow(
         small_p95_ms=percentile(small, 0.95),
-        small_refused=1 - len(small) / offered,
+        small_refused=refused / offered,
         large_served_per_s=large / seconds,
     )
 
@@ -437,7 +440,7 @@
         sent=figures.offered_by_team['poison'],
         refused_poison=quarantined['poison'],
         refused_innocent=quarantined.total() - quarantined['poison'],
-        lost=figures.lost,
+        lost=figures.lost_innocent,
         resumed=len(figures.resume_ms),
         first_token_p95_ms=percentile(small, 0.95),
     )
--- /dev/null
+++ b/benchmarks/test_routing.py
@@ -0,0 +1,115 @@
+"""Regression bounds of routing, from the targets or against baselines.
+
+Short variants in virtual time; `python -m benchmarks.routing` runs in full.
+"""
+
+from __future__ import annotations
+
+import functools
+
+import pytest
+
+from benchmarks.scenarios import (
+    BETWEEN_TOKENS_TARGET_MS,
+    FIRST_TOKEN_TARGET_MS,
+    NORMAL_LOAD,
+    RESUME_TARGET_MS,
+    FairnessCase,
+    LoadCase,
+    LoadRow,
+    LossCase,
+    OverloadCase,
+    PoisonCase,
+    run_fairness,
+    run_load,
+    run_loss,
+    run_overload,
+    run_poison,
+)
+from bergamotthread.process.poison import COUNTED_DEATHS_MAX
+
+_COLD_MS = 20_000
+_STEADY_MS = 60_000
+_MEASURED_MS = 25_000
+
+
+@functools.cache
+def _row(placement: str, warm_up_ms: float = _COLD_MS) -> LoadRow:
+    case = LoadCase(
+        placement,
+        NORMAL_LOAD,
+        measured_ms=_MEASURED_MS,
+        warm_up_ms=warm_up_ms,
+    )
+    return run_load(case)
+
+
+def test_normal_load_meets_the_targets() -> None:
+    """First token and time between tokens at 80% load."""
+    row = _row('scored')
+    assert row.first_token_ms[1] <= FIRST_TOKEN_TARGET_MS
+    assert row.between_p95_ms <= BETWEEN_TOKENS_TARGET_MS
+
+
+@pytest.mark.parametrize(
+    ('baseline', 'warm_up_ms'),
+    [
+        ('round robin', _COLD_MS),
+        ('power of two', _COLD_MS),
+        ('size-aware, all', _COLD_MS),
+        ('prefix-affine, bounded', _STEADY_MS),
+    ],
+)
+def test_scored_is_no_worse_than(baseline: str, warm_up_ms: float) -> None:
+    """Prefix affinity is compared once its caches are warm."""
+    other = _row(baseline, warm_up_ms)
+    own = _row('scored', warm_up_ms)
+    assert own.first_token_ms[1] <= 1.1 * other.first_token_ms[1]
+    assert own.cross_region_mb < other.cross_region_mb
+
+
+def test_size_term_balances_the_caches() -> None:
+    """The fullest cache is no fuller with the term for cache tokens."""
+    by_count = _row('scored, no size term')
+    assert _row('scored').imbalance <= by_count.imbalance
+
+
+def test_loss_of_a_fifth_is_resumed_in_time() -> None:
+    """Resumption and survivors after the loss of a failure domain."""
+    row = run_loss(LossCase(seeds=(7,), warm_up_ms=30_000))
+    assert row.unresumed == 0
+    assert row.resume_ms[1] <= RESUME_TARGET_MS
+    assert row.between_p95_ms <= BETWEEN_TOKENS_TARGET_MS
+
+
+def test_fleet_recovers_from_an_overload() -> None:
+    """Back at the target within 10 s of the return to 80% load."""
+    case = OverloadCase(
+        before_ms=10_000,
+        overload_ms=15_000,
+        after_ms=25_000,
+    )
+    row = run_overload(case)
+    assert row.recovery_s is not None
+    assert row.recovery_s <= 10
+
+
+def _fairness_case(factor: float) -> FairnessCase:
+    return FairnessCase(0.6, factor, seeds=(7,), measured_ms=20_000)
+
+
+def test_greedy_team_moves_no_other() -> None:
+    """20 times its share moves the others by at most 10%."""
+    quiet = run_fairness(_fairness_case(1))
+    greedy = run_fairness(_fairness_case(20))
+    assert greedy.small_p95_ms <= 1.1 * quiet.small_p95_ms
+    assert not greedy.small_refused
+
+
+def test_poison_kills_a_bounded_number() -> None:
+    """Deaths are bounded and nobody else is refused or lost."""
+    row = run_poison(PoisonCase(measured_ms=30_000, warm_up_ms=15_000))
+    assert row.refused_poison > 0
+    assert row.refused_innocent == 0
+    assert row.lost == 0
+    assert sum(row.deaths_by_region.values()) <= 2 * COUNTED_DEATHS_MAX
--- a/bergamotthread/process/death_log.py
+++ b/bergamotthread/process/death_log.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import itertools
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
@@ -10,6 +11,7 @@
 CORRELATION_MS = 5000
 DEATH_RETENTION_MS = 3_600_000
 DEATHS_MAX = 4096
+CORRELATED_MAX = 3
 
 
 @dataclass(frozen=True)
@@ -23,10 +25,18 @@
 
 @dataclass
 class DeathLog:
-    """Tells independent deaths from the loss of a whole failure domain."""
+    """Tells independent deaths from the loss of a whole failure domain.
+
+    Parameters
+    ----------
+    domain_size
+        Number of upstreams of a failure domain that this process hears of.
+    """
 
     clock: Clock
+    domain_size: Callable[[str], int]
     _death_by_id: dict[int, Death] = field(default_factory=dict)
+    _deaths_by_domain: dict[str, list[Death]] = field(default_factory=dict)
     _next_id: int = 1
 
     def record(
@@ -36,17 +46,19 @@
         death_id = self._next_id
         self._next_id += 1
         now_ms = self.clock.now_ms()
-        self._death_by_id[death_id] = Death(
-            failure_domain, now_ms, content_hashes
-        )
+        death = Death(failure_domain, now_ms, content_hashes)
+        self._death_by_id[death_id] = death
+        self._deaths_by_domain.setdefault(failure_domain, []).append(death)
         self._forget_old()
         return death_id
 
     def counted(self, content_hash: int, death_ids: Iterable[int]) -> int:
         """Return how many deaths count against a fingerprint.
 
-        A death does not count where another upstream of its failure domain
-        died within `CORRELATION_MS` without the fingerprint on it.
+        A death does not count where half of the other upstreams of its failure
+        domain, or `CORRELATED_MAX` of them, died within `CORRELATION_MS`
+        without the fingerprint on them. One such death is not enough in a
+        larger domain: another request may have caused it.
         """
         deaths = [self._death_by_id.get(one) for one in death_ids]
         return sum(
@@ -54,15 +66,6 @@
             for death in deaths
         )
 
-    def contents_near(self, death_id: int) -> frozenset[int]:
-        """Return all fingerprints whose count a death may change."""
-        death = self._death_by_id[death_id]
-        content_hashes: frozenset[int] = death.content_hashes
-        for other in self._death_by_id.values():
-            if _are_near(death, other):
-                content_hashes |= other.content_hashes
-        return content_hashes
-
     def unsettled_ms(self, death_ids: Iterable[int]) -> float:
         """Return how long a death may still turn out to be correlated."""
         deaths = [self._death_by_id.get(one) for one in death_ids]
@@ -70,10 +73,15 @@
         return max(0, last_ms + CORRELATION_MS - self.clock.now_ms())
 
     def _is_correlated(self, content_hash: int, death: Death) -> bool:
-        return any(
-            _are_near(death, other) and content_hash not in other.content_hashes
-            for other in self._death_by_id.values()
+        half = self.domain_size(death.failure_domain) // 2
+        needed = max(1, min(half, CORRELATED_MAX))
+        near = (
+            other
+            for other in self._deaths_by_domain[death.failure_domain]
+            if abs(other.at_ms - death.at_ms) <= CORRELATION_MS
+            and content_hash not in other.content_hashes
         )
+        return len(tuple(itertools.islice(near, needed))) == needed
 
     def _forget_old(self) -> None:
         """Drop deaths past their retention; ids and times rise together."""
@@ -85,10 +93,5 @@
             if index < surplus or death.at_ms < since_ms
         ]
         for death_id in old:
-            self._death_by_id.pop(death_id)
-
-
-def _are_near(one: Death, other: Death) -> bool:
-    if one.failure_domain != other.failure_domain:
-        return False
-    return abs(one.at_ms - other.at_ms) <= CORRELATION_MS
+            death = self._death_by_id.pop(death_id)
+            self._deaths_by_domain[death.failure_domain].remove(death)
--- a/bergamotthread/process/poison.py
+++ b/bergamotthread/process/poison.py
@@ -11,6 +11,7 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
@@ -27,6 +28,7 @@
 CHARGED_DEATHS_MAX = 6
 QUARANTINE_MS = 86_400_000
 RECORDS_MAX = 4096
+DEFAULT_DOMAIN_SIZE = 2
 _FIELD_SEPARATOR = '\x1f'
 
 
@@ -69,15 +71,16 @@
 
 
 class QuarantineSink(Protocol):
-    """Takes changes of the charges to peers, the table and the audit trail."""
-
-    def charged(self, notice: Quarantine) -> None:
-        """Take in a changed charge of this process."""
+    """Takes quarantines to peers, the table and the audit trail."""
 
     def quarantined(self, notice: Quarantine) -> None:
         """Take in that this process confirmed a quarantine."""
 
 
+def _default_domain_size(failure_domain: str) -> int:
+    return DEFAULT_DOMAIN_SIZE
+
+
 @dataclass(frozen=True)
 class _Attempt:
     fingerprint: int
@@ -92,14 +95,22 @@
     peer_ms: float = -math.inf
     quarantined_until_ms: float = 0
     confirmed_deaths: int = 0
+    told: int = 0
 
 
 @dataclass
 class PoisonGuard:
-    """Charges deaths to fingerprints and refuses those that pass the bounds."""
+    """Charges deaths to fingerprints and refuses those that pass the bounds.
+
+    Parameters
+    ----------
+    domain_size
+        Number of upstreams of a failure domain that this process hears of.
+    """
 
     clock: Clock
     sink: QuarantineSink
+    domain_size: Callable[[str], int] = _default_domain_size
     deaths: DeathLog = field(init=False)
     _attempts_by_agent: dict[str, dict[str, _Attempt]] = field(
         default_factory=dict,
@@ -107,9 +118,10 @@
     _record_by_fingerprint: OrderedDict[int, _Record] = field(
         default_factory=OrderedDict,
     )
+    _unsettled: set[int] = field(default_factory=set)
 
     def __post_init__(self) -> None:
-        self.deaths = DeathLog(self.clock)
+        self.deaths = DeathLog(self.clock, self.domain_size)
 
     def check(self, content_hash: int) -> Verdict:
         """Return whether an attempt with this fingerprint may be sent."""
@@ -143,7 +155,12 @@
     def record_start(
         self, agent: str, generation: str, content_hash: int
     ) -> None:
-        """Take in that an attempt was sent to an agent."""
+        """Take in that an agent confirmed an attempt (`Admitted`).
+
+        An attempt that was sent and not confirmed can't be the cause of a
+        death; were it charged, a loss of many upstreams at once would charge
+        a request for each dead one that it was resumed to.
+        """
         attempts = self._attempts_by_agent.setdefault(agent, {})
         attempts[generation] = _Attempt(content_hash)
 
@@ -176,7 +193,7 @@
         record = self._record_by_fingerprint.get(attempt.fingerprint)
         if record is not None and not record.quarantined_until_ms:
             self._clear_counted(attempt.fingerprint)
-            self._record_by_fingerprint.pop(attempt.fingerprint)
+            record.charged = 0
 
     def record_death(self, agent: str, failure_domain: str) -> None:
         """Charge the death of an upstream to all that ran on it from here.
@@ -191,8 +208,24 @@
             record = self._record(content_hash)
             record.death_ids.append(death_id)
             record.charged += 1
-        for affected in sorted(self.deaths.contents_near(death_id)):
-            self._notify(affected)
+        self._unsettled |= content_hashes
+
+    def take_charges(self) -> tuple[Quarantine, ...]:
+        """Return this process's charges that changed since the last call.
+
+        Charges that rose and fell again between two calls, as in the loss of a
+        failure domain, are not returned.
+        """
+        changed: list[Quarantine] = []
+        for content_hash in sorted(self._unsettled):
+            record = self._record(content_hash)
+            own = self.deaths.counted(content_hash, record.death_ids)
+            if own != record.told:
+                record.told = own
+                changed.append(Quarantine(content_hash, own, confirmed=False))
+            if not self.deaths.unsettled_ms(record.death_ids):
+                self._unsettled.discard(content_hash)
+        return tuple(changed)
 
     def merge(self, sender: str, notice: Quarantine) -> None:
         """Take in charges or a confirmed quarantine from another entry."""
@@ -241,14 +274,7 @@
             return
         record.death_ids.clear()
         record.deaths_by_peer.clear()
-        self.sink.charged(Quarantine(content_hash, 0, confirmed=False))
-
-    def _notify(self, content_hash: int) -> None:
-        record = self._record_by_fingerprint.get(content_hash)
-        if record is None or record.quarantined_until_ms:
-            return
-        own = self.deaths.counted(content_hash, record.death_ids)
-        self.sink.charged(Quarantine(content_hash, own, confirmed=False))
+        self._unsettled.add(content_hash)
 
     def _record(self, content_hash: int) -> _Record:
         record = self._record_by_fingerprint.setdefault(content_hash, _Record())
--- a/bergamotthread/process/quarantine_store.py
+++ b/bergamotthread/process/quarantine_store.py
@@ -22,7 +22,6 @@
 QUARANTINE_PREFIX = 'quarantine/'
 QUARANTINE_ROWS_MAX = 1000
 UNSAVED_MAX = 256
-CHARGES_MAX = 4096
 
 
 class QuarantineRow(msgspec.Struct, frozen=True):
@@ -61,14 +60,8 @@
     audit: AuditSink
     peers: Callable[[], tuple[str, ...]]
     lost_rows: int = 0
-    _charge_by_fingerprint: dict[int, Quarantine] = field(default_factory=dict)
-    _told_by_fingerprint: dict[int, int] = field(default_factory=dict)
     _unsaved: list[QuarantineRow] = field(default_factory=list)
 
-    def charged(self, notice: Quarantine) -> None:
-        """Keep a changed charge for the next `flush`."""
-        self._charge_by_fingerprint[notice.fingerprint] = notice
-
     def quarantined(self, notice: Quarantine) -> None:
         """Tell all peers at once and keep the row to be saved."""
         self._tell_peers(notice)
@@ -84,20 +77,10 @@
             self._unsaved.pop(0)
             self.lost_rows += 1
 
-    def flush(self) -> None:
-        """Tell peers the charges that have changed; call about once a second.
-
-        Charges that rose and fell to zero between two calls are not told.
-        """
-        for content_hash, notice in self._charge_by_fingerprint.items():
-            if notice.deaths == self._told_by_fingerprint.get(content_hash, 0):
-                continue
-            self._told_by_fingerprint[content_hash] = notice.deaths
+    def flush(self, guard: PoisonGuard) -> None:
+        """Tell peers the charges that changed; call about once a second."""
+        for notice in guard.take_charges():
             self._tell_peers(notice)
-        self._charge_by_fingerprint.clear()
-        while len(self._told_by_fingerprint) > CHARGES_MAX:
-            oldest = next(iter(self._told_by_fingerprint))
-            self._told_by_fingerprint.pop(oldest)
 
     async def save(self) -> None:
         """Write all rows that the table has not taken yet.
--- a/bergamotthread/process/retry_budget.py
+++ b/bergamotthread/process/retry_budget.py
@@ -8,6 +8,7 @@
 from bergamotthread.clock import Clock
 
 TEAMS_MAX = 10_000
+RESUME_RESERVE = 0.5
 _MS_PER_S = 1000
 
 
@@ -83,9 +84,9 @@
         """Take one retry out."""
         self._balance = self.balance - 1
 
-    def wait_ms(self) -> float:
-        """Return the time until one retry is there without a success."""
-        missing = max(0, 1 - self.balance)
+    def wait_ms(self, reserve: float) -> float:
+        """Return the time until one retry above a reserve is there."""
+        missing = max(0, reserve + 1 - self.balance)
         return missing / self.limits.per_s * _MS_PER_S
 
 
@@ -129,13 +130,23 @@
         self._process.end(succeeded=succeeded)
         self._bucket(team).end(succeeded=succeeded)
 
-    def spend(self, team: str) -> Granted | Denied:
-        """Take one retry of a team, or tell when to come again."""
+    def spend(self, team: str, *, resume: bool) -> Granted | Denied:
+        """Take one retry of a team, or tell when to come again.
+
+        Parameters
+        ----------
+        resume
+            Whether the retry resumes an answer. Others, after a decline, must
+            leave `RESUME_RESERVE` of both budgets to resumptions.
+        """
         bucket = self._bucket(team)
-        if bucket.balance < 1:
-            return Denied(f'teams/{team}', int(bucket.wait_ms()) + 1)
-        if self._process.balance < 1:
-            return Denied('process', int(self._process.wait_ms()) + 1)
+        for budget, name in (
+            (bucket, f'teams/{team}'),
+            (self._process, 'process'),
+        ):
+            reserve = 0 if resume else RESUME_RESERVE * budget.capacity
+            if budget.balance < reserve + 1:
+                return Denied(name, int(budget.wait_ms(reserve)) + 1)
         bucket.spend()
         self._process.spend()
         return Granted()
--- a/bergamotthread/process/routing.py
+++ b/bergamotthread/process/routing.py
@@ -35,6 +35,7 @@
 
 SAMPLED_CANDIDATES = 4
 REMOTE_CANDIDATES = 1
+RESUME_CANDIDATES_FACTOR = 2
 PREFIX_CANDIDATES = 4
 NO_UPSTREAM_RETRY_MS = 1000
 
@@ -47,8 +48,8 @@
     agents that cache the longest prefix. Agents that are lost, draining or
     excluded are never candidates. Failure domains with several recent losses
     are candidates only where no other is left; to resumptions one loss is
-    enough. Resumptions take no prefix candidates, so that several entries
-    spread them over many survivors.
+    enough. Resumptions look at twice as many candidates, so that several
+    entries spread them over many survivors.
     """
 
     clock: Clock
@@ -230,11 +231,11 @@
     ) -> tuple[Target, ...]:
         local = [one for one in preferred if one.region == self.region]
         remote = [one for one in preferred if one.region != self.region]
-        sampled = self._sample(local, SAMPLED_CANDIDATES)
+        factor = RESUME_CANDIDATES_FACTOR if request.resume else 1
         remote_count = REMOTE_CANDIDATES if local else SAMPLED_CANDIDATES
-        sampled += self._sample(remote, remote_count)
-        if not request.resume:
-            sampled += self._prefix_candidates(request, preferred)
+        sampled = self._sample(local, factor * SAMPLED_CANDIDATES)
+        sampled += self._sample(remote, factor * remote_count)
+        sampled += self._prefix_candidates(request, preferred)
         return tuple(sampled)
 
     def _sample(self, targets: list[Target], count: int) -> list[Target]:
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -31,12 +31,8 @@
 
 class _Sink:
     def __init__(self) -> None:
-        self.charges: list[Quarantine] = []
         self.confirmed: list[Quarantine] = []
 
-    def charged(self, notice: Quarantine) -> None:
-        self.charges.append(notice)
-
     def quarantined(self, notice: Quarantine) -> None:
         self.confirmed.append(notice)
 
@@ -128,6 +124,36 @@
     assert guard.check(_POISON) == Clear()
 
 
+def test_deaths_by_another_poison_do_not_excuse_in_a_large_domain() -> None:
+    time = ManualTime()
+    guard = PoisonGuard(time.clock, _Sink(), domain_size=lambda domain: 10)
+    for index in range(COUNTED_DEATHS_MAX):
+        guard.record_start(f'agent{index}', 'g', _POISON)
+        guard.record_death(f'agent{index}', 'd0')
+        guard.record_death(f'other{index}', 'd0')
+        time.advance_ms(_SETTLED_MS)
+    assert isinstance(guard.check(_POISON), Quarantined)
+
+
+def test_loss_of_a_large_domain_condemns_nobody() -> None:
+    time = ManualTime()
+    guard = PoisonGuard(time.clock, _Sink(), domain_size=lambda domain: 300)
+    for index in range(300):
+        guard.record_start(f'agent{index}', f'g{index}', index + 1)
+    for index in range(300):
+        guard.record_death(f'agent{index}', 'd0')
+    assert {type(guard.check(index + 1)) for index in range(300)} == {Clear}
+
+
+def test_resumption_sent_to_a_dead_upstream_is_not_charged() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    guard.record_start('agent0', 'g', _POISON)
+    for index in range(5):
+        guard.record_death(f'agent{index}', f'd{index}')
+    assert guard.check(_POISON) == Suspect(1)
+
+
 def test_poison_that_stays_in_one_domain_is_still_counted() -> None:
     time = ManualTime()
     guard = _guard(time)
@@ -199,6 +225,23 @@
     assert guard.check(_POISON) == Clear()
 
 
+def test_charges_follow_what_counts() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    guard.record_start('agent0', 'g', _POISON)
+    guard.record_death('agent0', 'd0')
+    assert guard.take_charges() == (Quarantine(_POISON, 1, confirmed=False),)
+    assert guard.take_charges() == ()
+    time.advance_ms(2000)
+    guard.record_death('agent1', 'd0')
+    assert guard.take_charges() == (Quarantine(_POISON, 0, confirmed=False),)
+    _die(guard, time, 2)
+    assert guard.take_charges() == (Quarantine(_POISON, 1, confirmed=False),)
+    guard.record_start('agent3', 'g', _POISON)
+    guard.record_progress('agent3', 'g', 16)
+    assert guard.take_charges() == (Quarantine(_POISON, 0, confirmed=False),)
+
+
 class _Audit:
     def __init__(self) -> None:
         self.rows: list[QuarantineRow] = []
@@ -243,7 +286,7 @@
     for index in range(deaths):
         entry.guard.record_start(f'a{index}', 'g', _POISON)
         entry.guard.record_death(f'a{index}', f'd{index}')
-        entry.publisher.flush()
+        entry.publisher.flush(entry.guard)
         await clock.sleep_ms(_SETTLED_MS)
 
 
@@ -279,7 +322,7 @@
             continue
         entry.guard.record_start(f'a{index}', 'g', _POISON)
         entry.guard.record_death(f'a{index}', f'd{index}')
-        entry.publisher.flush()
+        entry.publisher.flush(entry.guard)
         deaths += 1
         await clock.sleep_ms(_SETTLED_MS)
     return deaths
@@ -295,7 +338,7 @@
         entries[0].guard.record_start(f'a{index}', f'g{index}', index + 1)
     for index in range(100):
         entries[0].guard.record_death(f'a{index}', 'd0')
-    entries[0].publisher.flush()
+    entries[0].publisher.flush(entries[0].guard)
     await clock.sleep_ms(100)
     return network.bytes_by_sender.get('e0', 0)
 
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -19,7 +19,7 @@
 
 
 def _granted(budget: RetryBudget, count: int, team: str = 't') -> int:
-    spent = [budget.spend(team) for _ in range(count)]
+    spent = [budget.spend(team, resume=True) for _ in range(count)]
     return sum(isinstance(one, Granted) for one in spent)
 
 
@@ -27,14 +27,14 @@
     time = ManualTime()
     budget = _budget(time)
     assert _granted(budget, 5) == 2
-    denied = budget.spend('t')
+    denied = budget.spend('t', resume=True)
     assert isinstance(denied, Denied)
     assert denied.decided_by == 'teams/t'
     assert denied.retry_after_ms == 2001
     time.advance_ms(denied.retry_after_ms - 2)
-    assert isinstance(budget.spend('t'), Denied)
+    assert isinstance(budget.spend('t', resume=True), Denied)
     time.advance_ms(3)
-    assert isinstance(budget.spend('t'), Granted)
+    assert isinstance(budget.spend('t', resume=True), Granted)
 
 
 def test_one_team_does_not_use_up_another() -> None:
@@ -47,7 +47,7 @@
     budget = _budget(ManualTime(), process_burst=3)
     granted = sum(_granted(budget, 2, f't{index}') for index in range(5))
     assert granted == 3
-    denied = budget.spend('t9')
+    denied = budget.spend('t9', resume=True)
     assert isinstance(denied, Denied)
     assert denied.decided_by == 'process'
     assert _granted(budget, 1, 't9') == 0
@@ -94,3 +94,12 @@
         _granted(budget, 9, team)
     assert _granted(budget, 9, 'busy') == 0
     assert _granted(budget, 9, 'a') == 2
+
+
+def test_retries_after_declines_leave_a_reserve_to_resumptions() -> None:
+    budget = _budget(ManualTime())
+    assert isinstance(budget.spend('t', resume=False), Granted)
+    denied = budget.spend('t', resume=False)
+    assert isinstance(denied, Denied)
+    assert denied.retry_after_ms == 2001
+    assert _granted(budget, 3) == 1
