Draw candidates first; keep the utilisation for 100 ms

Cause: choose() looked at every target of the pin and utilisation() at every report, for each request. Change: a draw of twice the candidates is filtered, all targets only where that is not enough; availability is a module of its own; estimates are msgspec structures; the utilisation of a pin is kept for 100 ms.

--- a/bergamotthread/process/load_view.py
+++ b/bergamotthread/process/load_view.py
@@ -5,6 +5,8 @@
 import math
 from dataclasses import dataclass, field
 
+import msgspec
+
 from bergamotthread.clock import Clock
 from bergamotthread.wire.messages import LoadReport
 
@@ -14,8 +16,7 @@
 _MS_PER_S = 1000
 
 
-@dataclass(frozen=True)
-class LoadEstimate:
+class LoadEstimate(msgspec.Struct, frozen=True, gc=False):
     """Expected load of one upstream now.
 
     `prefill_ms` is the time that the prefill ahead of a new attempt takes,
@@ -112,6 +113,13 @@
         estimate = _blend(_as_estimate(load.report), self._fleet_mean(), trust)
         return _add_own(estimate, _unseen(load))
 
+    def attempts(self, agent: str) -> int:
+        """Return the attempts at an agent, as reported and sent since."""
+        load = self._load_by_agent.get(agent)
+        if load is None:
+            return 0
+        return load.report.running + load.report.queued + len(_unseen(load))
+
     def forget(self, agent: str) -> None:
         """Drop what is known of an agent."""
         self._load_by_agent.pop(agent, None)
--- a/bergamotthread/process/routing.py
+++ b/bergamotthread/process/routing.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import Step
+from bergamotthread.process.availability import Availability
 from bergamotthread.process.load_view import LoadView
 from bergamotthread.process.placement import Placement, PlacementRequest
 from bergamotthread.process.placement_score import (
@@ -19,7 +21,6 @@
 )
 from bergamotthread.process.prefix_hash import PrefixView
 from bergamotthread.process.upstream_pool import (
-    DOMAIN_AVOIDANCE_MS,
     Subset,
     Target,
     UpstreamPool,
@@ -38,6 +39,8 @@
 RESUME_CANDIDATES_FACTOR = 2
 PREFIX_CANDIDATES = 4
 NO_UPSTREAM_RETRY_MS = 1000
+UTILISATION_INTERVAL_MS = 100
+NO_DOMAINS: frozenset[str] = frozenset()
 
 
 @dataclass
@@ -59,12 +62,15 @@
     prefix_view: PrefixView = field(default_factory=PrefixView)
     weights: ScoreWeights = ScoreWeights()
     seed: int = 0
-    leaving: frozenset[str] = frozenset()
-    _lost: set[str] = field(default_factory=set)
-    _lost_ms_by_agent: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._random = random.Random(self.seed)
+        self._availability = Availability(
+            self.clock,
+            self.pool,
+            self.load_view,
+        )
+        self._utilisation_by_pin: dict[Pin, tuple[float, float]] = {}
 
     @classmethod
     def from_published(
@@ -92,33 +98,36 @@
     ) -> None:
         """Move on to a newer version and keep what is known of the load."""
         self.pool = UpstreamPool.from_published(published, subset)
+        self._availability.pool = self.pool
 
     def mark_leaving(self, agents: frozenset[str]) -> None:
         """Replace the agents that the platform's list shows as leaving."""
-        self.leaving = agents
+        self._availability.leaving = agents
 
     def choose(self, request: PlacementRequest) -> str:
         """Return the agent with the lowest score among a few candidates."""
-        eligible = self.eligible(request)
-        if not eligible:
+        tolerated = 0 if request.resume else 1
+        avoided = self._availability.avoided_domains(tolerated)
+        candidates = self._candidates(request, avoided)
+        if not candidates and avoided:
+            candidates = self._candidates(request, NO_DOMAINS)
+        if not candidates:
             raise RefusedError(self._refusal(request))
-        candidates = self._candidates(
-            request, self._preferred(request, eligible)
-        )
         return min(
             candidates,
             key=lambda target: self.score_ms(request, target),
         ).agent
 
-    def eligible(self, request: PlacementRequest) -> tuple[Target, ...]:
-        """Return the targets that may run an attempt now."""
-        calendar_ms = self.clock.calendar_ms()
+    def eligible(
+        self,
+        request: PlacementRequest,
+        avoided: frozenset[str] = NO_DOMAINS,
+    ) -> tuple[Target, ...]:
+        """Return all targets outside `avoided` that may run an attempt now."""
         return tuple(
             target
             for target in self.pool.targets_by_pin.get(request.pin, ())
-            if self._in_reach(request, target)
-            and target.agent not in request.excluded
-            and self._accepts(target.agent, calendar_ms)
+            if self._is_eligible(request, target, avoided)
         )
 
     def score_ms(self, request: PlacementRequest, target: Target) -> float:
@@ -139,26 +148,19 @@
         """Return attempts over slots of the own region's live upstreams.
 
         Attempts count as running, queued or sent and not yet reported. With
-        no live upstream in the own region, those of other regions count.
+        no live upstream in the own region, those of other regions count. The
+        figure is kept for `UTILISATION_INTERVAL_MS`.
         """
-        calendar_ms = self.clock.calendar_ms()
-        live = [
-            target
-            for target in self.pool.targets_by_pin.get(pin, ())
-            if self._accepts(target.agent, calendar_ms)
-        ]
-        local = [one for one in live if one.region == self.region]
-        slots = 0
-        attempts = float(0)
-        for target in local or live:
-            load = self.load_view.estimate(target.agent)
-            slots += target.max_running
-            attempts += load.running + load.queued
-        return attempts / slots if slots else 0
+        now_ms = self.clock.now_ms()
+        measured_ms, utilisation = self._utilisation_by_pin.get(pin, (0, 0))
+        if not measured_ms or now_ms - measured_ms >= UTILISATION_INTERVAL_MS:
+            utilisation = self._measure_utilisation(pin)
+            self._utilisation_by_pin[pin] = (now_ms, utilisation)
+        return utilisation
 
     def record_load(self, agent: str, load: LoadReport) -> None:
         """Take in a load report that arrived now."""
-        self._lost.discard(agent)
+        self._availability.record_heard(agent)
         self.load_view.record_report(agent, load)
         if load.kv_capacity:
             self.prefix_view.bound(agent, load.kv_capacity)
@@ -181,74 +183,88 @@
 
     def record_loss(self, agent: str) -> None:
         """Avoid an agent until heard from, and its failure domain a while."""
-        self._lost.add(agent)
+        self._availability.record_loss(agent)
         self.load_view.forget(agent)
         self.prefix_view.forget(agent)
-        self._lost_ms_by_agent[agent] = self.clock.now_ms()
 
-    def _accepts(self, agent: str, calendar_ms: int) -> bool:
-        return not (
-            agent in self._lost
-            or agent in self.leaving
-            or self.load_view.is_draining(agent)
-            or self.pool.is_stopping(agent, calendar_ms)
+    def _measure_utilisation(self, pin: Pin) -> float:
+        live = [
+            target
+            for target in self.pool.targets_by_pin.get(pin, ())
+            if self._availability.accepts(target.agent)
+        ]
+        local = [one for one in live if one.region == self.region]
+        counted = local or live
+        slots = sum(target.max_running for target in counted)
+        attempts = sum(
+            self.load_view.attempts(target.agent) for target in counted
         )
+        return attempts / slots if slots else 0
 
-    def _in_reach(self, request: PlacementRequest, target: Target) -> bool:
-        if request.regions and target.region not in request.regions:
-            return False
-        return request.cross_region or target.region == self.region
-
-    def _preferred(
+    def _is_eligible(
         self,
         request: PlacementRequest,
-        eligible: tuple[Target, ...],
-    ) -> tuple[Target, ...]:
-        tolerated = 0 if request.resume else 1
-        avoided = {
-            domain
-            for domain, losses in self._losses_by_domain().items()
-            if losses > tolerated
-        }
-        preferred = tuple(
-            one for one in eligible if one.failure_domain not in avoided
+        target: Target,
+        avoided: frozenset[str],
+    ) -> bool:
+        return (
+            target.failure_domain not in avoided
+            and target.agent not in request.excluded
+            and self._in_reach(request, target)
+            and self._availability.accepts(target.agent)
         )
-        return preferred or eligible
 
-    def _losses_by_domain(self) -> Counter[str]:
-        since_ms = self.clock.now_ms() - DOMAIN_AVOIDANCE_MS
-        self._lost_ms_by_agent = {
-            agent: lost_ms
-            for agent, lost_ms in self._lost_ms_by_agent.items()
-            if lost_ms > since_ms
-        }
-        return Counter(map(self.pool.domain_of, self._lost_ms_by_agent))
+    def _in_reach(self, request: PlacementRequest, target: Target) -> bool:
+        if request.regions and target.region not in request.regions:
+            return False
+        return request.cross_region or target.region == self.region
 
     def _candidates(
         self,
         request: PlacementRequest,
-        preferred: tuple[Target, ...],
+        avoided: frozenset[str],
     ) -> tuple[Target, ...]:
-        local = [one for one in preferred if one.region == self.region]
-        remote = [one for one in preferred if one.region != self.region]
+        by_region = self.pool.split(request.pin, self.region)
+        is_eligible = partial(self._is_eligible, request, avoided=avoided)
         factor = RESUME_CANDIDATES_FACTOR if request.resume else 1
-        remote_count = REMOTE_CANDIDATES if local else SAMPLED_CANDIDATES
-        sampled = self._sample(local, factor * SAMPLED_CANDIDATES)
-        sampled += self._sample(remote, factor * remote_count)
-        sampled += self._prefix_candidates(request, preferred)
+        sampled = self._sample(
+            by_region.local,
+            factor * SAMPLED_CANDIDATES,
+            is_eligible,
+        )
+        remote_count = REMOTE_CANDIDATES if sampled else SAMPLED_CANDIDATES
+        sampled += self._sample(
+            by_region.remote,
+            factor * remote_count,
+            is_eligible,
+        )
+        holders = self.prefix_view.holders(request.prefix_hashes)
+        holding = tuple(
+            by_region.targets_by_agent[agent]
+            for agent in sorted(holders)
+            if agent in by_region.targets_by_agent
+        )
+        sampled += self._sample(holding, PREFIX_CANDIDATES, is_eligible)
         return tuple(sampled)
 
-    def _sample(self, targets: list[Target], count: int) -> list[Target]:
-        return self._random.sample(targets, min(count, len(targets)))
-
-    def _prefix_candidates(
+    def _sample(
         self,
-        request: PlacementRequest,
-        preferred: tuple[Target, ...],
+        targets: tuple[Target, ...],
+        count: int,
+        is_eligible: Callable[[Target], bool],
     ) -> list[Target]:
-        holders = self.prefix_view.holders(request.prefix_hashes)
-        holding = [one for one in preferred if one.agent in holders]
-        return self._sample(holding, PREFIX_CANDIDATES)
+        """Return up to `count` eligible targets, at random.
+
+        A draw of twice the count is nearly always enough, so that the cost
+        does not grow with the number of targets.
+        """
+        draw_count = min(2 * count, len(targets))
+        drawn = self._random.sample(targets, draw_count)
+        sampled = [one for one in drawn if is_eligible(one)]
+        if len(sampled) < count < len(targets):
+            sampled = [one for one in targets if is_eligible(one)]
+            self._random.shuffle(sampled)
+        return sampled[:count]
 
     def _attempted(self, agent: str, request: PlacementRequest) -> Attempted:
         covered = self.prefix_view.covered_blocks(agent, request.prefix_hashes)
@@ -259,9 +275,8 @@
 
     def _refusal(self, request: PlacementRequest) -> Refusal:
         known = self.pool.targets_by_pin.get(request.pin, ())
-        calendar_ms = self.clock.calendar_ms()
         stopped = [
-            one for one in known if not self._accepts(one.agent, calendar_ms)
+            one for one in known if not self._availability.accepts(one.agent)
         ]
         pin = request.pin
         return Refusal(
--- a/bergamotthread/process/upstream_pool.py
+++ b/bergamotthread/process/upstream_pool.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bergamotthread.version.objects import Upstream
 from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import Pin
 
-DOMAIN_AVOIDANCE_MS = 5000
-
 _Upstreams = tuple[Upstream, ...]
 Subset = Callable[[Pin, _Upstreams], _Upstreams]
 
@@ -26,6 +24,15 @@
     max_running: int
 
 
+@dataclass(frozen=True)
+class RegionSplit:
+    """Targets of a pin inside and outside one region."""
+
+    local: tuple[Target, ...]
+    remote: tuple[Target, ...]
+    targets_by_agent: dict[str, Target]
+
+
 @dataclass(frozen=True)
 class UpstreamPool:
     """Targets of one published version by pin and by agent."""
@@ -35,6 +42,9 @@
     targets_by_agent: dict[str, Target]
     stop_start_ms_by_agent: dict[str, int]
     egress_price_by_region: dict[str, float]
+    _split_by_key: dict[tuple[Pin, str], RegionSplit] = field(
+        default_factory=dict,
+    )
 
     @classmethod
     def from_published(
@@ -72,6 +82,19 @@
             },
         )
 
+    def split(self, pin: Pin, region: str) -> RegionSplit:
+        """Return the targets of a pin, split by region and kept."""
+        split = self._split_by_key.get((pin, region))
+        if split is None:
+            targets = self.targets_by_pin.get(pin, ())
+            split = RegionSplit(
+                local=tuple(one for one in targets if one.region == region),
+                remote=tuple(one for one in targets if one.region != region),
+                targets_by_agent={one.agent: one for one in targets},
+            )
+            self._split_by_key[pin, region] = split
+        return split
+
     def is_stopping(self, agent: str, calendar_ms: int) -> bool:
         """Return whether a planned stop of the agent's host has started."""
         start_ms = self.stop_start_ms_by_agent.get(agent)
