Let a refusal of a large body reach a caller that is still sending

Cause: the connection was closed with the refusal, so that a caller that sends 4 MB before it reads got a broken pipe instead of problem JSON.

Change: the rest of an answered body is discarded, up to 32 MB and the time limit of bodies; then the connection is closed.

Before: BrokenPipeError in the new test. After: the refusal arrives, and a body without end is cut off (tests/test_http_server.py, 14 pass).

--- a/bergamotthread/connection/body_limit.py
+++ b/bergamotthread/connection/body_limit.py
@@ -173,5 +173,4 @@
         problem_json(refusal),
         status_code=refusal.status,
         media_type='application/problem+json',
-        headers={'connection': 'close'},
     )
--- a/bergamotthread/connection/http_limits.py
+++ b/bergamotthread/connection/http_limits.py
@@ -17,6 +17,7 @@
     from starlette.types import ASGIApp
 
 HEADER_TOO_LARGE_STATUS = 431
+MAX_DISCARDED_BYTES = 33_554_432
 
 _HEADER_OVERHEAD_BYTES = 4
 
@@ -50,7 +51,9 @@
     """Refuses large headers and closes connections that are slow with them.
 
     `data_received` reads at most one chunk of the event loop beyond the
-    limit, so that the memory of a connection is bounded.
+    limit, so that the memory of a connection is bounded. What a caller still
+    sends of a body that was already answered is discarded, up to a limit, so
+    that the answer reaches callers that read only after they have sent all.
     """
 
     def __init__(self, config: HttpConfig, **options: Any) -> None:
@@ -61,6 +64,7 @@
         self._is_refused = False
         self._raw_bytes = 0
         self._header_bytes = 0
+        self._discarded_bytes = 0
         self._timer: asyncio.Task[None] | None = None
 
     def connection_made(  # type: ignore[override]
@@ -69,7 +73,7 @@
     ) -> None:
         """Start to wait for the first header."""
         super().connection_made(transport)
-        self._start_timer()
+        self._start_timer(self._limits.header_timeout_ms)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop to wait."""
@@ -87,7 +91,7 @@
         if self._raw_bytes > self._limits.header_bytes:
             self._refuse()
         else:
-            self._start_timer()
+            self._start_timer(self._limits.header_timeout_ms)
 
     def on_message_begin(self) -> None:
         """Start to count the header of a request."""
@@ -95,6 +99,7 @@
         self._reads_header = True
         self._raw_bytes = 0
         self._header_bytes = 0
+        self._discarded_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Count and take a part of the URL."""
@@ -114,12 +119,17 @@
             super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
-        """Take a part of the body unless the request is refused."""
-        if not self._is_refused:
+        """Take a part of the body unless the request is answered."""
+        if self._is_refused:
+            return
+        if self.cycle.response_complete:
+            self._discard(len(body))
+        else:
             super().on_body(body)
 
     def on_message_complete(self) -> None:
         """End the body unless the request is refused."""
+        self._stop_timer()
         if not self._is_refused:
             super().on_message_complete()
 
@@ -128,6 +138,13 @@
         if self._header_bytes > self._limits.header_bytes:
             self._refuse()
 
+    def _discard(self, size: int) -> None:
+        self._discarded_bytes += size
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self.transport.close()
+        else:
+            self._start_timer(self._limits.body_timeout_ms)
+
     def _refuse(self) -> None:
         if self._is_refused:
             return
@@ -145,15 +162,15 @@
         self.transport.write(head.encode() + encoded)
         self.transport.close()
 
-    def _start_timer(self) -> None:
+    def _start_timer(self, limit_ms: float) -> None:
         if self._timer is None:
-            self._timer = self.loop.create_task(self._close_late())
+            self._timer = self.loop.create_task(self._close_late(limit_ms))
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    async def _close_late(self) -> None:
-        await self._clock.sleep_ms(self._limits.header_timeout_ms)
+    async def _close_late(self, limit_ms: float) -> None:
+        await self._clock.sleep_ms(limit_ms)
         self.transport.close()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -118,6 +118,29 @@
     assert all(refusal.ran == 'no' for refusal in refusals)
 
 
+def test_refusal_reaches_a_caller_that_sends_first_and_reads_later() -> None:
+    body = b'x' * 4_000_000
+
+    async def talk(port: int) -> None:
+        received = await _send(port, _post(len(body)), body)
+        assert b'"reason":"too_large"' in received
+
+    limits = msgspec.structs.replace(_LIMITS, body_bytes=1_000_000)
+    asyncio.run(_with_server(talk, limits=limits))
+
+
+def test_body_without_end_is_cut_off_after_the_refusal() -> None:
+    async def talk(port: int) -> None:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(_post(10**12))
+        with pytest.raises(ConnectionError):
+            while True:
+                writer.write(b'x' * 10_000)
+                await writer.drain()
+
+    asyncio.run(_with_server(talk))
+
+
 @pytest.mark.parametrize(
     ('parts', 'expected'),
     [
