--- a/bergamotthread/process/completions.py
+++ b/bergamotthread/process/completions.py
@@ -6,13 +6,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import xxhash
-
 from bergamotthread.clock import Clock
 from bergamotthread.errors import DecodeError, Step
 from bergamotthread.process.admission import CHARS_PER_TOKEN
 from bergamotthread.process.generations import Generations
 from bergamotthread.process.placement import PlacementRequest
+from bergamotthread.process.poison import fingerprint
 from bergamotthread.process.prefix_hash import block_hashes
 from bergamotthread.request.completion import (
     CompletionRequest,
@@ -201,7 +200,7 @@
             max_tokens=request.max_tokens,
             deadline_ms=now_ms + _duration_ms(request, service),
             priority=request.priority,
-            fingerprint=_fingerprint(caller.team, pin, request.prompt),
+            fingerprint=fingerprint(caller.team, pin, request.prompt),
         )
         placement_request = PlacementRequest(
             generation=identity,
@@ -272,11 +271,6 @@
     return '\0'.join((pin.model, pin.version, pin.adapter))
 
 
-def _fingerprint(team: str, pin: Pin, prompt: str) -> int:
-    parts = '\0'.join((team, _pin_key(pin), prompt))
-    return xxhash.xxh64_intdigest(parts.encode())
-
-
 def _refused(reason: ReasonCode, detail: str) -> RefusedError:
     return RefusedError(
         Refusal(reason=reason, detail=detail, step=Step.ADMIT, ran=Ran.NOT_RUN),
--- a/bergamotthread/process/generation_guards.py
+++ b/bergamotthread/process/generation_guards.py
@@ -51,9 +51,6 @@
 class _NoSink(QuarantineSink):
     """Tells nobody."""
 
-    def charged(self, notice: Quarantine) -> None:
-        """Drop the notice."""
-
     def quarantined(self, notice: Quarantine) -> None:
         """Drop the notice."""
 
@@ -123,7 +120,7 @@
                 return self._spend_retry(live, Go())
 
     def attempt_started(self, live: LiveGeneration, agent: str) -> None:
-        """Take in that an attempt was sent."""
+        """Take in that an agent confirmed an attempt."""
         spec = live.generation.spec
         self.poison.record_start(agent, spec.generation, spec.fingerprint)
 
@@ -160,7 +157,10 @@
     def _spend_retry(self, live: LiveGeneration, go: Go) -> Go | Refusal:
         if not live.must_spend_retry:
             return go
-        decision = self.retries.spend(live.generation.spec.team)
+        decision = self.retries.spend(
+            live.generation.spec.team,
+            resume=live.may_have_run,
+        )
         if isinstance(decision, Denied):
             refusal = generation_refusal(
                 live,
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -146,7 +146,7 @@
             case Admitted(generation=generation, attempt=attempt):
                 live = self._current(generation, attempt, envelope)
                 if live is not None:
-                    live.admit()
+                    self._admit(live)
                     live.progress.restart(self._clock.now_ms())
             case Waiting(generation=generation, attempt=attempt):
                 live = self._current(generation, attempt, envelope)
@@ -245,7 +245,7 @@
                 live.settle(Lost('end mark contradicts the output'))
 
     def _on_progress(self, live: LiveGeneration, frame: Frame) -> None:
-        live.admit()
+        self._admit(live)
         if frame.tokens:
             self._record_tokens(live, len(frame.tokens))
             self.guards.progressed(live, live.generation.place.agent)
@@ -256,6 +256,11 @@
             live.settle(outcome_of(frame.end.reason))
         live.notify()
 
+    def _admit(self, live: LiveGeneration) -> None:
+        if not live.admitted:
+            live.admit()
+            self.guards.attempt_started(live, live.generation.place.agent)
+
     def _record_tokens(self, live: LiveGeneration, count: int) -> None:
         now_ms = self._clock.now_ms()
         self.metrics.tokens(count)
--- a/bergamotthread/process/quarantines.py
+++ b/bergamotthread/process/quarantines.py
@@ -65,7 +65,8 @@
         """Exchange with peers and the table until cancelled."""
         while True:
             await self._clock.sleep_ms(FLUSH_INTERVAL_MS)
-            self.publisher.flush()
+            if self.guard is not None:
+                self.publisher.flush(self.guard)
             with contextlib.suppress(StoreUnavailableError):
                 await self._exchange()
 
