--- /dev/null
+++ b/bergamotthread/process/generations.py
@@ -0,0 +1,341 @@
+"""All generations of an entry: dispatch, relay, detection and resume."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Coroutine
+from functools import partial
+
+from absl import logging
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.peer_histories import PeerHistories
+from bergamotthread.connection.transport import Transport
+from bergamotthread.process.entry_metrics import EntryMetrics
+from bergamotthread.process.generation_driver import (
+    DriverParts,
+    GenerationDriver,
+)
+from bergamotthread.process.generation_guards import GenerationGuards
+from bergamotthread.process.generation_watch import (
+    GenerationLimits,
+    GenerationWatch,
+)
+from bergamotthread.process.loss_probe import LossProbe
+from bergamotthread.process.placement import Placement
+from bergamotthread.process.standby import Standbys
+from bergamotthread.request.generation import (
+    AttemptPlace,
+    Verdict,
+)
+from bergamotthread.request.generation_refusal import internal_refusal
+from bergamotthread.request.live_generation import (
+    Finished,
+    LiveGeneration,
+    Lost,
+    Rejected,
+    outcome_of,
+)
+from bergamotthread.version.published import PublishedVersion
+from bergamotthread.wire.messages import (
+    Ack,
+    Acks,
+    Admitted,
+    Cancel,
+    Declined,
+    Envelope,
+    Fetch,
+    Frame,
+    Missing,
+    OutputBatch,
+    Revoked,
+    Waiting,
+)
+
+WATCH_INTERVAL_MS = 50
+ACK_INTERVAL_MS = 100
+PLACEMENT_RETRY_MS = 100
+FETCH_INTERVAL_MS = 200
+
+
+class Generations:
+    """Runs generations on agents and resumes them after a loss."""
+
+    def __init__(
+        self,
+        transport: Transport,
+        placement: Placement,
+        clock: Clock,
+        limits: GenerationLimits | None = None,
+        guards: GenerationGuards | None = None,
+        metrics: EntryMetrics | None = None,
+    ) -> None:
+        self.by_id: dict[str, LiveGeneration] = {}
+        self.config_version = 0
+        self.limits = limits or GenerationLimits()
+        self.guards = guards or GenerationGuards(clock)
+        self.metrics = metrics or EntryMetrics(clock)
+        self.standbys = Standbys(transport, placement, clock)
+        self._transport = transport
+        self._placement = placement
+        self._clock = clock
+        self._peers = PeerHistories(clock)
+        self._probe = LossProbe(transport, clock)
+        parts = DriverParts(
+            transport,
+            placement,
+            self.guards,
+            self.metrics,
+            self._peers,
+            self._probe,
+        )
+        self._driver = GenerationDriver(parts, clock, self.limits)
+        self._watch = GenerationWatch(self._peers, self.limits)
+
+    async def run(self) -> None:
+        """Watch and acknowledge until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._watch_forever())
+            group.create_task(self._acknowledge_forever())
+
+    def put_in_force(self, published: PublishedVersion) -> None:
+        """Decide by a newer version from now on."""
+        if published.version > self.config_version:
+            self.config_version = published.version
+            self._placement.publish(published)
+
+    def start(self, live: LiveGeneration) -> None:
+        """Admit a generation and run it until it is over.
+
+        Raises
+        ------
+        RefusedError
+            If a guard refuses it; nothing has run then.
+        """
+        pin = live.generation.spec.pin
+        self.guards.admit(live, self._placement.utilisation(pin))
+        self._run(live, self._driver.drive(live))
+
+    def adopt(self, live: LiveGeneration, agent: str, attempt: int) -> None:
+        """Take over a generation whose entry was lost, at its agent."""
+        self.guards.adopt(live)
+        self._run(live, self._driver.adopt(live, agent, attempt))
+
+    def cancel(self, live: LiveGeneration) -> None:
+        """End a generation that nobody reads and stop its attempt."""
+        generation = live.generation
+        if generation.is_over:
+            return
+        place = generation.place
+        generation.cancel()
+        if place.agent:
+            self._driver.send_cancel(live, place)
+            self.guards.attempt_ended(live, place.agent)
+        if live.task is not None:
+            live.task.cancel()
+        live.notify()
+
+    def on_message(self, envelope: Envelope) -> None:
+        """Take in a message from an agent."""
+        if self._peers.record(envelope.sender, envelope.incarnation):
+            self._lose_earlier(envelope.sender, envelope.incarnation)
+        match envelope.message:
+            case OutputBatch() as batch:
+                self._on_batch(batch, envelope)
+            case Admitted(generation=generation, attempt=attempt):
+                live = self._current(generation, attempt, envelope)
+                if live is not None:
+                    self._admit(live)
+                    live.progress.restart(self._clock.now_ms())
+            case Waiting(generation=generation, attempt=attempt):
+                live = self._current(generation, attempt, envelope)
+                if live is not None:
+                    live.confirmed = True
+            case Declined() as declined:
+                self._on_declined(declined, envelope)
+            case Missing(generation=generation, attempt=attempt):
+                live = self._current(generation, attempt, envelope)
+                if live is not None:
+                    live.settle(Lost('output not held by agent'))
+            case Revoked() as revoked:
+                self._on_revoked(revoked, envelope.sender)
+
+    def _run(
+        self,
+        live: LiveGeneration,
+        work: Coroutine[None, None, None],
+    ) -> None:
+        self.by_id[live.generation.spec.generation] = live
+        live.task = asyncio.create_task(work)
+        live.task.add_done_callback(partial(self._on_over, live))
+
+    def _on_over(self, live: LiveGeneration, task: asyncio.Task[None]) -> None:
+        run_ms = self._clock.now_ms() - live.started_ms
+        self.guards.over(live, run_ms)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            logging.error(
+                'generation %s failed: %r',
+                live.generation.spec.generation,
+                error,
+            )
+            live.generation.abort(internal_refusal(live, error))
+            live.notify()
+
+    def _lose_earlier(self, peer: str, incarnation: int) -> None:
+        for live in self.by_id.values():
+            place = live.generation.place
+            if place.agent == peer and 0 < place.incarnation < incarnation:
+                live.settle(Lost('agent was replaced'))
+
+    def _on_revoked(self, revoked: Revoked, agent: str) -> None:
+        live = self.by_id.get(revoked.generation)
+        if live is not None and not revoked.dispatched:
+            place = AttemptPlace(revoked.attempt, agent)
+            live.unconfirmed.discard(place)
+
+    def _current(
+        self,
+        generation: str,
+        attempt: int,
+        envelope: Envelope,
+    ) -> LiveGeneration | None:
+        live = self.by_id.get(generation)
+        if live is None:
+            return None
+        if live.generation.is_current(
+            envelope.sender,
+            envelope.incarnation,
+            attempt,
+        ):
+            live.generation.pin_incarnation(envelope.incarnation)
+            return live
+        return None
+
+    def _on_batch(self, batch: OutputBatch, envelope: Envelope) -> None:
+        self._probe.remove(envelope.sender)
+        self._placement.record_load(envelope.sender, batch.load)
+        for frame in batch.frames:
+            live = self.by_id.get(frame.generation)
+            if live is None:
+                self._drop(frame, envelope.sender)
+            else:
+                self._on_frame(live, frame, envelope)
+
+    def _on_frame(
+        self,
+        live: LiveGeneration,
+        frame: Frame,
+        envelope: Envelope,
+    ) -> None:
+        verdict = live.generation.accept(
+            frame,
+            envelope.sender,
+            envelope.incarnation,
+        )
+        match verdict:
+            case Verdict.ACCEPTED:
+                self._on_progress(live, frame)
+            case Verdict.STALE:
+                self._drop(frame, envelope.sender)
+            case Verdict.GAP:
+                self._fetch(live)
+            case Verdict.CORRUPT:
+                live.settle(Lost('end mark contradicts the output'))
+
+    def _on_progress(self, live: LiveGeneration, frame: Frame) -> None:
+        self._admit(live)
+        if frame.tokens:
+            self._record_tokens(live, len(frame.tokens))
+            self.guards.progressed(live, live.generation.place.agent)
+            self.standbys.progressed(live)
+        if live.generation.is_over:
+            live.settle(Finished())
+        elif frame.end is not None:
+            live.settle(outcome_of(frame.end.reason))
+        live.notify()
+
+    def _admit(self, live: LiveGeneration) -> None:
+        if not live.admitted:
+            live.admit()
+            self.guards.attempt_started(live, live.generation.place.agent)
+
+    def _record_tokens(self, live: LiveGeneration, count: int) -> None:
+        now_ms = self._clock.now_ms()
+        self.metrics.tokens(count)
+        if live.produced:
+            live.progress.record(now_ms)
+            return
+        live.progress.restart(now_ms)
+        live.produced = True
+        if live.interrupted_ms:
+            self.metrics.resumed(now_ms - live.interrupted_ms)
+        else:
+            self.metrics.first_token(now_ms - live.started_ms)
+
+    def _on_declined(self, declined: Declined, envelope: Envelope) -> None:
+        live = self._current(declined.generation, declined.attempt, envelope)
+        if live is not None:
+            live.settle(Rejected(declined.reason, declined.retry_after_ms))
+
+    def _drop(self, frame: Frame, agent: str) -> None:
+        live = self.by_id.get(frame.generation)
+        if live is not None and live.generation.place.agent == agent:
+            return
+        if frame.end is None:
+            cancel = Cancel(frame.generation, frame.attempt)
+            self._transport.send(agent, cancel)
+
+    def _fetch(self, live: LiveGeneration) -> None:
+        now_ms = self._clock.now_ms()
+        if now_ms - live.fetched_ms < FETCH_INTERVAL_MS:
+            return
+        live.fetched_ms = now_ms
+        generation = live.generation
+        place = generation.place
+        self._transport.send(
+            place.agent,
+            Fetch(generation.spec.generation, place.number, generation.offset),
+        )
+
+    async def _watch_forever(self) -> None:
+        while True:
+            await self._clock.sleep_ms(WATCH_INTERVAL_MS)
+            self._probe.send_due()
+            now_ms = self._clock.now_ms()
+            for identity, live in tuple(self.by_id.items()):
+                self._check(identity, live, now_ms)
+
+    def _check(
+        self,
+        identity: str,
+        live: LiveGeneration,
+        now_ms: float,
+    ) -> None:
+        if self._watch.is_releasable(live, now_ms):
+            live.generation.forget()
+            self.by_id.pop(identity)
+        elif live.generation.is_over:
+            return
+        elif self._watch.is_abandoned(live, now_ms):
+            self.cancel(live)
+        else:
+            lost = self._watch.loss(live, now_ms)
+            if lost is not None:
+                live.settle(lost)
+
+    async def _acknowledge_forever(self) -> None:
+        while True:
+            await self._clock.sleep_ms(ACK_INTERVAL_MS)
+            acks_by_agent: dict[str, list[Ack]] = defaultdict(list)
+            for identity, live in self.by_id.items():
+                place = live.generation.place
+                if live.admitted and not live.generation.is_over:
+                    ack = Ack(identity, place.number, live.consumed)
+                    acks_by_agent[place.agent].append(ack)
+            for agent, acks in acks_by_agent.items():
+                self._transport.send(
+                    agent,
+                    Acks(tuple(acks), self.config_version),
+                )
--- /dev/null
+++ b/bergamotthread/process/routing.py
@@ -0,0 +1,304 @@
+"""Placement by expected queue, uncovered prefill and paid bytes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from bergamotthread.clock import Clock
+from bergamotthread.errors import Step
+from bergamotthread.process.availability import Availability
+from bergamotthread.process.load_view import LoadView
+from bergamotthread.process.placement import Placement, PlacementRequest
+from bergamotthread.process.placement_score import (
+    Attempted,
+    ScoreWeights,
+    region_cost_ms,
+    score_ms,
+    uncovered_tokens,
+)
+from bergamotthread.process.prefix_hash import PrefixView
+from bergamotthread.process.upstream_pool import (
+    Subset,
+    Target,
+    UpstreamPool,
+)
+from bergamotthread.request.refusal import (
+    Ran,
+    ReasonCode,
+    Refusal,
+    RefusedError,
+)
+from bergamotthread.version.published import PublishedVersion
+from bergamotthread.wire.messages import LoadReport, Pin
+
+SAMPLED_CANDIDATES = 4
+REMOTE_CANDIDATES = 1
+RESUME_CANDIDATES_FACTOR = 2
+PREFIX_CANDIDATES = 4
+NO_UPSTREAM_RETRY_MS = 1000
+UTILISATION_INTERVAL_MS = 100
+NO_DOMAINS: frozenset[str] = frozenset()
+
+
+@dataclass
+class ScoredPlacement(Placement):
+    """Takes the cheapest of a few candidates.
+
+    Candidates are a sample of the own region, one of other regions and the
+    agents that cache the longest prefix. Agents that are lost, draining or
+    excluded are never candidates. Failure domains with several recent losses
+    are candidates only where no other is left; to resumptions one loss is
+    enough. Resumptions look at twice as many candidates, so that several
+    entries spread them over many survivors.
+    """
+
+    clock: Clock
+    region: str
+    pool: UpstreamPool
+    load_view: LoadView
+    prefix_view: PrefixView = field(default_factory=PrefixView)
+    weights: ScoreWeights = ScoreWeights()
+    subset: Subset | None = None
+    seed: int = 0
+
+    def __post_init__(self) -> None:
+        self._random = random.Random(self.seed)
+        self._availability = Availability(
+            self.clock,
+            self.pool,
+            self.load_view,
+        )
+        self._utilisation_by_pin: dict[Pin, tuple[float, float]] = {}
+
+    @classmethod
+    def from_published(
+        cls,
+        published: PublishedVersion,
+        region: str,
+        clock: Clock,
+        subset: Subset | None = None,
+        *,
+        seed: int = 0,
+    ) -> ScoredPlacement:
+        """Return a placement over the upstreams of a version."""
+        return cls(
+            clock=clock,
+            region=region,
+            pool=UpstreamPool.from_published(published, subset),
+            load_view=LoadView(clock),
+            subset=subset,
+            seed=seed,
+        )
+
+    def publish(self, published: PublishedVersion) -> None:
+        """Move on to a newer version and keep what is known of the load."""
+        self.pool = UpstreamPool.from_published(published, self.subset)
+        self._availability.pool = self.pool
+
+    def mark_leaving(self, agents: frozenset[str]) -> None:
+        """Replace the agents that the platform's list shows as leaving."""
+        self._availability.leaving = agents
+
+    def choose(self, request: PlacementRequest) -> str:
+        """Return the agent with the lowest score among a few candidates."""
+        tolerated = 0 if request.resume else 1
+        avoided = self._availability.avoided_domains(tolerated)
+        if request.apart_from:
+            avoided |= {self.failure_domain(request.apart_from)}
+        candidates = self._candidates(request, avoided)
+        if not candidates and avoided:
+            candidates = self._candidates(request, NO_DOMAINS)
+        if not candidates:
+            raise RefusedError(self._refusal(request))
+        return min(
+            candidates,
+            key=lambda target: self.score_ms(request, target),
+        ).agent
+
+    def eligible(
+        self,
+        request: PlacementRequest,
+        avoided: frozenset[str] = NO_DOMAINS,
+    ) -> tuple[Target, ...]:
+        """Return all targets outside `avoided` that may run an attempt now."""
+        return tuple(
+            target
+            for target in self.pool.targets_by_pin.get(request.pin, ())
+            if self._is_eligible(request, target, avoided)
+        )
+
+    def score_ms(self, request: PlacementRequest, target: Target) -> float:
+        """Return the cost of a target in milliseconds, lower is better."""
+        load = self.load_view.estimate(target.agent)
+        score = score_ms(
+            self._attempted(target.agent, request),
+            load,
+            target,
+            self.weights,
+        )
+        if target.region == self.region:
+            return score
+        price = self.pool.egress_price_by_region.get(self.region, 0)
+        return score + region_cost_ms(request, price, self.weights)
+
+    def failure_domain(self, agent: str) -> str:
+        """Return the failure domain of an agent, empty if unknown."""
+        return self.pool.domain_of(agent)
+
+    def utilisation(self, pin: Pin) -> float:
+        """Return attempts over slots of the own region's live upstreams.
+
+        Attempts count as running, queued or sent and not yet reported. With
+        no live upstream in the own region, those of other regions count. The
+        figure is kept for `UTILISATION_INTERVAL_MS`.
+        """
+        now_ms = self.clock.now_ms()
+        measured_ms, utilisation = self._utilisation_by_pin.get(pin, (0, 0))
+        if not measured_ms or now_ms - measured_ms >= UTILISATION_INTERVAL_MS:
+            utilisation = self._measure_utilisation(pin)
+            self._utilisation_by_pin[pin] = (now_ms, utilisation)
+        return utilisation
+
+    def record_load(self, agent: str, load: LoadReport) -> None:
+        """Take in a load report that arrived now."""
+        self._availability.record_heard(agent)
+        self.load_view.record_report(agent, load)
+        if load.kv_capacity:
+            self.prefix_view.bound(agent, load.kv_capacity)
+        self.prefix_view.record(agent, load.cached_prefixes)
+
+    def record_dispatch(self, agent: str, request: PlacementRequest) -> None:
+        """Count an attempt that was sent to `agent`."""
+        attempted = self._attempted(agent, request)
+        self.load_view.record_dispatch(
+            agent,
+            request.generation,
+            attempted.kv_tokens,
+            attempted.uncovered_tokens,
+        )
+        self.prefix_view.record(agent, request.prefix_hashes)
+
+    def record_end(self, agent: str, request: PlacementRequest) -> None:
+        """Uncount an attempt that ended at `agent`."""
+        self.load_view.record_end(agent, request.generation)
+
+    def record_loss(self, agent: str) -> None:
+        """Avoid an agent until heard from, and its failure domain a while."""
+        self._availability.record_loss(agent)
+        self.load_view.forget(agent)
+        self.prefix_view.forget(agent)
+
+    def _measure_utilisation(self, pin: Pin) -> float:
+        live = [
+            target
+            for target in self.pool.targets_by_pin.get(pin, ())
+            if self._availability.accepts(target.agent)
+        ]
+        local = [one for one in live if one.region == self.region]
+        counted = local or live
+        slots = sum(target.max_running for target in counted)
+        attempts = sum(
+            self.load_view.attempts(target.agent) for target in counted
+        )
+        return attempts / slots if slots else 0
+
+    def _is_eligible(
+        self,
+        request: PlacementRequest,
+        target: Target,
+        avoided: frozenset[str],
+    ) -> bool:
+        return (
+            target.failure_domain not in avoided
+            and target.agent not in request.excluded
+            and self._in_reach(request, target)
+            and self._availability.accepts(target.agent)
+        )
+
+    def _in_reach(self, request: PlacementRequest, target: Target) -> bool:
+        if request.regions and target.region not in request.regions:
+            return False
+        return request.cross_region or target.region == self.region
+
+    def _candidates(
+        self,
+        request: PlacementRequest,
+        avoided: frozenset[str],
+    ) -> tuple[Target, ...]:
+        by_region = self.pool.split(request.pin, self.region)
+        is_eligible = partial(self._is_eligible, request, avoided=avoided)
+        factor = RESUME_CANDIDATES_FACTOR if request.resume else 1
+        sampled = self._sample(
+            by_region.local,
+            factor * SAMPLED_CANDIDATES,
+            is_eligible,
+        )
+        remote_count = REMOTE_CANDIDATES if sampled else SAMPLED_CANDIDATES
+        sampled += self._sample(
+            by_region.remote,
+            factor * remote_count,
+            is_eligible,
+        )
+        holders = self.prefix_view.holders(request.prefix_hashes)
+        holding = tuple(
+            by_region.targets_by_agent[agent]
+            for agent in sorted(holders)
+            if agent in by_region.targets_by_agent
+        )
+        sampled += self._sample(holding, PREFIX_CANDIDATES, is_eligible)
+        return tuple(sampled)
+
+    def _sample(
+        self,
+        targets: tuple[Target, ...],
+        count: int,
+        is_eligible: Callable[[Target], bool],
+    ) -> list[Target]:
+        """Return up to `count` eligible targets, at random.
+
+        A draw of twice the count is nearly always enough, so that the cost
+        does not grow with the number of targets.
+        """
+        draw_count = min(2 * count, len(targets))
+        drawn = self._random.sample(targets, draw_count)
+        sampled = [one for one in drawn if is_eligible(one)]
+        if len(sampled) < count < len(targets):
+            sampled = [one for one in targets if is_eligible(one)]
+            self._random.shuffle(sampled)
+        return sampled[:count]
+
+    def _attempted(self, agent: str, request: PlacementRequest) -> Attempted:
+        covered = self.prefix_view.covered_blocks(agent, request.prefix_hashes)
+        return Attempted(
+            kv_tokens=request.prompt_tokens + request.accepted_tokens,
+            uncovered_tokens=uncovered_tokens(request, covered),
+        )
+
+    def _refusal(self, request: PlacementRequest) -> Refusal:
+        known = self.pool.targets_by_pin.get(request.pin, ())
+        stopped = [
+            one for one in known if not self._availability.accepts(one.agent)
+        ]
+        pin = request.pin
+        return Refusal(
+            reason=ReasonCode.NO_UPSTREAM,
+            detail=(
+                f'no upstream may run {pin.model}/{pin.version}/{pin.adapter}'
+                f' now: {len(known)} known, {len(stopped)} lost or draining,'
+                f' {len(request.excluded)} excluded'
+            ),
+            step=Step.ROUTE,
+            ran=Ran.MAYBE if request.resume else Ran.NOT_RUN,
+            config_version=self.pool.version,
+            decided_by=f'models/{pin.model}',
+            retry_after_ms=NO_UPSTREAM_RETRY_MS,
+            figures={
+                'known': len(known),
+                'lost_or_draining': len(stopped),
+                'excluded': len(request.excluded),
+            },
+            team=request.team,
+        )
