Entries take part in orders and leases; agents carry orders out by fence

Cause: EntryControl and OrderGate stood beside the processes. Change: the entry uses EntryControl for members, limits, subsets and orders; agents with platform settings answer orders through the gate; calls take the rule by longest prefix and the caller's word on a first send; rows of calls are cleaned.

--- a/bergamotthread/process/agent_process.py
+++ b/bergamotthread/process/agent_process.py
@@ -12,8 +12,10 @@
 from bergamotthread.connection.zmq_transport import ZmqTransport
 from bergamotthread.process.agent import Agent, AgentConfig
 from bergamotthread.process.drain_state import DrainPhase
+from bergamotthread.process.engine_orders import OrderInbox
 from bergamotthread.process.service_agent import ServiceAgent
 from bergamotthread.process.settings import AgentSettings
+from bergamotthread.process.store_client import StoreClient, StoreUse
 from bergamotthread.version.distribution import VersionHolder
 from bergamotthread.wire.messages import Envelope
 
@@ -53,6 +55,16 @@
     ) -> None:
         self.transport = transport
         self.agent = make_agent(settings, transport, clock)
+        self._store: StoreClient | None = None
+        self._orders: OrderInbox | None = None
+        if settings.platform and settings.upstream_kind == 'engine':
+            self._store = StoreClient.from_settings(settings.platform, clock)
+            self._orders = OrderInbox(
+                transport,
+                HttpEngineClient(settings.upstream),
+                self._store.table(StoreUse.LEASES),
+                settings.place.region,
+            )
         self.versions = VersionHolder(
             None,
             None,
@@ -87,7 +99,7 @@
                 group.create_task(self.versions.run())
                 group.create_task(self._follow_versions())
         finally:
-            self.transport.close()
+            await self._close()
 
     async def drain(self) -> None:
         """Take no new work and return when none is left."""
@@ -101,6 +113,8 @@
         self._hear(envelope.sender)
         self.versions.on_message(envelope)
         self.agent.on_message(envelope)
+        if self._orders is not None:
+            self._orders.on_message(envelope)
 
     def _hear(self, entry: str) -> None:
         self._heard_entries[entry] = None
@@ -113,6 +127,11 @@
         heard = reversed(self._heard_entries)
         return tuple(dict.fromkeys((*heard, *self._settings.entries)))
 
+    async def _close(self) -> None:
+        self.transport.close()
+        if self._store is not None:
+            await self._store.close()
+
     async def _follow_versions(self) -> None:
         known = 0
         while True:
--- a/bergamotthread/process/entry_app.py
+++ b/bergamotthread/process/entry_app.py
@@ -48,6 +48,7 @@
 _SERVICE_METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE']
 _REQUEST_ID_HEADER = 'x-request-id'
 _DRAINING_RETRY_MS = 100
+_FIRST_SEND_HEADER = 'idempotency-first-send'
 
 
 class VersionSource(Protocol):
@@ -184,6 +185,7 @@
             headers=tuple(request.headers.items()),
             body=body,
             key=request.headers.get('idempotency-key', ''),
+            first_send=request.headers.get(_FIRST_SEND_HEADER) == 'true',
         )
         started_ms = self._clock.now_ms()
         answer = await self._parts.calls.run(
--- a/bergamotthread/process/entry_process.py
+++ b/bergamotthread/process/entry_process.py
@@ -9,11 +9,15 @@
 from bergamotthread.connection.http_server import HttpServer
 from bergamotthread.connection.transport import Transport
 from bergamotthread.connection.zmq_transport import ZmqTransport
-from bergamotthread.process.agent_roster import AgentRoster
 from bergamotthread.process.audit import AuditTrail
+from bergamotthread.process.call_cleaner import CallCleaner
 from bergamotthread.process.call_runner import CallRunner
 from bergamotthread.process.completions import Completions
 from bergamotthread.process.entry_app import EntryApp, EntryParts
+from bergamotthread.process.entry_control import (
+    ControlSources,
+    EntryControl,
+)
 from bergamotthread.process.entry_metrics import EntryMetrics
 from bergamotthread.process.explanation_batch import new_writer_id
 from bergamotthread.process.explanation_metrics import (
@@ -23,14 +27,12 @@
 from bergamotthread.process.generation_guards import GenerationGuards
 from bergamotthread.process.generations import Generations
 from bergamotthread.process.http_server import create_http_config
-from bergamotthread.process.membership import Membership
+from bergamotthread.process.pin_demand import PinDemand
 from bergamotthread.process.quarantines import Quarantines
 from bergamotthread.process.refusal_recorder import RefusalRecorder
 from bergamotthread.process.routing import ScoredPlacement
 from bergamotthread.process.settings import EntrySettings
-from bergamotthread.process.shares import TeamLimits
 from bergamotthread.process.store_client import StoreClient, StoreUse
-from bergamotthread.process.subset import select_upstreams
 from bergamotthread.request.cursor import CursorSigner
 from bergamotthread.version.distribution import VersionHolder
 from bergamotthread.version.objects import ObjectSet, Upstream
@@ -57,9 +59,8 @@
         self._settings = settings
         self._store = store
         self._clock = clock
-        self._roster = AgentRoster(clock)
         self._subset_entries: tuple[str, ...] = ()
-        self._start_membership()
+        self._start_control()
         self._start_records()
         self._start_generations()
         self.calls = CallRunner(
@@ -68,6 +69,7 @@
             transport,
             clock,
         )
+        self.cleaner = CallCleaner(store.table(StoreUse.AUDIT), clock)
         self.app = EntryApp(self._parts(), self._recorder, clock)
         self.server = HttpServer(
             create_http_config(
@@ -101,8 +103,8 @@
             async with asyncio.TaskGroup() as group:
                 for work in (
                     self.versions.run(),
-                    self.membership.run(),
-                    self.teams.run(),
+                    self.control.run(),
+                    self.cleaner.run(),
                     self.generations.run(),
                     self.explanations.run(),
                     self.audit.run(),
@@ -128,8 +130,7 @@
         if self.calls.on_message(envelope):
             return
         self.versions.on_message(envelope)
-        self.membership.on_message(envelope)
-        self.teams.on_message(envelope)
+        self.control.on_message(envelope)
         self.quarantines.on_message(envelope)
         self.generations.on_message(envelope)
 
@@ -137,20 +138,25 @@
         """Decide by a newer version from now on."""
         if published.version <= self.generations.config_version:
             return
-        self._roster.apply_version(published)
-        self.teams.apply_version(published)
+        self.control.apply_version(published)
         self.generations.put_in_force(published)
 
-    def _start_membership(self) -> None:
+    def _start_control(self) -> None:
         settings = self._settings
-        self.membership = Membership(
+        self.demand = PinDemand(self._clock)
+        self.control = EntryControl(
             self.transport,
             self._clock,
             settings.place,
-            self._store.hosts(),
-            settings.peers,
-            lambda: self.versions.version,
+            ControlSources(
+                table=self._store.table(StoreUse.LEASES),
+                hosts=self._store.hosts(),
+                peers=settings.peers,
+                config_version=lambda: self.versions.version,
+                demand=self.demand.per_s,
+            ),
         )
+        self.membership = self.control.membership
         self.versions = VersionHolder(
             self._store.table(StoreUse.PUBLICATION),
             self._store.object_store(StoreUse.PUBLICATION),
@@ -159,7 +165,6 @@
             self._peers,
             place=settings.place,
         )
-        self.teams = TeamLimits(self.transport, self._clock, self.membership)
 
     def _start_records(self) -> None:
         audit_store = self._store.object_store(StoreUse.AUDIT)
@@ -200,6 +205,7 @@
             self._clock,
             guards=guards,
             metrics=self.metrics,
+            demand=self.demand,
         )
         self.completions = Completions(
             self.generations,
@@ -214,7 +220,7 @@
             generations=self.generations,
             versions=self.versions,
             calls=self.calls,
-            teams=self.teams,
+            teams=self.control.limits,
             explanations=self.explanations,
             metrics=self.metrics,
             region=self._settings.place.region,
@@ -231,17 +237,7 @@
         upstreams: tuple[Upstream, ...],
     ) -> tuple[Upstream, ...]:
         """Return the upstreams that this entry deals with."""
-        running = {one.agent for one in upstreams}
-        places = [
-            place
-            for place in self._roster.places(pin.model)
-            if place.address in running
-        ]
-        chosen = select_upstreams(
-            self._settings.place,
-            self.membership.entry_places(),
-            places,
-        )
+        chosen = frozenset(self.control.subset(pin.model))
         return tuple(one for one in upstreams if one.agent in chosen)
 
     async def _follow_versions(self) -> None:
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -23,6 +23,7 @@
     GenerationWatch,
 )
 from bergamotthread.process.loss_probe import LossProbe
+from bergamotthread.process.pin_demand import PinDemand
 from bergamotthread.process.placement import Placement
 from bergamotthread.process.standby import Standbys
 from bergamotthread.request.generation import (
@@ -70,12 +71,14 @@
         limits: GenerationLimits | None = None,
         guards: GenerationGuards | None = None,
         metrics: EntryMetrics | None = None,
+        demand: PinDemand | None = None,
     ) -> None:
         self.by_id: dict[str, LiveGeneration] = {}
         self.config_version = 0
         self.limits = limits or GenerationLimits()
         self.guards = guards or GenerationGuards(clock)
         self.metrics = metrics or EntryMetrics(clock)
+        self.demand = demand or PinDemand(clock)
         self.standbys = Standbys(transport, placement, clock)
         self._transport = transport
         self._placement = placement
@@ -114,6 +117,7 @@
             If a guard refuses it; nothing has run then.
         """
         pin = live.generation.spec.pin
+        self.demand.record(pin)
         self.guards.admit(live, self._placement.utilisation(pin))
         self._run(live, self._driver.drive(live))
 
--- a/bergamotthread/process/service_calls.py
+++ b/bergamotthread/process/service_calls.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from bergamotthread.errors import Step
-from bergamotthread.request.call_request import CallRequest
+from bergamotthread.request.call_request import CallRequest, rule_of
 from bergamotthread.request.refusal import (
     Ran,
     ReasonCode,
@@ -13,7 +13,6 @@
     RefusedError,
 )
 from bergamotthread.version.objects import (
-    CallRule,
     Service,
     ServiceKind,
 )
@@ -36,7 +35,10 @@
 
 @dataclass(frozen=True)
 class ServiceRequestParts:
-    """A caller's request as it arrived; `path` starts with a slash."""
+    """A caller's request as it arrived; `path` starts with a slash.
+
+    `first_send` is the caller's word that it never sent the key before.
+    """
 
     team: str
     service: str
@@ -46,6 +48,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     key: str = ''
+    first_send: bool = False
 
 
 def call_request(
@@ -58,11 +61,11 @@
     Raises
     ------
     RefusedError
-        If the service, the call or an upstream is missing, or a call that may
+        If the service or an upstream is missing, or a call that may
         not be repeated comes without an idempotency key.
     """
     service = _find_service(parts, published)
-    rule = _find_rule(parts, service, published)
+    rule = rule_of(service, parts.method, parts.path)
     agents = _agents(service, published, region)
     if not agents:
         raise _refused(
@@ -89,6 +92,7 @@
         idempotent=rule.idempotent,
         agents=agents,
         timeout_ms=rule.timeout_ms,
+        first_send=parts.first_send,
         key_lifetime_ms=service.key_lifetime_ms,
         config_version=published.version,
     )
@@ -132,31 +136,6 @@
     )
 
 
-def _find_rule(
-    parts: ServiceRequestParts,
-    service: Service,
-    published: PublishedVersion,
-) -> CallRule:
-    """Return the rule with the longest path prefix that matches."""
-    matching = [
-        rule
-        for rule in service.calls
-        if rule.method == parts.method
-        and parts.path.startswith(rule.path_prefix)
-    ]
-    if matching:
-        return max(matching, key=lambda rule: len(rule.path_prefix))
-    valid = ', '.join(
-        f'{rule.method} {rule.path_prefix}' for rule in service.calls
-    )
-    raise _refused(
-        ReasonCode.NOT_FOUND,
-        f'{service.name!r} has no call {parts.method} {parts.path}, '
-        f'valid ones: {valid}',
-        published,
-    )
-
-
 def _agents(
     service: Service,
     published: PublishedVersion,
