Run the whole path as processes, and kill and stop them

Cause: the roles had only run in one process together. Found: a refusal that carried no team could not be explained to the team that it refused. Change: the entry adds the team and version of the request; tests start stand-ins, agents and entries as processes of their own, kill an engine, an agent and an entry, and stop an entry with SIGTERM.

--- a/bergamotthread/cli/serve.py
+++ b/bergamotthread/cli/serve.py
@@ -12,6 +12,7 @@
 from bergamotthread.clock import Clock
 from bergamotthread.process.agent_process import AgentProcess
 from bergamotthread.process.entry_process import EntryProcess
+from bergamotthread.process.log import configure_log
 from bergamotthread.process.settings import AgentSettings, EntrySettings
 
 _settings = click.option(
@@ -32,6 +33,7 @@
     ends once its streams have.
     """
     settings = load_settings_or_exit(path, EntrySettings)
+    configure_log(settings.log)
     asyncio.run(_run_entry(settings))
 
 
@@ -44,6 +46,7 @@
     has ended or was handed over.
     """
     settings = load_settings_or_exit(path, AgentSettings)
+    configure_log(settings.log)
     asyncio.run(_run_agent(settings))
 
 
--- a/bergamotthread/process/entry_app.py
+++ b/bergamotthread/process/entry_app.py
@@ -231,6 +231,8 @@
     ) -> str:
         authorization = request.headers.get('authorization', '')
         team = authenticate_team(authorization, published).name
+        request.state.team = team
+        request.state.config_version = published.version
         refusal = self._parts.teams.try_admit(team)
         if refusal is not None:
             raise RefusedError(refusal)
@@ -283,13 +285,25 @@
     async def _refuse(self, request: Request, error: Exception) -> Response:
         if not isinstance(error, RefusedError):
             raise error
-        return problem_response(self._recorder.stamp(error.refusal))
+        known = _with_request(error.refusal, request)
+        return problem_response(self._recorder.stamp(known))
 
 
 async def _collect(stream: CompletionStream, answers: list[bytes]) -> None:
     answers.append(await stream.whole())
 
 
+def _with_request(refusal: Refusal, request: Request) -> Refusal:
+    """Return a refusal with the team and version of its request."""
+    team = getattr(request.state, 'team', '')
+    version = getattr(request.state, 'config_version', 0)
+    return msgspec.structs.replace(
+        refusal,
+        team=refusal.team or team,
+        config_version=refusal.config_version or version,
+    )
+
+
 def problem_response(refusal: Refusal) -> Response:
     """Return the answer that tells a refusal."""
     headers = {_REQUEST_ID_HEADER: refusal.request_id}
--- a/bergamotthread/process/entry_process.py
+++ b/bergamotthread/process/entry_process.py
@@ -33,6 +33,7 @@
 from bergamotthread.process.routing import ScoredPlacement
 from bergamotthread.process.settings import EntrySettings
 from bergamotthread.process.store_client import StoreClient, StoreUse
+from bergamotthread.process.transport_metrics import add_transport_metrics
 from bergamotthread.request.cursor import CursorSigner
 from bergamotthread.version.distribution import VersionHolder
 from bergamotthread.version.objects import ObjectSet, Upstream
@@ -93,7 +94,9 @@
             clock,
         )
         store = StoreClient.from_settings(settings.platform, clock)
-        return cls(settings, transport, store, clock)
+        process = cls(settings, transport, store, clock)
+        add_transport_metrics(process.metrics.registry, transport)
+        return process
 
     async def run(self) -> None:
         """Serve until cancelled."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,7 +1,8 @@
 """Engine stand-in over HTTP: `python -m standins.engine --listen IP:PORT`.
 
 `POST /generate` streams server-sent events, `GET /load` reports the load,
-`POST /orders` takes orders, and `POST /control` sets faults:
+`GET /running` counts sequences, `POST /orders` takes orders, and
+`POST /control` sets faults:
 `{"fault": "die" | "revive" | "pause" | "slow" | "mute" | "die_after_tokens" |
 "die_on_prompt", "amount": 5, "text": ""}`.
 """
@@ -86,6 +87,9 @@
     async def load(_: Request) -> Response:
         return Response(msgspec.json.encode(await engine.load()))
 
+    async def running(_: Request) -> Response:
+        return Response(str(engine.running))
+
     async def orders(request: Request) -> Response:
         order = msgspec.json.decode(await request.body(), type=OrderRequest)
         accepted = await engine.order(order.action, order.pin, order.fence)
@@ -103,6 +107,7 @@
         routes=[
             Route('/generate', generate, methods=['POST']),
             Route('/load', load),
+            Route('/running', running),
             Route('/orders', orders, methods=['POST']),
             Route('/control', control, methods=['POST']),
         ],
--- a/standins/engine_core.py
+++ b/standins/engine_core.py
@@ -150,6 +150,11 @@
                 self.loaded.discard(pin)
         return True
 
+    @property
+    def running(self) -> int:
+        """Return how many sequences run or wait now."""
+        return len(self._running) + len(self._waiting)
+
     def die(self) -> None:
         """Break all connections and answer nothing until `revive`."""
         self.faults.dead = True
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,176 @@
+"""The whole path as separate processes, which are killed and stopped."""
+
+import asyncio
+import re
+import signal
+import urllib.request
+
+import msgspec
+import pytest
+from aiosonic import HTTPClient
+
+from standins.tokens import verify_answer
+from standins.users import TERMOLAB
+from tests.processes import Deployment, Processes
+
+COUNT = 150
+HEADERS = {
+    'authorization': f'Bearer {TERMOLAB.credential(TERMOLAB.teams[0])}',
+}
+
+
+@pytest.fixture(scope='module')
+def deployment(tmp_path_factory):
+    processes = Processes(tmp_path_factory.mktemp('processes'))
+    running = Deployment(processes)
+    try:
+        running.start()
+        yield running
+    finally:
+        processes.close()
+
+
+def _text(events: bytes) -> str:
+    text = ''
+    for line in events.decode().splitlines():
+        if line.startswith('data: {'):
+            body = msgspec.json.decode(line[6:])
+            assert 'choices' in body, body
+            text += body['choices'][0]['text']
+    return text
+
+
+async def _stream(listen: str, prompt: str, on_first, headers=None) -> bytes:
+    received = b''
+    acted = False
+    async with HTTPClient() as client:
+        response = await client.request(
+            f'http://{listen}/v1/completions',
+            method='POST',
+            headers={**HEADERS, **(headers or {})},
+            data=msgspec.json.encode(
+                {
+                    'model': TERMOLAB.model,
+                    'prompt': prompt,
+                    'max_tokens': COUNT,
+                    'stream': True,
+                },
+            ),
+            stream=True,
+        )
+        async for chunk in response.read_chunks():
+            received += chunk
+            if not acted and received.count(b'id: ') > 5:
+                acted = True
+                on_first(received)
+    return received
+
+
+def _running_agent(deployment: Deployment) -> int:
+    """Return the index of the agent that runs the only generation."""
+    for index, address in enumerate(deployment.engines):
+        if deployment.processes.by_name[f'engine{index}'].poll() is not None:
+            continue
+        with urllib.request.urlopen(f'http://{address}/running') as answer:
+            if int(answer.read()):
+                return index
+    raise AssertionError('no engine runs anything')
+
+
+@pytest.mark.parametrize('victim', ['engine', 'agent'])
+def test_killed_process_breaks_no_answer(
+    deployment: Deployment,
+    victim: str,
+) -> None:
+    def kill(_: bytes) -> None:
+        index = _running_agent(deployment)
+        deployment.processes.kill(f'{victim}{index}')
+
+    prompt = f'{TERMOLAB.prompt} {victim} killed'
+    events = asyncio.run(_stream(deployment.listens[0], prompt, kill))
+    verify_answer(prompt, _text(events), COUNT)
+
+
+def test_guarded_call_runs_once(deployment: Deployment) -> None:
+    async def call(listen: str) -> bytes:
+        async with HTTPClient() as client:
+            response = await client.request(
+                f'http://{listen}/v1/services/portal/certificates',
+                method='POST',
+                headers={**HEADERS, 'idempotency-key': 'batch-17'},
+                data=b'{"batch": 17}',
+            )
+            return await response.content()
+
+    async def both() -> list[bytes]:
+        return await asyncio.gather(*map(call, deployment.listens))
+
+    asyncio.run(both())
+    answers = {asyncio.run(call(listen)) for listen in deployment.listens}
+    assert answers == {b'{"key":"batch-17","runs":1}'}
+
+
+def test_refusal_is_explained_through_another_entry(
+    deployment: Deployment,
+) -> None:
+    async def refused() -> str:
+        async with HTTPClient() as client:
+            response = await client.request(
+                f'http://{deployment.listens[0]}/v1/completions',
+                method='POST',
+                headers=HEADERS,
+                data=b'{"model": "nothing", "prompt": "x"}',
+            )
+            return msgspec.json.decode(await response.content())['request_id']
+
+    async def explained(request_id: str) -> dict:
+        url = f'http://{deployment.listens[1]}/v1/explanations/{request_id}'
+        async with HTTPClient() as client:
+            for _ in range(100):
+                response = await client.get(url, headers=HEADERS)
+                body = msgspec.json.decode(await response.content())
+                if response.status_code == 200:
+                    return body
+                await asyncio.sleep(0.2)
+        raise AssertionError(body)
+
+    body = asyncio.run(explained(asyncio.run(refused())))
+    assert body['reason'] == 'not_found'
+    assert body['ran'] == 'no'
+
+
+def test_stopped_entry_finishes_its_stream(deployment: Deployment) -> None:
+    process = deployment.processes.by_name['entry1']
+
+    def stop(_: bytes) -> None:
+        process.send_signal(signal.SIGTERM)
+
+    prompt = f'{TERMOLAB.prompt} entry stopped'
+    events = asyncio.run(_stream(deployment.listens[1], prompt, stop))
+    verify_answer(prompt, _text(events), COUNT)
+    assert process.wait(30) == 0
+
+
+def test_killed_entry_is_replaced_by_the_cursor(
+    deployment: Deployment,
+) -> None:
+    prompt = f'{TERMOLAB.prompt} entry killed'
+    heads: list[bytes] = []
+
+    def kill(received: bytes) -> None:
+        heads.append(received[: received.rindex(b'\n\n') + 2])
+        deployment.processes.kill('entry0')
+
+    with pytest.raises(Exception):  # noqa: B017, PT011
+        asyncio.run(_stream(deployment.listens[0], prompt, kill))
+    deployment.restart_entry(1)
+    cursor = re.findall(rb'id: (\S+)', heads[0])[-1].decode()
+    tail = asyncio.run(
+        _stream(
+            deployment.listens[1],
+            prompt,
+            lambda _: None,
+            {'last-event-id': cursor},
+        ),
+    )
+    verify_answer(prompt, _text(heads[0]) + _text(tail), COUNT)
