--- a/bergamotthread/process/retry_budget.py
+++ b/bergamotthread/process/retry_budget.py
@@ -130,7 +130,7 @@
         self._process.end(succeeded=succeeded)
         self._bucket(team).end(succeeded=succeeded)
 
-    def spend(self, team: str, *, resume: bool) -> Granted | Denied:
+    def spend(self, team: str, *, resume: bool = True) -> Granted | Denied:
         """Take one retry of a team, or tell when to come again.
 
         Parameters
--- a/bergamotthread/process/routing.py
+++ b/bergamotthread/process/routing.py
@@ -108,6 +108,7 @@
         """Return the agent with the lowest score among a few candidates."""
         tolerated = 0 if request.resume else 1
         avoided = self._availability.avoided_domains(tolerated)
+        avoided |= {self.failure_domain(request.apart_from)}
         candidates = self._candidates(request, avoided)
         if not candidates and avoided:
             candidates = self._candidates(request, NO_DOMAINS)
@@ -144,6 +145,10 @@
         price = self.pool.egress_price_by_region.get(self.region, 0)
         return score + region_cost_ms(request, price, self.weights)
 
+    def failure_domain(self, agent: str) -> str:
+        """Return the failure domain of an agent, empty if unknown."""
+        return self.pool.domain_of(agent)
+
     def utilisation(self, pin: Pin) -> float:
         """Return attempts over slots of the own region's live upstreams.
 
--- /dev/null
+++ b/bergamotthread/request/call_protocol.py
@@ -0,0 +1,148 @@
+"""Protocol that one request follows to run a call at most once.
+
+`advance` takes the state of a request and an event and returns the next state
+and the actions to carry out. It is pure: the runner drives it with a table and
+messages, and the exhaustive search with every order of faults. Exactly one
+action other than `Answer` is under way at a time.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from bergamotthread.request.call_actions import (
+    Read,
+    Verdict,
+)
+from bergamotthread.request.call_events import (
+    Chosen,
+    Event,
+    Found,
+    GaveUp,
+    NeverSent,
+    NoneChosen,
+    NoOutcome,
+    NotWritten,
+    Replied,
+    Written,
+)
+from bergamotthread.request.call_moves import (
+    Next,
+    choose,
+    confirm_pending,
+    consider,
+    dispatch_row,
+    finish,
+    give_answer,
+    give_up,
+    is_pending,
+    lose,
+    recover,
+    release,
+    reserve_row,
+    rest,
+    send_call,
+    settle_row,
+    verify,
+    write_release,
+)
+from bergamotthread.request.call_progress import Phase, Progress
+from bergamotthread.request.call_row import (
+    Claim,
+)
+
+
+def begin(claim: Claim, now_ms: int) -> Next:
+    """Return the first state of a request and its first write."""
+    return reserve_row(Progress(claim, Phase.RESERVING), None, now_ms)
+
+
+def advance(progress: Progress, event: Event, now_ms: int) -> Next:
+    """Return what follows from an event.
+
+    Parameters
+    ----------
+    progress
+        State of the request.
+    event
+        What happened; an event that its phase does not expect is ignored.
+    now_ms
+        Calendar time for the rows to be written.
+    """
+    if progress.phase is Phase.ENDED:
+        return progress, ()
+    if isinstance(event, GaveUp):
+        return give_up(progress, event.lapsed, now_ms)
+    match progress.phase:
+        case Phase.RESERVING | Phase.LOOKING | Phase.POLLING | Phase.CHOOSING:
+            return _advance_reserving(progress, event, now_ms)
+        case Phase.DISPATCHING | Phase.VERIFYING | Phase.WAITING:
+            return _advance_sending(progress, event, now_ms)
+        case Phase.RELEASING | Phase.CONFIRMING:
+            return _advance_releasing(progress, event, now_ms)
+    return _advance_settling(progress, event, now_ms)
+
+
+def _advance_reserving(progress: Progress, event: Event, now_ms: int) -> Next:
+    match (progress.phase, event):
+        case (Phase.RESERVING, Written(revision=revision)):
+            return choose(progress, confirm_pending(progress, revision))
+        case (Phase.RESERVING, NotWritten()):
+            return replace(progress, phase=Phase.LOOKING), (Read(),)
+        case (Phase.LOOKING | Phase.POLLING, Found()):
+            return consider(progress, event, now_ms)
+        case (Phase.CHOOSING, Chosen(sending=sending)):
+            return dispatch_row(progress, sending, now_ms)
+        case (Phase.CHOOSING, NoneChosen()):
+            return release(progress, 'no agent takes the call', now_ms)
+    return progress, ()
+
+
+def _advance_sending(progress: Progress, event: Event, now_ms: int) -> Next:
+    match (progress.phase, event):
+        case (Phase.DISPATCHING, Written(revision=revision)):
+            return send_call(progress, confirm_pending(progress, revision))
+        case (Phase.DISPATCHING, NotWritten()):
+            return replace(progress, phase=Phase.VERIFYING), (Read(),)
+        case (Phase.VERIFYING, Found()):
+            return verify(progress, event, now_ms)
+        case (Phase.WAITING, Replied(done=done)):
+            return finish(progress, Verdict.RAN, done, now_ms)
+        case (Phase.WAITING, NeverSent(reason=reason)):
+            return release(progress, reason, now_ms)
+        case (Phase.WAITING, NoOutcome(reason=reason)):
+            return lose(progress, reason, now_ms)
+    return progress, ()
+
+
+def _advance_releasing(progress: Progress, event: Event, now_ms: int) -> Next:
+    match (progress.phase, event):
+        case (Phase.RELEASING, Written()):
+            return give_answer(progress, Verdict.NOT_RUN, progress.goal)
+        case (Phase.RELEASING, NotWritten()):
+            return replace(progress, phase=Phase.CONFIRMING), (Read(),)
+        case (Phase.CONFIRMING, Found(stored=stored)):
+            if stored is not None and is_pending(progress, stored):
+                return give_answer(progress, Verdict.NOT_RUN, progress.goal)
+            if stored is not None and stored == progress.known:
+                return write_release(progress, stored)
+            unheld = replace(progress, pending=None, goal=None)
+            return consider(unheld, event, now_ms)
+    return progress, ()
+
+
+def _advance_settling(progress: Progress, event: Event, now_ms: int) -> Next:
+    match (progress.phase, event):
+        case (Phase.CLEARING, Written() | NotWritten()):
+            return replace(progress, phase=Phase.LOOKING), (Read(),)
+        case (Phase.SETTLING, Written(revision=revision)):
+            return rest(progress, confirm_pending(progress, revision)), ()
+        case (Phase.SETTLING, NotWritten()):
+            return replace(progress, phase=Phase.CHECKING), (Read(),)
+        case (Phase.CHECKING, Found(stored=stored)):
+            return settle_row(progress, stored, now_ms)
+        case (Phase.PARKED, Replied(done=done)):
+            return finish(progress, Verdict.RAN, done, now_ms)
+        case (Phase.ASKING, Replied() | NeverSent() | NoOutcome()):
+            return recover(progress, event, now_ms)
+    return progress, ()
--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -11,6 +11,9 @@
 
 import msgspec
 
+KEY_HEADER = 'Idempotency-Key'
+FENCE_HEADER = 'Fencing-Token'
+
 
 class _Message(
     msgspec.Struct,
@@ -108,6 +111,13 @@
     attempt: int
 
 
+class Waiting(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: the attempt waits for capacity, nothing was sent."""
+
+    generation: str
+    attempt: int
+
+
 class Declined(_Message, frozen=True, array_like=True, tag=True):
     """Agent to entry: the attempt was not dispatched and never will be."""
 
@@ -178,7 +188,11 @@
 
 
 class CallDispatch(_Message, frozen=True, array_like=True, tag=True):
-    """Entry to agent: send one call to the plain service beside it."""
+    """Entry to agent: send one call to the plain service beside it.
+
+    For a guarded call `attempt` is the agent's ticket and `incarnation` that
+    of the agent process that issued it; an idempotent call has incarnation 0.
+    """
 
     call: str
     attempt: int
@@ -189,6 +203,8 @@
     remaining_ms: float
     fence: int = 0
     key: str = ''
+    incarnation: int = 0
+    team: str = ''
 
 
 class CallStatus(enum.StrEnum):
@@ -214,17 +230,23 @@
 class ConfigNotice(_Message, frozen=True, array_like=True, tag=True):
     """Any to any: newest published version known to the sender.
 
-    `document` is the whole set as JSON, empty where only the number is told.
+    `document` is a `bergamotthread.version.record.Bundle` as JSON, empty where
+    only the number is told. `nonce` is that of the request answered, 0 for
+    none; `proof_age_ms` is how long before the answer the table held no newer
+    version, negative where that is not known.
     """
 
     version: int
     document: bytes = b''
+    nonce: int = 0
+    proof_age_ms: float = -1
 
 
 class ConfigRequest(_Message, frozen=True, array_like=True, tag=True):
     """Any to any: send the published version if newer than `version`."""
 
     version: int
+    nonce: int = 0
 
 
 class ConfigState(_Message, frozen=True, array_like=True, tag=True):
@@ -271,6 +293,13 @@
     config_version: int = 0
 
 
+class ProbeRequest(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to entry: probe `target` and pass its answer on."""
+
+    sequence: int
+    target: str
+
+
 class ShareRequest(_Message, frozen=True, array_like=True, tag=True):
     """Entry to home entry: demand of a team, in units per second."""
 
@@ -286,6 +315,44 @@
     lease_ms: float
 
 
+class TeamDemand(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Wanted and held share of one team's limits at the sender, 0 to 1."""
+
+    team: str
+    wanted: float
+    held: float
+
+
+class TeamShare(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Leased share of one team's limits, 0 to 1.
+
+    `contended` tells that more was wanted than there is.
+    """
+
+    team: str
+    share: float
+    contended: bool = False
+
+
+class ShareRequests(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to home entry: demands of the teams that it is the home of.
+
+    `sequence` is repeated in the answer, so that the lease counts from the
+    time at which the request was sent.
+    """
+
+    sequence: int
+    demands: tuple[TeamDemand, ...]
+
+
+class ShareGrants(_Message, frozen=True, array_like=True, tag=True):
+    """Home entry to entry: leased shares, for `lease_ms` from the request."""
+
+    sequence: int
+    lease_ms: float
+    shares: tuple[TeamShare, ...]
+
+
 class DrainNotice(_Message, frozen=True, array_like=True, tag=True):
     """Any to agent: start or stop draining the upstream beside it."""
 
@@ -295,13 +362,17 @@
 
 
 class Order(_Message, frozen=True, array_like=True, tag=True):
-    """Lease holder to agent: order for the engine beside it."""
+    """Lease holder to agent: order for the engine beside it.
+
+    `number` rises with each order of one fence.
+    """
 
     order: str
     fence: int
     action: str
     pin: Pin
     region: str = ''
+    number: int = 0
 
 
 class OrderReply(_Message, frozen=True, array_like=True, tag=True):
@@ -321,10 +392,27 @@
     confirmed: bool
 
 
+class CallOffer(_Message, frozen=True, array_like=True, tag=True):
+    """Entry to agent: asks for a ticket to dispatch one guarded call."""
+
+    call: str
+
+
+class CallOfferReply(_Message, frozen=True, array_like=True, tag=True):
+    """Agent to entry: ticket for one dispatch, or why there is none."""
+
+    call: str
+    ticket: int
+    accepted: bool
+    reason: str = ''
+    retry_after_ms: int = 0
+
+
 Message = (
     Dispatch
     | Admitted
     | Declined
+    | Waiting
     | Cancel
     | Revoke
     | Revoked
@@ -339,12 +427,17 @@
     | ConfigState
     | Probe
     | ProbeReply
+    | ProbeRequest
     | ShareRequest
     | ShareGrant
+    | ShareRequests
+    | ShareGrants
     | DrainNotice
     | Order
     | OrderReply
     | Quarantine
+    | CallOffer
+    | CallOfferReply
 )
 
 
