--- a/bergamotthread/process/agent_process.py
+++ b/bergamotthread/process/agent_process.py
@@ -1,4 +1,4 @@
-"""One agent: all that a process beside an engine consists of."""
+"""One agent: all that a process beside an upstream consists of."""
 
 from __future__ import annotations
 
@@ -7,11 +7,15 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http_engine import HttpEngineClient
+from bergamotthread.connection.http_service import HttpServiceClient
 from bergamotthread.connection.transport import Transport
 from bergamotthread.connection.zmq_transport import ZmqTransport
 from bergamotthread.process.agent import Agent, AgentConfig
 from bergamotthread.process.drain_state import DrainPhase
+from bergamotthread.process.engine_orders import OrderInbox
+from bergamotthread.process.service_agent import ServiceAgent
 from bergamotthread.process.settings import AgentSettings
+from bergamotthread.process.store_client import StoreClient, StoreUse
 from bergamotthread.version.distribution import VersionHolder
 from bergamotthread.wire.messages import Envelope
 
@@ -19,6 +23,27 @@
 MAX_HEARD_ENTRIES = 8
 
 
+def make_agent(
+    settings: AgentSettings,
+    transport: Transport,
+    clock: Clock,
+) -> Agent | ServiceAgent:
+    """Return the agent for the kind of upstream that the settings name."""
+    if settings.upstream_kind == 'service':
+        return ServiceAgent(
+            transport,
+            HttpServiceClient(settings.upstream),
+            clock,
+            checks_fencing=settings.checks_fencing,
+        )
+    return Agent(
+        AgentConfig.from_settings(settings),
+        transport,
+        HttpEngineClient(settings.upstream),
+        clock,
+    )
+
+
 class AgentProcess:
     """Serves entries until its task is cancelled or its drain is over."""
 
@@ -29,12 +54,17 @@
         clock: Clock,
     ) -> None:
         self.transport = transport
-        self.agent = Agent(
-            AgentConfig.from_settings(settings),
-            transport,
-            HttpEngineClient(settings.upstream),
-            clock,
-        )
+        self.agent = make_agent(settings, transport, clock)
+        self._store: StoreClient | None = None
+        self._orders: OrderInbox | None = None
+        if settings.platform and settings.upstream_kind == 'engine':
+            self._store = StoreClient.from_settings(settings.platform, clock)
+            self._orders = OrderInbox(
+                transport,
+                HttpEngineClient(settings.upstream),
+                self._store.table(StoreUse.LEASES),
+                settings.place.region,
+            )
         self.versions = VersionHolder(
             None,
             None,
@@ -69,7 +99,7 @@
                 group.create_task(self.versions.run())
                 group.create_task(self._follow_versions())
         finally:
-            self.transport.close()
+            await self._close()
 
     async def drain(self) -> None:
         """Take no new work and return when none is left."""
@@ -83,6 +113,8 @@
         self._hear(envelope.sender)
         self.versions.on_message(envelope)
         self.agent.on_message(envelope)
+        if self._orders is not None:
+            self._orders.on_message(envelope)
 
     def _hear(self, entry: str) -> None:
         self._heard_entries[entry] = None
@@ -95,6 +127,11 @@
         heard = reversed(self._heard_entries)
         return tuple(dict.fromkeys((*heard, *self._settings.entries)))
 
+    async def _close(self) -> None:
+        self.transport.close()
+        if self._store is not None:
+            await self._store.close()
+
     async def _follow_versions(self) -> None:
         known = 0
         while True:
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -12,6 +12,7 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.peer_histories import PeerHistories
 from bergamotthread.connection.transport import Transport
+from bergamotthread.process.entry_metrics import EntryMetrics
 from bergamotthread.process.generation_driver import (
     DriverParts,
     GenerationDriver,
@@ -22,6 +23,7 @@
     GenerationWatch,
 )
 from bergamotthread.process.loss_probe import LossProbe
+from bergamotthread.process.pin_demand import PinDemand
 from bergamotthread.process.placement import Placement
 from bergamotthread.process.standby import Standbys
 from bergamotthread.request.generation import (
@@ -68,11 +70,15 @@
         clock: Clock,
         limits: GenerationLimits | None = None,
         guards: GenerationGuards | None = None,
+        metrics: EntryMetrics | None = None,
+        demand: PinDemand | None = None,
     ) -> None:
         self.by_id: dict[str, LiveGeneration] = {}
         self.config_version = 0
         self.limits = limits or GenerationLimits()
         self.guards = guards or GenerationGuards(clock)
+        self.metrics = metrics or EntryMetrics(clock)
+        self.demand = demand or PinDemand(clock)
         self.standbys = Standbys(transport, placement, clock)
         self._transport = transport
         self._placement = placement
@@ -83,6 +89,7 @@
             transport,
             placement,
             self.guards,
+            self.metrics,
             self._peers,
             self._probe,
         )
@@ -110,6 +117,7 @@
             If a guard refuses it; nothing has run then.
         """
         pin = live.generation.spec.pin
+        self.demand.record(pin)
         self.guards.admit(live, self._placement.utilisation(pin))
         self._run(live, self._driver.drive(live))
 
@@ -142,7 +150,7 @@
             case Admitted(generation=generation, attempt=attempt):
                 live = self._current(generation, attempt, envelope)
                 if live is not None:
-                    live.admit()
+                    self._admit(live)
                     live.progress.restart(self._clock.now_ms())
             case Waiting(generation=generation, attempt=attempt):
                 live = self._current(generation, attempt, envelope)
@@ -241,9 +249,9 @@
                 live.settle(Lost('end mark contradicts the output'))
 
     def _on_progress(self, live: LiveGeneration, frame: Frame) -> None:
-        live.admit()
+        self._admit(live)
         if frame.tokens:
-            self._record_tokens(live)
+            self._record_tokens(live, len(frame.tokens))
             self.guards.progressed(live, live.generation.place.agent)
             self.standbys.progressed(live)
         if live.generation.is_over:
@@ -252,13 +260,23 @@
             live.settle(outcome_of(frame.end.reason))
         live.notify()
 
-    def _record_tokens(self, live: LiveGeneration) -> None:
+    def _admit(self, live: LiveGeneration) -> None:
+        if not live.admitted:
+            live.admit()
+            self.guards.attempt_started(live, live.generation.place.agent)
+
+    def _record_tokens(self, live: LiveGeneration, count: int) -> None:
         now_ms = self._clock.now_ms()
+        self.metrics.tokens(count)
         if live.produced:
             live.progress.record(now_ms)
-        else:
-            live.progress.restart(now_ms)
+            return
+        live.progress.restart(now_ms)
         live.produced = True
+        if live.interrupted_ms:
+            self.metrics.resumed(now_ms - live.interrupted_ms)
+        else:
+            self.metrics.first_token(now_ms - live.started_ms)
 
     def _on_declined(self, declined: Declined, envelope: Envelope) -> None:
         live = self._current(declined.generation, declined.attempt, envelope)
--- a/bergamotthread/process/routing.py
+++ b/bergamotthread/process/routing.py
@@ -61,6 +61,7 @@
     load_view: LoadView
     prefix_view: PrefixView = field(default_factory=PrefixView)
     weights: ScoreWeights = ScoreWeights()
+    subset: Subset | None = None
     seed: int = 0
 
     def __post_init__(self) -> None:
@@ -88,16 +89,13 @@
             region=region,
             pool=UpstreamPool.from_published(published, subset),
             load_view=LoadView(clock),
+            subset=subset,
             seed=seed,
         )
 
-    def publish(
-        self,
-        published: PublishedVersion,
-        subset: Subset | None = None,
-    ) -> None:
+    def publish(self, published: PublishedVersion) -> None:
         """Move on to a newer version and keep what is known of the load."""
-        self.pool = UpstreamPool.from_published(published, subset)
+        self.pool = UpstreamPool.from_published(published, self.subset)
         self._availability.pool = self.pool
 
     def mark_leaving(self, agents: frozenset[str]) -> None:
@@ -108,7 +106,8 @@
         """Return the agent with the lowest score among a few candidates."""
         tolerated = 0 if request.resume else 1
         avoided = self._availability.avoided_domains(tolerated)
-        avoided |= {self.failure_domain(request.apart_from)}
+        if request.apart_from:
+            avoided |= {self.failure_domain(request.apart_from)}
         candidates = self._candidates(request, avoided)
         if not candidates and avoided:
             candidates = self._candidates(request, NO_DOMAINS)
