--- a/standins/engine_core.py
+++ b/standins/engine_core.py
@@ -72,6 +72,7 @@
     decoded_tokens: int = 0
     started: int = 0
     cancelled: int = 0
+    started_ids: set[str] = field(default_factory=set)
 
 
 class Engine:
@@ -182,6 +183,7 @@
         uncovered = self._uncovered(request.prompt, tokens)
         self.counts.prefill_tokens += uncovered
         self.counts.started += 1
+        self.counts.started_ids.add(request.request_id)
         return _Sequence(
             request=request,
             last_token=prefix[-1] if prefix else '',
