--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -87,7 +87,11 @@
     return placement
 
 
-def _baseline(kind: type[Baseline], clock: Clock, entry: int) -> Placement:
+def _baseline(
+    kind: Callable[..., Baseline],
+    clock: Clock,
+    entry: int,
+) -> Placement:
     return kind(clock, ALL_AGENTS, seed=entry)
 
 
