--- a/bergamotthread/cli/operator_context.py
+++ b/bergamotthread/cli/operator_context.py
@@ -35,6 +35,10 @@
     def clock(self) -> Clock:
         """Return the clock."""
 
+    @property
+    def credential(self) -> str:
+        """Return the operator's credential, empty where none was given."""
+
     def table(self) -> Table:
         """Return a client of the platform's table."""
 
@@ -64,7 +68,7 @@
         credential: str = '',
     ) -> None:
         self.clock = clock
-        self._credential = credential
+        self.credential = credential
         self._settings = PlatformSettings(
             address=address,
             reads_per_s=OPERATOR_READS_PER_S,
@@ -95,7 +99,7 @@
         """Publish a set that replaces `base_version`; return its number."""
         publisher = self.publisher()
         known = await publisher.newest()
-        who = find_operator(known.state.object_set, self._credential).name
+        who = find_operator(known.state.object_set, self.credential).name
         draft = Draft(object_set, who, base_version)
         published = await publisher.publish(draft)
         if published.state.version > base_version:
--- a/bergamotthread/cli/publish.py
+++ b/bergamotthread/cli/publish.py
@@ -46,7 +46,7 @@
 _credential = click.option(
     '--credential',
     envvar='BERGAMOTTHREAD_CREDENTIAL',
-    required=True,
+    default='',
     help='Your credential; better given by the environment.',
 )
 _note = click.option('--note', default='', help='Why; kept with the version.')
@@ -288,7 +288,7 @@
     before = await publisher.newest()
     # The first set names the operators who may publish it.
     known = before.state.object_set if before.row else draft.object_set
-    who = find_operator(known, credential).name
+    who = find_operator(known, credential or context.credential).name
     named = Draft(draft.object_set, who, draft.base, draft.note, draft.rebase)
     published = await publisher.publish(named)
     await _tell_published(context, before.state, published, timeout_s)
@@ -303,7 +303,8 @@
 ) -> None:
     publisher = _publisher(context)
     before = await publisher.newest()
-    who = find_operator(before.state.object_set, credential).name
+    known = before.state.object_set
+    who = find_operator(known, credential or context.credential).name
     published = await publisher.rollback(version, who=who, base=base)
     await _tell_published(context, before.state, published, timeout_s)
 
@@ -330,7 +331,8 @@
     credential: str,
 ) -> int:
     newest = await _publisher(context).newest()
-    who = find_operator(newest.state.object_set, credential).name
+    known = newest.state.object_set
+    who = find_operator(known, credential or context.credential).name
     count = await forget_holders(context.table(), address)
     trail = AuditTrail(context.object_store(), context.clock, f'cli-{who}')
     detail = {'registrations': str(count)}
--- a/tests/test_publish_commands.py
+++ b/tests/test_publish_commands.py
@@ -30,6 +30,7 @@
 
     def __init__(self) -> None:
         self.platform = MemoryPlatform(Clock.from_system())
+        self.credential = ''
 
     @property
     def clock(self) -> Clock:
@@ -162,6 +163,12 @@
     assert context.platform.writes == 0
 
 
+def test_credential_of_the_context_is_used(context: _Context) -> None:
+    context.credential = DAY_SHIFT
+    arguments = ['publish', EXAMPLE, '--base', 0, '--credential', '']
+    assert _invoke(context, *arguments).exit_code == 0
+
+
 def test_unknown_outcome_has_its_exit_code(context: _Context) -> None:
     class _MuteTable(MemoryTable):
         async def write(self, key: str, body: bytes, *, expected: int) -> None:
