--- a/bergamotthread/process/audit_sinks.py
+++ b/bergamotthread/process/audit_sinks.py
@@ -7,6 +7,7 @@
 
 from bergamotthread.process.audit import AuditTrail
 from bergamotthread.process.quarantine_store import AuditSink, QuarantineRow
+from bergamotthread.wire.messages import Order
 
 
 @dataclass(frozen=True)
@@ -33,3 +34,40 @@
             version_before=version,
             version_after=version,
         )
+
+
+@dataclass(frozen=True)
+class OrderAudit:
+    """Records orders to engines.
+
+    Parameters
+    ----------
+    trail
+        Where they are recorded.
+    holder
+        Address of the process that sends them.
+    version
+        Returns the version in force.
+    """
+
+    trail: AuditTrail
+    holder: str
+    version: Callable[[], int]
+
+    def order_sent(self, agent: str, order: Order) -> None:
+        """Take in an order that this process sends as holder of the lease."""
+        version = self.version()
+        self.trail.record(
+            'order',
+            f'agents/{agent}',
+            {
+                'order': order.order,
+                'action': order.action,
+                'model': order.pin.model,
+                'version': order.pin.version,
+                'adapter': order.pin.adapter,
+            },
+            self.holder,
+            version_before=version,
+            version_after=version,
+        )
--- a/bergamotthread/process/entry_control.py
+++ b/bergamotthread/process/entry_control.py
@@ -10,7 +10,11 @@
 from bergamotthread.connection.transport import Transport
 from bergamotthread.process.agent_roster import AgentRoster
 from bergamotthread.process.membership import Membership
-from bergamotthread.process.orders import RegionOrders, WeightRate
+from bergamotthread.process.orders import (
+    OrderListener,
+    RegionOrders,
+    WeightRate,
+)
 from bergamotthread.process.platform import HostList, Table
 from bergamotthread.process.region_lease import RegionLease
 from bergamotthread.process.settings import PlaceSettings
@@ -38,6 +42,8 @@
         Returns the version in force here.
     demand
         Returns the demand of each pin, in requests per second.
+    on_order
+        Called with the agent and each order that is sent.
     """
 
     table: Table
@@ -45,6 +51,7 @@
     peers: tuple[str, ...] = ()
     config_version: Callable[[], int] = int
     demand: Callable[[], Mapping[Pin, float]] = dict
+    on_order: OrderListener | None = None
 
 
 class EntryControl:
@@ -93,6 +100,7 @@
             self.lease,
             WeightRate(),
             sources.demand,
+            sources.on_order,
         )
         self._place = place
         self._subset_by_model: dict[str, tuple[str, ...]] = {}
--- a/bergamotthread/process/entry_process.py
+++ b/bergamotthread/process/entry_process.py
@@ -10,6 +10,7 @@
 from bergamotthread.connection.transport import Transport
 from bergamotthread.connection.zmq_transport import ZmqTransport
 from bergamotthread.process.audit import AuditTrail
+from bergamotthread.process.audit_sinks import OrderAudit, QuarantineAudit
 from bergamotthread.process.call_cleaner import CallCleaner
 from bergamotthread.process.call_runner import CallRunner
 from bergamotthread.process.completions import Completions
@@ -55,14 +56,16 @@
         transport: Transport,
         store: StoreClient,
         clock: Clock,
+        publication_store: StoreClient | None = None,
     ) -> None:
         self.transport = transport
+        self._publication_store = publication_store or store
         self._settings = settings
         self._store = store
         self._clock = clock
         self._subset_entries: tuple[str, ...] = ()
-        self._start_control()
         self._start_records()
+        self._start_control()
         self._start_generations()
         self.calls = CallRunner(
             store.table(StoreUse.CALLS),
@@ -94,7 +97,8 @@
             clock,
         )
         store = StoreClient.from_settings(settings.platform, clock)
-        process = cls(settings, transport, store, clock)
+        publication_store = StoreClient.from_settings(settings.platform, clock)
+        process = cls(settings, transport, store, clock, publication_store)
         add_transport_metrics(process.metrics.registry, transport)
         return process
 
@@ -155,14 +159,19 @@
                 table=self._store.table(StoreUse.LEASES),
                 hosts=self._store.hosts(),
                 peers=settings.peers,
-                config_version=lambda: self.versions.version,
+                config_version=self._version,
                 demand=self.demand.per_s,
+                on_order=OrderAudit(
+                    self.audit,
+                    self.transport.address,
+                    self._version,
+                ).order_sent,
             ),
         )
         self.membership = self.control.membership
         self.versions = VersionHolder(
-            self._store.table(StoreUse.PUBLICATION),
-            self._store.object_store(StoreUse.PUBLICATION),
+            self._publication_store.table(StoreUse.PUBLICATION),
+            self._publication_store.object_store(StoreUse.PUBLICATION),
             self.transport,
             self._clock,
             self._peers,
@@ -189,7 +198,7 @@
         self.quarantines = Quarantines(
             self.transport,
             self._store.table(StoreUse.CALLS),
-            self.audit,
+            QuarantineAudit(self.audit, self._version),
             self._peers,
             self._clock,
         )
@@ -230,6 +239,9 @@
             put_in_force=self.put_in_force,
         )
 
+    def _version(self) -> int:
+        return self.versions.version
+
     def _peers(self) -> tuple[str, ...]:
         """Return live entries, those of the settings before any is known."""
         return self.membership.responsive_entries() or self._settings.peers
@@ -266,6 +278,7 @@
         await self.server.abort()
         self.transport.close()
         await self._store.close()
+        await self._publication_store.close()
 
 
 def _cursor_keys(settings: EntrySettings) -> tuple[bytes, ...]:
--- a/bergamotthread/process/orders.py
+++ b/bergamotthread/process/orders.py
@@ -52,6 +52,7 @@
 
 
 LoadedPins = Mapping[str, frozenset[Pin]]
+OrderListener = Callable[[str, Order], None]
 
 
 def plan_orders(
@@ -142,6 +143,8 @@
         What the region may load from the weight store.
     demand
         Returns the demand of each pin, in requests per second.
+    on_order
+        Called with the agent and each order that is sent.
     """
 
     def __init__(
@@ -152,12 +155,14 @@
         lease: RegionLease,
         rate: WeightRate,
         demand: Callable[[], Mapping[Pin, float]],
+        on_order: OrderListener | None = None,
     ) -> None:
         self._transport = transport
         self._clock = clock
         self._region = region
         self._lease = lease
         self._demand = demand
+        self._on_order = on_order
         self._weights = ByteBudget(
             rate.bytes_per_s, rate.burst_bytes, clock.now_ms()
         )
@@ -237,6 +242,8 @@
         if not self._lease.valid():
             return False
         self._transport.send(order.agent, message)
+        if self._on_order is not None:
+            self._on_order(order.agent, message)
         self._sent_by_agent[order.agent] = _Sent(order, message.order, now_ms)
         return True
 
--- a/bergamotthread/process/quarantines.py
+++ b/bergamotthread/process/quarantines.py
@@ -8,34 +8,17 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import StoreUnavailableError
-from bergamotthread.process.audit import AuditTrail
 from bergamotthread.process.platform import Table
 from bergamotthread.process.poison import PoisonGuard
 from bergamotthread.process.quarantine_store import (
+    AuditSink,
     QuarantinePublisher,
-    QuarantineRow,
 )
 from bergamotthread.wire.messages import Envelope, Quarantine
 
 FLUSH_INTERVAL_MS = 1000
 
 
-class _AuditAdapter:
-    """Writes quarantines to the audit trail."""
-
-    def __init__(self, audit: AuditTrail) -> None:
-        self._audit = audit
-
-    def quarantine_recorded(self, row: QuarantineRow) -> None:
-        """Take in a quarantine that this process confirmed."""
-        self._audit.record(
-            'quarantine',
-            f'{row.fingerprint:016x}',
-            {'deaths': str(row.deaths), 'until_ms': str(row.until_ms)},
-            row.decided_by,
-        )
-
-
 class Quarantines:
     """Tells charges to peers and keeps confirmed quarantines in the table.
 
@@ -46,7 +29,7 @@
         self,
         transport: Transport,
         table: Table,
-        audit: AuditTrail,
+        audit: AuditSink,
         peers: Callable[[], tuple[str, ...]],
         clock: Clock,
     ) -> None:
@@ -55,7 +38,7 @@
             clock,
             transport,
             table,
-            _AuditAdapter(audit),
+            audit,
             peers,
         )
         self._clock = clock
