--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -40,6 +40,9 @@
     OpenRow(Role.DATA_PATH, 'bytes a token, entry to caller'),
     OpenRow(Role.DATA_PATH, 'memory of one stream at an entry'),
     OpenRow(Role.DATA_PATH, 'memory of one stream at an agent'),
+    OpenRow(
+        Role.FAULTS, 'change of configuration: ms until in force everywhere'
+    ),
     OpenRow(Role.TABLE, 'guarded calls, reads and writes'),
     OpenRow(Role.TABLE, 'publication, reads and writes'),
     OpenRow(Role.TABLE, 'audit and explanations, objects'),
