Drain entries and agents by any announcement, and report it

Cause: only a signal drained an entry, and nobody wrote the reports that drain status reads. Change: DrainRunner in both roles; agents take limits, weights and stops from the published version, the guards take weights and the sizes of failure domains.

--- a/bergamotthread/process/agent.py
+++ b/bergamotthread/process/agent.py
@@ -16,6 +16,7 @@
 from bergamotthread.process.admission import (
     AdmissionGate,
     GateLimits,
+    GateRules,
     Known,
     Queued,
     Refused,
@@ -27,6 +28,8 @@
 from bergamotthread.process.output_flusher import OutputFlusher
 from bergamotthread.process.settings import AgentSettings
 from bergamotthread.request.output_buffer import OutputBuffer
+from bergamotthread.version.objects import Team
+from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import (
     Ack,
     Acks,
@@ -84,7 +87,9 @@
     ) -> None:
         self.engine_is_up = True
         self.drain = DrainState(clock, transport.address, self._on_phase)
-        self.gate = AdmissionGate(clock, config.gate)
+        self._teams_by_name: dict[str, Team] = {}
+        rules = GateRules(weight_of=self._weight_of)
+        self.gate = AdmissionGate(clock, config.gate, rules)
         self._config = config
         self._transport = transport
         self._engine = engine
@@ -138,8 +143,28 @@
         if draining != self.gate.draining:
             self.gate.drain(draining=draining)
             self._send_refused()
-        held = self.attempts.running_count + len(self._waiting_by_key)
-        self.drain.refresh(held)
+        self.drain.refresh(len(self.held_by()))
+
+    def held_by(self) -> tuple[str, ...]:
+        """Return what has to end before the host is safe to stop."""
+        held = []
+        if self.attempts.undelivered_count:
+            held.append(f'{self.attempts.undelivered_count} attempts')
+        if self._waiting_by_key:
+            held.append(f'{len(self._waiting_by_key)} waiting attempts')
+        return tuple(held)
+
+    def apply_version(self, published: PublishedVersion) -> None:
+        """Take the limits, weights and stops of a published version."""
+        self.drain.apply_stops(published.object_set.stops)
+        upstream = published.upstreams_by_agent.get(self._transport.address)
+        if upstream is not None:
+            self.gate.limits = GateLimits.from_upstream(upstream)
+        self._teams_by_name = published.teams_by_name
+
+    def _weight_of(self, team: str) -> float:
+        known = self._teams_by_name.get(team)
+        return known.weight if known else 1
 
     def _on_phase(self, phase: DrainPhase) -> None:
         if phase is DrainPhase.STOPPING:
--- a/bergamotthread/process/agent_process.py
+++ b/bergamotthread/process/agent_process.py
@@ -11,7 +11,8 @@
 from bergamotthread.connection.transport import Transport
 from bergamotthread.connection.zmq_transport import ZmqTransport
 from bergamotthread.process.agent import Agent, AgentConfig
-from bergamotthread.process.drain_state import DrainPhase
+from bergamotthread.process.drain_report import DrainReporter
+from bergamotthread.process.drain_runner import DrainRunner
 from bergamotthread.process.engine_orders import OrderInbox
 from bergamotthread.process.service_agent import ServiceAgent
 from bergamotthread.process.settings import AgentSettings
@@ -57,14 +58,16 @@
         self.agent = make_agent(settings, transport, clock)
         self._store: StoreClient | None = None
         self._orders: OrderInbox | None = None
-        if settings.platform and settings.upstream_kind == 'engine':
+        if settings.platform is not None:
             self._store = StoreClient.from_settings(settings.platform, clock)
-            self._orders = OrderInbox(
-                transport,
-                HttpEngineClient(settings.upstream),
-                self._store.table(StoreUse.LEASES),
-                settings.place.region,
-            )
+            self._orders = _order_inbox(settings, transport, self._store)
+        self._drain = DrainRunner(
+            self.agent.drain,
+            _drain_reporter(transport, self._store, clock),
+            self.agent.held_by,
+            self.agent.refresh_drain,
+            clock,
+        )
         self.versions = VersionHolder(
             None,
             None,
@@ -97,16 +100,14 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.agent.run())
                 group.create_task(self.versions.run())
+                group.create_task(self._drain.run())
                 group.create_task(self._follow_versions())
         finally:
             await self._close()
 
     async def drain(self) -> None:
         """Take no new work and return when none is left."""
-        self.agent.drain.apply_signal()
-        self.agent.refresh_drain()
-        while self.agent.drain.phase is not DrainPhase.DRAINED:
-            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+        await self._drain.until_drained()
 
     def on_message(self, envelope: Envelope) -> None:
         """Hand a message to the parts that take it."""
@@ -138,5 +139,36 @@
             published = self.versions.current
             if published is not None and published.version != known:
                 known = published.version
-                self.agent.drain.apply_stops(published.object_set.stops)
+                self.agent.apply_version(published)
             await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+
+
+def _order_inbox(
+    settings: AgentSettings,
+    transport: Transport,
+    store: StoreClient,
+) -> OrderInbox | None:
+    """Return what answers orders; plain services take none."""
+    if settings.upstream_kind == 'service':
+        return None
+    return OrderInbox(
+        transport,
+        HttpEngineClient(settings.upstream),
+        store.table(StoreUse.LEASES),
+        settings.place.region,
+    )
+
+
+def _drain_reporter(
+    transport: Transport,
+    store: StoreClient | None,
+    clock: Clock,
+) -> DrainReporter | None:
+    if store is None:
+        return None
+    return DrainReporter(
+        store.table(StoreUse.LEASES),
+        clock,
+        transport.address,
+        transport.incarnation,
+    )
--- a/bergamotthread/process/attempts.py
+++ b/bergamotthread/process/attempts.py
@@ -12,6 +12,7 @@
 from bergamotthread.wire.messages import Dispatch, EndMark, EndReason
 
 DELIVERED_RETENTION_MS = 5000
+DELIVERY_GRACE_MS = 1000
 
 
 @dataclass(frozen=True)
@@ -55,6 +56,15 @@
         """Return how many attempts run at the engine."""
         return len(self._tasks_by_key)
 
+    @property
+    def undelivered_count(self) -> int:
+        """Return how many attempts run or have only just sent their end."""
+        since_ms = self._clock.now_ms() - DELIVERY_GRACE_MS
+        return sum(
+            buffer.end is None or buffer.ended_ms > since_ms
+            for buffer in self.buffers_by_key.values()
+        )
+
     def start(self, dispatch: Dispatch, subscriber: str) -> OutputBuffer:
         """Send an attempt to the engine."""
         key = key_of(dispatch)
--- a/bergamotthread/process/entry_process.py
+++ b/bergamotthread/process/entry_process.py
@@ -14,6 +14,9 @@
 from bergamotthread.process.call_cleaner import CallCleaner
 from bergamotthread.process.call_runner import CallRunner
 from bergamotthread.process.completions import Completions
+from bergamotthread.process.drain_report import DrainReporter
+from bergamotthread.process.drain_runner import DrainRunner
+from bergamotthread.process.drain_state import DrainState
 from bergamotthread.process.entry_app import EntryApp, EntryParts
 from bergamotthread.process.entry_control import (
     ControlSources,
@@ -39,11 +42,10 @@
 from bergamotthread.version.distribution import VersionHolder
 from bergamotthread.version.objects import ObjectSet, Upstream
 from bergamotthread.version.published import PublishedVersion
-from bergamotthread.wire.messages import Envelope, Pin
+from bergamotthread.wire.messages import DrainNotice, Envelope, Pin
 
 VERSION_CHECK_INTERVAL_MS = 20
 SUBSET_INTERVAL_MS = 1000
-DRAIN_CHECK_INTERVAL_MS = 100
 _CURSOR_KEY_BYTES = 32
 
 
@@ -73,6 +75,7 @@
             transport,
             clock,
         )
+        self._start_drain()
         self.cleaner = CallCleaner(store.table(StoreUse.AUDIT), clock)
         self.app = EntryApp(self._parts(), self._recorder, clock)
         self.server = HttpServer(
@@ -116,6 +119,7 @@
                     self.explanations.run(),
                     self.audit.run(),
                     self.quarantines.run(),
+                    self._drain.run(),
                     self._follow_versions(),
                     self._follow_members(),
                 ):
@@ -125,10 +129,8 @@
 
     async def drain(self) -> None:
         """Admit nothing, fail the balancer's check, return when idle."""
-        self.app.draining = True
         self.membership.leave()
-        while self.app.open_requests:
-            await self._clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
+        await self._drain.until_drained()
         await self.calls.finish()
         await self.versions.close()
 
@@ -138,6 +140,9 @@
             return
         self.versions.on_message(envelope)
         self.control.on_message(envelope)
+        if isinstance(envelope.message, DrainNotice):
+            self.drain_state.apply_notice(envelope.message)
+            self._refresh_drain()
         self.quarantines.on_message(envelope)
         self.generations.on_message(envelope)
 
@@ -146,6 +151,7 @@
         if published.version <= self.generations.config_version:
             return
         self.control.apply_version(published)
+        self.drain_state.apply_stops(published.object_set.stops)
         self.generations.put_in_force(published)
 
     def _start_control(self) -> None:
@@ -178,6 +184,30 @@
             place=settings.place,
         )
 
+    def _start_drain(self) -> None:
+        self.drain_state = DrainState(self._clock, self.transport.address)
+        reporter = DrainReporter(
+            self._store.table(StoreUse.LEASES),
+            self._clock,
+            self.transport.address,
+            self.transport.incarnation,
+        )
+        self._drain = DrainRunner(
+            self.drain_state,
+            reporter,
+            self._held_by,
+            self._refresh_drain,
+            self._clock,
+        )
+
+    def _held_by(self) -> tuple[str, ...]:
+        if self.app.open_requests:
+            return (f'{self.app.open_requests} requests',)
+        return ()
+
+    def _refresh_drain(self) -> None:
+        self.app.draining = not self.drain_state.may_dispatch()
+
     def _start_records(self) -> None:
         audit_store = self._store.object_store(StoreUse.AUDIT)
         self.explanations = Explanations(
--- a/bergamotthread/process/generation_guards.py
+++ b/bergamotthread/process/generation_guards.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 
 from bergamotthread.clock import Clock
@@ -12,6 +13,7 @@
     overload_refusal,
 )
 from bergamotthread.process.poison import (
+    DEFAULT_DOMAIN_SIZE,
     PoisonGuard,
     Quarantined,
     QuarantineSink,
@@ -28,6 +30,8 @@
     Refusal,
     RefusedError,
 )
+from bergamotthread.version.objects import Team
+from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import Quarantine
 
 DEATH_REPEAT_MS = 1000
@@ -63,11 +67,21 @@
         clock: Clock,
         sink: QuarantineSink | None = None,
     ) -> None:
-        self.poison = PoisonGuard(clock, sink or _NoSink())
+        self.poison = PoisonGuard(clock, sink or _NoSink(), self._domain_size)
         self.retries = RetryBudget(clock)
-        self.overload = OverloadGuard(clock)
+        self.overload = OverloadGuard(clock, weight_of=self._weight_of)
         self._clock = clock
         self._death_ms_by_agent: dict[str, float] = {}
+        self._teams_by_name: dict[str, Team] = {}
+        self._size_by_domain: Counter[str] = Counter()
+
+    def apply_version(self, published: PublishedVersion) -> None:
+        """Take the weights of teams and the sizes of failure domains."""
+        self._teams_by_name = published.teams_by_name
+        self._size_by_domain = Counter(
+            upstream.failure_domain
+            for upstream in published.object_set.upstreams
+        )
 
     def admit(self, live: LiveGeneration, utilisation: float) -> None:
         """Count a new generation in.
@@ -146,6 +160,13 @@
         if since_ms >= DEATH_REPEAT_MS:
             self.poison.record_death(agent, failure_domain)
 
+    def _weight_of(self, team: str) -> float:
+        known = self._teams_by_name.get(team)
+        return known.weight if known else 1
+
+    def _domain_size(self, failure_domain: str) -> int:
+        return self._size_by_domain[failure_domain] or DEFAULT_DOMAIN_SIZE
+
     def _quarantined(
         self,
         live: LiveGeneration,
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -106,6 +106,7 @@
         """Decide by a newer version from now on."""
         if published.version > self.config_version:
             self.config_version = published.version
+            self.guards.apply_version(published)
             self._placement.publish(published)
 
     def start(self, live: LiveGeneration) -> None:
--- a/bergamotthread/process/service_agent.py
+++ b/bergamotthread/process/service_agent.py
@@ -7,6 +7,7 @@
 from bergamotthread.connection.transport import Transport
 from bergamotthread.process.call_executor import CallExecutor
 from bergamotthread.process.drain_state import DrainState
+from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import DrainNotice, Envelope
 
 MAINTENANCE_INTERVAL_MS = 250
@@ -51,6 +52,16 @@
                 self.refresh_drain()
                 self.executor.on_message(envelope)
 
+    def held_by(self) -> tuple[str, ...]:
+        """Return what has to end before the host is safe to stop."""
+        if self.executor.running:
+            return (f'{self.executor.running} calls',)
+        return ()
+
+    def apply_version(self, published: PublishedVersion) -> None:
+        """Take the stops of a published version."""
+        self.drain.apply_stops(published.object_set.stops)
+
     def refresh_drain(self) -> None:
         """Put the newest announcements of a drain in force."""
         self.executor.set_draining(not self.drain.may_dispatch())
