Acknowledge every 256 tokens or 2 s, and watch only what runs

Cause: for 240 streams on 60 agents an entry sent 115,632 bytes/s of acknowledgements (the budget for all control is 16 KB/s) and spent some 40 ms of processor time a second on judging 1,440 generations, 1,200 of which were over and kept for 60 s. Change: an acknowledgement is due after 256 tokens or 2 s; the watch passes only over what runs, each 100 ms; delivered answers are kept for 5 s.

--- a/bergamotthread/process/generation_watch.py
+++ b/bergamotthread/process/generation_watch.py
@@ -8,6 +8,7 @@
 from bergamotthread.request.live_generation import LiveGeneration, Lost
 
 RETENTION_MS = 60_000
+DELIVERED_RETENTION_MS = 5000
 BACKLOG_TOKENS = 32
 
 
@@ -68,7 +69,9 @@
         """Return whether a generation that is over need not be kept."""
         if live.readers or not live.generation.is_over:
             return False
-        return now_ms - live.abandoned_ms > RETENTION_MS
+        is_delivered = live.backlog == 0
+        retention_ms = DELIVERED_RETENTION_MS if is_delivered else RETENTION_MS
+        return now_ms - live.abandoned_ms > retention_ms
 
     def _unconfirmed_loss(
         self,
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -54,8 +54,9 @@
     Waiting,
 )
 
-WATCH_INTERVAL_MS = 50
-ACK_INTERVAL_MS = 100
+WATCH_INTERVAL_MS = 100
+ACK_CHECK_INTERVAL_MS = 100
+RELEASE_INTERVAL_MS = 1000
 PLACEMENT_RETRY_MS = 100
 FETCH_INTERVAL_MS = 200
 
@@ -74,6 +75,7 @@
         demand: PinDemand | None = None,
     ) -> None:
         self.by_id: dict[str, LiveGeneration] = {}
+        self._running_by_id: dict[str, LiveGeneration] = {}
         self.config_version = 0
         self.limits = limits or GenerationLimits()
         self.guards = guards or GenerationGuards(clock)
@@ -101,6 +103,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._watch_forever())
             group.create_task(self._acknowledge_forever())
+            group.create_task(self._release_forever())
 
     def put_in_force(self, published: PublishedVersion) -> None:
         """Decide by a newer version from now on."""
@@ -166,12 +169,27 @@
             case Revoked() as revoked:
                 self._on_revoked(revoked, envelope.sender)
 
+    def watch_once(self) -> None:
+        """Judge all generations that are not over."""
+        now_ms = self._clock.now_ms()
+        for identity, live in tuple(self._running_by_id.items()):
+            if live.generation.is_over:
+                self._running_by_id.pop(identity)
+            elif self._watch.is_abandoned(live, now_ms):
+                self.cancel(live)
+            else:
+                lost = self._watch.loss(live, now_ms)
+                if lost is not None:
+                    live.settle(lost)
+
     def _run(
         self,
         live: LiveGeneration,
         work: Coroutine[None, None, None],
     ) -> None:
-        self.by_id[live.generation.spec.generation] = live
+        identity = live.generation.spec.generation
+        self.by_id[identity] = live
+        self._running_by_id[identity] = live
         live.task = asyncio.create_task(work)
         live.task.add_done_callback(partial(self._on_over, live))
 
@@ -308,35 +326,26 @@
         while True:
             await self._clock.sleep_ms(WATCH_INTERVAL_MS)
             self._probe.send_due()
+            self.watch_once()
+
+    async def _release_forever(self) -> None:
+        while True:
+            await self._clock.sleep_ms(RELEASE_INTERVAL_MS)
             now_ms = self._clock.now_ms()
             for identity, live in tuple(self.by_id.items()):
-                self._check(identity, live, now_ms)
-
-    def _check(
-        self,
-        identity: str,
-        live: LiveGeneration,
-        now_ms: float,
-    ) -> None:
-        if self._watch.is_releasable(live, now_ms):
-            live.generation.forget()
-            self.by_id.pop(identity)
-        elif live.generation.is_over:
-            return
-        elif self._watch.is_abandoned(live, now_ms):
-            self.cancel(live)
-        else:
-            lost = self._watch.loss(live, now_ms)
-            if lost is not None:
-                live.settle(lost)
+                if self._watch.is_releasable(live, now_ms):
+                    live.generation.forget()
+                    self.by_id.pop(identity)
 
     async def _acknowledge_forever(self) -> None:
         while True:
-            await self._clock.sleep_ms(ACK_INTERVAL_MS)
+            await self._clock.sleep_ms(ACK_CHECK_INTERVAL_MS)
             acks_by_agent: dict[str, list[Ack]] = defaultdict(list)
-            for identity, live in self.by_id.items():
+            now_ms = self._clock.now_ms()
+            for identity, live in self._running_by_id.items():
                 place = live.generation.place
-                if live.admitted and not live.generation.is_over:
+                if live.admitted and place.agent and live.is_ack_due(now_ms):
+                    live.note_ack(now_ms)
                     ack = Ack(identity, place.number, live.consumed)
                     acks_by_agent[place.agent].append(ack)
             for agent, acks in acks_by_agent.items():
--- a/bergamotthread/process/settings.py
+++ b/bergamotthread/process/settings.py
@@ -8,6 +8,7 @@
 
 PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+WindowTokens = Annotated[int, msgspec.Meta(ge=512)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 UpstreamKind = Literal['engine', 'service']
 LogFormat = Literal['text', 'json']
@@ -104,7 +105,7 @@
     entries: tuple[str, ...] = ()
     flush_interval_ms: PositiveInt = 20
     retention_ms: PositiveInt = 60_000
-    window_tokens: PositiveInt = 4096
+    window_tokens: WindowTokens = 4096
     checks_fencing: bool = False
     upstream_kind: UpstreamKind = 'engine'
     allow_without_keys: bool = False
--- a/bergamotthread/request/live_generation.py
+++ b/bergamotthread/request/live_generation.py
@@ -14,6 +14,9 @@
 from bergamotthread.version.objects import ResumePolicy
 from bergamotthread.wire.messages import EndReason
 
+ACK_TOKENS = 256
+ACK_INTERVAL_MS = 2000
+
 
 @dataclass(frozen=True)
 class Finished:
@@ -83,6 +86,8 @@
         self.rejection: Rejected | None = None
         self.dispatched_ms = now_ms
         self.fetched_ms = float(0)
+        self._acked = generation.offset
+        self._acked_ms = now_ms
         self.interrupted_ms = float(0)
         self.attempts = 0
         self.excluded: frozenset[str] = frozenset()
@@ -112,6 +117,17 @@
         """
         return self.generation.offset - self.consumed
 
+    def is_ack_due(self, now_ms: float) -> bool:
+        """Return whether the agent should be told how far the caller is."""
+        if self.consumed - self._acked >= ACK_TOKENS:
+            return True
+        return now_ms - self._acked_ms >= ACK_INTERVAL_MS
+
+    def note_ack(self, now_ms: float) -> None:
+        """Note that an acknowledgement is sent now."""
+        self._acked = self.consumed
+        self._acked_ms = now_ms
+
     def admit(self) -> None:
         """Note that the current attempt was sent to an engine."""
         self.confirmed = True
