--- a/benchmarks/figures.py
+++ b/benchmarks/figures.py
@@ -35,6 +35,22 @@
     imbalances: list[float] = field(default_factory=list)
     quarantined_teams: Counter[str] = field(default_factory=Counter)
 
+    def record_first_token(
+        self,
+        team: str,
+        second: int,
+        waited_ms: float,
+    ) -> None:
+        """Count the first token of an answer."""
+        self.first_token_ms_by_team.setdefault(team, []).append(waited_ms)
+        self.first_token_by_second.setdefault(second, []).append(waited_ms)
+
+    def record_between(self, second: int, between_ms: int) -> None:
+        """Count the time between two tokens."""
+        self.between_tokens_by_ms[between_ms] += 1
+        by_ms = self.between_by_second.setdefault(second, Counter())
+        by_ms[between_ms] += 1
+
     @property
     def first_token_ms(self) -> list[float]:
         """Return the times to first token of all teams."""
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -9,20 +9,28 @@
 import heapq
 import itertools
 import random
-from collections import Counter
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
 
 import msgspec
 
-from benchmarks.engine_model import (
-    KV_CAPACITY,
-    MAX_RUNNING,
-    Engine,
-    Sequence,
-)
+from benchmarks.engine_model import Engine, Sequence
 from benchmarks.figures import Figures
+from benchmarks.fleet_parts import (
+    LOCAL_DELAY_MS,
+    NOMINAL,
+    PRODUCT,
+    REMOTE_DELAY_MS,
+    Agent,
+    Behaviour,
+    Conditions,
+    GateFactory,
+    Generation,
+    Loss,
+    PeerSink,
+    bounded_gate,
+)
 from benchmarks.topology import (
     AGENTS_PER_DOMAIN,
     ALL_AGENTS,
@@ -31,13 +39,7 @@
 )
 from benchmarks.workload import Arrival, Job, Workload
 from bergamotthread.clock import Clock
-from bergamotthread.process.admission import (
-    AdmissionGate,
-    GateLimits,
-    GateRules,
-    Refused,
-    Run,
-)
+from bergamotthread.process.admission import GateRules, Refused, Run
 from bergamotthread.process.overload import Overloaded, OverloadGuard
 from bergamotthread.process.placement import Placement, PlacementRequest
 from bergamotthread.process.poison import (
@@ -49,15 +51,10 @@
 from bergamotthread.process.retry_budget import Denied, RetryBudget
 from bergamotthread.process.routing import ScoredPlacement
 from bergamotthread.request.refusal import RefusedError
-from bergamotthread.wire.messages import Dispatch, LoadReport, Quarantine
+from bergamotthread.wire.messages import Dispatch, LoadReport
 
 _SEED = 3
-LOCAL_DELAY_MS = 1
-REMOTE_DELAY_MS = 30
 CHARGE_INTERVAL_MS = 1000
-RESEND_DELAY_MS = 1000
-RESENDS_MAX = 3
-PATIENCE_MS = 10_000
 REPORT_INTERVAL_MS = 100
 SAMPLE_INTERVAL_MS = 250
 DECLINES_MAX = 2
@@ -65,146 +62,12 @@
 BYTES_PER_TOKEN = 4
 
 _Event = tuple[float, int, Callable[[], None]]
-GateFactory = Callable[[Clock, GateRules], AdmissionGate]
-
-
-@dataclass(frozen=True)
-class Conditions:
-    """What is wrong with the fleet.
-
-    Parameters
-    ----------
-    report_lag_ms
-        Age of a load report when it arrives.
-    lost_event_share
-        Part of the cache events that never arrive.
-    slow_agent, slowdown
-        One engine whose steps take `slowdown` times as long.
-    """
-
-    report_lag_ms: float = 50
-    lost_event_share: float = 0
-    slow_agent: str = ''
-    slowdown: float = 1
-
-
-@dataclass(frozen=True)
-class Behaviour:
-    """What the fleet and its callers do.
-
-    Parameters
-    ----------
-    guarded
-        Whether the entries use overload guard, retry budget and poison guard,
-        and withdraw what a caller has given up.
-    impatient
-        Whether callers give up after `PATIENCE_MS` without a token and send
-        again what was given up or refused.
-    from_zero
-        Whether a lost generation starts again without its tokens.
-    restart_ms
-        Time after which a dead engine is back; 0 for never.
-    """
-
-    guarded: bool = True
-    impatient: bool = False
-    from_zero: bool = False
-    restart_ms: float = 0
-    poison_team: str = ''
-
-
-NOMINAL = Conditions()
-PRODUCT = Behaviour()
-
-
-@dataclass(frozen=True)
-class Loss:
-    """Death of engines, noticed by all entries after `detection_ms`."""
-
-    at_ms: float
-    agents: tuple[str, ...]
-    detection_ms: float
 
 
 def _domain_size(failure_domain: str) -> int:
     return AGENTS_PER_DOMAIN
 
 
-def bounded_gate(clock: Clock, rules: GateRules) -> AdmissionGate:
-    """Return the product's gate with the engine's capacity."""
-    limits = GateLimits(max_running=MAX_RUNNING, kv_capacity=KV_CAPACITY)
-    return AdmissionGate(clock=clock, limits=limits, rules=rules)
-
-
-@dataclass
-class Generation:
-    """One request with its current attempt and the caller's tokens."""
-
-    job: Job
-    entry: int
-    arrived_ms: float
-    attempt: int = 0
-    agent: str = ''
-    produced: int = 0
-    declines: int = 0
-    excluded: frozenset[str] = frozenset()
-    lost_ms: float = 0
-    last_token_ms: float = 0
-    request: PlacementRequest | None = None
-    over: bool = False
-    poisonous: bool = False
-    sent: int = 0
-    needed: int = 0
-
-    @property
-    def content(self) -> int:
-        """Return the fingerprint: poisonous requests share their team's."""
-        text = self.job.team if self.poisonous else self.job.generation
-        return hash_text(text)
-
-
-def hash_text(text: str) -> int:
-    """Return a number for a text, the same in every run."""
-    return int.from_bytes(text.encode(), 'big')
-
-
-class Agent:
-    """Engine with its gate."""
-
-    def __init__(
-        self,
-        name: str,
-        engine: Engine,
-        gate: AdmissionGate,
-    ) -> None:
-        self.name = name
-        self.region = name[:2]
-        self.domain = name[:4]
-        self.engine = engine
-        self.gate = gate
-        self.alive = True
-        self.stepping = False
-
-
-class _PeerSink:
-    """Carries quarantine notices between entries with a delay."""
-
-    def __init__(self, fleet: Fleet, entry: int) -> None:
-        self._fleet = fleet
-        self._entry = entry
-
-    def quarantined(self, notice: Quarantine) -> None:
-        """Tell peers at once."""
-        self.send(notice)
-
-    def send(self, notice: Quarantine) -> None:
-        """Carry a notice to all peers."""
-        for index, peer in enumerate(self._fleet.poison_guards):
-            if index != self._entry:
-                merge = partial(peer.merge, f'entry{self._entry}', notice)
-                self._fleet.after(REMOTE_DELAY_MS, merge)
-
-
 class Fleet:
     """Runs a workload on all agents in virtual time."""
 
@@ -236,11 +99,13 @@
         self.guards = [OverloadGuard(self.clock) for _ in ENTRY_REGIONS]
         self.budgets = [RetryBudget(self.clock) for _ in ENTRY_REGIONS]
         self._sinks = [
-            _PeerSink(self, index) for index, _ in enumerate(ENTRY_REGIONS)
+            PeerSink(index, self.after) for index, _ in enumerate(ENTRY_REGIONS)
         ]
         self.poison_guards = [
             PoisonGuard(self.clock, sink, _domain_size) for sink in self._sinks
         ]
+        for sink in self._sinks:
+            sink.peers = self.poison_guards
         self.agents = {name: self._agent(name) for name in ALL_AGENTS}
 
     def _now_s(self) -> float:
@@ -340,7 +205,9 @@
         self.budgets[entry].record_start(job.team)
         self._place(generation)
         if self._behaviour.impatient:
-            self.after(PATIENCE_MS, partial(self._give_up, generation))
+            self.after(
+                self._behaviour.patience_ms, partial(self._give_up, generation)
+            )
 
     def _give_up(self, generation: Generation) -> None:
         if generation.over or generation.produced:
@@ -351,7 +218,7 @@
             self._cancel(agent, key)
         self._leave_agent(generation)
         self._end(generation, 'caller gave up')
-        self._resend(generation, RESEND_DELAY_MS)
+        self._resend(generation, self._behaviour.resend_delay_ms)
 
     def _cancel(self, agent: Agent, key: tuple[str, int]) -> None:
         agent.gate.revoke(*key)
@@ -360,7 +227,10 @@
 
     def _resend(self, generation: Generation, delay_ms: float) -> None:
         """Let an impatient caller send its request again under a new name."""
-        if not self._behaviour.impatient or generation.sent >= RESENDS_MAX:
+        if (
+            not self._behaviour.impatient
+            or generation.sent >= self._behaviour.resends_max
+        ):
             return
         name = generation.job.generation.partition('/')[0]
         job = replace(
@@ -370,39 +240,27 @@
         again = partial(
             self._arrive, job, generation.entry, generation.sent + 1
         )
-        self.after(max(delay_ms, RESEND_DELAY_MS), again)
+        self.after(max(delay_ms, self._behaviour.resend_delay_ms), again)
 
     def _place(self, generation: Generation) -> None:
         if generation.over:
             return
-        poison_guard = self.poison_guards[generation.entry]
-        suspect = False
-        avoided: frozenset[str] = frozenset()
-        if self._behaviour.guarded:
-            match poison_guard.check(generation.content):
-                case Quarantined():
-                    self.figures.quarantined_teams[generation.job.team] += 1
-                    self._end(generation, 'quarantined')
-                    return
-                case Undecided(wait_ms=wait_ms):
-                    self.after(wait_ms + 1, lambda: self._place(generation))
-                    return
-                case Suspect():
-                    suspect = True
-                    avoided = poison_guard.avoided_agents(generation.content)
-                case _:
-                    suspect = False
-        job = generation.job
-        request = PlacementRequest(
-            generation=job.generation,
-            team=job.team,
-            pin=PIN,
-            prompt_tokens=job.prompt_tokens,
-            accepted_tokens=generation.produced,
-            prefix_hashes=job.prefix_hashes,
-            excluded=generation.excluded | avoided,
-            resume=generation.attempt > generation.declines,
-        )
+        if not self._behaviour.guarded:
+            self._choose(generation, suspect=False)
+            return
+        match self.poison_guards[generation.entry].check(generation.content):
+            case Quarantined():
+                self.figures.quarantined_teams[generation.job.team] += 1
+                self._end(generation, 'quarantined')
+            case Undecided(wait_ms=wait_ms):
+                self.after(wait_ms + 1, partial(self._place, generation))
+            case Suspect():
+                self._choose(generation, suspect=True)
+            case _:
+                self._choose(generation, suspect=False)
+
+    def _choose(self, generation: Generation, *, suspect: bool) -> None:
+        request = self._placement_request(generation, suspect=suspect)
         placement = self.placements[generation.entry]
         try:
             name = placement.choose(request)
@@ -414,8 +272,38 @@
         generation.agent = name
         generation.request = request
         agent = self.agents[name]
-        self._count_bytes(generation, agent, job.prompt_tokens)
-        dispatch = Dispatch(
+        self._count_bytes(generation, agent, generation.job.prompt_tokens)
+        dispatch = self._dispatch(generation, suspect=suspect)
+        self.after(
+            self._delay_ms(generation, agent),
+            partial(self._deliver, agent, dispatch),
+        )
+
+    def _placement_request(
+        self,
+        generation: Generation,
+        *,
+        suspect: bool,
+    ) -> PlacementRequest:
+        job = generation.job
+        avoided: frozenset[str] = frozenset()
+        if suspect:
+            guard = self.poison_guards[generation.entry]
+            avoided = guard.avoided_agents(generation.content)
+        return PlacementRequest(
+            generation=job.generation,
+            team=job.team,
+            pin=PIN,
+            prompt_tokens=job.prompt_tokens,
+            accepted_tokens=generation.produced,
+            prefix_hashes=job.prefix_hashes,
+            excluded=generation.excluded | avoided,
+            resume=generation.attempt > generation.declines,
+        )
+
+    def _dispatch(self, generation: Generation, *, suspect: bool) -> Dispatch:
+        job = generation.job
+        return Dispatch(
             generation=job.generation,
             attempt=generation.attempt,
             pin=PIN,
@@ -426,10 +314,6 @@
             team=job.team,
             suspect=suspect,
         )
-        self.after(
-            self._delay_ms(generation, agent),
-            lambda: self._deliver(agent, dispatch),
-        )
 
     def _declined(self, refused: Refused) -> None:
         generation = self._by_generation.get(refused.generation)
@@ -645,22 +529,16 @@
         second = int(self.now_ms // 1000)
         received_ms = self.now_ms + self._delay_ms(generation, agent)
         if generation.lost_ms:
-            if generation.produced <= generation.needed:
-                return
-            self.figures.resume_ms.append(received_ms - generation.lost_ms)
+            if generation.produced > generation.needed:
+                resumed_ms = received_ms - generation.lost_ms
+                self.figures.resume_ms.append(resumed_ms)
         elif generation.produced == 1:
             waited_ms = received_ms - generation.arrived_ms
-            self.figures.first_token_ms_by_team.setdefault(
-                generation.job.team,
-                [],
-            ).append(waited_ms)
-            by_second = self.figures.first_token_by_second
-            by_second.setdefault(second, []).append(waited_ms)
+            team = generation.job.team
+            self.figures.record_first_token(team, second, waited_ms)
         elif sequence.produced > 1:
             between_ms = round(self.now_ms - generation.last_token_ms)
-            self.figures.between_tokens_by_ms[between_ms] += 1
-            by_second_ms = self.figures.between_by_second
-            by_second_ms.setdefault(second, Counter())[between_ms] += 1
+            self.figures.record_between(second, between_ms)
 
     def _kill(self, agent: Agent, detection_ms: float) -> None:
         agent.alive = False
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -34,16 +34,19 @@
     OverloadRow,
     PoisonCase,
     PoisonRow,
+    PooledCase,
     run_fairness,
     run_load,
     run_loss,
     run_overload,
     run_poison,
+    run_pooled,
     scored_unbounded,
 )
 from benchmarks.topology import ALL_AGENTS, DOMAINS
 
 LOADS = (0.5, 0.8, 0.95, 1.1)
+POOLED_LOADS = (0.8, 0.95)
 FAIR_LOADS = (0.5, 0.6, 0.8)
 GREEDY_FACTOR = 20
 DIRECTORY = Path('docs/design')
@@ -139,6 +142,23 @@
     return '\n'.join(parts)
 
 
+def _pooled(pool: ProcessPoolExecutor) -> str:
+    names = ('prefix-affine, bounded', 'scored, no size term', 'scored')
+    cases = tuple(
+        PooledCase(name, load)
+        for load, name in itertools.product(POOLED_LOADS, names)
+    )
+    lines = [
+        (
+            case.placement,
+            f'{case.load:.0%}',
+            '/'.join(f'{one:.0f}' for one in row),
+        )
+        for case, row in _Batch(run_pooled, cases).rows(pool)
+    ]
+    return _table(_LOAD_HEAD[:3], lines)
+
+
 def _overload_line(name: str, row: OverloadRow) -> list[str]:
     recovery = 'never' if row.recovery_s is None else f'{row.recovery_s}'
     return [
@@ -283,6 +303,7 @@
             domains=len(DOMAINS),
             per_s=saturated_per_s(),
             loads=_loads(pool),
+            pooled=_pooled(pool),
             overloads=_overloads(overloads),
             plot=PLOT_FILE,
             losses=_losses(pool),
@@ -310,6 +331,9 @@
 own part, in parts of that. `KV max/mean` is the fullest engine over the mean.
 
 {loads}
+The nearest three over three seeds, no entry guard:
+
+{pooled}
 ## Overload and return
 
 80% load, 60 s of 150%, then 80%. Callers give up after 10 s without a token and
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -21,12 +21,12 @@
 )
 from benchmarks.engine_model import saturated_per_s
 from benchmarks.figures import Figures, counted_percentile, percentile
-from benchmarks.fleet import (
+from benchmarks.fleet import Fleet
+from benchmarks.fleet_parts import (
     NOMINAL,
     PRODUCT,
     Behaviour,
     Conditions,
-    Fleet,
     GateFactory,
     Loss,
     bounded_gate,
@@ -181,6 +181,36 @@
     )
 
 
+@dataclass(frozen=True)
+class PooledCase:
+    """Placement without entry guard, over several seeds."""
+
+    placement: str
+    load: float
+    seeds: tuple[int, ...] = (7, 8, 9)
+
+
+def run_pooled(case: PooledCase) -> tuple[float, float, float]:
+    """Return p50, p95 and p99 to first token in milliseconds."""
+    until_ms = WARM_UP_MS + MEASURED_MS
+    waits: list[float] = []
+    for seed in case.seeds:
+        fleet = Fleet(
+            PLACEMENTS[case.placement],
+            bounded_gate,
+            NOMINAL,
+            replace(PRODUCT, guarded=False),
+            WARM_UP_MS,
+        )
+        workload = equal_teams((phase(until_ms, case.load),), seed)
+        waits += fleet.run(workload, until_ms=until_ms).first_token_ms
+    return (
+        percentile(waits, 0.5),
+        percentile(waits, 0.95),
+        percentile(waits, 0.99),
+    )
+
+
 @dataclass(frozen=True)
 class OverloadCase:
     """80%, then 150%, then 80% load, with callers that send again."""
--- a/bergamotthread/process/overload.py
+++ b/bergamotthread/process/overload.py
@@ -45,8 +45,8 @@
     utilisation_max: float = 1.2
     fair_utilisation: float = 0.35
     demand_slack: float = 2
-    share_slack: float = 1.3
-    share_utilisation: float = 0.85
+    share_slack: float = 1
+    share_utilisation: float = 0.7
     burst: float = 3
     in_flight_min: float = 2
 
