--- /dev/null
+++ b/benchmarks/data_path.py
@@ -0,0 +1,225 @@
+"""Measures what relaying costs an entry process, over real sockets.
+
+Run ``python -m benchmarks.data_path [--streams N --tokens-per-s N]``; with
+``--sizes`` it measures the slopes and writes `benchmarks/results`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import time
+
+import click
+import msgspec
+import psutil
+
+from benchmarks.data_path_caller import CallerFigures
+from benchmarks.data_path_load import LoadCounts
+from benchmarks.data_path_processes import (
+    Child,
+    platform_with,
+    settings_folder,
+    start_entry,
+)
+from standins.users import TERMOLAB
+
+LOAD_PROCESSES = 4
+STREAMS_PER_AGENT = 6
+WARM_UP_S = 2
+NODE_TOKENS_PER_S = 6560
+TARGET_TOKENS_PER_S = 25_000
+TARGET_ADDED_MS = 5
+TARGET_RSS_MB = 128
+RESULTS = pathlib.Path('benchmarks/results/data_path.json')
+SIZES = (30, 60, 120, 240)
+_MB = 1024 * 1024
+
+
+class EntryFigures(msgspec.Struct, frozen=True):
+    """One run: what the entry used and what its callers saw.
+
+    `agent_bytes` is the mean size of agent to entry output for a token.
+    """
+
+    streams: int
+    offered_tokens_per_s: float
+    seconds: float
+    cpu_s: float
+    rss_mb: float
+    agent_bytes: float
+    frames_per_batch: float
+    caller: CallerFigures
+
+    @property
+    def tokens_per_cpu_s(self) -> float:
+        """Return tokens relayed per CPU second of the entry."""
+        return self.caller.tokens / self.cpu_s
+
+    @property
+    def us_per_event(self) -> float:
+        """Return CPU microseconds for one event."""
+        return self.cpu_s * 1e6 / self.caller.events
+
+
+class Results(msgspec.Struct, frozen=True):
+    """What the last run with `--sizes` measured."""
+
+    runs: tuple[EntryFigures, ...] = ()
+
+
+async def measure(
+    streams: int,
+    tokens_per_s: float,
+    seconds: float,
+    profile: str = '',
+) -> EntryFigures:
+    """Run one entry under load and return its figures."""
+    interval_ms = 1000 * streams / tokens_per_s
+    agents = max(LOAD_PROCESSES, streams // STREAMS_PER_AGENT)
+    async with contextlib.AsyncExitStack() as stack:
+        folder = pathlib.Path(stack.enter_context(settings_folder()))
+        loads = []
+        for _ in range(LOAD_PROCESSES):
+            load = await Child.start(
+                'benchmarks.data_path_load',
+                '--agents',
+                str(agents // LOAD_PROCESSES),
+                '--interval-ms',
+                str(interval_ms),
+            )
+            stack.push_async_callback(load.stop)
+            loads.append(load)
+        lines = [await load.read_line() for load in loads]
+        addresses = [
+            address
+            for line in lines
+            for address in msgspec.json.decode(line, type=list[str])
+        ]
+        platform = await stack.enter_async_context(platform_with(addresses))
+        entry, port = await start_entry(platform, folder, profile)
+        stack.push_async_callback(entry.stop)
+        caller = await Child.start(
+            'benchmarks.data_path_caller',
+            '--port',
+            str(port),
+            '--streams',
+            str(streams),
+            '--model',
+            TERMOLAB.model,
+            '--credential',
+            TERMOLAB.credential(TERMOLAB.teams[0]),
+        )
+        stack.push_async_callback(caller.stop)
+        await caller.read_line()
+        cpu_s, rss_mb = await _watch(entry, caller, seconds)
+        seen = msgspec.json.decode(
+            await caller.read_line(),
+            type=CallerFigures,
+        )
+        counts = await _end_loads(loads)
+    sent = sum(one.tokens for one in counts)
+    return EntryFigures(
+        streams,
+        tokens_per_s,
+        seconds,
+        cpu_s,
+        rss_mb,
+        sum(one.batch_bytes for one in counts) / sent,
+        sum(one.frames for one in counts) / sum(one.batches for one in counts),
+        seen,
+    )
+
+
+async def _watch(
+    entry: Child,
+    caller: Child,
+    seconds: float,
+) -> tuple[float, float]:
+    """Return CPU seconds of the entry in the window, and its RSS after."""
+    process = psutil.Process(entry.pid)
+    start_s = time.monotonic() + WARM_UP_S
+    caller.write_line(f'{start_s} {start_s + seconds}')
+    await asyncio.sleep(start_s - time.monotonic())
+    before_s = _cpu_s(process)
+    await asyncio.sleep(start_s + seconds - time.monotonic())
+    used_s = _cpu_s(process) - before_s
+    return used_s, process.memory_info().rss / _MB
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return float(times.user + times.system)
+
+
+async def _end_loads(loads: list[Child]) -> list[LoadCounts]:
+    counts = []
+    for load in loads:
+        load.process.send_signal(signal.SIGTERM)
+        line = await load.read_line()
+        counts.append(msgspec.json.decode(line, type=LoadCounts))
+    return counts
+
+
+def describe(run: EntryFigures) -> str:
+    """Return the figures of a run as lines of text."""
+    seen = run.caller
+    return '\n'.join(
+        (
+            f'streams {run.streams}, offered {run.offered_tokens_per_s:.0f} '
+            f'tokens/s, delivered {seen.tokens / run.seconds:.0f} tokens/s',
+            f'  entry: {run.tokens_per_cpu_s:.0f} tokens a CPU second, '
+            f'{run.cpu_s / run.seconds:.1%} of a core, '
+            f'{run.us_per_event:.1f} us an event, '
+            f'{seen.tokens / seen.events:.2f} tokens an event, '
+            f'RSS {run.rss_mb:.1f} MB',
+            f'  engine to caller, ms: {seen.latency_ms}',
+            f'  added between tokens, ms: {seen.added_ms}',
+            f'  bytes a token: agent to entry {run.agent_bytes:.1f}, entry to '
+            f'caller {seen.received_bytes / seen.tokens:.1f}; '
+            f'{run.frames_per_batch:.2f} frames a batch; '
+            f'disorder {seen.disorder}',
+        ),
+    )
+
+
+def load_results() -> Results:
+    """Return the committed results, empty where there are none."""
+    if not RESULTS.exists():
+        return Results()
+    return msgspec.json.decode(RESULTS.read_bytes(), type=Results)
+
+
+@click.command()
+@click.option('--seconds', default=8.0, show_default=True)
+@click.option('--streams', default=240, show_default=True)
+@click.option('--tokens-per-s', default=float(TARGET_TOKENS_PER_S))
+@click.option('--sizes', is_flag=True, help='Measure all sizes and write.')
+@click.option('--profile', default='', help='File for cProfile of the entry.')
+def main(
+    seconds: float,
+    streams: int,
+    tokens_per_s: float,
+    sizes: bool,
+    profile: str,
+) -> None:
+    """Measure the relay of one entry process."""
+    if not sizes:
+        run = asyncio.run(measure(streams, tokens_per_s, seconds, profile))
+        print(describe(run))
+        return
+    runs = []
+    for rate in (NODE_TOKENS_PER_S, TARGET_TOKENS_PER_S):
+        for size in SIZES:
+            run = asyncio.run(measure(size, rate * size / SIZES[-1], seconds))
+            print(describe(run), flush=True)
+            runs.append(run)
+    RESULTS.parent.mkdir(exist_ok=True)
+    encoded = msgspec.json.encode(Results(tuple(runs)))
+    RESULTS.write_bytes(b'%b\n' % msgspec.json.format(encoded))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/data_path_caller.py
@@ -0,0 +1,231 @@
+"""Caller process: reads event streams over raw sockets and measures tokens.
+
+Run by `benchmarks.data_path`. It prints `ready` when all streams give tokens,
+reads a window `start_s end_s` (monotonic clock) from standard input, and
+prints what it measured in it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import sys
+import time
+from dataclasses import dataclass, field
+from functools import partial
+
+import click
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from benchmarks.data_path_load import STAMP_MODULUS_US, stamp_us
+
+MAX_US = 60_000_000
+OPEN_TIMEOUT_S = 30
+OPENED_AT_ONCE = 8
+RETRY_S = 0.1
+PERCENTILES = (50, 95, 99)
+_TEXT = re.compile(rb'"text":"([0-9 ]*)"')
+_REFUSED = b'HTTP/1.1 503'
+
+
+class Percentiles(msgspec.Struct, frozen=True):
+    """Percentiles in milliseconds."""
+
+    p50: float
+    p95: float
+    p99: float
+
+
+class CallerFigures(msgspec.Struct, frozen=True):
+    """What the callers saw in the window.
+
+    `latency_ms` is the time from a token's step at the engine to its arrival;
+    `added_ms` is how much longer the time between two tokens was here than at
+    the engine, 0 where it was shorter; `disorder` counts tokens whose stamp is
+    not later than that of the token before.
+    """
+
+    streams: int
+    tokens: int
+    events: int
+    received_bytes: int
+    disorder: int
+    latency_ms: Percentiles
+    added_ms: Percentiles
+
+
+@dataclass
+class Measures:
+    """Counts and histograms of all streams in the window."""
+
+    start_s: float = float('inf')
+    end_s: float = float('inf')
+    tokens: int = 0
+    events: int = 0
+    received_bytes: int = 0
+    disorder: int = 0
+    latency_us: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, MAX_US, 3),
+    )
+    added_us: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, MAX_US, 3),
+    )
+
+    def figures(self, streams: int) -> CallerFigures:
+        """Return the figures of the window."""
+        return CallerFigures(
+            streams,
+            self.tokens,
+            self.events,
+            self.received_bytes,
+            self.disorder,
+            _percentiles(self.latency_us),
+            _percentiles(self.added_us),
+        )
+
+
+class StreamReader(asyncio.Protocol):
+    """One caller: sends a request and takes in the events of its answer."""
+
+    def __init__(self, request: bytes, measures: Measures) -> None:
+        loop = asyncio.get_running_loop()
+        self.opened: asyncio.Future[bool] = loop.create_future()
+        self._request = request
+        self._measures = measures
+        self._pending = b''
+        self._stamp_us = 0
+        self._latency_us = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the request."""
+        assert isinstance(transport, asyncio.Transport)
+        transport.write(self._request)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail a caller that has seen no token."""
+        if not self.opened.done():
+            self.opened.set_exception(ConnectionError(repr(self._pending)))
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take in all whole events of a chunk."""
+        now_us = stamp_us()
+        if chunk.startswith(_REFUSED) and not self.opened.done():
+            self.opened.set_result(False)
+        measures = self._measures
+        counts = measures.start_s <= time.monotonic() < measures.end_s
+        if counts:
+            measures.received_bytes += len(chunk)
+        events = (self._pending + chunk).split(b'\n\n')
+        self._pending = events.pop()
+        for event in events:
+            match = _TEXT.search(event)
+            if match is not None:
+                self._take(match[1].split(), now_us, counts=counts)
+
+    def _take(
+        self,
+        tokens: list[bytes],
+        now_us: int,
+        *,
+        counts: bool,
+    ) -> None:
+        if not self.opened.done():
+            self.opened.set_result(True)
+        if counts:
+            self._measures.events += 1
+        for token in tokens:
+            self._take_token(int(token), now_us, counts=counts)
+
+    def _take_token(self, stamp: int, now_us: int, *, counts: bool) -> None:
+        latency_us = (now_us - stamp) % STAMP_MODULUS_US
+        if counts:
+            measures = self._measures
+            measures.tokens += 1
+            later_us = (stamp - self._stamp_us) % STAMP_MODULUS_US
+            measures.disorder += not 0 < later_us < STAMP_MODULUS_US // 2
+            measures.latency_us.record_value(max(1, latency_us))
+            added_us = latency_us - self._latency_us
+            measures.added_us.record_value(max(1, added_us))
+        self._stamp_us = stamp
+        self._latency_us = latency_us
+
+
+def _percentiles(histogram: HdrHistogram) -> Percentiles:
+    return Percentiles(
+        *(
+            round(histogram.get_value_at_percentile(one) / 1000, 2)
+            for one in PERCENTILES
+        ),
+    )
+
+
+def _request(index: int, model: str, credential: str) -> bytes:
+    body = msgspec.json.encode(
+        {
+            'model': model,
+            'prompt': f'stream {index} of the benchmark',
+            'max_tokens': 131_072,
+            'stream': True,
+        },
+    )
+    head = (
+        'POST /v1/completions HTTP/1.1\r\nhost: entry\r\n'
+        f'authorization: Bearer {credential}\r\n'
+        f'content-type: application/json\r\ncontent-length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+async def _open(
+    port: int,
+    request: bytes,
+    measures: Measures,
+) -> asyncio.Transport:
+    """Open a stream; after a refusal try again, as callers do."""
+    loop = asyncio.get_running_loop()
+    while True:
+        transport, reader = await loop.create_connection(
+            partial(StreamReader, request, measures),
+            '127.0.0.1',
+            port,
+        )
+        async with asyncio.timeout(OPEN_TIMEOUT_S):
+            if await reader.opened:
+                return transport
+        transport.abort()
+        await asyncio.sleep(RETRY_S)
+
+
+async def _run(port: int, streams: int, model: str, credential: str) -> None:
+    measures = Measures()
+    transports: list[asyncio.Transport] = []
+    for start in range(0, streams, OPENED_AT_ONCE):
+        indices = range(start, min(streams, start + OPENED_AT_ONCE))
+        requests = [_request(index, model, credential) for index in indices]
+        transports += await asyncio.gather(
+            *(_open(port, request, measures) for request in requests),
+        )
+    print('ready', flush=True)
+    start_text, _, end_text = sys.stdin.readline().partition(' ')
+    measures.start_s = float(start_text)
+    measures.end_s = float(end_text)
+    await asyncio.sleep(measures.end_s - time.monotonic() + 0.05)
+    figures = msgspec.json.encode(measures.figures(streams))
+    print(figures.decode(), flush=True)
+    for transport in transports:
+        transport.abort()
+
+
+@click.command()
+@click.option('--port', required=True, type=int)
+@click.option('--streams', required=True, type=int)
+@click.option('--model', required=True)
+@click.option('--credential', required=True)
+def main(port: int, streams: int, model: str, credential: str) -> None:
+    """Read streams until the window has ended."""
+    asyncio.run(_run(port, streams, model, credential))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/benchmarks/data_path_processes.py
@@ -0,0 +1,210 @@
+"""The processes of the data path's benchmarks, started on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Sequence
+
+import msgspec
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.settings import (
+    AgentSettings,
+    EntrySettings,
+    KeySettings,
+    LogSettings,
+    PlaceSettings,
+    PlatformSettings,
+)
+from bergamotthread.process.store_client import StoreClient, StoreUse
+from bergamotthread.testing.memory_platform import MemoryPlatform
+from bergamotthread.version.objects import ObjectSet
+from bergamotthread.version.publication import Draft, Publisher
+from standins.platform import create_app
+from standins.serving import serving
+from standins.users import TERMOLAB, user_set
+
+REGION = TERMOLAB.regions[0]
+_KEYS = KeySettings(cursor_keys=('ab' * 32,))
+
+
+class Child:
+    """A process that this one has started, and its standard streams."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self.process = process
+        self.pid = process.pid
+
+    @classmethod
+    async def start(cls, *arguments: str, profile: str = '') -> Child:
+        """Start `python -m arguments`, under cProfile where a file is named."""
+        profiler = ('-m', 'cProfile', '-o', profile) if profile else ()
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *profiler,
+            '-m',
+            *arguments,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        return cls(process)
+
+    async def read_line(self) -> bytes:
+        """Return the next line of its output."""
+        assert self.process.stdout is not None
+        async with asyncio.timeout(60):
+            line = await self.process.stdout.readline()
+        if not line:
+            raise RuntimeError(f'process {self.pid} ended early')
+        return line
+
+    def write_line(self, line: str) -> None:
+        """Write a line to its input."""
+        assert self.process.stdin is not None
+        self.process.stdin.write(f'{line}\n'.encode())
+
+    def terminate(self) -> None:
+        """Ask it to end."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.terminate()
+
+    async def stop(self) -> None:
+        """End it, by force after five seconds."""
+        self.terminate()
+        try:
+            await asyncio.wait_for(self.process.wait(), timeout=5)
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+
+
+@contextlib.asynccontextmanager
+async def platform_with(agents: Sequence[str]) -> AsyncIterator[str]:
+    """Serve a platform with the agents published; yield its address."""
+    clock = Clock.from_system()
+    async with serving(create_app(MemoryPlatform(clock))) as address:
+        settings = PlatformSettings(address, reads_per_s=50, writes_per_s=50)
+        store = StoreClient.from_settings(settings, clock)
+        publisher = Publisher.from_platform(
+            store.table(StoreUse.PUBLICATION),
+            store.object_store(StoreUse.PUBLICATION),
+            clock,
+        )
+        objects = _wide(user_set(TERMOLAB, agents))
+        await publisher.publish(Draft(objects, who='operator', base=0))
+        await store.close()
+        yield address
+
+
+def _wide(objects: ObjectSet) -> ObjectSet:
+    """Return the objects with one team limit that no benchmark reaches."""
+    teams = tuple(
+        msgspec.structs.replace(team, requests_per_s=100_000)
+        for team in objects.teams
+    )
+    return msgspec.structs.replace(objects, teams=teams)
+
+
+def free_port() -> int:
+    """Return a port of loopback that was free just now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return int(probe.getsockname()[1])
+
+
+async def start_entry(
+    platform: str,
+    folder: pathlib.Path,
+    profile: str = '',
+) -> tuple[Child, int]:
+    """Start an entry; return it and its port for callers once it serves."""
+    port = free_port()
+    place = PlaceSettings(f'127.0.0.1:{free_port()}', REGION, f'{REGION}-a')
+    settings = EntrySettings(
+        place,
+        f'127.0.0.1:{port}',
+        PlatformSettings(platform, reads_per_s=50, writes_per_s=50),
+        keys=_KEYS,
+        log=LogSettings(level='warning'),
+    )
+    path = folder / f'entry-{port}.json'
+    path.write_bytes(msgspec.json.encode(settings))
+    child = await Child.start(
+        'bergamotthread',
+        'entry',
+        '--settings',
+        str(path),
+        profile=profile,
+    )
+    await _until_ready(port)
+    return child, port
+
+
+async def start_agent(
+    engine: str,
+    entries: tuple[str, ...],
+    folder: pathlib.Path,
+) -> tuple[Child, str]:
+    """Start an agent beside an engine; return it and its address."""
+    address = f'127.0.0.1:{free_port()}'
+    settings = AgentSettings(
+        PlaceSettings(address, REGION, f'{REGION}-a'),
+        engine,
+        'engine-0',
+        entries=entries,
+        log=LogSettings(level='warning'),
+    )
+    path = folder / f'agent-{address.rpartition(":")[2]}.json'
+    path.write_bytes(msgspec.json.encode(settings))
+    child = await Child.start(
+        'bergamotthread',
+        'agent',
+        '--settings',
+        str(path),
+    )
+    return child, address
+
+
+async def start_engine(interval_ms: float) -> tuple[Child, str]:
+    """Start an engine stand-in; return it and its address."""
+    port = free_port()
+    address = f'127.0.0.1:{port}'
+    child = await Child.start(
+        'standins.engine',
+        '--listen',
+        address,
+        '--token-interval-ms',
+        str(interval_ms),
+    )
+    await _until_ready(port, '/load')
+    return child, address
+
+
+async def _until_ready(port: int, path: str = '/readyz') -> None:
+    async with asyncio.timeout(20):
+        while True:
+            await asyncio.sleep(0.05)
+            with contextlib.suppress(OSError):
+                if b' 200 ' in await _get(port, path):
+                    return
+
+
+async def _get(port: int, path: str) -> bytes:
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    writer.write(
+        f'GET {path} HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\r\n'.encode(),
+    )
+    try:
+        return await reader.read(200)
+    finally:
+        writer.close()
+
+
+def settings_folder() -> tempfile.TemporaryDirectory[str]:
+    """Return a folder for settings files."""
+    return tempfile.TemporaryDirectory(prefix='data-path-')
