--- a/bergamotthread/process/agent_process.py
+++ b/bergamotthread/process/agent_process.py
@@ -12,8 +12,10 @@
 from bergamotthread.connection.zmq_transport import ZmqTransport
 from bergamotthread.process.agent import Agent, AgentConfig
 from bergamotthread.process.drain_state import DrainPhase
+from bergamotthread.process.own_host_watch import OwnHostWatch
 from bergamotthread.process.service_agent import ServiceAgent
 from bergamotthread.process.settings import AgentSettings
+from bergamotthread.process.store_client import StoreClient
 from bergamotthread.version.distribution import VersionHolder
 from bergamotthread.wire.messages import Envelope
 
@@ -50,6 +52,7 @@
         settings: AgentSettings,
         transport: Transport,
         clock: Clock,
+        store: StoreClient | None = None,
     ) -> None:
         self.transport = transport
         self.agent = make_agent(settings, transport, clock)
@@ -63,6 +66,7 @@
         self._settings = settings
         self._heard_entries: OrderedDict[str, None] = OrderedDict()
         self._clock = clock
+        self._store = store
 
     @classmethod
     def from_settings(
@@ -76,7 +80,10 @@
             settings.keys,
             clock,
         )
-        return cls(settings, transport, clock)
+        store = None
+        if settings.platform is not None:
+            store = StoreClient.from_settings(settings.platform, clock)
+        return cls(settings, transport, clock, store)
 
     async def run(self) -> None:
         """Serve until cancelled or until a drain has ended."""
@@ -86,8 +93,12 @@
                 group.create_task(self.agent.run())
                 group.create_task(self.versions.run())
                 group.create_task(self._follow_versions())
+                if self._store is not None:
+                    group.create_task(self._host_watch(self._store).run())
         finally:
             self.transport.close()
+            if self._store is not None:
+                await self._store.close()
 
     async def drain(self) -> None:
         """Take no new work and return when none is left."""
@@ -113,6 +124,19 @@
         heard = reversed(self._heard_entries)
         return tuple(dict.fromkeys((*heard, *self._settings.entries)))
 
+    def _host_watch(self, store: StoreClient) -> OwnHostWatch:
+        return OwnHostWatch(
+            store.hosts(),
+            self.transport.address,
+            self.agent.drain,
+            self._clock,
+            self._agent_count,
+        )
+
+    def _agent_count(self) -> int:
+        published = self.versions.current
+        return 0 if published is None else len(published.upstreams_by_agent)
+
     async def _follow_versions(self) -> None:
         known = 0
         while True:
