--- a/bergamotthread/process/agent_process.py
+++ b/bergamotthread/process/agent_process.py
@@ -14,6 +14,7 @@
 from bergamotthread.process.drain_report import DrainReporter
 from bergamotthread.process.drain_runner import DrainRunner
 from bergamotthread.process.engine_orders import OrderInbox
+from bergamotthread.process.own_host_watch import OwnHostWatch
 from bergamotthread.process.service_agent import ServiceAgent
 from bergamotthread.process.settings import AgentSettings
 from bergamotthread.process.store_client import StoreClient, StoreUse
@@ -53,14 +54,14 @@
         settings: AgentSettings,
         transport: Transport,
         clock: Clock,
+        store: StoreClient | None = None,
     ) -> None:
         self.transport = transport
         self.agent = make_agent(settings, transport, clock)
-        self._store: StoreClient | None = None
+        self._store = store
         self._orders: OrderInbox | None = None
-        if settings.platform is not None:
-            self._store = StoreClient.from_settings(settings.platform, clock)
-            self._orders = _order_inbox(settings, transport, self._store)
+        if store is not None:
+            self._orders = _order_inbox(settings, transport, store)
         self._drain = DrainRunner(
             self.agent.drain,
             _drain_reporter(transport, self._store, clock),
@@ -91,7 +92,10 @@
             settings.keys,
             clock,
         )
-        return cls(settings, transport, clock)
+        store = None
+        if settings.platform is not None:
+            store = StoreClient.from_settings(settings.platform, clock)
+        return cls(settings, transport, clock, store)
 
     async def run(self) -> None:
         """Serve until cancelled or until a drain has ended."""
@@ -102,6 +106,8 @@
                 group.create_task(self.versions.run())
                 group.create_task(self._drain.run())
                 group.create_task(self._follow_versions())
+                if self._store is not None:
+                    group.create_task(self._host_watch(self._store).run())
         finally:
             await self._close()
 
@@ -128,6 +134,19 @@
         heard = reversed(self._heard_entries)
         return tuple(dict.fromkeys((*heard, *self._settings.entries)))
 
+    def _host_watch(self, store: StoreClient) -> OwnHostWatch:
+        return OwnHostWatch(
+            store.hosts(),
+            self.transport.address,
+            self.agent.drain,
+            self._clock,
+            self._agent_count,
+        )
+
+    def _agent_count(self) -> int:
+        published = self.versions.current
+        return 0 if published is None else len(published.upstreams_by_agent)
+
     async def _close(self) -> None:
         self.transport.close()
         if self._store is not None:
