--- a/bergamotthread/process/completions.py
+++ b/bergamotthread/process/completions.py
@@ -26,10 +26,10 @@
 from bergamotthread.request.generation import Generation, GenerationSpec
 from bergamotthread.request.live_generation import LiveGeneration
 from bergamotthread.request.refusal import (
-    Ran,
     ReasonCode,
     Refusal,
     RefusedError,
+    not_run,
 )
 from bergamotthread.version.objects import Route, Service
 from bergamotthread.version.published import PublishedVersion
@@ -272,6 +272,4 @@
 
 
 def _refused(reason: ReasonCode, detail: str) -> RefusedError:
-    return RefusedError(
-        Refusal(reason=reason, detail=detail, step=Step.ADMIT, ran=Ran.NOT_RUN),
-    )
+    return not_run(reason, detail, Step.ADMIT)
--- a/bergamotthread/process/generation_guards.py
+++ b/bergamotthread/process/generation_guards.py
@@ -5,8 +5,9 @@
 from collections import Counter
 from dataclasses import dataclass
 
+import msgspec
+
 from bergamotthread.clock import Clock
-from bergamotthread.errors import Step
 from bergamotthread.process.overload import (
     Overloaded,
     OverloadGuard,
@@ -188,22 +189,10 @@
                 ReasonCode.RETRIES_EXHAUSTED,
                 f'the retry budget of {decision.decided_by} is spent',
             )
-            return _with_decision(refusal, decision)
+            return msgspec.structs.replace(
+                refusal,
+                decided_by=decision.decided_by,
+                retry_after_ms=decision.retry_after_ms,
+            )
         live.must_spend_retry = False
         return go
-
-
-def _with_decision(refusal: Refusal, decision: Denied) -> Refusal:
-    return Refusal(
-        reason=refusal.reason,
-        detail=refusal.detail,
-        step=Step.RESUME,
-        ran=refusal.ran,
-        request_id=refusal.request_id,
-        peer=refusal.peer,
-        config_version=refusal.config_version,
-        decided_by=decision.decided_by,
-        retry_after_ms=decision.retry_after_ms,
-        figures=refusal.figures,
-        team=refusal.team,
-    )
--- a/bergamotthread/process/service_calls.py
+++ b/bergamotthread/process/service_calls.py
@@ -7,10 +7,9 @@
 from bergamotthread.errors import Step
 from bergamotthread.request.call_request import CallRequest, rule_of
 from bergamotthread.request.refusal import (
-    Ran,
     ReasonCode,
-    Refusal,
     RefusedError,
+    not_run,
 )
 from bergamotthread.version.objects import (
     Service,
@@ -167,12 +166,9 @@
     detail: str,
     published: PublishedVersion,
 ) -> RefusedError:
-    return RefusedError(
-        Refusal(
-            reason=reason,
-            detail=detail,
-            step=Step.ROUTE,
-            ran=Ran.NOT_RUN,
-            config_version=published.version,
-        ),
+    return not_run(
+        reason,
+        detail,
+        Step.ROUTE,
+        config_version=published.version,
     )
--- a/bergamotthread/request/authentication.py
+++ b/bergamotthread/request/authentication.py
@@ -7,10 +7,9 @@
 
 from bergamotthread.errors import Step
 from bergamotthread.request.refusal import (
-    Ran,
     ReasonCode,
-    Refusal,
     RefusedError,
+    not_run,
 )
 from bergamotthread.version.objects import Operator, Team
 from bergamotthread.version.published import PublishedVersion
@@ -97,13 +96,10 @@
     detail: str,
     published: PublishedVersion,
 ) -> RefusedError:
-    return RefusedError(
-        Refusal(
-            reason=reason,
-            detail=detail,
-            step=Step.AUTHENTICATE,
-            ran=Ran.NOT_RUN,
-            config_version=published.version,
-            decided_by='teams, operators',
-        ),
+    return not_run(
+        reason,
+        detail,
+        Step.AUTHENTICATE,
+        config_version=published.version,
+        decided_by='teams, operators',
     )
--- a/bergamotthread/request/completion.py
+++ b/bergamotthread/request/completion.py
@@ -6,12 +6,7 @@
 import xxhash
 
 from bergamotthread.errors import Step
-from bergamotthread.request.refusal import (
-    Ran,
-    ReasonCode,
-    Refusal,
-    RefusedError,
-)
+from bergamotthread.request.refusal import ReasonCode, not_run
 
 MAX_TOKENS_LIMIT = 131_072
 
@@ -78,11 +73,17 @@
     try:
         request = _decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise _bad_request(str(error)) from error
+        raise not_run(
+            ReasonCode.BAD_REQUEST,
+            str(error),
+            Step.DECODE,
+        ) from error
     if not 1 <= request.max_tokens <= MAX_TOKENS_LIMIT:
-        raise _bad_request(
+        raise not_run(
+            ReasonCode.BAD_REQUEST,
             f'max_tokens is {request.max_tokens}, '
             f'expected 1 to {MAX_TOKENS_LIMIT}',
+            Step.DECODE,
         )
     return request
 
@@ -93,14 +94,3 @@
         (team, request.model, request.prompt, request.max_tokens),
     )
     return xxhash.xxh64_intdigest(parts)
-
-
-def _bad_request(detail: str) -> RefusedError:
-    return RefusedError(
-        Refusal(
-            reason=ReasonCode.BAD_REQUEST,
-            detail=detail,
-            step=Step.DECODE,
-            ran=Ran.NOT_RUN,
-        ),
-    )
--- a/bergamotthread/request/refusal.py
+++ b/bergamotthread/request/refusal.py
@@ -105,3 +105,24 @@
         retry_after_ms=refusal.retry_after_ms,
     )
     return msgspec.json.encode(fields)
+
+
+def not_run(
+    reason: ReasonCode,
+    detail: str,
+    step: Step,
+    *,
+    config_version: int = 0,
+    decided_by: str = '',
+) -> RefusedError:
+    """Return the error that refuses a request before anything ran."""
+    return RefusedError(
+        Refusal(
+            reason=reason,
+            detail=detail,
+            step=step,
+            ran=Ran.NOT_RUN,
+            config_version=config_version,
+            decided_by=decided_by,
+        ),
+    )
