--- a/bergamotthread/process/entry_process.py
+++ b/bergamotthread/process/entry_process.py
@@ -10,9 +10,13 @@
 from bergamotthread.connection.transport import Transport
 from bergamotthread.connection.zmq_transport import ZmqTransport
 from bergamotthread.process.audit import AuditTrail
+from bergamotthread.process.audit_sinks import OrderAudit, QuarantineAudit
 from bergamotthread.process.call_cleaner import CallCleaner
 from bergamotthread.process.call_runner import CallRunner
 from bergamotthread.process.completions import Completions
+from bergamotthread.process.drain_report import DrainReporter
+from bergamotthread.process.drain_runner import DrainRunner
+from bergamotthread.process.drain_state import DrainState
 from bergamotthread.process.entry_app import EntryApp, EntryParts
 from bergamotthread.process.entry_control import (
     ControlSources,
@@ -33,15 +37,15 @@
 from bergamotthread.process.routing import ScoredPlacement
 from bergamotthread.process.settings import EntrySettings
 from bergamotthread.process.store_client import StoreClient, StoreUse
+from bergamotthread.process.transport_metrics import add_transport_metrics
 from bergamotthread.request.cursor import CursorSigner
 from bergamotthread.version.distribution import VersionHolder
 from bergamotthread.version.objects import ObjectSet, Upstream
 from bergamotthread.version.published import PublishedVersion
-from bergamotthread.wire.messages import Envelope, Pin
+from bergamotthread.wire.messages import DrainNotice, Envelope, Pin
 
 VERSION_CHECK_INTERVAL_MS = 20
 SUBSET_INTERVAL_MS = 1000
-DRAIN_CHECK_INTERVAL_MS = 100
 _CURSOR_KEY_BYTES = 32
 
 
@@ -54,14 +58,16 @@
         transport: Transport,
         store: StoreClient,
         clock: Clock,
+        publication_store: StoreClient | None = None,
     ) -> None:
         self.transport = transport
+        self._publication_store = publication_store or store
         self._settings = settings
         self._store = store
         self._clock = clock
         self._subset_entries: tuple[str, ...] = ()
-        self._start_control()
         self._start_records()
+        self._start_control()
         self._start_generations()
         self.calls = CallRunner(
             store.table(StoreUse.CALLS),
@@ -69,6 +75,7 @@
             transport,
             clock,
         )
+        self._start_drain()
         self.cleaner = CallCleaner(store.table(StoreUse.AUDIT), clock)
         self.app = EntryApp(self._parts(), self._recorder, clock)
         self.server = HttpServer(
@@ -93,7 +100,10 @@
             clock,
         )
         store = StoreClient.from_settings(settings.platform, clock)
-        return cls(settings, transport, store, clock)
+        publication_store = StoreClient.from_settings(settings.platform, clock)
+        process = cls(settings, transport, store, clock, publication_store)
+        add_transport_metrics(process.metrics.registry, transport)
+        return process
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -109,6 +119,7 @@
                     self.explanations.run(),
                     self.audit.run(),
                     self.quarantines.run(),
+                    self._drain.run(),
                     self._follow_versions(),
                     self._follow_members(),
                 ):
@@ -118,10 +129,8 @@
 
     async def drain(self) -> None:
         """Admit nothing, fail the balancer's check, return when idle."""
-        self.app.draining = True
         self.membership.leave()
-        while self.app.open_requests:
-            await self._clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
+        await self._drain.until_drained()
         await self.calls.finish()
         await self.versions.close()
 
@@ -131,6 +140,9 @@
             return
         self.versions.on_message(envelope)
         self.control.on_message(envelope)
+        if isinstance(envelope.message, DrainNotice):
+            self.drain_state.apply_notice(envelope.message)
+            self._refresh_drain()
         self.quarantines.on_message(envelope)
         self.generations.on_message(envelope)
 
@@ -139,6 +151,7 @@
         if published.version <= self.generations.config_version:
             return
         self.control.apply_version(published)
+        self.drain_state.apply_stops(published.object_set.stops)
         self.generations.put_in_force(published)
 
     def _start_control(self) -> None:
@@ -152,20 +165,49 @@
                 table=self._store.table(StoreUse.LEASES),
                 hosts=self._store.hosts(),
                 peers=settings.peers,
-                config_version=lambda: self.versions.version,
+                config_version=self._version,
                 demand=self.demand.per_s,
+                on_order=OrderAudit(
+                    self.audit,
+                    self.transport.address,
+                    self._version,
+                ).order_sent,
             ),
         )
         self.membership = self.control.membership
         self.versions = VersionHolder(
-            self._store.table(StoreUse.PUBLICATION),
-            self._store.object_store(StoreUse.PUBLICATION),
+            self._publication_store.table(StoreUse.PUBLICATION),
+            self._publication_store.object_store(StoreUse.PUBLICATION),
             self.transport,
             self._clock,
             self._peers,
             place=settings.place,
         )
 
+    def _start_drain(self) -> None:
+        self.drain_state = DrainState(self._clock, self.transport.address)
+        reporter = DrainReporter(
+            self._store.table(StoreUse.LEASES),
+            self._clock,
+            self.transport.address,
+            self.transport.incarnation,
+        )
+        self._drain = DrainRunner(
+            self.drain_state,
+            reporter,
+            self._held_by,
+            self._refresh_drain,
+            self._clock,
+        )
+
+    def _held_by(self) -> tuple[str, ...]:
+        if self.app.open_requests:
+            return (f'{self.app.open_requests} requests',)
+        return ()
+
+    def _refresh_drain(self) -> None:
+        self.app.draining = not self.drain_state.may_dispatch()
+
     def _start_records(self) -> None:
         audit_store = self._store.object_store(StoreUse.AUDIT)
         self.explanations = Explanations(
@@ -186,7 +228,7 @@
         self.quarantines = Quarantines(
             self.transport,
             self._store.table(StoreUse.CALLS),
-            self.audit,
+            QuarantineAudit(self.audit, self._version),
             self._peers,
             self._clock,
         )
@@ -227,6 +269,9 @@
             put_in_force=self.put_in_force,
         )
 
+    def _version(self) -> int:
+        return self.versions.version
+
     def _peers(self) -> tuple[str, ...]:
         """Return live entries, those of the settings before any is known."""
         return self.membership.responsive_entries() or self._settings.peers
@@ -263,6 +308,7 @@
         await self.server.abort()
         self.transport.close()
         await self._store.close()
+        await self._publication_store.close()
 
 
 def _cursor_keys(settings: EntrySettings) -> tuple[bytes, ...]:
--- a/standins/engine_core.py
+++ b/standins/engine_core.py
@@ -72,6 +72,7 @@
     decoded_tokens: int = 0
     started: int = 0
     cancelled: int = 0
+    started_ids: set[str] = field(default_factory=set)
 
 
 class Engine:
@@ -150,6 +151,11 @@
                 self.loaded.discard(pin)
         return True
 
+    @property
+    def running(self) -> int:
+        """Return how many sequences run or wait now."""
+        return len(self._running) + len(self._waiting)
+
     def die(self) -> None:
         """Break all connections and answer nothing until `revive`."""
         self.faults.dead = True
@@ -182,6 +188,7 @@
         uncovered = self._uncovered(request.prompt, tokens)
         self.counts.prefill_tokens += uncovered
         self.counts.started += 1
+        self.counts.started_ids.add(request.request_id)
         return _Sequence(
             request=request,
             last_token=prefix[-1] if prefix else '',
