--- a/bergamotthread/testing/memory_network.py
+++ b/bergamotthread/testing/memory_network.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from bergamotthread.connection.transport import Receiver, Transport
@@ -36,6 +37,7 @@
     delay_ms_by_link: dict[tuple[str, str], float] = field(default_factory=dict)
     ends_by_address: dict[str, MemoryTransport] = field(default_factory=dict)
     bytes_by_sender: dict[str, int] = field(default_factory=dict)
+    bytes_by_link: Counter[tuple[str, str]] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         self._random = random.Random(self.seed)
@@ -63,6 +65,7 @@
         """Deliver bytes after the delay of the link, unless they are lost."""
         total = self.bytes_by_sender.get(sender, 0)
         self.bytes_by_sender[sender] = total + len(encoded)
+        self.bytes_by_link[sender, receiver] += len(encoded)
         if (sender, receiver) in self.cut_links:
             return
         if self._random.random() < self.loss:
--- a/standins/small_deployment.py
+++ b/standins/small_deployment.py
@@ -140,6 +140,8 @@
     agent_config: AgentConfig = field(default_factory=AgentConfig)
     network: MemoryNetwork = field(default_factory=MemoryNetwork)
     round_robin: bool = False
+    objects: ObjectSet | None = None
+    entry_region: str = 'cuyo'
 
     def __post_init__(self) -> None:
         loop = asyncio.get_running_loop()
@@ -177,11 +179,11 @@
         addresses = [agent_address(one) for one in range(self.agent_count)]
         published = PublishedVersion.from_object_set(
             1,
-            small_set(self.agent_count),
+            self.objects or small_set(self.agent_count),
         )
         placement: Placement = ScoredPlacement.from_published(
             published,
-            'cuyo',
+            self.entry_region,
             self.clock,
             seed=index,
         )
