Don't resume at a standby that is lost as well

Cause: after a loss the driver dispatched to the standby even where the placement knew it to be lost, and in one tick of the watch a loss was recorded only when its generation went on, so that others still chose that agent. Change: the placement says whether it accepts an agent, the driver asks it, and the watch records a loss as it is seen.

--- a/bergamotthread/process/generation_driver.py
+++ b/bergamotthread/process/generation_driver.py
@@ -177,7 +177,8 @@
         """Return the standby if it may be used, else the best agent."""
         standby = live.standby
         live.standby = ''
-        if standby and standby not in request.excluded:
+        usable = standby and standby not in request.excluded
+        if usable and self._placement.accepts(standby):
             return standby
         return self._placement.choose(request)
 
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -323,6 +323,7 @@
         else:
             lost = self._watch.loss(live, now_ms)
             if lost is not None:
+                self._placement.record_loss(live.generation.place.agent)
                 live.settle(lost)
 
     async def _acknowledge_forever(self) -> None:
--- a/bergamotthread/process/placement.py
+++ b/bergamotthread/process/placement.py
@@ -53,6 +53,10 @@
             If no upstream may run the pin now.
         """
 
+    def accepts(self, agent: str) -> bool:
+        """Return whether a known agent may be given work."""
+        return True
+
     @abc.abstractmethod
     def failure_domain(self, agent: str) -> str:
         """Return the failure domain of an agent, empty if unknown."""
--- a/bergamotthread/process/routing.py
+++ b/bergamotthread/process/routing.py
@@ -144,6 +144,10 @@
         price = self.pool.egress_price_by_region.get(self.region, 0)
         return score + region_cost_ms(request, price, self.weights)
 
+    def accepts(self, agent: str) -> bool:
+        """Return whether an agent is neither lost nor draining."""
+        return self._availability.accepts(agent)
+
     def failure_domain(self, agent: str) -> str:
         """Return the failure domain of an agent, empty if unknown."""
         return self.pool.domain_of(agent)
