--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -179,6 +179,7 @@
             else:
                 lost = self._watch.loss(live, now_ms)
                 if lost is not None:
+                    self._placement.record_loss(live.generation.place.agent)
                     live.settle(lost)
 
     def _run(
