--- a/benchmarks/test_routing.py
+++ b/benchmarks/test_routing.py
@@ -82,6 +82,14 @@
     assert row.between_p95_ms <= BETWEEN_TOKENS_TARGET_MS
 
 
+def test_scattered_loss_noticed_late_is_resumed_in_time() -> None:
+    """A fifth of the upstreams all over the fleet, noticed after 1 s."""
+    case = LossCase(scattered=True, seeds=(7,), warm_up_ms=30_000)
+    row = run_loss(case)
+    assert row.unresumed == 0
+    assert row.resume_ms[1] <= RESUME_TARGET_MS
+
+
 def test_fleet_recovers_from_an_overload() -> None:
     """Back at the target within 10 s of the return to 80% load."""
     case = OverloadCase(
