Flush an agent's output soon after it comes

Cause: agents flushed on a fixed 20 ms schedule that is out of step with the engine's, so the time between tokens grew by up to an interval.

--- a/benchmarks/data_path.py
+++ b/benchmarks/data_path.py
@@ -15,8 +15,9 @@
 import click
 import msgspec
 import psutil
+from hdrh.histogram import HdrHistogram
 
-from benchmarks.data_path_caller import CallerFigures
+from benchmarks.data_path_caller import UNIT_US, CallerFigures
 from benchmarks.data_path_load import LoadCounts
 from benchmarks.data_path_processes import (
     Child,
@@ -24,9 +25,13 @@
     settings_folder,
     start_entry,
 )
+from bergamotthread.process.agent import AgentConfig
 from standins.users import TERMOLAB
 
 LOAD_PROCESSES = 4
+CALLER_PROCESSES = 3
+MAX_US = 60_000_000
+PERCENTILES = (50, 95, 99)
 STREAMS_PER_AGENT = 6
 WARM_UP_S = 2
 NODE_TOKENS_PER_S = 6560
@@ -38,10 +43,29 @@
 _MB = 1024 * 1024
 
 
+class Percentiles(msgspec.Struct, frozen=True):
+    """Percentiles in milliseconds."""
+
+    p50: float
+    p95: float
+    p99: float
+
+    @classmethod
+    def from_counts(cls, parts: list[dict[int, int]]) -> Percentiles:
+        """Return those of all counts by `UNIT_US`."""
+        histogram = HdrHistogram(1, MAX_US, 3)
+        for counts in parts:
+            for units, count in counts.items():
+                histogram.record_value(max(1, units * UNIT_US), count)
+        at = histogram.get_value_at_percentile
+        return cls(*(round(at(one) / 1000, 2) for one in PERCENTILES))
+
+
 class EntryFigures(msgspec.Struct, frozen=True):
     """One run: what the entry used and what its callers saw.
 
-    `agent_bytes` is the mean size of agent to entry output for a token.
+    `agent_bytes` is the mean size of agent to entry output for a token,
+    `caller_bytes` that of entry to caller.
     """
 
     streams: int
@@ -51,17 +75,22 @@
     rss_mb: float
     agent_bytes: float
     frames_per_batch: float
-    caller: CallerFigures
+    tokens: int
+    events: int
+    caller_bytes: float
+    disorder: int
+    latency_ms: Percentiles
+    added_ms: Percentiles
 
     @property
     def tokens_per_cpu_s(self) -> float:
         """Return tokens relayed per CPU second of the entry."""
-        return self.caller.tokens / self.cpu_s
+        return self.tokens / self.cpu_s
 
     @property
     def us_per_event(self) -> float:
         """Return CPU microseconds for one event."""
-        return self.cpu_s * 1e6 / self.caller.events
+        return self.cpu_s * 1e6 / self.events
 
 
 class Results(msgspec.Struct, frozen=True):
@@ -74,6 +103,7 @@
     streams: int,
     tokens_per_s: float,
     seconds: float,
+    flush_ms: float,
     profile: str = '',
 ) -> EntryFigures:
     """Run one entry under load and return its figures."""
@@ -82,13 +112,17 @@
     async with contextlib.AsyncExitStack() as stack:
         folder = pathlib.Path(stack.enter_context(settings_folder()))
         loads = []
-        for _ in range(LOAD_PROCESSES):
+        for seed in range(LOAD_PROCESSES):
             load = await Child.start(
                 'benchmarks.data_path_load',
                 '--agents',
                 str(agents // LOAD_PROCESSES),
                 '--interval-ms',
                 str(interval_ms),
+                '--flush-ms',
+                str(flush_ms),
+                '--seed',
+                str(seed),
             )
             stack.push_async_callback(load.stop)
             loads.append(load)
@@ -101,47 +135,59 @@
         platform = await stack.enter_async_context(platform_with(addresses))
         entry, port = await start_entry(platform, folder, profile)
         stack.push_async_callback(entry.stop)
-        caller = await Child.start(
-            'benchmarks.data_path_caller',
-            '--port',
-            str(port),
-            '--streams',
-            str(streams),
-            '--model',
-            TERMOLAB.model,
-            '--credential',
-            TERMOLAB.credential(TERMOLAB.teams[0]),
-        )
-        stack.push_async_callback(caller.stop)
-        await caller.read_line()
-        cpu_s, rss_mb = await _watch(entry, caller, seconds)
-        seen = msgspec.json.decode(
-            await caller.read_line(),
-            type=CallerFigures,
-        )
+        callers = []
+        for index in range(CALLER_PROCESSES):
+            caller = await Child.start(
+                'benchmarks.data_path_caller',
+                '--port',
+                str(port),
+                '--streams',
+                str(streams // CALLER_PROCESSES),
+                '--model',
+                TERMOLAB.model,
+                '--credential',
+                TERMOLAB.credential(TERMOLAB.teams[index % 2]),
+            )
+            stack.push_async_callback(caller.stop)
+            callers.append(caller)
+        for caller in callers:
+            await caller.read_line()
+        cpu_s, rss_mb = await _watch(entry, callers, seconds)
+        seen = [
+            msgspec.json.decode(await one.read_line(), type=CallerFigures)
+            for one in callers
+        ]
         counts = await _end_loads(loads)
     sent = sum(one.tokens for one in counts)
+    tokens = sum(one.tokens for one in seen)
     return EntryFigures(
-        streams,
-        tokens_per_s,
-        seconds,
-        cpu_s,
-        rss_mb,
-        sum(one.batch_bytes for one in counts) / sent,
-        sum(one.frames for one in counts) / sum(one.batches for one in counts),
-        seen,
+        streams=streams,
+        offered_tokens_per_s=tokens_per_s,
+        seconds=seconds,
+        cpu_s=cpu_s,
+        rss_mb=rss_mb,
+        agent_bytes=sum(one.batch_bytes for one in counts) / sent,
+        frames_per_batch=sum(one.frames for one in counts)
+        / sum(one.batches for one in counts),
+        tokens=tokens,
+        events=sum(one.events for one in seen),
+        caller_bytes=sum(one.received_bytes for one in seen) / tokens,
+        disorder=sum(one.disorder for one in seen),
+        latency_ms=Percentiles.from_counts([one.latencies for one in seen]),
+        added_ms=Percentiles.from_counts([one.added for one in seen]),
     )
 
 
 async def _watch(
     entry: Child,
-    caller: Child,
+    callers: list[Child],
     seconds: float,
 ) -> tuple[float, float]:
     """Return CPU seconds of the entry in the window, and its RSS after."""
     process = psutil.Process(entry.pid)
     start_s = time.monotonic() + WARM_UP_S
-    caller.write_line(f'{start_s} {start_s + seconds}')
+    for caller in callers:
+        caller.write_line(f'{start_s} {start_s + seconds}')
     await asyncio.sleep(start_s - time.monotonic())
     before_s = _cpu_s(process)
     await asyncio.sleep(start_s + seconds - time.monotonic())
@@ -165,22 +211,21 @@
 
 def describe(run: EntryFigures) -> str:
     """Return the figures of a run as lines of text."""
-    seen = run.caller
     return '\n'.join(
         (
             f'streams {run.streams}, offered {run.offered_tokens_per_s:.0f} '
-            f'tokens/s, delivered {seen.tokens / run.seconds:.0f} tokens/s',
+            f'tokens/s, delivered {run.tokens / run.seconds:.0f} tokens/s',
             f'  entry: {run.tokens_per_cpu_s:.0f} tokens a CPU second, '
             f'{run.cpu_s / run.seconds:.1%} of a core, '
             f'{run.us_per_event:.1f} us an event, '
-            f'{seen.tokens / seen.events:.2f} tokens an event, '
+            f'{run.tokens / run.events:.2f} tokens an event, '
             f'RSS {run.rss_mb:.1f} MB',
-            f'  engine to caller, ms: {seen.latency_ms}',
-            f'  added between tokens, ms: {seen.added_ms}',
+            f'  engine to caller, ms: {run.latency_ms}',
+            f'  added between tokens, ms: {run.added_ms}',
             f'  bytes a token: agent to entry {run.agent_bytes:.1f}, entry to '
-            f'caller {seen.received_bytes / seen.tokens:.1f}; '
+            f'caller {run.caller_bytes:.1f}; '
             f'{run.frames_per_batch:.2f} frames a batch; '
-            f'disorder {seen.disorder}',
+            f'disorder {run.disorder}',
         ),
     )
 
@@ -196,24 +241,30 @@
 @click.option('--seconds', default=8.0, show_default=True)
 @click.option('--streams', default=240, show_default=True)
 @click.option('--tokens-per-s', default=float(TARGET_TOKENS_PER_S))
+@click.option('--flush-ms', default=AgentConfig().flush_interval_ms)
 @click.option('--sizes', is_flag=True, help='Measure all sizes and write.')
 @click.option('--profile', default='', help='File for cProfile of the entry.')
 def main(
     seconds: float,
     streams: int,
     tokens_per_s: float,
+    flush_ms: float,
     sizes: bool,
     profile: str,
 ) -> None:
     """Measure the relay of one entry process."""
     if not sizes:
-        run = asyncio.run(measure(streams, tokens_per_s, seconds, profile))
+        run = asyncio.run(
+            measure(streams, tokens_per_s, seconds, flush_ms, profile)
+        )
         print(describe(run))
         return
     runs = []
     for rate in (NODE_TOKENS_PER_S, TARGET_TOKENS_PER_S):
         for size in SIZES:
-            run = asyncio.run(measure(size, rate * size / SIZES[-1], seconds))
+            run = asyncio.run(
+                measure(size, rate * size / SIZES[-1], seconds, flush_ms)
+            )
             print(describe(run), flush=True)
             runs.append(run)
     RESULTS.parent.mkdir(exist_ok=True)
--- a/benchmarks/data_path_caller.py
+++ b/benchmarks/data_path_caller.py
@@ -16,73 +16,41 @@
 
 import click
 import msgspec
-from hdrh.histogram import HdrHistogram
 
 from benchmarks.data_path_load import STAMP_MODULUS_US, stamp_us
 
-MAX_US = 60_000_000
+UNIT_US = 10
 OPEN_TIMEOUT_S = 30
 OPENED_AT_ONCE = 8
 RETRY_S = 0.1
-PERCENTILES = (50, 95, 99)
 _TEXT = re.compile(rb'"text":"([0-9 ]*)"')
 _REFUSED = b'HTTP/1.1 503'
 
 
-class Percentiles(msgspec.Struct, frozen=True):
-    """Percentiles in milliseconds."""
+class CallerFigures(msgspec.Struct):
+    """What callers saw in the window.
 
-    p50: float
-    p95: float
-    p99: float
-
-
-class CallerFigures(msgspec.Struct, frozen=True):
-    """What the callers saw in the window.
-
-    `latency_ms` is the time from a token's step at the engine to its arrival;
-    `added_ms` is how much longer the time between two tokens was here than at
-    the engine, 0 where it was shorter; `disorder` counts tokens whose stamp is
-    not later than that of the token before.
+    `latencies` counts, by 10 microseconds, the time from a token's step at
+    the engine to its arrival; `added` how much longer the time between two
+    tokens was here than at the engine, 0 where it was shorter. `disorder`
+    counts tokens whose stamp is not later than that of the token before.
     """
 
-    streams: int
-    tokens: int
-    events: int
-    received_bytes: int
-    disorder: int
-    latency_ms: Percentiles
-    added_ms: Percentiles
+    tokens: int = 0
+    events: int = 0
+    received_bytes: int = 0
+    disorder: int = 0
+    latencies: dict[int, int] = msgspec.field(default_factory=dict)
+    added: dict[int, int] = msgspec.field(default_factory=dict)
 
 
 @dataclass
 class Measures:
-    """Counts and histograms of all streams in the window."""
+    """Figures, and the window to which they are limited."""
 
     start_s: float = float('inf')
     end_s: float = float('inf')
-    tokens: int = 0
-    events: int = 0
-    received_bytes: int = 0
-    disorder: int = 0
-    latency_us: HdrHistogram = field(
-        default_factory=lambda: HdrHistogram(1, MAX_US, 3),
-    )
-    added_us: HdrHistogram = field(
-        default_factory=lambda: HdrHistogram(1, MAX_US, 3),
-    )
-
-    def figures(self, streams: int) -> CallerFigures:
-        """Return the figures of the window."""
-        return CallerFigures(
-            streams,
-            self.tokens,
-            self.events,
-            self.received_bytes,
-            self.disorder,
-            _percentiles(self.latency_us),
-            _percentiles(self.added_us),
-        )
+    figures: CallerFigures = field(default_factory=CallerFigures)
 
 
 class StreamReader(asyncio.Protocol):
@@ -113,9 +81,10 @@
         if chunk.startswith(_REFUSED) and not self.opened.done():
             self.opened.set_result(False)
         measures = self._measures
+        figures = measures.figures
         counts = measures.start_s <= time.monotonic() < measures.end_s
         if counts:
-            measures.received_bytes += len(chunk)
+            figures.received_bytes += len(chunk)
         events = (self._pending + chunk).split(b'\n\n')
         self._pending = events.pop()
         for event in events:
@@ -133,31 +102,26 @@
         if not self.opened.done():
             self.opened.set_result(True)
         if counts:
-            self._measures.events += 1
+            self._measures.figures.events += 1
         for token in tokens:
             self._take_token(int(token), now_us, counts=counts)
 
     def _take_token(self, stamp: int, now_us: int, *, counts: bool) -> None:
         latency_us = (now_us - stamp) % STAMP_MODULUS_US
         if counts:
-            measures = self._measures
+            measures = self._measures.figures
             measures.tokens += 1
             later_us = (stamp - self._stamp_us) % STAMP_MODULUS_US
             measures.disorder += not 0 < later_us < STAMP_MODULUS_US // 2
-            measures.latency_us.record_value(max(1, latency_us))
+            _count(measures.latencies, latency_us // UNIT_US)
             added_us = latency_us - self._latency_us
-            measures.added_us.record_value(max(1, added_us))
+            _count(measures.added, max(0, added_us // UNIT_US))
         self._stamp_us = stamp
         self._latency_us = latency_us
 
 
-def _percentiles(histogram: HdrHistogram) -> Percentiles:
-    return Percentiles(
-        *(
-            round(histogram.get_value_at_percentile(one) / 1000, 2)
-            for one in PERCENTILES
-        ),
-    )
+def _count(counts: dict[int, int], unit: int) -> None:
+    counts[unit] = counts.get(unit, 0) + 1
 
 
 def _request(index: int, model: str, credential: str) -> bytes:
@@ -211,7 +175,7 @@
     measures.start_s = float(start_text)
     measures.end_s = float(end_text)
     await asyncio.sleep(measures.end_s - time.monotonic() + 0.05)
-    figures = msgspec.json.encode(measures.figures(streams))
+    figures = msgspec.json.encode(measures.figures)
     print(figures.decode(), flush=True)
     for transport in transports:
         transport.abort()
--- a/benchmarks/data_path_load.py
+++ b/benchmarks/data_path_load.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import sys
 import time
@@ -55,17 +56,25 @@
     """Emits one token for each sequence in each step, all at once.
 
     A step takes `interval_ms`, as continuous batching does; a token is the
-    time of its step in microseconds, so that the reader knows its age.
+    time of its step in microseconds, so that the reader knows its age. The
+    first step comes after `phase_ms`, since engines on different hosts do not
+    step together.
     """
 
-    def __init__(self, interval_ms: float, clock: Clock) -> None:
+    def __init__(
+        self,
+        interval_ms: float,
+        phase_ms: float,
+        clock: Clock,
+    ) -> None:
+        self._phase_ms = phase_ms
         self._interval_ms = interval_ms
         self._clock = clock
         self._queues: dict[str, asyncio.Queue[EngineOutput]] = {}
 
     async def run(self) -> None:
         """Step until cancelled, on a schedule without drift."""
-        due_ms = self._clock.now_ms()
+        due_ms = self._clock.now_ms() + self._phase_ms
         while True:
             due_ms += self._interval_ms
             await self._clock.sleep_ms(max(0, due_ms - self._clock.now_ms()))
@@ -113,9 +122,15 @@
         super().send(peer, message)
 
 
-async def _run(agents: int, interval_ms: float) -> None:
+async def _run(
+    agents: int,
+    interval_ms: float,
+    flush_ms: float,
+    seed: int,
+) -> None:
     clock = Clock.from_system()
     counts = LoadCounts()
+    phases = random.Random(seed)
     transports = []
     tasks = []
     for index in range(agents):
@@ -123,8 +138,10 @@
         transport = CountingTransport.from_settings(place, KeySettings(), clock)
         assert isinstance(transport, CountingTransport)
         transport.counts = counts
-        engine = StampingEngine(interval_ms, clock)
-        agent = Agent(AgentConfig(), transport, engine, clock)
+        phase_ms = interval_ms * phases.random()
+        engine = StampingEngine(interval_ms, phase_ms, clock)
+        config = AgentConfig(flush_interval_ms=flush_ms)
+        agent = Agent(config, transport, engine, clock)
         transport.start(agent.on_message)
         tasks += [
             asyncio.create_task(agent.run()),
@@ -150,9 +167,16 @@
 @click.command()
 @click.option('--agents', required=True, type=int)
 @click.option('--interval-ms', required=True, type=float)
-def main(agents: int, interval_ms: float) -> None:
+@click.option('--flush-ms', required=True, type=float)
+@click.option('--seed', required=True, type=int)
+def main(
+    agents: int,
+    interval_ms: float,
+    flush_ms: float,
+    seed: int,
+) -> None:
     """Run agents over stamping engines until SIGTERM."""
-    asyncio.run(_run(agents, interval_ms))
+    asyncio.run(_run(agents, interval_ms, flush_ms, seed))
 
 
 if __name__ == '__main__':
--- a/benchmarks/data_path_processes.py
+++ b/benchmarks/data_path_processes.py
@@ -30,6 +30,7 @@
 from standins.users import TERMOLAB, user_set
 
 REGION = TERMOLAB.regions[0]
+MAX_LINE_BYTES = 4 * 1024 * 1024
 _KEYS = KeySettings(cursor_keys=('ab' * 32,))
 
 
@@ -51,6 +52,7 @@
             *arguments,
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
+            limit=MAX_LINE_BYTES,
         )
         return cls(process)
 
--- a/bergamotthread/process/agent.py
+++ b/bergamotthread/process/agent.py
@@ -44,6 +44,7 @@
     Waiting,
 )
 
+COALESCE_MS = 2
 LOAD_INTERVAL_MS = 250
 MAINTENANCE_INTERVAL_MS = 250
 ENGINE_RETRY_MS = 1000
@@ -247,11 +248,20 @@
         self._flusher.mark(buffer)
 
     async def _flush_forever(self) -> None:
+        """Send new output soon after it comes, then wait for an interval.
+
+        The tokens of one step of the engine arrive within `COALESCE_MS`, so
+        they leave together and each is about as late as the one before.
+        """
+        interval_ms = self._config.flush_interval_ms
+        coalesce_ms = min(COALESCE_MS, interval_ms)
         while True:
-            await self._clock.sleep_ms(self._config.flush_interval_ms)
+            await self._flusher.wait_marked(interval_ms)
+            await self._clock.sleep_ms(coalesce_ms)
             self._start_ready()
             self._flush()
             self._flusher.beat(self._awaited_by())
+            await self._clock.sleep_ms(interval_ms - coalesce_ms)
 
     def _flush(self) -> None:
         self._record_progress()
--- a/bergamotthread/process/output_flusher.py
+++ b/bergamotthread/process/output_flusher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import defaultdict
 
 from bergamotthread.clock import Clock
@@ -26,10 +27,20 @@
         self._clock = clock
         self._fresh: dict[OutputBuffer, None] = {}
         self._sent_ms_by_entry: dict[str, float] = {}
+        self._has_fresh = asyncio.Event()
 
     def mark(self, buffer: OutputBuffer) -> None:
         """Send the new output of `buffer` with the next flush."""
         self._fresh[buffer] = None
+        self._has_fresh.set()
+
+    async def wait_marked(self, limit_ms: float) -> None:
+        """Wait until there is output to send, for at most `limit_ms`."""
+        try:
+            async with self._clock.timeout_ms(limit_ms):
+                await self._has_fresh.wait()
+        except TimeoutError:
+            return
 
     def marked(self) -> tuple[OutputBuffer, ...]:
         """Return the buffers that the next flush sends."""
@@ -43,6 +54,7 @@
             if frame is not None:
                 frames_by_entry[buffer.subscriber].append(frame)
         self._fresh.clear()
+        self._has_fresh.clear()
         for entry, frames in frames_by_entry.items():
             self._send(entry, tuple(frames))
 
