--- /dev/null
+++ b/benchmarks/test_detection.py
@@ -0,0 +1,31 @@
+"""Bounds of the detection, from the targets."""
+
+import pytest
+
+from benchmarks.detection import (
+    PEER_SIGNAL,
+    TOKEN_SIGNAL,
+    Signal,
+    measure_suspicions,
+)
+from bergamotthread.connection.detector import (
+    PEER_LIMITS,
+    TOKEN_LIMITS,
+    DetectorLimits,
+)
+
+LOSS_P95_MS = 3000
+
+
+@pytest.mark.parametrize(
+    ('limits', 'signal'),
+    [(PEER_LIMITS, PEER_SIGNAL), (TOKEN_LIMITS, TOKEN_SIGNAL)],
+)
+def test_short_pauses_are_no_loss(
+    limits: DetectorLimits,
+    signal: Signal,
+) -> None:
+    """Pauses below the floor cost nothing, and a loss is seen in time."""
+    found = measure_suspicions(limits, signal)
+    assert not found.per_hour
+    assert found.notice_ms < LOSS_P95_MS
