Record decision traces at the entry and replay them

Cause: a decision of the entry could not be examined after the fact. Change: `DecisionTrace` writes admissions, attempts, agents' words, frames (counts, no text), outcomes and ends as versioned JSON lines to a given writer, off by default. Three recorded fault traces live in tests/traces. Figures: six traces recorded in tests, under three losses with and without disorder, replay to the entry's own state, tokens, attempts and `ran`; with the offset rule removed the recorded disorder is told as a difference. Conclusion: the guards' refusals are taken from the trace, not decided anew.

--- a/bergamotthread/process/generation_driver.py
+++ b/bergamotthread/process/generation_driver.py
@@ -11,6 +11,7 @@
 from bergamotthread.connection.peer_histories import PeerHistories
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import Step
+from bergamotthread.process.decision_trace import DecisionTrace
 from bergamotthread.process.entry_metrics import EntryMetrics
 from bergamotthread.process.generation_guards import (
     GenerationGuards,
@@ -62,6 +63,7 @@
     metrics: EntryMetrics
     peers: PeerHistories
     probe: LossProbe
+    trace: DecisionTrace
 
 
 class GenerationDriver:
@@ -79,6 +81,7 @@
         self._metrics = parts.metrics
         self._peers = parts.peers
         self._probe = parts.probe
+        self._trace = parts.trace
         self._clock = clock
         self._limits = limits
 
@@ -103,6 +106,7 @@
         generation = live.generation
         outcome = live.expect_outcome(self._clock.now_ms())
         place = generation.adopt_attempt(agent, attempt)
+        self._trace.attempt(live, adopted=True)
         self._peers.restart(agent)
         fetch = Fetch(generation.spec.generation, place.number, 0)
         self._transport.send(agent, fetch)
@@ -125,6 +129,7 @@
             return
         if len(live.fallback_tokens) == live.required_offset:
             generation.restore(live.fallback_tokens)
+            self._trace.restored(live)
             return
         refusal = generation_refusal(
             live,
@@ -211,6 +216,7 @@
         agent = chosen.agent
         outcome = live.expect_outcome(now_ms)
         place = live.generation.begin_attempt(agent)
+        self._trace.attempt(live)
         self._peers.restart(agent)
         self._placement.record_dispatch(agent, chosen.request)
         dispatch = make_dispatch(live, place, now_ms, suspect=chosen.suspect)
@@ -223,6 +229,7 @@
     def _conclude(self, live: LiveGeneration, outcome: Outcome) -> None:
         generation = live.generation
         place = generation.place
+        self._trace.outcome(live, outcome)
         match outcome:
             case Finished():
                 self._guards.attempt_ended(live, place.agent)
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -12,6 +12,7 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.peer_histories import PeerHistories
 from bergamotthread.connection.transport import Transport
+from bergamotthread.process.decision_trace import DecisionTrace
 from bergamotthread.process.entry_metrics import EntryMetrics
 from bergamotthread.process.generation_driver import (
     DriverParts,
@@ -70,12 +71,14 @@
         limits: GenerationLimits | None = None,
         guards: GenerationGuards | None = None,
         metrics: EntryMetrics | None = None,
+        trace: DecisionTrace | None = None,
     ) -> None:
         self.by_id: dict[str, LiveGeneration] = {}
         self.config_version = 0
         self.limits = limits or GenerationLimits()
         self.guards = guards or GenerationGuards(clock)
         self.metrics = metrics or EntryMetrics(clock)
+        self.trace = trace or DecisionTrace(clock)
         self.standbys = Standbys(transport, placement, clock)
         self._transport = transport
         self._placement = placement
@@ -89,6 +92,7 @@
             self.metrics,
             self._peers,
             self._probe,
+            self.trace,
         )
         self._driver = GenerationDriver(parts, clock, self.limits)
         self._watch = GenerationWatch(self._peers, self.limits)
@@ -147,11 +151,13 @@
                 live = self._current(generation, attempt, envelope)
                 if live is not None:
                     self._admit(live)
+                    self.trace.confirmed(live)
                     live.progress.restart(self._clock.now_ms())
             case Waiting(generation=generation, attempt=attempt):
                 live = self._current(generation, attempt, envelope)
                 if live is not None:
                     live.confirmed = True
+                    self.trace.confirmed(live, dispatched=False)
             case Declined() as declined:
                 self._on_declined(declined, envelope)
             case Missing(generation=generation, attempt=attempt):
@@ -167,6 +173,7 @@
         work: Coroutine[None, None, None],
     ) -> None:
         self.by_id[live.generation.spec.generation] = live
+        self.trace.admitted(live)
         live.task = asyncio.create_task(work)
         live.task.add_done_callback(partial(self._on_over, live))
 
@@ -182,6 +189,7 @@
             )
             live.generation.abort(internal_refusal(live, error))
             live.notify()
+        self.trace.end(live)
 
     def _lose_earlier(self, peer: str, incarnation: int) -> None:
         for live in self.by_id.values():
@@ -194,6 +202,7 @@
         if live is not None and not revoked.dispatched:
             place = AttemptPlace(revoked.attempt, agent)
             live.unconfirmed.discard(place)
+            self.trace.revoked(live, revoked.attempt, agent)
 
     def _current(
         self,
@@ -229,6 +238,7 @@
         frame: Frame,
         envelope: Envelope,
     ) -> None:
+        self.trace.frame(frame, envelope)
         verdict = live.generation.accept(
             frame,
             envelope.sender,
--- /dev/null
+++ b/bergamotthread/process/trace_replay.py
@@ -0,0 +1,184 @@
+"""Replays a trace through the life cycle of generations.
+
+The frames, outcomes and words of agents are those of the trace; what is
+accepted, when an answer is whole and what a refusal says of it is decided
+anew.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from bergamotthread.errors import DecodeError, Step
+from bergamotthread.process.decision_trace import (
+    AdmittedRecord,
+    AttemptRecord,
+    ConfirmedRecord,
+    EndRecord,
+    FrameRecord,
+    HeaderRecord,
+    OutcomeRecord,
+    Record,
+    RestoredRecord,
+    RevokedRecord,
+)
+from bergamotthread.process.placement import PlacementRequest
+from bergamotthread.request.generation import (
+    AttemptPlace,
+    Generation,
+    GenerationSpec,
+    GenerationState,
+)
+from bergamotthread.request.generation_refusal import generation_refusal
+from bergamotthread.request.live_generation import LiveGeneration
+from bergamotthread.request.refusal import ReasonCode
+from bergamotthread.version.objects import ResumePolicy
+from bergamotthread.wire.messages import EndMark, EndReason, Frame, Pin
+
+_NO_PIN = Pin('', '')
+_TOKEN = '.'
+
+
+class ReplayOutcome(msgspec.Struct, frozen=True, omit_defaults=True):
+    """How a generation ended; `ran` is empty unless it was refused."""
+
+    generation: str
+    state: str
+    tokens: int
+    attempts: int
+    ran: str = ''
+
+
+class Replay:
+    """Generations of a trace, decided anew."""
+
+    def __init__(self) -> None:
+        self._live_by_id: dict[str, LiveGeneration] = {}
+
+    def apply(self, record: Record) -> None:
+        """Take in the next record."""
+        match record:
+            case HeaderRecord():
+                return
+            case AdmittedRecord():
+                self._admit(record)
+            case _:
+                self._apply_to(self._live(record.generation), record)
+
+    def outcomes(self) -> tuple[ReplayOutcome, ...]:
+        """Return how each generation ended, in the order of admission."""
+        return tuple(map(_outcome_of, self._live_by_id.values()))
+
+    def _live(self, identity: str) -> LiveGeneration:
+        live = self._live_by_id.get(identity)
+        if live is None:
+            raise DecodeError(
+                f'{identity} was not admitted in this trace',
+                step=Step.DECODE,
+            )
+        return live
+
+    def _admit(self, record: AdmittedRecord) -> None:
+        spec = GenerationSpec(
+            generation=record.generation,
+            team='',
+            pin=_NO_PIN,
+            prompt='',
+            max_tokens=record.max_tokens,
+            deadline_ms=record.at_ms,
+        )
+        request = PlacementRequest(record.generation, '', _NO_PIN, 0)
+        self._live_by_id[record.generation] = LiveGeneration(
+            Generation(spec),
+            request,
+            ResumePolicy(),
+            record.at_ms,
+        )
+
+    def _apply_to(self, live: LiveGeneration, record: Record) -> None:
+        match record:
+            case AttemptRecord():
+                _begin(live, record)
+            case ConfirmedRecord(incarnation=incarnation):
+                live.generation.pin_incarnation(incarnation)
+                if record.dispatched:
+                    live.admit()
+            case FrameRecord():
+                _take(live, record)
+            case OutcomeRecord():
+                _conclude(live, record)
+            case RevokedRecord(attempt=attempt, agent=agent):
+                live.unconfirmed.discard(AttemptPlace(attempt, agent))
+            case RestoredRecord(tokens=tokens):
+                live.generation.restore((_TOKEN,) * tokens)
+            case EndRecord():
+                _end(live, record)
+
+
+def _begin(live: LiveGeneration, record: AttemptRecord) -> None:
+    live.attempts += 1
+    live.confirmed = False
+    live.admitted = False
+    if record.adopted:
+        live.was_admitted = True
+        live.generation.adopt_attempt(record.agent, record.attempt)
+        return
+    place = live.generation.begin_attempt(record.agent)
+    if place.number != record.attempt:
+        raise DecodeError(
+            f'attempt {record.attempt} of {record.generation}, '
+            f'expected {place.number}',
+            step=Step.DECODE,
+        )
+
+
+def _take(live: LiveGeneration, record: FrameRecord) -> None:
+    end = None
+    if record.end_reason:
+        end = EndMark(EndReason(record.end_reason), record.end_count)
+    frame = Frame(
+        generation=record.generation,
+        attempt=record.attempt,
+        offset=record.offset,
+        tokens=(_TOKEN,) * record.tokens,
+        end=end,
+    )
+    verdict = live.generation.accept(frame, record.agent, record.incarnation)
+    if verdict == 'accepted':
+        live.admit()
+
+
+def _conclude(live: LiveGeneration, record: OutcomeRecord) -> None:
+    generation = live.generation
+    if record.outcome == 'finished':
+        return
+    if record.outcome == 'rejected':
+        live.attempts -= 1
+    elif not live.admitted:
+        place = generation.place
+        live.unconfirmed.add(AttemptPlace(place.number, place.agent))
+    generation.interrupt()
+
+
+def _end(live: LiveGeneration, record: EndRecord) -> None:
+    generation = live.generation
+    if generation.is_over:
+        return
+    match record.state:
+        case GenerationState.REFUSED:
+            reason = ReasonCode(record.reason)
+            generation.abort(generation_refusal(live, reason, ''))
+        case GenerationState.CANCELLED:
+            generation.cancel()
+
+
+def _outcome_of(live: LiveGeneration) -> ReplayOutcome:
+    generation = live.generation
+    refusal = generation.refusal
+    return ReplayOutcome(
+        generation=generation.spec.generation,
+        state=str(generation.state),
+        tokens=generation.offset,
+        attempts=live.attempts,
+        ran='' if refusal is None else str(refusal.ran),
+    )
--- a/standins/small_deployment.py
+++ b/standins/small_deployment.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.agent import Agent, AgentConfig
 from bergamotthread.process.completions import Caller, Completions
+from bergamotthread.process.decision_trace import DecisionTrace
 from bergamotthread.process.generation_watch import GenerationLimits
 from bergamotthread.process.generations import Generations
 from bergamotthread.process.placement import Placement
@@ -142,6 +144,7 @@
     round_robin: bool = False
     objects: ObjectSet | None = None
     entry_region: str = 'cuyo'
+    trace_writer: Callable[[bytes], None] | None = None
 
     def __post_init__(self) -> None:
         loop = asyncio.get_running_loop()
@@ -194,6 +197,7 @@
             placement,
             self.clock,
             self.limits,
+            trace=DecisionTrace(self.clock, self.trace_writer),
         )
         transport.start(generations.on_message)
         completions = Completions(
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,139 @@
+"""Recorded decision traces, replayed against their stated outcomes."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from bergamotthread.cli.replay import replay, replay_trace
+from bergamotthread.errors import DecodeError
+from bergamotthread.request.completion import CompletionRequest
+from bergamotthread.request.generation import Generation, Verdict
+from bergamotthread.testing.memory_network import MemoryNetwork
+from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.wire.messages import Frame
+from standins.engine_core import EngineSpeed
+from standins.small_deployment import AgentNode, SmallDeployment
+
+TRACES = Path(__file__).parent / 'traces'
+NAMES = ('engine-death', 'host-death-disorder', 'no-upstream-left')
+COUNT = 60
+
+
+def _replay(name: str) -> tuple[int, str]:
+    trace = str(TRACES / f'{name}.jsonl')
+    stated = str(TRACES / f'{name}.outcomes.jsonl')
+    result = CliRunner().invoke(replay, [trace, '--expect', stated])
+    return result.exit_code, result.output
+
+
+@pytest.mark.parametrize('name', NAMES)
+def test_recorded_trace_ends_as_stated(name: str) -> None:
+    assert _replay(name) == (0, '')
+
+
+def _append_without_offset(self: Generation, frame: Frame) -> Verdict:
+    self.tokens.extend(frame.tokens)
+    return Verdict.ACCEPTED if frame.end is None else self._finish(frame.end)
+
+
+def test_another_decision_is_a_difference(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Generation, '_append', _append_without_offset)
+    code, output = _replay('host-death-disorder')
+    assert code == 1
+    assert 'stated' in output
+
+
+def test_missing_generation_is_a_difference(tmp_path: Path) -> None:
+    stated = tmp_path / 'none.jsonl'
+    stated.write_text('')
+    trace = str(TRACES / 'engine-death.jsonl')
+    result = CliRunner().invoke(replay, [trace, '--expect', str(stated)])
+    assert result.exit_code == 1
+    assert 'stated None' in result.output
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'{"event":"header","version":99}\n', b'{"event":"other"}\n'],
+)
+def test_unknown_form_is_an_error(body: bytes) -> None:
+    with pytest.raises(DecodeError):
+        replay_trace(body)
+
+
+def _host_dies(node: AgentNode) -> None:
+    node.engine.die()
+    node.kill()
+
+
+def _all_die(deployment: SmallDeployment, node: AgentNode) -> None:
+    for one in deployment.agents:
+        _host_dies(one)
+
+
+def _one_engine_dies(_: SmallDeployment, node: AgentNode) -> None:
+    node.engine.die()
+
+
+def _one_host_dies(_: SmallDeployment, node: AgentNode) -> None:
+    _host_dies(node)
+
+
+def _ran(generation: Generation) -> str:
+    refusal = generation.refusal
+    return '' if refusal is None else str(refusal.ran)
+
+
+async def _record(
+    fault: Callable[[SmallDeployment, AgentNode], None],
+    network: MemoryNetwork,
+) -> tuple[bytes, dict[str, tuple[str, int, int, str]]]:
+    lines: list[bytes] = []
+    deployment = SmallDeployment(
+        speed=EngineSpeed(stop_at=COUNT),
+        network=network,
+        trace_writer=lines.append,
+    )
+    lives = [
+        deployment.entries[0].open(
+            CompletionRequest('furnace', f'melt {index}', max_tokens=999)
+        )[0]
+        for index in range(4)
+    ]
+    await deployment.clock.sleep_ms(300)
+    fault(deployment, deployment.node_of(lives[0]))
+    for live in lives:
+        while not live.generation.is_over:
+            live.consumed = live.generation.offset
+            await live.wait_change()
+    await deployment.clock.sleep_ms(100)
+    ends = {
+        live.generation.spec.generation: (
+            str(live.generation.state),
+            live.generation.offset,
+            live.attempts,
+            _ran(live.generation),
+        )
+        for live in lives
+    }
+    return b''.join(lines), ends
+
+
+@pytest.mark.parametrize('fault', [_one_engine_dies, _one_host_dies, _all_die])
+@pytest.mark.parametrize('jitter_ms', [0, 60])
+def test_replay_decides_as_the_entry_did(
+    fault: Callable[[SmallDeployment, AgentNode], None],
+    jitter_ms: float,
+) -> None:
+    network = MemoryNetwork(jitter_ms=jitter_ms, duplication=0.2, seed=3)
+    trace, ends = run_virtual(_record(fault, network))
+    decided = {
+        one.generation: (one.state, one.tokens, one.attempts, one.ran)
+        for one in replay_trace(trace)
+    }
+    assert decided == ends
+    assert b'melt' not in trace
