Silence of an agent is a doubt, not a death

Ruled out: the poison guard's bounds (the agents had not died). Change: a silent agent's attempts are in doubt; a sign of life of the same process clears them, that of a newer one, or 10 s of silence, charges them. Conclusion: only an ended process is evidence against a request.

--- a/bergamotthread/cli/main.py
+++ b/bergamotthread/cli/main.py
@@ -12,6 +12,7 @@
     explain,
     keygen,
     publish,
+    replay,
     serve,
     settings,
 )
@@ -59,6 +60,7 @@
     *calls.COMMANDS,
     *explain.COMMANDS,
     *audit.COMMANDS,
+    *replay.COMMANDS,
     *demo.COMMANDS,
 )
 main.commands.update({command.name or '': command for command in _COMMANDS})
--- a/bergamotthread/process/entry_process.py
+++ b/bergamotthread/process/entry_process.py
@@ -14,6 +14,7 @@
 from bergamotthread.process.call_cleaner import CallCleaner
 from bergamotthread.process.call_runner import CallRunner
 from bergamotthread.process.completions import Completions
+from bergamotthread.process.decision_trace import DecisionTrace
 from bergamotthread.process.drain_report import DrainReporter
 from bergamotthread.process.drain_runner import DrainRunner
 from bergamotthread.process.drain_state import DrainState
@@ -31,6 +32,7 @@
 from bergamotthread.process.generation_guards import GenerationGuards
 from bergamotthread.process.generations import Generations
 from bergamotthread.process.http_server import create_http_config
+from bergamotthread.process.observers import Observers
 from bergamotthread.process.pin_demand import PinDemand
 from bergamotthread.process.quarantines import Quarantines
 from bergamotthread.process.refusal_recorder import RefusalRecorder
@@ -246,8 +248,11 @@
             self.placement,
             self._clock,
             guards=guards,
-            metrics=self.metrics,
-            demand=self.demand,
+            observers=Observers(
+                self.metrics,
+                self.demand,
+                DecisionTrace(self._clock),
+            ),
         )
         self.completions = Completions(
             self.generations,
--- a/bergamotthread/process/generation_guards.py
+++ b/bergamotthread/process/generation_guards.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -36,6 +36,7 @@
 from bergamotthread.wire.messages import Quarantine
 
 DEATH_REPEAT_MS = 1000
+DOUBT_MS = 10_000
 
 
 @dataclass(frozen=True)
@@ -53,6 +54,15 @@
     wait_ms: float
 
 
+@dataclass
+class _Doubt:
+    """Attempts given up at an agent that is silent."""
+
+    failure_domain: str
+    since_ms: float
+    generations: set[str] = field(default_factory=set)
+
+
 class _NoSink(QuarantineSink):
     """Tells nobody."""
 
@@ -73,6 +83,7 @@
         self.overload = OverloadGuard(clock, weight_of=self._weight_of)
         self._clock = clock
         self._death_ms_by_agent: dict[str, float] = {}
+        self._doubts_by_agent: dict[str, _Doubt] = {}
         self._teams_by_name: dict[str, Team] = {}
         self._size_by_domain: Counter[str] = Counter()
 
@@ -153,6 +164,43 @@
             completed=live.generation.end is not None,
         )
 
+    def doubt(
+        self,
+        live: LiveGeneration,
+        agent: str,
+        failure_domain: str,
+    ) -> None:
+        """Take in that an attempt was given up because its agent is silent.
+
+        Silence is no death: whether the upstream died shows when the agent is
+        heard again, or after `DOUBT_MS`.
+        """
+        now_ms = self._clock.now_ms()
+        doubt = self._doubts_by_agent.setdefault(
+            agent,
+            _Doubt(failure_domain, now_ms),
+        )
+        doubt.generations.add(live.generation.spec.generation)
+
+    def heard(self, agent: str, *, is_new: bool) -> None:
+        """Take in a sign of life; `is_new` if it is of a newer process."""
+        doubt = self._doubts_by_agent.pop(agent, None)
+        if doubt is None:
+            return
+        if is_new:
+            self.upstream_died(agent, doubt.failure_domain)
+            return
+        for generation in doubt.generations:
+            self.poison.record_end(agent, generation, completed=False)
+
+    def settle_doubts(self) -> None:
+        """Take agents that were silent for `DOUBT_MS` as dead."""
+        before_ms = self._clock.now_ms() - DOUBT_MS
+        for agent, doubt in tuple(self._doubts_by_agent.items()):
+            if doubt.since_ms <= before_ms:
+                self._doubts_by_agent.pop(agent)
+                self.upstream_died(agent, doubt.failure_domain)
+
     def upstream_died(self, agent: str, failure_domain: str) -> None:
         """Charge the death of an upstream, once for all that ran on it."""
         now_ms = self._clock.now_ms()
--- a/bergamotthread/process/generation_watch.py
+++ b/bergamotthread/process/generation_watch.py
@@ -49,7 +49,7 @@
         if now_ms >= live.generation.spec.deadline_ms:
             return Lost('deadline passed')
         if self._peers.is_suspect(place.agent):
-            return Lost('agent silent', upstream_died=True)
+            return Lost('agent silent', is_silence=True)
         if not live.confirmed:
             return self._unconfirmed_loss(live, now_ms)
         if live.backlog > BACKLOG_TOKENS:
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations.py
@@ -12,7 +12,6 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.peer_histories import PeerHistories
 from bergamotthread.connection.transport import Transport
-from bergamotthread.process.entry_metrics import EntryMetrics
 from bergamotthread.process.generation_driver import (
     DriverParts,
     GenerationDriver,
@@ -23,7 +22,7 @@
     GenerationWatch,
 )
 from bergamotthread.process.loss_probe import LossProbe
-from bergamotthread.process.pin_demand import PinDemand
+from bergamotthread.process.observers import Observers
 from bergamotthread.process.placement import Placement
 from bergamotthread.process.standby import Standbys
 from bergamotthread.request.generation import (
@@ -70,16 +69,16 @@
         clock: Clock,
         limits: GenerationLimits | None = None,
         guards: GenerationGuards | None = None,
-        metrics: EntryMetrics | None = None,
-        demand: PinDemand | None = None,
+        observers: Observers | None = None,
     ) -> None:
         self.by_id: dict[str, LiveGeneration] = {}
         self._running_by_id: dict[str, LiveGeneration] = {}
         self.config_version = 0
         self.limits = limits or GenerationLimits()
         self.guards = guards or GenerationGuards(clock)
-        self.metrics = metrics or EntryMetrics(clock)
-        self.demand = demand or PinDemand(clock)
+        self.observers = observers or Observers.from_clock(clock)
+        self._metrics = self.observers.metrics
+        self._trace = self.observers.trace
         self.standbys = Standbys(transport, placement, clock)
         self._transport = transport
         self._placement = placement
@@ -90,9 +89,10 @@
             transport,
             placement,
             self.guards,
-            self.metrics,
+            self._metrics,
             self._peers,
             self._probe,
+            self._trace,
         )
         self._driver = GenerationDriver(parts, clock, self.limits)
         self._watch = GenerationWatch(self._peers, self.limits)
@@ -120,7 +120,7 @@
             If a guard refuses it; nothing has run then.
         """
         pin = live.generation.spec.pin
-        self.demand.record(pin)
+        self.observers.demand.record(pin)
         self.guards.admit(live, self._placement.utilisation(pin))
         self._run(live, self._driver.drive(live))
 
@@ -145,7 +145,9 @@
 
     def on_message(self, envelope: Envelope) -> None:
         """Take in a message from an agent."""
-        if self._peers.record(envelope.sender, envelope.incarnation):
+        is_new = self._peers.record(envelope.sender, envelope.incarnation)
+        self.guards.heard(envelope.sender, is_new=is_new)
+        if is_new:
             self._lose_earlier(envelope.sender, envelope.incarnation)
         match envelope.message:
             case OutputBatch() as batch:
@@ -154,11 +156,13 @@
                 live = self._current(generation, attempt, envelope)
                 if live is not None:
                     self._admit(live)
+                    self._trace.confirmed(live)
                     live.progress.restart(self._clock.now_ms())
             case Waiting(generation=generation, attempt=attempt):
                 live = self._current(generation, attempt, envelope)
                 if live is not None:
                     live.confirmed = True
+                    self._trace.confirmed(live, dispatched=False)
             case Declined() as declined:
                 self._on_declined(declined, envelope)
             case Missing(generation=generation, attempt=attempt):
@@ -190,6 +194,7 @@
         identity = live.generation.spec.generation
         self.by_id[identity] = live
         self._running_by_id[identity] = live
+        self._trace.admitted(live)
         live.task = asyncio.create_task(work)
         live.task.add_done_callback(partial(self._on_over, live))
 
@@ -205,18 +210,20 @@
             )
             live.generation.abort(internal_refusal(live, error))
             live.notify()
+        self._trace.end(live)
 
     def _lose_earlier(self, peer: str, incarnation: int) -> None:
         for live in self.by_id.values():
             place = live.generation.place
             if place.agent == peer and 0 < place.incarnation < incarnation:
-                live.settle(Lost('agent was replaced'))
+                live.settle(Lost('agent was replaced', upstream_died=True))
 
     def _on_revoked(self, revoked: Revoked, agent: str) -> None:
         live = self.by_id.get(revoked.generation)
         if live is not None and not revoked.dispatched:
             place = AttemptPlace(revoked.attempt, agent)
             live.unconfirmed.discard(place)
+            self._trace.revoked(live, revoked.attempt, agent)
 
     def _current(
         self,
@@ -252,6 +259,7 @@
         frame: Frame,
         envelope: Envelope,
     ) -> None:
+        self._trace.frame(frame, envelope)
         verdict = live.generation.accept(
             frame,
             envelope.sender,
@@ -286,16 +294,16 @@
 
     def _record_tokens(self, live: LiveGeneration, count: int) -> None:
         now_ms = self._clock.now_ms()
-        self.metrics.tokens(count)
+        self._metrics.tokens(count)
         if live.produced:
             live.progress.record(now_ms)
             return
         live.progress.restart(now_ms)
         live.produced = True
         if live.interrupted_ms:
-            self.metrics.resumed(now_ms - live.interrupted_ms)
+            self._metrics.resumed(now_ms - live.interrupted_ms)
         else:
-            self.metrics.first_token(now_ms - live.started_ms)
+            self._metrics.first_token(now_ms - live.started_ms)
 
     def _on_declined(self, declined: Declined, envelope: Envelope) -> None:
         live = self._current(declined.generation, declined.attempt, envelope)
@@ -331,6 +339,7 @@
     async def _release_forever(self) -> None:
         while True:
             await self._clock.sleep_ms(RELEASE_INTERVAL_MS)
+            self.guards.settle_doubts()
             now_ms = self._clock.now_ms()
             for identity, live in tuple(self.by_id.items()):
                 if self._watch.is_releasable(live, now_ms):
--- /dev/null
+++ b/bergamotthread/process/observers.py
@@ -0,0 +1,28 @@
+"""What an entry notes of its generations, beside deciding on them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.decision_trace import DecisionTrace
+from bergamotthread.process.entry_metrics import EntryMetrics
+from bergamotthread.process.pin_demand import PinDemand
+
+
+@dataclass(frozen=True)
+class Observers:
+    """Metrics, demand of pins and the decision trace."""
+
+    metrics: EntryMetrics
+    demand: PinDemand
+    trace: DecisionTrace
+
+    @classmethod
+    def from_clock(cls, clock: Clock) -> Observers:
+        """Return observers that record nothing outside the process."""
+        return cls(
+            EntryMetrics(clock),
+            PinDemand(clock),
+            DecisionTrace(clock),
+        )
--- a/bergamotthread/request/live_generation.py
+++ b/bergamotthread/request/live_generation.py
@@ -29,6 +29,7 @@
 
     cause: str
     upstream_died: bool = False
+    is_silence: bool = False
 
 
 @dataclass(frozen=True)
--- a/standins/small_deployment.py
+++ b/standins/small_deployment.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.agent import Agent, AgentConfig
 from bergamotthread.process.completions import Caller, Completions
+from bergamotthread.process.decision_trace import DecisionTrace
 from bergamotthread.process.generation_watch import GenerationLimits
 from bergamotthread.process.generations import Generations
+from bergamotthread.process.observers import Observers
 from bergamotthread.process.placement import Placement
 from bergamotthread.process.round_robin import RoundRobinPlacement
 from bergamotthread.process.routing import ScoredPlacement
@@ -142,6 +145,7 @@
     round_robin: bool = False
     objects: ObjectSet | None = None
     entry_region: str = 'cuyo'
+    trace_writer: Callable[[bytes], None] | None = None
 
     def __post_init__(self) -> None:
         loop = asyncio.get_running_loop()
@@ -194,6 +198,10 @@
             placement,
             self.clock,
             self.limits,
+            observers=replace(
+                Observers.from_clock(self.clock),
+                trace=DecisionTrace(self.clock, self.trace_writer),
+            ),
         )
         transport.start(generations.on_message)
         completions = Completions(
--- a/tests/test_continuity_faults.py
+++ b/tests/test_continuity_faults.py
@@ -363,3 +363,32 @@
         assert live.generation.refusal.ran is Ran.MAYBE
 
     run_virtual(scenario())
+
+
+@pytest.mark.parametrize('comes_back_as', ['same process', 'new process'])
+def test_silence_is_charged_only_if_the_process_ended(
+    comes_back_as: str,
+) -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(agent_count=6, speed=SPEED)
+        entry = deployment.entries[0]
+        deaths: list[str] = []
+        entry.generations.guards.upstream_died = lambda agent, _: deaths.append(
+            agent
+        )
+        live, _ = entry.open(REQUEST)
+        await _until_offset(live, 5)
+        first = deployment.node_of(live)
+        address = first.transport.address
+        deployment.network.cut_both(entry_address(0), address)
+        await deployment.clock.sleep_ms(3000)
+        if comes_back_as == 'new process':
+            index = deployment.agents.index(first)
+            first.kill()
+            deployment.start_agent(index, incarnation=2)
+        deployment.network.heal()
+        await deployment.clock.sleep_ms(5000)
+        expected = [address] if comes_back_as == 'new process' else []
+        assert deaths == expected
+
+    run_virtual(scenario())
