--- a/benchmarks/resume_policy.py
+++ b/benchmarks/resume_policy.py
@@ -9,6 +9,7 @@
 import asyncio
 import enum
 import itertools
+import random
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -49,7 +50,9 @@
 PROMPT_TOKENS = 2000
 GENERATIONS = 16
 START_INTERVAL_MS = 200
-FAULT_MS = 5000
+FAULT_MS = 4500
+FAULT_STEP_MS = 137
+JITTER_MS = 1
 PAUSE_MS = 30_000
 SAMPLE_MS = 100
 SEEDS = (1, 2, 3, 4)
@@ -177,7 +180,11 @@
 
 
 def _network(site: Site, seed: int) -> MemoryNetwork:
-    network = MemoryNetwork(delay_ms=site.domain_ms, seed=seed)
+    network = MemoryNetwork(
+        delay_ms=site.domain_ms,
+        jitter_ms=JITTER_MS,
+        seed=seed,
+    )
     entry = entry_address(0)
     for index in range(site.agents):
         if _region_of(index) != _REGIONS[0]:
@@ -203,6 +210,7 @@
             entry_region=_REGIONS[0],
         )
         self._seed = seed
+        self._random = random.Random(seed)
         self._fault_ms = float(0)
         self._victims: set[str] = set()
         self._lives: list[LiveGeneration] = []
@@ -213,9 +221,12 @@
         tasks = []
         for index in range(GENERATIONS):
             tasks.append(asyncio.create_task(self._caller(index)))
-            await self._deployment.clock.sleep_ms(START_INTERVAL_MS)
+            interval_ms = self._random.uniform(0, 2 * START_INTERVAL_MS)
+            await self._deployment.clock.sleep_ms(interval_ms)
         await self._deployment.clock.sleep_ms(
-            FAULT_MS - self._deployment.clock.now_ms()
+            FAULT_MS
+            + self._seed * FAULT_STEP_MS
+            - self._deployment.clock.now_ms()
         )
         self._strike()
         await asyncio.gather(*tasks)
