--- a/benchmarks/data_path_agent.py
+++ b/benchmarks/data_path_agent.py
@@ -31,6 +31,7 @@
     Ack,
     Acks,
     Admitted,
+    Cancel,
     Dispatch,
     Envelope,
     OutputBatch,
@@ -39,6 +40,7 @@
 
 POINTS = ((0, 40), (2, 40), (4, 40), (8, 40), (16, 40), (32, 40), (20, 100))
 WARM_UP_S = 2
+SAME_INTERVAL = 6
 ACK_INTERVAL_S = 0.1
 RESULTS = pathlib.Path('benchmarks/results/data_path_agent.json')
 _MAX_TOKENS = 100_000
@@ -94,6 +96,7 @@
     streams: int,
     interval_ms: float,
     seconds: float,
+    profile: str = '',
 ) -> AgentFigures:
     """Run one agent under load and return its figures."""
     async with contextlib.AsyncExitStack() as stack:
@@ -112,6 +115,7 @@
             engine_address,
             (transport.address,),
             folder,
+            profile,
         )
         stack.push_async_callback(agent.stop)
         await asyncio.sleep(WARM_UP_S)
@@ -122,7 +126,11 @@
         await asyncio.sleep(WARM_UP_S)
         if end.admitted < streams:
             raise RuntimeError(f'{end.admitted} of {streams} streams started')
-        return await _watch(psutil.Process(agent.pid), end, streams, seconds)
+        process = psutil.Process(agent.pid)
+        figures = await _watch(process, end, streams, seconds)
+        for generation in end.offsets:
+            transport.send(address, Cancel(generation, 1))
+        return figures
 
 
 def _dispatch(index: int) -> Dispatch:
@@ -180,11 +188,12 @@
 @click.command()
 @click.option('--seconds', default=8.0, show_default=True)
 @click.option('--write', is_flag=True, help='Keep the results.')
-def main(seconds: float, write: bool) -> None:
+@click.option('--profile', default='', help='File for cProfile; last point.')
+def main(seconds: float, write: bool, profile: str) -> None:
     """Measure an agent at all points."""
     runs = []
     for streams, interval_ms in POINTS:
-        run = asyncio.run(measure(streams, interval_ms, seconds))
+        run = asyncio.run(measure(streams, interval_ms, seconds, profile))
         print(
             f'streams {run.streams}, {run.tokens_per_s:.0f} tokens/s, '
             f'{run.batches_per_s:.0f} batches/s: {run.core_share:.2%} of a '
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -46,6 +46,7 @@
 MAX_RSS_MB = 128
 _MB = 1024 * 1024
 _S_PER_MINUTE = 60
+_NOT_RUN = b'"ran":"no"'
 _TEXT = re.compile(rb'"text":"([^"]*)"')
 
 
@@ -136,7 +137,7 @@
         except OSError as error:
             figures.failed.append(f'{prompt}: {error!r}')
             continue
-        if b' 200 ' not in answer[:20]:
+        if _is_refusal(answer):
             figures.refused += 1
             await asyncio.sleep(RETRY_S)
             continue
@@ -149,6 +150,17 @@
             figures.whole += 1
 
 
+def _is_refusal(answer: bytes) -> bool:
+    """Return whether an answer says, before any token, that nothing ran.
+
+    The status of a stream is sent before an upstream is found, so a refusal
+    may also come as an error event.
+    """
+    if b' 200 ' not in answer[:20]:
+        return True
+    return _NOT_RUN in answer and not _TEXT.search(answer)
+
+
 async def _answer(port: int, prompt: str) -> bytes:
     body = msgspec.json.encode(
         {
@@ -207,6 +219,11 @@
             points.append((minutes, rss_mb))
 
 
+def _by_minute(points: Points) -> str:
+    step = _S_PER_MINUTE // SAMPLE_INTERVAL_S
+    return ' '.join(f'{rss:.1f}' for _, rss in points[::step])
+
+
 def describe(figures: SoakFigures) -> str:
     """Return the figures as lines of text."""
     lines = [
@@ -217,7 +234,8 @@
         points = figures.rss_by_process[name]
         lines.append(
             f'{name}: {points[-1][0]:.1f} minutes, RSS {points[-1][1]:.1f} MB '
-            f'at the end, {fit.slope:+.3f} MB a minute after the warm-up',
+            f'at the end, {fit.slope:+.3f} MB a minute after the warm-up; '
+            f'each minute {_by_minute(points)}',
         )
     lines += [f'FAULT: {fault}' for fault in figures.faults()[:20]]
     return '\n'.join(lines)
--- a/bergamotthread/process/agent.py
+++ b/bergamotthread/process/agent.py
@@ -45,6 +45,7 @@
 )
 
 COALESCE_MS = 2
+IDLE_WAIT_MS = 50
 LOAD_INTERVAL_MS = 250
 MAINTENANCE_INTERVAL_MS = 250
 ENGINE_RETRY_MS = 1000
@@ -256,13 +257,18 @@
         interval_ms = self._config.flush_interval_ms
         coalesce_ms = min(COALESCE_MS, interval_ms)
         while True:
-            await self._flusher.wait_marked(interval_ms)
-            await self._clock.sleep_ms(coalesce_ms)
+            limit_ms = IDLE_WAIT_MS if self._is_idle() else interval_ms
+            if await self._flusher.wait_marked(limit_ms):
+                await self._clock.sleep_ms(coalesce_ms)
             self._start_ready()
             self._flush()
             self._flusher.beat(self._awaited_by())
             await self._clock.sleep_ms(interval_ms - coalesce_ms)
 
+    def _is_idle(self) -> bool:
+        """Return whether no entry waits for output or for a beat."""
+        return not self._waiting_by_key and not self.attempts.running_count
+
     def _flush(self) -> None:
         self._record_progress()
         self._flusher.flush()
--- a/bergamotthread/process/output_flusher.py
+++ b/bergamotthread/process/output_flusher.py
@@ -34,13 +34,19 @@
         self._fresh[buffer] = None
         self._has_fresh.set()
 
-    async def wait_marked(self, limit_ms: float) -> None:
-        """Wait until there is output to send, for at most `limit_ms`."""
+    async def wait_marked(self, limit_ms: float) -> bool:
+        """Wait until there is output to send, for at most `limit_ms`.
+
+        Returns
+        -------
+        bool
+            Whether there is output.
+        """
         try:
             async with self._clock.timeout_ms(limit_ms):
-                await self._has_fresh.wait()
+                return await self._has_fresh.wait()
         except TimeoutError:
-            return
+            return False
 
     def marked(self) -> tuple[OutputBuffer, ...]:
         """Return the buffers that the next flush sends."""
