--- a/bergamotthread/process/overload.py
+++ b/bergamotthread/process/overload.py
@@ -14,6 +14,7 @@
 RETRY_AFTER_MIN_MS = 100
 RETRY_AFTER_MAX_MS = 60_000
 DEFAULT_RUN_MS = 10_000
+OTHERS_OFFERED_MIN = 0.01
 _RUN_SMOOTHING = 0.05
 _UTILISATION_MIN = 0.01
 
@@ -111,6 +112,8 @@
         asked = share.others_mean_offered * self.limits.demand_slack
         if utilisation <= self.limits.fair_utilisation:
             return Admitted()
+        if share.others_mean_offered < OTHERS_OFFERED_MIN:
+            return Admitted()
         if share.usage.offered <= asked:
             return Admitted()
         return self._hold_to_share(team, share, utilisation)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -111,3 +111,17 @@
         guard.record_end(f't{index}', 1000)
     time.advance_ms(120_000)
     assert guard._teams.share('new', time.clock.now_ms()).part == 1
+
+
+def test_lone_team_that_ramps_up_is_held_only_by_the_maximum() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    slots = 192
+    running = 0
+    while running / slots <= guard.limits.utilisation_max:
+        verdict = guard.check('alone', running / slots)
+        assert isinstance(verdict, Admitted), (running, verdict)
+        guard.record_start('alone')
+        running += 1
+        time.advance_ms(25)
+    assert isinstance(guard.check('alone', running / slots), Overloaded)
