A repeated request never reads a cancelled generation

Cause: a caller that went away and sent its request again, by key or cursor, was given the cancelled generation, whose stream ends with a part of the answer and the finish reason cancelled. Found by reading. Change: a cancelled generation is neither joined nor continued in place; the key starts anew, the cursor goes to the agent or to the caller's own tokens. Before: both cases of the new test fail on the token count. After: 46 passed in tests/test_continuity_faults.py.

--- a/bergamotthread/process/completions.py
+++ b/bergamotthread/process/completions.py
@@ -128,9 +128,7 @@
                 ReasonCode.KEY_REUSED,
                 'the idempotency key was used with another request',
             )
-        if known.live.generation.refusal is not None:
-            return None
-        return known.live
+        return known.live if _is_joinable(known.live) else None
 
     def _remember(
         self,
@@ -161,7 +159,7 @@
         cursor: Cursor,
     ) -> LiveGeneration:
         held = self._generations.by_id.get(cursor.generation)
-        if held is not None:
+        if held is not None and not held.generation.is_cancelled:
             return held
         accepted = request.accepted_tokens
         if accepted and not _covers(cursor, accepted):
@@ -221,6 +219,12 @@
         return live
 
 
+def _is_joinable(live: LiveGeneration) -> bool:
+    """Return whether a repeated request may read a generation's output."""
+    generation = live.generation
+    return generation.refusal is None and not generation.is_cancelled
+
+
 def find_route(
     published: PublishedVersion,
     model: str,
--- a/bergamotthread/request/generation.py
+++ b/bergamotthread/request/generation.py
@@ -140,6 +140,11 @@
         """Return whether the generation takes no more output."""
         return self.state in _FINAL_STATES
 
+    @property
+    def is_cancelled(self) -> bool:
+        """Return whether the output ended because nobody read it."""
+        return self.state is GenerationState.CANCELLED
+
     def begin_attempt(self, agent: str) -> AttemptPlace:
         """Start the next attempt at `agent`; all earlier ones turn stale."""
         self._trigger('dispatched')
--- a/tests/test_continuity_faults.py
+++ b/tests/test_continuity_faults.py
@@ -392,3 +392,31 @@
         assert deaths == expected
 
     run_virtual(scenario())
+
+
+@pytest.mark.parametrize('by', ['key', 'cursor'])
+def test_repeated_request_never_reads_a_cancelled_generation(by: str) -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED)
+        entry = deployment.entries[0]
+        caller = Caller(TEAM, idempotency_key='batch-17')
+        live, stream = entry.open(REQUEST, caller)
+        head: list[bytes] = []
+        await _read_events(stream, head, 5)
+        live.readers -= 1
+        entry.generations.cancel(live)
+        request = REQUEST
+        if by == 'cursor':
+            request = msgspec.structs.replace(
+                REQUEST,
+                accepted_tokens=tuple(_tokens(head)),
+            )
+            caller = Caller(TEAM, last_event_id=_field(head[-1], 'id'))
+        again, rest = entry.open(request, caller)
+        tail: list[bytes] = []
+        await _read_events(rest, tail, 10_000)
+        assert again is not live
+        kept = _tokens(head) if by == 'cursor' else []
+        verify_answer(PROMPT, ''.join(kept + _tokens(tail)), COUNT)
+
+    run_virtual(scenario())
