Learn the prefill rate from long prompts only

Ruled out: slots and cache tokens, which were free. Change: samples below 256 tokens are passed over; a refusal of a queued attempt whose entry is unknown is not sent. Before: the new test is refused within 240 short prompts.

--- a/bergamotthread/process/agent.py
+++ b/bergamotthread/process/agent.py
@@ -321,12 +321,13 @@
         for refused in self.gate.take_refused():
             key = AttemptKey(refused.generation, refused.attempt)
             sender = self._waiting_by_key.pop(key, '')
-            self._decline(
-                key,
-                sender,
-                refused.reason,
-                refused.retry_after_ms,
-            )
+            if sender:
+                self._decline(
+                    key,
+                    sender,
+                    refused.reason,
+                    refused.retry_after_ms,
+                )
 
     def _awaited_by(self) -> set[str]:
         waiting = set(self._waiting_by_key.values())
--- a/bergamotthread/process/running_attempts.py
+++ b/bergamotthread/process/running_attempts.py
@@ -10,6 +10,7 @@
 DEFAULT_OUTPUT_TOKENS = 300
 DEFAULT_RUN_MS = 10_000
 DEFAULT_PREFILL_PER_S = 8000
+PREFILL_SAMPLE_MIN_TOKENS = 256
 CLEARING_TOKENS = 16
 _SMOOTHING = 0.05
 _RATE_DECAY = 0.9
@@ -67,7 +68,13 @@
         return self._prefill_tokens / self._prefill_ms * _MS_PER_S
 
     def record_prefill(self, tokens: int, duration_ms: float) -> None:
-        """Take in the time from start to first token."""
+        """Take in the time from start to first token.
+
+        Prompts below `PREFILL_SAMPLE_MIN_TOKENS` are passed over: their time
+        is that of a step of the engine, not of their tokens.
+        """
+        if tokens < PREFILL_SAMPLE_MIN_TOKENS:
+            return
         self._prefill_tokens = self._prefill_tokens * _RATE_DECAY + tokens
         self._prefill_ms = self._prefill_ms * _RATE_DECAY + duration_ms
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -255,3 +255,16 @@
     assert report.prefill_tokens == 0
     assert report.prefill_per_s == pytest.approx(9700, rel=0.02)
     assert report.between_tokens_ms == pytest.approx(30)
+
+
+def test_many_short_prompts_are_taken_while_there_are_slots() -> None:
+    time = ManualTime()
+    gate = _gate(time, max_running=300, queue_wait_ms=1000)
+    for index in range(60):
+        assert isinstance(gate.offer(dispatch(f'a{index}', prompt='15')), Run)
+        time.advance_ms(40)
+        gate.first_token(f'a{index}', 1)
+        gate.ended(f'a{index}', 1)
+    for index in range(240):
+        decision = gate.offer(dispatch(f'b{index}', prompt='15'))
+        assert isinstance(decision, Run), (index, decision)
