--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -25,6 +25,7 @@
 ROW_MODULES = (
     'benchmarks.capacity_control',
     'benchmarks.capacity_data_path',
+    'benchmarks.capacity_store',
 )
 PAGE = pathlib.Path('docs/CAPACITY.md')
 BEGIN = '<!-- tables: begin -->'
@@ -43,9 +44,7 @@
     OpenRow(
         Role.FAULTS, 'change of configuration: ms until in force everywhere'
     ),
-    OpenRow(Role.TABLE, 'guarded calls, reads and writes'),
-    OpenRow(Role.TABLE, 'publication, reads and writes'),
-    OpenRow(Role.TABLE, 'audit and explanations, objects'),
+    OpenRow(Role.TABLE, 'audit trail, objects'),
 )
 
 
