A stream has its own connection; an hour without the store is shown

Cause: the soak cut an innocent answer by a quarantine. Connections kept to an engine's earlier process fail one by one after it has come back, and each was reported as the engine's death. Ruled out: silence (0 such losses then) and the bounds of the guard. Change: one connection for each stream; a refused connection means that the attempt was not dispatched. Not run again: the ten-minute soak.

--- a/bergamotthread/connection/http_engine.py
+++ b/bergamotthread/connection/http_engine.py
@@ -19,6 +19,7 @@
     EngineRefusedError,
     GenerateRequest,
 )
+from bergamotthread.connection.http_service import UNREACHED_ERRORS
 from bergamotthread.errors import Step
 from bergamotthread.wire.messages import LoadReport, Pin
 
@@ -55,20 +56,14 @@
         self,
         request: GenerateRequest,
     ) -> AsyncIterator[EngineOutput]:
-        """Yield the output of the engine's event stream."""
-        response = await self._open(request)
-        finished = False
-        try:
-            async for event in self._events(response):
-                output = self._decode(event)
-                finished = bool(output.finish)
+        """Yield the output of the engine's event stream.
+
+        Each stream has a connection of its own, since a kept one may lead to
+        an earlier process of the engine.
+        """
+        async with _http_client() as client:
+            async for output in self._stream(client, request):
                 yield output
-        except _LOST as error:
-            raise self._lost(error) from error
-        finally:
-            await response.aclose()
-        if not finished:
-            raise self._lost('stream ended without a finish')
 
     async def load(self) -> LoadReport:
         """Return the engine's load report."""
@@ -91,14 +86,43 @@
             raise self._lost(error) from error
         return bool(response.status_code == HTTPStatus.OK)
 
-    async def _open(self, request: GenerateRequest) -> HttpResponse:
+    async def _stream(
+        self,
+        client: HTTPClient,
+        request: GenerateRequest,
+    ) -> AsyncIterator[EngineOutput]:
+        response = await self._open(client, request)
+        finished = False
         try:
-            response = await self._client.request(
+            async for event in self._events(response):
+                output = self._decode(event)
+                finished = bool(output.finish)
+                yield output
+        except _LOST as error:
+            raise self._lost(error) from error
+        finally:
+            await response.aclose()
+        if not finished:
+            raise self._lost('stream ended without a finish')
+
+    async def _open(
+        self,
+        client: HTTPClient,
+        request: GenerateRequest,
+    ) -> HttpResponse:
+        try:
+            response = await client.request(
                 f'http://{self._address}/generate',
                 method='POST',
                 data=msgspec.json.encode(request),
                 stream=True,
             )
+        except UNREACHED_ERRORS as error:
+            raise EngineRefusedError(
+                f'no connection: {error!r}',
+                step=Step.DISPATCH,
+                peer=self._address,
+            ) from error
         except _LOST as error:
             raise self._lost(error) from error
         if response.status_code != HTTPStatus.OK:
--- a/bergamotthread/connection/http_service.py
+++ b/bergamotthread/connection/http_service.py
@@ -25,7 +25,7 @@
 ANSWER_LIMIT_BYTES = 8_388_608
 _MS_PER_S = 1000
 _LOST = (AiosonicError, OSError, ValueError, asyncio.IncompleteReadError)
-_UNREACHED = (ConnectionRefusedError, ConnectTimeout)
+UNREACHED_ERRORS = (ConnectionRefusedError, ConnectTimeout)
 _HOP_HEADERS = frozenset(
     (
         'connection',
@@ -50,7 +50,7 @@
         """Send a call and return its answer."""
         try:
             return await self._call(request)
-        except _UNREACHED as error:
+        except UNREACHED_ERRORS as error:
             raise ServiceNotReachedError(
                 f'no connection: {error!r}',
                 step=Step.DISPATCH,
--- /dev/null
+++ b/tests/test_store_outage.py
@@ -0,0 +1,129 @@
+"""A whole entry through an hour without the platform's store."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.completions import Caller
+from bergamotthread.process.entry_process import EntryProcess
+from bergamotthread.process.settings import (
+    EntrySettings,
+    PlaceSettings,
+    PlatformSettings,
+)
+from bergamotthread.process.store_client import (
+    StoreClient,
+    StoreGuard,
+    StoreLimits,
+    StoreUse,
+)
+from bergamotthread.request.completion import CompletionRequest
+from bergamotthread.request.refusal import ReasonCode, RefusedError
+from bergamotthread.testing.memory_network import MemoryNetwork
+from bergamotthread.testing.memory_platform import (
+    MemoryHostList,
+    MemoryObjectStore,
+    MemoryPlatform,
+    MemoryTable,
+)
+from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.version.objects import ObjectSet
+from bergamotthread.version.publication import Draft, Publisher
+from standins.engine_core import EngineSpeed
+from standins.small_deployment import (
+    TEAM,
+    SmallDeployment,
+    entry_address,
+    small_set,
+)
+from standins.tokens import verify_answer
+
+PROMPT = 'site diary of trench 204'
+OUTAGE_MS = 3_600_000
+TOKEN_INTERVAL_MS = 1000
+COUNT = 3700
+
+
+def _entry(network: MemoryNetwork, platform: MemoryPlatform, clock: Clock):
+    store = StoreClient(
+        MemoryTable(platform),
+        MemoryObjectStore(platform),
+        MemoryHostList(platform),
+        StoreGuard(StoreLimits(reads_per_s=10, writes_per_s=10), clock),
+    )
+    settings = EntrySettings(
+        PlaceSettings(entry_address(0), 'cuyo', 'cuyo-a'),
+        '127.0.0.1:0',
+        PlatformSettings('127.0.0.1:1'),
+    )
+    transport = network.transport(entry_address(0), 1)
+    entry = EntryProcess(settings, transport, store, clock)
+    transport.start(entry.on_message)
+    publisher = Publisher.from_platform(
+        store.table(StoreUse.PUBLICATION),
+        store.object_store(StoreUse.PUBLICATION),
+        clock,
+    )
+    return entry, publisher
+
+
+def _patient_set() -> ObjectSet:
+    plain = small_set(2)
+    service = msgspec.structs.replace(
+        plain.services[0],
+        deadline_ms=2 * OUTAGE_MS,
+    )
+    return msgspec.structs.replace(plain, services=(service,))
+
+
+def test_generation_runs_on_through_an_hour_without_the_store() -> None:
+    async def scenario() -> None:
+        network = MemoryNetwork()
+        deployment = SmallDeployment(
+            agent_count=2,
+            entry_count=0,
+            network=network,
+            speed=EngineSpeed(token_interval_ms=TOKEN_INTERVAL_MS),
+        )
+        clock = deployment.clock
+        platform = MemoryPlatform(clock)
+        entry, publisher = _entry(network, platform, clock)
+        draft = Draft(_patient_set(), who='operator', base=0)
+        await publisher.publish(draft)
+        parts = (
+            entry.versions.run(),
+            entry.control.run(),
+            entry.generations.run(),
+            entry.explanations.run(),
+            entry.audit.run(),
+            entry.quarantines.run(),
+        )
+        tasks = [asyncio.create_task(part) for part in parts]
+        await entry.versions.wait_serving()
+        published = entry.versions.admit()
+        entry.put_in_force(published)
+        request = CompletionRequest('furnace', PROMPT, max_tokens=COUNT)
+        live, _ = entry.completions.open(request, Caller(TEAM), published)
+        live.readers += 1
+        platform.faults.down = True
+        end_ms = clock.now_ms() + OUTAGE_MS
+        while not live.generation.is_over and clock.now_ms() < end_ms:
+            live.consumed = live.generation.offset
+            await live.wait_change()
+        assert live.generation.offset > COUNT / 2
+        assert live.attempts == 1
+        with pytest.raises(RefusedError) as refused:
+            entry.versions.admit()
+        assert refused.value.refusal.reason is ReasonCode.NO_CONFIGURATION
+        platform.faults.down = False
+        while not live.generation.is_over:
+            live.consumed = live.generation.offset
+            await live.wait_change()
+        verify_answer(PROMPT, ''.join(live.generation.tokens), COUNT)
+        await entry.versions.wait_serving()
+        for task in tasks:
+            task.cancel()
+
+    run_virtual(scenario())
