--- a/bergamotthread/cli/drain.py
+++ b/bergamotthread/cli/drain.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import sys
-from collections.abc import Coroutine
-from typing import Any, Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol, TypeVar
 
 import click
 import msgspec
@@ -63,6 +63,20 @@
 )
 _reason = click.option('--reason', default='', help='Shown by status.')
 _MS_PER_MINUTE = 60_000
+_Command = TypeVar('_Command', bound=Callable[..., Any])
+
+
+def _limit_options(command: _Command) -> _Command:
+    """Add the addresses and limits that `plan` and `start` share."""
+    for option in (
+        _reason,
+        _minutes,
+        _model_percent,
+        _per_failure_domain,
+        _addresses,
+    ):
+        command = option(command)
+    return command
 
 
 @click.group('drain')
@@ -71,11 +85,7 @@
 
 
 @drain.command('plan')
-@_addresses
-@_per_failure_domain
-@_model_percent
-@_minutes
-@_reason
+@_limit_options
 @click.pass_obj
 def plan(
     context: DrainContext,
@@ -91,11 +101,7 @@
 
 
 @drain.command('start')
-@_addresses
-@_per_failure_domain
-@_model_percent
-@_minutes
-@_reason
+@_limit_options
 @click.pass_obj
 def start(
     context: DrainContext,
