Keep the engine client's pools small

Cause: the client builds the connections of its pool when it is made, 1,024 of them, which a client for each stream paid each time; agents stood at 83 MB in the soak instead of 62 MB. Change: one connection for a stream, four for load reports and orders.

--- a/bergamotthread/connection/http_engine.py
+++ b/bergamotthread/connection/http_engine.py
@@ -25,7 +25,8 @@
 
 CONNECT_TIMEOUT_S = 1
 ANSWER_TIMEOUT_S = 2
-MAX_STREAMS = 1024
+STREAM_CONNECTIONS = 1
+CONTROL_CONNECTIONS = 4
 
 _EVENT_PREFIX = b'data: '
 _EVENT_END = b'\n\n'
@@ -49,7 +50,7 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._client = _http_client()
+        self._client = _http_client(CONTROL_CONNECTIONS)
         self._decode = msgspec.json.Decoder(EngineOutput).decode
 
     async def generate(
@@ -61,7 +62,7 @@
         Each stream has a connection of its own, since a kept one may lead to
         an earlier process of the engine.
         """
-        async with _http_client() as client:
+        async with _http_client(STREAM_CONNECTIONS) as client:
             async for output in self._stream(client, request):
                 yield output
 
@@ -151,7 +152,8 @@
         )
 
 
-def _http_client() -> HTTPClient:
+def _http_client(connections: int) -> HTTPClient:
+    """Return a client; its pool is built whole, so it is kept small."""
     timeouts = Timeouts(
         sock_connect=CONNECT_TIMEOUT_S,
         sock_read=None,
@@ -159,6 +161,6 @@
     )
     connector = TCPConnector(
         timeouts=timeouts,
-        pool_configs={':default': {'size': MAX_STREAMS}},
+        pool_configs={':default': {'size': connections}},
     )
     return HTTPClient(connector=connector)
