The engine stand-in delivers late

Cause: of the faults that the stand-in was to have, late delivery was missing. Measured: tests/test_continuity.py, test_continuity_faults.py, test_entry_app.py and test_http_engine.py pass.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -3,8 +3,8 @@
 `POST /generate` streams server-sent events, `GET /load` reports the load,
 `GET /running` counts sequences, `POST /orders` takes orders, and
 `POST /control` sets faults:
-`{"fault": "die" | "revive" | "pause" | "slow" | "mute" | "die_after_tokens" |
-"die_on_prompt", "amount": 5, "text": ""}`.
+`{"fault": "die" | "revive" | "pause" | "late" | "slow" | "mute" |
+"die_after_tokens" | "die_on_prompt", "amount": 5, "text": ""}`.
 """
 
 from __future__ import annotations
@@ -56,6 +56,8 @@
             engine.pause(fault.amount)
         case 'slow':
             engine.faults.slow_factor = fault.amount
+        case 'late':
+            engine.faults.deliver_late_ms = fault.amount
         case 'mute':
             engine.faults.mute = bool(fault.amount)
         case 'die_after_tokens':
--- a/standins/engine_core.py
+++ b/standins/engine_core.py
@@ -21,6 +21,7 @@
 from standins.tokens import first_token, next_token
 
 _BLOCK_CHARACTERS = 64
+_MS_PER_S = 1000
 
 
 @dataclass(frozen=True)
@@ -46,6 +47,7 @@
     paused_until_ms: float = 0
     slow_factor: float = 1
     mute: bool = False
+    deliver_late_ms: float = 0
 
 
 @dataclass(eq=False)
@@ -259,7 +261,7 @@
         finish = self._finish_of(sequence)
         if finish:
             self._running.remove(sequence)
-            sequence.outputs.put_nowait(EngineOutput(finish=finish))
+            self._deliver(sequence, EngineOutput(finish=finish))
             return
         if sequence.produced:
             token = next_token(sequence.last_token, sequence.salt)
@@ -268,7 +270,15 @@
         sequence.last_token = token
         sequence.produced += 1
         self.counts.decoded_tokens += 1
-        sequence.outputs.put_nowait(EngineOutput(tokens=(token,)))
+        self._deliver(sequence, EngineOutput(tokens=(token,)))
+
+    def _deliver(self, sequence: _Sequence, output: EngineOutput) -> None:
+        late_s = self.faults.deliver_late_ms / _MS_PER_S
+        if late_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(late_s, sequence.outputs.put_nowait, output)
+        else:
+            sequence.outputs.put_nowait(output)
 
     def _finish_of(self, sequence: _Sequence) -> str:
         if sequence.produced == self.speed.stop_at:
--- a/tests/test_continuity.py
+++ b/tests/test_continuity.py
@@ -37,6 +37,10 @@
     node.engine.pause(30_000)
 
 
+def _engine_delivers_late(node: AgentNode) -> None:
+    node.engine.faults.deliver_late_ms = 5000
+
+
 def _agent_dies(node: AgentNode) -> None:
     node.kill()
 
@@ -46,7 +50,13 @@
     node.kill()
 
 
-FAULTS = (_engine_dies, _engine_pauses, _agent_dies, _host_dies)
+FAULTS = (
+    _engine_dies,
+    _engine_pauses,
+    _engine_delivers_late,
+    _agent_dies,
+    _host_dies,
+)
 
 
 @pytest.mark.parametrize('fault', FAULTS)
