The stand-in's cache events come late, and with gaps

Cause: the events were those of the moment, only with gaps. Change: they are part of the lagging load report. Measured: the new test, and the continuity, drain, standby and resume tests pass.

--- a/standins/engine_core.py
+++ b/standins/engine_core.py
@@ -22,6 +22,8 @@
 
 _BLOCK_CHARACTERS = 64
 _MS_PER_S = 1000
+_EVENTS_MAX = 16
+_EVENT_LOSS = 0.1
 
 
 @dataclass(frozen=True)
@@ -136,7 +138,7 @@
             kv_tokens=report.kv_tokens,
             kv_capacity=report.kv_capacity,
             age_ms=age_ms,
-            cached_prefixes=self._cache_events(),
+            cached_prefixes=self._with_gaps(report.cached_prefixes),
         )
 
     async def order(self, action: str, pin: Pin, fence: int) -> bool:
@@ -208,9 +210,10 @@
             return tokens
         return round(tokens * (1 - covered / len(blocks)))
 
-    def _cache_events(self) -> tuple[int, ...]:
-        newest = list(self._cached_blocks)[-16:]
-        return tuple(one for one in newest if self._random.random() > 0.1)
+    def _with_gaps(self, events: tuple[int, ...]) -> tuple[int, ...]:
+        return tuple(
+            one for one in events if self._random.random() > _EVENT_LOSS
+        )
 
     async def _outputs(
         self,
@@ -304,6 +307,7 @@
             queued=len(self._waiting),
             kv_tokens=kv_tokens,
             kv_capacity=self.speed.kv_capacity,
+            cached_prefixes=tuple(self._cached_blocks)[-_EVENTS_MAX:],
         )
 
 
