Drop two constants that nothing uses

Cause: a read of the whole change found SCAN_LIMIT of the drain reports and the digits per byte of the settings' checks, left from earlier forms. Change: both are gone. Measured: formatter, linters and types clean; the tests of drain reports, settings files and the drain commands pass.

--- a/bergamotthread/process/drain_report.py
+++ b/bergamotthread/process/drain_report.py
@@ -18,7 +18,6 @@
 KEY_PREFIX = 'drain/'
 REPORT_INTERVAL_MS = 10_000
 FRESH_MS = 30_000
-SCAN_LIMIT = 1000
 
 
 class DrainReport(msgspec.Struct, frozen=True):
--- a/bergamotthread/process/settings_checks.py
+++ b/bergamotthread/process/settings_checks.py
@@ -18,8 +18,6 @@
 CURVE_KEY_CHARACTERS = 40
 MIN_CURSOR_KEY_BYTES = 32
 
-_HEX_DIGITS_PER_BYTE = 2
-
 
 def check_settings(
     settings: EntrySettings | AgentSettings,
