Prove the version by polls of 1.5 s, and leave the rotation while it is old

Ruled out: an outage (the store was calm at 40 s and later). Change: polls of 1.5 s; after a loss the next one waits for nothing; the balancer's check fails while the proof is older than 0.7 of the bound.

--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -147,7 +147,8 @@
         await listen(status, f'{settings.ip}:{settings.metrics_port}')
 
     def _ready(self) -> tuple[int, str]:
-        return (200 if self._life_cycle.is_ready else 503), ''
+        is_ready = self._life_cycle.is_ready and self._freshness.is_ready
+        return (200 if is_ready else 503), ''
 
     def _metrics(self) -> tuple[int, str]:
         lines = (
--- a/bergamotthread/platform/store.py
+++ b/bergamotthread/platform/store.py
@@ -17,6 +17,8 @@
 # A call that waits for nothing answers in some milliseconds; slow spells of
 # the store stretch this up to a hundredfold.
 CALL_TIMEOUT_MS = 1200
+# Time beyond its own wait after which a long poll is taken for lost.
+POLL_MARGIN_MS = 900
 PAGE_ROWS = 500
 _OK = 200
 _GONE = 410
@@ -98,7 +100,7 @@
             If it did not answer.
         """
         query = {'table': table, 'after': str(after), 'wait_ms': str(wait_ms)}
-        page = await self._rows('rows-feed', query, CALL_TIMEOUT_MS + wait_ms)
+        page = await self._rows('rows-feed', query, POLL_MARGIN_MS + wait_ms)
         return RowsRead(tuple(_rows(page.rows)), max(page.ver, after))
 
     async def _rows(
--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -28,10 +28,12 @@
 OPERATOR_TABLE = 'op'
 RUNNER_TABLE = 'servers'
 MANIFEST_KEY = 'config'
-# Both tables are followed by long polls. Their answers also prove that what is
-# known is current, so they end well below the bounds for removed keys (5 s) and
-# for runners that drain (3 s after 4 s of calm).
-VERSION_WAIT_MS = 2400
+# Both tables are followed by long polls. An answer proves that what is known was
+# current when it was asked for, so that the proof of the version grows as old
+# as two polls; with a poll that is lost it must stay below the bound for
+# removed keys (5 s), and rows below the one for runners that drain (3 s after
+# 4 s of calm).
+VERSION_WAIT_MS = 1500
 RUNNER_WAIT_MS = 2000
 # Rows of several runners that change together come in one answer.
 RUNNER_INTERVAL_MS = 250
@@ -100,7 +102,7 @@
             read = await self._store.read_changes(
                 self.table,
                 self._version,
-                self.wait_ms,
+                0 if self._is_lost else self.wait_ms,
             )
             self.take_changes(read.rows)
         self._version = read.version
--- a/bergamotthread/process/relay/freshness.py
+++ b/bergamotthread/process/relay/freshness.py
@@ -13,6 +13,8 @@
 
 # Part of the bound that is left to the way from the check to the upstream.
 DISPATCH_MARGIN_MS = 300
+# Part of the bound after which the balancer is told to send callers elsewhere.
+READY_SHARE = 0.7
 
 
 @dataclass
@@ -49,3 +51,10 @@
         if self.revoke_bound_ms is None:
             return True
         return self.age_ms < self.revoke_bound_ms - DISPATCH_MARGIN_MS
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new callers are better served here than elsewhere."""
+        if self.revoke_bound_ms is None:
+            return True
+        return self.age_ms < self.revoke_bound_ms * READY_SHARE
