Probe after 120 ms of silence between events

Cause: of the streams that went on from a copy after a silent loss some paused 711 to 745 ms (objective 700): 160 ms of silence and 230 ms for the probe came before the resume.

--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -17,12 +17,15 @@
     UpstreamDirectory,
 )
 
-# Silence after which an upstream is probed: several times the usual gap
-# between events, well below the longest gap that is still on time.
-SILENCE_MS = 160
+# Silence in the middle of a stream after which its upstream is probed: several
+# times the usual gap between events (40 ms), so that a resume still fits into
+# the longest pause that is on time (700 ms).
+SILENCE_MS = 120
+# The same while a prompt is read, where a little more does no harm.
+READING_SILENCE_MS = 200
 # Time for the answer to a probe: a connection and a round trip between regions
 # take 120 ms.
-PROBE_TIMEOUT_MS = 230
+PROBE_TIMEOUT_MS = 190
 
 # A report younger than this is used again for another choice.
 REPORT_FRESH_MS = 150
@@ -41,9 +44,13 @@
     _running: dict[str, asyncio.Task[bool]] = field(default_factory=dict)
     _waiting: set[asyncio.Task[bool]] = field(default_factory=set)
 
-    async def is_alive(self, upstream: Upstream) -> bool:
+    async def is_alive(
+        self,
+        upstream: Upstream,
+        silence_ms: float = SILENCE_MS,
+    ) -> bool:
         """Return whether an upstream was heard of lately or answers now."""
-        if self.clock.now_ms() - upstream.heard_ms < SILENCE_MS:
+        if self.clock.now_ms() - upstream.heard_ms < silence_ms:
             return True
         return await self.verify(upstream)
 
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -21,7 +21,10 @@
     end_to_end,
 )
 from bergamotthread.process.relay.choice import Work
-from bergamotthread.process.relay.liveness import SILENCE_MS
+from bergamotthread.process.relay.liveness import (
+    READING_SILENCE_MS,
+    SILENCE_MS,
+)
 from bergamotthread.process.relay.upstreams import Upstream
 from bergamotthread.request.relay.attempt import Attempt
 from bergamotthread.request.relay.call import AttemptHeaders, RelayedCall
@@ -232,14 +235,16 @@
     async def _next(self, attempt: Attempt) -> AnswerItem | None:
         """Return the next item; none at the deadline."""
         started_ms = self._parts.clock.now_ms()
+        silence_ms = SILENCE_MS if self._pace.parts else READING_SILENCE_MS
         while True:
-            wait_ms = min(SILENCE_MS, attempt.remaining_ms)
+            wait_ms = min(silence_ms, attempt.remaining_ms)
             arrived = await attempt.receive(wait_ms)
             if arrived is not None:
                 return arrived
             if attempt.remaining_ms <= 0:
                 return None
-            if not await self._parts.liveness.is_alive(attempt.upstream):
+            liveness = self._parts.liveness
+            if not await liveness.is_alive(attempt.upstream, silence_ms):
                 arrived = await attempt.receive(0)
                 return arrived or AnswerLost('the upstream is silent')
             silent_ms = self._parts.clock.now_ms() - started_ms
