--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -219,6 +219,10 @@
         Refuses requests and says that it did not run them.
     breaks_after
         Events, or for plain answers 0, after which it resets.
+    ends_in_event
+        Ends its stream within an event, as if it were whole.
+    repeats
+        Events before the place to go on from that it sends again.
     stalls_after
         Events after which it sends no more, though it answers probes.
     """
@@ -226,6 +230,8 @@
     not_run: bool = False
     status: int = 200
     breaks_after: int | None = None
+    ends_in_event: bool = False
+    repeats: int = 0
     stalls_after: int | None = None
     work_ms: float = 30
     events: int = 60
@@ -248,6 +254,7 @@
         self.script = RunnerScript()
         self.seen: list[Seen] = []
         self.reports = 0
+        self.copied_to: list[str] = []
         self._net = net
 
     def kill(self) -> None:
@@ -264,6 +271,7 @@
             exchange.respond(200, (), json.dumps(report).encode())
             return
         if request.target == b'/api/kv-move':
+            self.copied_to.append(json.loads(request.body)['target'])
             exchange.respond(200, (), b'{"handle":"h1","create_revision":1}')
             return
         seen = Seen(
@@ -304,6 +312,7 @@
 
     async def _stream(self, exchange: Exchange, seen: Seen) -> None:
         start = int(seen.headers.get(b'last-event-id', b'0'))
+        start = max(start - self.script.repeats, 0)
         if b'kv-from' not in seen.headers:
             await self.clock.sleep_ms(PREFILL_MS)
         headers = [
@@ -320,6 +329,8 @@
                 await self.clock.sleep_ms(60_000)
             exchange.write(b'id: %d\ndata: t%d\n\n' % (number, number))
             await self.clock.sleep_ms(EVENT_MS)
+        if self.script.ends_in_event:
+            exchange.write(b'id: 99\ndata')
         exchange.finish()
 
     def _headers(self, seen: Seen) -> list[tuple[bytes, bytes]]:
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bergamotthread.platform.store import StoreCallError
 from bergamotthread.testing.memory_http import run_in_memory
 from tests.platform_standins import KEY, SEAL, Deployment, manifest, settings
 
@@ -206,6 +207,58 @@
     run_in_memory(check())
 
 
+def test_stream_that_ends_within_an_event_is_not_whole():
+    async def check():
+        day = await Deployment.start(models=1)
+        day.models[0].script.ends_in_event = True
+        answer = await day.call('/once-stream/x')
+        assert not answer.is_whole
+        assert answer.event_ids == list(range(1, 61))
+
+    run_in_memory(check())
+
+
+def test_events_that_are_sent_again_are_not_passed_on_twice():
+    async def check():
+        day = await Deployment.start()
+        _copies_everywhere(day)
+        task = asyncio.create_task(day.call('/stream/x'))
+        await day.clock.sleep_ms(1500)
+        for model in day.models:
+            model.script.repeats = 3
+        next(model for model in day.models if model.seen).kill()
+        answer = await task
+        assert answer.event_ids == list(range(1, 61))
+
+    run_in_memory(check())
+
+
+def test_copy_is_made_anew_when_its_holder_is_lost():
+    """Load: one failure domain after another, seconds apart."""
+
+    async def check():
+        day = await Deployment.start()
+        task = asyncio.create_task(day.call('/stream/x'))
+        await day.clock.sleep_ms(1000)
+        runner = next(model for model in day.models if model.seen)
+        told = runner.seen[0].headers[b'bergamotthread-kv-backup'].decode()
+        by_address = {model.address: model for model in day.models}
+        holder = by_address.pop(told)
+        by_address.pop(runner.address)
+        third = next(iter(by_address.values()))
+        third.script.copies = {f'{runner.address}/h1'}
+        holder.kill()
+        day.store.remove('servers', holder.instance)
+        await day.clock.sleep_ms(700)
+        assert runner.copied_to == [third.address]
+        runner.kill()
+        answer = await task
+        assert answer.is_whole
+        assert answer.longest_pause_ms < 700
+
+    run_in_memory(check())
+
+
 def test_unknown_key_and_route():
     async def check():
         day = await Deployment.start()
@@ -489,6 +542,20 @@
     run_in_memory(check())
 
 
+def test_entry_does_not_follow_one_that_follows_another():
+    async def check():
+        day = await _two_entries()
+        await day.add_entry(settings('edge-a-0', number=3))
+        await day.clock.sleep_ms(3000)
+        client = day.entries[2]._store
+        with pytest.raises(StoreCallError, match='direct: False'):
+            await client.follow('10.1.0.2:7001', 'servers', 10, 10, 5000)
+        with pytest.raises(StoreCallError, match='ms old'):
+            await client.follow('10.1.0.3:7001', 'servers', 10, 10, -1)
+
+    run_in_memory(check())
+
+
 def test_entry_cut_from_the_store_hears_through_another():
     async def check():
         day = await _two_entries()
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -263,6 +263,13 @@
         assert again <= 0.5 * sent + 12
 
 
+def test_slack_is_shared_by_all_entries():
+    hand = Hand()
+    budgets = [_budget(hand, 3) for _ in range(3)]
+    granted = [budget.spend('s') for _ in range(9) for budget in budgets]
+    assert sum(granted) == 12
+
+
 def test_budget_recovers_when_the_window_has_passed():
     hand = Hand()
     budget = _budget(hand, 1)
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -135,6 +135,12 @@
     assert not connection.is_reusable
 
 
+def test_second_answer_in_the_same_packet_makes_it_unfit():
+    items, connection = _talk([WHOLE + WHOLE])
+    assert _body(items) == b'body'
+    assert not connection.is_reusable
+
+
 def test_answer_to_another_request_is_skipped():
     items, connection = _talk([FOREIGN + WHOLE])
     assert _body(items) == b'body'
