--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -8,14 +8,14 @@
 
 from benchmarks.engine_model import KV_CAPACITY, MAX_RUNNING
 from bergamotthread.clock import Clock
-from bergamotthread.process.admission import (
+from bergamotthread.process.overload.admission import (
     AdmissionGate,
     GateLimits,
     GateRules,
 )
-from bergamotthread.process.load_view import LoadView
-from bergamotthread.process.placement import Placement, PlacementRequest
-from bergamotthread.process.prefix_hash import PrefixView
+from bergamotthread.process.routing.load_view import LoadView
+from bergamotthread.process.routing.placement import Placement, PlacementRequest
+from bergamotthread.process.routing.prefix_hash import PrefixView
 from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import LoadReport
 
--- a/benchmarks/capacity_control.py
+++ b/benchmarks/capacity_control.py
@@ -37,12 +37,12 @@
 from benchmarks.shares import measure as measure_shares
 from benchmarks.subsets import make_places
 from bergamotthread.clock import Clock
-from bergamotthread.process.agent_roster import AgentRoster
-from bergamotthread.process.member_table import MemberTable
-from bergamotthread.process.orders import plan_orders
-from bergamotthread.process.share_usage import ShareUsage
-from bergamotthread.process.shares import TeamLimits
-from bergamotthread.process.subset import select_upstreams
+from bergamotthread.process.membership.member_table import MemberTable
+from bergamotthread.process.orders.orders import plan_orders
+from bergamotthread.process.routing.agent_roster import AgentRoster
+from bergamotthread.process.routing.subset import select_upstreams
+from bergamotthread.process.shares.share_usage import ShareUsage
+from bergamotthread.process.shares.shares import TeamLimits
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.virtual_loop import run_virtual
 from bergamotthread.version.objects import ObjectSet, Team
--- a/benchmarks/data_path_processes.py
+++ b/benchmarks/data_path_processes.py
@@ -21,7 +21,7 @@
     PlaceSettings,
     PlatformSettings,
 )
-from bergamotthread.process.store_client import StoreClient, StoreUse
+from bergamotthread.process.store.store_client import StoreClient, StoreUse
 from bergamotthread.testing.memory_platform import MemoryPlatform
 from bergamotthread.version.objects import ObjectSet
 from bergamotthread.version.publication import Draft, Publisher
--- a/benchmarks/detection.py
+++ b/benchmarks/detection.py
@@ -17,7 +17,7 @@
     DetectorLimits,
     SilenceDetector,
 )
-from bergamotthread.process.generations import WATCH_INTERVAL_MS
+from bergamotthread.process.generations.generations import WATCH_INTERVAL_MS
 
 FIGURES_FILE = Path('docs/design/detection-figures.md')
 HOUR_MS = 3_600_000
--- a/benchmarks/drain_day.py
+++ b/benchmarks/drain_day.py
@@ -8,7 +8,7 @@
 import random
 import time
 
-from bergamotthread.process.drain_plan import (
+from bergamotthread.process.drain.drain_plan import (
     DrainLimits,
     DrainPlan,
     find_targets,
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -39,17 +39,17 @@
 )
 from benchmarks.workload import Arrival, Job, Workload
 from bergamotthread.clock import Clock
-from bergamotthread.process.admission import GateRules, Refused, Run
-from bergamotthread.process.overload import Overloaded, OverloadGuard
-from bergamotthread.process.placement import Placement, PlacementRequest
-from bergamotthread.process.poison import (
+from bergamotthread.process.generations.poison import (
     PoisonGuard,
     Quarantined,
     Suspect,
     Undecided,
 )
-from bergamotthread.process.retry_budget import Denied, RetryBudget
-from bergamotthread.process.routing import ScoredPlacement
+from bergamotthread.process.overload.admission import GateRules, Refused, Run
+from bergamotthread.process.overload.overload import Overloaded, OverloadGuard
+from bergamotthread.process.overload.retry_budget import Denied, RetryBudget
+from bergamotthread.process.routing.placement import Placement, PlacementRequest
+from bergamotthread.process.routing.routing import ScoredPlacement
 from bergamotthread.request.refusal import RefusedError
 from bergamotthread.wire.messages import Dispatch, LoadReport
 
--- a/benchmarks/fleet_parts.py
+++ b/benchmarks/fleet_parts.py
@@ -9,13 +9,16 @@
 from benchmarks.engine_model import KV_CAPACITY, MAX_RUNNING, Engine
 from benchmarks.workload import Job
 from bergamotthread.clock import Clock
-from bergamotthread.process.admission import (
+from bergamotthread.process.generations.poison import (
+    PoisonGuard,
+    QuarantineSink,
+)
+from bergamotthread.process.overload.admission import (
     AdmissionGate,
     GateLimits,
     GateRules,
 )
-from bergamotthread.process.placement import PlacementRequest
-from bergamotthread.process.poison import PoisonGuard, QuarantineSink
+from bergamotthread.process.routing.placement import PlacementRequest
 from bergamotthread.wire.messages import Quarantine
 
 LOCAL_DELAY_MS = 1
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -14,9 +14,9 @@
 from functools import partial
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.membership import Membership
-from bergamotthread.process.platform import HostEntry
+from bergamotthread.process.membership.membership import Membership
 from bergamotthread.process.settings import PlaceSettings
+from bergamotthread.process.store.platform import HostEntry
 from bergamotthread.testing.memory_network import (
     MemoryNetwork,
     MemoryTransport,
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -40,9 +40,9 @@
 )
 from benchmarks.workload import TEAMS, Phase, Workload
 from bergamotthread.clock import Clock
-from bergamotthread.process.placement import Placement
-from bergamotthread.process.placement_score import ScoreWeights
-from bergamotthread.process.routing import ScoredPlacement
+from bergamotthread.process.routing.placement import Placement
+from bergamotthread.process.routing.placement_score import ScoreWeights
+from bergamotthread.process.routing.routing import ScoredPlacement
 
 PlacementFactory = Callable[[Clock, int], Placement]
 
--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.share_usage import ShareUsage
-from bergamotthread.process.shares import TeamLimits
+from bergamotthread.process.shares.share_usage import ShareUsage
+from bergamotthread.process.shares.shares import TeamLimits
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.virtual_loop import run_virtual
 from bergamotthread.version.objects import ObjectSet, Team
--- a/benchmarks/subsets.py
+++ b/benchmarks/subsets.py
@@ -11,12 +11,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from bergamotthread.process.settings import PlaceSettings
-from bergamotthread.process.subset import (
+from bergamotthread.process.routing.subset import (
     SubsetSizes,
     select_upstreams,
     top_nodes,
 )
+from bergamotthread.process.settings import PlaceSettings
 
 Pairs = set[tuple[str, str]]
 Places = list[PlaceSettings]
--- a/benchmarks/test_calls.py
+++ b/benchmarks/test_calls.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from bergamotthread.process.store_client import (
+from bergamotthread.process.store.store_client import (
     GuardedTable,
     StoreGuard,
     StoreLimits,
--- a/benchmarks/test_data_path.py
+++ b/benchmarks/test_data_path.py
@@ -10,7 +10,7 @@
 
 from benchmarks.relay_loop import baseline, relay
 from bergamotthread.clock import Clock
-from bergamotthread.process.output_flusher import OutputFlusher
+from bergamotthread.process.generations.output_flusher import OutputFlusher
 from bergamotthread.request.output_buffer import OutputBuffer
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.virtual_loop import run_virtual
--- a/benchmarks/test_explanations.py
+++ b/benchmarks/test_explanations.py
@@ -10,7 +10,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import Step
-from bergamotthread.process.explanations import Explanations
+from bergamotthread.process.explanations.explanations import Explanations
 from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
 from bergamotthread.testing.memory_platform import (
     MemoryObjectStore,
--- a/bergamotthread/cli/audit.py
+++ b/bergamotthread/cli/audit.py
@@ -9,8 +9,8 @@
 
 from bergamotthread.cli.operator_context import OperatorContext, fail
 from bergamotthread.errors import BergamotError
-from bergamotthread.process.audit import AuditRecord
-from bergamotthread.process.audit_reader import (
+from bergamotthread.process.explanations.audit import AuditRecord
+from bergamotthread.process.explanations.audit_reader import (
     AuditFilter,
     hours_between,
     read_audit,
--- a/bergamotthread/cli/calls.py
+++ b/bergamotthread/cli/calls.py
@@ -9,8 +9,7 @@
 
 from bergamotthread.cli.operator_context import OperatorContext, fail
 from bergamotthread.errors import BergamotError
-from bergamotthread.process.audit import AuditTrail
-from bergamotthread.process.call_operations import (
+from bergamotthread.process.calls.call_operations import (
     CallName,
     CallRecord,
     Resolution,
@@ -19,6 +18,7 @@
     show_call,
     state_name,
 )
+from bergamotthread.process.explanations.audit import AuditTrail
 from bergamotthread.version.operators import find_operator
 from bergamotthread.version.publication import Publisher
 
--- a/bergamotthread/cli/drain.py
+++ b/bergamotthread/cli/drain.py
@@ -12,14 +12,17 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import BergamotError
-from bergamotthread.process.drain_plan import (
+from bergamotthread.process.drain.drain_plan import (
     DrainLimits,
     DrainPlan,
     find_targets,
     plan_stops,
 )
-from bergamotthread.process.drain_report import DrainVerdict, read_verdicts
-from bergamotthread.process.platform import HostList, Table
+from bergamotthread.process.drain.drain_report import (
+    DrainVerdict,
+    read_verdicts,
+)
+from bergamotthread.process.store.platform import HostList, Table
 from bergamotthread.version.objects import ObjectSet, Stop
 from bergamotthread.version.published import PublishedVersion
 
--- a/bergamotthread/cli/explain.py
+++ b/bergamotthread/cli/explain.py
@@ -13,8 +13,8 @@
 from aiosonic.exceptions import AiosonicError
 
 from bergamotthread.connection.address import Address, AddressError
-from bergamotthread.process.explanation_batch import RequestId
-from bergamotthread.process.explanations import describe_missing
+from bergamotthread.process.explanations.explanation_batch import RequestId
+from bergamotthread.process.explanations.explanations import describe_missing
 from bergamotthread.request.refusal import Refusal
 
 CREDENTIAL_VARIABLE = 'BERGAMOTTHREAD_CREDENTIAL'
--- a/bergamotthread/cli/operator_context.py
+++ b/bergamotthread/cli/operator_context.py
@@ -11,10 +11,10 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreUnavailableError
-from bergamotthread.process.audit import AuditTrail
-from bergamotthread.process.platform import HostList, ObjectStore, Table
+from bergamotthread.process.explanations.audit import AuditTrail
 from bergamotthread.process.settings import PlatformSettings
-from bergamotthread.process.store_client import StoreClient, StoreUse
+from bergamotthread.process.store.platform import HostList, ObjectStore, Table
+from bergamotthread.process.store.store_client import StoreClient, StoreUse
 from bergamotthread.version.objects import ObjectSet
 from bergamotthread.version.operators import find_operator
 from bergamotthread.version.publication import Draft, NewestVersion, Publisher
--- a/bergamotthread/cli/publish.py
+++ b/bergamotthread/cli/publish.py
@@ -17,7 +17,7 @@
     record_publication,
 )
 from bergamotthread.errors import BergamotError
-from bergamotthread.process.audit import AuditTrail
+from bergamotthread.process.explanations.audit import AuditTrail
 from bergamotthread.version.acceptance import Acceptance, AcceptanceWatch
 from bergamotthread.version.checks import ObjectsError, load_object_set
 from bergamotthread.version.diff import render_diff
--- a/bergamotthread/cli/replay.py
+++ b/bergamotthread/cli/replay.py
@@ -9,8 +9,11 @@
 import msgspec
 
 from bergamotthread.errors import BergamotError
-from bergamotthread.process.decision_trace import decode_trace
-from bergamotthread.process.trace_replay import Replay, ReplayOutcome
+from bergamotthread.process.explanations.decision_trace import decode_trace
+from bergamotthread.process.explanations.trace_replay import (
+    Replay,
+    ReplayOutcome,
+)
 
 _encode = msgspec.json.Encoder().encode
 _decoder = msgspec.json.Decoder(ReplayOutcome)
--- a/bergamotthread/process/agent.py
+++ b/bergamotthread/process/agent.py
@@ -13,7 +13,15 @@
     EngineLostError,
 )
 from bergamotthread.connection.transport import Transport
-from bergamotthread.process.admission import (
+from bergamotthread.process.drain.drain_state import DrainPhase, DrainState
+from bergamotthread.process.generations.attempt_runner import AttemptRunner
+from bergamotthread.process.generations.attempts import (
+    AttemptKey,
+    Attempts,
+    key_of,
+)
+from bergamotthread.process.generations.output_flusher import OutputFlusher
+from bergamotthread.process.overload.admission import (
     AdmissionGate,
     GateLimits,
     GateRules,
@@ -22,10 +30,6 @@
     Refused,
     Run,
 )
-from bergamotthread.process.attempt_runner import AttemptRunner
-from bergamotthread.process.attempts import AttemptKey, Attempts, key_of
-from bergamotthread.process.drain_state import DrainPhase, DrainState
-from bergamotthread.process.output_flusher import OutputFlusher
 from bergamotthread.process.settings import AgentSettings
 from bergamotthread.request.output_buffer import OutputBuffer
 from bergamotthread.version.objects import Team
--- a/bergamotthread/process/agent_process.py
+++ b/bergamotthread/process/agent_process.py
@@ -11,13 +11,13 @@
 from bergamotthread.connection.transport import Transport
 from bergamotthread.connection.zmq_transport import ZmqTransport
 from bergamotthread.process.agent import Agent, AgentConfig
-from bergamotthread.process.drain_report import DrainReporter
-from bergamotthread.process.drain_runner import DrainRunner
-from bergamotthread.process.engine_orders import OrderInbox
-from bergamotthread.process.own_host_watch import OwnHostWatch
-from bergamotthread.process.service_agent import ServiceAgent
+from bergamotthread.process.calls.service_agent import ServiceAgent
+from bergamotthread.process.drain.drain_report import DrainReporter
+from bergamotthread.process.drain.drain_runner import DrainRunner
+from bergamotthread.process.membership.own_host_watch import OwnHostWatch
+from bergamotthread.process.orders.engine_orders import OrderInbox
 from bergamotthread.process.settings import AgentSettings
-from bergamotthread.process.store_client import StoreClient, StoreUse
+from bergamotthread.process.store.store_client import StoreClient, StoreUse
 from bergamotthread.version.distribution import VersionHolder
 from bergamotthread.wire.messages import Envelope
 
--- /dev/null
+++ b/bergamotthread/process/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that run at most once: decided from their rows and tickets."""
--- a/bergamotthread/process/call_cleaner.py
+++ b/bergamotthread/process/calls/call_cleaner.py
@@ -13,7 +13,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreConflictError, StoreUnavailableError
-from bergamotthread.process.platform import Row, Table
+from bergamotthread.process.store.platform import Row, Table
 from bergamotthread.request.call_row import (
     CALL_PREFIX,
     CallRow,
--- a/bergamotthread/process/call_executor.py
+++ b/bergamotthread/process/calls/call_executor.py
@@ -20,7 +20,7 @@
     ServiceRequest,
 )
 from bergamotthread.connection.transport import Transport
-from bergamotthread.process.ticket_book import TicketBook
+from bergamotthread.process.calls.ticket_book import TicketBook
 from bergamotthread.wire.messages import (
     FENCE_HEADER,
     KEY_HEADER,
--- a/bergamotthread/process/call_runner.py
+++ b/bergamotthread/process/calls/call_runner.py
@@ -8,10 +8,10 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import Step
-from bergamotthread.process.call_limits import CallLimits
-from bergamotthread.process.call_mailboxes import CallMailboxes
-from bergamotthread.process.platform import ObjectStore, Table
-from bergamotthread.process.retry_credit import RetryCredit
+from bergamotthread.process.calls.call_limits import CallLimits
+from bergamotthread.process.calls.call_mailboxes import CallMailboxes
+from bergamotthread.process.overload.retry_credit import RetryCredit
+from bergamotthread.process.store.platform import ObjectStore, Table
 from bergamotthread.request.call_agents import CallAgents
 from bergamotthread.request.call_refusals import refuse_call
 from bergamotthread.request.call_request import (
--- a/bergamotthread/process/service_agent.py
+++ b/bergamotthread/process/calls/service_agent.py
@@ -5,8 +5,8 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.service_client import ServiceClient
 from bergamotthread.connection.transport import Transport
-from bergamotthread.process.call_executor import CallExecutor
-from bergamotthread.process.drain_state import DrainState
+from bergamotthread.process.calls.call_executor import CallExecutor
+from bergamotthread.process.drain.drain_state import DrainState
 from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import DrainNotice, Envelope
 
--- /dev/null
+++ b/bergamotthread/process/drain/__init__.py
@@ -0,0 +1,1 @@
+"""Planned stops: who may stop when, and what still holds a process."""
--- a/bergamotthread/process/drain_plan.py
+++ b/bergamotthread/process/drain/drain_plan.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.errors import BergamotError, Step
-from bergamotthread.process.platform import HostEntry
+from bergamotthread.process.store.platform import HostEntry
 from bergamotthread.version.objects import Stop
 from bergamotthread.version.published import PublishedVersion
 
--- a/bergamotthread/process/drain_report.py
+++ b/bergamotthread/process/drain/drain_report.py
@@ -12,8 +12,8 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from bergamotthread.process.drain_state import DrainPhase
-from bergamotthread.process.platform import Row, Table
+from bergamotthread.process.drain.drain_state import DrainPhase
+from bergamotthread.process.store.platform import Row, Table
 
 KEY_PREFIX = 'drain/'
 REPORT_INTERVAL_MS = 10_000
--- a/bergamotthread/process/drain_runner.py
+++ b/bergamotthread/process/drain/drain_runner.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.drain_report import DrainReporter
-from bergamotthread.process.drain_state import DrainPhase, DrainState
+from bergamotthread.process.drain.drain_report import DrainReporter
+from bergamotthread.process.drain.drain_state import DrainPhase, DrainState
 
 REFRESH_INTERVAL_MS = 250
 
--- a/bergamotthread/process/entry_app.py
+++ b/bergamotthread/process/entry_app.py
@@ -18,17 +18,19 @@
     until_disconnected,
 )
 from bergamotthread.errors import Step
-from bergamotthread.process.completions import Caller, Completions
-from bergamotthread.process.entry_metrics import EntryMetrics
-from bergamotthread.process.explanation_routes import explanation_routes
-from bergamotthread.process.explanations import Explanations
-from bergamotthread.process.generations import Generations
-from bergamotthread.process.health import Readiness, health_routes
-from bergamotthread.process.refusal_recorder import RefusalRecorder
-from bergamotthread.process.service_calls import (
+from bergamotthread.process.calls.service_calls import (
     ServiceRequestParts,
     call_request,
 )
+from bergamotthread.process.entry_metrics import EntryMetrics
+from bergamotthread.process.explanations.explanation_routes import (
+    explanation_routes,
+)
+from bergamotthread.process.explanations.explanations import Explanations
+from bergamotthread.process.explanations.refusal_recorder import RefusalRecorder
+from bergamotthread.process.generations.completions import Caller, Completions
+from bergamotthread.process.generations.generations import Generations
+from bergamotthread.process.membership.health import Readiness, health_routes
 from bergamotthread.request.authentication import authenticate_team
 from bergamotthread.request.call_request import CallAnswer, CallRequest
 from bergamotthread.request.completion import decode_completion
--- a/bergamotthread/process/entry_control.py
+++ b/bergamotthread/process/entry_control.py
@@ -8,18 +8,18 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
-from bergamotthread.process.agent_roster import AgentRoster
-from bergamotthread.process.membership import Membership
-from bergamotthread.process.orders import (
+from bergamotthread.process.membership.membership import Membership
+from bergamotthread.process.orders.orders import (
     OrderListener,
     RegionOrders,
     WeightRate,
 )
-from bergamotthread.process.platform import HostList, Table
-from bergamotthread.process.region_lease import RegionLease
+from bergamotthread.process.orders.region_lease import RegionLease
+from bergamotthread.process.routing.agent_roster import AgentRoster
+from bergamotthread.process.routing.subset import select_upstreams, top_nodes
 from bergamotthread.process.settings import PlaceSettings
-from bergamotthread.process.shares import TeamLimits
-from bergamotthread.process.subset import select_upstreams, top_nodes
+from bergamotthread.process.shares.shares import TeamLimits
+from bergamotthread.process.store.platform import HostList, Table
 from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import Envelope, Member, Pin
 
--- a/bergamotthread/process/entry_process.py
+++ b/bergamotthread/process/entry_process.py
@@ -12,36 +12,41 @@
 from bergamotthread.connection.transport import Transport
 from bergamotthread.connection.zmq_transport import ZmqTransport
 from bergamotthread.errors import StoreUnavailableError
-from bergamotthread.process.audit import AuditTrail
-from bergamotthread.process.audit_sinks import OrderAudit, QuarantineAudit
-from bergamotthread.process.call_cleaner import CallCleaner
-from bergamotthread.process.call_runner import CallRunner
-from bergamotthread.process.completions import Completions
-from bergamotthread.process.decision_trace import DecisionTrace
-from bergamotthread.process.drain_report import DrainReporter
-from bergamotthread.process.drain_runner import DrainRunner
-from bergamotthread.process.drain_state import DrainState
+from bergamotthread.process.calls.call_cleaner import CallCleaner
+from bergamotthread.process.calls.call_runner import CallRunner
+from bergamotthread.process.drain.drain_report import DrainReporter
+from bergamotthread.process.drain.drain_runner import DrainRunner
+from bergamotthread.process.drain.drain_state import DrainState
 from bergamotthread.process.entry_app import EntryApp, EntryParts
 from bergamotthread.process.entry_control import (
     ControlSources,
     EntryControl,
 )
 from bergamotthread.process.entry_metrics import EntryMetrics
-from bergamotthread.process.explanation_batch import new_writer_id
-from bergamotthread.process.explanation_metrics import (
+from bergamotthread.process.explanations.audit import AuditTrail
+from bergamotthread.process.explanations.audit_sinks import (
+    OrderAudit,
+    QuarantineAudit,
+)
+from bergamotthread.process.explanations.decision_trace import DecisionTrace
+from bergamotthread.process.explanations.explanation_batch import new_writer_id
+from bergamotthread.process.explanations.explanation_metrics import (
     add_explanation_metrics,
 )
-from bergamotthread.process.explanations import Explanations
-from bergamotthread.process.generation_guards import GenerationGuards
-from bergamotthread.process.generations import Generations
+from bergamotthread.process.explanations.explanations import Explanations
+from bergamotthread.process.explanations.refusal_recorder import RefusalRecorder
+from bergamotthread.process.generations.completions import Completions
+from bergamotthread.process.generations.generation_guards import (
+    GenerationGuards,
+)
+from bergamotthread.process.generations.generations import Generations
+from bergamotthread.process.generations.quarantines import Quarantines
 from bergamotthread.process.http_server import create_http_config
-from bergamotthread.process.observers import Observers
-from bergamotthread.process.pin_demand import PinDemand
-from bergamotthread.process.quarantines import Quarantines
-from bergamotthread.process.refusal_recorder import RefusalRecorder
-from bergamotthread.process.routing import ScoredPlacement
+from bergamotthread.process.membership.observers import Observers
+from bergamotthread.process.routing.pin_demand import PinDemand
+from bergamotthread.process.routing.routing import ScoredPlacement
 from bergamotthread.process.settings import EntrySettings
-from bergamotthread.process.store_client import StoreClient, StoreUse
+from bergamotthread.process.store.store_client import StoreClient, StoreUse
 from bergamotthread.process.transport_metrics import add_transport_metrics
 from bergamotthread.request.cursor import CursorSigner
 from bergamotthread.version.distribution import VersionHolder
--- a/bergamotthread/process/audit.py
+++ b/bergamotthread/process/explanations/audit.py
@@ -19,7 +19,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreConflictError, StoreUnavailableError
-from bergamotthread.process.platform import ObjectStore
+from bergamotthread.process.store.platform import ObjectStore
 
 AUDIT_PREFIX = 'audit/'
 FLUSH_INTERVAL_MS = 1000
--- a/bergamotthread/process/audit_reader.py
+++ b/bergamotthread/process/explanations/audit_reader.py
@@ -8,8 +8,12 @@
 import msgspec
 
 from bergamotthread.errors import BergamotError, DecodeError, Step
-from bergamotthread.process.audit import AUDIT_PREFIX, AuditRecord, hour_of
-from bergamotthread.process.platform import ObjectStore
+from bergamotthread.process.explanations.audit import (
+    AUDIT_PREFIX,
+    AuditRecord,
+    hour_of,
+)
+from bergamotthread.process.store.platform import ObjectStore
 
 MAX_OBJECTS_PER_HOUR = 10_000
 
--- a/bergamotthread/process/audit_sinks.py
+++ b/bergamotthread/process/explanations/audit_sinks.py
@@ -5,8 +5,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from bergamotthread.process.audit import AuditTrail
-from bergamotthread.process.quarantine_store import AuditSink, QuarantineRow
+from bergamotthread.process.explanations.audit import AuditTrail
+from bergamotthread.process.generations.quarantine_store import (
+    AuditSink,
+    QuarantineRow,
+)
 from bergamotthread.wire.messages import Order
 
 
--- a/bergamotthread/process/explanation_metrics.py
+++ b/bergamotthread/process/explanations/explanation_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bergamotthread.process.explanations import Explanations
+from bergamotthread.process.explanations.explanations import Explanations
 from bergamotthread.process.metrics import Metrics
 
 
--- a/bergamotthread/process/explanation_routes.py
+++ b/bergamotthread/process/explanations/explanation_routes.py
@@ -10,7 +10,10 @@
 from starlette.routing import Route
 
 from bergamotthread.errors import DecodeError, Step, StoreUnavailableError
-from bergamotthread.process.explanations import Explanations, describe_missing
+from bergamotthread.process.explanations.explanations import (
+    Explanations,
+    describe_missing,
+)
 from bergamotthread.request.authentication import (
     authenticate_operator,
     authenticate_team,
--- a/bergamotthread/process/explanations.py
+++ b/bergamotthread/process/explanations/explanations.py
@@ -18,12 +18,12 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreConflictError, StoreUnavailableError
-from bergamotthread.process.explanation_batch import (
+from bergamotthread.process.explanations.explanation_batch import (
     ExplanationBatch,
     RequestId,
     decode_batch,
 )
-from bergamotthread.process.platform import ObjectStore
+from bergamotthread.process.store.platform import ObjectStore
 from bergamotthread.request.refusal import Refusal
 
 LINGER_MS = 1000
--- a/bergamotthread/process/refusal_recorder.py
+++ b/bergamotthread/process/explanations/refusal_recorder.py
@@ -6,7 +6,7 @@
 from absl import logging
 
 from bergamotthread.process.entry_metrics import EntryMetrics
-from bergamotthread.process.explanations import Explanations
+from bergamotthread.process.explanations.explanations import Explanations
 from bergamotthread.request.refusal import Refusal
 
 
--- a/bergamotthread/process/trace_replay.py
+++ b/bergamotthread/process/explanations/trace_replay.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from bergamotthread.errors import DecodeError, Step
-from bergamotthread.process.decision_trace import (
+from bergamotthread.process.explanations.decision_trace import (
     AdmittedRecord,
     AttemptRecord,
     ConfirmedRecord,
@@ -22,7 +22,7 @@
     RestoredRecord,
     RevokedRecord,
 )
-from bergamotthread.process.placement import PlacementRequest
+from bergamotthread.process.routing.placement import PlacementRequest
 from bergamotthread.request.generation import (
     AttemptPlace,
     Generation,
--- a/bergamotthread/process/attempt_runner.py
+++ b/bergamotthread/process/generations/attempt_runner.py
@@ -13,7 +13,7 @@
     EngineRefusedError,
     GenerateRequest,
 )
-from bergamotthread.process.output_flusher import OutputFlusher
+from bergamotthread.process.generations.output_flusher import OutputFlusher
 from bergamotthread.request.output_buffer import OutputBuffer
 from bergamotthread.wire.messages import Dispatch, EndMark, EndReason
 
--- a/bergamotthread/process/attempts.py
+++ b/bergamotthread/process/generations/attempts.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.attempt_runner import AttemptRunner
-from bergamotthread.process.output_flusher import OutputFlusher
+from bergamotthread.process.generations.attempt_runner import AttemptRunner
+from bergamotthread.process.generations.output_flusher import OutputFlusher
 from bergamotthread.request.output_buffer import OutputBuffer
 from bergamotthread.wire.messages import Dispatch, EndMark, EndReason
 
--- a/bergamotthread/process/completions.py
+++ b/bergamotthread/process/generations/completions.py
@@ -8,11 +8,11 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import DecodeError, Step
-from bergamotthread.process.admission import CHARS_PER_TOKEN
-from bergamotthread.process.generations import Generations
-from bergamotthread.process.placement import PlacementRequest
-from bergamotthread.process.poison import fingerprint
-from bergamotthread.process.prefix_hash import block_hashes
+from bergamotthread.process.generations.generations import Generations
+from bergamotthread.process.generations.poison import fingerprint
+from bergamotthread.process.overload.admission import CHARS_PER_TOKEN
+from bergamotthread.process.routing.placement import PlacementRequest
+from bergamotthread.process.routing.prefix_hash import block_hashes
 from bergamotthread.request.completion import (
     CompletionRequest,
     request_digest,
--- a/bergamotthread/process/generation_driver.py
+++ b/bergamotthread/process/generations/generation_driver.py
@@ -11,16 +11,16 @@
 from bergamotthread.connection.peer_histories import PeerHistories
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import Step
-from bergamotthread.process.decision_trace import DecisionTrace
 from bergamotthread.process.entry_metrics import EntryMetrics
-from bergamotthread.process.generation_guards import (
+from bergamotthread.process.explanations.decision_trace import DecisionTrace
+from bergamotthread.process.generations.generation_guards import (
     GenerationGuards,
     Go,
     Wait,
 )
-from bergamotthread.process.generation_watch import GenerationLimits
-from bergamotthread.process.loss_probe import LossProbe
-from bergamotthread.process.placement import Placement, PlacementRequest
+from bergamotthread.process.generations.generation_watch import GenerationLimits
+from bergamotthread.process.membership.loss_probe import LossProbe
+from bergamotthread.process.routing.placement import Placement, PlacementRequest
 from bergamotthread.request.generation import AttemptPlace
 from bergamotthread.request.generation_refusal import (
     generation_refusal,
--- a/bergamotthread/process/generation_guards.py
+++ b/bergamotthread/process/generations/generation_guards.py
@@ -8,12 +8,7 @@
 import msgspec
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.overload import (
-    Overloaded,
-    OverloadGuard,
-    overload_refusal,
-)
-from bergamotthread.process.poison import (
+from bergamotthread.process.generations.poison import (
     DEFAULT_DOMAIN_SIZE,
     PoisonGuard,
     Quarantined,
@@ -22,7 +17,12 @@
     Undecided,
     quarantine_refusal,
 )
-from bergamotthread.process.retry_budget import Denied, RetryBudget
+from bergamotthread.process.overload.overload import (
+    Overloaded,
+    OverloadGuard,
+    overload_refusal,
+)
+from bergamotthread.process.overload.retry_budget import Denied, RetryBudget
 from bergamotthread.request.generation_refusal import generation_refusal
 from bergamotthread.request.live_generation import LiveGeneration
 from bergamotthread.request.refusal import (
--- a/bergamotthread/process/generations.py
+++ b/bergamotthread/process/generations/generations.py
@@ -12,19 +12,21 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.peer_histories import PeerHistories
 from bergamotthread.connection.transport import Transport
-from bergamotthread.process.generation_driver import (
+from bergamotthread.process.generations.generation_driver import (
     DriverParts,
     GenerationDriver,
 )
-from bergamotthread.process.generation_guards import GenerationGuards
-from bergamotthread.process.generation_watch import (
+from bergamotthread.process.generations.generation_guards import (
+    GenerationGuards,
+)
+from bergamotthread.process.generations.generation_watch import (
     GenerationLimits,
     GenerationWatch,
 )
-from bergamotthread.process.loss_probe import LossProbe
-from bergamotthread.process.observers import Observers
-from bergamotthread.process.placement import Placement
-from bergamotthread.process.standby import Standbys
+from bergamotthread.process.membership.loss_probe import LossProbe
+from bergamotthread.process.membership.observers import Observers
+from bergamotthread.process.routing.placement import Placement
+from bergamotthread.process.routing.standby import Standbys
 from bergamotthread.request.generation import (
     AttemptPlace,
     Verdict,
--- a/bergamotthread/process/poison.py
+++ b/bergamotthread/process/generations/poison.py
@@ -19,8 +19,11 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import Step
-from bergamotthread.process.death_log import CORRELATION_MS, DeathLog
-from bergamotthread.process.running_attempts import CLEARING_TOKENS
+from bergamotthread.process.generations.death_log import (
+    CORRELATION_MS,
+    DeathLog,
+)
+from bergamotthread.process.generations.running_attempts import CLEARING_TOKENS
 from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
 from bergamotthread.wire.messages import Pin, Quarantine
 
--- a/bergamotthread/process/quarantine_store.py
+++ b/bergamotthread/process/generations/quarantine_store.py
@@ -11,12 +11,12 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import StoreConflictError
-from bergamotthread.process.platform import Table
-from bergamotthread.process.poison import (
+from bergamotthread.process.generations.poison import (
     QUARANTINE_MS,
     PoisonGuard,
     QuarantineSink,
 )
+from bergamotthread.process.store.platform import Table
 from bergamotthread.wire.messages import Quarantine
 
 QUARANTINE_PREFIX = 'quarantine/'
--- a/bergamotthread/process/quarantines.py
+++ b/bergamotthread/process/generations/quarantines.py
@@ -8,12 +8,12 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import StoreUnavailableError
-from bergamotthread.process.platform import Table
-from bergamotthread.process.poison import PoisonGuard
-from bergamotthread.process.quarantine_store import (
+from bergamotthread.process.generations.poison import PoisonGuard
+from bergamotthread.process.generations.quarantine_store import (
     AuditSink,
     QuarantinePublisher,
 )
+from bergamotthread.process.store.platform import Table
 from bergamotthread.wire.messages import Envelope, Quarantine
 
 FLUSH_INTERVAL_MS = 1000
--- /dev/null
+++ b/bergamotthread/process/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: told by gossip, probes and the list of hosts."""
--- a/bergamotthread/process/gossip_sender.py
+++ b/bergamotthread/process/membership/gossip_sender.py
@@ -6,9 +6,12 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
-from bergamotthread.process.byte_budget import ByteBudget
-from bergamotthread.process.gossip_queue import GossipQueue, record_bytes
-from bergamotthread.process.member_table import MemberTable
+from bergamotthread.process.membership.gossip_queue import (
+    GossipQueue,
+    record_bytes,
+)
+from bergamotthread.process.membership.member_table import MemberTable
+from bergamotthread.process.overload.byte_budget import ByteBudget
 from bergamotthread.wire.messages import (
     Member,
     MemberState,
--- a/bergamotthread/process/host_watch.py
+++ b/bergamotthread/process/membership/host_watch.py
@@ -7,8 +7,8 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import StoreUnavailableError
-from bergamotthread.process.platform import HostEntry, HostList
-from bergamotthread.process.subset import top_nodes
+from bergamotthread.process.routing.subset import top_nodes
+from bergamotthread.process.store.platform import HostEntry, HostList
 from bergamotthread.wire.messages import DrainNotice
 
 READER_INTERVAL_MS = 1000
--- a/bergamotthread/process/membership.py
+++ b/bergamotthread/process/membership/membership.py
@@ -15,16 +15,16 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
-from bergamotthread.process.gossip_sender import GossipSender
-from bergamotthread.process.host_watch import HostWatch
-from bergamotthread.process.member_table import (
+from bergamotthread.process.membership.gossip_sender import GossipSender
+from bergamotthread.process.membership.host_watch import HostWatch
+from bergamotthread.process.membership.member_table import (
     MemberTable,
     member_incarnation,
     process_incarnation,
 )
-from bergamotthread.process.platform import HostEntry, HostList
-from bergamotthread.process.prober import Prober
+from bergamotthread.process.membership.prober import Prober
 from bergamotthread.process.settings import PlaceSettings
+from bergamotthread.process.store.platform import HostEntry, HostList
 from bergamotthread.wire.messages import (
     Envelope,
     Member,
--- a/bergamotthread/process/observers.py
+++ b/bergamotthread/process/membership/observers.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.decision_trace import DecisionTrace
 from bergamotthread.process.entry_metrics import EntryMetrics
-from bergamotthread.process.pin_demand import PinDemand
+from bergamotthread.process.explanations.decision_trace import DecisionTrace
+from bergamotthread.process.routing.pin_demand import PinDemand
 
 
 @dataclass(frozen=True)
--- a/bergamotthread/process/own_host_watch.py
+++ b/bergamotthread/process/membership/own_host_watch.py
@@ -8,8 +8,8 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreUnavailableError
-from bergamotthread.process.drain_state import DrainState
-from bergamotthread.process.platform import HostList
+from bergamotthread.process.drain.drain_state import DrainState
+from bergamotthread.process.store.platform import HostList
 
 MIN_INTERVAL_MS = 1000
 AGENT_READS_PER_S = 200
--- a/bergamotthread/process/engine_orders.py
+++ b/bergamotthread/process/orders/engine_orders.py
@@ -10,8 +10,8 @@
 )
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import Step
-from bergamotthread.process.order_gate import EngineControl, OrderGate
-from bergamotthread.process.platform import Table
+from bergamotthread.process.orders.order_gate import EngineControl, OrderGate
+from bergamotthread.process.store.platform import Table
 from bergamotthread.wire.messages import Envelope, Order
 
 
--- a/bergamotthread/process/order_gate.py
+++ b/bergamotthread/process/orders/order_gate.py
@@ -6,8 +6,8 @@
 import asyncio
 
 from bergamotthread.errors import BergamotError, StoreUnavailableError
-from bergamotthread.process.platform import Table
-from bergamotthread.process.region_lease import decode_lease, lease_key
+from bergamotthread.process.orders.region_lease import decode_lease, lease_key
+from bergamotthread.process.store.platform import Table
 from bergamotthread.wire.messages import Order, OrderReply
 
 
--- a/bergamotthread/process/orders.py
+++ b/bergamotthread/process/orders/orders.py
@@ -8,8 +8,8 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
-from bergamotthread.process.byte_budget import ByteBudget
-from bergamotthread.process.region_lease import RegionLease
+from bergamotthread.process.orders.region_lease import RegionLease
+from bergamotthread.process.overload.byte_budget import ByteBudget
 from bergamotthread.version.objects import Model, Upstream
 from bergamotthread.version.published import PublishedVersion
 from bergamotthread.wire.messages import Envelope, Order, OrderReply, Pin
--- a/bergamotthread/process/region_lease.py
+++ b/bergamotthread/process/orders/region_lease.py
@@ -9,7 +9,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreConflictError, StoreUnavailableError
-from bergamotthread.process.platform import Row, Table
+from bergamotthread.process.store.platform import Row, Table
 
 KEY_PREFIX = 'lease/orders/'
 LEASE_MS = 15_000
--- a/bergamotthread/process/admission.py
+++ b/bergamotthread/process/overload/admission.py
@@ -11,13 +11,13 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.fair_queue import FairQueue, QueuedDispatch
-from bergamotthread.process.running_attempts import (
+from bergamotthread.process.generations.running_attempts import (
     AttemptKey,
     RunningAttempt,
     RunningAttempts,
     attempt_key,
 )
+from bergamotthread.process.overload.fair_queue import FairQueue, QueuedDispatch
 from bergamotthread.request.refusal import ReasonCode
 from bergamotthread.version.objects import Upstream
 from bergamotthread.wire.messages import Dispatch, LoadReport
--- a/bergamotthread/process/overload.py
+++ b/bergamotthread/process/overload/overload.py
@@ -8,7 +8,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import Step
-from bergamotthread.process.team_usage import TeamShare, TeamUsage, Usage
+from bergamotthread.process.shares.team_usage import TeamShare, TeamUsage, Usage
 from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
 
 RETRY_AFTER_MIN_MS = 100
--- a/bergamotthread/process/availability.py
+++ b/bergamotthread/process/routing/availability.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.load_view import LoadView
-from bergamotthread.process.upstream_pool import UpstreamPool
+from bergamotthread.process.routing.load_view import LoadView
+from bergamotthread.process.routing.upstream_pool import UpstreamPool
 
 DOMAIN_AVOIDANCE_MS = 5000
 
--- a/bergamotthread/process/placement_score.py
+++ b/bergamotthread/process/routing/placement_score.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
-from bergamotthread.process.load_view import LoadEstimate
-from bergamotthread.process.placement import PlacementRequest
-from bergamotthread.process.upstream_pool import Target
+from bergamotthread.process.routing.load_view import LoadEstimate
+from bergamotthread.process.routing.placement import PlacementRequest
+from bergamotthread.process.routing.upstream_pool import Target
 
 BYTES_PER_TOKEN = 4
 _BYTES_PER_GB = 1_000_000_000
--- a/bergamotthread/process/round_robin.py
+++ b/bergamotthread/process/routing/round_robin.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 
 from bergamotthread.errors import Step
-from bergamotthread.process.placement import Placement, PlacementRequest
+from bergamotthread.process.routing.placement import Placement, PlacementRequest
 from bergamotthread.request.refusal import (
     Ran,
     ReasonCode,
--- a/bergamotthread/process/routing.py
+++ b/bergamotthread/process/routing/routing.py
@@ -9,18 +9,18 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import Step
-from bergamotthread.process.availability import Availability
-from bergamotthread.process.load_view import LoadView
-from bergamotthread.process.placement import Placement, PlacementRequest
-from bergamotthread.process.placement_score import (
+from bergamotthread.process.routing.availability import Availability
+from bergamotthread.process.routing.load_view import LoadView
+from bergamotthread.process.routing.placement import Placement, PlacementRequest
+from bergamotthread.process.routing.placement_score import (
     Attempted,
     ScoreWeights,
     region_cost_ms,
     score_ms,
     uncovered_tokens,
 )
-from bergamotthread.process.prefix_hash import PrefixView
-from bergamotthread.process.upstream_pool import (
+from bergamotthread.process.routing.prefix_hash import PrefixView
+from bergamotthread.process.routing.upstream_pool import (
     Subset,
     Target,
     UpstreamPool,
--- a/bergamotthread/process/standby.py
+++ b/bergamotthread/process/routing/standby.py
@@ -6,8 +6,8 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
-from bergamotthread.process.generation_driver import make_dispatch
-from bergamotthread.process.placement import Placement
+from bergamotthread.process.generations.generation_driver import make_dispatch
+from bergamotthread.process.routing.placement import Placement
 from bergamotthread.request.generation import AttemptPlace
 from bergamotthread.request.live_generation import LiveGeneration
 from bergamotthread.request.refusal import RefusedError
--- a/bergamotthread/process/settings_checks.py
+++ b/bergamotthread/process/settings_checks.py
@@ -8,12 +8,12 @@
 import zmq
 
 from bergamotthread.connection.address import Address, AddressError
-from bergamotthread.process.document import Problem, show_json
 from bergamotthread.process.settings import (
     AgentSettings,
     EntrySettings,
     KeySettings,
 )
+from bergamotthread.process.store.document import Problem, show_json
 
 CURVE_KEY_CHARACTERS = 40
 MIN_CURSOR_KEY_BYTES = 32
--- a/bergamotthread/process/settings_file.py
+++ b/bergamotthread/process/settings_file.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from bergamotthread.errors import BergamotError, Step
-from bergamotthread.process.document import Problem, find_problems
 from bergamotthread.process.settings import AgentSettings, EntrySettings
 from bergamotthread.process.settings_checks import check_settings
+from bergamotthread.process.store.document import Problem, find_problems
 
 MAX_FILE_BYTES = 1_048_576
 
--- a/bergamotthread/process/share_home.py
+++ b/bergamotthread/process/shares/share_home.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from bergamotthread.process.subset import top_nodes
+from bergamotthread.process.routing.subset import top_nodes
 from bergamotthread.wire.messages import TeamDemand, TeamShare
 
 LEASE_MS = 10_000
--- a/bergamotthread/process/shares.py
+++ b/bergamotthread/process/shares/shares.py
@@ -9,9 +9,13 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import Step
-from bergamotthread.process.byte_budget import ByteBudget
-from bergamotthread.process.share_home import HEADROOM, LEASE_MS, ShareHome
-from bergamotthread.process.share_usage import (
+from bergamotthread.process.overload.byte_budget import ByteBudget
+from bergamotthread.process.shares.share_home import (
+    HEADROOM,
+    LEASE_MS,
+    ShareHome,
+)
+from bergamotthread.process.shares.share_usage import (
     ShareUsage,
     Shortage,
     floor_share,
--- /dev/null
+++ b/bergamotthread/process/store/__init__.py
@@ -0,0 +1,1 @@
+"""The store of what must last: narrow interfaces, client, documents."""
--- a/bergamotthread/process/platform_http.py
+++ b/bergamotthread/process/store/platform_http.py
@@ -20,7 +20,7 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from bergamotthread.process.platform import (
+from bergamotthread.process.store.platform import (
     HostEntry,
     HostList,
     ObjectStore,
--- a/bergamotthread/process/store_client.py
+++ b/bergamotthread/process/store/store_client.py
@@ -22,23 +22,23 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from bergamotthread.process.circuit import Circuit
-from bergamotthread.process.platform import (
+from bergamotthread.process.overload.circuit import Circuit
+from bergamotthread.process.overload.retry_credit import RetryCredit
+from bergamotthread.process.settings import PlatformSettings
+from bergamotthread.process.shares.rate_share import RateShare
+from bergamotthread.process.store.platform import (
     HostEntry,
     HostList,
     ObjectStore,
     Row,
     Table,
 )
-from bergamotthread.process.platform_http import (
+from bergamotthread.process.store.platform_http import (
     HttpHostList,
     HttpObjectStore,
     HttpTable,
     PlatformConnection,
 )
-from bergamotthread.process.rate_share import RateShare
-from bergamotthread.process.retry_credit import RetryCredit
-from bergamotthread.process.settings import PlatformSettings
 
 _Answer = TypeVar('_Answer')
 _Access = Callable[[], Awaitable[_Answer]]
--- a/bergamotthread/request/call_agents.py
+++ b/bergamotthread/request/call_agents.py
@@ -9,8 +9,8 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
-from bergamotthread.process.call_limits import CallLimits
-from bergamotthread.process.call_mailboxes import (
+from bergamotthread.process.calls.call_limits import CallLimits
+from bergamotthread.process.calls.call_mailboxes import (
     OFFER_TICKET,
     CallMailboxes,
     Mailbox,
--- a/bergamotthread/request/call_store.py
+++ b/bergamotthread/request/call_store.py
@@ -7,8 +7,8 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreConflictError, StoreUnavailableError
-from bergamotthread.process.call_limits import CallLimits
-from bergamotthread.process.platform import ObjectStore, Row, Table
+from bergamotthread.process.calls.call_limits import CallLimits
+from bergamotthread.process.store.platform import ObjectStore, Row, Table
 from bergamotthread.request.call_actions import Write
 from bergamotthread.request.call_events import Found, NotWritten, Written
 from bergamotthread.request.call_progress import Stored
--- a/bergamotthread/request/guarded_call.py
+++ b/bergamotthread/request/guarded_call.py
@@ -15,7 +15,7 @@
     Step,
     StoreUnavailableError,
 )
-from bergamotthread.process.call_limits import CallLimits
+from bergamotthread.process.calls.call_limits import CallLimits
 from bergamotthread.request.call_actions import (
     Action,
     Answer,
--- a/bergamotthread/request/live_generation.py
+++ b/bergamotthread/request/live_generation.py
@@ -9,7 +9,7 @@
     TOKEN_LIMITS,
     SilenceDetector,
 )
-from bergamotthread.process.placement import PlacementRequest
+from bergamotthread.process.routing.placement import PlacementRequest
 from bergamotthread.request.generation import AttemptPlace, Generation
 from bergamotthread.version.objects import ResumePolicy
 from bergamotthread.wire.messages import EndReason
--- a/bergamotthread/request/plain_call.py
+++ b/bergamotthread/request/plain_call.py
@@ -11,8 +11,8 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import Step
-from bergamotthread.process.call_mailboxes import CallMailboxes, Mailbox
-from bergamotthread.process.retry_credit import RetryCredit
+from bergamotthread.process.calls.call_mailboxes import CallMailboxes, Mailbox
+from bergamotthread.process.overload.retry_credit import RetryCredit
 from bergamotthread.request.call_refusals import refuse_call
 from bergamotthread.request.call_request import CallAnswer, CallRequest
 from bergamotthread.request.refusal import Ran, ReasonCode, RefusedError
--- a/bergamotthread/testing/call_group.py
+++ b/bergamotthread/testing/call_group.py
@@ -8,10 +8,13 @@
 from functools import partial
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.call_executor import CallExecutor, ExecutorLimits
-from bergamotthread.process.call_limits import CallLimits
-from bergamotthread.process.call_runner import CallRunner
-from bergamotthread.process.platform import Table
+from bergamotthread.process.calls.call_executor import (
+    CallExecutor,
+    ExecutorLimits,
+)
+from bergamotthread.process.calls.call_limits import CallLimits
+from bergamotthread.process.calls.call_runner import CallRunner
+from bergamotthread.process.store.platform import Table
 from bergamotthread.request.call_request import CallAnswer, CallRequest
 from bergamotthread.request.call_row import CallRow, decode_row, row_key
 from bergamotthread.request.refusal import Refusal
--- a/bergamotthread/testing/version_group.py
+++ b/bergamotthread/testing/version_group.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.platform import Row, Table
 from bergamotthread.process.settings import PlaceSettings
-from bergamotthread.process.store_client import (
+from bergamotthread.process.store.platform import Row, Table
+from bergamotthread.process.store.store_client import (
     GuardedTable,
     StoreGuard,
     StoreLimits,
--- a/bergamotthread/version/acceptance.py
+++ b/bergamotthread/version/acceptance.py
@@ -12,7 +12,7 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from bergamotthread.process.platform import Table
+from bergamotthread.process.store.platform import Table
 from bergamotthread.version.lease import lapse_ms
 from bergamotthread.version.record import (
     VERSION_KEY,
--- a/bergamotthread/version/archive.py
+++ b/bergamotthread/version/archive.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.errors import BergamotError, Step
-from bergamotthread.process.platform import ObjectStore
+from bergamotthread.process.store.platform import ObjectStore
 from bergamotthread.version.record import (
     Publication,
     Snapshot,
--- a/bergamotthread/version/distribution.py
+++ b/bergamotthread/version/distribution.py
@@ -11,8 +11,8 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Receiver, Transport
 from bergamotthread.errors import BergamotError, Step
-from bergamotthread.process.platform import ObjectStore, Table
 from bergamotthread.process.settings import PlaceSettings
+from bergamotthread.process.store.platform import ObjectStore, Table
 from bergamotthread.request.refusal import (
     Ran,
     ReasonCode,
--- a/bergamotthread/version/publication.py
+++ b/bergamotthread/version/publication.py
@@ -10,7 +10,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import BergamotError, Step
-from bergamotthread.process.platform import ObjectStore, Table
+from bergamotthread.process.store.platform import ObjectStore, Table
 from bergamotthread.version.archive import Archive
 from bergamotthread.version.checks import check_object_set
 from bergamotthread.version.diff import (
--- a/bergamotthread/version/publication_write.py
+++ b/bergamotthread/version/publication_write.py
@@ -13,8 +13,8 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from bergamotthread.process.platform import Table
-from bergamotthread.process.store_client import StoreNotAskedError
+from bergamotthread.process.store.platform import Table
+from bergamotthread.process.store.store_client import StoreNotAskedError
 from bergamotthread.version.archive import Archive
 from bergamotthread.version.record import (
     VERSION_KEY,
--- a/bergamotthread/version/registration.py
+++ b/bergamotthread/version/registration.py
@@ -12,8 +12,8 @@
     Step,
     StoreConflictError,
 )
-from bergamotthread.process.platform import Row, Table
 from bergamotthread.process.settings import PlaceSettings
+from bergamotthread.process.store.platform import Row, Table
 
 HOLDER_PREFIX = 'version/holder/'
 MAX_HOLDERS = 10_000
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -18,7 +18,7 @@
     PlatformSettings,
     UpstreamKind,
 )
-from bergamotthread.process.store_client import StoreClient, StoreUse
+from bergamotthread.process.store.store_client import StoreClient, StoreUse
 from bergamotthread.testing.memory_platform import MemoryPlatform
 from bergamotthread.version.publication import Draft, Publisher
 from standins.engine import create_app as create_engine_app
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -17,8 +17,8 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreConflictError, StoreUnavailableError
-from bergamotthread.process.platform import HostEntry, Row
-from bergamotthread.process.platform_http import REVISION_HEADER
+from bergamotthread.process.store.platform import HostEntry, Row
+from bergamotthread.process.store.platform_http import REVISION_HEADER
 from bergamotthread.testing.memory_platform import (
     MemoryHostList,
     MemoryObjectStore,
--- a/standins/small_deployment.py
+++ b/standins/small_deployment.py
@@ -8,14 +8,14 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.agent import Agent, AgentConfig
-from bergamotthread.process.completions import Caller, Completions
-from bergamotthread.process.decision_trace import DecisionTrace
-from bergamotthread.process.generation_watch import GenerationLimits
-from bergamotthread.process.generations import Generations
-from bergamotthread.process.observers import Observers
-from bergamotthread.process.placement import Placement
-from bergamotthread.process.round_robin import RoundRobinPlacement
-from bergamotthread.process.routing import ScoredPlacement
+from bergamotthread.process.explanations.decision_trace import DecisionTrace
+from bergamotthread.process.generations.completions import Caller, Completions
+from bergamotthread.process.generations.generation_watch import GenerationLimits
+from bergamotthread.process.generations.generations import Generations
+from bergamotthread.process.membership.observers import Observers
+from bergamotthread.process.routing.placement import Placement
+from bergamotthread.process.routing.round_robin import RoundRobinPlacement
+from bergamotthread.process.routing.routing import ScoredPlacement
 from bergamotthread.request.completion import CompletionRequest
 from bergamotthread.request.completion_stream import CompletionStream
 from bergamotthread.request.cursor import CursorSigner
--- a/tests/placement_fixtures.py
+++ b/tests/placement_fixtures.py
@@ -1,7 +1,7 @@
 from dataclasses import dataclass
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.placement import PlacementRequest
+from bergamotthread.process.routing.placement import PlacementRequest
 from bergamotthread.version.objects import (
     FailureDomain,
     ObjectSet,
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bergamotthread.process.admission import (
+from bergamotthread.process.overload.admission import (
     AdmissionGate,
     GateLimits,
     GateRules,
--- a/tests/test_agent_roster.py
+++ b/tests/test_agent_roster.py
@@ -1,5 +1,5 @@
 from bergamotthread.clock import Clock
-from bergamotthread.process.agent_roster import AgentRoster
+from bergamotthread.process.routing.agent_roster import AgentRoster
 from bergamotthread.version.objects import (
     FailureDomain,
     ObjectSet,
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -6,20 +6,20 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import DecodeError, StoreUnavailableError
-from bergamotthread.process.audit import (
+from bergamotthread.process.explanations.audit import (
     LOST_KIND,
     MAX_BUFFERED_RECORDS,
     AuditRecord,
     AuditTrail,
 )
-from bergamotthread.process.audit_reader import (
+from bergamotthread.process.explanations.audit_reader import (
     AuditFilter,
     hours_between,
     read_audit,
     verify_chains,
 )
-from bergamotthread.process.audit_sinks import QuarantineAudit
-from bergamotthread.process.quarantine_store import QuarantineRow
+from bergamotthread.process.explanations.audit_sinks import QuarantineAudit
+from bergamotthread.process.generations.quarantine_store import QuarantineRow
 from bergamotthread.testing.memory_platform import (
     MemoryObjectStore,
     MemoryPlatform,
--- a/tests/test_call_executor.py
+++ b/tests/test_call_executor.py
@@ -5,12 +5,12 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.call_executor import (
+from bergamotthread.process.calls.call_executor import (
     CallExecutor,
     ExecutorLimits,
     ReplyCache,
 )
-from bergamotthread.process.ticket_book import TicketBook
+from bergamotthread.process.calls.ticket_book import TicketBook
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.memory_service import MemoryService
 from bergamotthread.testing.virtual_loop import run_virtual
--- a/tests/test_call_operations.py
+++ b/tests/test_call_operations.py
@@ -11,10 +11,8 @@
 from bergamotthread.cli import audit, calls
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreUnavailableError
-from bergamotthread.process.audit import AuditTrail
-from bergamotthread.process.audit_reader import hours_between, read_audit
-from bergamotthread.process.call_cleaner import CallCleaner, CleanerLimits
-from bergamotthread.process.call_operations import (
+from bergamotthread.process.calls.call_cleaner import CallCleaner, CleanerLimits
+from bergamotthread.process.calls.call_operations import (
     CallName,
     Resolution,
     ResolveError,
@@ -22,6 +20,11 @@
     resolve_call,
     show_call,
 )
+from bergamotthread.process.explanations.audit import AuditTrail
+from bergamotthread.process.explanations.audit_reader import (
+    hours_between,
+    read_audit,
+)
 from bergamotthread.request.call_row import (
     Done,
     Reserved,
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -9,8 +9,8 @@
 import pytest
 
 from bergamotthread.errors import StoreUnavailableError
-from bergamotthread.process.call_limits import CallLimits
-from bergamotthread.process.platform import Row, Table
+from bergamotthread.process.calls.call_limits import CallLimits
+from bergamotthread.process.store.platform import Row, Table
 from bergamotthread.request.call_request import CallAnswer
 from bergamotthread.request.call_row import (
     Dispatched,
--- a/tests/test_call_search.py
+++ b/tests/test_call_search.py
@@ -16,7 +16,7 @@
 import pytest
 from msgspec import structs
 
-from bergamotthread.process.ticket_book import TicketBook
+from bergamotthread.process.calls.ticket_book import TicketBook
 from bergamotthread.request.call_actions import (
     Answer,
     Ask,
--- a/tests/test_cli_drain.py
+++ b/tests/test_cli_drain.py
@@ -6,9 +6,9 @@
 
 from bergamotthread.cli.drain import drain
 from bergamotthread.clock import Clock
-from bergamotthread.process.drain_report import KEY_PREFIX, DrainReport
-from bergamotthread.process.drain_state import DrainPhase
-from bergamotthread.process.platform import Row
+from bergamotthread.process.drain.drain_report import KEY_PREFIX, DrainReport
+from bergamotthread.process.drain.drain_state import DrainPhase
+from bergamotthread.process.store.platform import Row
 from bergamotthread.testing.memory_platform import (
     MemoryHostList,
     MemoryPlatform,
--- a/tests/test_continuity_faults.py
+++ b/tests/test_continuity_faults.py
@@ -4,8 +4,10 @@
 import pytest
 
 from bergamotthread.process.agent import AgentConfig
-from bergamotthread.process.completions import Caller
-from bergamotthread.process.generation_driver import GenerationDriver
+from bergamotthread.process.generations.completions import Caller
+from bergamotthread.process.generations.generation_driver import (
+    GenerationDriver,
+)
 from bergamotthread.request.completion import CompletionRequest
 from bergamotthread.request.generation import Generation, Verdict
 from bergamotthread.request.refusal import Ran, ReasonCode, RefusedError
--- a/tests/test_continuity_machine.py
+++ b/tests/test_continuity_machine.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from bergamotthread.process.agent import AgentConfig
-from bergamotthread.process.completions import Caller
+from bergamotthread.process.generations.completions import Caller
 from bergamotthread.request.completion import CompletionRequest
 from bergamotthread.request.completion_stream import CompletionStream
 from bergamotthread.request.live_generation import LiveGeneration
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from bergamotthread.process.platform import Row
-from bergamotthread.process.store_client import StoreLimits
+from bergamotthread.process.store.platform import Row
+from bergamotthread.process.store.store_client import StoreLimits
 from bergamotthread.request.refusal import Ran, ReasonCode, RefusedError
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.memory_platform import MemoryTable
--- a/tests/test_drain_path.py
+++ b/tests/test_drain_path.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from bergamotthread.process.own_host_watch import OwnHostWatch
-from bergamotthread.process.platform import HostEntry
+from bergamotthread.process.membership.own_host_watch import OwnHostWatch
+from bergamotthread.process.store.platform import HostEntry
 from bergamotthread.request.completion import CompletionRequest
 from bergamotthread.request.live_generation import LiveGeneration
 from bergamotthread.testing.memory_platform import (
--- a/tests/test_drain_plan.py
+++ b/tests/test_drain_plan.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from bergamotthread.process.drain_plan import (
+from bergamotthread.process.drain.drain_plan import (
     DrainLimits,
     DrainPlan,
     DrainPlanError,
     find_targets,
     plan_stops,
 )
-from bergamotthread.process.platform import HostEntry
+from bergamotthread.process.store.platform import HostEntry
 from bergamotthread.version.objects import (
     FailureDomain,
     ObjectSet,
--- a/tests/test_drain_report.py
+++ b/tests/test_drain_report.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.drain_report import (
+from bergamotthread.process.drain.drain_report import (
     FRESH_MS,
     REPORT_INTERVAL_MS,
     DrainReport,
@@ -12,7 +12,7 @@
     judge_report,
     read_verdicts,
 )
-from bergamotthread.process.drain_state import DrainPhase
+from bergamotthread.process.drain.drain_state import DrainPhase
 from bergamotthread.testing.memory_platform import (
     MemoryPlatform,
     MemoryTable,
--- a/tests/test_drain_state.py
+++ b/tests/test_drain_state.py
@@ -1,7 +1,7 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.drain_state import (
+from bergamotthread.process.drain.drain_state import (
     DrainPhase,
     DrainSource,
     DrainState,
--- a/tests/test_entry_app.py
+++ b/tests/test_entry_app.py
@@ -13,14 +13,14 @@
 from bergamotthread.connection.http_engine import HttpEngineClient
 from bergamotthread.connection.http_server import HttpServer
 from bergamotthread.process.agent import Agent, AgentConfig
-from bergamotthread.process.completions import Completions
 from bergamotthread.process.entry_app import EntryApp, EntryParts
 from bergamotthread.process.entry_metrics import EntryMetrics
-from bergamotthread.process.explanation_batch import new_writer_id
-from bergamotthread.process.explanations import Explanations
-from bergamotthread.process.generations import Generations
-from bergamotthread.process.refusal_recorder import RefusalRecorder
-from bergamotthread.process.round_robin import RoundRobinPlacement
+from bergamotthread.process.explanations.explanation_batch import new_writer_id
+from bergamotthread.process.explanations.explanations import Explanations
+from bergamotthread.process.explanations.refusal_recorder import RefusalRecorder
+from bergamotthread.process.generations.completions import Completions
+from bergamotthread.process.generations.generations import Generations
+from bergamotthread.process.routing.round_robin import RoundRobinPlacement
 from bergamotthread.process.settings import LimitSettings
 from bergamotthread.request.cursor import CursorSigner
 from bergamotthread.testing.memory_network import MemoryNetwork
--- a/tests/test_entry_control.py
+++ b/tests/test_entry_control.py
@@ -4,9 +4,9 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.entry_control import ControlSources, EntryControl
-from bergamotthread.process.platform import HostEntry
+from bergamotthread.process.routing.subset import select_upstreams
 from bergamotthread.process.settings import PlaceSettings
-from bergamotthread.process.subset import select_upstreams
+from bergamotthread.process.store.platform import HostEntry
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.memory_platform import (
     MemoryHostList,
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -9,11 +9,23 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import DecodeError, Step, StoreUnavailableError
-from bergamotthread.process import explanations as explanations_module
-from bergamotthread.process.explanation_batch import RequestId, decode_batch
-from bergamotthread.process.explanation_metrics import add_explanation_metrics
-from bergamotthread.process.explanation_routes import explanation_routes
-from bergamotthread.process.explanations import Explanations, describe_missing
+from bergamotthread.process.explanations import (
+    explanations as explanations_module,
+)
+from bergamotthread.process.explanations.explanation_batch import (
+    RequestId,
+    decode_batch,
+)
+from bergamotthread.process.explanations.explanation_metrics import (
+    add_explanation_metrics,
+)
+from bergamotthread.process.explanations.explanation_routes import (
+    explanation_routes,
+)
+from bergamotthread.process.explanations.explanations import (
+    Explanations,
+    describe_missing,
+)
 from bergamotthread.process.keys import hash_credential
 from bergamotthread.process.metrics import Metrics
 from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
--- a/tests/test_host_watch.py
+++ b/tests/test_host_watch.py
@@ -1,9 +1,9 @@
 import asyncio
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.drain_state import DrainState
-from bergamotthread.process.host_watch import HostWatch
-from bergamotthread.process.platform import HostEntry
+from bergamotthread.process.drain.drain_state import DrainState
+from bergamotthread.process.membership.host_watch import HostWatch
+from bergamotthread.process.store.platform import HostEntry
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.memory_platform import (
     MemoryHostList,
--- a/tests/test_member_table.py
+++ b/tests/test_member_table.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bergamotthread.process.member_table import (
+from bergamotthread.process.membership.member_table import (
     SUSPICION_MS,
     TOMBSTONE_MS,
     MemberTable,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,8 +4,8 @@
 import pytest
 
 from benchmarks.membership import Cluster
-from bergamotthread.process.member_table import SUSPICION_MS
-from bergamotthread.process.membership import UNKNOWN_SHARE
+from bergamotthread.process.membership.member_table import SUSPICION_MS
+from bergamotthread.process.membership.membership import UNKNOWN_SHARE
 from bergamotthread.testing.virtual_loop import run_virtual
 from bergamotthread.wire.messages import (
     Envelope,
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -8,7 +8,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.process import metrics as metrics_module
-from bergamotthread.process.health import Readiness, health_routes
+from bergamotthread.process.membership.health import Readiness, health_routes
 from bergamotthread.process.metrics import Metrics, Percentiles
 from bergamotthread.testing.asgi_call import call_get
 from bergamotthread.testing.virtual_loop import run_virtual
--- a/tests/test_operator_context.py
+++ b/tests/test_operator_context.py
@@ -9,7 +9,10 @@
 from bergamotthread.cli.operator_context import PlatformContext
 from bergamotthread.clock import Clock
 from bergamotthread.errors import BergamotError
-from bergamotthread.process.audit_reader import hours_between, read_audit
+from bergamotthread.process.explanations.audit_reader import (
+    hours_between,
+    read_audit,
+)
 from bergamotthread.testing.memory_platform import MemoryPlatform
 from bergamotthread.version.checks import load_object_set
 from bergamotthread.version.diff import diff_sets
--- a/tests/test_order_gate.py
+++ b/tests/test_order_gate.py
@@ -7,9 +7,9 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import BergamotError, Step
-from bergamotthread.process.order_gate import EngineControl, OrderGate
-from bergamotthread.process.platform import Row
-from bergamotthread.process.region_lease import LeaseRow, lease_key
+from bergamotthread.process.orders.order_gate import EngineControl, OrderGate
+from bergamotthread.process.orders.region_lease import LeaseRow, lease_key
+from bergamotthread.process.store.platform import Row
 from bergamotthread.testing.memory_platform import (
     MemoryPlatform,
     MemoryTable,
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,8 +3,8 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.order_gate import EngineControl, OrderGate
-from bergamotthread.process.orders import (
+from bergamotthread.process.orders.order_gate import EngineControl, OrderGate
+from bergamotthread.process.orders.orders import (
     ORDERS_PER_TICK,
     OrderAction,
     PlannedOrder,
@@ -12,7 +12,7 @@
     WeightRate,
     plan_orders,
 )
-from bergamotthread.process.region_lease import RegionLease
+from bergamotthread.process.orders.region_lease import RegionLease
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.memory_platform import (
     MemoryPlatform,
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bergamotthread.process.overload import (
+from bergamotthread.process.overload.overload import (
     Admitted,
     Overloaded,
     OverloadGuard,
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -6,10 +6,10 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreConflictError, StoreUnavailableError
-from bergamotthread.process.platform import HostEntry
-from bergamotthread.process.platform_http import PlatformConnection
 from bergamotthread.process.settings import PlatformSettings
-from bergamotthread.process.store_client import StoreClient, StoreUse
+from bergamotthread.process.store.platform import HostEntry
+from bergamotthread.process.store.platform_http import PlatformConnection
+from bergamotthread.process.store.store_client import StoreClient, StoreUse
 from bergamotthread.testing.memory_platform import (
     MemoryPlatform,
     PlatformFaults,
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.poison import (
+from bergamotthread.process.generations.poison import (
     CHARGED_DEATHS_MAX,
     COUNTED_DEATHS_MAX,
     Clear,
@@ -14,7 +14,7 @@
     fingerprint,
     quarantine_refusal,
 )
-from bergamotthread.process.quarantine_store import (
+from bergamotthread.process.generations.quarantine_store import (
     QuarantinePublisher,
     QuarantineRow,
 )
--- a/tests/test_prefix_hash.py
+++ b/tests/test_prefix_hash.py
@@ -1,6 +1,6 @@
 import pytest
 
-from bergamotthread.process.prefix_hash import (
+from bergamotthread.process.routing.prefix_hash import (
     PREFIX_BLOCK_CHARS,
     PREFIX_BLOCK_TOKENS,
     PrefixView,
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -8,7 +8,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreUnavailableError
-from bergamotthread.process.store_client import StoreNotAskedError
+from bergamotthread.process.store.store_client import StoreNotAskedError
 from bergamotthread.testing.memory_platform import (
     MemoryObjectStore,
     MemoryPlatform,
--- a/tests/test_region_lease.py
+++ b/tests/test_region_lease.py
@@ -4,7 +4,7 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.region_lease import (
+from bergamotthread.process.orders.region_lease import (
     LEASE_MS,
     RENEW_MS,
     TAKE_OVER_MARGIN_MS,
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -9,8 +9,8 @@
     DecodeError,
     StoreUnavailableError,
 )
-from bergamotthread.process.platform import Row
 from bergamotthread.process.settings import PlaceSettings
+from bergamotthread.process.store.platform import Row
 from bergamotthread.testing.memory_platform import MemoryPlatform, MemoryTable
 from bergamotthread.testing.virtual_loop import run_virtual
 from bergamotthread.version.registration import (
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,7 +1,7 @@
 import pytest
 
-from bergamotthread.process import retry_budget
-from bergamotthread.process.retry_budget import (
+from bergamotthread.process.overload import retry_budget
+from bergamotthread.process.overload.retry_budget import (
     Denied,
     Granted,
     RetryBudget,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bergamotthread.process.routing import ScoredPlacement
+from bergamotthread.process.routing.routing import ScoredPlacement
 from bergamotthread.request.refusal import Ran, ReasonCode, RefusedError
 from bergamotthread.version.objects import Stop
 from bergamotthread.wire.messages import LoadReport, Pin
--- a/tests/test_share_home.py
+++ b/tests/test_share_home.py
@@ -2,7 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bergamotthread.process.share_home import (
+from bergamotthread.process.shares.share_home import (
     HOLD_MS,
     LEASE_MS,
     ShareHome,
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,9 +6,9 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.share_home import HOLD_MS, LEASE_MS, home_of
-from bergamotthread.process.share_usage import FLOOR_BURST
-from bergamotthread.process.shares import TeamLimits
+from bergamotthread.process.shares.share_home import HOLD_MS, LEASE_MS, home_of
+from bergamotthread.process.shares.share_usage import FLOOR_BURST
+from bergamotthread.process.shares.shares import TeamLimits
 from bergamotthread.request.refusal import Ran, ReasonCode
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.virtual_loop import run_virtual
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -7,7 +7,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreConflictError, StoreUnavailableError
-from bergamotthread.process.store_client import (
+from bergamotthread.process.store.store_client import (
     StoreClient,
     StoreGuard,
     StoreLimits,
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -6,14 +6,14 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.completions import Caller
 from bergamotthread.process.entry_process import EntryProcess
+from bergamotthread.process.generations.completions import Caller
 from bergamotthread.process.settings import (
     EntrySettings,
     PlaceSettings,
     PlatformSettings,
 )
-from bergamotthread.process.store_client import (
+from bergamotthread.process.store.store_client import (
     StoreClient,
     StoreGuard,
     StoreLimits,
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -1,7 +1,7 @@
 import pytest
 
+from bergamotthread.process.routing.subset import SubsetSizes, select_upstreams
 from bergamotthread.process.settings import PlaceSettings
-from bergamotthread.process.subset import SubsetSizes, select_upstreams
 
 SIZES = SubsetSizes(entries_per_upstream=2, upstreams_per_entry=8)
 
