--- a/bergamotthread/platform/runner_calls.py
+++ b/bergamotthread/platform/runner_calls.py
@@ -69,3 +69,17 @@
             logging.debug('copy at %s: %s', source.address, error)
             return ''
         return f'{source.address}/{copied.name}'
+
+    async def drop(self, source: Upstream, name: str) -> None:
+        """Free a copy that `copy` named, at both ends."""
+        target = f'/api/kv-handle/{name.rpartition("/")[2]}'.encode()
+        try:
+            await fetch(
+                self.pool,
+                source.address,
+                Asked(b'DELETE', target),
+                COPY_TIMEOUT_MS,
+            )
+        except ConnectionError as error:
+            # Its holder drops it some time after its last part.
+            logging.debug('copy %s not freed: %s', name, error)
--- a/bergamotthread/request/relay/copies.py
+++ b/bergamotthread/request/relay/copies.py
@@ -94,6 +94,13 @@
         self.stop()
         self._copy = None
 
+    async def free(self) -> None:
+        """Free a copy that is not needed, since room is paid by time."""
+        copy = self._copy
+        self.drop()
+        if copy is not None and not self._is_streamed and self._upstream:
+            await self._parts.copier.drop(self._upstream, copy.source)
+
     def stop(self) -> None:
         """Stop copying."""
         if self._task is not None:
--- a/bergamotthread/request/relay/memory_copier.py
+++ b/bergamotthread/request/relay/memory_copier.py
@@ -25,3 +25,7 @@
             What names the copy to the upstream that goes on from it; empty if
             there is none.
         """
+
+    @abstractmethod
+    async def drop(self, source: Upstream, name: str) -> None:
+        """Free a copy that `copy` named, at both ends."""
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -91,6 +91,7 @@
         self._parts.budget.record_first(self._call.service.name)
         try:
             await self._run_attempts()
+            await self._copies.free()
         finally:
             self._copies.stop()
 
