--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bergamotthread.platform.store import StoreCallError
+from bergamotthread.process.relay.choice import Work
 from bergamotthread.testing.memory_http import run_in_memory
 from tests.platform_standins import KEY, SEAL, Deployment, manifest, settings
 
@@ -290,13 +291,17 @@
 
     async def check():
         day = await Deployment.start(models=12)
+        choice = day.entries[0]._parts.choice
         for number in range(6):
             part = f'bb{number}'
-            prompt = ((b'bergamotthread-prompt-prefix', part.encode()),)
-            await day.call('/stream/x', extra=prompt)
-            reader = next(model for model in day.models if model.seen)
+            work = Work(
+                'model-service',
+                prompt_tokens=8000,
+                affinity=part.encode(),
+            )
+            last = choice.draw(work)[-1].record.instance
+            reader = next(one for one in day.models if one.instance == last)
             reader.cached.add(part)
-            reader.seen.clear()
             answer = await day.call('/stream/x', extra=_returning(part))
             assert answer.event_ids == list(range(21, 61))
             assert len(reader.seen) == 1
