Ask the store at once when an entry that is followed fails

Change: a failed peer leads to the store in the same turn; only an answer counts as regained. The test fails on the former code. The life cycle's machine has no model, so transitions logs no warnings.

--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -120,25 +120,35 @@
             await self._read_all()
             return
         source = self._feeds.choose(self.table)
+        if source is not None and await self._follow(self._version, source):
+            return
         try:
-            await self._read_changes(self._version, source)
-        except HistoryLostError:
-            if source is None:
-                raise
-            # The entry that is followed knows less than this one asks for.
             await self._read_changes(self._version, None)
+        except HistoryLostError:
+            raise
+        except StoreCallError:
+            self._feeds.record_failure(self.table, None)
+            raise
+        self._feeds.record_success(self.table, None)
+
+    async def _follow(self, after: int, source: EntryRecord) -> bool:
+        """Return whether an entry that is followed knew what is asked."""
+        try:
+            await self._read_changes(after, source)
+        except HistoryLostError:
+            # It knows less than this entry; the store is asked.
+            return False
         except StoreCallError as error:
             self._feeds.record_failure(self.table, source)
-            if source is None:
-                raise
             self._log.write(
                 'feed-source-lost',
                 peer=source.host,
                 table=self.table,
                 detail=str(error),
             )
-        else:
-            self._feeds.record_success(self.table, source)
+            return False
+        self._feeds.record_success(self.table, source)
+        return True
 
     async def _read_all(self) -> None:
         asked_ms = self._clock.boot_ms()
--- a/bergamotthread/process/relay/life_cycle.py
+++ b/bergamotthread/process/relay/life_cycle.py
@@ -35,11 +35,9 @@
     grace_ms: float
     _stop_ms: float = 0
     _machine: Machine = field(init=False, repr=False)
-    state: str = field(default=STARTING, init=False)
 
     def __post_init__(self) -> None:
         self._machine = Machine(
-            model=self,
             states=[STARTING, READY, DRAINING],
             transitions=[
                 {'trigger': 'become', 'source': STARTING, 'dest': READY},
@@ -49,16 +47,21 @@
             auto_transitions=False,
         )
 
+    @property
+    def state(self) -> str:
+        """Return the state's name."""
+        return str(self._machine.state)
+
     def version_known(self) -> None:
         """Become ready once a version is in force."""
         if self.state == STARTING:
-            self._machine.dispatch('become')
+            self._machine.trigger('become')
 
     def stop(self) -> None:
         """Start the drain; further requests to stop change nothing."""
         if self.state != DRAINING:
             self._stop_ms = self.clock.now_ms()
-            self._machine.dispatch('drain')
+            self._machine.trigger('drain')
 
     @property
     def is_ready(self) -> bool:
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -564,6 +564,24 @@
     run_in_memory(check())
 
 
+def test_outage_is_logged_once_at_its_start_and_once_at_its_end():
+    """An entry whose peers failed too once logged the store as regained."""
+
+    async def check():
+        day = await _two_entries()
+        day.store.status = 503
+        await day.clock.sleep_ms(6000)
+        lost = [told['table'] for told in day.events('store-lost')]
+        assert sorted(lost) in (['op', 'servers'], ['entries', 'op', 'servers'])
+        assert day.events('store-regained') == []
+        day.store.status = 0
+        await day.clock.sleep_ms(3000)
+        regained = [told['table'] for told in day.events('store-regained')]
+        assert sorted(regained) == sorted(lost)
+
+    run_in_memory(check())
+
+
 async def _two_entries() -> Deployment:
     day = await Deployment.start()
     await day.add_entry(settings('edge-a-2', number=2))
