--- a/bergamotthread/cli/publish.py
+++ b/bergamotthread/cli/publish.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from datetime import UTC, datetime
 from pathlib import Path
 
@@ -17,6 +17,12 @@
     record_publication,
 )
 from bergamotthread.errors import BergamotError
+from bergamotthread.platform.checks import (
+    PlatformCheckError,
+    check_manifest_file,
+    check_settings_file,
+)
+from bergamotthread.platform.settings import PlatformSettingsError
 from bergamotthread.process.explanations.audit import AuditTrail
 from bergamotthread.version.acceptance import Acceptance, AcceptanceWatch
 from bergamotthread.version.checks import ObjectsError, load_object_set
@@ -64,15 +70,33 @@
 )
 
 
+_CHECK_BY_FORM: dict[str, Callable[[Path], str]] = {
+    'platform-settings': check_settings_file,
+    'platform-manifest': check_manifest_file,
+}
+
+
 @click.command('validate')
 @_path
-def validate_command(path: Path) -> None:
+@click.option(
+    '--form',
+    type=click.Choice(('objects', *_CHECK_BY_FORM)),
+    default='objects',
+    show_default=True,
+    help="What the file holds; the other forms are the platform's.",
+)
+def validate_command(path: Path, form: str) -> None:
     """Check the set of objects in the file PATH, without the platform.
 
     Prints every fault with its JSON path, the value found and what was
-    expected, and exits with code 2 if there is one.
+    expected, and exits with code 2 if there is one. With --form, checks a
+    file that the platform gives to a process instead.
     """
     with _told_by_exit_code():
+        check = _CHECK_BY_FORM.get(form)
+        if check is not None:
+            click.echo(f'{path}: valid, {check(path)}')
+            return
         object_set = load_object_set(path)
     click.echo(f'{path}: valid, {_count(object_set)} objects')
 
@@ -262,6 +286,8 @@
             return EXIT_CODE_CONFLICT
         case PublicationUnknownError():
             return EXIT_CODE_UNKNOWN
+        case PlatformCheckError() | PlatformSettingsError():
+            return EXIT_CODE_INVALID
         case _:
             return EXIT_CODE_FAILED
 
--- a/tests/test_publish_commands.py
+++ b/tests/test_publish_commands.py
@@ -19,6 +19,7 @@
 from bergamotthread.testing.virtual_loop import run_virtual
 from bergamotthread.version.objects import ObjectSet
 from bergamotthread.version.registration import Registration
+from tests.platform_standins import manifest
 
 EXAMPLE = Path(__file__).parent.parent / 'examples/termolab/objects.json'
 DAY_SHIFT = 'example-operator-day-shift-20'
@@ -221,3 +222,38 @@
 @pytest.mark.parametrize('name', sorted(COMMANDS))
 def test_help_is_worth_reading(name: str, context: _Context) -> None:
     assert len(_invoke(context, name, '--help').output) > 200
+
+
+def _validate(context: _Context, path, form: str, told: object):
+    path.write_text(json.dumps(told))
+    return _invoke(context, 'validate', path, '--form', form)
+
+
+def test_validate_checks_what_the_platform_gives(
+    context: _Context, tmp_path: Path
+) -> None:
+    path = tmp_path / 'given.json'
+    shown = _validate(context, path, 'platform-manifest', manifest())
+    assert shown.exit_code == 0
+    assert 'version 1, 5 routes' in shown.output
+    shown = _validate(context, path, 'platform-manifest', {'version': 'x'})
+    assert shown.exit_code == 2
+    assert '$.version' in shown.output
+    shown = _validate(context, path, 'platform-settings', {'node_name': 'n'})
+    assert shown.exit_code == 2
+    assert 'given.json' in shown.output
+    assert 'ip' in shown.output
+
+
+def test_validate_finds_routes_that_lead_nowhere(
+    context: _Context, tmp_path: Path
+) -> None:
+    told = manifest()
+    told['routes'][0]['service'] = 'nobody'
+    told['routes'][1]['path_prefix'] = '/odd'
+    told['routes'].append(told['routes'][2])
+    path = tmp_path / 'manifest.json'
+    shown = _validate(context, path, 'platform-manifest', told)
+    assert shown.exit_code == 2
+    for part in ("'nobody', expected ", "'/odd'", 'stand there twice'):
+        assert part in shown.output
