--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -6,6 +6,7 @@
 import os
 import random
 import signal
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -35,6 +36,7 @@
 from bergamotthread.process.relay.freshness import VersionFreshness
 from bergamotthread.process.relay.life_cycle import LifeCycle
 from bergamotthread.process.relay.liveness import LivenessWatch
+from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.repeat_budget import (
     RepeatBudget,
     RepeatLimits,
@@ -101,6 +103,7 @@
             self._life_cycle,
         )
         self._watches = self._make_watches()
+        self._add_gauges()
 
     def handle_signals(self) -> None:
         """Drain on SIGTERM, read the settings again on SIGHUP."""
@@ -184,15 +187,49 @@
         return (200 if is_ready else 503), ''
 
     def _metrics(self) -> tuple[int, str]:
-        lines = (
-            f'relay_in_flight {self._server.in_flight}',
-            f'relay_answered_total {self._server.answered}',
-            f'store_calls_total {self._store.calls}',
-            f'upstream_connections_opened_total {self._pool.opened}',
-            f'upstream_probes_total {self._parts.liveness.probes}',
-            '',
+        return 200, self._parts.metrics.registry.expose()
+
+    def _add_gauges(self) -> None:
+        registry = self._parts.metrics.registry
+        gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
+            (
+                'relay_in_flight',
+                'Requests that are being answered.',
+                lambda: self._server.in_flight,
+            ),
+            (
+                'relay_version_age_ms',
+                'Age of the proof of the version.',
+                lambda: self._freshness.age_ms,
+            ),
+            (
+                'relay_upstreams',
+                'Upstreams that the store lists.',
+                lambda: len(self._directory),
+            ),
+            (
+                'store_calls',
+                'Calls to the store since the start.',
+                lambda: self._store.calls,
+            ),
+            (
+                'upstream_connections_opened',
+                'Connections to upstreams, other entries and the store.',
+                lambda: self._pool.opened,
+            ),
+            (
+                'upstream_probes',
+                'Load reports that were asked for.',
+                lambda: self._parts.liveness.probes,
+            ),
+            (
+                'log_lines_waiting_dropped',
+                'Lines of the log dropped and not reported yet.',
+                lambda: self._log.dropped,
+            ),
         )
-        return 200, '\n'.join(lines)
+        for name, description, read in gauges:
+            registry.gauge(name, description, read)
 
     def _entries(self) -> int:
         return max(len(self._feeds), ENTRIES_MIN)
@@ -224,6 +261,7 @@
             memory=runners,
             dialect=PLATFORM_DIALECT,
             log=self._log,
+            metrics=RelayMetrics.from_clock(self._clock),
         )
 
     def _make_watches(self) -> _Watches:
--- a/bergamotthread/process/relay/servers.py
+++ b/bergamotthread/process/relay/servers.py
@@ -74,6 +74,7 @@
         request_id = exchange.request.header(
             self.admission.dialect.request_id,
         )
+        self.parts.metrics.refusals.increment(refusal.reason)
         self.parts.log.write(
             'not-admitted',
             request=(request_id or b'').decode('latin-1'),
--- a/bergamotthread/request/relay/parts.py
+++ b/bergamotthread/request/relay/parts.py
@@ -9,6 +9,7 @@
 from bergamotthread.process.relay.choice import UpstreamChoice
 from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.liveness import LivenessWatch
+from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.repeat_budget import RepeatBudget
 from bergamotthread.process.relay.upstreams import UpstreamDirectory
 from bergamotthread.request.relay.dialect import RelayDialect
@@ -28,3 +29,4 @@
     memory: EngineMemory
     dialect: RelayDialect
     log: DecisionLog
+    metrics: RelayMetrics
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -122,6 +122,7 @@
                     return False
                 headers = end_to_end(head.headers)
                 self._call.exchange.respond(head.status, headers, body)
+                self._count_answer(head.status)
                 return True
             case NotSent() | NotRun():
                 return False
@@ -156,7 +157,14 @@
             RETRY_AFTER_MS,
         )
 
+    def _count_answer(self, status: int) -> None:
+        metrics = self._parts.metrics
+        metrics.answers.increment(str(status))
+        received_ms = self._call.request.received_ms
+        metrics.answer_ms.record(self._parts.clock.now_ms() - received_ms)
+
     def _refuse(self, refusal: RelayRefusal) -> None:
+        self._parts.metrics.refusals.increment(refusal.reason)
         self._parts.log.write(
             'refused',
             request=self._call.label,
@@ -177,6 +185,7 @@
             self._last = outcome.reason
         elif not isinstance(outcome, Answered):
             self._last = repr(outcome)
+        self._parts.metrics.attempts.increment(type(outcome).__name__)
         self._parts.log.write(
             'attempt',
             request=self._call.label,
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -402,6 +402,7 @@
         send_refusal(self._call.exchange, refusal)
 
     def _log_refusal(self, status: int, reason: str) -> None:
+        self._parts.metrics.refusals.increment(reason)
         self._parts.log.write(
             'refused',
             request=self._call.label,
@@ -415,6 +416,10 @@
 
     def _log_end(self) -> None:
         pace = self._caller_pace
+        metrics = self._parts.metrics
+        metrics.answers.increment(str(_OK))
+        metrics.first_event_ms.record(pace.first_ms)
+        metrics.pause_ms.record(pace.longest_gap_ms)
         self._parts.log.write(
             'stream-ended',
             request=self._call.label,
@@ -436,6 +441,7 @@
             case _:
                 self._last = repr(outcome)
         upstream = placement.upstream
+        self._parts.metrics.attempts.increment(type(outcome).__name__)
         self._parts.log.write(
             'attempt',
             request=self._call.label,
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -553,6 +553,24 @@
     return (await day.read(connection)).status
 
 
+def test_metrics_tell_answers_refusals_and_times():
+    async def check():
+        day = await Deployment.start()
+        await day.call('/once/x')
+        await day.call('/stream/x')
+        await day.call('/once/x', key='other')
+        connection = await day.connect('10.1.0.1:7000')
+        connection.send(b'GET /metrics HTTP/1.1\r\nhost: x\r\n\r\n', b'')
+        shown = (await day.read(connection)).body.decode()
+        assert 'relay_answers_total{status="200"} 2' in shown
+        assert 'relay_refusals_total{reason="unknown-key"} 1' in shown
+        assert 'relay_attempts_total{outcome="StreamEnded"} 1' in shown
+        assert 'relay_first_event_ms_count 1' in shown
+        assert 'relay_upstreams 5' in shown
+
+    run_in_memory(check())
+
+
 def test_balancer_is_told_when_the_version_is_old():
     async def check():
         day = await Deployment.start()
