--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -61,6 +61,9 @@
 BUDGET_SHARE = 0.75
 
 
+_Gauge = tuple[str, str, Callable[[], float]]
+
+
 @dataclass(frozen=True)
 class _Watches:
     version: VersionWatch
@@ -191,7 +194,7 @@
 
     def _add_gauges(self) -> None:
         registry = self._parts.metrics.registry
-        gauges: tuple[tuple[str, str, Callable[[], float]], ...] = (
+        gauges: tuple[_Gauge, ...] = (
             (
                 'relay_in_flight',
                 'Requests that are being answered.',
