Bound a choice among many upstreams, and change the ring in place

Change: candidates are drawn from at most 64 upstreams in the order of the ring; members are added to and removed from it. An upstream that drains no longer counts as a holder of copies elsewhere.

--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -9,8 +9,9 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
+from itertools import islice
 
 from bergamotthread.process.relay.upstreams import (
     Upstream,
@@ -30,6 +31,8 @@
 FAILURE_MS = 4000.0
 # Candidates that are asked for their load before one is chosen.
 CANDIDATES = 4
+# Upstreams that are looked at to draw them, which bounds a choice among many.
+SEEN_MAX = 64
 # Cost of a candidate for each better one by affinity: a new prompt goes where
 # fewest tokens wait, unless the difference is small; one that comes back goes
 # where it was read, which saves a second of reading.
@@ -81,35 +84,45 @@
 
     def choose(self, work: Work) -> Upstream | None:
         """Return the cheapest upstream, or none."""
-        usable = self._usable(work)
-        if not usable:
-            return None
-        return min(usable, key=lambda one: self.cost_ms(one, work))
+        known = [
+            one
+            for one in without(
+                self.directory.of_service(work.service),
+                work.excluded,
+            )
+            if not self.directory.is_lost(one)
+        ]
+        sound = [one for one in known if not self.directory.is_doubtful(one)]
+        return self._cheapest(sound or known, work)
 
     def choose_elsewhere(self, work: Work, domain: str) -> Upstream | None:
-        """Return the cheapest upstream outside a failure domain, or none."""
-        usable = [
+        """Return a cheap upstream outside a failure domain, or none."""
+        outside = (
             one
-            for one in self._usable(work)
+            for one in self._in_order(work)
             if one.record.failure_domain != domain
-        ]
-        if not usable:
-            return None
-        return min(usable, key=lambda one: self.cost_ms(one, work))
+        )
+        return self._cheapest(list(islice(outside, CANDIDATES)), work)
 
     def draw(self, work: Work) -> list[Upstream]:
         """Return a few candidates, of two failure domains if there are.
 
-        Those that the work's affinity prefers come first.
+        Those that the work's affinity prefers come first. Upstreams in doubt
+        are drawn only where there is no other.
         """
-        drawn: list[Upstream] = []
-        for upstream in self._in_order(work):
-            if len(drawn) < CANDIDATES:
-                drawn.append(upstream)
-            elif len(_domains(drawn)) > 1:
-                break
-            elif upstream.record.failure_domain not in _domains(drawn):
-                drawn[-1] = upstream
+        seen = list(islice(self._in_order(work), SEEN_MAX))
+        sound = [one for one in seen if not self.directory.is_doubtful(one)]
+        ordered = sound or seen
+        drawn = ordered[:CANDIDATES]
+        domains = {one.record.failure_domain for one in drawn}
+        if len(domains) == 1:
+            others = (
+                one
+                for one in ordered[CANDIDATES:]
+                if one.record.failure_domain not in domains
+            )
+            last = next(others, drawn[-1])
+            drawn = [*drawn[:-1], last]
         return drawn
 
     def rank_ms(self, rank: int, work: Work) -> float:
@@ -128,29 +141,29 @@
         cost_ms += self.directory.failure_share(upstream) * FAILURE_MS
         return cost_ms + self._far_ms(upstream) + self.rng.random()
 
-    def _in_order(self, work: Work) -> Sequence[Upstream]:
-        usable = self._usable(work)
-        if not work.affinity:
-            return self.rng.sample(usable, len(usable))
-        allowed = {one.record.instance for one in usable}
-        return [
-            one
-            for one in self.directory.by_affinity(work.service, work.affinity)
-            if one.record.instance in allowed
-        ]
-
-    def _usable(self, work: Work) -> list[Upstream]:
+    def _in_order(self, work: Work) -> Iterator[Upstream]:
+        """Yield what may run the work: by affinity, else at random."""
         directory = self.directory
-        known = [
-            one
-            for one in without(
-                directory.of_service(work.service),
-                work.excluded,
-            )
-            if not directory.is_lost(one)
-        ]
-        sound = [one for one in known if not directory.is_doubtful(one)]
-        return sound or known
+        if work.affinity:
+            ordered = directory.by_affinity(work.service, work.affinity)
+        else:
+            there = list(directory.of_service(work.service))
+            ordered = iter(self.rng.sample(there, len(there)))
+        for upstream in ordered:
+            is_excluded = upstream.record.instance in work.excluded
+            if not is_excluded and not directory.is_lost(upstream):
+                yield upstream
+
+    def _cheapest(
+        self,
+        upstreams: Sequence[Upstream],
+        work: Work,
+    ) -> Upstream | None:
+        return min(
+            upstreams,
+            key=lambda one: self.cost_ms(one, work),
+            default=None,
+        )
 
     def _far_ms(self, upstream: Upstream) -> float:
         region = self.region_by_domain.get(upstream.record.failure_domain)
@@ -158,10 +171,6 @@
         return 0 if is_near else FAR_MS
 
 
-def _domains(upstreams: Iterable[Upstream]) -> set[str]:
-    return {one.record.failure_domain for one in upstreams}
-
-
 def _engine_cost_ms(upstream: Upstream, work: Work) -> float:
     report = upstream.report
     unread = upstream.prefill_tokens
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -132,20 +132,19 @@
             if former.record.born_ms > record.born_ms:
                 return None
             self.remove(former.record.instance)
-        self._ring_by_service.clear()
         upstream = Upstream(record, listed_ms=self.clock.now_ms())
         self._upstream_by_instance[record.instance] = upstream
         self._instance_by_address[record.address] = record.instance
+        self._ring(record.service).add(record.address)
         return former
 
     def remove(self, instance: str) -> Upstream | None:
         """Forget an upstream that has gone."""
         upstream = self._upstream_by_instance.pop(instance, None)
         if upstream is not None:
-            self._ring_by_service.clear()
             address = upstream.address
-            if self._instance_by_address.get(address) == instance:
-                self._instance_by_address.pop(address)
+            self._instance_by_address.pop(address)
+            self._ring(upstream.record.service).remove(address)
         return upstream
 
     def instances(self) -> frozenset[str]:
@@ -155,9 +154,7 @@
     def of_service(self, service: str) -> Iterator[Upstream]:
         """Yield the upstreams of one service that take new work."""
         for upstream in self._upstream_by_instance.values():
-            record = upstream.record
-            is_ready = record.state is UpstreamState.READY
-            if is_ready and record.service == service:
+            if _takes_work(upstream, service):
                 yield upstream
 
     def by_affinity(self, service: str, key: bytes) -> Iterator[Upstream]:
@@ -165,14 +162,10 @@
 
         The order is by address, so that it outlives restarts.
         """
-        ring = self._ring_by_service.get(service)
-        if ring is None:
-            ring = HashRing(one.address for one in self.of_service(service))
-            self._ring_by_service[service] = ring
-        for address in ring.walk(key):
+        for address in self._ring(service).walk(key):
             instance = self._instance_by_address.get(address, '')
             upstream = self._upstream_by_instance.get(instance)
-            if upstream is not None and upstream.record.service == service:
+            if upstream is not None and _takes_work(upstream, service):
                 yield upstream
 
     def record_lost(self, upstream: Upstream) -> None:
@@ -223,6 +216,9 @@
             return False
         return max(upstream.heard_ms, upstream.listed_ms) < recent[0]
 
+    def _ring(self, service: str) -> HashRing:
+        return self._ring_by_service.setdefault(service, HashRing(()))
+
     def _former(self, record: UpstreamRecord) -> Upstream | None:
         instance = self._instance_by_address.get(record.address, '')
         return self._upstream_by_instance.get(instance)
@@ -236,6 +232,11 @@
     return [one for one in upstreams if one.record.instance not in excluded]
 
 
+def _takes_work(upstream: Upstream, service: str) -> bool:
+    record = upstream.record
+    return record.state is UpstreamState.READY and record.service == service
+
+
 def _is_same(known: UpstreamRecord, told: UpstreamRecord) -> bool:
     return (known.address, known.service, known.born_ms) == (
         told.address,
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -192,6 +192,18 @@
     assert moved < 60
 
 
+def test_ring_that_changes_equals_one_made_anew():
+    ring = HashRing(MEMBERS[:20])
+    for member in MEMBERS[20:]:
+        ring.add(member)
+    for member in MEMBERS[:5]:
+        ring.remove(member)
+    anew = HashRing(MEMBERS[5:])
+    for number in range(20):
+        key = b'part-%d' % number
+        assert list(ring.walk(key)) == list(anew.walk(key))
+
+
 def test_ring_without_members_is_empty():
     assert list(HashRing([]).walk(b'key')) == []
 
