--- a/bergamotthread/connection/http/caller_connection.py
+++ b/bergamotthread/connection/http/caller_connection.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol, cast
 
@@ -26,8 +26,9 @@
 )
 
 _MS_PER_S = 1000
+# Requests of one connection that are read ahead of their answers.
 QUEUED_REQUESTS_MAX = 16
-# Half of the smallest share of memory of an entry host may hold bodies.
+# Bytes for a slow caller that wait in this process before its writer does.
 _WRITE_BUFFER_BYTES = 65_536
 
 
@@ -72,11 +73,6 @@
         self.is_ended = False
         self._connection = connection
 
-    @property
-    def is_caller_gone(self) -> bool:
-        """Return whether the caller closed its connection."""
-        return self._connection.is_closed
-
     def respond(
         self,
         status: int,
@@ -367,6 +363,3 @@
             self._start_next()
             return
         self._transport.close()
-
-
-Answering = Callable[[Exchange], Awaitable[None]]
--- a/bergamotthread/connection/http/upstream_connection.py
+++ b/bergamotthread/connection/http/upstream_connection.py
@@ -27,7 +27,6 @@
 _MS_PER_S = 1000
 # Bytes of an answer that wait for its reader before the socket is left unread.
 BUFFERED_BYTES_MAX = 65_536
-_KEEP_ALIVE_TIMEOUT = b'timeout='
 
 
 class UpstreamConnection(asyncio.Protocol):
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -32,7 +32,7 @@
 )
 from bergamotthread.request.relay.parts import RelayParts
 
-# Answers of plain services that are held back until they are whole.
+# Largest answer that is held back until it is whole; an entry has 128 MB.
 WHOLE_ANSWER_BYTES_MAX = 8_388_608
 # A kept connection may have been lost in silence; a request that runs at most
 # once takes one that was in use this lately.
@@ -132,7 +132,7 @@
 async def read_whole(attempt: Attempt, patience_ms: float) -> AttemptOutcome:
     """Return the whole answer, or why there is none in time."""
     head: AnswerHead | None = None
-    body: list[bytes] = []
+    body = bytearray()
     end_ms = attempt.parts.clock.now_ms() + patience_ms
     while True:
         left_ms = end_ms - attempt.parts.clock.now_ms()
@@ -142,9 +142,11 @@
                 if attempt.lacks_signature(arrived):
                     return Broken('a success without signature')
             case AnswerPart(part):
-                body.append(part)
+                body += part
+                if len(body) > WHOLE_ANSWER_BYTES_MAX:
+                    return Broken(f'more than {WHOLE_ANSWER_BYTES_MAX} bytes')
             case AnswerEnd():
-                return _whole(attempt, head, b''.join(body))
+                return _whole(attempt, head, bytes(body))
             case AnswerLost(reason):
                 return Broken(reason)
             case _:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -233,6 +233,7 @@
     ends_in_event: bool = False
     repeats: int = 0
     stalls_after: int | None = None
+    answer: bytes = b'answer'
     work_ms: float = 30
     events: int = 60
     copies: set[str] = field(default_factory=set)
@@ -312,7 +313,11 @@
         if self.script.breaks_after is not None:
             exchange.abort()
             return
-        exchange.respond(self.script.status, self._headers(seen), b'answer')
+        exchange.respond(
+            self.script.status,
+            self._headers(seen),
+            self.script.answer,
+        )
 
     def _has_copy(self, seen: Seen) -> bool:
         source = seen.headers.get(b'kv-from')
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -8,6 +8,7 @@
 
 from bergamotthread.platform.store import StoreCallError
 from bergamotthread.process.relay.choice import Work
+from bergamotthread.request.relay.attempt import WHOLE_ANSWER_BYTES_MAX
 from bergamotthread.testing.memory_http import run_in_memory
 from tests.platform_standins import KEY, SEAL, Deployment, manifest, settings
 
@@ -63,6 +64,19 @@
     run_in_memory(check())
 
 
+def test_answer_that_is_too_long_to_hold_is_not_passed_on():
+    async def check():
+        day = await Deployment.start(plains=1)
+        day.plains[0].script.answer = b'x' * WHOLE_ANSWER_BYTES_MAX
+        whole = await day.call('/once/x')
+        assert (whole.status, len(whole.body)) == (200, WHOLE_ANSWER_BYTES_MAX)
+        runner = day.plains[0]
+        runner.script.answer = b'x' * 2 * WHOLE_ANSWER_BYTES_MAX
+        assert (await day.call('/once/x')).status == 502
+
+    run_in_memory(check())
+
+
 def test_request_that_may_run_once_is_not_sent_again_after_a_loss():
     async def check():
         day = await Deployment.start(plains=2)
