--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -131,33 +131,51 @@
 
 async def read_whole(attempt: Attempt, patience_ms: float) -> AttemptOutcome:
     """Return the whole answer, or why there is none in time."""
-    head: AnswerHead | None = None
-    body = bytearray()
+    answer = _HeldAnswer(attempt)
     end_ms = attempt.parts.clock.now_ms() + patience_ms
-    while True:
+    outcome: AttemptOutcome | None = None
+    while outcome is None:
         left_ms = end_ms - attempt.parts.clock.now_ms()
-        match await attempt.receive(left_ms):
-            case AnswerHead() as arrived:
-                head = arrived
-                if attempt.lacks_signature(arrived):
-                    return Broken('a success without signature')
+        outcome = answer.take(await attempt.receive(left_ms))
+    return outcome
+
+
+class _HeldAnswer:
+    """Answer that is held until it is whole."""
+
+    def __init__(self, attempt: Attempt) -> None:
+        self._attempt = attempt
+        self._head: AnswerHead | None = None
+        self._body = bytearray()
+
+    def take(self, arrived: AnswerItem | None) -> AttemptOutcome | None:
+        """Take in an item; return the outcome with the last one."""
+        match arrived:
+            case AnswerHead():
+                return self._take_head(arrived)
             case AnswerPart(part):
-                body += part
-                if len(body) > WHOLE_ANSWER_BYTES_MAX:
-                    return Broken(f'more than {WHOLE_ANSWER_BYTES_MAX} bytes')
+                return self._take_part(part)
             case AnswerEnd():
-                return _whole(attempt, head, bytes(body))
+                return self._whole()
             case AnswerLost(reason):
                 return Broken(reason)
             case _:
                 return OutOfTime()
 
+    def _take_head(self, head: AnswerHead) -> AttemptOutcome | None:
+        self._head = head
+        if self._attempt.lacks_signature(head):
+            return Broken('a success without signature')
+        return None
+
+    def _take_part(self, part: bytes) -> AttemptOutcome | None:
+        self._body += part
+        if len(self._body) > WHOLE_ANSWER_BYTES_MAX:
+            return Broken(f'more than {WHOLE_ANSWER_BYTES_MAX} bytes')
+        return None
 
-def _whole(
-    attempt: Attempt,
-    head: AnswerHead | None,
-    body: bytes,
-) -> AttemptOutcome:
-    if head is None:
-        return Broken('an end without a head')
-    return attempt.refusal(head) or Answered(head, body)
+    def _whole(self) -> AttemptOutcome:
+        if self._head is None:
+            return Broken('an end without a head')
+        refusal = self._attempt.refusal(self._head)
+        return refusal or Answered(self._head, bytes(self._body))
