Prefer candidates of the own region

Change: three of four candidates are of this region; one is of another, for the copy and for when the region is busy. For a caller that comes back the first three of each region are asked, so that it is found from any.

--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -31,6 +31,11 @@
 FAILURE_MS = 4000.0
 # Candidates that are asked for their load before one is chosen.
 CANDIDATES = 4
+# Most of them are of this region: traffic between regions is paid, and a loss
+# is noticed a round trip sooner.
+NEAR_CANDIDATES = 3
+# Of each region, for a caller that comes back.
+RETURN_CANDIDATES = 3
 # Upstreams that are looked at to draw them, which bounds a choice among many.
 SEEN_MAX = 64
 # Cost of a candidate for each better one by affinity: a new prompt goes where
@@ -107,23 +112,20 @@
     def draw(self, work: Work) -> list[Upstream]:
         """Return a few candidates, of two failure domains if there are.
 
-        Those that the work's affinity prefers come first. Upstreams in doubt
-        are drawn only where there is no other.
+        Those of this region come first, then those that the work's affinity
+        prefers. Upstreams in doubt are drawn only where there is no other.
+        For a caller that comes back, perhaps from another region, they are
+        the same wherever it does.
         """
         seen = list(islice(self._in_order(work), SEEN_MAX))
         sound = [one for one in seen if not self.directory.is_doubtful(one)]
         ordered = sound or seen
-        drawn = ordered[:CANDIDATES]
-        domains = {one.record.failure_domain for one in drawn}
-        if len(domains) == 1:
-            others = (
-                one
-                for one in ordered[CANDIDATES:]
-                if one.record.failure_domain not in domains
-            )
-            last = next(others, drawn[-1])
-            drawn = [*drawn[:-1], last]
-        return drawn
+        if work.is_return:
+            return self._first_of_regions(ordered)
+        near = [one for one in ordered if not self._far_ms(one)]
+        far = [one for one in ordered if self._far_ms(one)]
+        drawn = [*near[:NEAR_CANDIDATES], *far][:CANDIDATES]
+        return _with_second_domain(drawn, ordered)
 
     def rank_ms(self, rank: int, work: Work) -> float:
         """Return the cost of leaving the candidates of a better rank."""
@@ -141,6 +143,17 @@
         cost_ms += self.directory.failure_share(upstream) * FAILURE_MS
         return cost_ms + self._far_ms(upstream) + self.rng.random()
 
+    def _first_of_regions(self, ordered: list[Upstream]) -> list[Upstream]:
+        by_region: dict[str, list[Upstream]] = {}
+        for upstream in ordered:
+            region = self.region_by_domain.get(upstream.record.failure_domain)
+            by_region.setdefault(region or '', []).append(upstream)
+        return [
+            one
+            for members in by_region.values()
+            for one in members[:RETURN_CANDIDATES]
+        ]
+
     def _in_order(self, work: Work) -> Iterator[Upstream]:
         """Yield what may run the work: by affinity, else at random."""
         directory = self.directory
@@ -171,6 +184,20 @@
         return 0 if is_near else FAR_MS
 
 
+def _with_second_domain(
+    drawn: list[Upstream],
+    ordered: list[Upstream],
+) -> list[Upstream]:
+    domains = {one.record.failure_domain for one in drawn}
+    if len(domains) != 1:
+        return drawn
+    others = (
+        one for one in ordered if one.record.failure_domain not in domains
+    )
+    last = next(others, drawn[-1])
+    return [*drawn[:-1], last]
+
+
 def _engine_cost_ms(upstream: Upstream, work: Work) -> float:
     report = upstream.report
     unread = upstream.prefill_tokens
