Spend a repeat only on an attempt; split the placing of streams off

Found in the last read of the change: a stream that waited for an upstream took a repeat from the budget at each look, every 100 ms, and was cut once it was empty; an event without an end raised out of the relay. Each has a test that fails on the former code.

--- /dev/null
+++ b/bergamotthread/request/relay/placement.py
@@ -0,0 +1,147 @@
+"""Where the next attempt of a stream goes, and where its memory is copied."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from bergamotthread.process.relay.choice import Work
+from bergamotthread.process.relay.upstreams import Upstream
+from bergamotthread.request.relay.call import RelayedCall
+from bergamotthread.request.relay.copies import MemoryCopy
+from bergamotthread.request.relay.parts import RelayParts
+
+
+@dataclass(frozen=True)
+class Placement:
+    """Where an attempt runs, from which copy, and where to it is copied."""
+
+    upstream: Upstream
+    copy: MemoryCopy | None = None
+    target: Upstream | None = None
+
+
+@dataclass(frozen=True)
+class StreamPlacer:
+    """Places the attempts of one stream."""
+
+    call: RelayedCall
+    parts: RelayParts
+
+    @property
+    def may_copy(self) -> bool:
+        """Return whether the service's engines copy memory."""
+        engine = self.call.service.engine
+        return engine is not None and engine.copies_memory
+
+    def work(self, excluded: frozenset[str], *, is_first: bool) -> Work:
+        """Return what an attempt asks of an upstream.
+
+        Parameters
+        ----------
+        excluded
+            Instances that are not used.
+        is_first
+            Whether nothing was sent for this call yet.
+        """
+        call = self.call
+        return Work(
+            call.service.name,
+            prompt_tokens=call.prompt_tokens,
+            output_tokens=call.output_tokens,
+            excluded=excluded,
+            affinity=call.affinity,
+            is_return=is_first and call.resume_after is not None,
+        )
+
+    def from_copy(self, copy: MemoryCopy, work: Work) -> Placement:
+        """Place an attempt with the holder of a copy."""
+        domain = copy.holder.record.failure_domain
+        target = self.parts.choice.choose_elsewhere(work, domain)
+        return Placement(copy.holder, copy, target)
+
+    async def place(self, work: Work) -> Placement | None:
+        """Place an attempt that reads its prompt, or none for now."""
+        candidates = self.parts.choice.draw(work)
+        if not candidates:
+            return None
+        cached = await self._with_cache(candidates, work)
+        alive = cached or await self._alive(candidates)
+        if not alive:
+            return Placement(candidates[0])
+        return self._cheapest(alive, work)
+
+    async def _with_cache(
+        self,
+        candidates: list[Upstream],
+        work: Work,
+    ) -> list[Upstream]:
+        """Return who has read the prompt of a caller that comes back.
+
+        Its stream ended with another entry, which knew where it ran.
+        """
+        if not work.is_return or not work.affinity:
+            return []
+        cached = await asyncio.gather(
+            *(
+                self.parts.memory.cached_tokens(one, work.affinity)
+                for one in candidates
+            ),
+        )
+        self.parts.log.write(
+            'cache-found',
+            request=self.call.label,
+            tokens=max(cached),
+            candidates=len(candidates),
+        )
+        return [
+            one
+            for one, tokens in zip(candidates, cached, strict=True)
+            if tokens
+        ]
+
+    async def _alive(self, candidates: list[Upstream]) -> list[Upstream]:
+        answers = await asyncio.gather(
+            *(self.parts.liveness.refresh(one) for one in candidates),
+        )
+        return [
+            one
+            for one, is_alive in zip(candidates, answers, strict=True)
+            if is_alive
+        ]
+
+    def _cheapest(self, alive: list[Upstream], work: Work) -> Placement:
+        choice = self.parts.choice
+        costs = {
+            one.record.instance: choice.cost_ms(one, work)
+            + choice.rank_ms(rank, work)
+            for rank, one in enumerate(alive)
+        }
+        ranked = sorted(alive, key=lambda one: costs[one.record.instance])
+        chosen = ranked[0]
+        domain = chosen.record.failure_domain
+        elsewhere = [
+            one for one in ranked if one.record.failure_domain != domain
+        ]
+        target = next(iter(elsewhere or ranked[1:]), None)
+        if not self.may_copy:
+            target = None
+        self.parts.log.write(
+            'placed',
+            request=self.call.label,
+            upstream=chosen.record.instance,
+            domain=domain,
+            holder=target.record.instance if target else '',
+            rank=alive.index(chosen),
+            candidates=len(alive),
+            cost_ms=round(costs[chosen.record.instance]),
+            report_age_ms=round(self._report_age_ms(chosen)),
+            is_return=work.is_return,
+            prompt_tokens=work.prompt_tokens,
+        )
+        return Placement(chosen, target=target)
+
+    def _report_age_ms(self, upstream: Upstream) -> float:
+        if upstream.report is None:
+            return -1
+        return self.parts.clock.now_ms() - upstream.report.at_ms
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
-from dataclasses import dataclass
 
 from bergamotthread.connection.http.messages import (
     AnswerEnd,
@@ -28,8 +26,12 @@
 from bergamotthread.process.relay.upstreams import Upstream
 from bergamotthread.request.relay.attempt import Attempt
 from bergamotthread.request.relay.call import AttemptHeaders, RelayedCall
-from bergamotthread.request.relay.copies import CopyKeeper, MemoryCopy
-from bergamotthread.request.relay.events import EventSplitter, StreamEvent
+from bergamotthread.request.relay.copies import CopyKeeper
+from bergamotthread.request.relay.events import (
+    EventSplitter,
+    EventTooLongError,
+    StreamEvent,
+)
 from bergamotthread.request.relay.outcomes import (
     Answered,
     AttemptOutcome,
@@ -41,6 +43,7 @@
 )
 from bergamotthread.request.relay.pace import Pace
 from bergamotthread.request.relay.parts import RelayParts
+from bergamotthread.request.relay.placement import Placement, StreamPlacer
 from bergamotthread.request.relay.refusals import RelayRefusal, send_refusal
 
 # A stream that pauses for this long is taken to another upstream although its
@@ -57,15 +60,6 @@
 MISDIRECTED = 421
 
 
-@dataclass(frozen=True)
-class Placement:
-    """Where an attempt runs, from which copy, and where to it is copied."""
-
-    upstream: Upstream
-    copy: MemoryCopy | None = None
-    target: Upstream | None = None
-
-
 class StreamRelay:
     """Runs the attempts of one stream."""
 
@@ -74,9 +68,9 @@
         self._parts = parts
         self._excluded: frozenset[str] = frozenset()
         self._sent = 0
-        self._failures = 0
         self._may_have_run = False
         self._last_event = call.resume_after
+        self._placer = StreamPlacer(call, parts)
         self._copies = CopyKeeper(parts, call.label)
         self._pace = Pace(parts.clock.now_ms())
         self._caller_pace = Pace(call.request.received_ms)
@@ -99,129 +93,54 @@
         while self._remaining_ms() > 0 and self._may_send():
             placement = await self._place()
             if placement is None:
-                if not await self._look_again():
-                    break
-                continue
-            outcome = await self._attempt(placement)
-            self._log_outcome(placement, outcome)
-            if self._settles(placement, outcome):
+                goes_on = await self._look_again()
+            else:
+                goes_on = self._is_affordable()
+            if not goes_on:
+                break
+            if placement is not None and await self._is_settled_at(placement):
                 return
         self._give_up()
 
+    async def _is_settled_at(self, placement: Placement) -> bool:
+        """Run an attempt; return whether the caller needs no other."""
+        outcome = await self._attempt(placement)
+        self._log_outcome(placement, outcome)
+        return self._settles(placement, outcome)
+
     def _remaining_ms(self) -> float:
         return self._call.deadline_ms - self._parts.clock.now_ms()
 
     def _may_send(self) -> bool:
+        """Return whether the kind and the route allow another attempt."""
+        may_repeat = self._call.route.repeatability.may_repeat
+        if self._may_have_run and not may_repeat:
+            return False
+        return self._sent < self._call.route.attempts_max
+
+    def _is_affordable(self) -> bool:
+        """Return whether this attempt is the first or within the budget."""
         if not self._sent:
             return True
-        is_resumable = self._call.route.repeatability.may_repeat
-        if self._may_have_run and not is_resumable:
-            return False
-        if self._sent >= self._call.route.attempts_max:
-            return False
         return self._parts.budget.spend(self._call.service.name)
 
     async def _place(self) -> Placement | None:
         """Return where the next attempt goes, or none for now."""
         copy = self._copies.take()
         if copy is not None and self._pace.parts:
-            holder = copy.holder.record
-            target = self._parts.choice.choose_elsewhere(
-                self._work(self._excluded | {holder.instance}),
-                holder.failure_domain,
+            return self._placer.from_copy(
+                copy,
+                self._work(copy.holder.record.instance),
             )
-            return Placement(copy.holder, copy, target)
-        work = self._work(self._excluded)
-        candidates = self._parts.choice.draw(work)
-        if not candidates:
+        placement = await self._placer.place(self._work())
+        if placement is None:
             self._excluded = frozenset()
-            return None
-        cached = await self._with_cache(candidates)
-        alive = cached or await self._alive(candidates)
-        if not alive:
-            return Placement(candidates[0])
-        return self._cheapest(alive, work)
-
-    async def _with_cache(
-        self,
-        candidates: list[Upstream],
-    ) -> list[Upstream]:
-        """Return who has read the prompt of a caller that comes back.
-
-        Its stream ended with another entry, which knew where it ran.
-        """
-        call = self._call
-        if call.resume_after is None or self._sent or not call.affinity:
-            return []
-        cached = await asyncio.gather(
-            *(
-                self._parts.memory.cached_tokens(one, call.affinity)
-                for one in candidates
-            ),
-        )
-        self._parts.log.write(
-            'cache-found',
-            request=call.label,
-            tokens=max(cached),
-            candidates=len(candidates),
-        )
-        return [
-            one
-            for one, tokens in zip(candidates, cached, strict=True)
-            if tokens
-        ]
-
-    async def _alive(self, candidates: list[Upstream]) -> list[Upstream]:
-        answers = await asyncio.gather(
-            *(self._parts.liveness.refresh(one) for one in candidates),
-        )
-        return [
-            one
-            for one, is_alive in zip(candidates, answers, strict=True)
-            if is_alive
-        ]
-
-    def _cheapest(self, alive: list[Upstream], work: Work) -> Placement:
-        choice = self._parts.choice
-        costs = {
-            one.record.instance: choice.cost_ms(one, work)
-            + choice.rank_ms(rank, work)
-            for rank, one in enumerate(alive)
-        }
-        ranked = sorted(alive, key=lambda one: costs[one.record.instance])
-        chosen = ranked[0]
-        domain = chosen.record.failure_domain
-        elsewhere = [
-            one for one in ranked if one.record.failure_domain != domain
-        ]
-        target = next(iter(elsewhere or ranked[1:]), None)
-        self._parts.log.write(
-            'placed',
-            request=self._call.label,
-            upstream=chosen.record.instance,
-            domain=domain,
-            holder=target.record.instance if target else '',
-            rank=alive.index(chosen),
-            candidates=len(alive),
-            cost_ms=round(costs[chosen.record.instance]),
-            report_age_ms=round(_report_age_ms(chosen, self._parts)),
-            is_return=work.is_return,
-            prompt_tokens=work.prompt_tokens,
-        )
-        return Placement(chosen, target=target if self._may_copy() else None)
+        return placement
 
-    def _may_copy(self) -> bool:
-        engine = self._call.service.engine
-        return engine is not None and engine.copies_memory
-
-    def _work(self, excluded: frozenset[str]) -> Work:
-        return Work(
-            self._call.service.name,
-            prompt_tokens=self._call.prompt_tokens,
-            output_tokens=self._call.output_tokens,
-            excluded=excluded,
-            affinity=self._call.affinity,
-            is_return=self._call.resume_after is not None,
+    def _work(self, *excluded: str) -> Work:
+        return self._placer.work(
+            self._excluded.union(excluded),
+            is_first=not self._sent,
         )
 
     async def _look_again(self) -> bool:
@@ -265,9 +184,12 @@
         while isinstance(arrived, AnswerPart):
             attempt.end_prefill()
             self._pace.record(self._parts.clock.now_ms())
-            if self._may_copy():
-                self._copies.keep(self._work(self._excluded))
-            await self._take_part(arrived.payload, splitter)
+            if self._placer.may_copy:
+                self._copies.keep(self._work())
+            try:
+                await self._take_part(arrived.payload, splitter)
+            except EventTooLongError as error:
+                return Broken(str(error))
             arrived = await self._next(attempt)
         return self._end(arrived, head, splitter)
 
@@ -455,9 +377,3 @@
             first_ms=round(self._pace.first_ms),
             longest_gap_ms=round(self._pace.longest_gap_ms),
         )
-
-
-def _report_age_ms(upstream: Upstream, parts: RelayParts) -> float:
-    if upstream.report is None:
-        return -1
-    return parts.clock.now_ms() - upstream.report.at_ms
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -223,6 +223,8 @@
         Ends its stream within an event, as if it were whole.
     repeats
         Events before the place to go on from that it sends again.
+    padding
+        Bytes of an event without an end that it sends before each event.
     stalls_after
         Events after which it sends no more, though it answers probes.
     """
@@ -232,6 +234,7 @@
     breaks_after: int | None = None
     ends_in_event: bool = False
     repeats: int = 0
+    padding: int = 0
     stalls_after: int | None = None
     answer: bytes = b'answer'
     work_ms: float = 30
@@ -342,6 +345,8 @@
                 return
             if sent == self.script.stalls_after:
                 await self.clock.sleep_ms(60_000)
+            if self.script.padding:
+                exchange.write(b'data: ' + b'x' * self.script.padding)
             exchange.write(b'id: %d\ndata: t%d\n\n' % (number, number))
             await self.clock.sleep_ms(EVENT_MS)
         if self.script.ends_in_event:
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -9,6 +9,7 @@
 from bergamotthread.platform.store import StoreCallError
 from bergamotthread.process.relay.choice import Work
 from bergamotthread.request.relay.attempt import WHOLE_ANSWER_BYTES_MAX
+from bergamotthread.request.relay.events import EVENT_BYTES_MAX
 from bergamotthread.testing.memory_http import run_in_memory
 from tests.platform_standins import KEY, SEAL, Deployment, manifest, settings
 
@@ -183,6 +184,37 @@
     run_in_memory(check())
 
 
+def test_waiting_for_an_upstream_spends_no_repeats():
+    """Each look for an upstream once took a repeat from the budget."""
+
+    async def check():
+        day = await Deployment.start()
+        task = asyncio.create_task(day.call('/stream/x'))
+        await day.clock.sleep_ms(1500)
+        for model in day.models:
+            day.store.remove('servers', model.instance)
+            model.kill()
+        await day.clock.sleep_ms(4000)
+        await day.add_runner('m9', 'model-service', 'b-1')
+        answer = await task
+        assert answer.is_whole
+        assert answer.event_ids == list(range(1, 61))
+
+    run_in_memory(check())
+
+
+def test_event_without_an_end_cuts_the_stream():
+    async def check():
+        day = await Deployment.start(models=1)
+        day.models[0].script.padding = EVENT_BYTES_MAX
+        answer = await day.call('/once-stream/x')
+        assert not answer.is_whole
+        [told] = day.events('refused')
+        assert 'expected at most' in str(told['detail'])
+
+    run_in_memory(check())
+
+
 def test_stalled_stream_is_taken_to_another_upstream():
     async def check():
         day = await Deployment.start()
