--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -34,6 +34,8 @@
 # Most of them are of this region: traffic between regions is paid, and a loss
 # is noticed a round trip sooner.
 NEAR_CANDIDATES = 3
+# Fewer upstreams in the region leave too little choice among queues.
+NEAR_POOL_MIN = 6
 # Of each region, for a caller that comes back.
 RETURN_CANDIDATES = 3
 # Upstreams that are looked at to draw them, which bounds a choice among many.
@@ -123,8 +125,11 @@
         if work.is_return:
             return self._first_of_regions(ordered)
         near = [one for one in ordered if not self._far_ms(one)]
-        far = [one for one in ordered if self._far_ms(one)]
-        drawn = [*near[:NEAR_CANDIDATES], *far][:CANDIDATES]
+        if len(near) >= NEAR_POOL_MIN:
+            far = [one for one in ordered if self._far_ms(one)]
+            drawn = [*near[:NEAR_CANDIDATES], *far][:CANDIDATES]
+        else:
+            drawn = ordered[:CANDIDATES]
         return _with_second_domain(drawn, ordered)
 
     def rank_ms(self, rank: int, work: Work) -> float:
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -248,6 +248,17 @@
     assert costs.index(min(costs)) == 3
 
 
+def test_region_with_few_upstreams_is_not_preferred():
+    """Load: prompts of a region that has three of nine engines."""
+    choice = _choice(_directory(Hand(), count=9, domains=('a-1', 'b-1', 'c-1')))
+    firsts = [
+        choice.draw(Work('s', prompt_tokens=1, affinity=b'%d' % number))[0]
+        for number in range(200)
+    ]
+    near = [one for one in firsts if one.record.failure_domain == 'a-1']
+    assert 0.15 < len(near) / len(firsts) < 0.55
+
+
 def test_caller_that_comes_back_is_looked_for_in_every_region():
     work = Work('s', prompt_tokens=8000, affinity=b'part', is_return=True)
     drawn = []
