Build a holder's requirements only when a copy is made; one status, one filter

Found in the last read of the change, behaviour as before: what a run asks of a holder of its copy was built for each event that arrived, though it is needed only when a copy is made; the filter of upstreams that may run a request stood twice; the status of another incarnation was named twice; a field's page told of a state that does not exist.

--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -16,7 +16,6 @@
 from bergamotthread.process.relay.upstreams import (
     Upstream,
     UpstreamDirectory,
-    without,
 )
 
 # Prompt tokens that an engine reads in a millisecond (the sheets).
@@ -93,11 +92,8 @@
         """Return the cheapest upstream, or none."""
         known = [
             one
-            for one in without(
-                self.directory.of_service(work.service),
-                work.excluded,
-            )
-            if not self.directory.is_lost(one)
+            for one in self.directory.of_service(work.service)
+            if self._may_run(one, work)
         ]
         sound = [one for one in known if not self.directory.is_doubtful(one)]
         return self._cheapest(sound or known, work)
@@ -168,10 +164,13 @@
             there = list(directory.of_service(work.service))
             ordered = iter(self.rng.sample(there, len(there)))
         for upstream in ordered:
-            is_excluded = upstream.record.instance in work.excluded
-            if not is_excluded and not directory.is_lost(upstream):
+            if self._may_run(upstream, work):
                 yield upstream
 
+    def _may_run(self, upstream: Upstream, work: Work) -> bool:
+        is_excluded = upstream.record.instance in work.excluded
+        return not is_excluded and not self.directory.is_lost(upstream)
+
     def _cheapest(
         self,
         upstreams: Sequence[Upstream],
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
@@ -224,14 +224,6 @@
         return self._upstream_by_instance.get(instance)
 
 
-def without(
-    upstreams: Iterable[Upstream],
-    excluded: frozenset[str],
-) -> list[Upstream]:
-    """Return the upstreams whose instance is not excluded."""
-    return [one for one in upstreams if one.record.instance not in excluded]
-
-
 def _takes_work(upstream: Upstream, service: str) -> bool:
     record = upstream.record
     return record.state is UpstreamState.READY and record.service == service
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -37,7 +37,8 @@
 # A kept connection may have been lost in silence; a request that runs at most
 # once takes one that was in use this lately.
 UNREPEATABLE_IDLE_MS = 2500
-_MISDIRECTED = 421
+# Status of an upstream that is not the expected incarnation.
+MISDIRECTED = 421
 _OK = 200
 _FIRST_REDIRECT = 300
 
@@ -118,7 +119,7 @@
     def refusal(self, head: AnswerHead) -> NotRun | None:
         """Return that the upstream did not run the request, if it says so."""
         says_not_run = head.header(self.parts.dialect.not_run) is not None
-        if says_not_run or head.status == _MISDIRECTED:
+        if says_not_run or head.status == MISDIRECTED:
             return NotRun(head.status)
         return None
 
--- a/bergamotthread/request/relay/copies.py
+++ b/bergamotthread/request/relay/copies.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bergamotthread.process.relay.choice import Work
@@ -27,7 +28,7 @@
     Parameters
     ----------
     source
-        What names the copy to its holder; empty while there is none yet.
+        What names the copy to its holder.
     """
 
     holder: Upstream
@@ -56,15 +57,21 @@
             source = f'{target.address}/{self._label}'
             self._copy = MemoryCopy(target, source)
 
-    def keep(self, work: Work) -> None:
-        """Replace a copy whose holder is lost; called as events arrive."""
+    def keep(self, work: Callable[[], Work]) -> None:
+        """Replace a copy whose holder is lost; called as events arrive.
+
+        Parameters
+        ----------
+        work
+            Tells what the run asks of a holder; asked only for a new copy.
+        """
         now_ms = self._parts.clock.now_ms()
         if self._task is not None or now_ms < self._due_ms:
             return
         is_lost = self._copy is None or bool(self._fault(self._copy))
         if self._is_streamed and not is_lost:
             return
-        target = self._target(work)
+        target = self._target(work())
         if target is not None and self._upstream is not None:
             self._task = asyncio.create_task(
                 self._renew(self._upstream, target),
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -24,7 +24,7 @@
     SILENCE_MS,
 )
 from bergamotthread.process.relay.upstreams import Upstream
-from bergamotthread.request.relay.attempt import Attempt
+from bergamotthread.request.relay.attempt import MISDIRECTED, Attempt
 from bergamotthread.request.relay.call import AttemptHeaders, RelayedCall
 from bergamotthread.request.relay.copies import CopyKeeper
 from bergamotthread.request.relay.events import (
@@ -57,7 +57,6 @@
 WAIT_SHARE = 0.4
 RETRY_AFTER_MS = 500
 _OK = 200
-MISDIRECTED = 421
 
 
 class StreamRelay:
@@ -185,7 +184,7 @@
             attempt.end_prefill()
             self._pace.record(self._parts.clock.now_ms())
             if self._placer.may_copy:
-                self._copies.keep(self._work())
+                self._copies.keep(self._work)
             try:
                 await self._take_part(arrived.payload, splitter)
             except EventTooLongError as error:
