--- a/bergamotthread/process/generations/death_log.py
+++ b/bergamotthread/process/generations/death_log.py
@@ -66,12 +66,33 @@
             for death in deaths
         )
 
+    def is_scattered_loss(self, death_ids: Iterable[int]) -> bool:
+        """Return whether `CORRELATED_MAX` others fell with each of the deaths.
+
+        The others may be of any failure domain: one request that crashes an
+        upstream doesn't take that many with it within `CORRELATION_MS`.
+        """
+        deaths = [self._death_by_id.get(one) for one in death_ids]
+        return all(
+            death is not None and self._fell_beside(death) > CORRELATED_MAX
+            for death in deaths
+        )
+
     def unsettled_ms(self, death_ids: Iterable[int]) -> float:
         """Return how long a death may still turn out to be correlated."""
         deaths = [self._death_by_id.get(one) for one in death_ids]
         last_ms = max((one.at_ms for one in deaths if one), default=0)
         return max(0, last_ms + CORRELATION_MS - self.clock.now_ms())
 
+    def _fell_beside(self, death: Death) -> int:
+        """Return how many upstreams fell near a death, itself included."""
+        fell = 0
+        for other in reversed(self._death_by_id.values()):
+            if other.at_ms < death.at_ms - CORRELATION_MS:
+                break
+            fell += other.at_ms <= death.at_ms + CORRELATION_MS
+        return fell
+
     def _is_correlated(self, content_hash: int, death: Death) -> bool:
         half = self.domain_size(death.failure_domain) // 2
         needed = max(1, min(half, CORRELATED_MAX))
--- a/bergamotthread/process/generations/poison.py
+++ b/bergamotthread/process/generations/poison.py
@@ -137,7 +137,8 @@
             return Quarantined(record.confirmed_deaths, remaining_ms)
         counted = self._counted(content_hash, record)
         if counted < COUNTED_DEATHS_MAX and record.charged < CHARGED_DEATHS_MAX:
-            return Suspect(counted) if counted else Clear()
+            suspicious = self._is_suspicious(record, counted)
+            return Suspect(counted) if suspicious else Clear()
         if record.charged < CHARGED_DEATHS_MAX:
             wait_ms = self._unsettled_ms(record)
             if wait_ms > 0:
@@ -261,7 +262,19 @@
         record = self._record_by_fingerprint.get(attempt.fingerprint)
         if record is None or attempt.produced >= CLEARING_TOKENS:
             return False
-        return self._counted(attempt.fingerprint, record) > 0
+        counted = self._counted(attempt.fingerprint, record)
+        return self._is_suspicious(record, counted)
+
+    def _is_suspicious(self, record: _Record, counted: int) -> bool:
+        """Return whether a request must be kept apart from other suspects.
+
+        After the loss of many upstreams all that ran on them is resumed; kept
+        apart, these requests would wait for one another. A second death keeps
+        a request apart whatever fell beside it.
+        """
+        if counted != 1 or not record.death_ids:
+            return counted > 0
+        return not self.deaths.is_scattered_loss(record.death_ids)
 
     def _confirm(
         self, content_hash: int, record: _Record, deaths: int
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -114,6 +114,45 @@
         assert guard.check(index + 1) == Clear()
 
 
+def _lose(guard, time, count, content=_POISON) -> None:
+    """Lose upstreams of different domains at once, one with a request."""
+    guard.record_start('agent0', 'g', content)
+    for index in range(count):
+        guard.record_death(f'agent{index}', f'd{index}')
+        time.advance_ms(100)
+
+
+def test_scattered_loss_makes_no_suspect() -> None:
+    """One upstream of each of several domains, lost together."""
+    time = ManualTime()
+    guard = _guard(time)
+    _lose(guard, time, 4)
+    assert guard.check(_POISON) == Clear()
+    guard.record_start('agent9', 'g', _POISON)
+    assert guard.avoided_agents(7) == frozenset()
+
+
+def test_few_losses_at_once_make_a_suspect() -> None:
+    time = ManualTime()
+    guard = _guard(time)
+    _lose(guard, time, 3)
+    assert guard.check(_POISON) == Suspect(1)
+
+
+def test_poison_among_scattered_losses_is_stopped_by_the_same_bound() -> None:
+    """Each of its deaths has others near it, and each is counted."""
+    time = ManualTime()
+    guard = _guard(time)
+    expected = (Clear(), Suspect(2))
+    for verdict in expected:
+        _lose(guard, time, 4)
+        assert guard.check(_POISON) == verdict
+        time.advance_ms(_SETTLED_MS)
+    _lose(guard, time, 4)
+    time.advance_ms(_SETTLED_MS)
+    assert isinstance(guard.check(_POISON), Quarantined)
+
+
 def test_upstream_that_ran_nothing_from_here_shows_the_domain_loss() -> None:
     time = ManualTime()
     guard = _guard(time)
@@ -151,7 +190,9 @@
     guard.record_start('agent0', 'g', _POISON)
     for index in range(5):
         guard.record_death(f'agent{index}', f'd{index}')
-    assert guard.check(_POISON) == Suspect(1)
+    time.advance_ms(_SETTLED_MS)
+    _die(guard, time, 9)
+    assert guard.check(_POISON) == Suspect(2)
 
 
 def test_poison_that_stays_in_one_domain_is_still_counted() -> None:
