Spend a plain request's repeat on an attempt, not on a look for an upstream

Cause, found by reading and then by a test: PlainRelay took a repeat from the budget before it looked for an upstream, so that each look (every 100 ms) cost one. Twenty requests refused by the only upstream were refused for good before another came up 250 ms later.

The output tokens of a call, which nothing read, are gone.

Shown by test_plain_request_that_waits_for_an_upstream_spends_no_repeats, which failed with 503 and passes.

--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -65,7 +65,6 @@
 
     service: str
     prompt_tokens: int = 0
-    output_tokens: int = 0
     excluded: frozenset[str] = frozenset()
     affinity: bytes = b''
     is_return: bool = False
--- a/bergamotthread/request/relay/admission.py
+++ b/bergamotthread/request/relay/admission.py
@@ -94,7 +94,6 @@
         team: str,
     ) -> RelayedCall:
         request = exchange.request
-        prompt_tokens, output_tokens = self._tokens(request, route)
         name = _draw(route.services, self.rng)
         service = table.service_by_name.get(name)
         remaining = _number(request.header(self.dialect.remaining_ms))
@@ -107,8 +106,7 @@
             request_id=request.header(self.dialect.request_id) or b'',
             deadline_ms=request.received_ms + min(left_ms, route.timeout_ms),
             version=table.version,
-            prompt_tokens=prompt_tokens,
-            output_tokens=output_tokens,
+            prompt_tokens=self._prompt_tokens(request, route),
             resume_after=_event_id(request),
             affinity=self._affinity(request),
         )
@@ -117,17 +115,12 @@
         parts = request.header(self.dialect.prompt_parts) or b''
         return parts.rpartition(b',')[2].partition(b':')[0].strip()
 
-    def _tokens(
-        self,
-        request: CallerRequest,
-        route: RelayRoute,
-    ) -> tuple[int, int]:
+    def _prompt_tokens(self, request: CallerRequest, route: RelayRoute) -> int:
         if not route.is_stream:
-            return 0, 0
+            return 0
         told = request.header(self.dialect.token_counts) or b''
-        prompt, _, output = told.partition(b',')
-        prompt_tokens = _number(prompt) or DEFAULT_PROMPT_TOKENS
-        return int(prompt_tokens), int(_number(output) or 0)
+        prompt = told.partition(b',')[0]
+        return int(_number(prompt) or DEFAULT_PROMPT_TOKENS)
 
 
 def _unready(detail: str) -> RelayRefusal:
--- a/bergamotthread/request/relay/call.py
+++ b/bergamotthread/request/relay/call.py
@@ -46,7 +46,6 @@
     deadline_ms: float
     version: int
     prompt_tokens: int = 0
-    output_tokens: int = 0
     resume_after: int | None = None
     affinity: bytes = b''
 
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -48,7 +48,6 @@
         return Work(
             call.service.name,
             prompt_tokens=call.prompt_tokens,
-            output_tokens=call.output_tokens,
             excluded=excluded,
             affinity=call.affinity,
             is_return=is_first and call.resume_after is not None,
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -48,22 +48,24 @@
     async def run(self) -> None:
         """Answer the caller."""
         self._parts.budget.record_first(self._call.service.name)
-        while self._remaining_ms() > 0:
-            refusal = self._next_refusal()
-            if refusal is not None:
-                self._refuse(refusal)
-                return
+        while self._remaining_ms() > 0 and self._may_send():
             upstream = self._choose()
             if upstream is None:
-                if not await self._look_again():
-                    break
-                continue
-            outcome = await self._attempt(upstream)
-            self._log_outcome(upstream, outcome)
-            if self._settles(upstream, outcome):
+                goes_on = await self._look_again()
+            else:
+                goes_on = self._is_affordable()
+            if not goes_on:
+                break
+            if upstream is not None and await self._is_settled_at(upstream):
                 return
         self._refuse(self._final_refusal())
 
+    async def _is_settled_at(self, upstream: Upstream) -> bool:
+        """Run an attempt; return whether the caller has its answer."""
+        outcome = await self._attempt(upstream)
+        self._log_outcome(upstream, outcome)
+        return self._settles(upstream, outcome)
+
     def _remaining_ms(self) -> float:
         return self._call.deadline_ms - self._parts.clock.now_ms()
 
@@ -80,14 +82,14 @@
         await self._parts.clock.sleep_ms(LOOK_AGAIN_MS)
         return True
 
-    def _next_refusal(self) -> RelayRefusal | None:
+    def _may_send(self) -> bool:
+        return self._sent < self._call.route.attempts_max
+
+    def _is_affordable(self) -> bool:
+        """Return whether this attempt is the first or within the budget."""
         if not self._sent:
-            return None
-        if self._sent >= self._call.route.attempts_max:
-            return self._final_refusal()
-        if not self._parts.budget.spend(self._call.service.name):
-            return self._final_refusal()
-        return None
+            return True
+        return self._parts.budget.spend(self._call.service.name)
 
     async def _attempt(self, upstream: Upstream) -> AttemptOutcome:
         told = AttemptHeaders(
@@ -133,7 +135,7 @@
     def _may_repeat(self) -> bool:
         return (
             self._call.route.repeatability.may_repeat
-            and self._sent < self._call.route.attempts_max
+            and self._may_send()
             and self._remaining_ms() > 0
         )
 
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -11,7 +11,14 @@
 from bergamotthread.request.relay.attempt import WHOLE_ANSWER_BYTES_MAX
 from bergamotthread.request.relay.events import EVENT_BYTES_MAX
 from bergamotthread.testing.memory_http import run_in_memory
-from tests.platform_standins import KEY, SEAL, Deployment, manifest, settings
+from tests.platform_standins import (
+    KEY,
+    PLAIN,
+    SEAL,
+    Deployment,
+    manifest,
+    settings,
+)
 
 
 def test_each_kind_of_request_gets_its_whole_answer():
@@ -203,6 +210,26 @@
     run_in_memory(check())
 
 
+def test_plain_request_that_waits_for_an_upstream_spends_no_repeats():
+    """Twenty requests that look several times each are all within budget."""
+
+    async def check():
+        day = await Deployment.start(plains=1)
+        [refusing] = day.plains
+        refusing.script.not_run = True
+        calls = [day.call('/any/x', method=b'GET') for _ in range(20)]
+        waiting = asyncio.gather(*calls)
+        await day.clock.sleep_ms(50)
+        assert day.ran(day.plains) == 20
+        day.store.remove('servers', refusing.instance)
+        await day.clock.sleep_ms(200)
+        await day.add_runner('p9', PLAIN, 'b-1')
+        answers = await waiting
+        assert {answer.status for answer in answers} == {200}
+
+    run_in_memory(check())
+
+
 def test_event_without_an_end_cuts_the_stream():
     async def check():
         day = await Deployment.start(models=1)
