--- /dev/null
+++ b/standins/platform_runner.py
@@ -0,0 +1,250 @@
+"""Stand-in of the platform's runners: model runners and plain services.
+
+They can refuse, break off, stall and copy memory.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.http.caller_connection import Exchange
+from standins.platform_server import StandInServer
+
+MODEL = 'model-service'
+PLAIN = 'plain-service'
+KEY = 'key-one'
+SEAL = b'bergamotthread-response-seal'
+REQUEST_ID = b'bergamotthread-request-id'
+EVENT_MS = 40
+PREFILL_MS = 400
+
+
+@dataclass
+class Seen:
+    """A request that reached a runner."""
+
+    headers: dict[bytes, bytes]
+    method: bytes
+    target: bytes
+    body: bytes
+    at_ms: float
+    ended_ms: float = 0
+
+    @property
+    def request_id(self) -> bytes:
+        """Return the identifier that the caller gave."""
+        return self.headers.get(REQUEST_ID, b'')
+
+
+def event_of(request_id: bytes, number: int) -> bytes:
+    """Return an event of a stream, which shows whose it is."""
+    return b'id: %d\ndata: t%d %b\n\n' % (number, number, request_id)
+
+
+@dataclass
+class RunnerScript:
+    """How a runner behaves.
+
+    Parameters
+    ----------
+    not_run
+        Refuses requests and says that it did not run them.
+    breaks_after
+        Events, or for plain answers 0, after which it resets.
+    ends_in_event
+        Ends its stream within an event, as if it were whole.
+    repeats
+        Events before the place to go on from that it sends again.
+    padding
+        Bytes of an event without an end that it sends before each event.
+    stalls_after
+        Events after which it sends no more, though it answers probes.
+    """
+
+    not_run: bool = False
+    status: int = 200
+    breaks_after: int | None = None
+    ends_in_event: bool = False
+    repeats: int = 0
+    padding: int = 0
+    stalls_after: int | None = None
+    answer: bytes = b'answer'
+    work_ms: float = 30
+    events: int = 60
+    copies: set[str] = field(default_factory=set)
+
+
+class RunnerStandIn(StandInServer):
+    """A model runner or a plain service."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        instance: str,
+        address: str,
+    ) -> None:
+        super().__init__(clock)
+        self.instance = instance
+        self.address = address
+        self.script = RunnerScript()
+        self.seen: list[Seen] = []
+        self.reports = 0
+        self.copied_to: list[str] = []
+        self.freed: list[str] = []
+        self.cached: set[str] = set()
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answer a call of the platform or a request of a caller."""
+        request = exchange.request
+        if request.target == b'/api/report':
+            self.reports += 1
+            report = {'queue_depth': 0, 'in_flight': 0, 'kv_total': 88_000}
+            exchange.respond(200, (), json.dumps(report).encode())
+            return
+        if request.target == b'/api/kv-list':
+            held = [['', name, 8000, 'm'] for name in self.cached]
+            exchange.respond(200, (), json.dumps({'held': held}).encode())
+            return
+        if request.method == b'DELETE':
+            self.freed.append(request.target.decode())
+            exchange.respond(200, ())
+            return
+        if request.target == b'/api/kv-move':
+            self.copied_to.append(json.loads(request.body)['target'])
+            exchange.respond(200, (), b'{"handle":"h1","create_revision":1}')
+            return
+        seen = Seen(
+            dict(request.headers),
+            request.method,
+            request.target,
+            request.body,
+            self.clock.now_ms(),
+        )
+        self.seen.append(seen)
+        try:
+            await self._serve(exchange, seen)
+        finally:
+            seen.ended_ms = self.clock.now_ms()
+
+    def break_off(self, exchange: Exchange) -> None:
+        """End an answer before its end."""
+        exchange.abort()
+
+    def plain_body(self, seen: Seen) -> bytes:
+        """Return the body of a plain answer."""
+        return self.script.answer
+
+    async def _serve(self, exchange: Exchange, seen: Seen) -> None:
+        expected = seen.headers.get(b'bergamotthread-expect-instance')
+        if expected not in {None, self.instance.encode()}:
+            exchange.respond(421, ())
+            return
+        if self.script.not_run or not self._has_copy(seen):
+            exchange.respond(503, ((b'bergamotthread-not-executed', b'1'),))
+            return
+        if b'bergamotthread-token-counts' in seen.headers:
+            await self._stream(exchange, seen)
+            return
+        await self.clock.sleep_ms(self.script.work_ms)
+        if self.script.breaks_after is not None:
+            exchange.abort()
+            return
+        exchange.respond(
+            self.script.status,
+            self._headers(seen),
+            self.plain_body(seen),
+        )
+
+    def _has_copy(self, seen: Seen) -> bool:
+        source = seen.headers.get(b'kv-from')
+        if source is None:
+            return True
+        return source.decode() in self.script.copies
+
+    async def _stream(self, exchange: Exchange, seen: Seen) -> None:
+        start = int(seen.headers.get(b'last-event-id') or b'0')
+        start = max(start - self.script.repeats, 0)
+        if b'kv-from' not in seen.headers:
+            await self.clock.sleep_ms(PREFILL_MS)
+        headers = [
+            *self._headers(seen),
+            (b'content-type', b'text/event-stream'),
+        ]
+        exchange.start(200, headers)
+        for sent, number in enumerate(range(start + 1, self.script.events + 1)):
+            if sent == self.script.breaks_after:
+                exchange.write(b'id: 9')
+                self.break_off(exchange)
+                return
+            if sent == self.script.stalls_after:
+                await self.clock.sleep_ms(60_000)
+            if self.script.padding:
+                exchange.write(b'data: %b' % (b'x' * self.script.padding))
+            exchange.write(event_of(seen.request_id, number))
+            await self.clock.sleep_ms(EVENT_MS)
+        if self.script.ends_in_event:
+            exchange.write(b'id: 99\ndata')
+        exchange.finish()
+
+    def _headers(self, seen: Seen) -> list[tuple[bytes, bytes]]:
+        return [
+            (REQUEST_ID, seen.request_id),
+            (SEAL, self.instance.encode()),
+        ]
+
+
+Told = dict[str, object]
+
+
+def manifest(
+    version: int = 1,
+    keys: tuple[str, ...] = (KEY,),
+    routes: tuple[Told, ...] = (),
+    **more: object,
+) -> Told:
+    """Return a manifest with a route of each kind."""
+    usual = [
+        route_of('/stream/', 'streaming', MODEL, stream_resume=True),
+        route_of('/once-stream/', 'streaming', MODEL),
+        route_of('/once/', 'non_idempotent', PLAIN, timeout_ms=1500),
+        route_of('/any/', 'idempotent', PLAIN, timeout_ms=1500),
+        route_of('/open/', 'idempotent', PLAIN, auth_exempt=True),
+    ]
+    engine = {'slots': 64, 'kv_capacity_tokens': 88_000, 'backups': True}
+    return {
+        'version': version,
+        'routes': [*usual, *routes],
+        'services': [{'name': MODEL, 'engine': engine}, {'name': PLAIN}],
+        'tenants': [{'name': 'team-one', 'api_keys': list(keys)}],
+        **more,
+    }
+
+
+def route_of(prefix: str, kind: str, service: str, **more: object) -> Told:
+    """Return a route as a manifest has it."""
+    return {
+        'name': prefix,
+        'host': 'h.example',
+        'path_prefix': prefix,
+        'route_type': kind,
+        'service': service,
+        'timeout_ms': 25_000,
+        'target_latency_ms': 4500 if kind == 'streaming' else 350,
+        'max_attempts': 5,
+        **more,
+    }
+
+
+def runner_row(address: str, service: str, zone: str, **more: object) -> Told:
+    """Return the row of a runner."""
+    return {
+        'service': service,
+        'address': address,
+        'zone': zone,
+        'state': 'ready',
+        'slots': 64,
+        'seq': 1,
+        **more,
+    }
--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,46 @@
+"""Base of the servers that stand in for the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.http.caller_connection import (
+    CallerConnection,
+    CallerLimits,
+    CallerServer,
+    Exchange,
+)
+
+
+class StandInServer(CallerServer, ABC):
+    """Answers requests with the project's own server side of HTTP."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.connections: set[CallerConnection] = set()
+        self._limits = CallerLimits()
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return limits that no test reaches."""
+        return self._limits
+
+    @property
+    def is_draining(self) -> bool:
+        """Return that connections are kept."""
+        return False
+
+    @abstractmethod
+    async def answer(self, exchange: Exchange) -> None:
+        """Answer one request."""
+
+    async def listen(self, address: str) -> None:
+        """Start to accept connections."""
+        host, _, port = address.rpartition(':')
+        await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(self),
+            host,
+            int(port),
+        )
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -22,7 +22,8 @@
 )
 from bergamotthread.process.relay.upstreams import UpstreamState
 from bergamotthread.version.route_table import Repeatability
-from tests.platform_standins import manifest, settings
+from standins.platform_runner import manifest
+from tests.platform_standins import settings
 
 PACKAGE = Path(__file__).parent.parent / 'bergamotthread'
 # Names of the platform's wire that mean nothing inside the product.
--- a/tests/test_publish_commands.py
+++ b/tests/test_publish_commands.py
@@ -19,7 +19,7 @@
 from bergamotthread.testing.virtual_loop import run_virtual
 from bergamotthread.version.objects import ObjectSet
 from bergamotthread.version.registration import Registration
-from tests.platform_standins import manifest
+from standins.platform_runner import manifest
 
 EXAMPLE = Path(__file__).parent.parent / 'examples/termolab/objects.json'
 DAY_SHIFT = 'example-operator-day-shift-20'
