--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak of the real programs, on one machine."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,130 @@
+"""Run a soak: `python -m soak --seed N --minutes M --processes K`."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections import Counter
+from functools import partial
+
+import click
+
+from soak.checks import findings_of
+from soak.findings import Finding
+from soak.plan import Fault, FaultKind, Plan, shrink
+from soak.records import Ending, Records
+from soak.session import Soak
+
+_SHOWN_MAX = 10
+_LINES_MAX = 20
+
+
+@click.command()
+@click.option('--seed', type=click.IntRange(min=0), required=True)
+@click.option('--minutes', type=click.FloatRange(0.1, 600), default=0.5)
+@click.option('--processes', type=click.IntRange(6, 400), default=9)
+@click.option(
+    '--kinds',
+    default='',
+    help='Kinds of fault to draw from, by commas; all if empty.',
+)
+@click.option('--seeds', type=click.IntRange(1, 500), default=1)
+@click.option('--shrinks', is_flag=True, help='Leave out needless faults.')
+def main(
+    seed: int,
+    minutes: float,
+    processes: int,
+    kinds: str,
+    seeds: int,
+    shrinks: bool,
+) -> None:
+    """Play faults against the real programs and check what they promise."""
+    drawn = _kinds(kinds)
+    failed = False
+    for one in range(seed, seed + seeds):
+        plan = Plan.from_seed(one, minutes * 60, processes, drawn)
+        findings = _report(plan)
+        if findings and shrinks:
+            _show_fewer(plan, findings)
+        failed = failed or bool(findings)
+    sys.exit(1 if failed else 0)
+
+
+def _kinds(told: str) -> tuple[FaultKind, ...]:
+    if not told:
+        return tuple(FaultKind)
+    valid = ', '.join(FaultKind)
+    try:
+        return tuple(FaultKind(one.strip()) for one in told.split(','))
+    except ValueError as error:
+        raise click.BadParameter(f'{error}; valid ones: {valid}') from error
+
+
+def _play(plan: Plan) -> tuple[Soak, Records]:
+    soak = Soak(plan)
+    return soak, asyncio.run(soak.run())
+
+
+def _report(plan: Plan) -> list[Finding]:
+    """Play a plan, print what came of it and return what was broken."""
+    soak, records = _play(plan)
+    findings = findings_of(records)
+    _show_counts(plan, records)
+    click.echo(f'  {len(findings)} findings')
+    if findings:
+        _show(plan, soak, findings)
+    return findings
+
+
+def _show_counts(plan: Plan, records: Records) -> None:
+    count_by_kind = Counter(asked.kind.name for asked in records.asked)
+    kinds = ', '.join(
+        f'{name.lower()} {count}' for name, count in count_by_kind.items()
+    )
+    whole = sum(one.ending is Ending.WHOLE for one in records.asked)
+    click.echo(
+        f'seed {plan.seed}: {len(records.asked)} requests ({kinds}),'
+        f' {whole} whole, {len(records.ran)} runs',
+    )
+    click.echo(
+        f'  {len(plan.faults)} faults, {len(records.published)} versions',
+    )
+
+
+def _show(plan: Plan, soak: Soak, findings: list[Finding]) -> None:
+    processes = plan.entries + plan.runners + 1
+    click.echo(
+        f'  again: python -m soak --seed {plan.seed}'
+        f' --minutes {plan.seconds / 60:g} --processes {processes}',
+    )
+    for line in soak.timeline:
+        click.echo(f'  {line}')
+    lines_by_request = soak.records.lines_by_request
+    for finding in findings[:_SHOWN_MAX]:
+        click.echo(f'  {finding.rule}: {finding.detail} {finding.request}')
+        for asked in soak.records.asked:
+            if finding.request and asked.request == finding.request:
+                click.echo(f'    {asked}'[:600])
+        for line in lines_by_request.get(finding.request, ())[:_LINES_MAX]:
+            click.echo(f'    {line}')
+
+
+def _show_fewer(plan: Plan, findings: list[Finding]) -> None:
+    rules = frozenset(finding.rule for finding in findings)
+    click.echo('  fewer faults that still fail:')
+    for fault in shrink(plan.faults, partial(_breaks, plan, rules)):
+        click.echo(f'  {fault}')
+
+
+def _breaks(
+    plan: Plan,
+    rules: frozenset[str],
+    faults: tuple[Fault, ...],
+) -> bool:
+    """Return whether these faults alone break one of the rules again."""
+    _, records = _play(plan.only(faults))
+    return any(finding.rule in rules for finding in findings_of(records))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/soak/programs.py
@@ -0,0 +1,97 @@
+"""Processes of a soak, started and signalled by id."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import psutil
+
+OnLine = Callable[[str], None]
+_LINE_BYTES_MAX = 1_048_576
+_MB = 1_048_576
+_END_S = 5
+
+
+@dataclass
+class Program:
+    """One process, its lines on standard output, and its memory.
+
+    Parameters
+    ----------
+    life
+        Number of times that it was started.
+    """
+
+    name: str
+    arguments: Sequence[str]
+    on_line: OnLine
+    variables: dict[str, str] = field(default_factory=dict)
+    life: int = 0
+    process: asyncio.subprocess.Process | None = None
+    _reading: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.life += 1
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            *self.arguments,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+            env={**os.environ, **self.variables},
+            limit=_LINE_BYTES_MAX,
+        )
+        self._reading = asyncio.create_task(self._read(self.process))
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process was started and has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process runs."""
+        if self.process is not None and self.is_running:
+            self.process.send_signal(number)
+
+    async def order(self, line: bytes) -> None:
+        """Send a line to the process."""
+        if self.process is None or self.process.stdin is None:
+            return
+        self.process.stdin.write(line)
+
+    async def wait(self) -> None:
+        """Wait for the end of the process and of what it wrote."""
+        if self.process is not None:
+            await self.process.wait()
+        if self._reading is not None:
+            await self._reading
+
+    async def end(self) -> None:
+        """End the process for good."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        async with asyncio.timeout(_END_S):
+            await self.wait()
+
+    def memory_mb(self) -> float | None:
+        """Return the resident memory, or none if it does not run."""
+        if self.process is None or not self.is_running:
+            return None
+        try:
+            return (
+                float(psutil.Process(self.process.pid).memory_info().rss) / _MB
+            )
+        except psutil.NoSuchProcess:
+            return None
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stdout is not None
+        while line := await process.stdout.readline():
+            self.on_line(line.decode(errors='replace').rstrip())
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,139 @@
+"""A proxy on loopback that delays, resets, cuts and silences connections."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+_CHUNK_BYTES = 65_536
+# Closes with a reset instead of an end of the stream.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_MS_PER_S = 1000
+
+
+class _Way:
+    """One direction of all connections of a proxy."""
+
+    def __init__(self) -> None:
+        self.is_open = asyncio.Event()
+        self.is_open.set()
+
+
+class LoopbackProxy:
+    """Carries connections from an address of its own to a target's.
+
+    A direction that is cut holds what is sent, as a network does that drops
+    packets until it heals.
+
+    Parameters
+    ----------
+    delay_ms
+        Time that each part waits, in each direction.
+    """
+
+    def __init__(self, address: str, target: str) -> None:
+        self.address = address
+        self.target = target
+        self.delay_ms = float(0)
+        self.up = _Way()
+        self.down = _Way()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Start to accept connections."""
+        host, _, port = self.address.rpartition(':')
+        self._server = await asyncio.start_server(
+            self._carry,
+            host,
+            int(port),
+        )
+
+    def reset_all(self) -> None:
+        """Reset all connections that are open now."""
+        for writer in tuple(self._writers):
+            _reset(writer)
+
+    def heal(self) -> None:
+        """Undo delays and cuts."""
+        self.delay_ms = 0
+        self.up.is_open.set()
+        self.down.is_open.set()
+
+    async def close(self) -> None:
+        """Stop and reset what is open."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_all()
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    async def _carry(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        host, _, port = self.target.rpartition(':')
+        self._writers.add(writer)
+        try:
+            await self.up.is_open.wait()
+            far_reader, far_writer = await asyncio.open_connection(
+                host,
+                int(port),
+            )
+        except OSError:
+            self._drop(writer)
+            return
+        self._writers.add(far_writer)
+        ways = (
+            self._pump(reader, far_writer, self.up),
+            self._pump(far_reader, writer, self.down),
+        )
+        tasks = [asyncio.create_task(way) for way in ways]
+        self._tasks.update(tasks)
+        done, _ = await asyncio.wait(
+            tasks,
+            return_when=asyncio.FIRST_EXCEPTION,
+        )
+        for task in tasks:
+            task.cancel()
+        for task in done:
+            # Read, since an end of a connection is what is expected here.
+            task.exception()
+        self._tasks.difference_update(tasks)
+        self._drop(writer)
+        self._drop(far_writer)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        way: _Way,
+    ) -> None:
+        while payload := await reader.read(_CHUNK_BYTES):
+            if self.delay_ms:
+                await asyncio.sleep(self.delay_ms / _MS_PER_S)
+            await way.is_open.wait()
+            writer.write(payload)
+            await writer.drain()
+        await way.is_open.wait()
+        writer.write_eof()
+        raise ConnectionError('this end of the connection was closed')
+
+    def _drop(self, writer: asyncio.StreamWriter) -> None:
+        self._writers.discard(writer)
+        with contextlib.suppress(OSError, RuntimeError):
+            writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(OSError):
+        writer.get_extra_info('socket').setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_LINGER,
+            _RESET_ON_CLOSE,
+        )
+    writer.transport.abort()
--- /dev/null
+++ b/soak/runner_process.py
@@ -0,0 +1,63 @@
+"""Runs a runner's stand-in as a process: `python -m soak.runner_process`.
+
+It writes a line when a run starts and when it ends, so that a soak knows of
+runs whose process is killed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from zlib import crc32
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.http.caller_connection import Exchange
+from soak.orders import RunnerOrder, orders_of
+from standins.platform_runner import RunnerStandIn, Seen
+
+STARTED = 'started'
+ENDED = 'ended'
+
+
+class TellingRunner(RunnerStandIn):
+    """A runner that tells of its runs and answers with the request's name."""
+
+    def plain_body(self, seen: Seen) -> bytes:
+        """Return the request's identifier."""
+        return seen.request_id
+
+    async def run(self, exchange: Exchange, seen: Seen) -> None:
+        """Run a request and tell of its start and its end."""
+        self._tell(STARTED, seen)
+        try:
+            await super().run(exchange, seen)
+        finally:
+            self._tell(ENDED, seen)
+
+    def has_copy(self, seen: Seen) -> bool:
+        """Return whether a copy is here, which half of the requests have."""
+        source = seen.headers.get(b'kv-from')
+        if source is None:
+            return True
+        name = source.rpartition(b'/')[2]
+        return name == seen.request_id and crc32(name) % 2 == 0
+
+    def _tell(self, event: str, seen: Seen) -> None:
+        now_ms = self.clock.now_ms()
+        name = seen.request_id.decode()
+        sys.stdout.write(f'{event} {name} {now_ms:.1f}\n')
+        sys.stdout.flush()
+
+
+async def _serve(address: str, instance: str) -> None:
+    runner = TellingRunner(Clock.from_system(), instance, address)
+    await runner.listen(address)
+    async for order in orders_of(RunnerOrder):
+        runner.script.not_run = order.not_run
+        runner.script.stalls_after = order.stalls_after
+        # A soak may last long; what was seen was told already.
+        runner.seen.clear()
+
+
+if __name__ == '__main__':
+    asyncio.run(_serve(sys.argv[1], sys.argv[2]))
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -141,9 +141,13 @@
         if expected not in {None, self.instance.encode()}:
             exchange.respond(421, ())
             return
-        if self.script.not_run or not self._has_copy(seen):
+        if self.script.not_run or not self.has_copy(seen):
             exchange.respond(503, ((b'bergamotthread-not-executed', b'1'),))
             return
+        await self.run(exchange, seen)
+
+    async def run(self, exchange: Exchange, seen: Seen) -> None:
+        """Run a request that was not refused."""
         if b'bergamotthread-token-counts' in seen.headers:
             await self._stream(exchange, seen)
             return
@@ -157,7 +161,8 @@
             self.plain_body(seen),
         )
 
-    def _has_copy(self, seen: Seen) -> bool:
+    def has_copy(self, seen: Seen) -> bool:
+        """Return whether the memory that a request names is here."""
         source = seen.headers.get(b'kv-from')
         if source is None:
             return True
