--- a/soak/session.py
+++ b/soak/session.py
@@ -328,13 +328,15 @@
         start_ms = self._clock.now_ms()
         plays: list[asyncio.Task[None]] = []
         for fault in self._plan.faults:
-            await self._sleep_until(start_ms + fault.at_s * _MS_PER_S)
-            plays.append(asyncio.create_task(self._play(fault)))
-        await self._sleep_until(start_ms + self._plan.seconds * _MS_PER_S)
+            await self._sleep_until(start_ms, fault.at_s)
+            play = self._play(fault)
+            plays.append(asyncio.create_task(play))
+        await self._sleep_until(start_ms, self._plan.seconds)
         await asyncio.gather(*plays)
 
-    async def _sleep_until(self, at_ms: float) -> None:
-        await self._clock.sleep_ms(max(at_ms - self._clock.now_ms(), 0))
+    async def _sleep_until(self, start_ms: float, at_s: float) -> None:
+        left_ms = start_ms + at_s * _MS_PER_S - self._clock.now_ms()
+        await self._clock.sleep_ms(max(left_ms, 0))
 
     async def _play(self, fault: Fault) -> None:
         at_ms = self._clock.now_ms()
--- a/soak/system_checks.py
+++ b/soak/system_checks.py
@@ -21,7 +21,7 @@
 # The bounds on memory of issue 11 and of docs/CAPACITY.md.
 SLOPE_MB_PER_MINUTE_MAX = 0.5
 MEMORY_MB_MAX = 128
-WARM_UP_MS = 180_000
+WARM_UP_MINUTES = 3
 MEASURED_MINUTES_MIN = 5
 _MS_PER_MINUTE = 60_000
 _UNKNOWN = 404
@@ -161,9 +161,11 @@
 
 def _slope(memory: Memory) -> float:
     """Return MB a minute after the warm-up; 0 for a short life."""
-    points = memory.points
-    start_ms = points[0][0] + WARM_UP_MS if points else 0
-    late = [(at / _MS_PER_MINUTE, mb) for at, mb in points if at > start_ms]
-    if len(late) < 2 or late[-1][0] - late[0][0] < MEASURED_MINUTES_MIN:
+    minutes = [at_ms / _MS_PER_MINUTE for at_ms, _ in memory.points]
+    sizes = [mb for _, mb in memory.points]
+    start = bisect_right(minutes, minutes[0] + WARM_UP_MINUTES)
+    measured = minutes[start:]
+    if not measured or measured[-1] - measured[0] < MEASURED_MINUTES_MIN:
         return 0
-    return Fit.from_points(late).slope
+    points = list(zip(measured, sizes[start:], strict=True))
+    return Fit.from_points(points).slope
