One AttemptKey for the agent's buffers and its gate

Two types of this name, a data class and a pair, named the same thing; the one that stays is a named tuple, since it is looked up for each batch of tokens.

--- a/bergamotthread/process/agent.py
+++ b/bergamotthread/process/agent.py
@@ -15,11 +15,7 @@
 from bergamotthread.connection.transport import Transport
 from bergamotthread.process.drain.drain_state import DrainPhase, DrainState
 from bergamotthread.process.generations.attempt_runner import AttemptRunner
-from bergamotthread.process.generations.attempts import (
-    AttemptKey,
-    Attempts,
-    key_of,
-)
+from bergamotthread.process.generations.attempts import Attempts
 from bergamotthread.process.generations.output_flusher import OutputFlusher
 from bergamotthread.process.overload.admission import (
     AdmissionGate,
@@ -31,6 +27,7 @@
     Run,
 )
 from bergamotthread.process.settings import AgentSettings
+from bergamotthread.request.attempt_key import AttemptKey
 from bergamotthread.request.output_buffer import OutputBuffer
 from bergamotthread.version.objects import Team
 from bergamotthread.version.published import PublishedVersion
@@ -178,7 +175,7 @@
             self._flusher.flush()
 
     def _on_dispatch(self, dispatch: Dispatch, sender: str) -> None:
-        key = key_of(dispatch)
+        key = AttemptKey.from_dispatch(dispatch)
         known = self.attempts.buffers_by_key.get(key)
         if known:
             self._repeat(known, dispatch, sender)
@@ -214,7 +211,9 @@
         sender: str,
     ) -> None:
         if dispatch.accepted != buffer.dispatch.accepted:
-            self._decline(key_of(dispatch), sender, 'another prefix', 0)
+            self._decline(
+                AttemptKey.from_dispatch(dispatch), sender, 'another prefix', 0
+            )
             return
         offset = len(dispatch.accepted)
         buffer.resubscribe(sender, offset, self._clock.now_ms())
@@ -304,7 +303,7 @@
 
     def _record_progress(self) -> None:
         for buffer in self._flusher.marked():
-            key = key_of(buffer.dispatch)
+            key = AttemptKey.from_dispatch(buffer.dispatch)
             if buffer.end is None:
                 produced = len(buffer.tokens) - len(buffer.dispatch.accepted)
                 self.gate.progress(key.generation, key.attempt, produced)
@@ -315,7 +314,7 @@
 
     def _start_ready(self) -> None:
         for dispatch in self.gate.next_ready():
-            key = key_of(dispatch)
+            key = AttemptKey.from_dispatch(dispatch)
             sender = self._waiting_by_key.pop(key, '')
             if sender:
                 self._start(dispatch, sender)
--- a/bergamotthread/process/generations/attempts.py
+++ b/bergamotthread/process/generations/attempts.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.generations.attempt_runner import AttemptRunner
 from bergamotthread.process.generations.output_flusher import OutputFlusher
+from bergamotthread.request.attempt_key import AttemptKey
 from bergamotthread.request.output_buffer import OutputBuffer
 from bergamotthread.wire.messages import Dispatch, EndMark, EndReason
 
@@ -15,19 +15,6 @@
 DELIVERY_GRACE_MS = 1000
 
 
-@dataclass(frozen=True)
-class AttemptKey:
-    """Identity of an attempt at an agent."""
-
-    generation: str
-    attempt: int
-
-
-def key_of(dispatch: Dispatch) -> AttemptKey:
-    """Return the identity of a dispatched attempt."""
-    return AttemptKey(dispatch.generation, dispatch.attempt)
-
-
 class Attempts:
     """Output buffers and the tasks that fill them, by attempt.
 
@@ -67,7 +54,7 @@
 
     def start(self, dispatch: Dispatch, subscriber: str) -> OutputBuffer:
         """Send an attempt to the engine."""
-        key = key_of(dispatch)
+        key = AttemptKey.from_dispatch(dispatch)
         now_ms = self._clock.now_ms()
         buffer = OutputBuffer.from_dispatch(dispatch, subscriber, now_ms)
         self.buffers_by_key[key] = buffer
--- a/bergamotthread/process/generations/running_attempts.py
+++ b/bergamotthread/process/generations/running_attempts.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from bergamotthread.request.attempt_key import AttemptKey
 from bergamotthread.wire.messages import Dispatch
 
 DEFAULT_OUTPUT_TOKENS = 300
@@ -16,13 +17,6 @@
 _RATE_DECAY = 0.9
 _MS_PER_S = 1000
 
-AttemptKey = tuple[str, int]
-
-
-def attempt_key(dispatch: Dispatch) -> AttemptKey:
-    """Return the generation and attempt number of a dispatch."""
-    return (dispatch.generation, dispatch.attempt)
-
 
 @dataclass
 class RunningAttempt:
--- a/bergamotthread/process/overload/admission.py
+++ b/bergamotthread/process/overload/admission.py
@@ -12,12 +12,11 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.generations.running_attempts import (
-    AttemptKey,
     RunningAttempt,
     RunningAttempts,
-    attempt_key,
 )
 from bergamotthread.process.overload.fair_queue import FairQueue, QueuedDispatch
+from bergamotthread.request.attempt_key import AttemptKey
 from bergamotthread.request.refusal import ReasonCode
 from bergamotthread.version.objects import Upstream
 from bergamotthread.wire.messages import Dispatch, LoadReport
@@ -156,7 +155,7 @@
 
     def offer(self, dispatch: Dispatch) -> Decision:
         """Decide on a dispatch that has arrived."""
-        key = attempt_key(dispatch)
+        key = AttemptKey.from_dispatch(dispatch)
         if self._dispatched_by_key.get(key):
             return Known(dispatched=True)
         if self._queued(key) is not None:
@@ -186,7 +185,7 @@
 
     def started(self, generation: str, attempt: int) -> None:
         """Set the start of an attempt to now, when its bytes were sent."""
-        running = self.running.by_key.get((generation, attempt))
+        running = self.running.by_key.get(AttemptKey(generation, attempt))
         if running is not None:
             running.started_ms = self.clock.now_ms()
 
@@ -196,13 +195,13 @@
 
     def progress(self, generation: str, attempt: int, produced: int) -> None:
         """Take in the tokens that an attempt has produced in all."""
-        running = self.running.by_key.get((generation, attempt))
+        running = self.running.by_key.get(AttemptKey(generation, attempt))
         if running is not None:
             self.running.record_tokens(running, produced, self.clock.now_ms())
 
     def ended(self, generation: str, attempt: int) -> None:
         """Release the capacity of an attempt."""
-        self.running.end((generation, attempt), self.clock.now_ms())
+        self.running.end(AttemptKey(generation, attempt), self.clock.now_ms())
 
     def revoke(self, generation: str, attempt: int) -> bool:
         """Never start an attempt from now on.
@@ -213,7 +212,7 @@
             True where it has not been started and never will be; False where
             it was given out to be started.
         """
-        key = (generation, attempt)
+        key = AttemptKey(generation, attempt)
         queued = self._queued(key)
         if queued is not None:
             self._queue.remove(queued)
@@ -269,7 +268,7 @@
         return Queued(self._queue.ahead_of(queued), wait_ms)
 
     def _early_refusal(self, dispatch: Dispatch) -> ReasonCode | None:
-        if attempt_key(dispatch) in self._dispatched_by_key:
+        if AttemptKey.from_dispatch(dispatch) in self._dispatched_by_key:
             return ReasonCode.IN_PROGRESS
         if self.draining:
             return ReasonCode.DRAINING
@@ -280,7 +279,7 @@
         return None
 
     def _refuse(self, dispatch: Dispatch, reason: ReasonCode) -> Refused:
-        self._remember(attempt_key(dispatch), dispatched=False)
+        self._remember(AttemptKey.from_dispatch(dispatch), dispatched=False)
         retry_after_ms = 0
         if reason is ReasonCode.OVERLOADED:
             retry_after_ms = self._retry_after_ms(dispatch)
@@ -343,13 +342,15 @@
     def _start(self, queued: QueuedDispatch) -> None:
         dispatch = queued.dispatch
         self._queue.start(queued)
-        self._remember(attempt_key(dispatch), dispatched=True)
-        self.running.by_key[attempt_key(dispatch)] = RunningAttempt(
-            dispatch=dispatch,
-            context_tokens=self._context_tokens(dispatch),
-            prefill_tokens=self._prefill_tokens(dispatch),
-            reserved_tokens=self._output_tokens(dispatch),
-            started_ms=self.clock.now_ms(),
+        self._remember(AttemptKey.from_dispatch(dispatch), dispatched=True)
+        self.running.by_key[AttemptKey.from_dispatch(dispatch)] = (
+            RunningAttempt(
+                dispatch=dispatch,
+                context_tokens=self._context_tokens(dispatch),
+                prefill_tokens=self._prefill_tokens(dispatch),
+                reserved_tokens=self._output_tokens(dispatch),
+                started_ms=self.clock.now_ms(),
+            )
         )
 
     def _remember(self, key: AttemptKey, *, dispatched: bool) -> None:
@@ -360,7 +361,7 @@
 
     def _queued(self, key: AttemptKey) -> QueuedDispatch | None:
         for queued in self._queue.waiting:
-            if attempt_key(queued.dispatch) == key:
+            if AttemptKey.from_dispatch(queued.dispatch) == key:
                 return queued
         return None
 
