One client of the store: tables and objects on the published calls

The product's Table, ObjectStore and HostList spoke a dialect of their own, with a client (aiosonic) and a stand-in (starlette) of its own beside those of the platform's entry. A revision is the store's version of the row, so a row that was removed and written again can't be taken for the former one.

--- a/benchmarks/data_path_processes.py
+++ b/benchmarks/data_path_processes.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bergamotthread.clock import Clock
+from bergamotthread.platform.tables import open_store
 from bergamotthread.process.settings import (
     AgentSettings,
     EntrySettings,
@@ -20,13 +21,11 @@
     PlaceSettings,
     PlatformSettings,
 )
-from bergamotthread.process.store.store_client import StoreClient, StoreUse
+from bergamotthread.process.store.store_client import StoreUse
 from bergamotthread.testing.loopback import free_address, free_port
-from bergamotthread.testing.memory_platform import MemoryPlatform
 from bergamotthread.version.objects import ObjectSet
 from bergamotthread.version.publication import Draft, Publisher
-from standins.platform import create_app
-from standins.serving import serving
+from standins.platform_store import StoreStandIn, serving_store
 from standins.users import TERMOLAB, user_set
 
 REGION = TERMOLAB.regions[0]
@@ -90,9 +89,9 @@
 async def platform_with(agents: Sequence[str]) -> AsyncIterator[str]:
     """Serve a platform with the agents published; yield its address."""
     clock = Clock.from_system()
-    async with serving(create_app(MemoryPlatform(clock))) as address:
+    async with serving_store(StoreStandIn(clock)) as address:
         settings = PlatformSettings(address, reads_per_s=50, writes_per_s=50)
-        store = StoreClient.from_settings(settings, clock)
+        store = open_store(settings, clock)
         publisher = Publisher.from_platform(
             store.table(StoreUse.PUBLICATION),
             store.object_store(StoreUse.PUBLICATION),
@@ -100,7 +99,7 @@
         )
         objects = _wide(user_set(TERMOLAB, agents))
         await publisher.publish(Draft(objects, who='operator', base=0))
-        await store.close()
+        store.close()
         yield address
 
 
--- a/bergamotthread/cli/operator_context.py
+++ b/bergamotthread/cli/operator_context.py
@@ -11,6 +11,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.errors import StoreUnavailableError
+from bergamotthread.platform.tables import open_store
 from bergamotthread.process.explanations.audit import AuditTrail
 from bergamotthread.process.settings import PlatformSettings
 from bergamotthread.process.store.platform import HostList, ObjectStore, Table
@@ -115,7 +116,7 @@
         client = self._client
         self._client = None
         if client is not None:
-            await client.close()
+            client.close()
 
     def publisher(self) -> Publisher:
         """Return a publisher on this platform."""
@@ -136,7 +137,7 @@
 
     def _opened(self) -> StoreClient:
         if self._client is None:
-            self._client = StoreClient.from_settings(self._settings, self.clock)
+            self._client = open_store(self._settings, self.clock)
         return self._client
 
 
--- a/bergamotthread/connection/http/fetch.py
+++ b/bergamotthread/connection/http/fetch.py
@@ -10,6 +10,7 @@
     AnswerItem,
     AnswerLost,
     AnswerPart,
+    Header,
     encode_request,
 )
 from bergamotthread.connection.http.upstream_connection import (
@@ -25,6 +26,7 @@
     method: bytes
     target: bytes
     body: bytes = b''
+    headers: tuple[Header, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,12 +56,12 @@
         If there is no whole answer in time.
     """
     connection = await pool.acquire(address)
-    host = ((b'host', address.encode()),)
+    host = (b'host', address.encode())
     try:
         encoded = encode_request(
             asked.method,
             asked.target,
-            host,
+            (host, *asked.headers),
             asked.body,
         )
         connection.send(encoded, b'')
--- a/bergamotthread/connection/http/upstream_pool.py
+++ b/bergamotthread/connection/http/upstream_pool.py
@@ -81,6 +81,11 @@
         for connection in self._idle_by_address.pop(address, ()):
             connection.close()
 
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in tuple(self._idle_by_address):
+            self.forget(address)
+
     def close_stale(self) -> None:
         """Close connections that were idle for too long."""
         for address, idle in list(self._idle_by_address.items()):
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -20,7 +20,7 @@
     PlatformSettings,
     PlatformSettingsError,
 )
-from bergamotthread.platform.store import StoreClient
+from bergamotthread.platform.store import StoreCalls
 from bergamotthread.platform.watches import (
     EntryWatch,
     RunnerWatch,
@@ -90,7 +90,7 @@
         self._freshness = VersionFreshness(clock, settings.revoke_bound_ms)
         self._pool = UpstreamPool(clock, PLATFORM_DIALECT.request_id)
         self._directory = UpstreamDirectory(clock)
-        self._store = StoreClient(settings.store_address, self._pool)
+        self._store = StoreCalls(settings.store_address, self._pool)
         self._feeds = FeedSources(clock, settings.host, settings.region)
         self._parts = self._relay_parts()
         self._server = RelayServer(
--- a/bergamotthread/platform/store.py
+++ b/bergamotthread/platform/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's metadata store."""
+"""The published calls of the platform's store."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import binascii
 from collections.abc import Sequence
 from dataclasses import dataclass
-from urllib.parse import urlencode
+from urllib.parse import quote, urlencode
 
 import msgspec
 
@@ -23,7 +23,9 @@
 FOLLOW_TIMEOUT_MARGIN_MS = 200
 PAGE_ROWS = 500
 _OK = 200
+_NOT_FOUND = 404
 _GONE = 410
+_NOT_AS_EXPECTED = 412
 
 
 class StoreCallError(BergamotError):
@@ -34,6 +36,14 @@
     """The changes asked for are no longer kept; read all rows anew."""
 
 
+class NotAsExpectedError(StoreCallError):
+    """A condition of a write did not hold; nothing was written."""
+
+
+class NotFoundError(StoreCallError):
+    """The store has no object of that name."""
+
+
 class WireRow(msgspec.Struct, frozen=True, omit_defaults=True):
     """Row as the store sends it; `encoded` is base64."""
 
@@ -75,11 +85,37 @@
     age_ms
         How long before the question was asked this was current; 0 from the
         store itself.
+    has_more
+        Whether the answer was cut at its largest size.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     age_ms: float = 0
+    has_more: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RowChange:
+    """Change of one row on the condition of its version.
+
+    Parameters
+    ----------
+    payload
+        New content; none to remove the row.
+    expected
+        Version that the row must have; 0 if there must be none.
+    """
+
+    table: str
+    key: str
+    payload: bytes | None
+    expected: int
+
+
+class _WireNames(msgspec.Struct, frozen=True):
+    names: tuple[str, ...] = ()
+    has_more: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,8 +126,8 @@
 
 
 @dataclass
-class StoreClient:
-    """Reads tables of the store over kept connections."""
+class StoreCalls:
+    """Calls the store over kept connections; nothing is repeated."""
 
     address: str
     pool: UpstreamPool
@@ -118,6 +154,109 @@
                 return RowsRead(tuple(rows), version)
             start = f'{page.rows[-1].key}\0'
 
+    async def read_range(
+        self,
+        table: str,
+        start: str,
+        end: str,
+        limit: int,
+    ) -> RowsRead:
+        """Return up to `limit` rows with keys from `start` to before `end`.
+
+        A call returns 500 rows at most, so there may be more even if fewer
+        than `limit` are returned.
+        """
+        query = {
+            'table': table,
+            'part': '',
+            'from': start,
+            'target': end,
+            'limit': str(min(limit, PAGE_ROWS)),
+        }
+        page = await self._rows(
+            self.address,
+            'rows-get',
+            query,
+            CALL_TIMEOUT_MS,
+        )
+        return _read(page, 0)
+
+    async def change(self, change: RowChange) -> int:
+        """Change one row and return the version that it got.
+
+        Raises
+        ------
+        NotAsExpectedError
+            If the row has another version; nothing was written.
+        StoreCallError
+            If the store did not answer; the change may have taken effect.
+        """
+        row = {'table': change.table, 'part': '', 'key': change.key}
+        puts = []
+        removed = []
+        if change.payload is None:
+            removed.append(row)
+        else:
+            told = base64.b64encode(change.payload).decode()
+            puts.append({**row, 'value': told})
+        changes = {
+            'expected_rev': [{**row, 'ver': change.expected}],
+            'puts': puts,
+            'remove': removed,
+        }
+        body = await self._call(
+            self.address,
+            Asked(b'POST', b'/api/rows-tx', msgspec.json.encode(changes)),
+            CALL_TIMEOUT_MS,
+        )
+        return msgspec.json.decode(body, type=WireRows).ver
+
+    async def put_object(self, name: str, body: bytes) -> None:
+        """Store an object under a name that is not taken.
+
+        Raises
+        ------
+        NotAsExpectedError
+            If the name is taken.
+        StoreCallError
+            If the store did not answer; the object may be stored.
+        """
+        await self._call(
+            self.address,
+            Asked(
+                b'PUT',
+                _object_target('put', name),
+                body,
+                ((b'if-none-match', b'*'),),
+            ),
+            CALL_TIMEOUT_MS,
+        )
+
+    async def read_object(self, name: str) -> bytes | None:
+        """Return an object, or none if there is no such name."""
+        asked = Asked(b'GET', _object_target('get', name))
+        try:
+            return await self._call(self.address, asked, CALL_TIMEOUT_MS)
+        except NotFoundError:
+            return None
+
+    async def object_names(self, prefix: str, limit: int) -> tuple[str, ...]:
+        """Return up to `limit` names that start with a prefix, in order."""
+        names: list[str] = []
+        query = {'path_prefix': prefix}
+        while True:
+            target = f'/api/blob-list?{urlencode(query)}'.encode()
+            body = await self._call(
+                self.address,
+                Asked(b'GET', target),
+                CALL_TIMEOUT_MS,
+            )
+            page = msgspec.json.decode(body, type=_WireNames)
+            names.extend(page.names)
+            if not page.has_more or not page.names or len(names) >= limit:
+                return tuple(names[:limit])
+            query['after'] = names[-1]
+
     async def read_changes(
         self,
         table: str,
@@ -238,25 +377,31 @@
             fetched = await fetch(self.pool, address, asked, timeout_ms)
         except ConnectionError as error:
             raise self._error(str(error)) from error
-        if fetched.status == _GONE:
-            raise HistoryLostError(
-                f'{target}: history is gone',
-                step=Step.STORE,
-                peer=address,
-            )
         if fetched.status != _OK:
-            raise self._error(
-                f'{target}: status {fetched.status}, expected {_OK}',
-            )
+            kind = _ERROR_BY_STATUS.get(fetched.status, StoreCallError)
+            told = f'{target}: status {fetched.status}, expected {_OK}'
+            raise kind(told, step=Step.STORE, peer=address)
         return fetched.body
 
     def _error(self, message: str) -> StoreCallError:
         return StoreCallError(message, step=Step.STORE, peer=self.address)
 
 
+_ERROR_BY_STATUS: dict[int, type[StoreCallError]] = {
+    _NOT_FOUND: NotFoundError,
+    _GONE: HistoryLostError,
+    _NOT_AS_EXPECTED: NotAsExpectedError,
+}
+
+
+def _object_target(call: str, name: str) -> bytes:
+    return f'/api/blob-{call}/{quote(name, safe="")}'.encode()
+
+
 def _read(page: WireRows, after: int) -> RowsRead:
     rows = tuple(_rows(page.rows))
-    return RowsRead(rows, max(page.ver, after), page.age_ms)
+    version = max(page.ver, after)
+    return RowsRead(rows, version, page.age_ms, page.has_more)
 
 
 def _rows(told: Sequence[WireRow]) -> list[StoredRow]:
--- /dev/null
+++ b/bergamotthread/platform/tables.py
@@ -0,0 +1,178 @@
+"""The product's table, object store and host list on the platform's store."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import msgspec
+from absl import logging
+
+from bergamotthread.clock import Clock
+from bergamotthread.connection.http.upstream_pool import UpstreamPool
+from bergamotthread.errors import (
+    Step,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from bergamotthread.platform.store import (
+    NotAsExpectedError,
+    RowChange,
+    StoreCallError,
+    StoreCalls,
+    StoredRow,
+)
+from bergamotthread.process.settings import PlatformSettings
+from bergamotthread.process.store.platform import (
+    HostEntry,
+    HostList,
+    ObjectStore,
+    Row,
+    Table,
+)
+from bergamotthread.process.store.store_client import (
+    StoreClient,
+    StoreGuard,
+    StoreLimits,
+)
+
+# All rows of the product; keys say what they are for.
+ROWS_TABLE = 'bergamotthread'
+# Rows that whoever starts machines keeps, one for each, by address.
+HOSTS_TABLE = 'hosts'
+# After every key that starts with a prefix: the last code point.
+_AFTER_ALL = '\U0010ffff'
+
+
+class StoredTable(Table):
+    """Table in one table of the platform's store."""
+
+    def __init__(self, calls: StoreCalls) -> None:
+        self._calls = calls
+
+    async def read(self, key: str) -> Row | None:
+        """Return the row, or None where there is none."""
+        with _translated():
+            read = await self._calls.read_range(
+                ROWS_TABLE,
+                key,
+                f'{key}\0',
+                1,
+            )
+        rows = _rows(read.rows)
+        return rows[0] if rows else None
+
+    async def write(self, key: str, body: bytes, *, expected: int) -> Row:
+        """Write a row whose revision is `expected`."""
+        change = RowChange(ROWS_TABLE, key, body, expected)
+        with _translated():
+            revision = await self._calls.change(change)
+        return Row(key, body, revision)
+
+    async def delete(self, key: str, *, expected: int) -> None:
+        """Delete a row whose revision is `expected`."""
+        change = RowChange(ROWS_TABLE, key, None, expected)
+        with _translated():
+            await self._calls.change(change)
+
+    async def scan(self, prefix: str, *, limit: int) -> tuple[Row, ...]:
+        """Return up to `limit` rows whose keys start with `prefix`."""
+        rows: list[Row] = []
+        start = prefix
+        has_more = True
+        while has_more and len(rows) < limit:
+            with _translated():
+                read = await self._calls.read_range(
+                    ROWS_TABLE,
+                    start,
+                    f'{prefix}{_AFTER_ALL}',
+                    limit - len(rows),
+                )
+            rows.extend(_rows(read.rows))
+            has_more = read.has_more and bool(read.rows)
+            start = f'{rows[-1].key}\0' if rows else start
+        return tuple(rows)
+
+
+class StoredObjects(ObjectStore):
+    """Objects of the platform's store."""
+
+    def __init__(self, calls: StoreCalls) -> None:
+        self._calls = calls
+
+    async def put(self, name: str, body: bytes) -> None:
+        """Store an object; the same name and body again is no error."""
+        try:
+            with _translated():
+                await self._calls.put_object(name, body)
+        except StoreConflictError:
+            if await self.get(name) != body:
+                raise
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object, or None where there is none."""
+        with _translated():
+            return await self._calls.read_object(name)
+
+    async def names(self, prefix: str, *, limit: int) -> tuple[str, ...]:
+        """Return up to `limit` names that start with `prefix`, sorted."""
+        with _translated():
+            return await self._calls.object_names(prefix, limit)
+
+
+class StoredHostList(HostList):
+    """Hosts that a table of the platform's store lists."""
+
+    def __init__(self, calls: StoreCalls) -> None:
+        self._calls = calls
+
+    async def hosts(self) -> tuple[HostEntry, ...]:
+        """Return all hosts that the platform lists."""
+        with _translated():
+            read = await self._calls.read_all(HOSTS_TABLE)
+        decoded = (_host(row) for row in read.rows)
+        return tuple(host for host in decoded if host is not None)
+
+
+def open_store(settings: PlatformSettings, clock: Clock) -> StoreClient:
+    """Return a client of the platform's store within the settings' limits."""
+    connections = UpstreamPool(clock, b'')
+    calls = StoreCalls(settings.address, connections)
+    return StoreClient(
+        StoredTable(calls),
+        StoredObjects(calls),
+        StoredHostList(calls),
+        StoreGuard(StoreLimits.from_settings(settings), clock),
+        connections,
+    )
+
+
+@contextmanager
+def _translated() -> Iterator[None]:
+    """Raise the errors of the product's interfaces."""
+    try:
+        yield
+    except NotAsExpectedError as error:
+        raise StoreConflictError(
+            error.message,
+            step=Step.STORE,
+            peer=error.peer,
+        ) from error
+    except (StoreCallError, msgspec.MsgspecError) as error:
+        raise StoreUnavailableError(
+            f'no answer from the platform: {error}',
+            step=Step.STORE,
+        ) from error
+
+
+def _rows(stored: tuple[StoredRow, ...]) -> list[Row]:
+    return [Row(row.key, row.payload or b'', row.version) for row in stored]
+
+
+def _host(row: StoredRow) -> HostEntry | None:
+    """Return a host, or none for a row that holds something else."""
+    try:
+        return msgspec.json.decode(row.payload or b'', type=HostEntry)
+    except msgspec.MsgspecError as error:
+        logging.warning('row %s of %s: %s', row.key, HOSTS_TABLE, error)
+        return None
--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -18,7 +18,7 @@
 from bergamotthread.platform.store import (
     HistoryLostError,
     StoreCallError,
-    StoreClient,
+    StoreCalls,
     StoredRow,
 )
 from bergamotthread.process.relay.decision_log import DecisionLog
@@ -58,7 +58,7 @@
 class WatchSources:
     """What all watches read from."""
 
-    store: StoreClient
+    store: StoreCalls
     feeds: FeedSources
     clock: Clock
     log: DecisionLog
--- a/bergamotthread/process/agent_process.py
+++ b/bergamotthread/process/agent_process.py
@@ -10,6 +10,7 @@
 from bergamotthread.connection.http_service import HttpServiceClient
 from bergamotthread.connection.transport import Transport
 from bergamotthread.connection.zmq_transport import ZmqTransport
+from bergamotthread.platform.tables import open_store
 from bergamotthread.process.agent import Agent, AgentConfig
 from bergamotthread.process.calls.service_agent import ServiceAgent
 from bergamotthread.process.drain.drain_report import DrainReporter
@@ -94,7 +95,7 @@
         )
         store = None
         if settings.platform is not None:
-            store = StoreClient.from_settings(settings.platform, clock)
+            store = open_store(settings.platform, clock)
         return cls(settings, transport, clock, store)
 
     async def run(self) -> None:
@@ -150,7 +151,7 @@
     async def _close(self) -> None:
         self.transport.close()
         if self._store is not None:
-            await self._store.close()
+            self._store.close()
 
     async def _follow_versions(self) -> None:
         known = 0
--- a/bergamotthread/process/entry_process.py
+++ b/bergamotthread/process/entry_process.py
@@ -12,6 +12,7 @@
 from bergamotthread.connection.transport import Transport
 from bergamotthread.connection.zmq_transport import ZmqTransport
 from bergamotthread.errors import StoreUnavailableError
+from bergamotthread.platform.tables import open_store
 from bergamotthread.process.calls.call_cleaner import CallCleaner
 from bergamotthread.process.calls.call_runner import CallRunner
 from bergamotthread.process.drain.drain_report import DrainReporter
@@ -109,8 +110,8 @@
             settings.keys,
             clock,
         )
-        store = StoreClient.from_settings(settings.platform, clock)
-        publication_store = StoreClient.from_settings(settings.platform, clock)
+        store = open_store(settings.platform, clock)
+        publication_store = open_store(settings.platform, clock)
         process = cls(settings, transport, store, clock, publication_store)
         add_transport_metrics(process.metrics.registry, transport)
         return process
@@ -328,8 +329,8 @@
     async def _close(self) -> None:
         await self.server.abort()
         self.transport.close()
-        await self._store.close()
-        await self._publication_store.close()
+        self._store.close()
+        self._publication_store.close()
 
 
 def _cursor_keys(settings: EntrySettings) -> tuple[bytes, ...]:
--- a/bergamotthread/process/store/store_client.py
+++ b/bergamotthread/process/store/store_client.py
@@ -17,6 +17,7 @@
 from typing import TypeVar
 
 from bergamotthread.clock import Clock
+from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.errors import (
     Step,
     StoreConflictError,
@@ -33,12 +34,6 @@
     Row,
     Table,
 )
-from bergamotthread.process.store.platform_http import (
-    HttpHostList,
-    HttpObjectStore,
-    HttpTable,
-    PlatformConnection,
-)
 
 _Answer = TypeVar('_Answer')
 _Access = Callable[[], Awaitable[_Answer]]
@@ -256,23 +251,7 @@
     inner_objects: ObjectStore
     inner_hosts: HostList
     guard: StoreGuard
-    connection: PlatformConnection | None = None
-
-    @classmethod
-    def from_settings(
-        cls,
-        settings: PlatformSettings,
-        clock: Clock,
-    ) -> StoreClient:
-        """Connect to the platform over HTTP."""
-        connection = PlatformConnection(settings.address, settings.timeout_ms)
-        return cls(
-            HttpTable(connection),
-            HttpObjectStore(connection),
-            HttpHostList(connection),
-            StoreGuard(StoreLimits.from_settings(settings), clock),
-            connection,
-        )
+    connections: UpstreamPool | None = None
 
     def table(self, use: StoreUse) -> GuardedTable:
         """Return the table for one use."""
@@ -286,7 +265,7 @@
         """Return the host list."""
         return GuardedHostList(self.inner_hosts, self.guard)
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close the connections to the platform."""
-        if self.connection is not None:
-            await self.connection.close()
+        if self.connections is not None:
+            self.connections.close()
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -8,6 +8,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.zmq_transport import ZmqTransport
+from bergamotthread.platform.tables import open_store
 from bergamotthread.process.agent_process import AgentProcess
 from bergamotthread.process.entry_process import EntryProcess
 from bergamotthread.process.settings import (
@@ -18,12 +19,11 @@
     PlatformSettings,
     UpstreamKind,
 )
-from bergamotthread.process.store.store_client import StoreClient, StoreUse
-from bergamotthread.testing.memory_platform import MemoryPlatform
+from bergamotthread.process.store.store_client import StoreUse
 from bergamotthread.version.publication import Draft, Publisher
 from standins.engine import create_app as create_engine_app
 from standins.engine_core import Engine, EngineSpeed
-from standins.platform import create_app as create_platform_app
+from standins.platform_store import StoreStandIn, serving_store
 from standins.service import PlainService
 from standins.service import create_app as create_service_app
 from standins.serving import serving
@@ -44,7 +44,7 @@
 
     def __post_init__(self) -> None:
         self.clock = Clock.from_system()
-        self.platform = MemoryPlatform(self.clock)
+        self.platform = StoreStandIn(self.clock)
         self.engines: list[Engine] = []
         self.services: list[PlainService] = []
         self.engine_agents: list[AgentProcess] = []
@@ -56,18 +56,18 @@
     async def start(self) -> None:
         """Start everything and wait until all entries serve."""
         platform = await self._stack.enter_async_context(
-            serving(create_platform_app(self.platform)),
+            serving_store(self.platform),
         )
         self.platform_settings = PlatformSettings(
             platform,
             reads_per_s=50,
             writes_per_s=50,
         )
-        self.store = StoreClient.from_settings(
+        self.store = open_store(
             self.platform_settings,
             self.clock,
         )
-        self._stack.push_async_callback(self.store.close)
+        self._stack.callback(self.store.close)
         self._transports = [
             ZmqTransport.from_settings(self._place(index), _KEYS, self.clock)
             for index in range(self.entry_count)
@@ -168,7 +168,7 @@
                     one for one in addresses if one != transport.address
                 ),
             )
-            store = StoreClient.from_settings(
+            store = open_store(
                 self.platform_settings,
                 self.clock,
             )
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -19,6 +19,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
+        self.address = ''
         self.connections: set[CallerConnection] = set()
         self._limits = CallerLimits()
 
@@ -36,10 +37,11 @@
     async def answer(self, exchange: Exchange) -> None:
         """Answer one request."""
 
-    async def listen(self, address: str) -> None:
+    async def listen(self, address: str) -> asyncio.AbstractServer:
         """Start to accept connections."""
+        self.address = address
         host, _, port = address.rpartition(':')
-        await asyncio.get_running_loop().create_server(
+        return await asyncio.get_running_loop().create_server(
             lambda: CallerConnection(self),
             host,
             int(port),
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's store, on its published calls.
 
-It can be away, late, stale in its history or lose answers.
+It can be away, late, stale in its history or lose answers. `python -m
+standins.platform_store ADDRESS` serves an empty one.
 """
 
 from __future__ import annotations
@@ -9,15 +10,29 @@
 import base64
 import contextlib
 import json
+import sys
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
-from urllib.parse import parse_qsl
+from typing import Any
+from urllib.parse import parse_qsl, unquote
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.caller_connection import Exchange
+from bergamotthread.testing.loopback import free_address
 from standins.platform_server import StandInServer
 
 Asked = dict[str, str]
 Told = dict[str, object]
+Sent = dict[str, list[dict[str, Any]]]
+
+# Most that one answer holds.
+ROWS_MAX = 500
+NAMES_MAX = 1000
+_OK = 200
+_NOT_FOUND = 404
+_GONE = 410
+_NOT_AS_EXPECTED = 412
+_AFTER_ALL = '\U0010ffff' * 2
 
 
 @dataclass(frozen=True)
@@ -55,6 +70,8 @@
         Time by which answers are late.
     loses_answers
         Does what is asked and breaks the connection off.
+    lost_writes
+        Number of next writes of which the answer is lost.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -64,9 +81,11 @@
         self.status = 0
         self.late_ms = float(0)
         self.loses_answers = False
+        self.lost_writes = 0
         self.calls: list[str] = []
         self._row_by_key: dict[tuple[str, str], Row] = {}
         self._changes: list[Row] = []
+        self._object_by_name: dict[str, bytes] = {}
         self._news = asyncio.Event()
 
     def put(self, table: str, key: str, content: object) -> None:
@@ -92,41 +111,97 @@
         if self.status:
             exchange.respond(self.status, ())
             return
-        told = await self._answer(path, asked, exchange.request.body)
+        body = exchange.request.body
+        if path.startswith('/api/blob-'):
+            status, told = self._answer_object(path, asked, body)
+        else:
+            status, rows = await self._answer_rows(path, asked, body)
+            told = json.dumps(rows).encode()
         if self.late_ms:
             await self.clock.sleep_ms(self.late_ms)
-        if self.loses_answers:
+        if self.loses_answers or self._loses(exchange.request.method):
             exchange.abort()
-        elif told is None:
-            exchange.respond(410, ())
         else:
-            exchange.respond(200, (), json.dumps(told).encode())
+            exchange.respond(status, (), told)
+
+    def _loses(self, method: bytes) -> bool:
+        is_lost = method != b'GET' and self.lost_writes > 0
+        self.lost_writes -= is_lost
+        return is_lost
 
-    async def _answer(
+    async def _answer_rows(
         self,
         path: str,
         asked: Asked,
         sent: bytes,
-    ) -> Told | None:
+    ) -> tuple[int, Told]:
         if path == '/api/rows-get':
-            return self._get(asked)
+            return _OK, self._get(asked)
         if path == '/api/rows-feed':
-            return await self._feed(asked)
-        for row in json.loads(sent)['puts']:
+            changes = await self._feed(asked)
+            return _OK if changes else _GONE, changes or {}
+        return self._transact(json.loads(sent))
+
+    def _transact(self, sent: Sent) -> tuple[int, Told]:
+        """Change rows if all have the versions that are expected."""
+        for expected in sent['expected_rev']:
+            known = self._row_by_key.get((expected['table'], expected['key']))
+            ver = known.ver if known else 0
+            if expected['ver'] != ver:
+                rows = [known.told()] if known else []
+                return _NOT_AS_EXPECTED, {'rows': rows, 'ver': self.ver}
+        for row in sent['puts']:
             self.put(row['table'], row['key'], base64.b64decode(row['value']))
-        return {'ver': self.ver, 'now_ms': 1}
+        for row in sent['remove']:
+            self.remove(row['table'], row['key'])
+        return _OK, {'ver': self.ver, 'now_ms': 1}
+
+    def _answer_object(
+        self,
+        path: str,
+        asked: Asked,
+        sent: bytes,
+    ) -> tuple[int, bytes]:
+        call, _, quoted = path.removeprefix('/api/blob-').partition('/')
+        name = unquote(quoted)
+        known = self._object_by_name.get(name)
+        match call:
+            case 'list':
+                return _OK, json.dumps(self._names(asked)).encode()
+            case 'get' if known is None:
+                return _NOT_FOUND, b''
+            case 'get':
+                return _OK, known or b''
+            case _ if known is not None:
+                return _NOT_AS_EXPECTED, b''
+            case _:
+                self._object_by_name[name] = sent
+                return _OK, b''
+
+    def _names(self, asked: Asked) -> Told:
+        names = sorted(
+            name
+            for name in self._object_by_name
+            if name.startswith(asked['path_prefix'])
+            and name > asked.get('after', '')
+        )
+        return {
+            'names': names[:NAMES_MAX],
+            'has_more': len(names) > NAMES_MAX,
+        }
 
     def _get(self, asked: Asked) -> Told:
+        start = asked.get('from', '')
+        end = asked.get('target', _AFTER_ALL)
         rows = sorted(
             (
                 row
                 for row in self._row_by_key.values()
-                if row.table == asked['table']
-                and row.key >= asked.get('from', '')
+                if row.table == asked['table'] and start <= row.key < end
             ),
             key=lambda row: row.key,
         )
-        limit = int(asked.get('limit', 500))
+        limit = int(asked.get('limit', ROWS_MAX))
         return {
             'rows': [row.told() for row in rows[:limit]],
             'has_more': len(rows) > limit,
@@ -165,3 +240,22 @@
             self._row_by_key[row.table, row.key] = row
         self._news.set()
         self._news = asyncio.Event()
+
+
+@contextlib.asynccontextmanager
+async def serving_store(store: StoreStandIn) -> AsyncIterator[str]:
+    """Serve a store on loopback; yield its address."""
+    server = await store.listen(free_address())
+    try:
+        yield store.address
+    finally:
+        server.close()
+
+
+async def _serve(address: str) -> None:
+    await StoreStandIn(Clock.from_system()).listen(address)
+    await asyncio.Event().wait()
+
+
+if __name__ == '__main__':
+    asyncio.run(_serve(sys.argv[1]))
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -97,9 +97,7 @@
 
     def start(self) -> None:
         processes = self.processes
-        processes.start(
-            'platform', 'standins.platform', '--listen', self.platform
-        )
+        processes.start('platform', 'standins.platform_store', self.platform)
         processes.start('service', 'standins.service', '--listen', self.service)
         for index, address in enumerate(self.engines):
             processes.start(
@@ -107,7 +105,7 @@
             )
             self._agent(index, self.agents[index], address, 'engine')
         self._agent(9, self.service_agent, self.service, 'service')
-        wait_for(f'http://{self.platform}/v1/scan?prefix=x&limit=1')
+        wait_for(f'http://{self.platform}/api/rows-get?table=x&part=')
         for index, address in enumerate(self.entries):
             self._entry(index, address)
         self.publish()
--- a/tests/test_operator_context.py
+++ b/tests/test_operator_context.py
@@ -13,13 +13,11 @@
     hours_between,
     read_audit,
 )
-from bergamotthread.testing.memory_platform import MemoryPlatform
 from bergamotthread.version.checks import load_object_set
 from bergamotthread.version.diff import diff_sets
 from bergamotthread.version.objects import ObjectSet, Stop
 from bergamotthread.version.publication import Draft, PublicationConflictError
-from standins.platform import create_app
-from standins.serving import serving
+from standins.platform_store import StoreStandIn, serving_store
 
 EXAMPLE = Path(__file__).parent.parent / 'examples/termolab/objects.json'
 CREDENTIAL = 'example-operator-day-shift-20'
@@ -29,7 +27,7 @@
 def _run(scenario: Scenario, credential: str = CREDENTIAL) -> None:
     async def _main() -> None:
         clock = Clock.from_system()
-        async with serving(create_app(MemoryPlatform(clock))) as address:
+        async with serving_store(StoreStandIn(clock)) as address:
             context = PlatformContext(address, clock, credential=credential)
             publisher = context.publisher()
             first = Draft(load_object_set(EXAMPLE), 'day-shift', 0)
