--- a/soak/orders.py
+++ b/soak/orders.py
@@ -43,6 +43,7 @@
 
     not_run: bool = False
     stalls_after: int | None = None
+    comment: int = 0
 
 
 def encode_order(order: StoreOrder | RunnerOrder) -> bytes:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -57,7 +57,7 @@
 LEAD_S = 2.0
 REST_S = 3.0
 _MEAN_GAP_S = 1.2
-_FOR_S = (0.2, 4.0)
+_FOR_S = (0.2, 7.0)
 
 
 @dataclass(frozen=True)
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import pathlib
 import signal
 import sys
 from collections.abc import Callable, Sequence
@@ -23,6 +24,8 @@
 
     Parameters
     ----------
+    folder
+        Where it runs; where this process does if none is given.
     life
         Number of times that it was started.
     """
@@ -31,6 +34,7 @@
     arguments: Sequence[str]
     on_line: OnLine
     variables: dict[str, str] = field(default_factory=dict)
+    folder: pathlib.Path | None = None
     life: int = 0
     process: asyncio.subprocess.Process | None = None
     _reading: asyncio.Task[None] | None = None
@@ -46,6 +50,7 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.DEVNULL,
             env={**os.environ, **self.variables},
+            cwd=self.folder,
             limit=_LINE_BYTES_MAX,
         )
         self._reading = asyncio.create_task(self._read(self.process))
--- a/soak/runner_process.py
+++ b/soak/runner_process.py
@@ -55,6 +55,7 @@
     async for order in orders_of(RunnerOrder):
         runner.script.not_run = order.not_run
         runner.script.stalls_after = order.stalls_after
+        runner.script.comment = order.comment
         # A soak may last long; what was seen was told already.
         runner.seen.clear()
 
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -59,6 +59,8 @@
         Events before the place to go on from that it sends again.
     padding
         Bytes of an event without an end that it sends before each event.
+    comment
+        Bytes of a comment in each event.
     stalls_after
         Events after which it sends no more, though it answers probes.
     """
@@ -69,6 +71,7 @@
     ends_in_event: bool = False
     repeats: int = 0
     padding: int = 0
+    comment: int = 0
     stalls_after: int | None = None
     answer: bytes = b'answer'
     work_ms: float = 30
@@ -187,6 +190,8 @@
                 await self.clock.sleep_ms(60_000)
             if self.script.padding:
                 exchange.write(b'data: %b' % (b'x' * self.script.padding))
+            if self.script.comment:
+                exchange.write(b': %b\n' % (b'x' * self.script.comment))
             exchange.write(event_of(seen.request_id, number))
             await self.clock.sleep_ms(EVENT_MS)
         if self.script.ends_in_event:
