Soak: work that a kill meets; a stream waits while its last agent is in doubt

The rule is tested in virtual time: with an engine dead, an agent killed and the third away for 0.3 to 9 s, the stream goes on, ten of ten.

--- a/soak/runner_process.py
+++ b/soak/runner_process.py
@@ -15,6 +15,8 @@
 from soak.orders import RunnerOrder, orders_of
 from standins.platform_runner import RunnerStandIn, Seen
 
+# Long enough that a kill or a reset meets plain requests at work.
+PLAIN_WORK_MS = 150
 STARTED = 'started'
 ENDED = 'ended'
 
@@ -51,6 +53,7 @@
 
 async def _serve(address: str, instance: str) -> None:
     runner = TellingRunner(Clock.from_system(), instance, address)
+    runner.script.work_ms = PLAIN_WORK_MS
     await runner.listen(address)
     async for order in orders_of(RunnerOrder):
         runner.script.not_run = order.not_run
--- a/soak/session.py
+++ b/soak/session.py
@@ -31,7 +31,7 @@
 
 ZONES = {'a-1': 'a', 'b-1': 'b', 'c-1': 'c'}
 GRACE_S = 8
-CALLERS_PER_ENTRY = 6
+CALLERS_PER_ENTRY = 10
 KEYS = tuple(f'key-{number}' for number in range(12))
 # The first key is never taken away.
 LASTING_KEY = KEYS[0]
--- a/tests/test_continuity_faults.py
+++ b/tests/test_continuity_faults.py
@@ -94,6 +94,32 @@
     run_virtual(scenario())
 
 
+@pytest.mark.parametrize('away_ms', [300, 1000, 2500, 5000, 9000])
+@pytest.mark.parametrize('offset', [6, 60])
+def test_stream_waits_while_the_last_agent_is_only_in_doubt(
+    away_ms: float,
+    offset: int,
+) -> None:
+    """An engine is dead, an agent is killed, the third is away a while."""
+
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED)
+        live, _ = deployment.entries[0].open(REQUEST)
+        await deployment.clock.sleep_ms(5)
+        await _until_offset(live, offset)
+        killed = deployment.node_of(live)
+        first, last = (node for node in deployment.agents if node is not killed)
+        first.engine.die()
+        killed.kill()
+        there = last.transport.address
+        deployment.network.cut_both(there, entry_address(0))
+        await deployment.clock.sleep_ms(away_ms)
+        deployment.network.heal()
+        await _check_whole(live)
+
+    run_virtual(scenario())
+
+
 def test_resumed_engine_dies_as_well() -> None:
     async def scenario() -> None:
         deployment = SmallDeployment(speed=SPEED, agent_count=4)
