--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,7 +21,7 @@
 
 @click.command()
 @click.option('--seed', type=click.IntRange(min=0), required=True)
-@click.option('--minutes', type=click.FloatRange(0.1, 600), default=0.5)
+@click.option('--minutes', type=click.FloatRange(0.1, 600), default=1.0)
 @click.option('--processes', type=click.IntRange(6, 400), default=9)
 @click.option(
     '--kinds',
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -56,6 +56,13 @@
 # Quiet time at the start and at the end of a soak.
 LEAD_S = 2.0
 REST_S = 3.0
+# After a storm of all kinds comes planned work alone, with calm before and
+# after it, so that what holds only in calm is checked too. The calm is longer
+# than the longest fault and the time to settle after it.
+STORM_S = 9.0
+PLANNED_FROM_S = 22.0
+PLANNED_S = 5.0
+CYCLE_S = 36.0
 _MEAN_GAP_S = 1.2
 _FOR_S = (0.2, 7.0)
 
@@ -117,7 +124,11 @@
         faults: list[Fault] = []
         at_s = LEAD_S
         while at_s < seconds - REST_S:
-            kind = rng.choice(drawn)
+            fitting = _kinds_at(at_s, drawn)
+            if not fitting:
+                at_s += 1
+                continue
+            kind = rng.choice(fitting)
             count = entries if kind in _OF_ENTRIES else runners
             for_s = round(rng.uniform(*_FOR_S), 2)
             faults.append(
@@ -137,6 +148,19 @@
         )
 
 
+def _kinds_at(
+    at_s: float,
+    kinds: Sequence[FaultKind],
+) -> tuple[FaultKind, ...]:
+    """Return the kinds that may begin at a time of the soak."""
+    phase_s = (at_s - LEAD_S) % CYCLE_S
+    if phase_s < STORM_S:
+        return tuple(kinds)
+    if PLANNED_FROM_S <= phase_s < PLANNED_FROM_S + PLANNED_S:
+        return tuple(kind for kind in kinds if kind in PLANNED)
+    return ()
+
+
 def shrink(
     faults: tuple[Fault, ...],
     still_fails: Callable[[tuple[Fault, ...]], bool],
