Soak: callers keep a connection until its entry closes it

They left an entry as soon as the balancer did, so that work on kept connections of a stopping entry was never tried. Plain work lasts 300 ms.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -169,11 +169,14 @@
             self._close()
 
     async def _choose_place(self) -> Place:
-        """Return the entry to ask; the last one as long as it is open."""
-        places = self._choices.places()
-        if self._writer is not None and self._place in places:
+        """Return the entry to ask; the last one until it closes.
+
+        A connection that is open outlives the place in the balancer's rotation.
+        """
+        if self._reader is not None and not self._reader.at_eof():
             return self._place
         self._close()
+        places = self._choices.places()
         while not places:
             await self._clock.sleep_ms(NO_PLACE_MS)
             places = self._choices.places()
--- a/soak/runner_process.py
+++ b/soak/runner_process.py
@@ -16,7 +16,7 @@
 from standins.platform_runner import RunnerStandIn, Seen
 
 # Long enough that a kill or a reset meets plain requests at work.
-PLAIN_WORK_MS = 150
+PLAIN_WORK_MS = 300
 STARTED = 'started'
 ENDED = 'ended'
 
