Keep copies where there is room, with own copies counted

Change: the holder is the upstream of another domain with the least memory in use, tokens of own copies counted, instead of the next cheapest one.

--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -104,7 +104,16 @@
             for one in self._in_order(work)
             if one.record.failure_domain != domain
         )
-        return self._cheapest(list(islice(outside, CANDIDATES)), work)
+        return self.holder_among(list(islice(outside, CANDIDATES)))
+
+    def holder_among(self, upstreams: Sequence[Upstream]) -> Upstream | None:
+        """Return which one should keep a copy, or none.
+
+        One that is full refuses what comes to go on from a copy, and after the
+        loss of an upstream all its runs come at once; so copies are spread by
+        room. What comes is admitted first, so a queue does not matter.
+        """
+        return min(upstreams, key=self._holder_cost_ms, default=None)
 
     def draw(self, work: Work) -> list[Upstream]:
         """Return a few candidates, of two failure domains if there are.
@@ -143,6 +152,11 @@
         cost_ms += self.directory.failure_share(upstream) * FAILURE_MS
         return cost_ms + self._far_ms(upstream) + self.rng.random()
 
+    def _holder_cost_ms(self, upstream: Upstream) -> float:
+        share = _memory_share(upstream, upstream.held_tokens)
+        cost_ms = share * MEMORY_FULL_MS + self._far_ms(upstream)
+        return cost_ms + self.rng.random()
+
     def _first_of_regions(self, ordered: list[Upstream]) -> list[Upstream]:
         by_region: dict[str, list[Upstream]] = {}
         for upstream in ordered:
@@ -205,12 +219,18 @@
     report = upstream.report
     unread = upstream.prefill_tokens
     running = upstream.in_flight
-    memory_share: float = 0
     if report is not None:
         told = report.unread_tokens + upstream.sent_since_report
         unread = max(unread, told)
         running = max(running, report.running)
-        memory_share = report.kv_used / max(report.kv_total, 1)
     waiting = unread + work.prompt_tokens
     cost_ms = waiting / PREFILL_TOKENS_PER_MS + running * RUNNING_MS
-    return cost_ms + memory_share**2 * MEMORY_FULL_MS
+    return cost_ms + _memory_share(upstream) ** 2 * MEMORY_FULL_MS
+
+
+def _memory_share(upstream: Upstream, more_tokens: int = 0) -> float:
+    """Return the share of its memory in use; 0 where nothing was reported."""
+    report = upstream.report
+    if report is None:
+        return 0
+    return (report.kv_used + more_tokens) / max(report.kv_total, 1)
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -83,6 +83,8 @@
         Prompt tokens of own attempts without an event yet.
     sent_since_report
         Prompt tokens of own attempts since the last report.
+    held_tokens
+        Tokens of own streams whose copies are kept there.
     listed_ms, heard_ms, lost_ms
         Monotonic times of its first row, of its last bytes and of its loss.
     """
@@ -97,6 +99,7 @@
     failed_ms: float = 0
     report: LoadReport | None = None
     sent_since_report: int = 0
+    held_tokens: int = 0
 
     @property
     def address(self) -> str:
--- a/bergamotthread/request/relay/copies.py
+++ b/bergamotthread/request/relay/copies.py
@@ -38,9 +38,16 @@
 class CopyKeeper:
     """Keeps one usable copy of one run."""
 
-    def __init__(self, parts: RelayParts, request_label: str) -> None:
+    def __init__(
+        self,
+        parts: RelayParts,
+        request_label: str,
+        tokens: int = 0,
+    ) -> None:
         self._parts = parts
         self._label = request_label
+        self._tokens = tokens
+        self._counted: Upstream | None = None
         self._copy: MemoryCopy | None = None
         self._upstream: Upstream | None = None
         self._task: asyncio.Task[None] | None = None
@@ -53,6 +60,7 @@
         self._upstream = upstream
         self._copy = None
         self._is_streamed = True
+        self._count(target)
         if target is not None:
             source = f'{target.address}/{self._label}'
             self._copy = MemoryCopy(target, source)
@@ -80,6 +88,7 @@
     def take(self) -> MemoryCopy | None:
         """Return the copy to go on from, if there is one; it is used up."""
         self.stop()
+        self._count(None)
         copy = self._copy
         self._copy = None
         if copy is None:
@@ -99,6 +108,7 @@
     def drop(self) -> None:
         """Forget the copy."""
         self.stop()
+        self._count(None)
         self._copy = None
 
     async def free(self) -> None:
@@ -114,6 +124,14 @@
             self._task.cancel()
             self._task = None
 
+    def _count(self, holder: Upstream | None) -> None:
+        """Count this run's memory at its holder, and nowhere else."""
+        if self._counted is not None:
+            self._counted.held_tokens -= self._tokens
+        if holder is not None:
+            holder.held_tokens += self._tokens
+        self._counted = holder
+
     def _fault(self, copy: MemoryCopy) -> str:
         """Return why a copy can't be used; empty if it can."""
         directory = self._parts.directory
@@ -139,6 +157,7 @@
         pause_ms = RECOPY_MS if source else COPY_RETRY_MS
         self._due_ms = self._parts.clock.now_ms() + pause_ms
         if source:
+            self._count(target)
             self._copy = MemoryCopy(target, source)
             self._is_streamed = False
         self._parts.log.write(
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -122,7 +122,7 @@
         elsewhere = [
             one for one in ranked if one.record.failure_domain != domain
         ]
-        target = next(iter(elsewhere or ranked[1:]), None)
+        target = choice.holder_among(elsewhere or ranked[1:])
         if not self.may_copy:
             target = None
         self.parts.log.write(
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -70,7 +70,7 @@
         self._may_have_run = False
         self._last_event = call.resume_after
         self._placer = StreamPlacer(call, parts)
-        self._copies = CopyKeeper(parts, call.label)
+        self._copies = CopyKeeper(parts, call.label, call.prompt_tokens)
         self._pace = Pace(parts.clock.now_ms())
         self._caller_pace = Pace(call.request.received_ms)
         self._is_from_copy = False
@@ -86,7 +86,7 @@
             await self._run_attempts()
             await self._copies.free()
         finally:
-            self._copies.stop()
+            self._copies.drop()
 
     async def _run_attempts(self) -> None:
         while self._remaining_ms() > 0 and self._may_send():
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -327,6 +327,49 @@
     run_in_memory(check())
 
 
+def _held_tokens(day):
+    directory = day.entries[0]._parts.directory
+    there = directory.of_service('model-service')
+    return {one.record.instance: one.held_tokens for one in there}
+
+
+def test_copies_of_streams_at_once_are_spread():
+    """Those of one burst once went to one holder, which then refused them."""
+
+    async def check():
+        day = await Deployment.start(models=6)
+        prompt = ((b'bergamotthread-prompt-prefix', b'p:8000'),)
+        calls = [day.call('/stream/x', extra=prompt) for _ in range(6)]
+        waiting = asyncio.gather(*calls)
+        await day.clock.sleep_ms(1000)
+        assert max(_held_tokens(day).values()) <= 3 * 8000
+        assert sum(_held_tokens(day).values()) == 6 * 8000
+        answers = await waiting
+        assert all(answer.is_whole for answer in answers)
+        assert set(_held_tokens(day).values()) == {0}
+
+    run_in_memory(check())
+
+
+@pytest.mark.parametrize('how', ['caller leaves', 'upstream is lost'])
+def test_copy_is_no_longer_counted_once_its_stream_is_over(how):
+    async def check():
+        day = await Deployment.start()
+        connection = await day.connect()
+        connection.send(day.request('/stream/x'), b'')
+        await day.clock.sleep_ms(1500)
+        assert sum(_held_tokens(day).values()) == 8000
+        if how == 'caller leaves':
+            connection.close()
+        else:
+            next(model for model in day.models if model.seen).kill()
+            await day.read(connection)
+        await day.clock.sleep_ms(500)
+        assert set(_held_tokens(day).values()) == {0}
+
+    run_in_memory(check())
+
+
 def test_copy_that_is_not_needed_is_freed():
     async def check():
         day = await Deployment.start()
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -554,3 +554,37 @@
 def test_upstream_counts_are_of_one_incarnation():
     upstream = Upstream(_record('u'))
     assert (upstream.in_flight, upstream.prefill_tokens) == (0, 0)
+
+
+def _reported(hand, upstream, kv_used, kv_total=88_000):
+    upstream.report = LoadReport(0, 0, kv_used, kv_total, at_ms=hand.ms)
+
+
+def test_copy_goes_where_there_is_room():
+    """A full engine refuses what comes to go on from its copy."""
+    hand = Hand()
+    directory = _directory(hand, count=3, domains=('a-1',))
+    choice = _choice(directory)
+    upstreams = list(directory.of_service('s'))
+    for upstream, kv_used in zip(
+        upstreams,
+        (60_000, 20_000, 70_000),
+        strict=True,
+    ):
+        _reported(hand, upstream, kv_used)
+    assert choice.holder_among(upstreams) is upstreams[1]
+    upstreams[1].held_tokens = 50_000
+    assert choice.holder_among(upstreams) is upstreams[0]
+    assert choice.holder_among([]) is None
+
+
+def test_queue_of_a_holder_does_not_matter():
+    hand = Hand()
+    directory = _directory(hand, count=2, domains=('a-1',))
+    choice = _choice(directory)
+    busy, full = directory.of_service('s')
+    _reported(hand, busy, 10_000)
+    _reported(hand, full, 80_000)
+    busy.prefill_tokens = 40_000
+    busy.in_flight = 9
+    assert choice.holder_among([busy, full]) is busy
