Tests end a process before they start another of its name

A run of the tests of killed processes alone left its first entry1 running: the restart started a second one beside it.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -32,6 +32,8 @@
     by_name: dict[str, subprocess.Popen] = field(default_factory=dict)
 
     def start(self, name: str, *arguments: str) -> subprocess.Popen:
+        """Start a process; a former one of that name is ended first."""
+        self.end(name)
         log = (self.folder / f'{name}.log').open('wb')
         process = subprocess.Popen(
             [sys.executable, '-m', *arguments],
@@ -48,15 +50,19 @@
         path.write_text(json.dumps(settings))
         self.start(name, 'bergamotthread', kind, '--settings', str(path))
 
+    def end(self, name: str) -> None:
+        former = self.by_name.get(name)
+        if former is not None and former.poll() is None:
+            former.kill()
+            former.wait()
+
     def kill(self, name: str) -> None:
         self.by_name[name].send_signal(signal.SIGKILL)
         self.by_name[name].wait()
 
     def close(self) -> None:
-        for process in self.by_name.values():
-            if process.poll() is None:
-                process.kill()
-                process.wait()
+        for name in self.by_name:
+            self.end(name)
 
     def log(self, name: str) -> str:
         return (self.folder / f'{name}.log').read_text()
