--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from collections import Counter
 from functools import partial
@@ -39,6 +40,8 @@
     shrinks: bool,
 ) -> None:
     """Play faults against the real programs and check what they promise."""
+    # Ended from outside, it still ends its processes.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     drawn = _kinds(kinds)
     failed = False
     for one in range(seed, seed + seeds):
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -7,6 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
+import time
 
 import psutil
 
@@ -50,3 +53,21 @@
         for process in psutil.Process().children(recursive=True)
         if process.status() != psutil.STATUS_ZOMBIE
     ]
+
+
+def test_soak_that_is_ended_leaves_no_process():
+    soak = subprocess.Popen(
+        [sys.executable, '-m', 'soak', '--seed', '1', '--minutes', '5'],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    started = psutil.Process(soak.pid)
+    children = []
+    while len(children) < 9:
+        time.sleep(0.1)
+        assert soak.poll() is None
+        children = started.children()
+    soak.terminate()
+    soak.wait(60)
+    _, alive = psutil.wait_procs(children, timeout=10)
+    assert alive == []
