--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,310 @@
+"""The processes of a soak and what the operator publishes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import pathlib
+import socket
+import tempfile
+from dataclasses import dataclass
+
+from bergamotthread.clock import Clock
+from soak.callers import Place
+from soak.orders import StoreOrder, encode_order
+from soak.plan import Plan
+from soak.programs import Program
+from soak.proxy import LoopbackProxy
+from soak.records import Published, Ran, Records
+from soak.runner_process import ENDED, STARTED
+from soak.store_process import DONE
+from standins.platform_runner import (
+    MODEL,
+    PLAIN,
+    manifest,
+    route_of,
+    runner_row,
+)
+
+ZONES = {'a-1': 'a', 'b-1': 'b', 'c-1': 'c'}
+GRACE_S = 8
+KEYS = tuple(f'key-{number}' for number in range(12))
+# The first key is never taken away.
+LASTING_KEY = KEYS[0]
+_READY_S = 15
+_REST_S = 1.0
+_MS_PER_S = 1000
+# Networks of loopback that soaks side by side take, by process.
+_STORE_PORT = 8000
+_NETWORK_MIN = 20
+_NETWORKS = 200
+
+
+@dataclass
+class EntryNode:
+    """An entry, its link to the store, and whether callers may choose it."""
+
+    program: Program
+    place_ip: str
+    store_link: LoopbackProxy
+    is_offered: bool = False
+    is_changing: bool = False
+
+    @property
+    def place(self) -> Place:
+        """Return where it listens now."""
+        address = f'{self.place_ip}:8000'
+        return Place(self.program.name, address, self.program.life)
+
+
+@dataclass
+class RunnerNode:
+    """A runner behind its link."""
+
+    program: Program
+    link: LoopbackProxy
+    service: str
+    zone: str
+    is_changing: bool = False
+
+    @property
+    def instance(self) -> str:
+        """Return the name of its present process."""
+        return f'{self.program.name}-{self.program.life}'
+
+
+class SoakDeployment:
+    """Store, runners behind links, and entries, as processes.
+
+    Parameters
+    ----------
+    records
+        Takes what the processes tell.
+    """
+
+    def __init__(self, plan: Plan, records: Records, clock: Clock) -> None:
+        self.records = records
+        self.clock = clock
+        self.keys = list(KEYS)
+        self.paths: list[str] = []
+        self._net = _free_network()
+        self._folder = tempfile.TemporaryDirectory(prefix='soak-')
+        self._store_address = f'{self._net}.1.1:{_STORE_PORT}'
+        self.store = Program(
+            'store',
+            ('soak.store_process', self._store_address),
+            self._on_store_line,
+        )
+        self.entries = [self._entry(one) for one in range(plan.entries)]
+        self.runners = [self._runner(one) for one in range(plan.runners)]
+        self._version = 0
+        self._added: tuple[str, ...] = ()
+        self._pending: dict[str, Published] = {}
+        self._open_runs: dict[tuple[str, str], float] = {}
+
+    @property
+    def version(self) -> int:
+        """Return the newest version."""
+        return self._version
+
+    async def start(self) -> None:
+        """Start all processes and wait until the entries are ready."""
+        await self.store.start()
+        await self.publish()
+        for runner in self.runners:
+            await runner.link.start()
+            await self.start_runner(runner)
+        for entry in self.entries:
+            await entry.store_link.start()
+            await entry.program.start()
+        await asyncio.gather(*map(self.offer_once_ready, self.entries))
+
+    async def end(self) -> None:
+        """End all processes."""
+        # What callers have left behind still ends at the back ends.
+        await asyncio.sleep(_REST_S)
+        programs = [
+            self.store,
+            *(runner.program for runner in self.runners),
+            *(entry.program for entry in self.entries),
+        ]
+        await asyncio.gather(*(program.end() for program in programs))
+        for runner in self.runners:
+            await runner.link.close()
+        for entry in self.entries:
+            await entry.store_link.close()
+        self._folder.cleanup()
+
+    async def start_runner(self, runner: RunnerNode) -> None:
+        """Start a runner as another incarnation and list it."""
+        program = runner.program
+        address = str(program.arguments[1])
+        instance = f'{program.name}-{program.life + 1}'
+        program.arguments = ('soak.runner_process', address, instance)
+        await program.start()
+        await self.list_runner(runner, 'ready')
+
+    async def list_runner(self, runner: RunnerNode, state: str) -> None:
+        """Write a runner's row."""
+        row = runner_row(
+            runner.link.address,
+            runner.service,
+            runner.zone,
+            born=runner.program.life,
+            state=state,
+        )
+        await self.order_store(
+            StoreOrder('servers', runner.instance, row),
+        )
+
+    async def offer_once_ready(self, entry: EntryNode) -> None:
+        """Let callers choose an entry once it says that it is ready."""
+        end_ms = self.clock.now_ms() + _READY_S * _MS_PER_S
+        while self.clock.now_ms() < end_ms and entry.program.is_running:
+            if await _is_ready(entry.place_ip):
+                entry.is_offered = True
+                return
+            await asyncio.sleep(0.1)
+
+    async def order_store(self, order: StoreOrder) -> None:
+        """Send an order to the store."""
+        await self.store.order(encode_order(order))
+
+    async def publish(self, path: str = '', revoked: str = '') -> None:
+        """Publish a version that adds a route or takes a key away."""
+        self._version += 1
+        if revoked:
+            self.keys.remove(revoked)
+        if path:
+            self._added = (*self._added, path)
+        told = manifest(
+            self._version,
+            tuple(self.keys),
+            tuple(
+                route_of(one, 'idempotent', PLAIN, timeout_ms=1500)
+                for one in self._added
+            ),
+        )
+        mark = f'version-{self._version}'
+        self._pending[mark] = Published(self._version, 0, path, revoked)
+        await self.order_store(
+            StoreOrder('op', 'config', told, mark=mark),
+        )
+
+    def close_records(self) -> None:
+        """Add what has no end yet."""
+        for (runner, request), at_ms in self._open_runs.items():
+            self.records.ran.append(Ran(request, runner, at_ms))
+
+    # processes
+
+    def _entry(self, number: int) -> EntryNode:
+        place_ip = f'{self._net}.2.{number + 1}'
+        link = LoopbackProxy(
+            f'{self._net}.5.{number + 1}:8000',
+            self._store_address,
+        )
+        zone = list(ZONES)[number % len(ZONES)]
+        path = pathlib.Path(self._folder.name) / f'entry{number}.json'
+        told = {
+            'node_name': f'entry{number}',
+            'ip': place_ip,
+            'zone': zone,
+            'zones': ZONES,
+            'listen': {
+                'front': f'{place_ip}:8000',
+                'ready': f'{place_ip}:8001',
+            },
+            'internal_ports': [7000, 7010],
+            'platform': {'address': link.address},
+            'bounds': {
+                'grace_s': GRACE_S,
+                'revoke_ms': 5000,
+                'revoke_everywhere': True,
+                'retry_budget_ratio': 0.8,
+                'retry_budget_slack': 150,
+            },
+        }
+        path.write_text(json.dumps(told))
+        program = Program(
+            f'entry{number}',
+            ('bergamotthread.platform',),
+            self._on_log_line,
+            {'BERGAMOTTHREAD_CONFIG': str(path)},
+        )
+        return EntryNode(program, place_ip, link)
+
+    def _runner(self, number: int) -> RunnerNode:
+        own = f'{self._net}.3.{number + 1}:8080'
+        link = LoopbackProxy(f'{self._net}.4.{number + 1}:8080', own)
+        service = PLAIN if number % 3 == 2 else MODEL
+        zone = list(ZONES)[number // 3 % len(ZONES)]
+        name = f'runner{number}'
+        program = Program(
+            name,
+            ('soak.runner_process', own, f'{name}-1'),
+            lambda line: self._on_run_line(name, line),
+        )
+        return RunnerNode(program, link, service, zone)
+
+    # what the processes tell
+
+    def _on_store_line(self, line: str) -> None:
+        word, mark, at_ms = line.split(' ')
+        told = self._pending.pop(mark, None)
+        if word != DONE or told is None:
+            return
+        self.records.published.append(
+            Published(told.version, float(at_ms), told.path, told.revoked),
+        )
+        if told.path:
+            self.paths.append(told.path)
+
+    def _on_run_line(self, runner: str, line: str) -> None:
+        word, request, at = line.split(' ')
+        at_ms = float(at)
+        if word == STARTED:
+            self._open_runs[runner, request] = at_ms
+        elif word == ENDED:
+            started_ms = self._open_runs.pop((runner, request), at_ms)
+            self.records.ran.append(Ran(request, runner, started_ms, at_ms))
+
+    def _on_log_line(self, line: str) -> None:
+        try:
+            told = json.loads(line)
+        except json.JSONDecodeError:
+            # The last line of a process that was killed.
+            return
+        if told['event'] == 'log-lines-dropped':
+            self.records.dropped_lines += told['count']
+        request = told.get('request')
+        if request:
+            lines = self.records.lines_by_request.setdefault(request, [])
+            lines.append(line)
+
+
+def _free_network() -> str:
+    """Return the start of addresses of loopback that no other soak uses."""
+    for number in range(os.getpid(), os.getpid() + _NETWORKS):
+        network = f'127.{_NETWORK_MIN + number % _NETWORKS}'
+        with socket.socket() as probe:
+            try:
+                probe.bind((f'{network}.1.1', _STORE_PORT))
+            except OSError:
+                continue
+        return network
+    raise OSError(f'no free network of loopback, {_NETWORKS} were tried')
+
+
+async def _is_ready(ip: str) -> bool:
+    """Ask as the balancer does."""
+    try:
+        async with asyncio.timeout(0.5):
+            reader, writer = await asyncio.open_connection(ip, 8001)
+            writer.write(b'GET /api/ready HTTP/1.1\r\nhost: h\r\n\r\n')
+            line = await reader.readline()
+            writer.close()
+    except (OSError, TimeoutError):
+        return False
+    return b' 200 ' in line
