--- a/bergamotthread/process/store/platform.py
+++ b/bergamotthread/process/store/platform.py
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True)
 class Row:
-    """One row of the table; `revision` starts at 1 and rises by each write."""
+    """One row of the table; `revision` is above 0 and rises by each write."""
 
     key: str
     body: bytes
