Soak: count a run that was killed and ran again; end faults before processes

A run open on a killed runner was overwritten when the same runner's next process ran the request again, so a second run could go unseen. Faults in play are cancelled before the processes are ended, since they may start one.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -17,7 +17,7 @@
 from soak.programs import Program
 from soak.proxy import LoopbackProxy
 from soak.records import Published, Ran, Records
-from soak.runner_process import ENDED, STARTED
+from soak.runner_process import ENDED
 from soak.store_process import DONE
 from standins.platform_runner import (
     MODEL,
@@ -264,11 +264,15 @@
     def _on_run_line(self, runner: str, line: str) -> None:
         word, request, at = line.split(' ')
         at_ms = float(at)
-        if word == STARTED:
-            self._open_runs[runner, request] = at_ms
-        elif word == ENDED:
-            started_ms = self._open_runs.pop((runner, request), at_ms)
+        started_ms = self._open_runs.pop((runner, request), None)
+        if word == ENDED:
+            started_ms = at_ms if started_ms is None else started_ms
             self.records.ran.append(Ran(request, runner, started_ms, at_ms))
+            return
+        if started_ms is not None:
+            # Its process was killed, and the next one runs it again.
+            self.records.ran.append(Ran(request, runner, started_ms))
+        self._open_runs[runner, request] = at_ms
 
     def _on_log_line(self, line: str) -> None:
         try:
--- a/soak/session.py
+++ b/soak/session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 
 from bergamotthread.clock import Clock
 from soak.callers import Caller, Choices
@@ -28,6 +29,7 @@
         self._clock = Clock.from_system()
         self._deployment = SoakDeployment(plan, self.records, self._clock)
         self._points_by_process: dict[str, _Points] = {}
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def run(self) -> Records:
         """Play the plan and return what was seen."""
@@ -37,14 +39,15 @@
                 CALLERS_PER_ENTRY * len(self._deployment.entries)
             )
         ]
-        tasks: list[asyncio.Task[None]] = []
         try:
             await self._deployment.start()
-            tasks.append(asyncio.create_task(self._sample()))
-            tasks.extend(asyncio.create_task(one.run()) for one in callers)
+            self._begin(self._sample())
+            for caller in callers:
+                self._begin(caller.run())
             await self._play_all()
         finally:
-            await _cancel(tasks)
+            # Faults that are still played may start processes.
+            await _cancel(self._tasks)
             await self._deployment.end()
         for caller in callers:
             self.records.asked += caller.asked
@@ -55,6 +58,14 @@
         ]
         return self.records
 
+    def _begin(
+        self,
+        work: Coroutine[None, None, None],
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.append(task)
+        return task
+
     def _choices(self) -> Choices:
         deployment = self._deployment
         return Choices(
@@ -83,8 +94,7 @@
         plays: list[asyncio.Task[None]] = []
         for fault in self._plan.faults:
             await self._sleep_until(start_ms, fault.at_s)
-            play = self._play(fault)
-            plays.append(asyncio.create_task(play))
+            plays.append(self._begin(self._play(fault)))
         await self._sleep_until(start_ms, self._plan.seconds)
         await asyncio.gather(*plays)
 
