Soak: a killed process may leave its last lines unwritten

Trace: their entry was killed 1, 1, 5 and 12 ms after the answers; the log writes every 50 ms and never blocks. Ruled out: dropped lines (none). The check allows twice the interval before a kill, and only there; a test has both sides of the bound.

--- a/soak/answer_checks.py
+++ b/soak/answer_checks.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Iterable
 
+from bergamotthread.process.relay.decision_log import FLUSH_INTERVAL_MS
 from soak.findings import BUSY_MS, SETTLE_MS, Finding
 from soak.records import Asked, Ending, Ran, Records
 from standins.platform_runner import event_of
@@ -16,6 +18,8 @@
 GONE_SHARE = 0.25
 # So many may stay: a few requests say nothing of a share.
 GONE_MIN = 2
+# A log that never blocks loses what a killed process has not written yet.
+UNWRITTEN_MS = 2 * FLUSH_INTERVAL_MS
 _OK = 200
 _NOT_RUN = frozenset((408, 421, 429, 503))
 _EVENT = re.compile(rb'id: (\d+)\ndata: t\d+ (\S+)\n\n')
@@ -126,5 +130,19 @@
         if not own or asked.ending is not Ending.WHOLE:
             continue
         lines = records.lines_by_request.get(asked.request, ())
-        if not any(_EXPLAINS.search(line) for line in lines):
-            yield Finding('explained', f'{asked.status}', asked.request)
+        left_ms = _life_left_ms(records, asked)
+        is_lost = 0 <= left_ms < UNWRITTEN_MS
+        explained = any(_EXPLAINS.search(line) for line in lines)
+        if not explained and not is_lost:
+            detail = f'{asked.status}, its process lived {left_ms:.0f} ms more'
+            yield Finding('explained', detail, asked.request)
+
+
+def _life_left_ms(records: Records, asked: Asked) -> float:
+    """Return how long an entry lived after an answer, if it was killed."""
+    killed = [
+        one.at_ms
+        for one in records.killed
+        if (one.entry, one.life) == (asked.entry, asked.life)
+    ]
+    return min(killed, default=math.inf) - asked.ended_ms
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 from soak.orders import RunnerOrder, StoreOrder, encode_order
 from soak.plan import Fault, FaultKind
 from soak.programs import Program
-from soak.records import Stopped
+from soak.records import Killed, Stopped
 
 # A balancer asks each second and takes a process out after two misses.
 OUT_OF_ROTATION_S = 2.0
@@ -49,7 +49,10 @@
     if entry.is_changing:
         return
     entry.is_changing = True
-    entry.program.signal(signal.SIGKILL)
+    program = entry.program
+    now_ms = soak.clock.now_ms()
+    soak.records.killed.append(Killed(program.name, program.life, now_ms))
+    program.signal(signal.SIGKILL)
     await asyncio.sleep(OUT_AFTER_KILL_S)
     entry.is_offered = False
     await entry.program.wait()
--- a/soak/records.py
+++ b/soak/records.py
@@ -115,6 +115,15 @@
     ended_ms: float | None
 
 
+@dataclass(frozen=True)
+class Killed:
+    """An entry's process that was killed without notice."""
+
+    entry: str
+    life: int
+    at_ms: float
+
+
 @dataclass(frozen=True)
 class Memory:
     """Resident memory of a process over its time."""
@@ -132,6 +141,7 @@
     published: list[Published] = field(default_factory=list)
     struck: list[Struck] = field(default_factory=list)
     stopped: list[Stopped] = field(default_factory=list)
+    killed: list[Killed] = field(default_factory=list)
     memory: list[Memory] = field(default_factory=list)
     lines_by_request: dict[str, list[str]] = field(default_factory=dict)
     dropped_lines: int = 0
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -10,6 +10,7 @@
 from soak.records import (
     Asked,
     Ending,
+    Killed,
     Kind,
     Memory,
     Published,
@@ -125,6 +126,19 @@
     assert rule or not _rules(records)
 
 
+@pytest.mark.parametrize(
+    ('left_ms', 'rules'), [(90, set()), (110, {'explained'})]
+)
+def test_line_that_a_killed_process_had_not_written_may_be_missing(
+    left_ms,
+    rules,
+):
+    records = _sound()
+    records.lines_by_request = {}
+    records.killed = [Killed('entry0', 1, 21_000 + left_ms)]
+    assert _rules(records) == rules
+
+
 def test_second_run_of_what_runs_once_is_found():
     records = _sound()
     records.ran.append(Ran('a', 'r2', 22_000, 22_100))
