One paging of the store's rows, one transaction, one decoding

The change that put the product's tables on the store's calls paged rows in two places, wrote the same transaction twice and translated the decoder's errors above the client, since two of its calls raised them as they were. read_rows pages for all, _transact sends all changes, _decoded raises StoreCallError for all answers. No change of behaviour; the tests are as they were.

--- a/bergamotthread/platform/store.py
+++ b/bergamotthread/platform/store.py
@@ -6,6 +6,7 @@
 import binascii
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import TypeVar
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -27,6 +28,9 @@
 _GONE = 410
 _NOT_AS_EXPECTED = 412
 
+_Told = TypeVar('_Told')
+_WireFields = dict[str, str | int]
+
 
 class StoreCallError(BergamotError):
     """The store did not answer as expected."""
@@ -85,14 +89,11 @@
     age_ms
         How long before the question was asked this was current; 0 from the
         store itself.
-    has_more
-        Whether the answer was cut at its largest size.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     age_ms: float = 0
-    has_more: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,15 +134,38 @@
     pool: UpstreamPool
     calls: int = 0
 
-    async def read_all(self, table: str) -> RowsRead:
-        """Return all rows of a table's empty part."""
+    async def read_rows(
+        self,
+        table: str,
+        start: str = '',
+        end: str = '',
+        limit: int | None = None,
+    ) -> RowsRead:
+        """Return the rows of a table's empty part, in order of their keys.
+
+        Parameters
+        ----------
+        start, end
+            First key, and the key before which to stop; empty for no bound.
+        limit
+            Most rows to return.
+
+        Raises
+        ------
+        StoreCallError
+            If the store did not answer.
+        """
         rows: list[StoredRow] = []
         version = 0
-        start = ''
+        bounds = {'from': start, 'target': end}
         while True:
-            query = {'table': table, 'part': '', 'limit': str(PAGE_ROWS)}
-            if start:
-                query['from'] = start
+            left = PAGE_ROWS if limit is None else limit - len(rows)
+            query = {
+                'table': table,
+                'part': '',
+                'limit': str(min(left, PAGE_ROWS)),
+                **{name: key for name, key in bounds.items() if key},
+            }
             page = await self._rows(
                 self.address,
                 'rows-get',
@@ -150,36 +174,10 @@
             )
             version = version or page.ver
             rows.extend(_rows(page.rows))
-            if not page.has_more or not page.rows:
+            is_full = limit is not None and len(rows) >= limit
+            if is_full or not page.has_more or not page.rows:
                 return RowsRead(tuple(rows), version)
-            start = f'{page.rows[-1].key}\0'
-
-    async def read_range(
-        self,
-        table: str,
-        start: str,
-        end: str,
-        limit: int,
-    ) -> RowsRead:
-        """Return up to `limit` rows with keys from `start` to before `end`.
-
-        A call returns 500 rows at most, so there may be more even if fewer
-        than `limit` are returned.
-        """
-        query = {
-            'table': table,
-            'part': '',
-            'from': start,
-            'target': end,
-            'limit': str(min(limit, PAGE_ROWS)),
-        }
-        page = await self._rows(
-            self.address,
-            'rows-get',
-            query,
-            CALL_TIMEOUT_MS,
-        )
-        return _read(page, 0)
+            bounds['from'] = f'{page.rows[-1].key}\0'
 
     async def change(self, change: RowChange) -> int:
         """Change one row and return the version that it got.
@@ -191,25 +189,14 @@
         StoreCallError
             If the store did not answer; the change may have taken effect.
         """
-        row = {'table': change.table, 'part': '', 'key': change.key}
-        puts = []
-        removed = []
+        row = _row_name(change.table, change.key)
+        condition = {**row, 'ver': change.expected}
         if change.payload is None:
-            removed.append(row)
+            body = await self._transact(expected=[condition], removed=[row])
         else:
-            told = base64.b64encode(change.payload).decode()
-            puts.append({**row, 'value': told})
-        changes = {
-            'expected_rev': [{**row, 'ver': change.expected}],
-            'puts': puts,
-            'remove': removed,
-        }
-        body = await self._call(
-            self.address,
-            Asked(b'POST', b'/api/rows-tx', msgspec.json.encode(changes)),
-            CALL_TIMEOUT_MS,
-        )
-        return msgspec.json.decode(body, type=WireRows).ver
+            put = {**row, 'value': _encoded(change.payload)}
+            body = await self._transact(expected=[condition], puts=[put])
+        return self._decoded(body, WireRows).ver
 
     async def put_object(self, name: str, body: bytes) -> None:
         """Store an object under a name that is not taken.
@@ -251,7 +238,7 @@
                 Asked(b'GET', target),
                 CALL_TIMEOUT_MS,
             )
-            page = msgspec.json.decode(body, type=_WireNames)
+            page = self._decoded(body, _WireNames)
             names.extend(page.names)
             if not page.has_more or not page.names or len(names) >= limit:
                 return tuple(names[:limit])
@@ -324,14 +311,18 @@
         StoreCallError
             If the store did not say that it was written.
         """
-        row = {
-            'table': table,
-            'part': '',
-            'key': key,
-            'value': base64.b64encode(payload).decode(),
-        }
-        changes = {'expected_rev': [], 'puts': [row], 'remove': []}
-        await self._call(
+        row = _row_name(table, key)
+        await self._transact(puts=[{**row, 'value': _encoded(payload)}])
+
+    async def _transact(
+        self,
+        expected: Sequence[_WireFields] = (),
+        puts: Sequence[_WireFields] = (),
+        removed: Sequence[_WireFields] = (),
+    ) -> bytes:
+        """Change rows together and return the answer."""
+        changes = {'expected_rev': expected, 'puts': puts, 'remove': removed}
+        return await self._call(
             self.address,
             Asked(b'POST', b'/api/rows-tx', msgspec.json.encode(changes)),
             CALL_TIMEOUT_MS,
@@ -359,10 +350,13 @@
     ) -> WireRows:
         target = f'/api/{call}?{urlencode(query)}'.encode()
         body = await self._call(address, Asked(b'GET', target), timeout_ms)
+        return self._decoded(body, WireRows)
+
+    def _decoded(self, body: bytes, kind: type[_Told]) -> _Told:
         try:
-            return msgspec.json.decode(body, type=WireRows)
+            return msgspec.json.decode(body, type=kind)
         except msgspec.MsgspecError as error:
-            raise self._error(f'{call}: {error}') from error
+            raise self._error(f'{kind.__name__}: {error}') from error
 
     async def _call(
         self,
@@ -394,14 +388,21 @@
 }
 
 
+def _row_name(table: str, key: str) -> _WireFields:
+    return {'table': table, 'part': '', 'key': key}
+
+
+def _encoded(payload: bytes) -> str:
+    return base64.b64encode(payload).decode()
+
+
 def _object_target(call: str, name: str) -> bytes:
     return f'/api/blob-{call}/{quote(name, safe="")}'.encode()
 
 
 def _read(page: WireRows, after: int) -> RowsRead:
     rows = tuple(_rows(page.rows))
-    version = max(page.ver, after)
-    return RowsRead(rows, version, page.age_ms, page.has_more)
+    return RowsRead(rows, max(page.ver, after), page.age_ms)
 
 
 def _rows(told: Sequence[WireRow]) -> list[StoredRow]:
--- a/bergamotthread/platform/tables.py
+++ b/bergamotthread/platform/tables.py
@@ -53,7 +53,7 @@
     async def read(self, key: str) -> Row | None:
         """Return the row, or None where there is none."""
         with _translated():
-            read = await self._calls.read_range(
+            read = await self._calls.read_rows(
                 ROWS_TABLE,
                 key,
                 f'{key}\0',
@@ -77,21 +77,14 @@
 
     async def scan(self, prefix: str, *, limit: int) -> tuple[Row, ...]:
         """Return up to `limit` rows whose keys start with `prefix`."""
-        rows: list[Row] = []
-        start = prefix
-        has_more = True
-        while has_more and len(rows) < limit:
-            with _translated():
-                read = await self._calls.read_range(
-                    ROWS_TABLE,
-                    start,
-                    f'{prefix}{_AFTER_ALL}',
-                    limit - len(rows),
-                )
-            rows.extend(_rows(read.rows))
-            has_more = read.has_more and bool(read.rows)
-            start = f'{rows[-1].key}\0' if rows else start
-        return tuple(rows)
+        with _translated():
+            read = await self._calls.read_rows(
+                ROWS_TABLE,
+                prefix,
+                f'{prefix}{_AFTER_ALL}',
+                limit,
+            )
+        return _rows(read.rows)
 
 
 class StoredObjects(ObjectStore):
@@ -129,7 +122,7 @@
     async def hosts(self) -> tuple[HostEntry, ...]:
         """Return all hosts that the platform lists."""
         with _translated():
-            read = await self._calls.read_all(HOSTS_TABLE)
+            read = await self._calls.read_rows(HOSTS_TABLE)
         decoded = (_host(row) for row in read.rows)
         return tuple(host for host in decoded if host is not None)
 
@@ -158,15 +151,17 @@
             step=Step.STORE,
             peer=error.peer,
         ) from error
-    except (StoreCallError, msgspec.MsgspecError) as error:
+    except StoreCallError as error:
         raise StoreUnavailableError(
             f'no answer from the platform: {error}',
             step=Step.STORE,
         ) from error
 
 
-def _rows(stored: tuple[StoredRow, ...]) -> list[Row]:
-    return [Row(row.key, row.payload or b'', row.version) for row in stored]
+def _rows(stored: tuple[StoredRow, ...]) -> tuple[Row, ...]:
+    return tuple(
+        Row(row.key, row.payload or b'', row.version) for row in stored
+    )
 
 
 def _host(row: StoredRow) -> HostEntry | None:
--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -155,7 +155,7 @@
 
     async def _read_all(self) -> None:
         asked_ms = self._clock.boot_ms()
-        read = await self._store.read_all(self.table)
+        read = await self._store.read_rows(self.table)
         self.take_all(read.rows)
         self._version = read.version
         self.history.restart(read.version, asked_ms)
