One loop of attempts for plain calls and streams

PlainRelay had been given a copy of StreamRelay's loop, after both had had the same fault one after the other (a repeat spent on each look for an upstream). run_attempts holds the loop, the pause and the place of the budget; AttemptLimits the time, number and budget; the relays say what differs. No change of behaviour.

--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -6,6 +6,10 @@
 from bergamotthread.process.relay.choice import Work
 from bergamotthread.process.relay.upstreams import Upstream
 from bergamotthread.request.relay.attempt import Attempt, read_whole
+from bergamotthread.request.relay.attempt_loop import (
+    AttemptLimits,
+    run_attempts,
+)
 from bergamotthread.request.relay.call import AttemptHeaders, RelayedCall
 from bergamotthread.request.relay.outcomes import (
     Answered,
@@ -23,8 +27,6 @@
 PATIENCE_SHARE = 0.6
 # Time that an upstream is given beyond the deadline to say that it is over.
 ANSWER_MARGIN_MS = 30
-# Pause before looking for an upstream again where there was none.
-LOOK_AGAIN_MS = 100
 # Share of a request's time for which it waits for any upstream.
 WAIT_SHARE = 0.2
 RETRY_AFTER_MS = 300
@@ -38,7 +40,7 @@
         self._call = call
         self._parts = parts
         self._excluded: frozenset[str] = frozenset()
-        self._sent = 0
+        self._limits = AttemptLimits(call, parts)
         self._may_have_run = False
         self._last = ''
         received_ms = call.request.received_ms
@@ -47,67 +49,48 @@
 
     async def run(self) -> None:
         """Answer the caller."""
-        self._parts.budget.record_first(self._call.service.name)
-        while self._remaining_ms() > 0 and self._may_send():
-            upstream = self._choose()
-            if upstream is None:
-                goes_on = await self._look_again()
-            else:
-                goes_on = self._is_affordable()
-            if not goes_on:
-                break
-            if upstream is not None and await self._is_settled_at(upstream):
-                return
-        self._refuse(self._final_refusal())
-
-    async def _is_settled_at(self, upstream: Upstream) -> bool:
-        """Run an attempt; return whether the caller has its answer."""
-        outcome = await self._attempt(upstream)
-        self._log_outcome(upstream, outcome)
-        return self._settles(upstream, outcome)
+        if not await run_attempts(self._limits, self):
+            self._refuse(self._final_refusal())
 
-    def _remaining_ms(self) -> float:
-        return self._call.deadline_ms - self._parts.clock.now_ms()
+    def may_send(self) -> bool:
+        """Return whether the route allows another attempt."""
+        return self._limits.is_below_max
 
-    def _choose(self) -> Upstream | None:
+    async def place(self) -> Upstream | None:
+        """Return the upstream of the next attempt, or none for now."""
         work = Work(self._call.service.name, excluded=self._excluded)
         upstream = self._parts.choice.choose(work)
         if upstream is None and self._excluded:
             self._excluded = frozenset()
         return upstream
 
-    async def _look_again(self) -> bool:
-        if self._parts.clock.now_ms() > self._look_until_ms:
-            return False
-        await self._parts.clock.sleep_ms(LOOK_AGAIN_MS)
-        return True
-
-    def _may_send(self) -> bool:
-        return self._sent < self._call.route.attempts_max
+    def may_wait(self) -> bool:
+        """Return whether there is time to look for an upstream again."""
+        return self._parts.clock.now_ms() <= self._look_until_ms
 
-    def _is_affordable(self) -> bool:
-        """Return whether this attempt is the first or within the budget."""
-        if not self._sent:
-            return True
-        return self._parts.budget.spend(self._call.service.name)
+    async def is_settled_at(self, place: Upstream) -> bool:
+        """Run an attempt; return whether the caller has its answer."""
+        outcome = await self._attempt(place)
+        self._log_outcome(place, outcome)
+        return self._settles(place, outcome)
 
     async def _attempt(self, upstream: Upstream) -> AttemptOutcome:
         told = AttemptHeaders(
             upstream.record.instance,
-            self._remaining_ms(),
+            self._limits.remaining_ms,
         )
         with Attempt(self._call, upstream, self._parts) as attempt:
             not_sent = await attempt.send(told)
             if not_sent is not None:
                 return not_sent
-            self._sent += 1
+            self._limits.sent += 1
             return await read_whole(attempt, self._patience_ms())
 
     def _patience_ms(self) -> float:
         """Return how long this attempt may take."""
-        left_ms = self._remaining_ms() + ANSWER_MARGIN_MS
+        left_ms = self._limits.remaining_ms + ANSWER_MARGIN_MS
         may_repeat = self._call.route.repeatability.may_repeat
-        if not may_repeat or self._sent > 1:
+        if not may_repeat or self._limits.sent > 1:
             return left_ms
         goal_ms = self._call.route.first_event_goal_ms
         return min(left_ms, goal_ms * PATIENCE_SHARE)
@@ -135,8 +118,8 @@
     def _may_repeat(self) -> bool:
         return (
             self._call.route.repeatability.may_repeat
-            and self._may_send()
-            and self._remaining_ms() > 0
+            and self.may_send()
+            and self._limits.remaining_ms > 0
         )
 
     def _settle_unknown(self, outcome: AttemptOutcome) -> bool:
@@ -174,7 +157,7 @@
             reason=refusal.reason,
             detail=refusal.detail,
             version=self._call.version,
-            sent=self._sent,
+            sent=self._limits.sent,
         )
         send_refusal(self._call.exchange, refusal)
 
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -25,6 +25,10 @@
 )
 from bergamotthread.process.relay.upstreams import Upstream
 from bergamotthread.request.relay.attempt import MISDIRECTED, Attempt
+from bergamotthread.request.relay.attempt_loop import (
+    AttemptLimits,
+    run_attempts,
+)
 from bergamotthread.request.relay.call import AttemptHeaders, RelayedCall
 from bergamotthread.request.relay.copies import CopyKeeper
 from bergamotthread.request.relay.events import (
@@ -51,8 +55,6 @@
 STALL_MS = 1200
 # The same before the first event of a run that goes on from a copy.
 COPY_STALL_MS = 1500
-# Pause before looking for an upstream again where there was none.
-LOOK_AGAIN_MS = 100
 # Share of the goal for which a stream waits for any upstream.
 WAIT_SHARE = 0.4
 RETRY_AFTER_MS = 500
@@ -66,7 +68,7 @@
         self._call = call
         self._parts = parts
         self._excluded: frozenset[str] = frozenset()
-        self._sent = 0
+        self._limits = AttemptLimits(call, parts)
         self._may_have_run = False
         self._last_event = call.resume_after
         self._placer = StreamPlacer(call, parts)
@@ -81,49 +83,21 @@
 
     async def run(self) -> None:
         """Answer the caller."""
-        self._parts.budget.record_first(self._call.service.name)
         try:
-            await self._run_attempts()
+            if not await run_attempts(self._limits, self):
+                self._give_up()
             await self._copies.free()
         finally:
             self._copies.drop()
 
-    async def _run_attempts(self) -> None:
-        while self._remaining_ms() > 0 and self._may_send():
-            placement = await self._place()
-            if placement is None:
-                goes_on = await self._look_again()
-            else:
-                goes_on = self._is_affordable()
-            if not goes_on:
-                break
-            if placement is not None and await self._is_settled_at(placement):
-                return
-        self._give_up()
-
-    async def _is_settled_at(self, placement: Placement) -> bool:
-        """Run an attempt; return whether the caller needs no other."""
-        outcome = await self._attempt(placement)
-        self._log_outcome(placement, outcome)
-        return self._settles(placement, outcome)
-
-    def _remaining_ms(self) -> float:
-        return self._call.deadline_ms - self._parts.clock.now_ms()
-
-    def _may_send(self) -> bool:
+    def may_send(self) -> bool:
         """Return whether the kind and the route allow another attempt."""
         may_repeat = self._call.route.repeatability.may_repeat
         if self._may_have_run and not may_repeat:
             return False
-        return self._sent < self._call.route.attempts_max
+        return self._limits.is_below_max
 
-    def _is_affordable(self) -> bool:
-        """Return whether this attempt is the first or within the budget."""
-        if not self._sent:
-            return True
-        return self._parts.budget.spend(self._call.service.name)
-
-    async def _place(self) -> Placement | None:
+    async def place(self) -> Placement | None:
         """Return where the next attempt goes, or none for now."""
         copy = self._copies.take()
         if copy is not None and self._pace.parts:
@@ -136,27 +110,31 @@
             self._excluded = frozenset()
         return placement
 
+    def may_wait(self) -> bool:
+        """Return whether there is time to look for an upstream again."""
+        if self._call.exchange.has_head or self._may_have_run:
+            return True
+        return self._parts.clock.now_ms() <= self._look_until_ms
+
+    async def is_settled_at(self, place: Placement) -> bool:
+        """Run an attempt; return whether the caller needs no other."""
+        outcome = await self._attempt(place)
+        self._log_outcome(place, outcome)
+        return self._settles(place, outcome)
+
     def _work(self, *excluded: str) -> Work:
         return self._placer.work(
             self._excluded.union(excluded),
-            is_first=not self._sent,
+            is_first=not self._limits.sent,
         )
 
-    async def _look_again(self) -> bool:
-        may_wait = self._call.exchange.has_head or self._may_have_run
-        now_ms = self._parts.clock.now_ms()
-        if not may_wait and now_ms > self._look_until_ms:
-            return False
-        await self._parts.clock.sleep_ms(LOOK_AGAIN_MS)
-        return True
-
     async def _attempt(self, placement: Placement) -> AttemptOutcome:
         upstream = placement.upstream
         target = placement.target
         copy = placement.copy
         told = AttemptHeaders(
             upstream.record.instance,
-            self._remaining_ms(),
+            self._limits.remaining_ms,
             resume_after=self._last_event,
             copy_target=target.address if target else '',
             copy_source=copy.source if copy else '',
@@ -165,7 +143,7 @@
             not_sent = await attempt.send(told)
             if not_sent is not None:
                 return not_sent
-            self._sent += 1
+            self._limits.sent += 1
             self._pace = Pace(attempt.sent_ms)
             self._is_from_copy = copy is not None
             self._copies.begin(upstream, target)
@@ -310,7 +288,7 @@
             return
         if self._may_have_run:
             refusal = RelayRefusal(502, 'upstream-lost', self._last)
-        elif self._sent and self._remaining_ms() <= 0:
+        elif self._limits.sent and self._limits.remaining_ms <= 0:
             refusal = RelayRefusal(504, 'timeout', 'no event in time')
         else:
             refusal = RelayRefusal(
@@ -331,7 +309,7 @@
             reason=reason,
             detail=self._last,
             version=self._call.version,
-            sent=self._sent,
+            sent=self._limits.sent,
             last_event=self._last_event,
         )
 
@@ -344,7 +322,7 @@
         self._parts.log.write(
             'stream-ended',
             request=self._call.label,
-            attempts=self._sent,
+            attempts=self._limits.sent,
             events=pace.parts,
             first_ms=round(pace.first_ms),
             longest_pause_ms=round(pace.longest_gap_ms),
