Soak and stand-ins: one settings document, one listen, one guard of changes

The settings of an entry were written out in the tests, the soak and a benchmark, and their bounds once more in the soak's checks; they stand in standins/platform_settings.py. The stand-ins listen by the product's own function; loopback.connect replaces six partings of an address; _strike_node holds the guard that four faults repeated. Gone: a flag of answers that nothing read, and a record of faults in play that no check could see, since checks run when all is over. The benchmark's entry gets the platform's bounds now.

--- a/benchmarks/entry_process.py
+++ b/benchmarks/entry_process.py
@@ -19,14 +19,24 @@
 import click
 import psutil
 
-from bergamotthread.testing.loopback import free_address, free_port
+from bergamotthread.testing.loopback import (
+    connect,
+    free_address,
+    free_port,
+)
 from soak.orders import RunnerOrder, StoreOrder, encode_order
 from soak.programs import Program
-from standins.platform_runner import MODEL, PLAIN, manifest, runner_row
+from standins.platform_runner import (
+    MODEL,
+    PLAIN,
+    STREAM_EVENTS,
+    manifest,
+    runner_row,
+)
+from standins.platform_settings import entry_settings
 
 SHORT_REQUESTS = 3000
 STREAMS = 100
-EVENTS = 60
 CONNECTIONS = 8
 SLOW_READERS = 100
 COMMENT_BYTES = 16_384
@@ -84,7 +94,7 @@
         await asyncio.gather(
             *(_stream(running, number) for number in range(STREAMS)),
         )
-        event_us = (running.cpu_us() - before_us) / (STREAMS * EVENTS)
+        event_us = (running.cpu_us() - before_us) / (STREAMS * STREAM_EVENTS)
         memory_mb = running.memory_mb()
         order = RunnerOrder(comment=COMMENT_BYTES)
         await running.model.order(encode_order(order))
@@ -94,7 +104,7 @@
 
 async def _short_requests(running: _Running, count: int) -> None:
     async def call(number: int) -> None:
-        reader, writer = await _connect(running)
+        reader, writer = await connect(running.front)
         for done in range(count // CONNECTIONS):
             name = f'short-{count}-{number}-{done}'
             writer.write(_request('GET', '/any/x', name))
@@ -108,7 +118,7 @@
 
 
 async def _stream(running: _Running, number: int) -> None:
-    reader, writer = await _connect(running)
+    reader, writer = await connect(running.front)
     writer.write(_request('POST', '/stream/x', f'stream-{number}'))
     await reader.readuntil(b'0\r\n\r\n')
     writer.close()
@@ -135,13 +145,6 @@
     return memory_mb
 
 
-async def _connect(
-    running: _Running,
-) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-    host, _, port = running.front.rpartition(':')
-    return await asyncio.open_connection(host, int(port))
-
-
 def _request(method: str, path: str, name: str) -> bytes:
     lines = [
         f'{method} {path} HTTP/1.1',
@@ -183,14 +186,10 @@
 def _settings(store: str) -> dict[str, object]:
     first = free_port()
     return {
-        'node_name': 'entry',
         # Apart from the others, since its ports lie side by side.
-        'ip': '127.0.0.2',
-        'zone': 'a-1',
-        'zones': {'a-1': 'a'},
+        **entry_settings('entry', '127.0.0.2', 'a-1', store),
         'listen': {'front': free_address(), 'ready': free_address()},
         'internal_ports': [first, first + 10],
-        'platform': {'address': store},
     }
 
 
--- a/bergamotthread/testing/loopback.py
+++ b/bergamotthread/testing/loopback.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import os
 import socket
@@ -34,3 +35,17 @@
 def free_address() -> str:
     """Return an address of loopback with a free port."""
     return f'{LOOPBACK}:{free_port()}'
+
+
+async def connect(
+    address: str,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection to an address (IP number and port).
+
+    Raises
+    ------
+    OSError
+        If nothing accepts it.
+    """
+    host, _, port = address.rpartition(':')
+    return await asyncio.open_connection(host, int(port))
--- a/soak/answer_checks.py
+++ b/soak/answer_checks.py
@@ -9,10 +9,8 @@
 from bergamotthread.process.relay.decision_log import FLUSH_INTERVAL_MS
 from soak.findings import BUSY_MS, SETTLE_MS, Finding
 from soak.records import Asked, Ending, Ran, Records
-from standins.platform_runner import event_of
+from standins.platform_runner import STREAM_EVENTS, event_of
 
-# Events of a whole stream of the stand-ins.
-EVENTS = 60
 # The platform's rules: half a second, a quarter of the requests.
 GONE_MS = 500
 GONE_SHARE = 0.25
@@ -41,7 +39,8 @@
 
 def _check_events(asked: Asked) -> Iterable[Finding]:
     expected = b''.join(
-        event_of(asked.request.encode(), number + 1) for number in range(EVENTS)
+        event_of(asked.request.encode(), number + 1)
+        for number in range(STREAM_EVENTS)
     )
     if asked.body == expected:
         return
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
+from bergamotthread.testing.loopback import connect
 from soak.records import Asked, Ending, Kind
 from standins.platform_runner import REQUEST_ID, SEAL
 
@@ -42,7 +43,6 @@
     status: int = 0
     sealed: bool = False
     keeps: bool = False
-    is_whole: bool = False
     body: bytearray = field(default_factory=bytearray)
 
 
@@ -206,9 +206,8 @@
         answer: Answer,
     ) -> Ending:
         if self._writer is None:
-            host, _, port = place.address.rpartition(':')
             try:
-                opened = await asyncio.open_connection(host, int(port))
+                opened = await connect(place.address)
             except OSError:
                 return Ending.UNCONNECTED
             self._reader = opened[0]
@@ -243,7 +242,6 @@
     else:
         length = int(headers[b'content-length'])
         answer.body += await reader.readexactly(length)
-    answer.is_whole = True
 
 
 async def _read_chunks(reader: asyncio.StreamReader, answer: Answer) -> None:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from bergamotthread.clock import Clock
+from bergamotthread.testing.loopback import connect
 from soak.callers import Place
 from soak.orders import StoreOrder, encode_order
 from soak.plan import Plan
@@ -26,9 +27,13 @@
     route_of,
     runner_row,
 )
+from standins.platform_settings import (
+    FRONT_PORT,
+    READY_PORT,
+    ZONES,
+    entry_settings,
+)
 
-ZONES = {'a-1': 'a', 'b-1': 'b', 'c-1': 'c'}
-GRACE_S = 8
 KEYS = tuple(f'key-{number}' for number in range(12))
 # The first key is never taken away.
 LASTING_KEY = KEYS[0]
@@ -54,7 +59,7 @@
     @property
     def place(self) -> Place:
         """Return where it listens now."""
-        address = f'{self.place_ip}:8000'
+        address = f'{self.place_ip}:{FRONT_PORT}'
         return Place(self.program.name, address, self.program.life)
 
 
@@ -207,25 +212,12 @@
         )
         zone = list(ZONES)[number % len(ZONES)]
         path = pathlib.Path(self._folder.name) / f'entry{number}.json'
-        told = {
-            'node_name': f'entry{number}',
-            'ip': place_ip,
-            'zone': zone,
-            'zones': ZONES,
-            'listen': {
-                'front': f'{place_ip}:8000',
-                'ready': f'{place_ip}:8001',
-            },
-            'internal_ports': [7000, 7010],
-            'platform': {'address': link.address},
-            'bounds': {
-                'grace_s': GRACE_S,
-                'revoke_ms': 5000,
-                'revoke_everywhere': True,
-                'retry_budget_ratio': 0.8,
-                'retry_budget_slack': 150,
-            },
-        }
+        told = entry_settings(
+            f'entry{number}',
+            place_ip,
+            zone,
+            link.address,
+        )
         path.write_text(json.dumps(told))
         program = Program(
             f'entry{number}',
@@ -305,7 +297,7 @@
     """Ask as the balancer does."""
     try:
         async with asyncio.timeout(0.5):
-            reader, writer = await asyncio.open_connection(ip, 8001)
+            reader, writer = await connect(f'{ip}:{READY_PORT}')
             writer.write(b'GET /api/ready HTTP/1.1\r\nhost: h\r\n\r\n')
             line = await reader.readline()
             writer.close()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,12 +5,14 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
-from soak.deployment import GRACE_S, EntryNode, RunnerNode, SoakDeployment
+from soak.deployment import EntryNode, RunnerNode, SoakDeployment
 from soak.orders import RunnerOrder, StoreOrder, encode_order
 from soak.plan import Fault, FaultKind
 from soak.programs import Program
 from soak.records import Killed, Stopped
+from standins.platform_settings import GRACE_S
 
 # A balancer asks each second and takes a process out after two misses.
 OUT_OF_ROTATION_S = 2.0
@@ -20,6 +22,17 @@
 LATE_STORE_MS = 700
 LINK_DELAY_MS = 150
 
+_Node = TypeVar('_Node', EntryNode, RunnerNode)
+
+# Faults of which one at a time may be at work on a process.
+_CHANGES = frozenset(
+    (
+        FaultKind.KILL_ENTRY,
+        FaultKind.STOP_ENTRY,
+        FaultKind.KILL_RUNNER,
+        FaultKind.DRAIN_RUNNER,
+    ),
+)
 _RUNNER_ORDERS = {
     FaultKind.REFUSE_RUNNER: RunnerOrder(not_run=True),
     FaultKind.STALL_RUNNER: RunnerOrder(stalls_after=20),
@@ -36,19 +49,33 @@
     on_entry = _ON_ENTRY.get(fault.kind)
     on_runner = _ON_RUNNER.get(fault.kind)
     if on_entry is not None:
-        await on_entry(soak, soak.entries[fault.target], fault)
+        await _strike_node(soak, soak.entries[fault.target], fault, on_entry)
     elif on_runner is not None:
-        await on_runner(soak, soak.runners[fault.target], fault)
+        await _strike_node(soak, soak.runners[fault.target], fault, on_runner)
     else:
         await _ON_STORE[fault.kind](soak, fault)
 
 
+async def _strike_node(
+    soak: SoakDeployment,
+    node: _Node,
+    fault: Fault,
+    action: Callable[[SoakDeployment, _Node, Fault], Awaitable[None]],
+) -> None:
+    """Play a fault on a process, unless it is being replaced or drained."""
+    if fault.kind not in _CHANGES:
+        await action(soak, node, fault)
+        return
+    if node.is_changing:
+        return
+    node.is_changing = True
+    await action(soak, node, fault)
+    node.is_changing = False
+
+
 async def _kill_entry(
     soak: SoakDeployment, entry: EntryNode, fault: Fault
 ) -> None:
-    if entry.is_changing:
-        return
-    entry.is_changing = True
     program = entry.program
     now_ms = soak.clock.now_ms()
     soak.records.killed.append(Killed(program.name, program.life, now_ms))
@@ -63,9 +90,6 @@
 async def _stop_entry(
     soak: SoakDeployment, entry: EntryNode, fault: Fault
 ) -> None:
-    if entry.is_changing:
-        return
-    entry.is_changing = True
     life = entry.program.life
     at_ms = soak.clock.now_ms()
     entry.program.signal(signal.SIGTERM)
@@ -89,7 +113,6 @@
 async def _start_entry(soak: SoakDeployment, entry: EntryNode) -> None:
     await entry.program.start()
     await soak.offer_once_ready(entry)
-    entry.is_changing = False
 
 
 async def _pause_entry(
@@ -115,9 +138,6 @@
 async def _kill_runner(
     soak: SoakDeployment, runner: RunnerNode, fault: Fault
 ) -> None:
-    if runner.is_changing:
-        return
-    runner.is_changing = True
     former = runner.instance
     runner.program.signal(signal.SIGKILL)
     await runner.program.wait()
@@ -125,7 +145,6 @@
     await soak.order_store(StoreOrder('servers', former))
     await asyncio.sleep(max(fault.for_s - LAPSE_S, 0))
     await soak.start_runner(runner)
-    runner.is_changing = False
 
 
 async def _pause_runner(
@@ -137,13 +156,9 @@
 async def _drain_runner(
     soak: SoakDeployment, runner: RunnerNode, fault: Fault
 ) -> None:
-    if runner.is_changing:
-        return
-    runner.is_changing = True
     await soak.list_runner(runner, 'draining')
     await asyncio.sleep(fault.for_s)
     await soak.list_runner(runner, 'ready')
-    runner.is_changing = False
 
 
 async def _reset_link(
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -7,6 +7,8 @@
 import socket
 import struct
 
+from bergamotthread.testing.loopback import connect
+
 _CHUNK_BYTES = 65_536
 # Closes with a reset instead of an end of the stream.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -76,14 +78,10 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        host, _, port = self.target.rpartition(':')
         self._writers.add(writer)
         try:
             await self.up.is_open.wait()
-            far_reader, far_writer = await asyncio.open_connection(
-                host,
-                int(port),
-            )
+            far_reader, far_writer = await connect(self.target)
         except OSError:
             self._drop(writer)
             return
--- a/soak/session.py
+++ b/soak/session.py
@@ -105,13 +105,8 @@
     async def _play(self, fault: Fault) -> None:
         at_ms = self._clock.now_ms()
         self.timeline.append(str(fault))
-        if fault.kind not in PLANNED:
-            # Until it is over, nothing counts as calm.
-            open_ended = Struck(fault.kind, '', at_ms, float('inf'))
-            self.records.struck.append(open_ended)
         await strike(self._deployment, fault)
         if fault.kind not in PLANNED:
-            self.records.struck.remove(open_ended)
             over_ms = self._clock.now_ms()
             self.records.struck.append(
                 Struck(fault.kind, str(fault.target), at_ms, over_ms),
--- a/soak/system_checks.py
+++ b/soak/system_checks.py
@@ -8,13 +8,16 @@
 from benchmarks.capacity_rows import Fit
 from soak.findings import BUSY_MS, SETTLE_MS, Finding
 from soak.records import Asked, Ending, Memory, Records, Stopped
-
-# The bounds of the settings that the soak's entries get.
-REVOKE_MS = 5000
+from standins.platform_settings import (
+    GRACE_S,
+    REPEAT_RATIO,
+    REPEAT_SLACK,
+    REVOKE_MS,
+)
+
+# The platform's bounds where its settings name none.
 APPLY_MS = 3000
-GRACE_MS = 8000
-REPEAT_RATIO = 0.8
-REPEAT_SLACK = 150
+GRACE_MS = GRACE_S * 1000
 REPEAT_WINDOW_MS = 10_000
 # New work ends a few seconds after the request to stop.
 NEW_WORK_MS = 4000
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -19,6 +19,8 @@
 REQUEST_ID = b'bergamotthread-request-id'
 EVENT_MS = 40
 PREFILL_MS = 400
+# Events of a whole stream.
+STREAM_EVENTS = 60
 
 
 @dataclass
@@ -75,7 +77,7 @@
     stalls_after: int | None = None
     answer: bytes = b'answer'
     work_ms: float = 30
-    events: int = 60
+    events: int = STREAM_EVENTS
     copies: set[str] = field(default_factory=set)
 
 
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -12,6 +12,7 @@
     CallerServer,
     Exchange,
 )
+from bergamotthread.process.relay.servers import listen
 
 
 class StandInServer(CallerServer, ABC):
@@ -40,9 +41,4 @@
     async def listen(self, address: str) -> asyncio.AbstractServer:
         """Start to accept connections."""
         self.address = address
-        host, _, port = address.rpartition(':')
-        return await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self),
-            host,
-            int(port),
-        )
+        return await listen(self, address)
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -33,10 +33,10 @@
     manifest,
     runner_row,
 )
+from standins.platform_settings import ZONES, entry_settings
 from standins.platform_store import StoreStandIn
 
 STORE = '10.200.1.7:8000'
-ZONES = {'a-1': 'a', 'b-1': 'b', 'c-1': 'c'}
 
 
 class MemoryRunner(RunnerStandIn):
@@ -64,23 +64,7 @@
 
 def settings(host: str = 'edge-a-1', zone: str = 'a-1', number: int = 1):
     """Return the settings of an entry, decoded from the platform's file."""
-    ip = f'10.1.0.{number}'
-    told = {
-        'node_name': host,
-        'ip': ip,
-        'zone': zone,
-        'zones': ZONES,
-        'listen': {'front': f'{ip}:8000', 'ready': f'{ip}:8001'},
-        'internal_ports': [7000, 7010],
-        'platform': {'address': STORE},
-        'bounds': {
-            'grace_s': 8,
-            'revoke_ms': 5000,
-            'revoke_everywhere': True,
-            'retry_budget_ratio': 0.8,
-            'retry_budget_slack': 150,
-        },
-    }
+    told = entry_settings(host, f'10.1.0.{number}', zone, STORE)
     return PlatformSettings.from_json(json.dumps(told).encode())
 
 
--- a/tests/test_continuity_faults.py
+++ b/tests/test_continuity_faults.py
@@ -216,6 +216,22 @@
     run_virtual(scenario())
 
 
+async def _taken_over_unheard(deployment: SmallDeployment):
+    """Kill an entry in a stream; another, which hears no agent, takes over.
+
+    Returns the events so far, and the generation and its stream there.
+    """
+    live, stream = deployment.entries[0].open(REQUEST)
+    head: list[bytes] = []
+    await _read_events(stream, head, 10)
+    agent = live.generation.place.agent
+    deployment.entries[0].kill()
+    deployment.network.cut(agent, entry_address(1))
+    caller = Caller(TEAM, last_event_id=_field(head[-1], 'id'))
+    again, rest = deployment.entries[1].open(REQUEST, caller)
+    return head, again, rest
+
+
 @pytest.mark.parametrize('away_ms', [700, 1800])
 def test_entry_waits_for_the_agent_of_the_output_that_it_takes_over(
     away_ms: float,
@@ -224,14 +240,7 @@
 
     async def scenario() -> None:
         deployment = SmallDeployment(speed=SPEED, entry_count=2)
-        live, stream = deployment.entries[0].open(REQUEST)
-        head: list[bytes] = []
-        await _read_events(stream, head, 10)
-        agent = live.generation.place.agent
-        deployment.entries[0].kill()
-        deployment.network.cut(agent, entry_address(1))
-        caller = Caller(TEAM, last_event_id=_field(head[-1], 'id'))
-        _, rest = deployment.entries[1].open(REQUEST, caller)
+        head, _, rest = await _taken_over_unheard(deployment)
         tail: list[bytes] = []
         reading = asyncio.create_task(_read_events(rest, tail, 10_000))
         await deployment.clock.sleep_ms(away_ms)
@@ -245,15 +254,8 @@
 def test_output_that_can_not_be_fetched_is_refused_with_the_reason() -> None:
     async def scenario() -> None:
         deployment = SmallDeployment(speed=SPEED, entry_count=2)
-        live, stream = deployment.entries[0].open(REQUEST)
-        head: list[bytes] = []
-        await _read_events(stream, head, 10)
-        agent = live.generation.place.agent
-        deployment.entries[0].kill()
-        deployment.network.cut(agent, entry_address(1))
+        _, again, rest = await _taken_over_unheard(deployment)
         asked_ms = deployment.clock.now_ms()
-        caller = Caller(TEAM, last_event_id=_field(head[-1], 'id'))
-        again, rest = deployment.entries[1].open(REQUEST, caller)
         tail: list[bytes] = []
         await _read_events(rest, tail, 10_000)
         refusal = again.generation.refusal
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bergamotthread.testing.loopback import free_address
+from bergamotthread.testing.loopback import connect, free_address
 from soak.proxy import LoopbackProxy
 
 
@@ -21,8 +21,7 @@
     await asyncio.start_server(_echo, host, int(port))
     proxy = LoopbackProxy(free_address(), target)
     await proxy.start()
-    host, _, port = proxy.address.rpartition(':')
-    return proxy, await asyncio.open_connection(host, int(port))
+    return proxy, await connect(proxy.address)
 
 
 @pytest.mark.parametrize('way', ['up', 'down'])
@@ -60,8 +59,7 @@
     async def check():
         proxy = LoopbackProxy(free_address(), free_address())
         await proxy.start()
-        host, _, port = proxy.address.rpartition(':')
-        reader, _ = await asyncio.open_connection(host, int(port))
+        reader, _ = await connect(proxy.address)
         assert await reader.read() == b''
         await proxy.close()
 
