Mend the benchmark of the entry's process: work as long as asked for

python -m benchmarks.entry_process ended with a 502 since the soak's commit that made plain work last 300 ms: the time stood in the runner's process, which the benchmark uses too, and at 300 ms every lookup is repeated until the budget is spent. Found by running it again; the time is an argument that the soak gives.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -34,6 +34,8 @@
     entry_settings,
 )
 
+# Long enough that a kill or a reset meets plain requests at work.
+PLAIN_WORK_MS = 300
 KEYS = tuple(f'key-{number}' for number in range(12))
 # The first key is never taken away.
 LASTING_KEY = KEYS[0]
@@ -146,7 +148,7 @@
         program = runner.program
         address = str(program.arguments[1])
         instance = f'{program.name}-{program.life + 1}'
-        program.arguments = ('soak.runner_process', address, instance)
+        program.arguments = _runner_arguments(address, instance)
         await program.start()
         await self.list_runner(runner, 'ready')
 
@@ -235,7 +237,7 @@
         name = f'runner{number}'
         program = Program(
             name,
-            ('soak.runner_process', own, f'{name}-1'),
+            _runner_arguments(own, f'{name}-1'),
             lambda line: self._on_run_line(name, line),
         )
         return RunnerNode(program, link, service, zone)
@@ -280,6 +282,10 @@
             lines.append(line)
 
 
+def _runner_arguments(address: str, instance: str) -> tuple[str, ...]:
+    return ('soak.runner_process', address, instance, str(PLAIN_WORK_MS))
+
+
 def _free_network() -> str:
     """Return the start of addresses of loopback that no other soak uses."""
     for number in range(os.getpid(), os.getpid() + _NETWORKS):
--- a/soak/runner_process.py
+++ b/soak/runner_process.py
@@ -1,5 +1,7 @@
-"""Runs a runner's stand-in as a process: `python -m soak.runner_process`.
+"""Runs a runner's stand-in as a process.
 
+Run ``python -m soak.runner_process ADDRESS INSTANCE [WORK_MS]``, where the last
+is how long a plain request is at work.
 It writes a line when a run starts and when it ends, so that a soak knows of
 runs whose process is killed.
 """
@@ -13,10 +15,8 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.caller_connection import Exchange
 from soak.orders import RunnerOrder, orders_of
-from standins.platform_runner import RunnerStandIn, Seen
+from standins.platform_runner import RunnerScript, RunnerStandIn, Seen
 
-# Long enough that a kill or a reset meets plain requests at work.
-PLAIN_WORK_MS = 300
 STARTED = 'started'
 ENDED = 'ended'
 
@@ -51,9 +51,13 @@
         sys.stdout.flush()
 
 
-async def _serve(address: str, instance: str) -> None:
+async def _serve(
+    address: str,
+    instance: str,
+    work_ms: float = RunnerScript.work_ms,
+) -> None:
     runner = TellingRunner(Clock.from_system(), instance, address)
-    runner.script.work_ms = PLAIN_WORK_MS
+    runner.script.work_ms = work_ms
     await runner.listen(address)
     async for order in orders_of(RunnerOrder):
         runner.script.not_run = order.not_run
@@ -64,4 +68,5 @@
 
 
 if __name__ == '__main__':
-    asyncio.run(_serve(sys.argv[1], sys.argv[2]))
+    place, name, *work = sys.argv[1:]
+    asyncio.run(_serve(place, name, *map(float, work)))
