--- a/bergamotthread/process/overload/retry_budget.py
+++ b/bergamotthread/process/overload/retry_budget.py
@@ -157,15 +157,19 @@
     def _bucket(self, team: str) -> TokenBucket:
         bucket = self._bucket_by_team.get(team)
         if bucket is None:
+            self._evict_idle_team()
             bucket = TokenBucket(self.team_limits, self.clock)
             self._bucket_by_team[team] = bucket
-            self._evict_idle_team()
         self._bucket_by_team.move_to_end(team)
         return bucket
 
     def _evict_idle_team(self) -> None:
-        """Evict the least recently used team that has nothing in flight."""
-        if len(self._bucket_by_team) <= TEAMS_MAX:
+        """Make room for a team by evicting the idle one used least recently.
+
+        Teams with requests in flight stay, so there may be more than
+        `TEAMS_MAX` while that many are active.
+        """
+        if len(self._bucket_by_team) < TEAMS_MAX:
             return
         for team, bucket in self._bucket_by_team.items():
             if not bucket.in_flight:
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -96,6 +96,18 @@
     assert _granted(budget, 9, 'a') == 2
 
 
+def test_requests_of_more_teams_than_the_limit_are_counted(monkeypatch) -> None:
+    monkeypatch.setattr(retry_budget, 'TEAMS_MAX', 3)
+    budget = _budget(ManualClock())
+    teams = [f't{index}' for index in range(5)]
+    for team in teams:
+        budget.record_start(team)
+    assert [_granted(budget, 9, team) for team in teams] == [2] * 5
+    for team in teams:
+        budget.record_end(team, succeeded=False)
+    assert [_granted(budget, 9, team) for team in teams] == [0] * 5
+
+
 def test_retries_after_declines_leave_a_reserve_for_resumes() -> None:
     budget = _budget(ManualClock())
     assert isinstance(budget.spend('t', resume=False), Granted)
