--- a/soak/system_checks.py
+++ b/soak/system_checks.py
@@ -7,6 +7,7 @@
 
 from benchmarks.capacity_rows import Fit
 from soak.findings import BUSY_MS, SETTLE_MS, Finding
+from soak.plan import FaultKind
 from soak.records import Call, Ending, Memory, PlannedStop, Records
 from standins.platform_settings import (
     GRACE_S,
@@ -89,11 +90,16 @@
 
 
 def check_drain(records: Records) -> Iterable[Finding]:
-    """Find new work at stopping entries, and entries that end too late."""
+    """Find new work at stopping entries, and entries that end too late.
+
+    The time for new work counts from the moment at which the process can
+    receive the signal: a paused process receives it when it continues.
+    """
     runs = records.runs_by_request()
     for stop in records.planned_stops:
+        received_ms = _stop_received_ms(stop, records)
         for call in _calls_to(stop, records):
-            late_ms = call.sent_ms - stop.at_ms
+            late_ms = call.sent_ms - received_ms
             if late_ms > NEW_WORK_MS + BUSY_MS and call.request in runs:
                 detail = f'sent {late_ms:.0f} ms after the stop'
                 yield Finding('drain', detail, call.request)
@@ -103,6 +109,18 @@
             )
 
 
+def _stop_received_ms(stop: PlannedStop, records: Records) -> float:
+    """Return when the stopped process first runs after the signal."""
+    continued_ms = [
+        fault.until_ms
+        for fault in records.played_faults
+        if fault.kind == FaultKind.PAUSE_ENTRY
+        and f'entry{fault.target}' == stop.entry
+        and fault.at_ms <= stop.at_ms <= fault.until_ms
+    ]
+    return min(continued_ms, default=stop.at_ms)
+
+
 def _calls_to(stop: PlannedStop, records: Records) -> Iterable[Call]:
     """Return the requests sent to the stopped process."""
     return (
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -189,6 +189,30 @@
     assert _rules(records) == {'drain'}
 
 
+def _pause(entry: int, until_ms: float) -> PlayedFault:
+    return PlayedFault('pause-entry', str(entry), 39_000, until_ms)
+
+
+@pytest.mark.parametrize(
+    ('sent_ms', 'pauses', 'rules'),
+    [
+        (46_300.0, [_pause(1, 45_000)], set()),
+        (50_600.0, [_pause(1, 45_000)], {'drain'}),
+        (46_300.0, [_pause(2, 45_000)], {'drain'}),
+        (46_300.0, [_pause(1, 39_900)], {'drain'}),
+        (46_300.0, [_pause(1, 45_000), _pause(1, 40_100)], {'drain'}),
+    ],
+)
+def test_time_for_new_work_counts_from_when_the_process_runs(
+    sent_ms, pauses, rules
+):
+    """A paused process receives the request to stop when it continues."""
+    records = _valid_records()
+    _replace_call(records, 'a', entry='entry1', sent_ms=sent_ms)
+    records.played_faults = pauses
+    assert _rules(records) == rules
+
+
 def test_request_cut_by_a_planned_stop_is_found():
     records = _valid_records()
     records.planned_stops = [PlannedStop('entry0', 1, 20_500, 24_000)]
