--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -43,8 +43,10 @@
 _READY_S = 15
 _REST_S = 1.0
 _MS_PER_S = 1000
-# Concurrent soaks use different loopback networks, 127.N, chosen by process id.
+# Concurrent soaks use different loopback networks, 127.N. A soak that holds the
+# port of reservation in a network has reserved it.
 _STORE_PORT = 8000
+_RESERVATION_PORT = 7999
 _NETWORK_MIN = 20
 _NETWORKS = 200
 
@@ -96,7 +98,8 @@
         self.clock = clock
         self.keys = list(KEYS)
         self.paths: list[str] = []
-        self._net = _free_network()
+        self._reservation = NetworkReservation.acquire()
+        self._net = self._reservation.prefix
         self._folder = tempfile.TemporaryDirectory(prefix='soak-')
         self._store_address = f'{self._net}.1.1:{_STORE_PORT}'
         self.store = Program(
@@ -143,6 +146,7 @@
         for entry in self.entries:
             await entry.store_link.close()
         self._folder.cleanup()
+        self._reservation.release()
 
     async def start_runner(self, runner: RunnerNode) -> None:
         """Start a runner as a new incarnation and write its row."""
@@ -296,17 +300,42 @@
     return ('soak.runner_process', address, instance, str(PLAIN_WORK_MS))
 
 
-def _free_network() -> str:
-    """Return the first two numbers of a loopback network that is free."""
-    for number in range(os.getpid(), os.getpid() + _NETWORKS):
-        network = f'127.{_NETWORK_MIN + number % _NETWORKS}'
-        with socket.socket() as probe:
+@dataclass(frozen=True)
+class NetworkReservation:
+    """Loopback network that no other soak uses until it is released.
+
+    Parameters
+    ----------
+    prefix
+        First two numbers of the network.
+    """
+
+    prefix: str
+    holder: socket.socket
+
+    @classmethod
+    def acquire(cls) -> NetworkReservation:
+        """Reserve a free network, first the one chosen by the process id.
+
+        Raises
+        ------
+        OSError
+            If all networks are reserved.
+        """
+        for number in range(os.getpid(), os.getpid() + _NETWORKS):
+            prefix = f'127.{_NETWORK_MIN + number % _NETWORKS}'
+            holder = socket.socket()
             try:
-                probe.bind((f'{network}.1.1', _STORE_PORT))
+                holder.bind((f'{prefix}.1.1', _RESERVATION_PORT))
             except OSError:
-                continue
-        return network
-    raise OSError(f'no free loopback network among {_NETWORKS} tried')
+                holder.close()
+            else:
+                return cls(prefix, holder)
+        raise OSError(f'all {_NETWORKS} loopback networks are reserved')
+
+    def release(self) -> None:
+        """Let other soaks reserve the network."""
+        self.holder.close()
 
 
 async def _is_ready(ip: str) -> bool:
--- a/tests/test_soak_plan.py
+++ b/tests/test_soak_plan.py
@@ -4,6 +4,7 @@
 from click.testing import CliRunner
 
 from soak.__main__ import main
+from soak.deployment import NetworkReservation
 from soak.plan import PLANNED, Fault, FaultKind, Plan, shrink
 
 
@@ -69,3 +70,14 @@
     outcome = CliRunner().invoke(main, arguments)
     assert outcome.exit_code == 2
     assert expected_text in outcome.output
+
+
+def test_concurrent_soaks_reserve_different_networks():
+    first = NetworkReservation.acquire()
+    second = NetworkReservation.acquire()
+    assert first.prefix != second.prefix
+    first.release()
+    third = NetworkReservation.acquire()
+    assert third.prefix == first.prefix
+    second.release()
+    third.release()
