--- a/bergamotthread/request/guarded_call.py
+++ b/bergamotthread/request/guarded_call.py
@@ -92,6 +92,7 @@
         """Run the protocol to its end."""
         try:
             await self._run()
+            self._refuse_unanswered()
         except BergamotError as error:
             self._fail(error)
         finally:
@@ -250,6 +251,18 @@
         )
         self.answer.set_exception(refused)
 
+    def _refuse_unanswered(self) -> None:
+        """Refuse a request whose protocol ended before it had an answer.
+
+        Its row may be deleted, so whether the call ran can't be known.
+        """
+        if not self.answer.done():
+            self._refuse(
+                ReasonCode.OUTCOME_UNKNOWN,
+                f'the request took longer than half of the '
+                f'{self.claim.lifetime_ms} ms for which its key is remembered',
+            )
+
     def _fail(self, error: BergamotError) -> None:
         if not self.answer.done():
             self._refuse(ReasonCode.INTERNAL, str(error))
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -541,3 +541,19 @@
 )
 def test_fault(scenario: _Scenario, checks_fencing: bool) -> None:
     run_virtual(_with_group(scenario, checks_fencing))
+
+
+def test_request_that_outlasts_half_of_its_key_is_answered() -> None:
+    """Its row may be deleted by then, so the protocol ends at once."""
+
+    async def scenario() -> Refusal:
+        group = CallGroup.create()
+        async with asyncio.timeout(30):
+            answer = await _run(group, key_lifetime_ms=1)
+        assert isinstance(answer, Refusal)
+        return answer
+
+    answer = run_virtual(scenario())
+    assert answer.ran is Ran.MAYBE
+    assert answer.reason is ReasonCode.OUTCOME_UNKNOWN
+    assert '1 ms for which its key is remembered' in answer.detail
