--- a/bergamotthread/process/membership/own_host_watch.py
+++ b/bergamotthread/process/membership/own_host_watch.py
@@ -52,21 +52,33 @@
         self._agent_count = agent_count
 
     def interval_ms(self) -> float:
-        """Return the time to the next read."""
+        """Return the time between two reads."""
         fleet_interval_ms = self._agent_count() * _MS_PER_S / AGENT_READS_PER_S
         return max(MIN_INTERVAL_MS, fleet_interval_ms)
 
-    async def run(self) -> None:
-        """Poll the list until cancelled.
+    def delay_ms(self) -> float:
+        """Return the time to the next read.
 
-        The first read is delayed by up to `MIN_INTERVAL_MS`, depending on the
-        address. This spreads the reads of all agents over that time.
+        Each agent has a slot of its own in every interval of the calendar, by
+        its address. Agents that start or learn of a version together therefore
+        do not read together. A slot that is nearly due counts as used.
         """
+        interval_ms = self.interval_ms()
         phase = xxhash.xxh32_intdigest(self._address.encode()) / 2**32
-        await self._clock.sleep_ms(phase * MIN_INTERVAL_MS)
+        slot_ms = phase * interval_ms
+        past_ms = (self._clock.calendar_ms() - slot_ms) % interval_ms
+        delay_ms = interval_ms - past_ms
+        # The calendar may step back, and counts whole milliseconds.
+        is_same_slot = delay_ms < MIN_INTERVAL_MS / 2
+        return delay_ms + interval_ms if is_same_slot else delay_ms
+
+    async def run(self) -> None:
+        """Poll the list until cancelled, once the number of agents is known."""
         while True:
-            await self.read_once()
-            await self._clock.sleep_ms(self.interval_ms())
+            has_slot = self._agent_count() > 0
+            await self._clock.sleep_ms(self.delay_ms())
+            if has_slot:
+                await self.read_once()
 
     async def read_once(self) -> None:
         """Read the list; an outage or an unlisted host changes nothing."""
--- a/tests/test_drain_path.py
+++ b/tests/test_drain_path.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from bergamotthread.process.membership.own_host_watch import OwnHostWatch
+from bergamotthread.clock import Clock
+from bergamotthread.process.drain.drain_state import DrainState
+from bergamotthread.process.membership.own_host_watch import (
+    AGENT_READS_PER_S,
+    OwnHostWatch,
+)
 from bergamotthread.process.store.platform import HostEntry
 from bergamotthread.request.completion import CompletionRequest
 from bergamotthread.request.live_generation import LiveGeneration
@@ -104,6 +109,8 @@
     platform.hosts_by_address[address] = host
 
 
+# Addresses are spread over the slots by hash, so seconds differ a little.
+RATE_TOLERANCE = 1.25
 Announce = Callable[[SmallDeployment, MemoryPlatform], None]
 ANNOUNCEMENTS = (
     _signal,
@@ -213,6 +220,43 @@
     run_virtual(scenario())
 
 
+def test_agents_that_learn_their_number_together_read_within_the_rate() -> None:
+    """All agents start without a version, and know it a second later."""
+    agents = 2000
+
+    async def scenario() -> list[int]:
+        clock = Clock.from_loop(asyncio.get_running_loop())
+        platform = MemoryPlatform(clock)
+        known: list[int] = []
+        watches = [
+            OwnHostWatch(
+                MemoryHostList(platform),
+                f'10.0.{number // 250}.{number % 250}:1',
+                DrainState(clock, 'a'),
+                clock,
+                lambda: sum(known),
+            )
+            for number in range(agents)
+        ]
+        tasks = [asyncio.create_task(watch.run()) for watch in watches]
+        await clock.sleep_ms(1500)
+        known.append(agents)
+        reads = [platform.reads]
+        for _ in range(30):
+            await clock.sleep_ms(1000)
+            reads.append(platform.reads)
+        for task in tasks:
+            task.cancel()
+        return [
+            later - earlier
+            for earlier, later in zip(reads, reads[1:], strict=False)
+        ]
+
+    reads_by_second = run_virtual(scenario())
+    assert max(reads_by_second) <= AGENT_READS_PER_S * RATE_TOLERANCE
+    assert sum(reads_by_second[10:20]) == agents
+
+
 @pytest.mark.parametrize(
     ('agents', 'interval_ms'),
     [(0, 1000), (200, 1000), (12_000, 60_000)],
