--- a/bergamotthread/process/orders/orders.py
+++ b/bergamotthread/process/orders/orders.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
@@ -16,6 +16,9 @@
 
 ORDERS_TICK_MS = 2000
 REPLY_TIMEOUT_MS = 120_000
+# Time after a refusal until the agent may get another order. A refusal follows
+# from an outage of the table or of the engine, which takes some seconds.
+REFUSED_PAUSE_MS = 10_000
 ORDERS_PER_TICK = 20
 
 
@@ -48,7 +51,7 @@
 class _PendingOrder:
     order: PlannedOrder
     name: str
-    sent_ms: float
+    expires_ms: float
 
 
 LoadedPins = Mapping[str, frozenset[Pin]]
@@ -231,7 +234,7 @@
     def _expire_unanswered(self) -> None:
         now_ms = self._clock.now_ms()
         for agent, sent in tuple(self._sent_by_agent.items()):
-            if now_ms - sent.sent_ms >= REPLY_TIMEOUT_MS:
+            if now_ms >= sent.expires_ms:
                 self._sent_by_agent.pop(agent)
 
     def _send(self, order: PlannedOrder) -> bool:
@@ -253,7 +256,7 @@
         if self._on_order is not None:
             self._on_order(order.agent, message)
         self._sent_by_agent[order.agent] = _PendingOrder(
-            order, message.order, now_ms
+            order, message.order, now_ms + REPLY_TIMEOUT_MS
         )
         return True
 
@@ -262,6 +265,8 @@
         if sent is None or reply.order != sent.name:
             return
         if not reply.accepted:
+            expires_ms = self._clock.now_ms() + REFUSED_PAUSE_MS
+            self._sent_by_agent[agent] = replace(sent, expires_ms=expires_ms)
             return
         self._sent_by_agent.pop(agent)
         loaded = self._loaded_by_agent.get(agent, frozenset())
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bergamotthread.clock import Clock
+from bergamotthread.errors import BergamotError, Step
 from bergamotthread.process.orders.order_gate import EngineControl, OrderGate
 from bergamotthread.process.orders.orders import (
     ORDERS_PER_TICK,
@@ -253,3 +254,35 @@
 
 def test_reply_with_a_newer_fence_ends_the_term() -> None:
     run_virtual(_newer_fence())
+
+
+class _BusyEngine(EngineControl):
+    """Engine that refuses its first orders."""
+
+    def __init__(self, refusals: int) -> None:
+        self.fences: list[int] = []
+        self.refused = 0
+        self._refusals = refusals
+
+    async def execute(self, order: Order) -> None:
+        if self.refused < self._refusals:
+            self.refused += 1
+            raise BergamotError('busy', step=Step.ORDER, peer='engine')
+        self.fences.append(order.fence)
+
+
+async def _refused(refusals: int, duration_ms: float) -> tuple[int, int]:
+    bench = _Bench(('a',), WeightStoreRate())
+    engine = _BusyEngine(refusals)
+    bench.gates['a'] = OrderGate(bench.table, 'r0', engine)
+    bench.publish(ONE)
+    await bench.run(duration_ms, 0)
+    return engine.refused, len(engine.fences)
+
+
+def test_refused_order_is_sent_again_after_a_pause() -> None:
+    """An agent that refuses is not kept from orders for two minutes."""
+    assert run_virtual(_refused(1, 15_000)) == (1, 1)
+    refused, executed = run_virtual(_refused(99, 60_000))
+    assert 4 <= refused <= 6
+    assert executed == 0
