--- a/bergamotthread/cli/drain.py
+++ b/bergamotthread/cli/drain.py
@@ -171,7 +171,7 @@
     hosts = await context.host_list().hosts()
     targets = find_targets(version, hosts, addresses)
     now_ms = context.clock.calendar_ms()
-    return plan_stops(version, targets, limits, now_ms, reason)
+    return plan_stops(version, targets, limits, now_ms, reason, hosts)
 
 
 async def _print_plan(
--- a/bergamotthread/process/drain/drain_plan.py
+++ b/bergamotthread/process/drain/drain_plan.py
@@ -161,15 +161,19 @@
     limits: DrainLimits,
     calendar_ms: int,
     reason: str = '',
+    hosts: Iterable[HostEntry] = (),
 ) -> DrainPlan:
     """Return stops for `targets` that stay within the limits.
 
-    Published stops whose deadline lies ahead count towards the limits if their
-    hosts run upstreams; none of their hosts is planned again. Each target gets
-    the first slot with room for it.
+    Published stops whose deadline lies ahead count towards the limits; none of
+    their hosts is planned again. Each target gets the first slot with room for
+    it.
 
     Parameters
     ----------
+    hosts
+        The platform's host list, which gives the failure domains of hosts that
+        run no upstream.
     calendar_ms
         Current time, in milliseconds since the Unix epoch.
 
@@ -181,7 +185,8 @@
     _check_limits(limits)
     start_ms = calendar_ms + limits.lead_ms
     slots = _SlotOccupancy(limits, _limit_by_model(version, limits), start_ms)
-    planned = _occupy_published(version, slots, calendar_ms)
+    domain_by_address = {host.address: host.failure_domain for host in hosts}
+    planned = _occupy_published(version, domain_by_address, slots, calendar_ms)
     stops = [
         _make_stop(target, slots.place(target), limits, start_ms, reason)
         for target in targets
@@ -217,6 +222,7 @@
 
 def _occupy_published(
     version: PublishedVersion,
+    domain_by_address: dict[str, str],
     slots: _SlotOccupancy,
     calendar_ms: int,
 ) -> set[str]:
@@ -225,7 +231,7 @@
         if stop.deadline_ms <= calendar_ms:
             continue
         planned.add(stop.address)
-        target = _find_target(version, {}, stop.address)
+        target = _find_target(version, domain_by_address, stop.address)
         if target is not None:
             slots.occupy_span(stop, target)
     return planned
--- a/tests/test_drain_plan.py
+++ b/tests/test_drain_plan.py
@@ -110,3 +110,12 @@
 def test_zero_limit_is_refused() -> None:
     with pytest.raises(DrainPlanError, match='per_failure_domain is 0'):
         _plan(_version(1, 1, 1), DrainLimits(per_failure_domain=0))
+
+
+def test_published_stop_of_an_entry_counts_towards_its_domain() -> None:
+    hosts = (HostEntry('e1', 'entry', 'r0', 'd0'),)
+    version = _version(1, 1, 1, (Stop('s', 'e1', 0, 6001),))
+    limits = DrainLimits(1, 100, 5000, 60_000)
+    targets = find_targets(version, hosts, ['a0'])
+    plan = plan_stops(version, targets, limits, 1000, hosts=hosts)
+    assert plan.stops[0].start_ms == 66_000
