--- a/standins/engine.py
+++ b/standins/engine.py
@@ -81,12 +81,14 @@
         if engine.faults.dead:
             raise EngineLostError('dead', step=Step.GENERATE)
         try:
-            return StreamingResponse(
-                _events(engine, decoded),
-                media_type='text/event-stream',
-            )
+            # The body is generated after the status was sent.
+            engine.check_loaded(decoded.pin)
         except EngineRefusedError as error:
             return Response(str(error), status_code=409)
+        return StreamingResponse(
+            _events(engine, decoded),
+            media_type='text/event-stream',
+        )
 
     async def load(_: Request) -> Response:
         return Response(msgspec.json.encode(await engine.load()))
--- a/standins/engine_core.py
+++ b/standins/engine_core.py
@@ -109,8 +109,7 @@
         """Yield the tokens after the prefix, then the finish reason."""
         await self._wait_while_paused()
         self._check_alive()
-        if self.loaded and request.pin not in self.loaded:
-            raise EngineRefusedError('pin not loaded', step=Step.GENERATE)
+        self.check_loaded(request.pin)
         sequence = self._sequence(request)
         self._waiting.append(sequence)
         self._waiting.sort(key=_negative_priority)
@@ -121,6 +120,11 @@
         finally:
             self._forget(sequence)
 
+    def check_loaded(self, pin: Pin) -> None:
+        """Raise `EngineRefusedError` if orders loaded only other pins."""
+        if self.loaded and pin not in self.loaded:
+            raise EngineRefusedError('pin not loaded', step=Step.GENERATE)
+
     async def load(self) -> LoadReport:
         """Return the load as it was `report_lag_ms` ago."""
         await self._wait_while_paused()
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -8,6 +8,7 @@
     GenerateRequest,
 )
 from bergamotthread.connection.http_engine import HttpEngineClient
+from bergamotthread.wire.messages import Pin
 from standins.engine import create_app
 from standins.engine_core import Engine, EngineSpeed
 from standins.serving import server
@@ -50,3 +51,17 @@
     client = HttpEngineClient('127.0.0.1:1')
     with pytest.raises(EngineRefusedError):
         asyncio.run(_generate(client, 'a'))
+
+
+def test_engine_without_the_pin_refuses_with_its_status() -> None:
+    async def scenario() -> None:
+        engine = Engine(Clock.from_system(), EngineSpeed(token_interval_ms=1))
+        engine.loaded = {Pin('other', '1')}
+        serving = server(create_app(engine), '127.0.0.1:0')
+        await serving.start()
+        client = HttpEngineClient(f'127.0.0.1:{serving.port}')
+        with pytest.raises(EngineRefusedError, match='answered 409'):
+            await _generate(client, 'a')
+        await serving.abort()
+
+    asyncio.run(scenario())
