--- a/bergamotthread/connection/http_engine.py
+++ b/bergamotthread/connection/http_engine.py
@@ -24,7 +24,6 @@
 from bergamotthread.wire.messages import LoadReport, Pin
 
 CONNECT_TIMEOUT_S = 1
-ANSWER_TIMEOUT_S = 2
 STREAM_CONNECTIONS = 1
 CONTROL_CONNECTIONS = 4
 
--- a/bergamotthread/process/routing/load_view.py
+++ b/bergamotthread/process/routing/load_view.py
@@ -34,11 +34,6 @@
         """Return the time that the prefill ahead of a new attempt takes."""
         return self.prefill_tokens / self.prefill_per_s * _MS_PER_S
 
-    @property
-    def kv_fraction(self) -> float:
-        """Return the fraction of the KV cache in use, 0 if unknown."""
-        return self.kv_tokens / self.kv_capacity if self.kv_capacity else 0
-
 
 @dataclass(frozen=True)
 class _OwnDispatch:
--- a/bergamotthread/version/route_table.py
+++ b/bergamotthread/version/route_table.py
@@ -44,8 +44,6 @@
         Maximum time that a request waits for an answer.
     first_event_target_ms
         Target for the time to the answer, or to its first event.
-    pause_target_ms
-        Target for the longest pause between two events; 0 if unset.
     """
 
     name: str
@@ -57,7 +55,6 @@
     max_attempts: int
     timeout_ms: float
     first_event_target_ms: float
-    pause_target_ms: float = 0
     priority: int = 0
     needs_key: bool = True
 
