--- a/bergamotthread/platform/checks.py
+++ b/bergamotthread/platform/checks.py
@@ -5,10 +5,8 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-import msgspec
-
 from bergamotthread.errors import BergamotError, Step
-from bergamotthread.platform.manifest import decode_manifest
+from bergamotthread.platform.manifest import ManifestError, decode_manifest
 from bergamotthread.platform.settings import PlatformSettings
 from bergamotthread.version.route_table import RouteTable
 
@@ -41,8 +39,10 @@
     """
     try:
         table = decode_manifest(path.read_bytes())
-    except (OSError, msgspec.MsgspecError) as error:
+    except OSError as error:
         raise _check_error(path, (str(error),)) from error
+    except ManifestError as error:
+        raise _check_error(path, error.faults) from error
     faults = tuple(_find_faults(table))
     if faults:
         raise _check_error(path, faults)
@@ -50,16 +50,9 @@
 
 
 def _find_faults(table: RouteTable) -> Iterator[str]:
-    known_services = sorted(table.service_by_name)
     seen_prefixes: set[tuple[bytes, bytes]] = set()
     for number, route in enumerate(table.routes):
         location = f'$.routes[{number}]'
-        for weighted in route.services:
-            if weighted.service not in table.service_by_name:
-                yield (
-                    f'{location}: service {weighted.service!r}, '
-                    f'expected {known_services}'
-                )
         prefix = route.path_prefix.decode()
         if not (prefix.startswith('/') and prefix.endswith('/')):
             yield (
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -16,6 +16,7 @@
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
 from bergamotthread.platform.runner_calls import RunnerClient
 from bergamotthread.platform.settings import (
+    FIXED_SETTINGS,
     SETTINGS_VARIABLE,
     PlatformSettings,
     PlatformSettingsError,
@@ -145,16 +146,31 @@
         self._log.write('drain', in_flight=self._server.in_flight)
 
     def reload(self) -> None:
-        """Read the settings file again and log whether it changed.
+        """Read the settings file again and apply what may change at run time.
 
-        The process goes on with the settings it started with.
+        Names and addresses of the process stay until its next start. Settings
+        that can't be used change nothing.
         """
         try:
             settings = load_settings()
         except PlatformSettingsError as error:
             self._log.write('reload-failed', detail=str(error))
             return
-        self._log.write('reload', changed=settings != self._settings)
+        changed = self._settings.changed_names(settings)
+        self._log.write(
+            'reload',
+            changed=' '.join(sorted(changed)),
+            from_next_start=' '.join(sorted(changed & FIXED_SETTINGS)),
+        )
+        self._apply_settings(settings)
+
+    def _apply_settings(self, settings: PlatformSettings) -> None:
+        self._settings = settings.keep_fixed(self._settings)
+        self._life_cycle.grace_ms = settings.stop_grace_ms
+        self._freshness.revoke_bound_ms = settings.revoke_bound_ms
+        self._store.address = settings.store_address
+        self._parts.retry_budget.limits = _retry_limits(settings)
+        self._parts.choice.region_by_domain = settings.region_by_domain
 
     def _is_finished(self) -> bool:
         if self._life_cycle.must_end:
@@ -246,11 +262,6 @@
 
     def _make_relay_parts(self) -> RelayParts:
         settings = self._settings
-        limits = ServiceRetryLimits(
-            ratio=settings.repeat_ratio * RETRY_BUDGET_FRACTION,
-            window_ms=settings.repeat_window_ms,
-            slack=settings.repeat_slack * RETRY_BUDGET_FRACTION,
-        )
         runners = RunnerClient(self._pool, self._clock)
         return RelayParts(
             clock=self._clock,
@@ -263,7 +274,7 @@
                 self._rng,
             ),
             retry_budget=ServiceRetryBudget(
-                self._clock, limits, self._entry_count
+                self._clock, _retry_limits(settings), self._entry_count
             ),
             liveness=LivenessWatch(
                 self._clock,
@@ -301,6 +312,14 @@
         )
 
 
+def _retry_limits(settings: PlatformSettings) -> ServiceRetryLimits:
+    return ServiceRetryLimits(
+        ratio=settings.repeat_ratio * RETRY_BUDGET_FRACTION,
+        window_ms=settings.repeat_window_ms,
+        slack=settings.repeat_slack * RETRY_BUDGET_FRACTION,
+    )
+
+
 def load_settings() -> PlatformSettings:
     """Read the settings file named by the environment variable.
 
--- a/bergamotthread/platform/manifest.py
+++ b/bergamotthread/platform/manifest.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import msgspec
 
 from bergamotthread.connection.http.caller_connection import CallerLimits
+from bergamotthread.errors import BergamotError, Step
 from bergamotthread.version.route_table import (
     EngineTraits,
     RelayRoute,
@@ -32,7 +35,6 @@
     traffic_split: tuple[_Split, ...] = ()
     timeout_ms: float = 30_000
     target_latency_ms: float = 1000
-    gap_target_ms: float = 0
     priority: int = 0
     max_attempts: int = 1
     auth_exempt: bool = False
@@ -73,16 +75,36 @@
     tenants: tuple[_Tenant, ...] | None = None
 
 
+class ManifestError(BergamotError):
+    """The manifest can't be decoded, or must not be put in force.
+
+    Parameters
+    ----------
+    faults
+        A message for each fault.
+    """
+
+    def __init__(self, faults: tuple[str, ...]) -> None:
+        super().__init__('; '.join(faults), step=Step.CHECK)
+        self.faults = faults
+
+
 def decode_manifest(encoded: bytes) -> RouteTable:
     """Return the route table that a manifest describes.
 
     Raises
     ------
-    msgspec.MsgspecError
-        If the manifest is invalid; the message names the path of the field
-        and the expected type.
+    ManifestError
+        If the manifest is invalid; the message names the path of each wrong
+        field, its value and what was expected.
     """
-    manifest = msgspec.json.decode(encoded, type=_Manifest)
+    try:
+        manifest = msgspec.json.decode(encoded, type=_Manifest)
+    except msgspec.MsgspecError as error:
+        raise ManifestError((str(error),)) from error
+    faults = tuple(_find_faults(manifest))
+    if faults:
+        raise ManifestError(faults)
     return RouteTable(
         version=manifest.version,
         routes=tuple(_route(route) for route in manifest.routes),
@@ -94,23 +116,55 @@
     )
 
 
-def _route(route: _Route) -> RelayRoute:
+def _find_faults(manifest: _Manifest) -> Iterator[str]:
+    """Yield a message for each field that must not be put in force."""
+    names = {service.name for service in manifest.services}
+    for number, route in enumerate(manifest.routes):
+        path = f'$.routes[{number}]'
+        yield from _find_route_faults(path, route)
+        for service in _services(route):
+            if service.service not in names:
+                yield (
+                    f'{path}: service {service.service!r}, '
+                    f'expected {sorted(names)}'
+                )
+    for name in ('max_header_bytes', 'header_timeout_ms', 'idle_timeout_ms'):
+        yield from _find_not_positive(manifest.limits, '$.limits', name)
+
+
+def _find_route_faults(path: str, route: _Route) -> Iterator[str]:
+    for name in ('timeout_ms', 'target_latency_ms'):
+        yield from _find_not_positive(route, path, name)
+
+
+def _find_not_positive(
+    part: msgspec.Struct, path: str, name: str
+) -> Iterator[str]:
+    number = getattr(part, name)
+    if number <= 0:
+        yield f'{path}.{name} is {number:g}, expected more than 0'
+
+
+def _services(route: _Route) -> tuple[WeightedService, ...]:
     splits = tuple(
         WeightedService(split.service, split.weight)
         for split in route.traffic_split
         if split.weight > 0
     )
+    return splits or (WeightedService(route.service),)
+
+
+def _route(route: _Route) -> RelayRoute:
     return RelayRoute(
         name=route.name,
         host=route.host.encode(),
         path_prefix=route.path_prefix.encode(),
-        services=splits or (WeightedService(route.service),),
+        services=_services(route),
         repeatability=_repeatability(route),
         is_stream=route.route_type == _STREAM,
         max_attempts=max(route.max_attempts, 1),
         timeout_ms=route.timeout_ms,
         first_event_target_ms=route.target_latency_ms,
-        pause_target_ms=route.gap_target_ms,
         priority=route.priority,
         needs_key=not route.auth_exempt,
     )
--- a/bergamotthread/platform/settings.py
+++ b/bergamotthread/platform/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, fields, replace
 from pathlib import Path
 
 import msgspec
@@ -10,6 +10,19 @@
 from bergamotthread.errors import BergamotError, Step
 
 SETTINGS_VARIABLE = 'BERGAMOTTHREAD_CONFIG'
+# Settings that a running process keeps: its name, place and own addresses.
+FIXED_SETTINGS = frozenset(
+    (
+        'host',
+        'ip',
+        'failure_domain',
+        'front',
+        'ready',
+        'control',
+        'metrics_port',
+        'peer_port',
+    ),
+)
 
 
 class PlatformSettingsError(BergamotError):
@@ -95,6 +108,19 @@
         """Return the region of this process."""
         return self.region_by_domain.get(self.failure_domain, '')
 
+    def changed_names(self, other: PlatformSettings) -> frozenset[str]:
+        """Return the names of the settings that differ from another set."""
+        return frozenset(
+            setting.name
+            for setting in fields(self)
+            if getattr(self, setting.name) != getattr(other, setting.name)
+        )
+
+    def keep_fixed(self, former: PlatformSettings) -> PlatformSettings:
+        """Return these settings with the `FIXED_SETTINGS` of a former set."""
+        kept = {name: getattr(former, name) for name in FIXED_SETTINGS}
+        return replace(self, **kept)
+
     @classmethod
     def from_file(cls, path: Path) -> PlatformSettings:
         """Read and check a settings file.
@@ -107,7 +133,7 @@
         """
         try:
             return cls.from_json(path.read_bytes())
-        except (OSError, msgspec.MsgspecError) as error:
+        except (OSError, msgspec.MsgspecError, ValueError) as error:
             raise PlatformSettingsError(
                 f'settings file {path}: {error}',
                 step=Step.SETTINGS,
@@ -121,9 +147,12 @@
         ------
         msgspec.MsgspecError
             If the JSON is invalid, or a field is missing or has the wrong type.
+        ValueError
+            If a bound is out of range; the message names its path.
         """
         settings_file = msgspec.json.decode(encoded, type=_SettingsFile)
         bounds = settings_file.bounds
+        _check_bounds(bounds)
         return cls(
             host=settings_file.node_name,
             ip=settings_file.ip,
@@ -144,3 +173,21 @@
             repeat_window_ms=bounds.budget_window_s * 1000,
             repeat_slack=bounds.retry_budget_slack,
         )
+
+
+def _check_bounds(bounds: _Bounds) -> None:
+    positive = ['grace_s', 'config_apply_ms', 'budget_window_s']
+    if bounds.revoke_everywhere:
+        positive.append('revoke_ms')
+    for name in positive:
+        if getattr(bounds, name) <= 0:
+            raise ValueError(
+                f'{getattr(bounds, name):g} at `$.bounds.{name}`, '
+                'expected more than 0'
+            )
+    for name in ('retry_budget_ratio', 'retry_budget_slack'):
+        if getattr(bounds, name) < 0:
+            raise ValueError(
+                f'{getattr(bounds, name):g} at `$.bounds.{name}`, '
+                'expected 0 or more'
+            )
--- a/bergamotthread/platform/store.py
+++ b/bergamotthread/platform/store.py
@@ -206,7 +206,7 @@
         else:
             put = {**row, 'value': _encode_payload(change.payload)}
             body = await self._transact(expected=[condition], puts=[put])
-        return self._decode(body, WireRows).ver
+        return _decode(body, WireRows, self.address).ver
 
     async def put_object(self, name: str, body: bytes) -> None:
         """Store an object under a new name.
@@ -260,7 +260,7 @@
                 FetchRequest(b'GET', target),
                 CALL_TIMEOUT_MS,
             )
-            page = self._decode(body, _WireNames)
+            page = _decode(body, _WireNames, self.address)
             names.extend(page.names)
             if not page.has_more or not page.names or len(names) >= limit:
                 return tuple(names[:limit])
@@ -378,13 +378,7 @@
         body = await self._call(
             address, FetchRequest(b'GET', target), timeout_ms
         )
-        return self._decode(body, WireRows)
-
-    def _decode(self, body: bytes, kind: type[_Told]) -> _Told:
-        try:
-            return msgspec.json.decode(body, type=kind)
-        except msgspec.MsgspecError as error:
-            raise self._error(f'{kind.__name__}: {error}') from error
+        return _decode(body, WireRows, address)
 
     async def _call(
         self,
@@ -398,16 +392,15 @@
         try:
             fetched = await fetch(self.pool, address, request, timeout_ms)
         except ConnectionError as error:
-            raise self._error(str(error)) from error
+            raise StoreCallError(
+                str(error), step=Step.STORE, peer=address
+            ) from error
         if fetched.status != _OK:
             error_type = _ERROR_BY_STATUS.get(fetched.status, StoreCallError)
             message = f'{target}: status {fetched.status}, expected {_OK}'
             raise error_type(message, step=Step.STORE, peer=address)
         return fetched.body
 
-    def _error(self, message: str) -> StoreCallError:
-        return StoreCallError(message, step=Step.STORE, peer=self.address)
-
 
 _ERROR_BY_STATUS: dict[int, type[StoreCallError]] = {
     _NOT_FOUND: NotFoundError,
@@ -416,6 +409,15 @@
 }
 
 
+def _decode(body: bytes, kind: type[_Told], peer: str) -> _Told:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise StoreCallError(
+            f'{kind.__name__}: {error}', step=Step.STORE, peer=peer
+        ) from error
+
+
 def _row_reference(table: str, key: str) -> _WireFields:
     return {'table': table, 'part': '', 'key': key}
 
--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -13,7 +13,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
-from bergamotthread.platform.manifest import decode_manifest
+from bergamotthread.platform.manifest import ManifestError, decode_manifest
 from bergamotthread.platform.relayed_feed import TableHistory
 from bergamotthread.platform.runner_rows import decode_runner
 from bergamotthread.platform.store import (
@@ -271,7 +271,7 @@
     def _apply_manifest(self, encoded: bytes) -> None:
         try:
             table = decode_manifest(encoded)
-        except msgspec.MsgspecError as error:
+        except ManifestError as error:
             logging.error('manifest is invalid; former one kept: %s', error)
             self._log.write('manifest-refused', detail=str(error))
             return
@@ -318,6 +318,7 @@
         self.apply_changes(rows)
         for instance in self._directory.instances() - listed:
             self._handle_missing_row(instance)
+        self._directory.is_loaded = True
 
     def apply_changes(self, rows: Iterable[StoredRow]) -> None:
         """Apply changed rows.
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -19,6 +20,9 @@
 # the losses are older than that.
 DOMAIN_LOSSES_MIN = 2
 DOMAIN_LOSS_WINDOW_MS = 1500
+# Time within which a removed upstream may be replaced or listed again. Rows
+# that lapsed in an outage of the store are back two seconds after its return.
+REPLACEMENT_MS = 2000
 # Weight of the newest outcome in the average of failures.
 _OUTCOME_WEIGHT = 0.25
 # Failures decay with this half-life, so that a failing upstream is tried again.
@@ -92,9 +96,9 @@
     listed_ms, heard_ms, lost_ms
         Monotonic times at which it was first listed, last sent bytes and was
         marked lost; 0 before. `lost_ms` is reset when it sends something.
-    failure_share, failed_ms
+    failure_share, outcome_ms
         Average of failures after the last outcome, and the monotonic time of
-        that outcome, whether it was a failure or a success.
+        that outcome, from which the average decays.
     """
 
     record: UpstreamRecord
@@ -104,7 +108,7 @@
     listed_ms: float = 0
     lost_ms: float = 0
     failure_share: float = 0
-    failed_ms: float = 0
+    outcome_ms: float = 0
     report: LoadReport | None = None
     sent_since_report: int = 0
     held_tokens: int = 0
@@ -118,13 +122,21 @@
 
 @dataclass
 class UpstreamDirectory:
-    """All upstreams that the store lists, by instance."""
+    """All upstreams that the store lists, by instance.
+
+    Parameters
+    ----------
+    is_loaded
+        Whether the store's list was read completely once.
+    """
 
     clock: Clock
+    is_loaded: bool = False
     _upstream_by_instance: dict[str, Upstream] = field(default_factory=dict)
     _instance_by_address: dict[str, str] = field(default_factory=dict)
     _losses_by_domain: dict[str, deque[float]] = field(default_factory=dict)
     _ring_by_service: dict[str, HashRing] = field(default_factory=dict)
+    _removed_ms_by_service: dict[str, float] = field(default_factory=dict)
 
     def __len__(self) -> int:
         return len(self._upstream_by_instance)
@@ -160,7 +172,9 @@
         if upstream is not None:
             address = upstream.address
             self._instance_by_address.pop(address)
-            self._ring(upstream.record.service).remove(address)
+            service = upstream.record.service
+            self._ring(service).remove(address)
+            self._removed_ms_by_service[service] = self.clock.now_ms()
         return upstream
 
     def record_unlisted(self, instance: str) -> None:
@@ -173,6 +187,22 @@
         """Return the identifiers of all listed upstreams."""
         return frozenset(self._upstream_by_instance)
 
+    def lacks_service(self, service: str) -> bool:
+        """Return whether the store is known to list no upstream of a service.
+
+        Draining upstreams count as listed, since others may replace them, and
+        so do those removed within `REPLACEMENT_MS`.
+        """
+        removed_ms = self._removed_ms_by_service.get(service, -math.inf)
+        if not self.is_loaded or (
+            self.clock.now_ms() - removed_ms < REPLACEMENT_MS
+        ):
+            return False
+        return not any(
+            upstream.record.service == service
+            for upstream in self._upstream_by_instance.values()
+        )
+
     def of_service(self, service: str) -> Iterator[Upstream]:
         """Yield the upstreams of one service that accept new requests."""
         for upstream in self._upstream_by_instance.values():
@@ -214,13 +244,13 @@
         share = self.decayed_failure_share(upstream)
         share += _OUTCOME_WEIGHT * (float(failed) - share)
         upstream.failure_share = share
-        upstream.failed_ms = self.clock.now_ms()
+        upstream.outcome_ms = self.clock.now_ms()
 
     def decayed_failure_share(self, upstream: Upstream) -> float:
         """Return the average of recent failures, which decays with time."""
         if not upstream.failure_share:
             return 0
-        age_ms = self.clock.now_ms() - upstream.failed_ms
+        age_ms = self.clock.now_ms() - upstream.outcome_ms
         decayed: float = 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
         return upstream.failure_share * decayed
 
--- a/bergamotthread/request/relay/attempt_loop.py
+++ b/bergamotthread/request/relay/attempt_loop.py
@@ -38,6 +38,13 @@
         """Return whether fewer attempts were sent than the route allows."""
         return self.attempts_sent < self.call.route.max_attempts
 
+    @property
+    def is_unservable(self) -> bool:
+        """Return whether nothing was sent and the service has no upstream."""
+        if self.attempts_sent:
+            return False
+        return self.parts.directory.lacks_service(self.call.service.name)
+
     def spend_attempt(self) -> bool:
         """Return whether the retry budget allows the next attempt.
 
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -72,6 +72,8 @@
 
     def may_wait(self) -> bool:
         """Return whether placement may be tried again after a pause."""
+        if self._limits.is_unservable:
+            return False
         return self._parts.clock.now_ms() <= self._placement_deadline_ms
 
     async def run_attempt(self, placement: Upstream) -> bool:
@@ -178,10 +180,13 @@
         upstream: Upstream,
         outcome: AttemptOutcome,
     ) -> None:
-        if isinstance(outcome, Broken | NotSent):
-            self._last_outcome = outcome.reason
-        elif not isinstance(outcome, Answered):
-            self._last_outcome = repr(outcome)
+        match outcome:
+            case Broken(reason) | NotSent(reason):
+                self._last_outcome = reason
+            case Answered(head):
+                self._last_outcome = f'status {head.status}'
+            case _:
+                self._last_outcome = repr(outcome)
         self._parts.metrics.attempts.increment(type(outcome).__name__)
         self._parts.log.write(
             'attempt',
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -129,6 +129,8 @@
         """
         if self._call.exchange.has_head or self._may_have_run:
             return True
+        if self._limits.is_unservable:
+            return False
         return self._parts.clock.now_ms() <= self._placement_deadline_ms
 
     async def run_attempt(self, placement: AttemptPlacement) -> bool:
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -6,11 +6,10 @@
 import re
 from pathlib import Path
 
-import msgspec
 import pytest
 
 from bergamotthread.platform.headers import PLATFORM_DIALECT
-from bergamotthread.platform.manifest import decode_manifest
+from bergamotthread.platform.manifest import ManifestError, decode_manifest
 from bergamotthread.platform.runner_rows import (
     TYPICAL_PROMPT_TOKENS,
     decode_report,
@@ -22,7 +21,8 @@
 )
 from bergamotthread.process.relay.upstreams import UpstreamState
 from bergamotthread.version.route_table import Repeatability
-from standins.platform_runner import manifest
+from standins.platform_runner import PLAIN, manifest, route_of
+from standins.platform_settings import entry_settings
 from tests.platform_standins import settings
 
 PACKAGE = Path(__file__).parent.parent / 'bergamotthread'
@@ -71,6 +71,9 @@
     assert by_name['/stream/'].is_stream
 
 
+SERVICES = ('model-service', 'plain-service', 'x', 'y')
+
+
 def test_longest_prefix_of_the_host_wins():
     nested = {
         'name': 'nested',
@@ -82,7 +85,9 @@
             {'service': 'y', 'weight': 3},
         ],
     }
-    table = _table(routes=[nested])
+    table = _table(
+        routes=[nested], services=[{'name': name} for name in SERVICES]
+    )
     assert table.match(b'h.example:80', b'/any/deep/x?q').name == 'nested'
     assert table.match(b'h.example', b'/any/deepx').name == '/any/'
     assert table.match(b'other', b'/any/x') is None
@@ -110,11 +115,32 @@
         ({'version': 'x'}, r'\$\.version'),
         ({'routes': [{'host': 5}]}, r'\$\.routes\[0\]\.host'),
         ({'limits': {'max_body_bytes': 'x'}}, r'\$\.limits\.max_body_bytes'),
+        (
+            {'limits': {'idle_timeout_ms': 0}},
+            r'\$\.limits\.idle_timeout_ms is 0, expected more than 0',
+        ),
+        (
+            {'services': [{'name': 'model-service'}]},
+            r"\$\.routes\[2\]: service 'plain-service', expected "
+            r"\['model-service'\]",
+        ),
+        (
+            {'routes': [route_of('/x/', 'idempotent', PLAIN, timeout_ms=0)]},
+            r'\$\.routes\[0\]\.timeout_ms is 0, expected more than 0',
+        ),
+        (
+            {
+                'routes': [
+                    route_of('/x/', 'idempotent', PLAIN, target_latency_ms=-1)
+                ]
+            },
+            r'\$\.routes\[0\]\.target_latency_ms is -1',
+        ),
     ],
 )
 def test_manifest_error_names_the_path_of_the_field(change, place):
     invalid = {**manifest(), **change}
-    with pytest.raises(msgspec.ValidationError, match=place):
+    with pytest.raises(ManifestError, match=place):
         decode_manifest(json.dumps(invalid).encode())
 
 
@@ -206,3 +232,29 @@
         dialect.copy_source,
     ):
         assert name in dialect.set_by_entry
+
+
+@pytest.mark.parametrize(
+    ('name', 'number', 'expected'),
+    [
+        ('grace_s', 0, 'more than 0'),
+        ('budget_window_s', -1, 'more than 0'),
+        ('revoke_ms', 0, 'more than 0'),
+        ('retry_budget_slack', -1, '0 or more'),
+    ],
+)
+def test_bound_out_of_range_is_named(tmp_path, name, number, expected):
+    content = entry_settings('edge-a-1', '10.1.0.1', 'a-1', '10.2.0.1:8000')
+    content['bounds'][name] = number
+    path = tmp_path / 'node.json'
+    path.write_text(json.dumps(content))
+    place = rf'{number} at `\$\.bounds\.{name}`, expected {expected}'
+    with pytest.raises(PlatformSettingsError, match=place):
+        PlatformSettings.from_file(path)
+
+
+def test_removed_keys_need_no_bound_where_they_may_be_served():
+    content = entry_settings('edge-a-1', '10.1.0.1', 'a-1', '10.2.0.1:8000')
+    content['bounds'].update(revoke_ms=0, revoke_everywhere=False)
+    decoded = PlatformSettings.from_json(json.dumps(content).encode())
+    assert decoded.revoke_bound_ms is None
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -880,3 +881,60 @@
             assert [event['upstream'] for event in gone] == ['p0']
 
     run_in_memory(check())
+
+
+@pytest.mark.parametrize('path', ['/once/x', '/any/x', '/stream/x'])
+def test_service_without_upstreams_is_refused_at_once(path):
+    async def check():
+        deployment = await Deployment.start(models=0, plains=0)
+        started_ms = deployment.clock.now_ms()
+        answer = await deployment.call(path)
+        assert answer.status == 503
+        assert float(answer.headers[b'retry-after']) > 0
+        assert deployment.clock.now_ms() - started_ms < 50
+
+    run_in_memory(check())
+
+
+def test_reload_applies_bounds_and_keeps_names_and_addresses(monkeypatch):
+    async def check():
+        deployment = await Deployment.start()
+        entry = deployment.entries[0]
+        former = settings()
+        changed = dataclasses.replace(
+            former, host='other', revoke_bound_ms=9000, repeat_slack=0
+        )
+        monkeypatch.setattr(
+            'bergamotthread.platform.entry.load_settings', lambda: changed
+        )
+        entry.reload()
+        entry.reload()
+        assert deployment.events('reload') == [
+            {
+                'changed': 'host repeat_slack revoke_bound_ms',
+                'from_next_start': 'host',
+            },
+            {'changed': 'host', 'from_next_start': 'host'},
+        ]
+        # The store is away for 6 s: longer than the former bound on keys.
+        deployment.store.status = 503
+        await deployment.clock.sleep_ms(6000)
+        assert (await deployment.call('/any/x', method=b'GET')).status == 200
+
+    run_in_memory(check())
+
+
+def test_log_of_an_answered_attempt_does_not_name_an_earlier_failure():
+    async def check():
+        deployment = await Deployment.start(plains=2)
+        deployment.plains[0].script.breaks_after = 0
+        for _ in range(4):
+            await deployment.call('/any/x', method=b'GET')
+        details = {
+            fields['detail']
+            for fields in deployment.events('attempt')
+            if fields['outcome'] == 'Answered'
+        }
+        assert details == {'status 200'}
+
+    run_in_memory(check())
