--- a/bergamotthread/process/generations/generations.py
+++ b/bergamotthread/process/generations/generations.py
@@ -351,7 +351,6 @@
             now_ms = self._clock.now_ms()
             for generation_id, live in tuple(self.by_id.items()):
                 if self._watch.is_releasable(live, now_ms):
-                    live.generation.detach()
                     self.by_id.pop(generation_id)
 
     async def _acknowledge_forever(self) -> None:
--- a/bergamotthread/request/generation.py
+++ b/bergamotthread/request/generation.py
@@ -129,7 +129,9 @@
         self.end: EndMark | None = None
         self.refusal: Refusal | None = None
         self.place = AttemptPlace(attempt, '')
-        _machine.add_model(self)
+        # A registered model gets a function for each event, which refer back to
+        # it, so it would stay in memory until a full garbage collection.
+        _machine.set_state(GenerationState.PENDING, self)
 
     @property
     def offset(self) -> int:
@@ -218,10 +220,6 @@
         if not place.incarnation:
             self.place = replace(place, incarnation=incarnation)
 
-    def detach(self) -> None:
-        """Remove the generation from the shared state machine."""
-        _machine.remove_model(self)
-
     def _append(self, frame: Frame) -> FrameVerdict:
         known_count = self.offset - frame.offset
         if known_count < 0:
