--- a/bergamotthread/process/generations/running_attempts.py
+++ b/bergamotthread/process/generations/running_attempts.py
@@ -5,16 +5,11 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from bergamotthread.process.overload.run_statistics import RunStatistics
 from bergamotthread.request.attempt_key import AttemptKey
 from bergamotthread.wire.messages import Dispatch
 
-DEFAULT_OUTPUT_TOKENS = 300
-DEFAULT_RUN_MS = 10_000
-DEFAULT_PREFILL_TOKENS_PER_S = 8000
-PREFILL_SAMPLE_MIN_TOKENS = 256
 PROGRESS_MIN_TOKENS = 16
-_SMOOTHING = 0.05
-_RATE_DECAY = 0.9
 _MS_PER_S = 1000
 
 
@@ -49,44 +44,6 @@
         return self.context_tokens + max(self.produced, self.reserved_tokens)
 
 
-@dataclass
-class RunStatistics:
-    """Smoothed output lengths and rates of one engine."""
-
-    output_tokens: float = DEFAULT_OUTPUT_TOKENS
-    run_ms: float = DEFAULT_RUN_MS
-    between_tokens_ms: float = 0
-    _prefill_tokens: float = DEFAULT_PREFILL_TOKENS_PER_S
-    _prefill_ms: float = _MS_PER_S
-
-    @property
-    def prefill_per_s(self) -> float:
-        """Prefill rate of one attempt, in tokens per second."""
-        return self._prefill_tokens / self._prefill_ms * _MS_PER_S
-
-    def record_prefill(self, tokens: int, duration_ms: float) -> None:
-        """Record the time from start to first token.
-
-        Prefills of less than `PREFILL_SAMPLE_MIN_TOKENS` are ignored: their
-        time depends on the duration of an engine step rather than on the
-        number of tokens.
-        """
-        if tokens < PREFILL_SAMPLE_MIN_TOKENS:
-            return
-        self._prefill_tokens = self._prefill_tokens * _RATE_DECAY + tokens
-        self._prefill_ms = self._prefill_ms * _RATE_DECAY + duration_ms
-
-    def record_interval(self, between_ms: float) -> None:
-        """Record a mean time between tokens."""
-        previous_ms = self.between_tokens_ms or between_ms
-        self.between_tokens_ms = _smoothed(previous_ms, between_ms)
-
-    def record_end(self, produced: int, duration_ms: float) -> None:
-        """Record the output length and the duration of an attempt."""
-        self.output_tokens = _smoothed(self.output_tokens, produced)
-        self.run_ms = _smoothed(self.run_ms, duration_ms)
-
-
 @dataclass
 class RunningAttempts:
     """Attempts on the engine, by generation and attempt number."""
@@ -173,7 +130,3 @@
                 now_ms - attempt.started_ms,
             )
         return True
-
-
-def _smoothed(before: float, now: float) -> float:
-    return before + _SMOOTHING * (now - before)
--- a/bergamotthread/process/overload/admission.py
+++ b/bergamotthread/process/overload/admission.py
@@ -15,7 +15,8 @@
     RunningAttempt,
     RunningAttempts,
 )
-from bergamotthread.process.overload.fair_queue import FairQueue, QueuedDispatch
+from bergamotthread.process.overload.expected_wait import EngineWork
+from bergamotthread.process.overload.fair_queue import FairQueue, QueuedWork
 from bergamotthread.request.attempt_key import AttemptKey
 from bergamotthread.request.refusal import ReasonCode
 from bergamotthread.version.objects import Upstream
@@ -31,7 +32,6 @@
 ACTIVE_TEAM_MS = 60_000
 DECLINE_RETRY_AFTER_MIN_MS = 50
 DECLINE_RETRY_AFTER_MAX_MS = 30_000
-_MS_PER_S = 1000
 
 
 @dataclass(frozen=True)
@@ -113,6 +113,7 @@
     retry_after_ms: int = 0
 
 
+_QueuedDispatch = QueuedWork[Dispatch]
 Decision = Run | Queued | Duplicate | Refused
 
 
@@ -169,7 +170,7 @@
     _seen_ms_by_team: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self._queue = FairQueue(self.rules.weight_of)
+        self._queue: FairQueue[Dispatch] = FairQueue(self.rules.weight_of)
 
     def offer(self, dispatch: Dispatch) -> Decision:
         """Decide on a dispatch that has just arrived."""
@@ -191,7 +192,7 @@
         queued = self._next_startable()
         while queued is not None:
             self._start(queued)
-            started.append(queued.dispatch)
+            started.append(queued.work)
             queued = self._next_startable()
         return tuple(started)
 
@@ -248,7 +249,7 @@
 
     def load_report(self) -> LoadReport:
         """Return the current load; tokens of queued work are included."""
-        waiting = [queued.dispatch for queued in self._queue.waiting]
+        waiting = [queued.work for queued in self._queue.waiting]
         context_tokens = sum(
             self._context_tokens(dispatch) for dispatch in waiting
         )
@@ -270,26 +271,26 @@
             between_tokens_ms=statistics.between_tokens_ms,
         )
 
-    def _decide(self, queued: QueuedDispatch) -> Decision:
+    def _decide(self, queued: _QueuedDispatch) -> Decision:
         wait_ms = self._expected_wait_ms(queued)
         now_ms = self.clock.now_ms()
         if now_ms + wait_ms >= queued.deadline_ms:
-            return self._refuse(queued.dispatch, ReasonCode.DEADLINE)
+            return self._refuse(queued.work, ReasonCode.DEADLINE)
         if not queued.has_priority and wait_ms > self.limits.queue_wait_ms:
-            return self._refuse(queued.dispatch, ReasonCode.OVERLOADED)
+            return self._refuse(queued.work, ReasonCode.OVERLOADED)
         self._queue.push(queued)
         if self._next_startable() == queued:
             self._start(queued)
-            return Run(queued.dispatch)
+            return Run(queued.work)
         if len(self._queue) > self.limits.max_queued:
             return self._displace(queued, wait_ms)
         return Queued(self._queue.ahead_of(queued), wait_ms)
 
-    def _displace(self, queued: QueuedDispatch, wait_ms: float) -> Decision:
+    def _displace(self, queued: _QueuedDispatch, wait_ms: float) -> Decision:
         victim = self._queue.newest_of_heaviest_team() or queued
         if victim == queued:
             self._queue.remove(queued)
-            return self._refuse(queued.dispatch, ReasonCode.OVERLOADED)
+            return self._refuse(queued.work, ReasonCode.OVERLOADED)
         self._refuse_queued(victim, ReasonCode.OVERLOADED)
         return Queued(self._queue.ahead_of(queued), wait_ms)
 
@@ -319,10 +320,10 @@
         )
 
     def _refuse_queued(
-        self, queued: QueuedDispatch, reason: ReasonCode
+        self, queued: _QueuedDispatch, reason: ReasonCode
     ) -> None:
         self._queue.remove(queued)
-        self._refused.append(self._refuse(queued.dispatch, reason))
+        self._refused.append(self._refuse(queued.work, reason))
 
     def _drop_expired(self) -> None:
         now_ms = self.clock.now_ms()
@@ -330,7 +331,7 @@
             if queued.deadline_ms <= now_ms:
                 self._refuse_queued(queued, ReasonCode.DEADLINE)
 
-    def _next_startable(self) -> QueuedDispatch | None:
+    def _next_startable(self) -> _QueuedDispatch | None:
         """Return the first queued dispatch that may start now.
 
         If it doesn't fit, none behind it starts, not even a smaller one.
@@ -342,14 +343,14 @@
         for queued in self._queue.waiting:
             if queued.deadline_ms <= now_ms or self._must_wait(
                 queued,
-                count_by_team[queued.dispatch.team],
+                count_by_team[queued.team],
             ):
                 continue
             return queued if self._fits(queued) else None
         return None
 
-    def _must_wait(self, queued: QueuedDispatch, running: int) -> bool:
-        if queued.dispatch.suspect and self.running.suspect_count:
+    def _must_wait(self, queued: _QueuedDispatch, running: int) -> bool:
+        if queued.work.suspect and self.running.suspect_count:
             return True
         if queued.has_priority or running == 0:
             return False
@@ -358,8 +359,8 @@
         free = self.limits.max_running - len(self.running)
         return running >= self.limits.team_threshold * free
 
-    def _fits(self, queued: QueuedDispatch) -> bool:
-        dispatch = queued.dispatch
+    def _fits(self, queued: _QueuedDispatch) -> bool:
+        dispatch = queued.work
         running_prefill = self.running.prefill_tokens
         total_prefill = running_prefill + self._prefill_tokens(dispatch)
         prefill_max = self.limits.prefill_tokens
@@ -372,8 +373,8 @@
         kv_tokens = self.running.kv_tokens + self._kv_tokens(dispatch)
         return kv_tokens <= self.limits.kv_capacity
 
-    def _start(self, queued: QueuedDispatch) -> None:
-        dispatch = queued.dispatch
+    def _start(self, queued: _QueuedDispatch) -> None:
+        dispatch = queued.work
         self._queue.start(queued)
         self._record_decision(
             AttemptKey.from_dispatch(dispatch), dispatched=True
@@ -394,22 +395,24 @@
         if len(self._dispatched_by_key) > REMEMBERED_DECISIONS_MAX:
             self._dispatched_by_key.popitem(last=False)
 
-    def _find_queued(self, key: AttemptKey) -> QueuedDispatch | None:
+    def _find_queued(self, key: AttemptKey) -> _QueuedDispatch | None:
         for queued in self._queue.waiting:
-            if AttemptKey.from_dispatch(queued.dispatch) == key:
+            if AttemptKey.from_dispatch(queued.work) == key:
                 return queued
         return None
 
-    def _prepare(self, dispatch: Dispatch) -> QueuedDispatch:
+    def _prepare(self, dispatch: Dispatch) -> _QueuedDispatch:
         prefill_tokens = self._prefill_tokens(dispatch)
         output_tokens = self._output_tokens(dispatch)
         return self._queue.prepare(
             dispatch,
+            dispatch.team,
             deadline_ms=self.clock.now_ms() + dispatch.remaining_ms,
             cost=prefill_tokens + OUTPUT_TOKEN_COST * output_tokens,
+            has_priority=bool(dispatch.accepted) or dispatch.priority > 0,
         )
 
-    def _expected_wait_ms(self, queued: QueuedDispatch) -> float:
+    def _expected_wait_ms(self, queued: _QueuedDispatch) -> float:
         """Return the longer of the waits for a slot and the prefill ahead."""
         ahead = self._queue.ahead_of(queued)
         statistics = self.running.statistics
@@ -418,12 +421,15 @@
             self.clock.now_ms()
         )
         prefill_tokens += sum(
-            self._prefill_tokens(other.dispatch) for other in waiting
+            self._prefill_tokens(other.work) for other in waiting
         )
-        prefill_ms = prefill_tokens / statistics.prefill_per_s * _MS_PER_S
         free = self.limits.max_running - len(self.running)
-        slot_ms = statistics.run_ms / self.limits.max_running
-        return max(prefill_ms, max(0, ahead + 1 - free) * slot_ms)
+        return EngineWork(
+            prefill_tokens,
+            statistics.prefill_per_s,
+            missing_slots=ahead + 1 - free,
+            slot_ms=statistics.run_ms / self.limits.max_running,
+        ).wait_ms
 
     def _retry_after_ms(self, dispatch: Dispatch) -> int:
         """Return when new work may be queued again, as a bounded estimate."""
--- /dev/null
+++ b/bergamotthread/process/overload/retry_after.py
@@ -0,0 +1,36 @@
+"""Time after which refused work may come back."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RetryAfterRange:
+    """Bounds of a Retry-After, in milliseconds."""
+
+    shortest_ms: float
+    longest_ms: float
+
+    def clamp(self, wait_ms: float) -> int:
+        """Return a wait within the bounds; the longest counts first."""
+        return int(min(self.longest_ms, max(self.shortest_ms, wait_ms)))
+
+    def spread(
+        self, excess_ms: float, backlog_ms: float, rng: random.Random
+    ) -> int:
+        """Return a time at which the work that is refused now may return.
+
+        Callers that are refused together would return together. Their returns
+        are spread evenly over the time in which the backlog drains, from the
+        moment at which new work fits again.
+
+        Parameters
+        ----------
+        excess_ms
+            Time until the backlog is short enough for new work.
+        backlog_ms
+            Time in which the backlog drains.
+        """
+        return self.clamp(excess_ms + rng.random() * backlog_ms)
--- a/bergamotthread/process/routing/load_view.py
+++ b/bergamotthread/process/routing/load_view.py
@@ -11,11 +11,13 @@
 import msgspec
 
 from bergamotthread.clock import Clock
+from bergamotthread.process.overload.run_statistics import (
+    DEFAULT_PREFILL_TOKENS_PER_S,
+)
 from bergamotthread.wire.messages import LoadReport
 
 REPORT_HALF_LIFE_MS = 2000
 REPORT_TRANSIT_MS = 50
-DEFAULT_PREFILL_TOKENS_PER_S = 8000
 _MS_PER_S = 1000
 
 
