--- a/bergamotthread/platform/checks.py
+++ b/bergamotthread/platform/checks.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from bergamotthread.errors import BergamotError, Step
-from bergamotthread.platform.manifest import ManifestError, decode_manifest
+from bergamotthread.platform.manifest import ManifestError, read_manifest
 from bergamotthread.platform.settings import PlatformSettings
 from bergamotthread.version.route_table import RouteTable
 
@@ -38,12 +38,12 @@
         route.
     """
     try:
-        table = decode_manifest(path.read_bytes())
+        table, invalid_fields = read_manifest(path.read_bytes())
     except OSError as error:
         raise _check_error(path, (str(error),)) from error
     except ManifestError as error:
         raise _check_error(path, error.faults) from error
-    faults = tuple(_find_faults(table))
+    faults = (*invalid_fields, *_find_faults(table))
     if faults:
         raise _check_error(path, faults)
     return f'version {table.version}, {len(table.routes)} routes'
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -37,6 +37,7 @@
 from bergamotthread.process.relay.freshness import VersionFreshness
 from bergamotthread.process.relay.life_cycle import LifeCycle
 from bergamotthread.process.relay.liveness import LivenessWatch
+from bergamotthread.process.relay.plain_gate import PlainGate
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.repeat_budget import (
     ServiceRetryBudget,
@@ -47,6 +48,7 @@
     StatusServer,
     listen,
 )
+from bergamotthread.process.relay.stream_gate import StreamGate
 from bergamotthread.process.relay.upstreams import UpstreamDirectory
 from bergamotthread.process.relay.version_holder import RouteTableHolder
 from bergamotthread.request.relay.admission import Admission
@@ -233,6 +235,11 @@
                 'Upstreams that the store lists.',
                 lambda: len(self._directory),
             ),
+            (
+                'relay_queued',
+                'Requests that wait for a plain service.',
+                self._parts.plain_gate.queued,
+            ),
             (
                 'store_calls',
                 'Calls to the store since the start.',
@@ -276,6 +283,12 @@
             retry_budget=ServiceRetryBudget(
                 self._clock, _retry_limits(settings), self._entry_count
             ),
+            stream_gate=StreamGate(
+                self._clock, self._rng, lambda: len(self._feeds)
+            ),
+            plain_gate=PlainGate(
+                self._clock, self._rng, lambda: len(self._feeds)
+            ),
             liveness=LivenessWatch(
                 self._clock,
                 self._directory,
--- a/bergamotthread/platform/manifest.py
+++ b/bergamotthread/platform/manifest.py
@@ -98,14 +98,25 @@
         If the manifest is invalid; the message names the path of each wrong
         field, its value and what was expected.
     """
+    table, faults = read_manifest(encoded)
+    if faults:
+        raise ManifestError(faults)
+    return table
+
+
+def read_manifest(encoded: bytes) -> tuple[RouteTable, tuple[str, ...]]:
+    """Return the route table of a manifest, and why it must not be in force.
+
+    Raises
+    ------
+    ManifestError
+        If the manifest can't be decoded.
+    """
     try:
         manifest = msgspec.json.decode(encoded, type=_Manifest)
     except msgspec.MsgspecError as error:
         raise ManifestError((str(error),)) from error
-    faults = tuple(_find_faults(manifest))
-    if faults:
-        raise ManifestError(faults)
-    return RouteTable(
+    table = RouteTable(
         version=manifest.version,
         routes=tuple(_route(route) for route in manifest.routes),
         service_by_name={
@@ -114,6 +125,7 @@
         limits=_caller_limits(manifest.limits),
         team_by_key=_team_by_key(manifest.tenants),
     )
+    return table, tuple(_find_faults(manifest))
 
 
 def _find_faults(manifest: _Manifest) -> Iterator[str]:
--- a/bergamotthread/platform/runner_rows.py
+++ b/bergamotthread/platform/runner_rows.py
@@ -7,6 +7,7 @@
 
 from bergamotthread.process.relay.upstreams import (
     LoadReport,
+    RunProgress,
     UpstreamRecord,
     UpstreamState,
 )
@@ -83,6 +84,12 @@
         kv_total=report.kv_total,
         at_ms=at_ms,
         unread_tokens=_unread_tokens(report),
+        waiting_tokens=report.queue_depth * TYPICAL_PROMPT_TOKENS,
+        runs=tuple(
+            RunProgress(run, tokens, events)
+            for run, tokens, events, _ in report.runs
+        ),
+        copies=report.handles,
     )
 
 
--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -12,26 +12,36 @@
 import random
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
+from heapq import nsmallest
 from itertools import islice
 
+from bergamotthread.process.relay.engine_forecast import (
+    EngineForecast,
+    forecast_engine,
+)
 from bergamotthread.process.relay.upstreams import (
     Upstream,
     UpstreamDirectory,
 )
 
-# Prefill rate of an engine, from its data sheet.
-PREFILL_TOKENS_PER_MS = 8.0
 # Delay that each running request adds to the tokens of the others.
 RUNNING_REQUEST_COST_MS = 15.0
 # Cost of a full KV cache; grows with the square of the fraction in use, and
 # linearly for a copy holder.
 KV_FULL_COST_MS = 2000.0
+# Largest fraction of a holder's KV cache in use with the copy and with prompts
+# that wait there.
+COPY_KV_FRACTION_MAX = 0.4
 # Extra cost of another region, for the round trip and the paid traffic.
 CROSS_REGION_COST_MS = 60.0
 # Cost of an upstream all of whose recent requests failed.
 FAILURE_COST_MS = 4000.0
 # Upstreams that are asked for their load before one is chosen.
 SAMPLED_CANDIDATES = 4
+# Upstreams that are asked before a stream is refused, drawn from so many that
+# are least loaded by known reports.
+SECOND_CANDIDATES = 8
+LEAST_LOADED_UPSTREAMS = 16
 # Candidates taken from this region if it has enough upstreams: traffic between
 # regions is paid, and a loss in this region is noticed a round trip sooner.
 OWN_REGION_CANDIDATES = 3
@@ -117,19 +127,30 @@
             for upstream in self._eligible_in_order(request)
             if upstream.record.failure_domain != domain
         )
-        return self.copy_holder_among(list(islice(outside, SAMPLED_CANDIDATES)))
+        return self.copy_holder_among(
+            list(islice(outside, SAMPLED_CANDIDATES)), request.prompt_tokens
+        )
 
     def copy_holder_among(
-        self, upstreams: Sequence[Upstream]
+        self, upstreams: Sequence[Upstream], copy_tokens: int
     ) -> Upstream | None:
-        """Return the best holder of a copy, or None if there is none.
+        """Return the best holder of a copy, or None if none has room.
 
         A full upstream refuses runs that resume from a copy, and after a loss
         all runs of the lost upstream resume at once. Copies are therefore
         placed by free KV cache. Queues do not count, because a resumed run is
         admitted before queued requests.
+
+        A copy takes memory from prompts that wait, so a holder must have
+        `COPY_KV_FRACTION_MAX` of its KV cache in use at most.
         """
-        return min(upstreams, key=self._copy_holder_cost_ms, default=None)
+        with_room = (
+            upstream
+            for upstream in upstreams
+            if _copied_kv_fraction(upstream, copy_tokens)
+            <= COPY_KV_FRACTION_MAX
+        )
+        return min(with_room, key=self._copy_holder_cost_ms, default=None)
 
     def draw_candidates(self, request: RelayPlacementRequest) -> list[Upstream]:
         """Return a few candidates, from two failure domains if possible.
@@ -169,6 +190,38 @@
             candidates = ordered[:SAMPLED_CANDIDATES]
         return _with_second_domain(candidates, ordered)
 
+    def draw_least_loaded(
+        self, request: RelayPlacementRequest
+    ) -> list[Upstream]:
+        """Return some of the least loaded upstreams, by known load reports.
+
+        They are drawn at random, as all entries know about the same reports.
+        """
+        considered = islice(
+            self._eligible_in_order(request), CONSIDERED_UPSTREAMS_MAX
+        )
+        healthy = (
+            upstream
+            for upstream in considered
+            if not self.directory.is_suspected(upstream)
+        )
+        least_loaded = nsmallest(
+            LEAST_LOADED_UPSTREAMS,
+            healthy,
+            key=lambda upstream: (
+                self.forecast(upstream, request).first_event_ms
+            ),
+        )
+        count = min(len(least_loaded), SECOND_CANDIDATES)
+        return self.rng.sample(least_loaded, count)
+
+    def count_engines(self, request: RelayPlacementRequest) -> int:
+        """Return the number of engines that may run a request."""
+        return sum(
+            not self.directory.is_lost(upstream)
+            for upstream in self.directory.of_service(request.service)
+        )
+
     def rank_cost_ms(self, rank: int, request: RelayPlacementRequest) -> float:
         """Return the cost in ms of a candidate at a rank by affinity."""
         if not request.affinity:
@@ -188,7 +241,7 @@
         A random part below 1 ms breaks ties.
         """
         if request.prompt_tokens:
-            cost_ms = _engine_cost_ms(upstream, request)
+            cost_ms = self._engine_cost_ms(upstream, request)
         else:
             cost_ms = upstream.in_flight * PLAIN_REQUEST_COST_MS
         cost_ms += (
@@ -196,6 +249,23 @@
         )
         return cost_ms + self._region_cost_ms(upstream) + self.rng.random()
 
+    def forecast(
+        self, upstream: Upstream, request: RelayPlacementRequest
+    ) -> EngineForecast:
+        """Return the expected first event of a prompt at an engine."""
+        outputs = self.directory.outputs(request.service)
+        return forecast_engine(upstream, request.prompt_tokens, outputs)
+
+    def _engine_cost_ms(
+        self, upstream: Upstream, request: RelayPlacementRequest
+    ) -> float:
+        running = upstream.in_flight
+        if upstream.report is not None:
+            running = max(running, upstream.report.running)
+        cost_ms = self.forecast(upstream, request).first_event_ms
+        cost_ms += running * RUNNING_REQUEST_COST_MS
+        return cost_ms + _kv_fraction(upstream) ** 2 * KV_FULL_COST_MS
+
     def _copy_holder_cost_ms(self, upstream: Upstream) -> float:
         kv_fraction = _kv_fraction(upstream, upstream.held_tokens)
         cost_ms = kv_fraction * KV_FULL_COST_MS + self._region_cost_ms(upstream)
@@ -265,27 +335,19 @@
     return [*candidates[:-1], last]
 
 
-def _engine_cost_ms(
-    upstream: Upstream, request: RelayPlacementRequest
-) -> float:
-    report = upstream.report
-    unread_tokens = upstream.prefill_tokens
-    running = upstream.in_flight
-    if report is not None:
-        reported = report.unread_tokens + upstream.sent_since_report
-        unread_tokens = max(unread_tokens, reported)
-        running = max(running, report.running)
-    waiting_prefill_tokens = unread_tokens + request.prompt_tokens
-    cost_ms = (
-        waiting_prefill_tokens / PREFILL_TOKENS_PER_MS
-        + running * RUNNING_REQUEST_COST_MS
-    )
-    return cost_ms + _kv_fraction(upstream) ** 2 * KV_FULL_COST_MS
-
-
 def _kv_fraction(upstream: Upstream, more_tokens: int = 0) -> float:
     """Return the fraction of the KV cache in use; 0 without a load report."""
     report = upstream.report
     if report is None:
         return 0
     return (report.kv_used + more_tokens) / max(report.kv_total, 1)
+
+
+def _copied_kv_fraction(upstream: Upstream, copy_tokens: int) -> float:
+    report = upstream.report
+    waiting_tokens = 0
+    if report is not None:
+        waiting_tokens = report.waiting_tokens + upstream.sent_since_report
+    return _kv_fraction(
+        upstream, upstream.held_tokens + waiting_tokens + copy_tokens
+    )
--- /dev/null
+++ b/bergamotthread/process/relay/engine_forecast.py
@@ -0,0 +1,122 @@
+"""Forecast of the first event of a prompt at an engine without an agent.
+
+The work ahead of the prompt follows from the engine's load report and from own
+requests that the report can't show yet; the speed of the engine is learned from
+its reports and from own streams.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bergamotthread.process.overload.expected_wait import EngineWork, Holding
+from bergamotthread.process.overload.run_statistics import RunStatistics
+from bergamotthread.process.relay.upstreams import LoadReport, Upstream
+
+_MS_PER_S = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class EngineForecast:
+    """Expected time to the first event of a prompt at one engine.
+
+    Parameters
+    ----------
+    work
+        Work ahead of the prompt.
+    prompt_ms
+        Time to prefill the prompt itself.
+    occupancy_ms
+        Time of the engine that the stream takes: for its prefill, or for its
+        share of the KV cache while it runs, whichever is longer.
+    """
+
+    work: EngineWork
+    prompt_ms: float
+    occupancy_ms: float
+
+    @property
+    def first_event_ms(self) -> float:
+        """Return the time from now to the first event."""
+        return self.work.wait_ms + self.prompt_ms
+
+
+def forecast_engine(
+    upstream: Upstream, prompt_tokens: int, outputs: RunStatistics
+) -> EngineForecast:
+    """Return the forecast of a prompt at an upstream.
+
+    Parameters
+    ----------
+    outputs
+        Output lengths of the service, in events, and the speed of its engines.
+    """
+    learned = upstream.statistics if upstream.has_prefilled else outputs
+    rate_per_s = learned.prefill_per_s
+    prompt_ms = prompt_tokens / rate_per_s * _MS_PER_S
+    report = upstream.report
+    if report is None:
+        work = EngineWork(upstream.prefill_tokens, rate_per_s)
+        return EngineForecast(work, prompt_ms, prompt_ms)
+    unread_tokens = max(
+        upstream.prefill_tokens,
+        report.unread_tokens + upstream.sent_since_report,
+    )
+    run_ms = _run_ms(upstream, outputs)
+    waiting_tokens = report.waiting_tokens + upstream.sent_since_report
+    needed_tokens = report.kv_used + waiting_tokens + prompt_tokens
+    work = EngineWork(
+        unread_tokens,
+        rate_per_s,
+        missing_slots=_missing_slots(upstream, report),
+        slot_ms=run_ms / max(upstream.record.slots, 1),
+        missing_tokens=needed_tokens - report.kv_total,
+        holdings=_holdings(upstream, report, outputs),
+    )
+    memory_ms = run_ms * prompt_tokens / max(report.kv_total, 1)
+    return EngineForecast(work, prompt_ms, max(prompt_ms, memory_ms))
+
+
+def _run_ms(upstream: Upstream, outputs: RunStatistics) -> float:
+    """Return the expected time from the first event to the last."""
+    event_ms = upstream.statistics.between_tokens_ms
+    if not event_ms:
+        return outputs.run_ms
+    return outputs.output_tokens * event_ms
+
+
+def _missing_slots(upstream: Upstream, report: LoadReport) -> int:
+    if not upstream.record.slots:
+        return 0
+    free_slots = upstream.record.slots - report.running
+    return report.queued + 1 - free_slots
+
+
+def _holdings(
+    upstream: Upstream, report: LoadReport, outputs: RunStatistics
+) -> tuple[Holding, ...]:
+    """Return what the KV cache holds.
+
+    Runs that are still prefilling, and copies of other upstreams' runs, are
+    halfway on average.
+    """
+    run_ms = _run_ms(upstream, outputs)
+    event_ms = run_ms / max(outputs.output_tokens, 1)
+    holdings = [
+        Holding(
+            run.tokens, max(outputs.output_tokens - run.events, 1) * event_ms
+        )
+        for run in report.runs
+    ]
+    other_tokens = report.kv_used - sum(run.tokens for run in report.runs)
+    prefilling = max(report.running - len(report.runs), 0)
+    other_count = report.copies + prefilling
+    if not other_count or other_tokens <= 0:
+        return tuple(holdings)
+    each_tokens = other_tokens / other_count
+    part_ms = run_ms / other_count
+    holdings.extend(
+        Holding(each_tokens, part_ms * (number + 0.5))
+        for number in range(other_count)
+    )
+    return tuple(holdings)
--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -114,8 +114,7 @@
         except TimeoutError:
             report = None
         if report is not None:
-            upstream.report = report
-            upstream.sent_since_report = 0
+            upstream.apply_report(report)
             self.directory.record_heard(upstream)
             return True
         if upstream.heard_ms > started_ms:
--- a/bergamotthread/process/relay/relay_metrics.py
+++ b/bergamotthread/process/relay/relay_metrics.py
@@ -29,6 +29,10 @@
     first_event_ms, longest_pause_ms
         Time to the first event of a stream and longest pause between its
         events.
+    queue_wait_ms
+        Time that requests to plain services waited in the entry's queue.
+    forecast_error_ms
+        Difference between the expected and the measured first event.
     """
 
     registry: Metrics
@@ -38,6 +42,8 @@
     answer_ms: Percentiles
     first_event_ms: Percentiles
     longest_pause_ms: Percentiles
+    queue_wait_ms: Percentiles
+    forecast_error_ms: Percentiles
 
     @classmethod
     def from_clock(cls, clock: Clock) -> RelayMetrics:
@@ -72,4 +78,12 @@
                 'relay_longest_pause_ms',
                 'Longest pause between two events of a stream.',
             ),
+            queue_wait_ms=registry.percentiles(
+                'relay_queue_wait_ms',
+                'Time in the queue of a plain service.',
+            ),
+            forecast_error_ms=registry.percentiles(
+                'relay_forecast_error_ms',
+                'Difference of expected and measured first event.',
+            ),
         )
--- /dev/null
+++ b/bergamotthread/process/relay/stream_gate.py
@@ -0,0 +1,382 @@
+"""Admission of streams by the expected time to their first event.
+
+Where more is asked than the engines can serve, prompts wait in the engines'
+queues until all of them are late, and engines prefill prompts whose callers
+have left. A stream is therefore placed only while its first event is expected
+within a limit, and refused at once otherwise.
+
+All entries see the same engines, by reports that are some hundred milliseconds
+old. Those that see room for one prompt would all place one. An entry therefore
+estimates how many streams the others place meanwhile, and takes its share of
+the room at random.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.overload.overload import (
+    Admitted,
+    OverloadGuard,
+    OverloadLimits,
+)
+from bergamotthread.process.overload.retry_after import RetryAfterRange
+from bergamotthread.process.relay.engine_forecast import EngineForecast
+
+# Fraction of the first-event target within which the first event must be
+# expected. The rest covers errors of the forecast.
+LIMIT_FRACTION = 0.75
+# Longest wait of a stream that will be late in any case, as a fraction of the
+# target. Only engines with almost no backlog take it, so that it delays none
+# that can be in time.
+LATE_WAIT_FRACTION = 0.2
+# Number of requests, and quantile of the time limits that they bring, that give
+# the longest time limit of first requests. Those of other callers may be
+# shorter by a fifth.
+TIME_LIMITS_KEPT = 128
+TIME_LIMIT_QUANTILE = 0.9
+TIME_LIMIT_SPREAD = 0.2
+# Time between a placement and the first load report that shows it, beside the
+# age of the report at hand.
+REPORT_DELAY_MS = 150.0
+# Time constant of the rate at which streams are offered.
+RATE_SMOOTHING_MS = 1500.0
+# Streams whose first candidates have a backlog come in bursts, and all turn to
+# the same few engines; so many times the mean rate is expected of them.
+BACKLOGGED_BURST = 2.0
+# Utilisation is the expected time to the first event over its limit. Teams
+# share the engines by weight only once these are almost full.
+TEAM_LIMITS = OverloadLimits(utilisation_max=math.inf, fair_utilisation=0.7)
+RETRY_AFTER_MIN_MS = 500.0
+# Callers honour a Retry-After of up to a third of their remaining time.
+RETRY_AFTER_FRACTION = 0.33
+_PROMPT_MS_MIN = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class StreamDemand:
+    """A new stream that asks to be placed.
+
+    Parameters
+    ----------
+    target_ms
+        Target for the first event, from the caller's first request.
+    received_ms
+        Monotonic time at which the request arrived.
+    time_limit_ms
+        Time that the request had when it arrived.
+    """
+
+    service: str
+    route: str
+    team: str
+    target_ms: float
+    received_ms: float
+    time_limit_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class StreamTimes:
+    """Times that decide on a stream, in milliseconds.
+
+    Parameters
+    ----------
+    spent_ms
+        Time since the caller's first request.
+    remaining_ms
+        Time until the caller's deadline.
+    """
+
+    target_ms: float
+    spent_ms: float
+    remaining_ms: float
+
+    def is_late(self, prompt_ms: float) -> bool:
+        """Return whether the target is missed also without a wait."""
+        return self._in_time_ms < prompt_ms
+
+    def limit_ms(self, prompt_ms: float) -> float:
+        """Return the longest expected time to the first event from now."""
+        if self.is_late(prompt_ms):
+            return prompt_ms + self.target_ms * LATE_WAIT_FRACTION
+        return self._in_time_ms
+
+    @property
+    def _in_time_ms(self) -> float:
+        return self.target_ms * LIMIT_FRACTION - self.spent_ms
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """What an entry knows of an engine when it decides on a stream.
+
+    Parameters
+    ----------
+    forecast
+        Forecast of the stream at the engine.
+    report_age_ms
+        Age of the load report that the forecast is based on.
+    engines
+        Engines of the service.
+    draw_fraction
+        Fraction of all streams for which the engine is among the candidates.
+    least_loaded_count
+        Number of the least loaded engines, among which streams are drawn whose
+        first candidates have a backlog.
+    """
+
+    forecast: EngineForecast
+    report_age_ms: float
+    engines: int
+    draw_fraction: float
+    least_loaded_count: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamRefused:
+    """No engine is expected to send the first event in time.
+
+    Parameters
+    ----------
+    decided_by
+        `engines`, or the team that uses more than its share of them.
+    backlog_ms
+        Expected wait before the prefill of the prompt.
+    report_age_ms
+        Age of the load report that the expectation is based on.
+    rivals
+        Streams that others are expected to place at the engine meanwhile.
+    """
+
+    decided_by: str
+    expected_ms: float
+    limit_ms: float
+    backlog_ms: float
+    report_age_ms: float
+    rivals: float
+    retry_after_ms: int
+
+
+@dataclass
+class OfferedRate:
+    """Smoothed rate of requests, per millisecond."""
+
+    updated_ms: float = 0
+    per_ms: float = 0
+
+    def record(self, now_ms: float) -> None:
+        """Count a request."""
+        self.per_ms = self.at(now_ms) + 1 / RATE_SMOOTHING_MS
+        self.updated_ms = now_ms
+
+    def at(self, now_ms: float) -> float:
+        """Return the rate at a time."""
+        elapsed_ms = now_ms - self.updated_ms
+        return self.per_ms * math.exp(-elapsed_ms / RATE_SMOOTHING_MS)
+
+
+@dataclass
+class StreamGate:
+    """Decides on new streams, as one of several entries.
+
+    Parameters
+    ----------
+    count_entries
+        Returns the number of entries that place streams at the same engines.
+    """
+
+    clock: Clock
+    rng: random.Random
+    count_entries: Callable[[], int]
+    _rate_by_service: dict[str, OfferedRate] = field(default_factory=dict)
+    _backlogged_rate_by_service: dict[str, OfferedRate] = field(
+        default_factory=dict
+    )
+    _guard_by_service: dict[str, OverloadGuard] = field(default_factory=dict)
+    _time_limits_by_route: dict[str, deque[float]] = field(default_factory=dict)
+
+    def offer(self, demand: StreamDemand) -> None:
+        """Count a stream before it is decided on."""
+        rates = self._rate_by_service
+        rate = rates.setdefault(demand.service, OfferedRate())
+        rate.record(self.clock.now_ms())
+        limits = self._time_limits_by_route.setdefault(
+            demand.route, deque(maxlen=TIME_LIMITS_KEPT)
+        )
+        limits.append(demand.time_limit_ms)
+
+    def check(
+        self, demand: StreamDemand, view: EngineView
+    ) -> StreamRefused | None:
+        """Return a refusal if an engine is not expected to be in time."""
+        times = self._times(demand)
+        if times.is_late(view.forecast.prompt_ms):
+            has_room = self._has_spare_time(demand, view)
+        else:
+            rivals = self._expected_rivals(demand.service, view)
+            has_room = self._may_use(_room(view.forecast, times), rivals)
+        return None if has_room else self._refuse('engines', demand, view)
+
+    def draw(
+        self, demand: StreamDemand, views: Sequence[EngineView]
+    ) -> int | StreamRefused:
+        """Draw one of the least loaded engines, or return a refusal.
+
+        All entries whose first candidates have a backlog turn to these engines,
+        so they are drawn by the room that they have.
+
+        Parameters
+        ----------
+        views
+            The engines, with the earliest expected first event in front.
+
+        Returns
+        -------
+        int or StreamRefused
+            Index of the engine.
+        """
+        self._record_backlogged(demand.service)
+        best = views[0]
+        times = self._times(demand)
+        if times.is_late(best.forecast.prompt_ms):
+            refused = self.check(demand, best)
+            return 0 if refused is None else refused
+        rooms = [_room(view.forecast, times) for view in views]
+        rivals = self._expected_backlogged(demand.service, best)
+        if not self._may_use(sum(rooms), rivals):
+            return self._refuse('engines', demand, best)
+        return self.rng.choices(range(len(views)), rooms)[0]
+
+    def check_team(
+        self, demand: StreamDemand, view: EngineView
+    ) -> StreamRefused | None:
+        """Return a refusal if a team uses more than its share of busy engines.
+
+        Called once for each stream, also if the engines decided before, since
+        the share depends on what each team asks for.
+        """
+        forecast = view.forecast
+        limit_ms = self._times(demand).limit_ms(forecast.prompt_ms)
+        verdict = self._guard(demand.service).check(
+            demand.team, forecast.first_event_ms / limit_ms
+        )
+        if isinstance(verdict, Admitted):
+            return None
+        return self._refuse(verdict.decided_by, demand, view)
+
+    def record_start(self, service: str, team: str) -> None:
+        """Record the start of a stream."""
+        self._guard(service).record_start(team)
+
+    def record_end(self, service: str, team: str, run_ms: float) -> None:
+        """Record the end of a stream; `run_ms` is 0 if it did not complete."""
+        self._guard(service).record_end(team, run_ms)
+
+    def _refuse(
+        self, decided_by: str, demand: StreamDemand, view: EngineView
+    ) -> StreamRefused:
+        times = self._times(demand)
+        expected_ms = view.forecast.first_event_ms
+        limit_ms = times.limit_ms(view.forecast.prompt_ms)
+        bounds = RetryAfterRange(
+            RETRY_AFTER_MIN_MS, times.remaining_ms * RETRY_AFTER_FRACTION
+        )
+        retry_after_ms = bounds.spread(
+            max(expected_ms - limit_ms, 0),
+            view.forecast.work.wait_ms,
+            self.rng,
+        )
+        return StreamRefused(
+            decided_by,
+            expected_ms,
+            limit_ms,
+            view.forecast.work.wait_ms,
+            view.report_age_ms,
+            self._expected_rivals(demand.service, view),
+            retry_after_ms,
+        )
+
+    def _times(self, demand: StreamDemand) -> StreamTimes:
+        """Return the times of a stream.
+
+        A caller that returns brings the rest of its time limit, which tells at
+        least how long ago its first request was. First requests are more than
+        a tenth of all, and bring the longest limits.
+        """
+        waited_ms = self.clock.now_ms() - demand.received_ms
+        spent_ms = waited_ms
+        limits = sorted(self._time_limits_by_route.get(demand.route, ()))
+        if limits:
+            longest_ms = limits[int(len(limits) * TIME_LIMIT_QUANTILE)]
+            first_ms = longest_ms * (1 - TIME_LIMIT_SPREAD)
+            spent_ms += max(first_ms - demand.time_limit_ms, 0)
+        return StreamTimes(
+            demand.target_ms, spent_ms, demand.time_limit_ms - waited_ms
+        )
+
+    def _may_use(self, room: float, rivals: float) -> bool:
+        """Return whether a stream may use room that others compete for."""
+        return self.rng.random() * (1 + rivals) < room
+
+    def _has_spare_time(self, demand: StreamDemand, view: EngineView) -> bool:
+        """Return whether a late stream delays none that can be in time.
+
+        Engines with work ahead take it only in the time that they have left
+        beside all streams that are offered.
+        """
+        wait_ms = view.forecast.work.wait_ms
+        if wait_ms <= 0:
+            return True
+        if wait_ms > demand.target_ms * LATE_WAIT_FRACTION:
+            return False
+        rate = self._rate_by_service.get(demand.service, OfferedRate())
+        offered_per_ms = rate.at(self.clock.now_ms()) * self.count_entries()
+        taken_per_ms = max(view.engines, 1) / view.forecast.occupancy_ms
+        return self.rng.random() > offered_per_ms / taken_per_ms
+
+    def _expected_rivals(self, service: str, view: EngineView) -> float:
+        """Return the streams that others place before a report shows them.
+
+        Others draw the engine as a first candidate, or as one of the least
+        loaded.
+        """
+        rate = self._rate_by_service.get(service, OfferedRate())
+        first = self._unseen(rate, view) * view.draw_fraction
+        backlogged = self._expected_backlogged(service, view)
+        return first + backlogged / view.least_loaded_count
+
+    def _expected_backlogged(self, service: str, view: EngineView) -> float:
+        """Return the same for all of the least loaded engines."""
+        rate = self._backlogged_rate_by_service.get(service, OfferedRate())
+        return self._unseen(rate, view) * BACKLOGGED_BURST
+
+    def _unseen(self, rate: OfferedRate, view: EngineView) -> float:
+        others = max(self.count_entries() - 1, 0)
+        # The stream has been counted, and says nothing of the others.
+        per_ms = rate.at(self.clock.now_ms()) - 1 / RATE_SMOOTHING_MS
+        unseen_ms = view.report_age_ms + REPORT_DELAY_MS
+        return max(per_ms, 0) * others * unseen_ms
+
+    def _record_backlogged(self, service: str) -> None:
+        rates = self._backlogged_rate_by_service
+        rate = rates.setdefault(service, OfferedRate())
+        rate.record(self.clock.now_ms())
+
+    def _guard(self, service: str) -> OverloadGuard:
+        guard = self._guard_by_service.get(service)
+        if guard is None:
+            guard = OverloadGuard(self.clock, TEAM_LIMITS)
+            self._guard_by_service[service] = guard
+        return guard
+
+
+def _room(forecast: EngineForecast, times: StreamTimes) -> float:
+    """Return how many such prompts an engine can take in time; 0 if none."""
+    prompt_ms = max(forecast.prompt_ms, _PROMPT_MS_MIN)
+    spare_ms = times.limit_ms(prompt_ms) - forecast.first_event_ms
+    return 0 if spare_ms < 0 else 1 + spare_ms / prompt_ms
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -4,11 +4,12 @@
 
 import enum
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bergamotthread.clock import Clock
+from bergamotthread.process.overload.run_statistics import RunStatistics
 from bergamotthread.process.relay.hash_ring import HashRing
 
 # Time after which a lost upstream is tried again even if it stayed silent. The
@@ -23,6 +24,15 @@
 # Time within which a removed upstream may be replaced or listed again. Rows
 # that lapsed in an outage of the store are back two seconds after its return.
 REPLACEMENT_MS = 2000
+# Age that the values of a load report may have when it arrives.
+REPORT_LAG_MS = 150
+# Shortest time between two load reports that give the pace of the runs, and the
+# weight of that pace, which changes with each prompt that is prefilled beside
+# the runs.
+EVENT_INTERVAL_SPAN_MS = 100
+EVENT_INTERVAL_WEIGHT = 0.5
+# Weight of one complete stream in the output length of its service.
+_OUTPUT_WEIGHT = 0.05
 # Weight of the newest outcome in the average of failures.
 _OUTCOME_WEIGHT = 0.25
 # Failures decay with this half-life, so that a failing upstream is tried again.
@@ -57,6 +67,15 @@
     started_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class RunProgress:
+    """Tokens that a run holds in the KV cache, and events it has produced."""
+
+    run: str
+    tokens: int
+    events: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load that an upstream reported.
@@ -67,6 +86,12 @@
         Tokens of the KV cache that can't be evicted, and its capacity.
     unread_tokens
         Accepted prompt tokens that wait for prefill.
+    waiting_tokens
+        Those of them that hold no memory yet.
+    runs
+        Runs that have produced an event.
+    copies
+        Copies of other upstreams' runs that it holds.
     at_ms
         Monotonic time at which the report arrived.
     """
@@ -77,6 +102,9 @@
     kv_total: int
     at_ms: float
     unread_tokens: int = 0
+    waiting_tokens: int = 0
+    runs: tuple[RunProgress, ...] = ()
+    copies: int = 0
 
 
 @dataclass(slots=True)
@@ -88,7 +116,12 @@
     prefill_tokens
         Prompt tokens of this process's attempts that have no event yet.
     sent_since_report
-        Prompt tokens of attempts that this process sent since the report.
+        Prompt tokens of attempts that this process sent and that the report
+        can't show yet.
+    statistics
+        Speed of the upstream, learned from reports and own streams.
+    has_prefilled
+        Whether a prefill of an own stream is among them.
     held_tokens
         Prompt tokens of this process's streams whose copies the upstream holds.
     is_unlisted
@@ -113,12 +146,37 @@
     sent_since_report: int = 0
     held_tokens: int = 0
     is_unlisted: bool = False
+    statistics: RunStatistics = field(default_factory=RunStatistics)
+    has_prefilled: bool = False
+    _recent_sends: deque[tuple[float, int]] = field(default_factory=deque)
 
     @property
     def address(self) -> str:
         """Return the address at which it listens."""
         return self.record.address
 
+    def record_send(self, prompt_tokens: int, now_ms: float) -> None:
+        """Record an own attempt that was sent just now."""
+        self._recent_sends.append((now_ms, prompt_tokens))
+        self.sent_since_report += prompt_tokens
+
+    def apply_report(self, report: LoadReport) -> None:
+        """Replace the load report, and learn the pace of the runs from it."""
+        former = self.report
+        self.report = report
+        while (
+            self._recent_sends
+            and self._recent_sends[0][0] < report.at_ms - REPORT_LAG_MS
+        ):
+            self._recent_sends.popleft()
+        self.sent_since_report = sum(tokens for _, tokens in self._recent_sends)
+        if former is not None:
+            interval_ms = _event_interval_ms(former, report)
+            if interval_ms:
+                self.statistics.record_interval(
+                    interval_ms, EVENT_INTERVAL_WEIGHT
+                )
+
 
 @dataclass
 class UpstreamDirectory:
@@ -137,6 +195,8 @@
     _losses_by_domain: dict[str, deque[float]] = field(default_factory=dict)
     _ring_by_service: dict[str, HashRing] = field(default_factory=dict)
     _removed_ms_by_service: dict[str, float] = field(default_factory=dict)
+    _outputs_by_service: dict[str, RunStatistics] = field(default_factory=dict)
+    _stream_count_by_service: Counter[str] = field(default_factory=Counter)
 
     def __len__(self) -> int:
         return len(self._upstream_by_instance)
@@ -177,6 +237,33 @@
             self._removed_ms_by_service[service] = self.clock.now_ms()
         return upstream
 
+    def outputs(self, service: str) -> RunStatistics:
+        """Return the speed and output lengths learned of a service."""
+        return self._outputs_by_service.setdefault(service, RunStatistics())
+
+    def record_prefill(
+        self, upstream: Upstream, tokens: float, duration_ms: float
+    ) -> None:
+        """Record the time in which an upstream prefilled tokens."""
+        outputs = self.outputs(upstream.record.service)
+        outputs.record_prefill(tokens, duration_ms)
+        if upstream.has_prefilled:
+            upstream.statistics.record_prefill(tokens, duration_ms)
+            return
+        upstream.has_prefilled = True
+        upstream.statistics = replace(
+            outputs, between_tokens_ms=upstream.statistics.between_tokens_ms
+        )
+
+    def record_stream(
+        self, upstream: Upstream, events: int, span_ms: float
+    ) -> None:
+        """Record the length of a complete stream."""
+        service = upstream.record.service
+        self._stream_count_by_service[service] += 1
+        weight = max(1 / self._stream_count_by_service[service], _OUTPUT_WEIGHT)
+        self.outputs(service).record_end(events, span_ms, weight)
+
     def record_unlisted(self, instance: str) -> None:
         """Suspect an upstream that became unlisted in an outage."""
         upstream = self._upstream_by_instance.get(instance)
@@ -203,6 +290,12 @@
             for upstream in self._upstream_by_instance.values()
         )
 
+    def slots(self, service: str) -> int:
+        """Return how many requests the upstreams of a service run at a time."""
+        return sum(
+            upstream.record.slots for upstream in self.of_service(service)
+        )
+
     def of_service(self, service: str) -> Iterator[Upstream]:
         """Yield the upstreams of one service that accept new requests."""
         for upstream in self._upstream_by_instance.values():
@@ -291,6 +384,21 @@
     return record.state is UpstreamState.READY and record.service == service
 
 
+def _event_interval_ms(former: LoadReport, newer: LoadReport) -> float:
+    """Return the mean time between events of the runs; 0 if unknown."""
+    span_ms = newer.at_ms - former.at_ms
+    if span_ms < EVENT_INTERVAL_SPAN_MS:
+        return 0
+    events_by_run = {run.run: run.events for run in former.runs}
+    produced = [
+        run.events - events_by_run[run.run]
+        for run in newer.runs
+        if run.run in events_by_run
+    ]
+    total = sum(produced)
+    return span_ms * len(produced) / total if total > 0 else 0
+
+
 def _is_same_incarnation(
     listed: UpstreamRecord, updated: UpstreamRecord
 ) -> bool:
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -106,7 +106,7 @@
         except ConnectionError as error:
             return NotSent(str(error))
         self.sent_ms = self.parts.clock.now_ms()
-        self.upstream.sent_since_report += self.call.prompt_tokens
+        self.upstream.record_send(self.call.prompt_tokens, self.sent_ms)
         return None
 
     async def receive(self, timeout_ms: float) -> AnswerItem | None:
--- a/bergamotthread/request/relay/attempt_loop.py
+++ b/bergamotthread/request/relay/attempt_loop.py
@@ -7,6 +7,7 @@
 
 from bergamotthread.request.relay.call import RelayedCall
 from bergamotthread.request.relay.parts import RelayParts
+from bergamotthread.request.relay.refusals import RelayRefusal
 
 # Pause before placement is tried again where no upstream was available.
 PLACEMENT_RETRY_MS = 100
@@ -61,8 +62,14 @@
     def may_send(self) -> bool:
         """Return whether another attempt is allowed."""
 
-    async def place(self) -> _Placement | None:
-        """Return where the next attempt goes, or None if nowhere for now."""
+    async def place(self) -> _Placement | RelayRefusal | None:
+        """Return where the next attempt goes, or None if nowhere for now.
+
+        A refusal is sent at once.
+        """
+
+    def refuse(self, refusal: RelayRefusal) -> None:
+        """Send a refusal that `place` returned."""
 
     def may_wait(self) -> bool:
         """Return whether placement may be tried again after a pause."""
@@ -87,6 +94,9 @@
     limits.parts.retry_budget.record_first_attempt(limits.call.service.name)
     while limits.remaining_ms > 0 and steps.may_send():
         placement = await steps.place()
+        if isinstance(placement, RelayRefusal):
+            steps.refuse(placement)
+            return True
         if placement is None:
             if not steps.may_wait():
                 return False
--- a/bergamotthread/request/relay/call.py
+++ b/bergamotthread/request/relay/call.py
@@ -55,6 +55,11 @@
         """Return the caller's request."""
         return self.exchange.request
 
+    @property
+    def time_limit_ms(self) -> float:
+        """Return the time that the request had when it arrived."""
+        return self.deadline_ms - self.request.received_ms
+
     @property
     def request_label(self) -> str:
         """Return the request's identifier as text, for logs and copies."""
--- a/bergamotthread/request/relay/parts.py
+++ b/bergamotthread/request/relay/parts.py
@@ -9,8 +9,10 @@
 from bergamotthread.process.relay.choice import UpstreamChoice
 from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.liveness import LivenessWatch
+from bergamotthread.process.relay.plain_gate import PlainGate
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.repeat_budget import ServiceRetryBudget
+from bergamotthread.process.relay.stream_gate import StreamGate
 from bergamotthread.process.relay.upstreams import UpstreamDirectory
 from bergamotthread.request.relay.dialect import RelayHeaderNames
 from bergamotthread.request.relay.engine_memory import EngineKvCache
@@ -25,6 +27,8 @@
     directory: UpstreamDirectory
     choice: UpstreamChoice
     retry_budget: ServiceRetryBudget
+    stream_gate: StreamGate
+    plain_gate: PlainGate
     liveness: LivenessWatch
     kv_cache: EngineKvCache
     header_names: RelayHeaderNames
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -5,7 +5,16 @@
 import asyncio
 from dataclasses import dataclass
 
-from bergamotthread.process.relay.choice import RelayPlacementRequest
+from bergamotthread.process.relay.choice import (
+    LEAST_LOADED_UPSTREAMS,
+    SAMPLED_CANDIDATES,
+    RelayPlacementRequest,
+)
+from bergamotthread.process.relay.stream_gate import (
+    EngineView,
+    StreamDemand,
+    StreamRefused,
+)
 from bergamotthread.process.relay.upstreams import Upstream
 from bergamotthread.request.relay.call import RelayedCall
 from bergamotthread.request.relay.copies import KvCacheCopy
@@ -29,6 +38,21 @@
     copy_target: Upstream | None = None
 
 
+@dataclass(frozen=True)
+class Candidate:
+    """Upstream that an attempt may use.
+
+    Parameters
+    ----------
+    rank
+        Position in the order in which the candidates were drawn.
+    """
+
+    upstream: Upstream
+    rank: int
+    cost_ms: float
+
+
 @dataclass(frozen=True)
 class StreamPlacer:
     """Chooses the upstreams for the attempts of one stream."""
@@ -72,13 +96,18 @@
         return AttemptPlacement(copy.holder, copy, copy_target)
 
     async def place(
-        self, request: RelayPlacementRequest
-    ) -> AttemptPlacement | None:
+        self, request: RelayPlacementRequest, *, in_time: bool = False
+    ) -> AttemptPlacement | StreamRefused | None:
         """Place an attempt that resumes from no copy.
 
+        Parameters
+        ----------
+        in_time
+            Whether to refuse a stream whose first event would be too late.
+
         Returns
         -------
-        AttemptPlacement or None
+        AttemptPlacement or StreamRefused or None
             None if no upstream is available now.
         """
         candidates = self.parts.choice.draw_candidates(request)
@@ -90,7 +119,62 @@
             # No candidate answered its probe, so all are marked lost now. If
             # the attempt fails as well, the next one is placed at others.
             return AttemptPlacement(candidates[0])
-        return self._cheapest(usable, request)
+        ranked = self._rank(usable, request)
+        if not in_time:
+            return self._make_placement(ranked[0], ranked, request)
+        return await self._place_in_time(ranked, request)
+
+    async def _place_in_time(
+        self, ranked: list[Candidate], request: RelayPlacementRequest
+    ) -> AttemptPlacement | StreamRefused:
+        """Place at an upstream that is in time, or refuse the stream.
+
+        The first candidates may be the only engines with a backlog. All entries
+        whose first candidates have one ask the least loaded upstreams.
+        """
+        gate = self.parts.stream_gate
+        demand = self._demand()
+        gate.offer(demand)
+        chosen = ranked[0]
+        view = self._view(chosen.upstream, request)
+        refused = gate.check(demand, view)
+        if refused is not None:
+            others = self.parts.choice.draw_least_loaded(request)
+            alive = await self._alive_candidates(others)
+            ranked = self._rank(alive, request) or ranked
+            views = [self._view(one.upstream, request) for one in ranked]
+            drawn = gate.draw(demand, views)
+            if isinstance(drawn, StreamRefused):
+                gate.check_team(demand, views[0])
+                return drawn
+            chosen = ranked[drawn]
+            view = views[drawn]
+        team_refused = gate.check_team(demand, view)
+        return team_refused or self._make_placement(chosen, ranked, request)
+
+    def _demand(self) -> StreamDemand:
+        call = self.call
+        return StreamDemand(
+            call.service.name,
+            call.route.name,
+            call.team,
+            target_ms=call.route.first_event_target_ms,
+            received_ms=call.request.received_ms,
+            time_limit_ms=call.time_limit_ms,
+        )
+
+    def _view(
+        self, upstream: Upstream, request: RelayPlacementRequest
+    ) -> EngineView:
+        choice = self.parts.choice
+        engines = max(choice.count_engines(request), 1)
+        return EngineView(
+            choice.forecast(upstream, request),
+            report_age_ms=max(self._report_age_ms(upstream), 0),
+            engines=engines,
+            draw_fraction=min(SAMPLED_CANDIDATES / engines, 1),
+            least_loaded_count=min(LEAST_LOADED_UPSTREAMS, engines),
+        )
 
     async def _caching_candidates(
         self,
@@ -137,45 +221,65 @@
             if is_alive
         ]
 
-    def _cheapest(
+    def _rank(
         self, alive: list[Upstream], request: RelayPlacementRequest
-    ) -> AttemptPlacement:
+    ) -> list[Candidate]:
+        """Return candidates in the order of their costs."""
         choice = self.parts.choice
-        costs = {
-            upstream.record.instance: choice.cost_ms(upstream, request)
-            + choice.rank_cost_ms(rank, request)
+        candidates = [
+            Candidate(
+                upstream,
+                rank,
+                choice.cost_ms(upstream, request)
+                + choice.rank_cost_ms(rank, request),
+            )
             for rank, upstream in enumerate(alive)
-        }
-        ranked = sorted(
-            alive,
-            key=lambda upstream: costs[upstream.record.instance],
-        )
-        chosen = ranked[0]
-        domain = chosen.record.failure_domain
+        ]
+        return sorted(candidates, key=_cost_ms)
+
+    def _make_placement(
+        self,
+        chosen: Candidate,
+        ranked: list[Candidate],
+        request: RelayPlacementRequest,
+    ) -> AttemptPlacement:
+        """Return an attempt at a candidate, with a holder for its copy."""
+        choice = self.parts.choice
+        upstream = chosen.upstream
+        domain = upstream.record.failure_domain
+        others = [one.upstream for one in ranked if one is not chosen]
         other_domains = [
-            upstream
-            for upstream in ranked
-            if upstream.record.failure_domain != domain
+            other for other in others if other.record.failure_domain != domain
         ]
-        copy_target = choice.copy_holder_among(other_domains or ranked[1:])
-        if not self.may_copy:
-            copy_target = None
+        copy_target = None
+        if self.may_copy:
+            copy_target = choice.copy_holder_among(
+                other_domains or others, request.prompt_tokens
+            )
         self.parts.log.write(
             'placed',
             request=self.call.request_label,
-            upstream=chosen.record.instance,
+            upstream=upstream.record.instance,
             domain=domain,
             holder=copy_target.record.instance if copy_target else '',
-            rank=alive.index(chosen),
-            candidates=len(alive),
-            cost_ms=round(costs[chosen.record.instance]),
-            report_age_ms=round(self._report_age_ms(chosen)),
+            rank=chosen.rank,
+            candidates=len(ranked),
+            cost_ms=round(chosen.cost_ms),
+            expected_ms=round(
+                choice.forecast(upstream, request).first_event_ms
+            ),
+            report_age_ms=round(self._report_age_ms(upstream)),
             is_return=request.is_reconnect,
             prompt_tokens=request.prompt_tokens,
+            time_limit_ms=round(self.call.time_limit_ms),
         )
-        return AttemptPlacement(chosen, copy_target=copy_target)
+        return AttemptPlacement(upstream, copy_target=copy_target)
 
     def _report_age_ms(self, upstream: Upstream) -> float:
         if upstream.report is None:
             return -1
         return self.parts.clock.now_ms() - upstream.report.at_ms
+
+
+def _cost_ms(candidate: Candidate) -> float:
+    return candidate.cost_ms
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -4,6 +4,7 @@
 
 from bergamotthread.connection.http.messages import end_to_end
 from bergamotthread.process.relay.choice import RelayPlacementRequest
+from bergamotthread.process.relay.plain_gate import PlainDemand, PlainRefused
 from bergamotthread.process.relay.upstreams import Upstream
 from bergamotthread.request.relay.attempt import Attempt, read_response
 from bergamotthread.request.relay.attempt_loop import (
@@ -44,6 +45,7 @@
         self._limits = AttemptLimits(call, parts)
         self._may_have_run = False
         self._last_outcome = ''
+        self._latency_ms: float | None = None
         received_ms = call.request.received_ms
         timeout_ms = call.deadline_ms - received_ms
         self._placement_deadline_ms = (
@@ -51,9 +53,19 @@
         )
 
     async def run(self) -> None:
-        """Run the attempts and respond to the caller."""
-        if not await run_attempts(self._limits, self):
-            self._refuse(self._final_refusal())
+        """Run the attempts, once there is room, and respond to the caller."""
+        gate = self._parts.plain_gate
+        refused = await gate.enter(self._demand())
+        waited_ms = self._parts.clock.now_ms() - self._call.request.received_ms
+        self._parts.metrics.queue_wait_ms.record(waited_ms)
+        if refused is not None:
+            self._refuse(_overload_refusal(refused))
+            return
+        try:
+            if not await run_attempts(self._limits, self):
+                self._refuse(self._final_refusal())
+        finally:
+            gate.leave(self._call.service.name, self._latency_ms)
 
     def may_send(self) -> bool:
         """Return whether the route allows another attempt."""
@@ -82,6 +94,21 @@
         self._log_outcome(placement, outcome)
         return self._handle_outcome(placement, outcome)
 
+    def refuse(self, refusal: RelayRefusal) -> None:
+        """Send a refusal in place of a response."""
+        self._refuse(refusal)
+
+    def _demand(self) -> PlainDemand:
+        call = self._call
+        slots = self._parts.directory.slots(call.service.name)
+        return PlainDemand(
+            call.service.name,
+            call.team,
+            target_ms=call.route.first_event_target_ms,
+            remaining_ms=self._limits.remaining_ms,
+            slots=slots,
+        )
+
     async def _attempt(self, upstream: Upstream) -> AttemptOutcome:
         headers = AttemptHeaders(
             upstream.record.instance,
@@ -92,7 +119,9 @@
             if not_sent is not None:
                 return not_sent
             self._limits.attempts_sent += 1
-            return await read_response(attempt, self._attempt_timeout_ms())
+            outcome = await read_response(attempt, self._attempt_timeout_ms())
+            self._latency_ms = self._parts.clock.now_ms() - attempt.sent_ms
+            return outcome
 
     def _attempt_timeout_ms(self) -> float:
         """Return the timeout of the attempt that was just sent."""
@@ -119,7 +148,10 @@
                 self._call.exchange.respond(head.status, headers, body)
                 self._count_answer(head.status)
                 return True
-            case NotSent() | NotRun():
+            case NotRun():
+                self._parts.plain_gate.record_rejection(self._call.service.name)
+                return False
+            case NotSent():
                 return False
             case _:
                 self._may_have_run = True
@@ -172,6 +204,8 @@
             detail=refusal.detail,
             version=self._call.version,
             sent=self._limits.attempts_sent,
+            retry_after_ms=refusal.retry_after_ms,
+            **refusal.figures,
         )
         send_refusal(self._call.exchange, refusal)
 
@@ -197,3 +231,20 @@
             detail=self._last_outcome,
             in_flight=upstream.in_flight,
         )
+
+
+def _overload_refusal(refused: PlainRefused) -> RelayRefusal:
+    return RelayRefusal(
+        503,
+        'overloaded',
+        f'answer expected in {refused.expected_ms:.0f} ms, at most '
+        f'{refused.limit_ms:.0f} ms are left for it; {refused.queued} wait',
+        refused.retry_after_ms,
+        {
+            'expected_ms': round(refused.expected_ms),
+            'limit_ms': round(refused.limit_ms),
+            'queued': refused.queued,
+            'in_flight': refused.in_flight,
+            'allowed': refused.allowed,
+        },
+    )
--- a/bergamotthread/request/relay/refusals.py
+++ b/bergamotthread/request/relay/refusals.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -23,12 +24,15 @@
         and 504 do not.
     retry_after_ms
         Time after which the caller may retry; 0 sends no Retry-After header.
+    figures
+        Figures that decided, for the log, by name.
     """
 
     status: int
     reason: str
     detail: str
     retry_after_ms: int = 0
+    figures: Mapping[str, float] = field(default_factory=dict)
 
 
 def send_refusal(exchange: Exchange, refusal: RelayRefusal) -> None:
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -18,11 +18,13 @@
     Framing,
     end_to_end,
 )
+from bergamotthread.process.overload.expected_wait import EngineWork
 from bergamotthread.process.relay.choice import RelayPlacementRequest
 from bergamotthread.process.relay.liveness import (
     PREFILL_SILENCE_MS,
     STREAM_SILENCE_MS,
 )
+from bergamotthread.process.relay.stream_gate import StreamRefused
 from bergamotthread.process.relay.upstreams import Upstream
 from bergamotthread.request.relay.attempt import MISDIRECTED, Attempt
 from bergamotthread.request.relay.attempt_loop import (
@@ -63,6 +65,7 @@
 PLACEMENT_TARGET_FRACTION = 0.4
 STREAM_NO_UPSTREAM_RETRY_AFTER_MS = 500
 _OK = 200
+_MS_PER_S = 1000
 
 
 class StreamRelay:
@@ -82,6 +85,8 @@
         self._attempt_times = ArrivalTimes(parts.clock.now_ms())
         self._caller_times = ArrivalTimes(call.request.received_ms)
         self._is_from_copy = False
+        self._work_ahead: EngineWork | None = None
+        self._run_ms: float = 0
         self._last_outcome = ''
         target_ms = call.route.first_event_target_ms
         received_ms = call.request.received_ms
@@ -91,12 +96,16 @@
 
     async def run(self) -> None:
         """Run the attempts and respond to the caller."""
+        call = self._call
+        gate = self._parts.stream_gate
+        gate.record_start(call.service.name, call.team)
         try:
             if not await run_attempts(self._limits, self):
                 self._refuse_or_abort()
             await self._copy_manager.release()
         finally:
             self._copy_manager.discard()
+            gate.record_end(call.service.name, call.team, self._run_ms)
 
     def may_send(self) -> bool:
         """Return whether the route allows another attempt.
@@ -109,17 +118,27 @@
             return False
         return self._limits.has_attempts_left
 
-    async def place(self) -> AttemptPlacement | None:
-        """Return where the next attempt goes, or None if nowhere for now."""
+    async def place(self) -> AttemptPlacement | RelayRefusal | None:
+        """Return where the next attempt goes, or None if nowhere for now.
+
+        Only a new stream is refused for its expected wait: one that was placed
+        before, here or at another entry, has been accepted.
+        """
         copy = self._copy_manager.pop()
         if copy is not None and self._attempt_times.count:
             return self._placer.place_at_copy(
                 copy,
                 self._placement_request(copy.holder.record.instance),
             )
-        placement = await self._placer.place(self._placement_request())
+        request = self._placement_request()
+        is_new = self._call.resume_after is None
+        placement = await self._placer.place(
+            request, in_time=is_new and not self._limits.attempts_sent
+        )
         if placement is None:
             self._excluded = frozenset()
+        if isinstance(placement, StreamRefused):
+            return self._overload_refusal(placement)
         return placement
 
     def may_wait(self) -> bool:
@@ -139,6 +158,29 @@
         self._log_outcome(placement, outcome)
         return self._handle_outcome(placement, outcome)
 
+    def refuse(self, refusal: RelayRefusal) -> None:
+        """Send a refusal in place of a response."""
+        self._last_outcome = refusal.detail
+        self._log_refusal(refusal)
+        send_refusal(self._call.exchange, refusal)
+
+    def _overload_refusal(self, refused: StreamRefused) -> RelayRefusal:
+        return RelayRefusal(
+            503,
+            'overloaded',
+            f'first event expected in {refused.expected_ms:.0f} ms, '
+            f'at most {refused.limit_ms:.0f} ms are left for it; '
+            f'decided by {refused.decided_by}',
+            refused.retry_after_ms,
+            {
+                'expected_ms': round(refused.expected_ms),
+                'limit_ms': round(refused.limit_ms),
+                'backlog_ms': round(refused.backlog_ms),
+                'report_age_ms': round(refused.report_age_ms),
+                'rivals': round(refused.rivals, 1),
+            },
+        )
+
     def _placement_request(self, *excluded: str) -> RelayPlacementRequest:
         return self._placer.placement_request(
             self._excluded.union(excluded),
@@ -156,6 +198,7 @@
             copy_target=copy_target.address if copy_target else '',
             copy_source=copy.copy_id if copy else '',
         )
+        self._work_ahead = self._forecast_work(placement)
         with Attempt(self._call, upstream, self._parts) as attempt:
             not_sent = await attempt.send(headers)
             if not_sent is not None:
@@ -176,8 +219,9 @@
             return head_outcome
         received = await self._receive_next(attempt)
         while isinstance(received, AnswerPart):
-            attempt.end_prefill()
             self._attempt_times.record(self._parts.clock.now_ms())
+            if self._attempt_times.count == 1:
+                self._record_first_event(attempt)
             if self._placer.may_copy:
                 self._copy_manager.renew(self._placement_request)
             try:
@@ -187,6 +231,28 @@
             received = await self._receive_next(attempt)
         return self._end_outcome(received, head, splitter)
 
+    def _forecast_work(self, placement: AttemptPlacement) -> EngineWork | None:
+        """Return the work ahead; None if little of the prompt is prefilled."""
+        if placement.copy is not None or self._call.resume_after is not None:
+            return None
+        request = self._placement_request()
+        return self._parts.choice.forecast(placement.upstream, request).work
+
+    def _record_first_event(self, attempt: Attempt) -> None:
+        attempt.end_prefill()
+        work = self._work_ahead
+        if work is None:
+            return
+        prompt_ms = self._call.prompt_tokens / work.prefill_per_s * _MS_PER_S
+        error_ms = self._attempt_times.first_ms - work.wait_ms - prompt_ms
+        self._parts.metrics.forecast_error_ms.record(abs(error_ms))
+        if work.is_prefill_bound:
+            self._parts.directory.record_prefill(
+                attempt.upstream,
+                work.prefill_tokens + self._call.prompt_tokens,
+                self._attempt_times.first_ms,
+            )
+
     async def _forward_events(
         self,
         payload: bytes,
@@ -286,6 +352,15 @@
             case StreamEnded():
                 self._call.exchange.finish()
                 self._log_end()
+                self._run_ms = (
+                    self._caller_times.first_ms + self._caller_times.span_ms
+                )
+                if self._call.resume_after is None:
+                    self._parts.directory.record_stream(
+                        upstream,
+                        self._caller_times.count,
+                        self._caller_times.span_ms,
+                    )
                 return True
             case NotSent() | NotRun():
                 self._copy_manager.discard()
@@ -316,7 +391,7 @@
         A cut response can't be mistaken for a complete one.
         """
         if self._call.exchange.has_head:
-            self._log_refusal(0, 'stream-cut')
+            self._log_refusal(RelayRefusal(0, 'stream-cut', ''))
             self._call.exchange.abort()
             return
         if self._may_have_run:
@@ -334,20 +409,22 @@
                 self._last_outcome or 'no upstream is available',
                 STREAM_NO_UPSTREAM_RETRY_AFTER_MS,
             )
-        self._log_refusal(refusal.status, refusal.reason)
+        self._log_refusal(refusal)
         send_refusal(self._call.exchange, refusal)
 
-    def _log_refusal(self, status: int, reason: str) -> None:
-        self._parts.metrics.refusals.increment(reason)
+    def _log_refusal(self, refusal: RelayRefusal) -> None:
+        self._parts.metrics.refusals.increment(refusal.reason)
         self._parts.log.write(
             'refused',
             request=self._call.request_label,
-            status=status,
-            reason=reason,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after_ms=refusal.retry_after_ms,
             detail=self._last_outcome,
             version=self._call.version,
             sent=self._limits.attempts_sent,
             last_event=self._last_event,
+            **refusal.figures,
         )
 
     def _log_end(self) -> None:
--- /dev/null
+++ b/tests/overload_model.py
@@ -0,0 +1,344 @@
+"""Model of engines and entries under more load than they can serve.
+
+Engines prefill prompts in order of arrival and hold a limited KV cache. Each
+entry has a directory, a choice and a gate of its own, sees the engines by late
+reports, and places or refuses streams as `StreamPlacer` does.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.relay.choice import (
+    LEAST_LOADED_UPSTREAMS,
+    SAMPLED_CANDIDATES,
+    RelayPlacementRequest,
+    UpstreamChoice,
+)
+from bergamotthread.process.relay.stream_gate import (
+    EngineView,
+    StreamDemand,
+    StreamGate,
+    StreamRefused,
+)
+from bergamotthread.process.relay.upstreams import (
+    LoadReport,
+    RunProgress,
+    Upstream,
+    UpstreamDirectory,
+    UpstreamRecord,
+    UpstreamState,
+)
+
+SERVICE = 'model'
+PROMPT_TOKENS = 8000
+TARGET_MS = 4500.0
+TIME_LIMIT_MS = 25_000.0
+EVENTS = 120
+EVENT_MS = 60.0
+KV_TOKENS = 88_000
+SLOTS = 64
+REPORT_LAG_MS = 100.0
+REPORT_REUSE_MS = 150.0
+DEFAULT_RATE_PER_MS = 8.0
+
+
+@dataclass
+class Stream:
+    """A stream at an engine; times are 0 until they are known."""
+
+    name: str
+    sent_ms: float
+    tokens: int = PROMPT_TOKENS
+    wait_ms: float = 0
+    first_ms: float = 0
+    end_ms: float = 0
+
+    def events_at(self, now_ms: float) -> int:
+        """Return the events produced by a time."""
+        if not self.first_ms or now_ms < self.first_ms:
+            return 0
+        return int((now_ms - self.first_ms) / EVENT_MS) + 1
+
+
+@dataclass
+class ModelEngine:
+    """Engine that prefills in order, within its KV cache.
+
+    Parameters
+    ----------
+    rate_per_ms
+        Prefill rate, in tokens.
+    """
+
+    rate_per_ms: float = DEFAULT_RATE_PER_MS
+    streams: list[Stream] = field(default_factory=list)
+    _prefill_free_ms: float = 0
+
+    def send(self, stream: Stream) -> None:
+        """Accept a stream and compute its times."""
+        start_ms = max(stream.sent_ms, self._prefill_free_ms)
+        start_ms = max(start_ms, self._room_ms(stream, start_ms))
+        stream.wait_ms = start_ms - stream.sent_ms
+        stream.first_ms = start_ms + stream.tokens / self.rate_per_ms
+        stream.end_ms = stream.first_ms + EVENTS * EVENT_MS
+        self._prefill_free_ms = stream.first_ms
+        self.streams.append(stream)
+
+    def report(self, now_ms: float) -> LoadReport:
+        """Return the load as it was `REPORT_LAG_MS` ago."""
+        at_ms = now_ms - REPORT_LAG_MS
+        active = [
+            stream
+            for stream in self.streams
+            if stream.sent_ms <= at_ms < stream.end_ms
+        ]
+        running = [stream for stream in active if stream.first_ms <= at_ms]
+        waiting = [stream for stream in active if stream.first_ms > at_ms]
+        reading = waiting[:1]
+        queued_tokens = sum(stream.tokens for stream in waiting[1:])
+        return LoadReport(
+            queued=max(len(waiting) - 1, 0),
+            running=len(running) + len(reading),
+            kv_used=sum(stream.tokens for stream in running + reading),
+            kv_total=KV_TOKENS,
+            at_ms=now_ms,
+            unread_tokens=sum(stream.tokens for stream in waiting),
+            waiting_tokens=queued_tokens,
+            runs=tuple(
+                RunProgress(stream.name, stream.tokens, stream.events_at(at_ms))
+                for stream in running
+            ),
+        )
+
+    def _room_ms(self, stream: Stream, now_ms: float) -> float:
+        """Return when the KV cache has room for a stream."""
+        ends = [
+            (other.end_ms, other.tokens)
+            for other in self.streams
+            if other.end_ms > now_ms
+        ]
+        used = sum(tokens for _, tokens in ends) + stream.tokens
+        heapq.heapify(ends)
+        room_ms = now_ms
+        while used > KV_TOKENS:
+            room_ms, tokens = heapq.heappop(ends)
+            used -= tokens
+        return room_ms
+
+
+@dataclass
+class ModelEntry:
+    """Entry that places streams by late reports."""
+
+    model: OverloadModel
+    directory: UpstreamDirectory
+    choice: UpstreamChoice
+    gate: StreamGate
+
+    @classmethod
+    def create(cls, model: OverloadModel, seed: int) -> ModelEntry:
+        """Return an entry that knows all engines of a model."""
+        directory = UpstreamDirectory(model.clock)
+        for name in model.engine_by_name:
+            directory.update(
+                UpstreamRecord(
+                    name,
+                    SERVICE,
+                    address=f'{name}:80',
+                    failure_domain=f'd{len(name) % 2}',
+                    state=UpstreamState.READY,
+                    slots=SLOTS,
+                    started_ms=1,
+                )
+            )
+        rng = random.Random(seed)
+        choice = UpstreamChoice(directory, 'd0', {'d0': 'r', 'd1': 'r'}, rng)
+        gate = StreamGate(model.clock, rng, lambda: model.entry_count)
+        return cls(model, directory, choice, gate)
+
+    def offer(self, stream: Stream, team: str = 't') -> StreamRefused | None:
+        """Place a stream or return its refusal."""
+        gate = self.gate
+        demand = StreamDemand(
+            SERVICE,
+            'route',
+            team,
+            TARGET_MS,
+            self.model.now_ms,
+            TIME_LIMIT_MS,
+        )
+        request = RelayPlacementRequest(SERVICE, stream.tokens)
+        gate.offer(demand)
+        [chosen, *_] = self._rank(self.choice.draw_candidates(request), request)
+        view = self._view(chosen, request)
+        if gate.check(demand, view) is not None:
+            ranked = self._rank(self.choice.draw_least_loaded(request), request)
+            views = [self._view(upstream, request) for upstream in ranked]
+            drawn = gate.draw(demand, views)
+            if isinstance(drawn, StreamRefused):
+                gate.check_team(demand, views[0])
+                return drawn
+            chosen, view = ranked[drawn], views[drawn]
+        refused = gate.check_team(demand, view)
+        if refused is None:
+            self._send(chosen, stream, team, view)
+        return refused
+
+    def _send(
+        self, chosen: Upstream, stream: Stream, team: str, view: EngineView
+    ) -> None:
+        chosen.record_send(stream.tokens, self.model.now_ms)
+        chosen.in_flight += 1
+        chosen.prefill_tokens += stream.tokens
+        self.gate.record_start(SERVICE, team)
+        engine = self.model.engine_by_name[chosen.record.instance]
+        engine.send(stream)
+        first_ms = stream.first_ms - stream.sent_ms
+        self.model.at(
+            stream.first_ms, lambda: self._first_event(chosen, stream, view)
+        )
+        self.model.at(stream.end_ms, lambda: self._end(chosen, team, first_ms))
+
+    def _first_event(
+        self, chosen: Upstream, stream: Stream, view: EngineView
+    ) -> None:
+        chosen.prefill_tokens -= stream.tokens
+        work = view.forecast.work
+        if work.is_prefill_bound:
+            self.directory.record_prefill(
+                chosen,
+                work.prefill_tokens + stream.tokens,
+                stream.first_ms - stream.sent_ms,
+            )
+
+    def _end(self, chosen: Upstream, team: str, first_ms: float) -> None:
+        chosen.in_flight -= 1
+        span_ms = EVENTS * EVENT_MS
+        self.directory.record_stream(chosen, EVENTS, span_ms)
+        self.gate.record_end(SERVICE, team, first_ms + span_ms)
+
+    def _rank(
+        self, upstreams: list[Upstream], request: RelayPlacementRequest
+    ) -> list[Upstream]:
+        now_ms = self.model.now_ms
+        for upstream in upstreams:
+            report = upstream.report
+            if report is None or now_ms - report.at_ms >= REPORT_REUSE_MS:
+                engine = self.model.engine_by_name[upstream.record.instance]
+                upstream.apply_report(engine.report(now_ms))
+        return sorted(
+            upstreams,
+            key=lambda upstream: self.choice.cost_ms(upstream, request),
+        )
+
+    def _view(
+        self, upstream: Upstream, request: RelayPlacementRequest
+    ) -> EngineView:
+        assert upstream.report is not None
+        engines = self.choice.count_engines(request)
+        return EngineView(
+            self.choice.forecast(upstream, request),
+            self.model.now_ms - upstream.report.at_ms,
+            engines,
+            min(SAMPLED_CANDIDATES / engines, 1),
+            min(LEAST_LOADED_UPSTREAMS, engines),
+        )
+
+
+@dataclass
+class Outcomes:
+    """What became of the streams that were offered."""
+
+    in_time: int = 0
+    late: int = 0
+    _waits_ms: list[float] = field(default_factory=list)
+    refused: int = 0
+    refusals: list[StreamRefused] = field(default_factory=list)
+    in_time_by_team: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def waits_ms(self) -> list[float]:
+        """Return the waits before the prefill of placed streams, sorted."""
+        return sorted(self._waits_ms)
+
+    @property
+    def placed(self) -> int:
+        """Return the streams that were placed."""
+        return self.in_time + self.late
+
+
+class OverloadModel:
+    """Engines and entries on one clock that the model advances."""
+
+    def __init__(
+        self, rates_per_ms: tuple[float, ...], entries: int, seed: int = 1
+    ) -> None:
+        self.now_ms: float = 1000
+        self.clock = Clock(
+            monotonic_s=lambda: self.now_ms / 1000,
+            calendar_s=lambda: self.now_ms / 1000,
+        )
+        self.rng = random.Random(seed)
+        self.entry_count = entries
+        self.engine_by_name = {
+            f'e{number}{"x" * (number % 2)}': ModelEngine(rate)
+            for number, rate in enumerate(rates_per_ms)
+        }
+        self.entries = [
+            ModelEntry.create(self, seed + number) for number in range(entries)
+        ]
+        self._timers: list[tuple[float, int, object]] = []
+        self._order = itertools.count()
+
+    def at(self, due_ms: float, action: object) -> None:
+        """Call an action at a time."""
+        heapq.heappush(self._timers, (due_ms, next(self._order), action))
+
+    def offer(
+        self,
+        per_s: float,
+        seconds: float,
+        team_weights: dict[str, float] | None = None,
+    ) -> Outcomes:
+        """Offer streams at random times to random entries."""
+        outcomes = Outcomes()
+        end_ms = self.now_ms + seconds * 1000
+        teams = team_weights or {'t': 1}
+        while True:
+            due_ms = self.now_ms + self.rng.expovariate(per_s / 1000)
+            if due_ms > end_ms:
+                self.advance(end_ms)
+                return outcomes
+            self.advance(due_ms)
+            [team] = self.rng.choices(list(teams), list(teams.values()))
+            self._offer_one(outcomes, team)
+
+    def advance(self, until_ms: float) -> None:
+        """Advance the clock and call the actions that are due."""
+        while self._timers and self._timers[0][0] <= until_ms:
+            due_ms, _, action = heapq.heappop(self._timers)
+            self.now_ms = max(self.now_ms, due_ms)
+            assert callable(action)
+            action()
+        self.now_ms = until_ms
+
+    def _offer_one(self, outcomes: Outcomes, team: str) -> None:
+        tokens = int(PROMPT_TOKENS * self.rng.uniform(0.6, 1.4))
+        stream = Stream(f's{next(self._order)}', self.now_ms, tokens)
+        refused = self.rng.choice(self.entries).offer(stream, team)
+        if refused is None:
+            outcomes._waits_ms.append(stream.wait_ms)
+        if refused is not None:
+            outcomes.refused += 1
+            outcomes.refusals.append(refused)
+        elif stream.first_ms - stream.sent_ms <= TARGET_MS:
+            outcomes.in_time += 1
+            outcomes.in_time_by_team[team] += 1
+        else:
+            outcomes.late += 1
