--- a/bergamotthread/process/relay/plain_gate.py
+++ b/bergamotthread/process/relay/plain_gate.py
@@ -37,7 +37,8 @@
     remaining_ms
         Time until the caller's deadline.
     slots
-        Requests that the service's upstreams run at a time; 0 if unknown.
+        Requests that the service's upstreams run at a time; 0 if no upstream
+        is known, as just after a start. Such a request is not held back here.
     """
 
     service: str
@@ -78,6 +79,7 @@
 @dataclass
 class _ServiceGate:
     limit: ConcurrencyLimit
+    slots: int
     in_flight: int = 0
     queue: FairQueue[_Waiter] = field(
         default_factory=lambda: FairQueue(_equal_weight)
@@ -87,6 +89,10 @@
     def has_room(self) -> bool:
         return self.in_flight < self.limit.slots
 
+    @property
+    def has_room_for_new(self) -> bool:
+        return self.has_room and not len(self.queue)
+
     def expected_ms(self, ahead: int) -> float:
         """Return the expected time to the answer behind others that wait."""
         limit = self.limit
@@ -123,7 +129,7 @@
         `leave` must be called once for each request that may be sent.
         """
         gate = self._gate(demand)
-        if gate.has_room and not len(gate.queue):
+        if gate.has_room_for_new or not demand.slots:
             gate.in_flight += 1
             return None
         limit_ms = demand.target_ms * QUEUE_LIMIT_FRACTION
@@ -215,8 +221,12 @@
                 floor=max(fair_slots, 1),
                 allowed=max(demand.slots, 1),
             )
-            gate = _ServiceGate(limit)
+            gate = _ServiceGate(limit, demand.slots)
             self._gate_by_service[demand.service] = gate
+        if not gate.slots:
+            # The upstreams were not known before, so nothing was measured.
+            gate.slots = demand.slots
+            gate.limit.allowed = max(gate.limit.allowed, demand.slots)
         gate.limit.target_ms = demand.target_ms
         gate.limit.floor = max(fair_slots, 1)
         return gate
--- a/tests/test_plain_gate.py
+++ b/tests/test_plain_gate.py
@@ -303,3 +303,23 @@
     limit = _limit()
     limit.record_rejection()
     assert limit.allowed < 18
+
+
+def test_entry_that_does_not_know_the_upstreams_yet_holds_nobody_back():
+    """After a restart callers return before the list of upstreams is read."""
+
+    async def check():
+        clock = Clock.from_loop(asyncio.get_running_loop())
+        gate = PlainGate(clock, random.Random(1), lambda: 6)
+        unknown = _demand(slots=0)
+        refusals = await asyncio.gather(
+            *(gate.enter(unknown) for _ in range(30))
+        )
+        assert refusals == [None] * 30
+        for _ in refusals:
+            gate.leave('plain', None)
+        known = [gate.enter(_demand()) for _ in range(SLOTS)]
+        assert await asyncio.gather(*known) == [None] * SLOTS
+        assert clock.now_ms() == 0
+
+    run_virtual(check())
