--- a/bergamotthread/process/overload/run_statistics.py
+++ b/bergamotthread/process/overload/run_statistics.py
@@ -19,11 +19,17 @@
 
     Output is counted in tokens, or in events where an event holds an unknown
     number of tokens.
+
+    Parameters
+    ----------
+    has_ended
+        Whether an attempt has ended, so that its output length is known.
     """
 
     output_tokens: float = DEFAULT_OUTPUT_TOKENS
     run_ms: float = DEFAULT_RUN_MS
     between_tokens_ms: float = 0
+    has_ended: bool = False
     _prefill_tokens: float = DEFAULT_PREFILL_TOKENS_PER_S
     _prefill_ms: float = _MS_PER_S
 
@@ -55,6 +61,7 @@
         self, produced: int, duration_ms: float, weight: float = SMOOTHING
     ) -> None:
         """Record the output length and the duration of an attempt."""
+        self.has_ended = True
         self.output_tokens = _smoothed(self.output_tokens, produced, weight)
         self.run_ms = _smoothed(self.run_ms, duration_ms, weight)
 
--- a/bergamotthread/process/relay/engine_forecast.py
+++ b/bergamotthread/process/relay/engine_forecast.py
@@ -26,6 +26,8 @@
         Work ahead of the prompt.
     prompt_ms
         Time to prefill the prompt itself.
+    run_ms
+        Expected time from the first event to the last; 0 if none is known.
     occupancy_ms
         Time of the engine that the stream takes: for its prefill, or for its
         share of the KV cache while it runs, whichever is longer.
@@ -33,6 +35,7 @@
 
     work: EngineWork
     prompt_ms: float
+    run_ms: float
     occupancy_ms: float
 
     @property
@@ -57,7 +60,7 @@
     report = upstream.report
     if report is None:
         work = EngineWork(upstream.prefill_tokens, rate_per_s)
-        return EngineForecast(work, prompt_ms, prompt_ms)
+        return EngineForecast(work, prompt_ms, 0, prompt_ms)
     unread_tokens = max(
         upstream.prefill_tokens,
         report.unread_tokens + upstream.sent_since_report,
@@ -74,7 +77,13 @@
         holdings=_holdings(upstream, report, outputs),
     )
     memory_ms = run_ms * prompt_tokens / max(report.kv_total, 1)
-    return EngineForecast(work, prompt_ms, max(prompt_ms, memory_ms))
+    event_ms = upstream.statistics.between_tokens_ms
+    return EngineForecast(
+        work,
+        prompt_ms,
+        outputs.output_tokens * event_ms if outputs.has_ended else 0,
+        max(prompt_ms, memory_ms),
+    )
 
 
 def _run_ms(upstream: Upstream, outputs: RunStatistics) -> float:
--- a/bergamotthread/process/relay/stream_gate.py
+++ b/bergamotthread/process/relay/stream_gate.py
@@ -35,6 +35,8 @@
 # target. Only engines with almost no backlog take it, so that it delays none
 # that can be in time.
 LATE_WAIT_FRACTION = 0.2
+# Streams may be shorter than their mean by so much.
+SHORTEST_RUN_FRACTION = 0.7
 # Number of requests, and quantile of the time limits that they bring, that give
 # the longest time limit of first requests. Those of other callers may be
 # shorter by a fifth.
@@ -100,6 +102,11 @@
         """Return whether the target is missed also without a wait."""
         return self._in_time_ms < prompt_ms
 
+    def allow_end(self, forecast: EngineForecast) -> bool:
+        """Return whether the stream is expected to end by the deadline."""
+        run_ms = forecast.run_ms * SHORTEST_RUN_FRACTION
+        return forecast.first_event_ms + run_ms <= self.remaining_ms
+
     def limit_ms(self, prompt_ms: float) -> float:
         """Return the longest expected time to the first event from now."""
         if self.is_late(prompt_ms):
@@ -220,7 +227,9 @@
         else:
             rivals = self._expected_rivals(demand.service, view)
             has_room = self._may_use(_room(view.forecast, times), rivals)
-        return None if has_room else self._refuse('engines', demand, view)
+        if has_room and times.allow_end(view.forecast):
+            return None
+        return self._refuse('engines', demand, view)
 
     def draw(
         self, demand: StreamDemand, views: Sequence[EngineView]
@@ -379,4 +388,6 @@
     """Return how many such prompts an engine can take in time; 0 if none."""
     prompt_ms = max(forecast.prompt_ms, _PROMPT_MS_MIN)
     spare_ms = times.limit_ms(prompt_ms) - forecast.first_event_ms
-    return 0 if spare_ms < 0 else 1 + spare_ms / prompt_ms
+    if spare_ms < 0 or not times.allow_end(forecast):
+        return 0
+    return 1 + spare_ms / prompt_ms
--- a/tests/test_stream_gate.py
+++ b/tests/test_stream_gate.py
@@ -15,9 +15,14 @@
 from bergamotthread.process.overload.retry_after import RetryAfterRange
 from bergamotthread.process.relay import stream_gate
 from bergamotthread.process.relay.choice import RelayPlacementRequest
-from bergamotthread.process.relay.stream_gate import StreamGate
+from bergamotthread.process.relay.stream_gate import (
+    StreamGate,
+    StreamRefused,
+)
 from tests.overload_model import (
     DEFAULT_RATE_PER_MS,
+    EVENT_MS,
+    EVENTS,
     TIME_LIMIT_MS,
     Outcomes,
     OverloadModel,
@@ -89,6 +94,7 @@
 def test_without_a_limit_almost_all_streams_are_late(monkeypatch):
     """Guards against a model in which overload does no harm."""
     monkeypatch.setattr(stream_gate, 'LIMIT_FRACTION', 1e6)
+    monkeypatch.setattr(stream_gate.StreamTimes, 'allow_end', lambda *_: True)
     outcomes = _offer(4)
     assert outcomes.refused == 0
     assert outcomes.in_time < 0.5 * _offer(1).in_time
@@ -166,6 +172,19 @@
     assert refused.limit_ms == pytest.approx(limit_ms)
 
 
+def test_caller_whose_time_is_too_short_for_the_answer_is_refused():
+    """Its answer would be cut, after a prefill that delays others."""
+    model = OverloadModel((DEFAULT_RATE_PER_MS,) * ENGINES, entries=1)
+    model.offer(per_s=2, seconds=30)
+    [entry] = model.entries
+    run_ms = EVENTS * EVENT_MS
+    view, demand = _view_and_demand(entry, time_limit_ms=0.5 * run_ms)
+    assert entry.gate.check(demand, view) is not None
+    assert isinstance(entry.gate.draw(demand, [view]), StreamRefused)
+    view, demand = _view_and_demand(entry, time_limit_ms=2 * run_ms)
+    assert entry.gate.check(demand, view) is None
+
+
 def _view_and_demand(entry, time_limit_ms):
     request = RelayPlacementRequest('model', 8000)
     [chosen, *_] = entry._rank(entry.choice.draw_candidates(request), request)
