--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -29,9 +29,8 @@
 # Cost of a full KV cache; grows with the square of the fraction in use, and
 # linearly for a copy holder.
 KV_FULL_COST_MS = 2000.0
-# Largest fraction of a holder's KV cache in use with the copy and with prompts
-# that wait there.
-COPY_KV_FRACTION_MAX = 0.4
+# Largest fraction of a holder's KV cache in use with the copy.
+COPY_KV_FRACTION_MAX = 0.9
 # Extra cost of another region, for the round trip and the paid traffic.
 CROSS_REGION_COST_MS = 60.0
 # Cost of an upstream all of whose recent requests failed.
@@ -141,14 +140,13 @@
         placed by free KV cache. Queues do not count, because a resumed run is
         admitted before queued requests.
 
-        A copy takes memory from prompts that wait, so a holder must have
-        `COPY_KV_FRACTION_MAX` of its KV cache in use at most.
+        A copy takes memory from prompts that wait, so no prompt may wait at a
+        holder, and `COPY_KV_FRACTION_MAX` of its KV cache may be in use.
         """
         with_room = (
             upstream
             for upstream in upstreams
-            if _copied_kv_fraction(upstream, copy_tokens)
-            <= COPY_KV_FRACTION_MAX
+            if _has_room_for_copy(upstream, copy_tokens)
         )
         return min(with_room, key=self._copy_holder_cost_ms, default=None)
 
@@ -343,11 +341,10 @@
     return (report.kv_used + more_tokens) / max(report.kv_total, 1)
 
 
-def _copied_kv_fraction(upstream: Upstream, copy_tokens: int) -> float:
+def _has_room_for_copy(upstream: Upstream, copy_tokens: int) -> bool:
     report = upstream.report
-    waiting_tokens = 0
-    if report is not None:
-        waiting_tokens = report.waiting_tokens + upstream.sent_since_report
-    return _kv_fraction(
-        upstream, upstream.held_tokens + waiting_tokens + copy_tokens
-    )
+    if report is None:
+        return True
+    more_tokens = upstream.held_tokens + upstream.sent_since_report
+    kv_fraction = _kv_fraction(upstream, more_tokens + copy_tokens)
+    return not report.waiting_tokens and kv_fraction <= COPY_KV_FRACTION_MAX
