--- a/bergamotthread/process/relay/stream_gate.py
+++ b/bergamotthread/process/relay/stream_gate.py
@@ -39,8 +39,9 @@
 SHORTEST_RUN_FRACTION = 0.7
 # Number of requests, and quantile of the time limits that they bring, that give
 # the longest time limit of first requests. Those of other callers may be
-# shorter by a fifth.
+# shorter by a fifth. They are kept for so many routes.
 TIME_LIMITS_KEPT = 128
+ROUTES_KEPT = 256
 TIME_LIMIT_QUANTILE = 0.9
 TIME_LIMIT_SPREAD = 0.2
 # Time between a placement and the first load report that shows it, beside the
@@ -212,10 +213,7 @@
         rates = self._rate_by_service
         rate = rates.setdefault(demand.service, OfferedRate())
         rate.record(self.clock.now_ms())
-        limits = self._time_limits_by_route.setdefault(
-            demand.route, deque(maxlen=TIME_LIMITS_KEPT)
-        )
-        limits.append(demand.time_limit_ms)
+        self._record_time_limit(demand)
 
     def check(
         self, demand: StreamDemand, view: EngineView
@@ -242,7 +240,7 @@
         Parameters
         ----------
         views
-            The engines, with the earliest expected first event in front.
+            The engines, the cheapest in front.
 
         Returns
         -------
@@ -310,6 +308,17 @@
             retry_after_ms,
         )
 
+    def _record_time_limit(self, demand: StreamDemand) -> None:
+        """Keep the time limit, for the routes that were used last."""
+        by_route = self._time_limits_by_route
+        limits = by_route.pop(demand.route, None)
+        if limits is None:
+            limits = deque(maxlen=TIME_LIMITS_KEPT)
+        limits.append(demand.time_limit_ms)
+        by_route[demand.route] = limits
+        if len(by_route) > ROUTES_KEPT:
+            by_route.pop(next(iter(by_route)))
+
     def _times(self, demand: StreamDemand) -> StreamTimes:
         """Return the times of a stream.
 
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -156,7 +156,12 @@
         return self.record.address
 
     def record_send(self, prompt_tokens: int, now_ms: float) -> None:
-        """Record an own attempt that was sent just now."""
+        """Record an own attempt that was sent just now.
+
+        Plain upstreams send no load report that would end the record.
+        """
+        if not prompt_tokens:
+            return
         self._recent_sends.append((now_ms, prompt_tokens))
         self.sent_since_report += prompt_tokens
 
--- a/tests/test_expected_wait.py
+++ b/tests/test_expected_wait.py
@@ -162,3 +162,14 @@
     assert directory.outputs('s').output_tokens == pytest.approx(40)
     directory.record_stream(upstream, 60, 2000)
     assert directory.outputs('s').output_tokens == pytest.approx(50)
+
+
+def test_sends_are_kept_only_until_a_report_can_show_them():
+    """Plain upstreams, whose requests have no prompt, send no reports."""
+    plain, engine = _upstream(), _upstream()
+    for sent_ms in range(1000):
+        plain.record_send(0, now_ms=sent_ms)
+        engine.record_send(10, now_ms=sent_ms)
+    assert not plain._recent_sends
+    engine.apply_report(LoadReport(0, 0, 0, 88_000, at_ms=2000))
+    assert not engine._recent_sends
--- a/tests/test_stream_gate.py
+++ b/tests/test_stream_gate.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -185,6 +186,18 @@
     assert entry.gate.check(demand, view) is None
 
 
+def test_time_limits_are_kept_for_a_bounded_number_of_routes(monkeypatch):
+    """Versions add and remove routes all day."""
+    monkeypatch.setattr(stream_gate, 'ROUTES_KEPT', 3)
+    model = OverloadModel((DEFAULT_RATE_PER_MS,), entries=1)
+    [entry] = model.entries
+    _, demand = _view_and_demand(entry, TIME_LIMIT_MS)
+    for number in (1, 2, 3, 1, 4, 5):
+        entry.gate.offer(replace(demand, route=f'route-{number}'))
+    kept = list(entry.gate._time_limits_by_route)
+    assert kept == ['route-1', 'route-4', 'route-5']
+
+
 def _view_and_demand(entry, time_limit_ms):
     request = RelayPlacementRequest('model', 8000)
     [chosen, *_] = entry._rank(entry.choice.draw_candidates(request), request)
