--- a/bergamotthread/process/overload/concurrency_limit.py
+++ b/bergamotthread/process/overload/concurrency_limit.py
@@ -44,7 +44,6 @@
     _idle_ms: float = math.inf
     _window_ms: list[float] = field(default_factory=list)
     _was_reached: bool = False
-    _is_shrinking: bool = False
 
     @property
     def slots(self) -> int:
--- a/bergamotthread/process/overload/retry_after.py
+++ b/bergamotthread/process/overload/retry_after.py
@@ -5,6 +5,9 @@
 import random
 from dataclasses import dataclass
 
+# Callers honour a Retry-After of up to a third of their remaining time.
+RETRY_AFTER_FRACTION = 0.33
+
 
 @dataclass(frozen=True, slots=True)
 class RetryAfterRange:
@@ -13,6 +16,13 @@
     shortest_ms: float
     longest_ms: float
 
+    @classmethod
+    def from_remaining(
+        cls, shortest_ms: float, remaining_ms: float
+    ) -> RetryAfterRange:
+        """Return the bounds for a caller with some of its time left."""
+        return cls(shortest_ms, remaining_ms * RETRY_AFTER_FRACTION)
+
     def clamp(self, wait_ms: float) -> int:
         """Return a wait within the bounds; the longest counts first."""
         return int(min(self.longest_ms, max(self.shortest_ms, wait_ms)))
--- a/bergamotthread/process/relay/plain_gate.py
+++ b/bergamotthread/process/relay/plain_gate.py
@@ -22,8 +22,6 @@
 # if it waits in the queue.
 QUEUE_LIMIT_FRACTION = 0.6
 RETRY_AFTER_MIN_MS = 50.0
-# Callers honour a Retry-After of up to a third of their remaining time.
-RETRY_AFTER_FRACTION = 0.33
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,8 +194,8 @@
         self, gate: _ServiceGate, demand: PlainDemand, expected_ms: float
     ) -> PlainRefused:
         limit_ms = demand.target_ms * QUEUE_LIMIT_FRACTION
-        bounds = RetryAfterRange(
-            RETRY_AFTER_MIN_MS, demand.remaining_ms * RETRY_AFTER_FRACTION
+        bounds = RetryAfterRange.from_remaining(
+            RETRY_AFTER_MIN_MS, demand.remaining_ms
         )
         backlog_ms = len(gate.queue) * gate.limit.interval_ms
         retry_after_ms = bounds.spread(
--- a/bergamotthread/process/relay/stream_gate.py
+++ b/bergamotthread/process/relay/stream_gate.py
@@ -56,8 +56,6 @@
 # share the engines by weight only once these are almost full.
 TEAM_LIMITS = OverloadLimits(utilisation_max=math.inf, fair_utilisation=0.7)
 RETRY_AFTER_MIN_MS = 500.0
-# Callers honour a Retry-After of up to a third of their remaining time.
-RETRY_AFTER_FRACTION = 0.33
 _PROMPT_MS_MIN = 1.0
 
 
@@ -290,8 +288,8 @@
         times = self._times(demand)
         expected_ms = view.forecast.first_event_ms
         limit_ms = times.limit_ms(view.forecast.prompt_ms)
-        bounds = RetryAfterRange(
-            RETRY_AFTER_MIN_MS, times.remaining_ms * RETRY_AFTER_FRACTION
+        bounds = RetryAfterRange.from_remaining(
+            RETRY_AFTER_MIN_MS, times.remaining_ms
         )
         retry_after_ms = bounds.spread(
             max(expected_ms - limit_ms, 0),
