Log and metrics name the limit that ended a request's attempts

Cause: in the incident of lost streams the line 'refused' said stream-cut and attempts sent, but not whether the retry budget, the number of attempts or the deadline ended the stream, and no metric showed a stall of the process.

Change: field limit and counter relay_ended_by_limit_total; summary relay_loop_stall_ms from the housekeeping interval. No decision changes.

--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -133,7 +133,11 @@
             )
         ]
         while not self._is_finished():
+            due_ms = self._clock.now_ms() + HOUSEKEEPING_INTERVAL_MS
             await self._clock.sleep_ms(HOUSEKEEPING_INTERVAL_MS)
+            self._parts.metrics.loop_stall_ms.record(
+                self._clock.now_ms() - due_ms
+            )
             self._pool.close_stale()
             if self._life_cycle.is_out_of_rotation:
                 self._close_idle()
--- a/bergamotthread/process/relay/relay_metrics.py
+++ b/bergamotthread/process/relay/relay_metrics.py
@@ -24,6 +24,8 @@
         Requests that the entry refused itself, by reason.
     attempts
         Attempts, by outcome.
+    ended_by_limit
+        Requests whose attempts a limit of the entry ended, by limit.
     answer_ms
         Time to the complete response; streams are not counted.
     first_event_ms, longest_pause_ms
@@ -33,17 +35,21 @@
         Time that requests to plain services waited in the entry's queue.
     forecast_error_ms
         Difference between the expected and the measured first event.
+    loop_stall_ms
+        Time by which the periodic work of the process ran late.
     """
 
     registry: Metrics
     answers: LabelledCounter
     refusals: LabelledCounter
     attempts: LabelledCounter
+    ended_by_limit: LabelledCounter
     answer_ms: Percentiles
     first_event_ms: Percentiles
     longest_pause_ms: Percentiles
     queue_wait_ms: Percentiles
     forecast_error_ms: Percentiles
+    loop_stall_ms: Percentiles
 
     @classmethod
     def from_clock(cls, clock: Clock) -> RelayMetrics:
@@ -66,6 +72,11 @@
                 'Attempts at upstreams.',
                 'outcome',
             ),
+            ended_by_limit=registry.labelled_counter(
+                'relay_ended_by_limit_total',
+                'Requests whose attempts a limit of the entry ended.',
+                'limit',
+            ),
             answer_ms=registry.percentiles(
                 'relay_answer_ms',
                 'Time to a whole answer that is no stream.',
@@ -86,4 +97,8 @@
                 'relay_forecast_error_ms',
                 'Difference of expected and measured first event.',
             ),
+            loop_stall_ms=registry.percentiles(
+                'relay_loop_stall_ms',
+                'Time by which periodic work of the process ran late.',
+            ),
         )
--- a/bergamotthread/request/relay/attempt_loop.py
+++ b/bergamotthread/request/relay/attempt_loop.py
@@ -23,11 +23,14 @@
     ----------
     attempts_sent
         Number of attempts whose request was sent.
+    denied_by
+        Limit that ended the attempts; empty if none did.
     """
 
     call: RelayedCall
     parts: RelayParts
     attempts_sent: int = 0
+    denied_by: str = ''
 
     @property
     def remaining_ms(self) -> float:
@@ -46,6 +49,11 @@
             return False
         return self.parts.directory.lacks_service(self.call.service.name)
 
+    def deny(self, limit: str) -> None:
+        """Record and count the limit that ended the attempts."""
+        self.denied_by = limit
+        self.parts.metrics.ended_by_limit.increment(limit)
+
     def spend_attempt(self) -> bool:
         """Return whether the retry budget allows the next attempt.
 
@@ -92,17 +100,23 @@
         Whether an attempt settled the call.
     """
     limits.parts.retry_budget.record_first_attempt(limits.call.service.name)
-    while limits.remaining_ms > 0 and steps.may_send():
+    while limits.remaining_ms > 0:
+        if not steps.may_send():
+            limits.deny('attempts')
+            return False
         placement = await steps.place()
         if isinstance(placement, RelayRefusal):
             steps.refuse(placement)
             return True
         if placement is None:
             if not steps.may_wait():
+                limits.deny('no-upstream')
                 return False
             await limits.parts.clock.sleep_ms(PLACEMENT_RETRY_MS)
         elif not limits.spend_attempt():
+            limits.deny('retry-budget')
             return False
         elif await steps.run_attempt(placement):
             return True
+    limits.deny('deadline')
     return False
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -202,6 +202,7 @@
             status=refusal.status,
             reason=refusal.reason,
             detail=refusal.detail,
+            limit=self._limits.denied_by,
             version=self._call.version,
             sent=self._limits.attempts_sent,
             retry_after_ms=refusal.retry_after_ms,
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -421,6 +421,7 @@
             reason=refusal.reason,
             retry_after_ms=refusal.retry_after_ms,
             detail=self._last_outcome,
+            limit=self._limits.denied_by,
             version=self._call.version,
             sent=self._limits.attempts_sent,
             last_event=self._last_event,
