--- a/bergamotthread/testing/memory_http.py
+++ b/bergamotthread/testing/memory_http.py
@@ -119,11 +119,15 @@
         Delay in each direction.
     silent
         Addresses of servers from and to which no bytes are delivered.
+    held_until_ms
+        Time of the loop until which all bytes and new connections wait, as on
+        a link that is busy with other bytes.
     """
 
     loop: asyncio.AbstractEventLoop
     delay_ms: float = 1
     silent: set[str] = field(default_factory=set)
+    held_until_ms: float = 0
     factory_by_address: dict[str, ProtocolFactory] = field(
         default_factory=dict,
     )
@@ -134,6 +138,10 @@
         self.factory_by_address[address] = factory
         return _MemoryServer(self, address)
 
+    def hold(self, duration_ms: float) -> None:
+        """Hold up all bytes and new connections for a time."""
+        self.held_until_ms = self.loop.time() * _MS_PER_S + duration_ms
+
     def kill(self, address: str) -> None:
         """Refuse connections to an address and reset the open ones."""
         self.factory_by_address.pop(address, None)
@@ -159,6 +167,7 @@
             If nothing listens at the address.
         """
         await asyncio.sleep(2 * self.delay_ms / _MS_PER_S)
+        await asyncio.sleep(self._held_ms / _MS_PER_S)
         if address in self.silent:
             # No answer ever arrives; the caller is expected to have a timeout.
             await self.loop.create_future()
@@ -189,7 +198,16 @@
             sender,
         )
 
+    @property
+    def _held_ms(self) -> float:
+        return max(self.held_until_ms - self.loop.time() * _MS_PER_S, 0)
+
     def _arrive(self, sender: MemoryTransport) -> None:
+        if self._held_ms:
+            self.loop.call_later(
+                self._held_ms / _MS_PER_S, self._arrive, sender
+            )
+            return
         payload = sender.in_transit.popleft()
         if sender.peer is not None and sender.address not in self.silent:
             sender.peer.arrive(payload)
--- /dev/null
+++ b/tests/test_own_path_stall.py
@@ -0,0 +1,68 @@
+"""Streams of an entry whose own link or processor stalls."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from bergamotthread.testing.memory_http import run_in_memory
+from standins.platform_runner import STREAM_EVENTS
+from standins.platform_settings import REPEAT_SLACK
+from tests.platform_standins import Deployment
+
+STREAMS = 8
+
+
+async def _start_streams(deployment, count=STREAMS):
+    """Start streams and wait until all of them have events."""
+    tasks = [
+        asyncio.create_task(deployment.call('/stream/x')) for _ in range(count)
+    ]
+    await deployment.clock.sleep_ms(1000)
+    return tasks
+
+
+def _limit_retries(deployment, **limits):
+    budget = deployment.entries[0]._parts.retry_budget
+    budget.limits = dataclasses.replace(budget.limits, **limits)
+    return budget
+
+
+# Guards against streams that were cut beside a large version: it filled the
+# entry's link, all upstreams seemed silent at once, and the retry budget ended.
+@pytest.mark.parametrize('stall_ms', [500, 1200, 2500])
+def test_stall_of_the_own_link_neither_cuts_nor_repeats_streams(stall_ms):
+    async def check():
+        deployment = await Deployment.start(models=6)
+        # Eight entries are assumed at least; in the incident, 26 shared the
+        # slack.
+        _limit_retries(deployment, slack=REPEAT_SLACK * 8 / 26)
+        tasks = await _start_streams(deployment)
+        deployment.net.hold(stall_ms)
+        answers = await asyncio.gather(*tasks)
+        assert [answer.is_whole for answer in answers] == [True] * STREAMS
+        for answer in answers:
+            assert answer.event_ids == list(range(1, STREAM_EVENTS + 1))
+        assert deployment.ran(deployment.models) == STREAMS
+
+    run_in_memory(check())
+
+
+# Guards against streams that were cut although time was left, because the
+# retry budget had no room at the moment of a loss.
+def test_started_stream_waits_for_the_retry_budget_instead_of_being_cut():
+    async def check():
+        deployment = await Deployment.start(models=3)
+        budget = _limit_retries(deployment, ratio=0, slack=0)
+        [task] = await _start_streams(deployment, 1)
+        next(model for model in deployment.models if model.seen).kill()
+        await deployment.clock.sleep_ms(1500)
+        assert not task.done()
+        budget.limits = dataclasses.replace(budget.limits, ratio=1)
+        answer = await task
+        assert answer.is_whole
+        assert answer.event_ids == list(range(1, STREAM_EVENTS + 1))
+
+    run_in_memory(check())
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -938,3 +938,31 @@
         assert details == {'status 200'}
 
     run_in_memory(check())
+
+
+async def _answer_after_sigterm(deployment, path, sent_after_ms):
+    """Call an entry that stops; its sockets close when it has ended."""
+    deployment.entries[0].stop()
+    await deployment.clock.sleep_ms(sent_after_ms)
+    call = asyncio.create_task(deployment.call(path))
+    await deployment.tasks[0]
+    await deployment.clock.sleep_ms(20)
+    deployment.net.kill('10.1.0.1:8000')
+    return await call
+
+
+# Guards against a request that was taken long after SIGTERM and then got
+# neither an answer nor a refusal, because the process ended.
+@pytest.mark.parametrize('path', ['/once/x', '/any/x'])
+@pytest.mark.parametrize('sent_after_ms', [4000, 6500, 7500])
+def test_request_taken_by_a_draining_entry_is_answered(path, sent_after_ms):
+    async def check():
+        deployment = await Deployment.start()
+        for plain in deployment.plains:
+            plain.script.work_ms = 1400
+        answer = await _answer_after_sigterm(deployment, path, sent_after_ms)
+        assert answer.is_whole
+        if answer.status == 503:
+            assert deployment.ran(deployment.plains) == 0
+
+    run_in_memory(check())
