--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -941,13 +941,21 @@
 
 
 async def _answer_after_sigterm(deployment, path, sent_after_ms):
-    """Call an entry that stops; its sockets close when it has ended."""
+    """Call an entry that drains; its sockets close when it has ended.
+
+    A stream keeps the entry from ending early.
+    """
+    for model in deployment.models:
+        model.script.events = 400
+    stream = asyncio.create_task(deployment.call('/stream/x'))
+    await deployment.clock.sleep_ms(500)
     deployment.entries[0].stop()
     await deployment.clock.sleep_ms(sent_after_ms)
     call = asyncio.create_task(deployment.call(path))
     await deployment.tasks[0]
     await deployment.clock.sleep_ms(20)
     deployment.net.kill('10.1.0.1:8000')
+    await stream
     return await call
 
 
