Relay: a started stream waits for the retry budget and is not cut

What callers saw: the connection closed in the middle of a stream, with 15 s and more left, beside a change of the configuration (LOST).

Cause: run_attempts ended the call at once when the retry budget had no room, although the budget's window slides and the stream has until its deadline. An attempt was also given up for silence when no other could follow it, and retries counted although they were never sent (connections that timed out).

Evidence: all six streams of edge-mwanza-b-4 were cut with 'sent' 1 or 2 of five attempts and 15 s left; 26 entries share the slack of the budget.

Change: a stream that may have run waits while the budget has no room; the budget is looked at before a placement, which may probe; a silent attempt is given up only if another one may follow; a retry that was not sent is refunded.

Ruled out: more attempts than the route allows (its limit was not reached). Why it works: the only ends left for a started stream are its upstream's end, its deadline and the route's attempts.

--- a/bergamotthread/process/relay/repeat_budget.py
+++ b/bergamotthread/process/relay/repeat_budget.py
@@ -60,16 +60,27 @@
             self.clock.now_ms()
         )
 
-    def spend(self, service: str) -> bool:
-        """Count a retry if it is allowed; return whether it is."""
+    def has_room(self, service: str) -> bool:
+        """Return whether another retry is allowed now."""
         usage = self._current_usage(service)
         slack = self.limits.slack / max(self.count_entries(), 1)
         allowed = self.limits.ratio * len(usage.first_attempts_ms) + slack
-        if len(usage.retries_ms) + 1 > allowed:
+        return len(usage.retries_ms) + 1 <= allowed
+
+    def spend(self, service: str) -> bool:
+        """Count a retry if it is allowed; return whether it is."""
+        if not self.has_room(service):
             return False
+        usage = self._current_usage(service)
         usage.retries_ms.append(self.clock.now_ms())
         return True
 
+    def refund(self, service: str) -> None:
+        """Stop counting the newest retry, which was not sent."""
+        usage = self._current_usage(service)
+        if usage.retries_ms:
+            usage.retries_ms.pop()
+
     def _current_usage(self, service: str) -> _Usage:
         usage = self._usage_by_service.setdefault(service, _Usage())
         start_ms = self.clock.now_ms() - self.limits.window_ms
--- a/bergamotthread/request/relay/attempt_loop.py
+++ b/bergamotthread/request/relay/attempt_loop.py
@@ -49,10 +49,18 @@
             return False
         return self.parts.directory.lacks_service(self.call.service.name)
 
-    def deny(self, limit: str) -> None:
-        """Record and count the limit that ended the attempts."""
+    @property
+    def has_budget(self) -> bool:
+        """Return whether the retry budget has room for the next attempt."""
+        if not self.attempts_sent:
+            return True
+        return self.parts.retry_budget.has_room(self.call.service.name)
+
+    def deny(self, limit: str) -> bool:
+        """Record the limit that ended the attempts; return False."""
         self.denied_by = limit
         self.parts.metrics.ended_by_limit.increment(limit)
+        return False
 
     def spend_attempt(self) -> bool:
         """Return whether the retry budget allows the next attempt.
@@ -63,6 +71,11 @@
             return True
         return self.parts.retry_budget.spend(self.call.service.name)
 
+    def refund_attempt(self) -> None:
+        """Return the retry that was counted for an attempt that was not sent."""
+        if self.attempts_sent:
+            self.parts.retry_budget.refund(self.call.service.name)
+
 
 class AttemptSteps(Protocol[_Placement]):
     """Steps of an attempt that depend on the kind of call."""
@@ -82,6 +95,9 @@
     def may_wait(self) -> bool:
         """Return whether placement may be tried again after a pause."""
 
+    def may_wait_for_budget(self) -> bool:
+        """Return whether to wait while the retry budget has no room."""
+
     async def run_attempt(self, placement: _Placement) -> bool:
         """Run an attempt; return whether no further attempt is needed."""
 
@@ -102,21 +118,41 @@
     limits.parts.retry_budget.record_first_attempt(limits.call.service.name)
     while limits.remaining_ms > 0:
         if not steps.may_send():
-            limits.deny('attempts')
-            return False
-        placement = await steps.place()
-        if isinstance(placement, RelayRefusal):
-            steps.refuse(placement)
-            return True
-        if placement is None:
-            if not steps.may_wait():
-                limits.deny('no-upstream')
-                return False
-            await limits.parts.clock.sleep_ms(PLACEMENT_RETRY_MS)
-        elif not limits.spend_attempt():
-            limits.deny('retry-budget')
-            return False
-        elif await steps.run_attempt(placement):
-            return True
-    limits.deny('deadline')
-    return False
+            return limits.deny('attempts')
+        is_settled = await _run_next(limits, steps)
+        if is_settled is not None:
+            return is_settled
+    return limits.deny('deadline')
+
+
+async def _run_next(
+    limits: AttemptLimits, steps: AttemptSteps[_Placement]
+) -> bool | None:
+    """Run the next attempt, or pause; return None to go on.
+
+    The budget is checked before the placement, which may probe upstreams.
+    """
+    if not limits.has_budget:
+        return await _pause(limits, steps.may_wait_for_budget(), 'retry-budget')
+    placement = await steps.place()
+    if isinstance(placement, RelayRefusal):
+        steps.refuse(placement)
+        return True
+    if placement is None:
+        return await _pause(limits, steps.may_wait(), 'no-upstream')
+    if not limits.spend_attempt():
+        return None
+    sent_before = limits.attempts_sent
+    is_settled = await steps.run_attempt(placement)
+    if limits.attempts_sent == sent_before:
+        limits.refund_attempt()
+    return is_settled or None
+
+
+async def _pause(
+    limits: AttemptLimits, may_wait: bool, limit: str
+) -> bool | None:
+    if not may_wait:
+        return limits.deny(limit)
+    await limits.parts.clock.sleep_ms(PLACEMENT_RETRY_MS)
+    return None
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -88,6 +88,10 @@
             return False
         return self._parts.clock.now_ms() <= self._placement_deadline_ms
 
+    def may_wait_for_budget(self) -> bool:
+        """Return False; the caller learns at once that there is no retry."""
+        return False
+
     async def run_attempt(self, placement: Upstream) -> bool:
         """Run an attempt; return whether no further attempt is needed."""
         outcome = await self._attempt(placement)
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -146,12 +146,19 @@
 
         A stream that may have run waits until its deadline.
         """
-        if self._call.exchange.has_head or self._may_have_run:
+        if self.may_wait_for_budget():
             return True
         if self._limits.is_unservable:
             return False
         return self._parts.clock.now_ms() <= self._placement_deadline_ms
 
+    def may_wait_for_budget(self) -> bool:
+        """Return whether the stream may have run.
+
+        Such a stream waits until its deadline rather than being cut.
+        """
+        return self._call.exchange.has_head or self._may_have_run
+
     async def run_attempt(self, placement: AttemptPlacement) -> bool:
         """Run an attempt; return whether no further attempt is needed."""
         outcome = await self._attempt(placement)
@@ -268,27 +275,52 @@
         A silent upstream is probed, and marked lost if it does not respond.
         """
         started_ms = self._parts.clock.now_ms()
-        silence_ms = (
-            STREAM_SILENCE_MS
-            if self._attempt_times.count
-            else PREFILL_SILENCE_MS
-        )
         while True:
-            wait_ms = min(silence_ms, attempt.remaining_ms)
+            wait_ms = min(self._silence_ms, attempt.remaining_ms)
             received = await attempt.receive(wait_ms)
             if received is not None:
                 return received
             if attempt.remaining_ms <= 0:
                 return None
-            liveness = self._parts.liveness
-            if not await liveness.is_alive(attempt.upstream, silence_ms):
+            silence = await self._silence_reason(attempt, started_ms)
+            if silence and self._is_replaceable():
                 received = await attempt.receive(0)
-                return received or AnswerLost('the upstream is silent')
-            silent_ms = self._parts.clock.now_ms() - started_ms
-            if silent_ms > self._stall_timeout_ms:
-                return AnswerLost(
-                    f'no event for {silent_ms:.0f} ms',
-                )
+                return received or AnswerLost(silence)
+
+    async def _silence_reason(self, attempt: Attempt, started_ms: float) -> str:
+        """Return why a silent upstream counts as lost; empty if it does not.
+
+        Parameters
+        ----------
+        started_ms
+            Monotonic time at which the silence began.
+        """
+        silence_ms = self._silence_ms
+        if not await self._parts.liveness.is_alive(
+            attempt.upstream, silence_ms
+        ):
+            return 'the upstream is silent'
+        silent_ms = self._parts.clock.now_ms() - started_ms
+        if silent_ms > self._stall_timeout_ms:
+            return f'no event for {silent_ms:.0f} ms'
+        return ''
+
+    def _is_replaceable(self) -> bool:
+        """Return whether another attempt could follow the current one.
+
+        If none could, a silent attempt that may still go on is all that is
+        left of the stream.
+        """
+        may_retry = self._call.route.repeatability.may_retry
+        has_attempts = may_retry and self._limits.has_attempts_left
+        return has_attempts and self._limits.has_budget
+
+    @property
+    def _silence_ms(self) -> float:
+        """Return the silence after which the upstream is probed."""
+        if self._attempt_times.count:
+            return STREAM_SILENCE_MS
+        return PREFILL_SILENCE_MS
 
     @property
     def _stall_timeout_ms(self) -> float:
