Liveness: silence of all upstreams is the entry's own stall

What callers saw: streams cut, or read anew and late, at an entry whose link was busy with a large version (LOST beside a change of the configuration).

Cause: LivenessWatch judged each upstream by its own silence and one probe (120 ms and 190 ms). A link that is busy for over a second, or a process that stalls, delays every event and every answer alike, so that all upstreams of all failure domains were marked lost within 10 ms. Class of fault: a local fault taken for the loss of remote parties.

Evidence: edge-mwanza-b-4 at 38.93 s gave up six attempts in three domains; its link carried 462 KB and 345 KB in the two seconds around each version (5 Mbit/s), its processor was at 1 to 5 %; entries with faster links lost none.

Change: an upstream is marked lost only if another one, of another failure domain if possible, answers a probe at that time; witnesses are asked 120 ms after the probe, concurrently. Otherwise the own path is doubted: logged once, counted, attempts go on, and the time limits of silence start anew. An upstream that is no longer listed, or the only one, is judged as before.

Ruled out: a stall of the loop (processor at 1 to 5 %), though its effect and the remedy are the same. Why it works: what is common to all paths can't convict one.

--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -274,6 +274,7 @@
     def _make_relay_parts(self) -> RelayParts:
         settings = self._settings
         runners = RunnerClient(self._pool, self._clock)
+        metrics = RelayMetrics.from_clock(self._clock)
         return RelayParts(
             clock=self._clock,
             pool=self._pool,
@@ -297,11 +298,13 @@
                 self._clock,
                 self._directory,
                 runners.report,
+                self._log,
+                metrics,
             ),
             kv_cache=runners,
             header_names=PLATFORM_DIALECT,
             log=self._log,
-            metrics=RelayMetrics.from_clock(self._clock),
+            metrics=metrics,
         )
 
     def _make_watches(self) -> _Watches:
--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -1,16 +1,21 @@
 """Probes that distinguish lost upstreams from slow ones.
 
 A silent upstream is asked for its load report. Requests that wait for the same
-upstream share one probe.
+upstream share one probe. An upstream counts as lost only if another one answers
+at that time: if all are silent, the cause is the process's own link or
+processor, such as a link that is busy with a large version.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import math
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
+from bergamotthread.process.relay.decision_log import DecisionLog
+from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.upstreams import (
     LoadReport,
     Upstream,
@@ -29,6 +34,17 @@
 
 # Age up to which a load report is reused without a new probe.
 REPORT_AGE_MAX_MS = 150
+# Upstreams that are asked whether the own path works, each in another failure
+# domain if possible.
+WITNESSES = 3
+# Wait for an answer before witnesses are asked; two round trips between regions.
+WITNESS_DELAY_MS = 120
+# Age up to which the answer to a probe shows that the own path works.
+WITNESS_AGE_MAX_MS = 100
+# Time after which a doubt about the own path ends unless it is renewed.
+OWN_PATH_DOUBT_MS = 500
+
+_MS_PER_S = 1000
 
 Probe = Callable[[Upstream], Awaitable[LoadReport | None]]
 
@@ -43,15 +59,24 @@
         Fetches the load report of an upstream; returns None on failure.
     probes_sent
         Number of probes sent.
+    doubted_ms
+        Monotonic time at which all upstreams asked were last found silent.
     """
 
     clock: Clock
     directory: UpstreamDirectory
     probe: Probe
+    log: DecisionLog
+    metrics: RelayMetrics
     probes_sent: int = 0
+    doubted_ms: float = -math.inf
+    _answered_ms: float = -math.inf
     _probe_by_instance: dict[str, asyncio.Task[bool]] = field(
         default_factory=dict
     )
+    _check_by_instance: dict[str, asyncio.Task[bool]] = field(
+        default_factory=dict
+    )
     _background_checks: set[asyncio.Task[bool]] = field(default_factory=set)
 
     async def is_alive(
@@ -72,15 +97,14 @@
         bool
             Whether the upstream is alive.
         """
-        instance = upstream.record.instance
-        task = self._probe_by_instance.get(instance)
-        if task is None:
-            task = asyncio.create_task(self._probe(upstream))
-            self._probe_by_instance[instance] = task
-            task.add_done_callback(
-                lambda _: self._probe_by_instance.pop(instance, None)
-            )
-        return await asyncio.shield(task)
+        return await _share(
+            self._check_by_instance, upstream, lambda: self._check(upstream)
+        )
+
+    @property
+    def is_own_path_doubted(self) -> bool:
+        """Return whether all upstreams asked lately were silent."""
+        return self.clock.now_ms() - self.doubted_ms < OWN_PATH_DOUBT_MS
 
     async def refresh_report(self, upstream: Upstream) -> bool:
         """Probe an upstream unless its load report is recent.
@@ -104,6 +128,57 @@
         self._background_checks.add(task)
         task.add_done_callback(self._background_checks.discard)
 
+    async def _check(self, upstream: Upstream) -> bool:
+        started_ms = self.clock.now_ms()
+        answer = asyncio.create_task(self._ask(upstream))
+        await asyncio.wait((answer,), timeout=WITNESS_DELAY_MS / _MS_PER_S)
+        witnesses = asyncio.create_task(
+            self._is_path_working(upstream, started_ms)
+        )
+        if await answer or upstream.heard_ms > started_ms:
+            witnesses.cancel()
+            return True
+        if not await witnesses:
+            self._record_doubt(upstream)
+            return True
+        self.directory.record_lost(upstream)
+        return False
+
+    async def _is_path_working(
+        self, upstream: Upstream, started_ms: float
+    ) -> bool:
+        """Return whether the own path works, as far as others can tell.
+
+        It counts as working if there is no other upstream to ask, or if the
+        silent one is no longer listed.
+        """
+        if self._answered_ms >= started_ms - WITNESS_AGE_MAX_MS:
+            return True
+        instance = upstream.record.instance
+        witnesses = self.directory.witnesses(upstream, WITNESSES)
+        if not witnesses or self.directory.get(instance) is not upstream:
+            return True
+        answers = [self._ask(witness) for witness in witnesses]
+        return any(await asyncio.gather(*answers))
+
+    def _record_doubt(self, upstream: Upstream) -> None:
+        self.metrics.own_path_doubts.increment()
+        if not self.is_own_path_doubted:
+            self.log.write(
+                'own-path-doubted',
+                upstream=upstream.record.instance,
+                domain=upstream.record.failure_domain,
+                detail='neither it nor upstreams of other domains answer; '
+                'none is marked lost',
+            )
+        self.doubted_ms = self.clock.now_ms()
+
+    async def _ask(self, upstream: Upstream) -> bool:
+        """Ask an upstream for its report, or wait for the call under way."""
+        return await _share(
+            self._probe_by_instance, upstream, lambda: self._probe(upstream)
+        )
+
     async def _probe(self, upstream: Upstream) -> bool:
         self.probes_sent += 1
         started_ms = self.clock.now_ms()
@@ -113,11 +188,24 @@
                 report = await self.probe(upstream)
         except TimeoutError:
             report = None
-        if report is not None:
-            upstream.apply_report(report)
-            self.directory.record_heard(upstream)
-            return True
-        if upstream.heard_ms > started_ms:
-            return True
-        self.directory.record_lost(upstream)
-        return False
+        if report is None:
+            return False
+        self._answered_ms = max(self._answered_ms, started_ms)
+        upstream.apply_report(report)
+        self.directory.record_heard(upstream)
+        return True
+
+
+async def _share(
+    task_by_instance: dict[str, asyncio.Task[bool]],
+    upstream: Upstream,
+    start: Callable[[], Coroutine[None, None, bool]],
+) -> bool:
+    """Return the result of an upstream's task; start it if there is none."""
+    instance = upstream.record.instance
+    task = task_by_instance.get(instance)
+    if task is None:
+        task = asyncio.create_task(start())
+        task_by_instance[instance] = task
+        task.add_done_callback(lambda _: task_by_instance.pop(instance, None))
+    return await asyncio.shield(task)
--- a/bergamotthread/process/relay/relay_metrics.py
+++ b/bergamotthread/process/relay/relay_metrics.py
@@ -6,6 +6,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.metrics import (
+    Counter,
     LabelledCounter,
     Metrics,
     Percentiles,
@@ -35,6 +36,8 @@
         Time that requests to plain services waited in the entry's queue.
     forecast_error_ms
         Difference between the expected and the measured first event.
+    own_path_doubts
+        Probes without an answer while no other upstream answered either.
     loop_stall_ms
         Time by which the periodic work of the process ran late.
     """
@@ -49,6 +52,7 @@
     longest_pause_ms: Percentiles
     queue_wait_ms: Percentiles
     forecast_error_ms: Percentiles
+    own_path_doubts: Counter
     loop_stall_ms: Percentiles
 
     @classmethod
@@ -97,6 +101,10 @@
                 'relay_forecast_error_ms',
                 'Difference of expected and measured first event.',
             ),
+            own_path_doubts=registry.counter(
+                'relay_own_path_doubts_total',
+                'Probes without an answer while no other upstream answered.',
+            ),
             loop_stall_ms=registry.percentiles(
                 'relay_loop_stall_ms',
                 'Time by which periodic work of the process ran late.',
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -318,6 +318,29 @@
             if upstream is not None and _accepts_requests(upstream, service):
                 yield upstream
 
+    def witnesses(self, upstream: Upstream, count: int) -> list[Upstream]:
+        """Return other upstreams of its service, to be asked in its place.
+
+        Those heard last come first, each in another failure domain; others
+        only if there are too few domains.
+        """
+        others = sorted(
+            (
+                other
+                for other in self.of_service(upstream.record.service)
+                if other is not upstream and not self.is_lost(other)
+            ),
+            key=lambda other: other.heard_ms,
+            reverse=True,
+        )
+        by_domain: dict[str, Upstream] = {}
+        for heard in others:
+            by_domain.setdefault(heard.record.failure_domain, heard)
+        by_domain.pop(upstream.record.failure_domain, None)
+        chosen = list(by_domain.values())
+        chosen.extend(other for other in others if other not in chosen)
+        return chosen[:count]
+
     def record_lost(self, upstream: Upstream) -> None:
         """Mark an upstream lost.
 
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -101,7 +101,8 @@
             )
             self._connection.send(encoded, self.call.request_id)
         except ConnectFailedError as error:
-            self.parts.directory.record_lost(self.upstream)
+            if not self.parts.liveness.is_own_path_doubted:
+                self.parts.directory.record_lost(self.upstream)
             return NotSent(str(error))
         except ConnectionError as error:
             return NotSent(str(error))
--- a/bergamotthread/request/relay/attempt_loop.py
+++ b/bergamotthread/request/relay/attempt_loop.py
@@ -72,7 +72,7 @@
         return self.parts.retry_budget.spend(self.call.service.name)
 
     def refund_attempt(self) -> None:
-        """Return the retry that was counted for an attempt that was not sent."""
+        """Return the retry that an unsent attempt took from the budget."""
         if self.attempts_sent:
             self.parts.retry_budget.refund(self.call.service.name)
 
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -300,6 +300,8 @@
             attempt.upstream, silence_ms
         ):
             return 'the upstream is silent'
+        # Silence of all upstreams together says nothing about this one.
+        started_ms = max(started_ms, self._parts.liveness.doubted_ms)
         silent_ms = self._parts.clock.now_ms() - started_ms
         if silent_ms > self._stall_timeout_ms:
             return f'no event for {silent_ms:.0f} ms'
--- a/tests/test_own_path_stall.py
+++ b/tests/test_own_path_stall.py
@@ -13,6 +13,8 @@
 from tests.platform_standins import Deployment
 
 STREAMS = 8
+# Longest time until output is resumed after a loss.
+RESUME_BOUND_MS = 3000
 
 
 async def _start_streams(deployment, count=STREAMS):
@@ -66,3 +68,36 @@
         assert answer.event_ids == list(range(1, STREAM_EVENTS + 1))
 
     run_in_memory(check())
+
+
+def test_loss_of_two_domains_is_not_taken_for_a_stall_of_the_own_link():
+    async def check():
+        deployment = await Deployment.start(models=6)
+        tasks = await _start_streams(deployment)
+        for number, model in enumerate(deployment.models):
+            if number % 3:
+                model.silence()
+        answers = await asyncio.gather(*tasks)
+        for answer in answers:
+            assert answer.event_ids == list(range(1, STREAM_EVENTS + 1))
+            assert answer.longest_pause_ms < RESUME_BOUND_MS
+        assert not deployment.events('own-path-doubted')
+
+    run_in_memory(check())
+
+
+def test_stall_is_logged_once_and_counted():
+    async def check():
+        deployment = await Deployment.start(models=6)
+        tasks = await _start_streams(deployment)
+        deployment.net.hold(1200)
+        await asyncio.gather(*tasks)
+        assert len(deployment.events('own-path-doubted')) == 1
+        outcomes = {
+            fields['outcome'] for fields in deployment.events('attempt')
+        }
+        assert outcomes == {'StreamEnded'}
+        metrics = deployment.entries[0]._parts.metrics.registry.expose()
+        assert 'relay_own_path_doubts_total 0' not in metrics
+
+    run_in_memory(check())
