Relayed rows: large versions are compressed for followers

What callers saw: pauses of over a second at entries with slow links whenever a large version was published, and with them the cut streams of the incident.

Cause: a version of 2,850 routes is 783 KB on the wire (base64 in JSON) and takes 1.25 s of a link of 5 Mbit/s; a region's reader sent it to eight followers (4,640 KB in one second), whose answers then were older than allowed, so that they read it again from the store.

Change: rows of 4 KB and more are compressed with zlib before base64, once for all followers. A follower asks for it by the field 'packed', so that entries of different releases understand each other.

--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -9,9 +9,11 @@
 
 import asyncio
 import base64
+import zlib
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import lru_cache
 from urllib.parse import parse_qsl
 
 import msgspec
@@ -22,11 +24,20 @@
     CallerLimits,
     Exchange,
 )
-from bergamotthread.platform.store import StoredRow, WireRow, WireRows
+from bergamotthread.platform.store import (
+    PACKED_FIELD,
+    StoredRow,
+    WireRow,
+    WireRows,
+)
 
 FEED_PATH = b'/api/rows-feed'
-# Changes of one table kept for other entries; a manifest takes some 20 KB.
+# Changes of one table kept for other entries; a manifest takes 20 to 800 KB.
 KEPT_CHANGES_MAX = 200
+# Rows of at least this size are compressed for followers.
+PACKED_BYTES_MIN = 4096
+# Compressed rows that are kept, for the followers that ask one after the other.
+_PACKED_ROWS_KEPT = 4
 FEED_WAIT_MAX_MS = 10_000
 _GONE = 410
 
@@ -94,9 +105,16 @@
         self,
         version: int,
         wait_ms: float,
+        *,
+        is_packed: bool = False,
     ) -> WireRows | None:
         """Return the changes after a version.
 
+        Parameters
+        ----------
+        is_packed
+            Whether to compress large rows.
+
         If there are none yet, wait up to `wait_ms`, but no longer than
         `FEED_WAIT_MAX_MS`, for the next confirmation. Return None if some of
         the changes are no longer kept or the table has not been read yet.
@@ -112,7 +130,9 @@
         if version < self.kept_after_version:
             return None
         rows = tuple(
-            _wire_row(row) for row in self._changes if row.version > version
+            _wire_row(row, is_packed=is_packed)
+            for row in self._changes
+            if row.version > version
         )
         age_ms = self.clock.boot_ms() - self.confirmed_ms
         return WireRows(
@@ -157,6 +177,7 @@
         changes = await history.changes_after(
             int(after),
             float(wait_ms) if wait_ms.isdigit() else 0,
+            is_packed=PACKED_FIELD in fields,
         )
         if changes is None:
             exchange.respond(_GONE, ())
@@ -174,8 +195,17 @@
         return
 
 
-def _wire_row(row: StoredRow) -> WireRow:
+def _wire_row(row: StoredRow, *, is_packed: bool) -> WireRow:
     if row.payload is None:
         return WireRow(row.key, deleted=True, ver=row.version)
+    if is_packed and len(row.payload) >= PACKED_BYTES_MIN:
+        return WireRow(
+            row.key, encoded=_pack(row.payload), ver=row.version, is_packed=True
+        )
     encoded = base64.b64encode(row.payload).decode()
     return WireRow(row.key, encoded=encoded, ver=row.version)
+
+
+@lru_cache(maxsize=_PACKED_ROWS_KEPT)
+def _pack(payload: bytes) -> str:
+    return base64.b64encode(zlib.compress(payload)).decode()
--- a/bergamotthread/platform/store.py
+++ b/bergamotthread/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import TypeVar
@@ -23,6 +24,8 @@
 # The same for a poll of another entry, which answers from memory.
 FOLLOW_TIMEOUT_MARGIN_MS = 200
 ROWS_PER_PAGE = 500
+# Field of the query by which a follower asks for compressed rows.
+PACKED_FIELD = 'packed'
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -53,12 +56,17 @@
 
 
 class WireRow(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Row in the store's wire format; `encoded` is base64."""
+    """Row in the store's wire format; `encoded` is base64.
+
+    An entry that relays rows compresses large ones with zlib before, for
+    followers that ask for it, and sets `is_packed`.
+    """
 
     key: str
     encoded: str = msgspec.field(name='value', default='')
     deleted: bool = False
     ver: int = 0
+    is_packed: bool = False
 
 
 class WireRows(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -128,6 +136,7 @@
     table: str
     after: int
     wait_ms: int
+    accepts_packed: bool = False
 
 
 @dataclass
@@ -315,7 +324,7 @@
         """
         page = await self._poll_feed(
             peer,
-            _FeedPoll(table, after, wait_ms),
+            _FeedPoll(table, after, wait_ms, accepts_packed=True),
             FOLLOW_TIMEOUT_MARGIN_MS + wait_ms,
         )
         if not page.is_direct or page.age_ms > age_max_ms:
@@ -365,6 +374,8 @@
             'after': str(feed.after),
             'wait_ms': str(feed.wait_ms),
         }
+        if feed.accepts_packed:
+            query[PACKED_FIELD] = '1'
         return await self._request_rows(address, 'rows-feed', query, timeout_ms)
 
     async def _request_rows(
@@ -422,6 +433,16 @@
     return {'table': table, 'part': '', 'key': key}
 
 
+def _unpack(key: str, packed: bytes) -> bytes:
+    try:
+        return zlib.decompress(packed)
+    except zlib.error as error:
+        raise StoreCallError(
+            f'relayed row {key} is not compressed as stated: {error}',
+            step=Step.STORE,
+        ) from error
+
+
 def _encode_payload(payload: bytes) -> str:
     return base64.b64encode(payload).decode()
 
@@ -447,4 +468,6 @@
     except (binascii.Error, ValueError):
         # Other writers may store anything; invalid base64 counts as empty.
         payload = b''
+    if wire_row.is_packed:
+        payload = _unpack(wire_row.key, payload)
     return StoredRow(wire_row.key, payload, wire_row.ver)
--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -37,7 +37,7 @@
 # Upstreams that are asked whether the own path works, each in another failure
 # domain if possible.
 WITNESSES = 3
-# Wait for an answer before witnesses are asked; two round trips between regions.
+# Wait before witnesses are asked; two round trips between regions.
 WITNESS_DELAY_MS = 120
 # Age up to which the answer to a probe shows that the own path works.
 WITNESS_AGE_MAX_MS = 100
