Drain: requests that an ending entry has taken get a final answer

Cause: a draining entry takes plain requests until it ends, and PlatformEntry.run returned with requests in flight; the exit closed their connections.

Change: an entry refuses a plain request (503, not run, Retry-After) if less time is left than four of its target times; before the exit, requests in flight are cancelled and get their final answer, 503 if nothing was sent and 502 otherwise; a stream that has begun is cut, as before.

--- a/bergamotthread/connection/http/caller_connection.py
+++ b/bergamotthread/connection/http/caller_connection.py
@@ -284,6 +284,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def cancel_request(self) -> None:
+        """Cancel the answer to the current request, if there is one."""
+        if self._task is not None:
+            self._task.cancel()
+
     def close_idle(self) -> None:
         """Close if no request is being read or answered."""
         if self.is_idle and self._transport is not None:
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -57,6 +57,9 @@
 READY_PATH = b'/api/ready'
 METRICS_PATH = b'/metrics'
 HOUSEKEEPING_INTERVAL_MS = 200
+# Time for the final answers to requests in flight; the margin before the kill
+# covers it and the housekeeping interval.
+FINAL_ANSWERS_MS = 20
 # The slack of the retry budget is divided by at least this many entries, which
 # allows for entries that have not registered yet.
 ENTRIES_MIN = 8
@@ -141,6 +144,8 @@
             self._pool.close_stale()
             if self._life_cycle.is_out_of_rotation:
                 self._close_idle()
+        self._server.end_requests()
+        await self._clock.sleep_ms(FINAL_ANSWERS_MS)
         for task in tasks:
             task.cancel()
         self._log.write('stop', in_flight=self._server.in_flight)
--- a/bergamotthread/process/relay/life_cycle.py
+++ b/bergamotthread/process/relay/life_cycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from transitions import Machine
@@ -94,7 +95,14 @@
         """Return whether the balancer has stopped sending connections."""
         return self.draining_ms > BALANCER_REMOVAL_MS
 
+    @property
+    def remaining_ms(self) -> float:
+        """Return the time until the process ends; infinite without a drain."""
+        if not self.is_draining:
+            return math.inf
+        return self.grace_ms - KILL_MARGIN_MS - self.draining_ms
+
     @property
     def must_end(self) -> bool:
         """Return whether the process must end now to exit before the kill."""
-        return self.draining_ms > self.grace_ms - KILL_MARGIN_MS
+        return self.remaining_ms < 0
--- a/bergamotthread/process/relay/servers.py
+++ b/bergamotthread/process/relay/servers.py
@@ -19,11 +19,16 @@
 from bergamotthread.request.relay.call import RelayedCall
 from bergamotthread.request.relay.parts import RelayParts
 from bergamotthread.request.relay.plain_relay import PlainRelay
-from bergamotthread.request.relay.refusals import RelayRefusal, send_refusal
+from bergamotthread.request.relay.refusals import (
+    DRAIN_RETRY_AFTER_MS,
+    RelayRefusal,
+    send_refusal,
+)
 from bergamotthread.request.relay.stream_relay import StreamRelay
 
 LISTEN_BACKLOG = 1024
-DRAIN_RETRY_AFTER_MS = 100
+# Target times of a plain request that must be left before the process ends.
+DRAIN_TARGETS_LEFT = 4
 # Wait for the first version; a new process loads it within half a second.
 FIRST_VERSION_TIMEOUT_MS = 600
 
@@ -40,6 +45,7 @@
     connections: set[CallerConnection] = field(default_factory=set)
     in_flight: int = 0
     answered: int = 0
+    is_ending: bool = False
 
     @property
     def limits(self) -> CallerLimits:
@@ -62,16 +68,37 @@
         if isinstance(admitted, RelayRefusal):
             self._refuse(exchange, admitted)
             return
-        if admitted.route.is_stream and self.life_cycle.refuses_streams:
+        if self._is_too_late(admitted):
             self._refuse(exchange, _draining_refusal())
             return
+        relay = _make_relay(admitted, self.parts)
         self.in_flight += 1
         try:
-            await _make_relay(admitted, self.parts).run()
+            await relay.run()
+        except asyncio.CancelledError:
+            if self.is_ending:
+                relay.end()
+            raise
         finally:
             self.in_flight -= 1
             self.answered += 1
 
+    def end_requests(self) -> None:
+        """Give each request in flight its final answer, before the exit.
+
+        A stream that has begun is cut, so that it can't look complete.
+        """
+        self.is_ending = True
+        for connection in tuple(self.connections):
+            connection.cancel_request()
+
+    def _is_too_late(self, call: RelayedCall) -> bool:
+        """Return whether the process is likely to end before the answer."""
+        if call.route.is_stream:
+            return self.life_cycle.refuses_streams
+        target_ms = call.route.first_event_target_ms * DRAIN_TARGETS_LEFT
+        return self.life_cycle.remaining_ms < min(target_ms, call.time_limit_ms)
+
     def _refuse(self, exchange: Exchange, refusal: RelayRefusal) -> None:
         request_id = exchange.request.header(
             self.admission.header_names.request_id,
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -21,7 +21,11 @@
     OutOfTime,
 )
 from bergamotthread.request.relay.parts import RelayParts
-from bergamotthread.request.relay.refusals import RelayRefusal, send_refusal
+from bergamotthread.request.relay.refusals import (
+    RelayRefusal,
+    ending_refusal,
+    send_refusal,
+)
 
 # Fraction of the target response time of a request that may be retried, after
 # which the first attempt is abandoned and the request is sent to another
@@ -67,6 +71,13 @@
         finally:
             gate.leave(self._call.service.name, self._latency_ms)
 
+    def end(self) -> None:
+        """Send the final answer; `run` was cancelled as the entry ends."""
+        if self._call.exchange.is_ended:
+            return
+        may_have_run = self._limits.attempts_sent > 0
+        self.refuse(ending_refusal(may_have_run=may_have_run))
+
     def may_send(self) -> bool:
         """Return whether the route allows another attempt."""
         return self._limits.has_attempts_left
--- a/bergamotthread/request/relay/refusals.py
+++ b/bergamotthread/request/relay/refusals.py
@@ -11,6 +11,8 @@
 from bergamotthread.connection.http.messages import Header
 
 PROBLEM_TYPE = b'application/problem+json'
+# Sent by an entry that drains; the balancer sends the caller to another one.
+DRAIN_RETRY_AFTER_MS = 100
 
 
 @dataclass(frozen=True)
@@ -35,6 +37,14 @@
     figures: Mapping[str, float] = field(default_factory=dict)
 
 
+def ending_refusal(*, may_have_run: bool) -> RelayRefusal:
+    """Return the final answer to a request whose process ends."""
+    detail = 'this entry ended before the answer'
+    if may_have_run:
+        return RelayRefusal(502, 'entry-ended', detail)
+    return RelayRefusal(503, 'entry-ended', detail, DRAIN_RETRY_AFTER_MS)
+
+
 def send_refusal(exchange: Exchange, refusal: RelayRefusal) -> None:
     """Send a refusal as the complete response."""
     problem = {
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -53,7 +53,11 @@
     AttemptPlacement,
     StreamPlacer,
 )
-from bergamotthread.request.relay.refusals import RelayRefusal, send_refusal
+from bergamotthread.request.relay.refusals import (
+    RelayRefusal,
+    ending_refusal,
+    send_refusal,
+)
 
 # A stream without an event for this long is resumed at another upstream even if
 # its own still answers probes; prefill of other prompts delays events by up to
@@ -107,6 +111,16 @@
             self._copy_manager.discard()
             gate.record_end(call.service.name, call.team, self._run_ms)
 
+    def end(self) -> None:
+        """Send the final answer; `run` was cancelled as the entry ends."""
+        if self._call.exchange.is_ended:
+            return
+        if self._call.exchange.has_head:
+            self._refuse_or_abort()
+            return
+        may_have_run = self._limits.attempts_sent > 0
+        self.refuse(ending_refusal(may_have_run=may_have_run))
+
     def may_send(self) -> bool:
         """Return whether the route allows another attempt.
 
