Platform: an upstream that says it is leaving gets nothing new

Cause: no code read Server-Leaving. Requests went on to a runner until its row said draining or was gone, and a row that said ready brought it back.

Change: the header is read from the head of every answer of an upstream (in Attempt.receive for requests, in RunnerClient._call for load reports, copy calls and lists of cached prompts) by LeavingNotices. The directory keeps incarnations that said so, also without a row, until a newer one is listed; placement, copy holders, resumes and the counts of both gates leave them out, and a request whose connection opens meanwhile is not sent. A service of which all upstreams said so is refused at once. Callers do not get the header. Stand-in runners can say so (RunnerScript.leaving).

--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -52,6 +52,7 @@
 from bergamotthread.process.relay.upstreams import UpstreamDirectory
 from bergamotthread.process.relay.version_holder import RouteTableHolder
 from bergamotthread.request.relay.admission import Admission
+from bergamotthread.request.relay.leaving_notices import LeavingNotices
 from bergamotthread.request.relay.parts import RelayParts
 
 READY_PATH = b'/api/ready'
@@ -235,6 +236,11 @@
                 'Upstreams that the store lists.',
                 lambda: len(self._directory),
             ),
+            (
+                'relay_upstreams_leaving',
+                'Listed upstreams that said that they are leaving.',
+                lambda: self._directory.leaving_count,
+            ),
             (
                 'relay_queued',
                 'Requests that wait for a plain service.',
@@ -269,7 +275,8 @@
 
     def _make_relay_parts(self) -> RelayParts:
         settings = self._settings
-        runners = RunnerClient(self._pool, self._clock)
+        leaving = LeavingNotices(self._directory, PLATFORM_DIALECT, self._log)
+        runners = RunnerClient(self._pool, self._clock, leaving)
         return RelayParts(
             clock=self._clock,
             pool=self._pool,
@@ -296,6 +303,7 @@
             ),
             kv_cache=runners,
             header_names=PLATFORM_DIALECT,
+            leaving=leaving,
             log=self._log,
             metrics=RelayMetrics.from_clock(self._clock),
         )
--- a/bergamotthread/platform/headers.py
+++ b/bergamotthread/platform/headers.py
@@ -15,6 +15,7 @@
     prompt_parts=b'bergamotthread-prompt-prefix',
     copy_target=b'bergamotthread-kv-backup',
     copy_source=b'kv-from',
+    leaving=b'server-leaving',
     set_by_entry=frozenset(
         (
             b'bergamotthread-deadline-remaining',
--- a/bergamotthread/platform/runner_calls.py
+++ b/bergamotthread/platform/runner_calls.py
@@ -8,12 +8,17 @@
 from absl import logging
 
 from bergamotthread.clock import Clock
-from bergamotthread.connection.http.fetch import FetchRequest, fetch
+from bergamotthread.connection.http.fetch import (
+    FetchRequest,
+    FetchResponse,
+    fetch,
+)
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.runner_rows import decode_report
 from bergamotthread.process.relay.liveness import UPSTREAM_PROBE_TIMEOUT_MS
 from bergamotthread.process.relay.upstreams import LoadReport, Upstream
 from bergamotthread.request.relay.engine_memory import EngineKvCache
+from bergamotthread.request.relay.leaving_notices import LeavingNotices
 
 # Copying the KV cache of a long prompt between failure domains takes 80 ms,
 # and the copy waits for other copies on both links.
@@ -35,13 +40,14 @@
 
     pool: UpstreamPool
     clock: Clock
+    leaving: LeavingNotices
 
     async def report(self, upstream: Upstream) -> LoadReport | None:
         """Return an upstream's current load, or None if it can't be read."""
         try:
-            fetched = await fetch(
-                self.pool,
-                upstream.address,
+            fetched = await self._call(
+                upstream,
+                'report',
                 FetchRequest(b'GET', b'/api/report'),
                 UPSTREAM_PROBE_TIMEOUT_MS,
             )
@@ -74,9 +80,9 @@
             'last': False,
         }
         try:
-            fetched = await fetch(
-                self.pool,
-                source.address,
+            fetched = await self._call(
+                source,
+                'copy',
                 FetchRequest(
                     b'POST', b'/api/kv-move', msgspec.json.encode(copy_request)
                 ),
@@ -108,9 +114,9 @@
         """
         target = f'/api/kv-handle/{copy_id.rpartition("/")[2]}'.encode()
         try:
-            await fetch(
-                self.pool,
-                source.address,
+            await self._call(
+                source,
+                'copy-release',
                 FetchRequest(b'DELETE', target),
                 COPY_TIMEOUT_MS,
             )
@@ -127,9 +133,9 @@
         The number is 0 if there are none or if they can't be read.
         """
         try:
-            fetched = await fetch(
-                self.pool,
-                upstream.address,
+            fetched = await self._call(
+                upstream,
+                'cached-prompts',
                 FetchRequest(b'GET', b'/api/kv-list'),
                 UPSTREAM_PROBE_TIMEOUT_MS,
             )
@@ -147,3 +153,14 @@
             for _, name, tokens, _ in cached.held
             if name.lower() == part_name
         )
+
+    async def _call(
+        self,
+        upstream: Upstream,
+        kind: str,
+        request: FetchRequest,
+        timeout_ms: float,
+    ) -> FetchResponse:
+        fetched = await fetch(self.pool, upstream.address, request, timeout_ms)
+        self.leaving.read(upstream, fetched.headers, kind, fetched.status)
+        return fetched
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -11,6 +11,7 @@
 from bergamotthread.clock import Clock
 from bergamotthread.process.overload.run_statistics import RunStatistics
 from bergamotthread.process.relay.hash_ring import HashRing
+from bergamotthread.process.relay.leaving import LeavingIncarnations
 
 # Time after which a lost upstream is tried again even if it stayed silent. The
 # store row of an upstream that has ended expires within three intervals of
@@ -126,6 +127,8 @@
         Prompt tokens of this process's streams whose copies the upstream holds.
     is_unlisted
         Whether its row disappeared in an outage of the store and may return.
+    is_leaving
+        Whether it said in an answer that it is leaving.
     listed_ms, heard_ms, lost_ms
         Monotonic times at which it was first listed, last sent bytes and was
         marked lost; 0 before. `lost_ms` is reset when it sends something.
@@ -146,6 +149,7 @@
     sent_since_report: int = 0
     held_tokens: int = 0
     is_unlisted: bool = False
+    is_leaving: bool = False
     statistics: RunStatistics = field(default_factory=RunStatistics)
     has_prefilled: bool = False
     _recent_sends: deque[tuple[float, int]] = field(default_factory=deque)
@@ -155,6 +159,11 @@
         """Return the address at which it listens."""
         return self.record.address
 
+    @property
+    def accepts_requests(self) -> bool:
+        """Return whether it is to get new requests."""
+        return self.record.state is UpstreamState.READY and not self.is_leaving
+
     def record_send(self, prompt_tokens: int, now_ms: float) -> None:
         """Record an own attempt that was sent just now.
 
@@ -202,10 +211,19 @@
     _removed_ms_by_service: dict[str, float] = field(default_factory=dict)
     _outputs_by_service: dict[str, RunStatistics] = field(default_factory=dict)
     _stream_count_by_service: Counter[str] = field(default_factory=Counter)
+    _leaving: LeavingIncarnations = field(default_factory=LeavingIncarnations)
 
     def __len__(self) -> int:
         return len(self._upstream_by_instance)
 
+    @property
+    def leaving_count(self) -> int:
+        """Return the number of listed upstreams that said they leave."""
+        return sum(
+            upstream.is_leaving
+            for upstream in self._upstream_by_instance.values()
+        )
+
     def get(self, instance: str) -> Upstream | None:
         """Return one upstream, or None if it is not listed."""
         return self._upstream_by_instance.get(instance)
@@ -225,7 +243,11 @@
             if replaced.record.started_ms > record.started_ms:
                 return None
             self.remove(replaced.record.instance)
-        upstream = Upstream(record, listed_ms=self.clock.now_ms())
+        upstream = Upstream(
+            record,
+            listed_ms=self.clock.now_ms(),
+            is_leaving=self._includes_leaving(record),
+        )
         self._upstream_by_instance[record.instance] = upstream
         self._instance_by_address[record.address] = record.instance
         self._ring(record.service).add(record.address)
@@ -275,6 +297,26 @@
         if upstream is not None:
             upstream.is_unlisted = True
 
+    def record_leaving(self, upstream: Upstream) -> bool:
+        """Record that an upstream said that it is leaving.
+
+        It gets no new request until a newer incarnation is listed. A row that
+        still says ready, also one that returns after its removal, changes
+        nothing.
+
+        Returns
+        -------
+        bool
+            Whether this was not known.
+        """
+        record = upstream.record
+        upstream.is_leaving = True
+        is_new = self._leaving.add(record.instance, record.started_ms)
+        listed = self._upstream_by_instance.get(record.instance)
+        if listed is not None and self._includes_leaving(listed.record):
+            listed.is_leaving = True
+        return is_new
+
     def instances(self) -> frozenset[str]:
         """Return the identifiers of all listed upstreams."""
         return frozenset(self._upstream_by_instance)
@@ -283,7 +325,8 @@
         """Return whether the store is known to list no upstream of a service.
 
         Draining upstreams count as listed, since others may replace them, and
-        so do those removed within `REPLACEMENT_MS`.
+        so do those removed within `REPLACEMENT_MS`. Upstreams that said that
+        they are leaving do not count.
         """
         removed_ms = self._removed_ms_by_service.get(service, -math.inf)
         if not self.is_loaded or (
@@ -291,7 +334,7 @@
         ):
             return False
         return not any(
-            upstream.record.service == service
+            upstream.record.service == service and not upstream.is_leaving
             for upstream in self._upstream_by_instance.values()
         )
 
@@ -379,14 +422,16 @@
     def _ring(self, service: str) -> HashRing:
         return self._ring_by_service.setdefault(service, HashRing(()))
 
+    def _includes_leaving(self, record: UpstreamRecord) -> bool:
+        return self._leaving.includes(record.instance, record.started_ms)
+
     def _at_address(self, record: UpstreamRecord) -> Upstream | None:
         instance = self._instance_by_address.get(record.address, '')
         return self._upstream_by_instance.get(instance)
 
 
 def _accepts_requests(upstream: Upstream, service: str) -> bool:
-    record = upstream.record
-    return record.state is UpstreamState.READY and record.service == service
+    return upstream.accepts_requests and upstream.record.service == service
 
 
 def _event_interval_ms(former: LoadReport, newer: LoadReport) -> float:
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -99,6 +99,9 @@
                 self.upstream.address,
                 idle_max_ms,
             )
+            if self.upstream.is_leaving:
+                # Another answer said so while the connection was opened.
+                return NotSent('the upstream is leaving')
             self._connection.send(encoded, self.call.request_id)
         except ConnectFailedError as error:
             self.parts.directory.record_lost(self.upstream)
@@ -116,6 +119,8 @@
         received = await self._connection.receive(timeout_ms)
         if received is not None and not isinstance(received, AnswerLost):
             self.parts.directory.record_heard(self.upstream)
+        if isinstance(received, AnswerHead):
+            self._read_leaving(received)
         return received
 
     def not_run_outcome(self, head: AnswerHead) -> NotRun | None:
@@ -136,6 +141,12 @@
         signature = head.header(self.parts.header_names.signature)
         return is_success and signature is None
 
+    def _read_leaving(self, head: AnswerHead) -> None:
+        if not self.lacks_signature(head):
+            self.parts.leaving.read(
+                self.upstream, head.headers, 'request', head.status
+            )
+
 
 async def read_response(attempt: Attempt, timeout_ms: float) -> AttemptOutcome:
     """Return the response, or the outcome if incomplete after `timeout_ms`."""
--- a/bergamotthread/request/relay/copies.py
+++ b/bergamotthread/request/relay/copies.py
@@ -154,6 +154,8 @@
             return 'its holder has gone'
         if directory.is_lost(copy.holder):
             return 'its holder is lost'
+        if copy.holder.is_leaving:
+            return 'its holder is leaving'
         return ''
 
     def _choose_holder(self, request: RelayPlacementRequest) -> Upstream | None:
--- a/bergamotthread/request/relay/dialect.py
+++ b/bergamotthread/request/relay/dialect.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from bergamotthread.connection.http.messages import Header, end_to_end
+
 AUTHORIZATION = b'authorization'
 RESUME_AFTER = b'last-event-id'
+_IS_LEAVING = b'1'
 
 
 @dataclass(frozen=True)
@@ -40,6 +44,8 @@
         sends the copy during the run, these are the holder's address and the
         request's identifier; if the entry had the copy made, the address of the
         upstream that ran the request and that upstream's name for the copy.
+    leaving
+        In all answers of an upstream that is leaving, with the value 1.
     set_by_entry
         Fields that only the entry sets; they are removed from callers'
         requests.
@@ -55,4 +61,21 @@
     prompt_parts: bytes
     copy_target: bytes
     copy_source: bytes
+    leaving: bytes
     set_by_entry: frozenset[bytes]
+
+    def says_leaving(self, headers: Iterable[Header]) -> bool:
+        """Return whether an answer says that its upstream is leaving.
+
+        Any other value, or more than one field, says nothing.
+        """
+        stated = [text for name, text in headers if name == self.leaving]
+        return stated == [_IS_LEAVING]
+
+    def for_caller(self, headers: Iterable[Header]) -> list[Header]:
+        """Return the fields of an upstream's answer that a caller gets."""
+        return [
+            header
+            for header in end_to_end(headers)
+            if header[0] != self.leaving
+        ]
--- a/bergamotthread/request/relay/parts.py
+++ b/bergamotthread/request/relay/parts.py
@@ -16,6 +16,7 @@
 from bergamotthread.process.relay.upstreams import UpstreamDirectory
 from bergamotthread.request.relay.dialect import RelayHeaderNames
 from bergamotthread.request.relay.engine_memory import EngineKvCache
+from bergamotthread.request.relay.leaving_notices import LeavingNotices
 
 
 @dataclass(frozen=True)
@@ -32,5 +33,6 @@
     liveness: LivenessWatch
     kv_cache: EngineKvCache
     header_names: RelayHeaderNames
+    leaving: LeavingNotices
     log: DecisionLog
     metrics: RelayMetrics
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from bergamotthread.process.relay.choice import (
@@ -116,8 +117,9 @@
         caching = await self._caching_candidates(candidates, request)
         usable = caching or await self._alive_candidates(candidates)
         if not usable:
-            # No candidate answered its probe, so all are marked lost now. If
-            # the attempt fails as well, the next one is placed at others.
+            # No candidate answered its probe, so all are marked lost now, or
+            # it said that it leaves. If the attempt fails as well or is not
+            # sent, the next one is placed at others.
             return AttemptPlacement(candidates[0])
         ranked = self._rank(usable, request)
         if not in_time:
@@ -200,11 +202,11 @@
             tokens=max(cached_tokens),
             candidates=len(candidates),
         )
-        return [
+        return _accepting(
             upstream
             for upstream, tokens in zip(candidates, cached_tokens, strict=True)
             if tokens
-        ]
+        )
 
     async def _alive_candidates(
         self, candidates: list[Upstream]
@@ -215,11 +217,11 @@
                 for upstream in candidates
             ),
         )
-        return [
+        return _accepting(
             upstream
             for upstream, is_alive in zip(candidates, are_alive, strict=True)
             if is_alive
-        ]
+        )
 
     def _rank(
         self, alive: list[Upstream], request: RelayPlacementRequest
@@ -281,5 +283,10 @@
         return self.parts.clock.now_ms() - upstream.report.at_ms
 
 
+def _accepting(upstreams: Iterable[Upstream]) -> list[Upstream]:
+    """Return the upstreams that did not say meanwhile that they leave."""
+    return [upstream for upstream in upstreams if upstream.accepts_requests]
+
+
 def _cost_ms(candidate: Candidate) -> float:
     return candidate.cost_ms
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from bergamotthread.connection.http.messages import end_to_end
 from bergamotthread.process.relay.choice import RelayPlacementRequest
 from bergamotthread.process.relay.plain_gate import PlainDemand, PlainRefused
 from bergamotthread.process.relay.upstreams import Upstream
@@ -144,7 +143,7 @@
                 if head.status >= _SERVER_ERROR and self._may_retry():
                     self._may_have_run = True
                     return False
-                headers = end_to_end(head.headers)
+                headers = self._parts.header_names.for_caller(head.headers)
                 self._call.exchange.respond(head.status, headers, body)
                 self._count_answer(head.status)
                 return True
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -16,7 +16,6 @@
     AnswerLost,
     AnswerPart,
     Framing,
-    end_to_end,
 )
 from bergamotthread.process.overload.expected_wait import EngineWork
 from bergamotthread.process.relay.choice import RelayPlacementRequest
@@ -309,7 +308,8 @@
         if head.status != _OK or attempt.lacks_signature(head):
             return Answered(head, b'')
         if not self._call.exchange.has_head:
-            self._call.exchange.start(_OK, end_to_end(head.headers))
+            headers = self._parts.header_names.for_caller(head.headers)
+            self._call.exchange.start(_OK, headers)
         return None
 
     def _forward(self, event: StreamEvent) -> None:
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -10,6 +10,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.caller_connection import Exchange
+from bergamotthread.connection.http.messages import Header
 from standins.platform_server import StandInServer
 
 MODEL = 'model-service'
@@ -17,6 +18,7 @@
 KEY = 'key-one'
 SEAL = b'bergamotthread-response-seal'
 REQUEST_ID = b'bergamotthread-request-id'
+LEAVING = b'server-leaving'
 EVENT_MS = 40
 PREFILL_MS = 400
 # Number of events of a complete stream.
@@ -67,6 +69,10 @@
     stalls_after
         Number of events after which it sends no more for 60 s; it still
         answers probes.
+    leaving
+        Whether all its answers say that it is leaving.
+    extra
+        Further header fields of all its answers.
     """
 
     not_run: bool = False
@@ -81,6 +87,13 @@
     work_ms: float = 30
     events: int = STREAM_EVENTS
     copies: set[str] = field(default_factory=set)
+    leaving: bool = False
+    extra: tuple[Header, ...] = ()
+
+    @property
+    def headers(self) -> tuple[Header, ...]:
+        """Return the header fields that all answers have."""
+        return ((LEAVING, b'1'), *self.extra) if self.leaving else self.extra
 
 
 class RunnerStandIn(StandInServer):
@@ -105,22 +118,24 @@
     async def answer(self, exchange: Exchange) -> None:
         """Answer a call of the platform or a request of a caller."""
         request = exchange.request
+        marks = self.script.headers
         if request.target == b'/api/report':
             self.reports += 1
             report = {'queue_depth': 0, 'in_flight': 0, 'kv_total': 88_000}
-            exchange.respond(200, (), json.dumps(report).encode())
+            exchange.respond(200, marks, json.dumps(report).encode())
             return
         if request.target == b'/api/kv-list':
             held = [['', name, 8000, 'm'] for name in self.cached]
-            exchange.respond(200, (), json.dumps({'held': held}).encode())
+            exchange.respond(200, marks, json.dumps({'held': held}).encode())
             return
         if request.method == b'DELETE':
             self.freed.append(request.target.decode())
-            exchange.respond(200, ())
+            exchange.respond(200, marks)
             return
         if request.target == b'/api/kv-move':
             self.copied_to.append(json.loads(request.body)['target'])
-            exchange.respond(200, (), b'{"handle":"h1","create_revision":1}')
+            copied = b'{"handle":"h1","create_revision":1}'
+            exchange.respond(200, marks, copied)
             return
         seen = Seen(
             dict(request.headers),
@@ -146,10 +161,11 @@
     async def _serve(self, exchange: Exchange, seen: Seen) -> None:
         expected = seen.headers.get(b'bergamotthread-expect-instance')
         if expected not in {None, self.instance.encode()}:
-            exchange.respond(421, ())
+            exchange.respond(421, self.script.headers)
             return
         if self.script.not_run or not self.has_copy(seen):
-            exchange.respond(503, ((b'bergamotthread-not-executed', b'1'),))
+            not_run = (b'bergamotthread-not-executed', b'1')
+            exchange.respond(503, (not_run, *self.script.headers))
             return
         await self.run(exchange, seen)
 
@@ -206,6 +222,7 @@
         return [
             (REQUEST_ID, seen.request_id),
             (SEAL, self.instance.encode()),
+            *self.script.headers,
         ]
 
 
