Retry budget: a silent attempt is given up for a reserved retry only

And the refund of an unsent retry dropped the newest one, which might have been sent by another request, so that its window ended early.

Change: the retry is counted before an attempt is given up and kept for the call; a refund names the retry. ServiceRetryBudget.spend returns the counted retry or None; two tests count it through bool, as strict as before.

--- a/bergamotthread/process/relay/repeat_budget.py
+++ b/bergamotthread/process/relay/repeat_budget.py
@@ -33,10 +33,23 @@
     slack: float
 
 
+@dataclass(frozen=True, eq=False, slots=True)
+class CountedRetry:
+    """A retry that takes room in the budget.
+
+    Parameters
+    ----------
+    at_ms
+        Monotonic time at which it was counted.
+    """
+
+    at_ms: float
+
+
 @dataclass
 class _Usage:
     first_attempts_ms: deque[float] = field(default_factory=deque)
-    retries_ms: deque[float] = field(default_factory=deque)
+    retries: deque[CountedRetry] = field(default_factory=deque)
 
 
 @dataclass
@@ -65,26 +78,28 @@
         usage = self._current_usage(service)
         slack = self.limits.slack / max(self.count_entries(), 1)
         allowed = self.limits.ratio * len(usage.first_attempts_ms) + slack
-        return len(usage.retries_ms) + 1 <= allowed
+        return len(usage.retries) + 1 <= allowed
 
-    def spend(self, service: str) -> bool:
-        """Count a retry if it is allowed; return whether it is."""
+    def spend(self, service: str) -> CountedRetry | None:
+        """Count and return a retry, or return None if none is allowed."""
         if not self.has_room(service):
-            return False
-        usage = self._current_usage(service)
-        usage.retries_ms.append(self.clock.now_ms())
-        return True
+            return None
+        retry = CountedRetry(self.clock.now_ms())
+        self._current_usage(service).retries.append(retry)
+        return retry
 
-    def refund(self, service: str) -> None:
-        """Stop counting the newest retry, which was not sent."""
+    def refund(self, service: str, retry: CountedRetry) -> None:
+        """Stop counting a retry that was not sent."""
         usage = self._current_usage(service)
-        if usage.retries_ms:
-            usage.retries_ms.pop()
+        if retry in usage.retries:
+            usage.retries.remove(retry)
 
     def _current_usage(self, service: str) -> _Usage:
         usage = self._usage_by_service.setdefault(service, _Usage())
         start_ms = self.clock.now_ms() - self.limits.window_ms
-        for times in (usage.first_attempts_ms, usage.retries_ms):
-            while times and times[0] < start_ms:
-                times.popleft()
+        first_attempts_ms = usage.first_attempts_ms
+        while first_attempts_ms and first_attempts_ms[0] < start_ms:
+            first_attempts_ms.popleft()
+        while usage.retries and usage.retries[0].at_ms < start_ms:
+            usage.retries.popleft()
         return usage
--- a/bergamotthread/request/relay/attempt_loop.py
+++ b/bergamotthread/request/relay/attempt_loop.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
+from bergamotthread.process.relay.repeat_budget import CountedRetry
 from bergamotthread.request.relay.call import RelayedCall
 from bergamotthread.request.relay.parts import RelayParts
 from bergamotthread.request.relay.refusals import RelayRefusal
@@ -25,12 +26,15 @@
         Number of attempts whose request was sent.
     denied_by
         Limit that ended the attempts; empty if none did.
+    retry
+        Retry that is counted in the budget and not sent yet.
     """
 
     call: RelayedCall
     parts: RelayParts
     attempts_sent: int = 0
     denied_by: str = ''
+    retry: CountedRetry | None = None
 
     @property
     def remaining_ms(self) -> float:
@@ -52,7 +56,7 @@
     @property
     def has_budget(self) -> bool:
         """Return whether the retry budget has room for the next attempt."""
-        if not self.attempts_sent:
+        if not self.attempts_sent or self.retry is not None:
             return True
         return self.parts.retry_budget.has_room(self.call.service.name)
 
@@ -62,19 +66,27 @@
         self.parts.metrics.ended_by_limit.increment(limit)
         return False
 
-    def spend_attempt(self) -> bool:
-        """Return whether the retry budget allows the next attempt.
+    def reserve_attempt(self) -> bool:
+        """Count the next attempt in the budget; return whether it may run.
 
-        A retry that is allowed is counted; a first attempt is always allowed.
+        A first attempt is always allowed and not counted.
         """
-        if not self.attempts_sent:
-            return True
-        return self.parts.retry_budget.spend(self.call.service.name)
+        if self.attempts_sent and self.retry is None:
+            self.retry = self.parts.retry_budget.spend(self.call.service.name)
+            return self.retry is not None
+        return True
 
-    def refund_attempt(self) -> None:
-        """Return the retry that an unsent attempt took from the budget."""
-        if self.attempts_sent:
-            self.parts.retry_budget.refund(self.call.service.name)
+    def record_sent(self) -> None:
+        """Count an attempt whose request was sent, and its retry with it."""
+        self.attempts_sent += 1
+        self.retry = None
+
+    def release(self) -> None:
+        """Return a retry that was counted and not sent to the budget."""
+        if self.retry is not None:
+            service = self.call.service.name
+            self.parts.retry_budget.refund(service, self.retry)
+            self.retry = None
 
 
 class AttemptSteps(Protocol[_Placement]):
@@ -116,6 +128,15 @@
         Whether an attempt settled the call.
     """
     limits.parts.retry_budget.record_first_attempt(limits.call.service.name)
+    try:
+        return await _run_all(limits, steps)
+    finally:
+        limits.release()
+
+
+async def _run_all(
+    limits: AttemptLimits, steps: AttemptSteps[_Placement]
+) -> bool:
     while limits.remaining_ms > 0:
         if not steps.may_send():
             return limits.deny('attempts')
@@ -140,13 +161,9 @@
         return True
     if placement is None:
         return await _pause(limits, steps.may_wait(), 'no-upstream')
-    if not limits.spend_attempt():
+    if not limits.reserve_attempt():
         return None
-    sent_before = limits.attempts_sent
-    is_settled = await steps.run_attempt(placement)
-    if limits.attempts_sent == sent_before:
-        limits.refund_attempt()
-    return is_settled or None
+    return await steps.run_attempt(placement) or None
 
 
 async def _pause(
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -132,7 +132,7 @@
             not_sent = await attempt.send(headers)
             if not_sent is not None:
                 return not_sent
-            self._limits.attempts_sent += 1
+            self._limits.record_sent()
             outcome = await read_response(attempt, self._attempt_timeout_ms())
             self._latency_ms = self._parts.clock.now_ms() - attempt.sent_ms
             return outcome
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -223,7 +223,7 @@
             not_sent = await attempt.send(headers)
             if not_sent is not None:
                 return not_sent
-            self._limits.attempts_sent += 1
+            self._limits.record_sent()
             self._attempt_times = ArrivalTimes(attempt.sent_ms)
             self._is_from_copy = copy is not None
             self._copy_manager.start_attempt(upstream, copy_target)
@@ -296,7 +296,7 @@
             if attempt.remaining_ms <= 0:
                 return None
             silence = await self._silence_reason(attempt, started_ms)
-            if silence and self._is_replaceable():
+            if silence and self._reserve_replacement():
                 received = await attempt.receive(0)
                 return received or AnswerLost(silence)
 
@@ -320,15 +320,15 @@
             return f'no event for {silent_ms:.0f} ms'
         return ''
 
-    def _is_replaceable(self) -> bool:
-        """Return whether another attempt could follow the current one.
+    def _reserve_replacement(self) -> bool:
+        """Reserve the attempt that is to follow the silent one.
 
-        If none could, a silent attempt that may still go on is all that is
-        left of the stream.
+        Return whether one may follow. If not, the silent attempt, which may go
+        on, is all that is left of the stream.
         """
         may_retry = self._call.route.repeatability.may_retry
         has_attempts = may_retry and self._limits.has_attempts_left
-        return has_attempts and self._limits.has_budget
+        return has_attempts and self._limits.reserve_attempt()
 
     @property
     def _silence_ms(self) -> float:
--- a/tests/test_own_path_stall.py
+++ b/tests/test_own_path_stall.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bergamotthread.platform.entry import ENTRIES_MIN
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import STREAM_EVENTS
 from standins.platform_settings import REPEAT_SLACK
@@ -101,3 +102,23 @@
         assert 'relay_own_path_doubts_total 0' not in metrics
 
     run_in_memory(check())
+
+
+# Guards against streams that gave up silent attempts for a retry that only one
+# of them could get, and then waited without an attempt.
+def test_silent_attempt_is_kept_unless_its_own_retry_is_reserved():
+    async def check():
+        deployment = await Deployment.start(models=3)
+        tasks = await _start_streams(deployment, 6)
+        _limit_retries(deployment, ratio=0, slack=ENTRIES_MIN)
+        for model in deployment.models[:2]:
+            model.silence()
+        await deployment.clock.sleep_ms(1000)
+        outcomes = [
+            fields['outcome'] for fields in deployment.events('attempt')
+        ]
+        assert outcomes.count('Broken') <= 2
+        for task in tasks:
+            task.cancel()
+
+    run_in_memory(check())
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -444,14 +444,14 @@
     """Entries don't coordinate, and each one may have retries at once."""
     manual_clock = ManualClock()
     budgets = [_budget(manual_clock, 3) for _ in range(3)]
-    granted = [budget.spend('s') for _ in range(9) for budget in budgets]
+    granted = [bool(budget.spend('s')) for _ in range(9) for budget in budgets]
     assert sum(granted) == 12
 
 
 def test_retry_budget_recovers_after_the_window():
     manual_clock = ManualClock()
     budget = _budget(manual_clock, 1)
-    assert sum(budget.spend('s') for _ in range(50)) == 12
+    assert sum(bool(budget.spend('s')) for _ in range(50)) == 12
     manual_clock.now_ms += 10_001
     assert budget.spend('s')
 
@@ -671,8 +671,14 @@
     budget = ServiceRetryBudget(
         manual_clock.clock(), ServiceRetryLimits(0, 10_000, 2), lambda: 1
     )
+    unsent = budget.spend('s')
+    manual_clock.now_ms += 4000
     assert budget.spend('s')
+    assert not budget.has_room('s')
+    budget.refund('s', unsent)
     assert budget.spend('s')
+    # The retry that was sent counts for its whole window.
+    manual_clock.now_ms += 9000
     assert not budget.has_room('s')
-    budget.refund('s')
+    manual_clock.now_ms += 1001
     assert budget.has_room('s')
