--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -974,3 +974,20 @@
             assert deployment.ran(deployment.plains) == 0
 
     run_in_memory(check())
+
+
+# Guards against a request that arrives in the last moment of an entry, is
+# passed on to an upstream and lost with the process.
+@pytest.mark.parametrize('path', ['/once/x', '/stream/x'])
+def test_request_that_arrives_after_the_final_answers_is_refused(path):
+    async def check():
+        deployment = await Deployment.start()
+        entry = deployment.entries[0]
+        entry._server.end_requests()
+        answer = await deployment.call(path)
+        assert answer.status == 503
+        assert answer.headers[b'retry-after']
+        assert deployment.ran(deployment.plains) == 0
+        assert deployment.ran(deployment.models) == 0
+
+    run_in_memory(check())
