Relayed rows: the age includes the answer's time on the way

A version that takes 1.4 s on a busy link made the proof of the version 1.4 s too young, so that a revoked key could be accepted after its bound. And an answer with a change was refused if its confirmation was old, which put the reader into an 8 s backoff and sent the follower to the store for the whole version, uncompressed: all slow entries of the incident did so at 37.6 to 37.9 s.

Change: an entry states how long the call waited; the follower counts from its own request. A change is applied whatever its age; its confirmation counts with its true age.

Measured: both tests failed before (age 1,150 ms stated for 1,450 ms; the change refused) and pass.

--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -122,6 +122,7 @@
         """
         if version < self.kept_after_version or not self.version:
             return None
+        called_ms = self.clock.boot_ms()
         event = self._updated
         if version >= self.version:
             await _wait_for_event(
@@ -134,11 +135,12 @@
             for row in self._changes
             if row.version > version
         )
-        age_ms = self.clock.boot_ms() - self.confirmed_ms
+        now_ms = self.clock.boot_ms()
         return WireRows(
             rows,
             self.version,
-            age_ms=age_ms,
+            age_ms=now_ms - self.confirmed_ms,
+            waited_ms=now_ms - called_ms,
             is_direct=self.is_direct,
         )
 
--- a/bergamotthread/platform/store.py
+++ b/bergamotthread/platform/store.py
@@ -72,14 +72,16 @@
 class WireRows(msgspec.Struct, frozen=True, omit_defaults=True):
     """Answer to a read, a feed call or a transaction.
 
-    An entry that relays rows adds how long ago the store confirmed them, and
-    whether the entry read them from the store itself.
+    An entry that relays rows adds how long ago the store confirmed them, how
+    long the call waited at the entry, and whether the entry read them from the
+    store itself.
     """
 
     rows: tuple[WireRow, ...] = ()
     ver: int = 0
     has_more: bool = False
     age_ms: float = 0
+    waited_ms: float = 0
     is_direct: bool = True
 
 
@@ -101,11 +103,15 @@
     age_ms
         Time since the store confirmed the rows, when the answer was sent; 0
         for an answer of the store itself.
+    waited_ms
+        Time for which the call waited before the answer was sent; 0 for an
+        answer of the store itself.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     age_ms: float = 0
+    waited_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -320,14 +326,16 @@
             If the entry does not keep changes as old as `after`.
         StoreCallError
             If the entry did not answer as expected, itself follows another
-            entry, or its changes were confirmed longer ago than `age_max_ms`.
+            entry, or has no change and a confirmation older than `age_max_ms`.
         """
         page = await self._poll_feed(
             peer,
             _FeedPoll(table, after, wait_ms, accepts_packed=True),
             FOLLOW_TIMEOUT_MARGIN_MS + wait_ms,
         )
-        if not page.is_direct or page.age_ms > age_max_ms:
+        # A change is news whatever its age.
+        is_too_old = not page.rows and page.age_ms > age_max_ms
+        if not page.is_direct or is_too_old:
             raise StoreCallError(
                 f'{table} is {page.age_ms:.0f} ms old, '
                 f'direct: {page.is_direct}, expected {age_max_ms} ms, direct',
@@ -453,7 +461,7 @@
 
 def _read_result(page: WireRows, after: int) -> ReadResult:
     rows = tuple(_decode_rows(page.rows))
-    return ReadResult(rows, max(page.ver, after), page.age_ms)
+    return ReadResult(rows, max(page.ver, after), page.age_ms, page.waited_ms)
 
 
 def _decode_rows(wire_rows: Sequence[WireRow]) -> list[StoredRow]:
--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -202,7 +202,9 @@
                 self.wait_ms + FOLLOWER_EXTRA_WAIT_MS,
                 self.age_max_ms,
             )
-            requested_ms = self._clock.boot_ms() - read.age_ms
+            # The answer was sent at this time or later; it may have been under
+            # way for long.
+            requested_ms += read.waited_ms - read.age_ms
         self.apply_changes(read.rows)
         self._version = read.version
         is_direct = source is None
--- a/tests/test_relayed_version.py
+++ b/tests/test_relayed_version.py
@@ -21,7 +21,7 @@
 from bergamotthread.process.relay.liveness import STREAM_SILENCE_MS
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import MODEL, manifest, route_of
-from tests.platform_standins import Deployment, settings
+from tests.platform_standins import STORE, Deployment, settings
 
 # Slowest link of an entry on the users' sheets.
 LINK_BYTES_PER_MS = 5e6 / 8 / 1000
@@ -104,3 +104,46 @@
         assert reads
 
     run_in_memory(check())
+
+
+# Guards against a key that is accepted after its bound, because the time that
+# an answer took on a busy link was left out of the age of the version.
+def test_age_of_a_relayed_version_includes_its_time_on_the_way():
+    async def check():
+        deployment = await Deployment.start()
+        await deployment.add_entry(settings('edge-a-2', 'a-1', 2))
+        deployment.net.delay_ms = 50
+        await deployment.clock.sleep_ms(4000)
+        leader, follower = deployment.entries
+        history = leader._watches.version.history
+        confirmed_ms = history.confirmed_ms
+        while history.confirmed_ms == confirmed_ms:
+            await deployment.clock.sleep_ms(1)
+        confirmed_ms = history.confirmed_ms
+        deployment.net.silent.add(STORE)
+        deployment.net.hold(300)
+        await deployment.clock.sleep_ms(350)
+        true_age_ms = deployment.clock.boot_ms() - confirmed_ms
+        assert follower._freshness.age_ms >= true_age_ms
+
+    run_in_memory(check())
+
+
+def test_relayed_change_is_applied_whatever_its_age():
+    """Followers that refused it read the whole version from the store."""
+
+    async def check():
+        deployment = await Deployment.start()
+        await deployment.add_entry(settings('edge-a-2', 'a-1', 2))
+        await deployment.clock.sleep_ms(4000)
+        leader = deployment.entries[0]._watches.version.history
+        row = json.dumps(manifest(version=2)).encode()
+        leader.confirmed_ms -= 5000
+        changed = StoredRow('config', row, leader.version + 1)
+        leader.add((changed,), changed.version, 0, is_direct=True)
+        await deployment.clock.sleep_ms(300)
+        assert not deployment.events('feed-source-lost', 1)
+        in_force = deployment.events('version-in-force', 1)
+        assert in_force[-1]['version'] == 2
+
+    run_in_memory(check())
