Liveness: a stall that ends between two probes loses no upstream

What callers saw: streams that had no event yet ran twice after a stall of 200 to 1,200 ms of the entry's own link.

Cause: the probe of the silent upstream ended after 190 ms, those of the witnesses, sent 120 ms later, after 310 ms. If the link came back in between, the witnesses answered and the silent upstream had no chance to. An answer from up to 100 ms before the check also counted as a sign of a working path.

Change: the probe of the silent upstream stays open until 70 ms after the answer of a witness, and only probes that end during the check decide.

--- a/bergamotthread/platform/runner_calls.py
+++ b/bergamotthread/platform/runner_calls.py
@@ -11,7 +11,10 @@
 from bergamotthread.connection.http.fetch import FetchRequest, fetch
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.runner_rows import decode_report
-from bergamotthread.process.relay.liveness import UPSTREAM_PROBE_TIMEOUT_MS
+from bergamotthread.process.relay.liveness import (
+    PROBE_ANSWER_MAX_MS,
+    UPSTREAM_PROBE_TIMEOUT_MS,
+)
 from bergamotthread.process.relay.upstreams import LoadReport, Upstream
 from bergamotthread.request.relay.engine_memory import EngineKvCache
 
@@ -43,7 +46,7 @@
                 self.pool,
                 upstream.address,
                 FetchRequest(b'GET', b'/api/report'),
-                UPSTREAM_PROBE_TIMEOUT_MS,
+                PROBE_ANSWER_MAX_MS,
             )
         except ConnectionError as error:
             logging.debug(
--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import math
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
@@ -39,8 +39,13 @@
 WITNESSES = 3
 # Wait before witnesses are asked; two round trips between regions.
 WITNESS_DELAY_MS = 120
-# Age up to which the answer to a probe shows that the own path works.
-WITNESS_AGE_MAX_MS = 100
+# Time after the answer of a witness in which the silent upstream may still
+# answer; round trips differ by up to 60 ms.
+ANSWER_GRACE_MS = 70
+# A probe stays open until the witnesses' answers are in.
+PROBE_ANSWER_MAX_MS = (
+    WITNESS_DELAY_MS + UPSTREAM_PROBE_TIMEOUT_MS + ANSWER_GRACE_MS
+)
 # Time after which a doubt about the own path ends unless it is renewed.
 OWN_PATH_DOUBT_MS = 500
 
@@ -70,7 +75,6 @@
     metrics: RelayMetrics
     probes_sent: int = 0
     doubted_ms: float = -math.inf
-    _answered_ms: float = -math.inf
     _probe_by_instance: dict[str, asyncio.Task[bool]] = field(
         default_factory=dict
     )
@@ -130,36 +134,42 @@
 
     async def _check(self, upstream: Upstream) -> bool:
         started_ms = self.clock.now_ms()
-        answer = asyncio.create_task(self._ask(upstream))
-        await asyncio.wait((answer,), timeout=WITNESS_DELAY_MS / _MS_PER_S)
-        witnesses = asyncio.create_task(
-            self._is_path_working(upstream, started_ms)
-        )
-        if await answer or upstream.heard_ms > started_ms:
-            witnesses.cancel()
+        probe = self._start_probe(upstream)
+        await asyncio.wait((probe,), timeout=WITNESS_DELAY_MS / _MS_PER_S)
+        path = asyncio.create_task(self._is_path_working(upstream))
+        await asyncio.wait((probe, path), return_when=asyncio.FIRST_COMPLETED)
+        if upstream.heard_ms > started_ms:
+            path.cancel()
             return True
-        if not await witnesses:
+        if not await path:
             self._record_doubt(upstream)
             return True
+        # After a stall, its answer may come a little later than the others'.
+        await asyncio.wait((probe,), timeout=ANSWER_GRACE_MS / _MS_PER_S)
+        if upstream.heard_ms > started_ms:
+            return True
         self.directory.record_lost(upstream)
         return False
 
-    async def _is_path_working(
-        self, upstream: Upstream, started_ms: float
-    ) -> bool:
+    async def _is_path_working(self, upstream: Upstream) -> bool:
         """Return whether the own path works, as far as others can tell.
 
         It counts as working if there is no other upstream to ask, or if the
         silent one is no longer listed.
         """
-        if self._answered_ms >= started_ms - WITNESS_AGE_MAX_MS:
-            return True
         instance = upstream.record.instance
         witnesses = self.directory.witnesses(upstream, WITNESSES)
         if not witnesses or self.directory.get(instance) is not upstream:
             return True
-        answers = [self._ask(witness) for witness in witnesses]
-        return any(await asyncio.gather(*answers))
+        return await self._does_any_answer(witnesses)
+
+    async def _does_any_answer(self, witnesses: Iterable[Upstream]) -> bool:
+        """Return whether a witness answers in time."""
+        probes = [self._probe_under_way(witness) for witness in witnesses]
+        answered, _ = await asyncio.wait(
+            probes, timeout=UPSTREAM_PROBE_TIMEOUT_MS / _MS_PER_S
+        )
+        return any(probe.result() for probe in answered)
 
     def _record_doubt(self, upstream: Upstream) -> None:
         self.metrics.own_path_doubts.increment()
@@ -173,24 +183,32 @@
             )
         self.doubted_ms = self.clock.now_ms()
 
-    async def _ask(self, upstream: Upstream) -> bool:
-        """Ask an upstream for its report, or wait for the call under way."""
-        return await _share(
-            self._probe_by_instance, upstream, lambda: self._probe(upstream)
-        )
+    def _probe_under_way(self, upstream: Upstream) -> asyncio.Task[bool]:
+        """Return the probe of an upstream that is under way, or start one."""
+        under_way = self._probe_by_instance.get(upstream.record.instance)
+        return under_way or self._start_probe(upstream)
+
+    def _start_probe(self, upstream: Upstream) -> asyncio.Task[bool]:
+        instance = upstream.record.instance
+        probe = asyncio.create_task(self._probe(upstream))
+        self._probe_by_instance[instance] = probe
+        probe.add_done_callback(lambda _: self._forget_probe(instance, probe))
+        return probe
+
+    def _forget_probe(self, instance: str, probe: asyncio.Task[bool]) -> None:
+        if self._probe_by_instance.get(instance) is probe:
+            self._probe_by_instance.pop(instance)
 
     async def _probe(self, upstream: Upstream) -> bool:
         self.probes_sent += 1
-        started_ms = self.clock.now_ms()
         report = None
         try:
-            async with self.clock.timeout_ms(UPSTREAM_PROBE_TIMEOUT_MS):
+            async with self.clock.timeout_ms(PROBE_ANSWER_MAX_MS):
                 report = await self.probe(upstream)
         except TimeoutError:
             report = None
         if report is None:
             return False
-        self._answered_ms = max(self._answered_ms, started_ms)
         upstream.apply_report(report)
         self.directory.record_heard(upstream)
         return True
--- /dev/null
+++ b/tests/test_liveness.py
@@ -0,0 +1,124 @@
+"""Tests of the decision whether a silent upstream is lost, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+import pytest
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.relay.decision_log import DecisionLog
+from bergamotthread.process.relay.liveness import LivenessWatch
+from bergamotthread.process.relay.relay_metrics import RelayMetrics
+from bergamotthread.process.relay.upstreams import (
+    LoadReport,
+    UpstreamDirectory,
+    UpstreamRecord,
+    UpstreamState,
+)
+from bergamotthread.testing.virtual_loop import run_virtual
+
+SERVICE = 'model'
+ROUND_TRIP_MS = 20
+# Longest time to the decision that an upstream is lost.
+DECISION_BOUND_MS = 260
+
+
+class _QuietLog(DecisionLog):
+    def write(self, event, **fields) -> None:
+        """Keep nothing."""
+
+
+class Engines:
+    """Upstreams of one service that answer probes, or do not."""
+
+    def __init__(self, domains: str) -> None:
+        loop = asyncio.get_running_loop()
+        self.clock = Clock.from_loop(loop)
+        self.round_trip_ms_by_instance: dict[str, float] = {}
+        self.directory = UpstreamDirectory(self.clock, is_loaded=True)
+        self.dark: set[str] = set()
+        self.held_until_ms: float = 0
+        self.upstreams = [
+            self.add(f'i{number}', domain)
+            for number, domain in enumerate(domains)
+        ]
+        self.watch = LivenessWatch(
+            self.clock,
+            self.directory,
+            self._probe,
+            _QuietLog(self.clock),
+            RelayMetrics.from_clock(self.clock),
+        )
+
+    def add(self, instance, domain, service=SERVICE):
+        record = UpstreamRecord(
+            instance,
+            service,
+            f'{instance}:80',
+            domain,
+            UpstreamState.READY,
+        )
+        self.directory.update(record)
+        return self.directory.get(instance)
+
+    def hold(self, duration_ms):
+        """Hold up all answers, as a busy link does."""
+        self.held_until_ms = self.clock.now_ms() + duration_ms
+
+    def hear(self, *numbers):
+        for number in numbers:
+            self.directory.record_heard(self.upstreams[number])
+
+    async def time_to_loss_ms(self, number, limit_ms=3000):
+        """Check an upstream until it is lost; return the time taken."""
+        started_ms = self.clock.now_ms()
+        while await self.watch.check(self.upstreams[number]):
+            if self.clock.now_ms() - started_ms > limit_ms:
+                return math.inf
+        return self.clock.now_ms() - started_ms
+
+    async def _probe(self, upstream):
+        if upstream.record.instance in self.dark:
+            await asyncio.get_running_loop().create_future()
+        round_trip_ms = self.round_trip_ms_by_instance.get(
+            upstream.record.instance, ROUND_TRIP_MS
+        )
+        await self.clock.sleep_ms(round_trip_ms)
+        held_ms = self.held_until_ms - self.clock.now_ms()
+        if held_ms > 0:
+            await self.clock.sleep_ms(held_ms + round_trip_ms)
+        return LoadReport(0, 0, 0, 88_000, self.clock.now_ms())
+
+
+# Guards against a silent upstream that is given up because it was asked before
+# a stall of the own link ended, and the others after it.
+@pytest.mark.parametrize('far_ms', [5, 60])
+@pytest.mark.parametrize('hold_ms', range(20, 800, 20))
+def test_stall_of_any_length_takes_no_upstream_for_lost(hold_ms, far_ms):
+    async def check():
+        engines = Engines('abc')
+        engines.round_trip_ms_by_instance['i0'] = far_ms
+        for delay_ms in (0, 5, 50, 100, 150):
+            asking = asyncio.create_task(
+                engines.watch.check(engines.upstreams[0])
+            )
+            await engines.clock.sleep_ms(delay_ms)
+            engines.hold(hold_ms)
+            assert await asking
+            await engines.clock.sleep_ms(2000)
+
+    run_virtual(check())
+
+
+# Guards against an answer from before a stall that counts as a sign that the
+# own path works in it.
+def test_answer_from_before_a_stall_is_no_sign_that_the_path_works():
+    async def check():
+        engines = Engines('abc')
+        await engines.watch.check(engines.upstreams[1])
+        engines.hold(600)
+        assert await engines.watch.check(engines.upstreams[0])
+
+    run_virtual(check())
