Liveness: the first witness that answers decides

Cause: the answers of all witnesses were awaited, so that one dark witness delayed the loss of an upstream from 190 to 310 ms (two of three domains dark).

Change: the first answer ends the wait.

--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -164,12 +164,20 @@
         return await self._does_any_answer(witnesses)
 
     async def _does_any_answer(self, witnesses: Iterable[Upstream]) -> bool:
-        """Return whether a witness answers in time."""
-        probes = [self._probe_under_way(witness) for witness in witnesses]
-        answered, _ = await asyncio.wait(
-            probes, timeout=UPSTREAM_PROBE_TIMEOUT_MS / _MS_PER_S
-        )
-        return any(probe.result() for probe in answered)
+        """Return whether a witness answers in time, once the first one does."""
+        pending = {self._probe_under_way(witness) for witness in witnesses}
+        end_ms = self.clock.now_ms() + UPSTREAM_PROBE_TIMEOUT_MS
+        while pending:
+            answered, pending = await asyncio.wait(
+                pending,
+                timeout=max(end_ms - self.clock.now_ms(), 0) / _MS_PER_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if any(probe.result() for probe in answered):
+                return True
+            if not answered:
+                break
+        return False
 
     def _record_doubt(self, upstream: Upstream) -> None:
         self.metrics.own_path_doubts.increment()
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -122,3 +122,27 @@
         assert await engines.watch.check(engines.upstreams[0])
 
     run_virtual(check())
+
+
+# Guards against one dark witness that delays the loss of the others.
+@pytest.mark.parametrize(
+    ('domains', 'dark'),
+    [
+        ('abc', {0}),
+        ('abc', {0, 1}),
+        ('aabbcc', {0, 1, 2, 3}),
+        ('ab', {0}),
+        ('aaa', {0}),
+        ('aaa', {0, 1}),
+        ('a', {0}),
+    ],
+)
+def test_real_loss_is_found_in_time(domains, dark):
+    async def check():
+        engines = Engines(domains)
+        engines.hear(*range(len(domains)))
+        engines.dark = {f'i{number}' for number in dark}
+        for number in dark:
+            assert await engines.time_to_loss_ms(number) <= DECISION_BOUND_MS
+
+    run_virtual(check())
