Liveness: witnesses that did not answer are asked last

Cause: those heard last were asked first. If they were lost with the silent upstream, each check asked the same dark ones again, and idle upstreams that work never; the loss was taken for a stall of the own path for ever.

Change: upstreams that failed to answer a probe come after the others, in the order in which they were asked.

--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -216,6 +216,7 @@
         except TimeoutError:
             report = None
         if report is None:
+            upstream.unanswered_ms = self.clock.now_ms()
             return False
         upstream.apply_report(report)
         self.directory.record_heard(upstream)
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -129,6 +129,9 @@
     listed_ms, heard_ms, lost_ms
         Monotonic times at which it was first listed, last sent bytes and was
         marked lost; 0 before. `lost_ms` is reset when it sends something.
+    unanswered_ms
+        Monotonic time at which a probe of it last failed; 0 if none did since
+        it sent something.
     failure_share, outcome_ms
         Average of failures after the last outcome, and the monotonic time of
         that outcome, from which the average decays.
@@ -140,6 +143,7 @@
     heard_ms: float = 0
     listed_ms: float = 0
     lost_ms: float = 0
+    unanswered_ms: float = 0
     failure_share: float = 0
     outcome_ms: float = 0
     report: LoadReport | None = None
@@ -322,7 +326,8 @@
         """Return other upstreams of its service, to be asked in its place.
 
         Those heard last come first, each in another failure domain; others
-        only if there are too few domains.
+        only if there are too few domains. Those that failed to answer come
+        last, so that all are asked in turn.
         """
         others = sorted(
             (
@@ -330,8 +335,7 @@
                 for other in self.of_service(upstream.record.service)
                 if other is not upstream and not self.is_lost(other)
             ),
-            key=lambda other: other.heard_ms,
-            reverse=True,
+            key=lambda other: (other.unanswered_ms, -other.heard_ms),
         )
         by_domain: dict[str, Upstream] = {}
         for heard in others:
@@ -359,6 +363,7 @@
         """Record that an upstream sent something."""
         upstream.heard_ms = self.clock.now_ms()
         upstream.lost_ms = 0
+        upstream.unanswered_ms = 0
 
     def record_outcome(self, upstream: Upstream, *, failed: bool) -> None:
         """Add an outcome to the average of failures."""
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -146,3 +146,15 @@
             assert await engines.time_to_loss_ms(number) <= DECISION_BOUND_MS
 
     run_virtual(check())
+
+
+# Guards against a loss that is never found because the same dark upstreams,
+# which were heard last, are asked each time.
+def test_idle_upstreams_are_asked_once_those_heard_last_are_silent():
+    async def check():
+        engines = Engines('aaaaaaaa')
+        engines.hear(0, 1, 2, 3, 4)
+        engines.dark = {f'i{number}' for number in range(5)}
+        assert await engines.time_to_loss_ms(0) < 1000
+
+    run_virtual(check())
