Liveness: bytes of any upstream show that the own path works

Cause: only upstreams of the same service were asked. With all of them lost, no loss was ever recorded, and the doubt, which holds for all services, was renewed by each check: failed connections to plain upstreams were not recorded and streams of other services never reached their stall timeout.

Change: if no witness answers, bytes of any upstream that arrived since the witnesses were asked show that the path works.

--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -136,7 +136,7 @@
         started_ms = self.clock.now_ms()
         probe = self._start_probe(upstream)
         await asyncio.wait((probe,), timeout=WITNESS_DELAY_MS / _MS_PER_S)
-        path = asyncio.create_task(self._is_path_working(upstream))
+        path = asyncio.create_task(self._is_path_working(upstream, started_ms))
         await asyncio.wait((probe, path), return_when=asyncio.FIRST_COMPLETED)
         if upstream.heard_ms > started_ms:
             path.cancel()
@@ -151,7 +151,9 @@
         self.directory.record_lost(upstream)
         return False
 
-    async def _is_path_working(self, upstream: Upstream) -> bool:
+    async def _is_path_working(
+        self, upstream: Upstream, started_ms: float
+    ) -> bool:
         """Return whether the own path works, as far as others can tell.
 
         It counts as working if there is no other upstream to ask, or if the
@@ -161,7 +163,9 @@
         witnesses = self.directory.witnesses(upstream, WITNESSES)
         if not witnesses or self.directory.get(instance) is not upstream:
             return True
-        return await self._does_any_answer(witnesses)
+        if await self._does_any_answer(witnesses):
+            return True
+        return self.directory.heard_ms > started_ms + WITNESS_DELAY_MS
 
     async def _does_any_answer(self, witnesses: Iterable[Upstream]) -> bool:
         """Return whether a witness answers in time, once the first one does."""
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -195,10 +195,13 @@
     ----------
     is_loaded
         Whether the store's list was read completely once.
+    heard_ms
+        Monotonic time at which any upstream last sent something; 0 before.
     """
 
     clock: Clock
     is_loaded: bool = False
+    heard_ms: float = 0
     _upstream_by_instance: dict[str, Upstream] = field(default_factory=dict)
     _instance_by_address: dict[str, str] = field(default_factory=dict)
     _losses_by_domain: dict[str, deque[float]] = field(default_factory=dict)
@@ -364,6 +367,7 @@
         upstream.heard_ms = self.clock.now_ms()
         upstream.lost_ms = 0
         upstream.unanswered_ms = 0
+        self.heard_ms = upstream.heard_ms
 
     def record_outcome(self, upstream: Upstream, *, failed: bool) -> None:
         """Add an outcome to the average of failures."""
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -158,3 +158,24 @@
         assert await engines.time_to_loss_ms(0) < 1000
 
     run_virtual(check())
+
+
+# Guards against a service that is lost as a whole and is taken for a stall,
+# although upstreams of other services are heard.
+def test_loss_of_a_whole_service_is_found_while_others_are_heard():
+    async def check():
+        engines = Engines('ab')
+        other = engines.add('other', 'a', 'plain')
+        engines.dark = {'i0', 'i1'}
+
+        async def talk():
+            while True:
+                engines.directory.record_heard(other)
+                await engines.clock.sleep_ms(40)
+
+        talking = asyncio.create_task(talk())
+        assert await engines.time_to_loss_ms(0) < 500
+        assert not engines.watch.is_own_path_doubted
+        talking.cancel()
+
+    run_virtual(check())
