Drain: requests that arrive during the exit are refused

Cause: an entry that ends early, because no connection is left, sends final answers and exits 20 ms later. A request that arrived in this time was accepted, sent to an upstream and its connection closed.

Change: once the final answers are sent, new requests are refused (503, not run).

Measured: both cases of the new test failed before and pass.

--- a/bergamotthread/process/relay/servers.py
+++ b/bergamotthread/process/relay/servers.py
@@ -94,6 +94,8 @@
 
     def _is_too_late(self, call: RelayedCall) -> bool:
         """Return whether the process is likely to end before the answer."""
+        if self.is_ending:
+            return True
         if call.route.is_stream:
             return self.life_cycle.refuses_streams
         target_ms = call.route.first_event_target_ms * DRAIN_TARGETS_LEFT
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -974,3 +974,21 @@
             assert deployment.ran(deployment.plains) == 0
 
     run_in_memory(check())
+
+
+# Guards against a request that reaches an entry while it exits: it was passed
+# on and its connection was closed some milliseconds later.
+@pytest.mark.parametrize('path', ['/once/x', '/any/x'])
+def test_request_that_arrives_as_the_entry_exits_is_refused(path):
+    async def check():
+        deployment = await Deployment.start()
+        entry = deployment.entries[0]
+        entry.stop()
+        while not entry._server.is_ending:
+            await deployment.clock.sleep_ms(1)
+        answer = await deployment.call(path)
+        assert answer.status == 503
+        assert answer.is_whole
+        assert deployment.ran(deployment.plains) == 0
+
+    run_in_memory(check())
