Retry budget: a refund takes out the retry that was not sent

Cause: the newest retry of the service was taken out, which another request may have sent meanwhile. The older time stayed, and left the window up to 350 ms (the time to open a connection) before the retry that reached an upstream: the bound on retries in a window could be exceeded.

Change: a refund names the time of its own retry. The test of the refund passes that time; it asserts the same.

--- a/bergamotthread/process/relay/repeat_budget.py
+++ b/bergamotthread/process/relay/repeat_budget.py
@@ -75,11 +75,16 @@
         usage.retries_ms.append(self.clock.now_ms())
         return True
 
-    def refund(self, service: str) -> None:
-        """Stop counting the newest retry, which was not sent."""
+    def newest_ms(self, service: str) -> float:
+        """Return the time of the newest retry that is counted; 0 if none is."""
         usage = self._current_usage(service)
-        if usage.retries_ms:
-            usage.retries_ms.pop()
+        return usage.retries_ms[-1] if usage.retries_ms else 0
+
+    def refund(self, service: str, spent_ms: float) -> None:
+        """Stop counting the retry of a time; it was not sent."""
+        usage = self._current_usage(service)
+        if spent_ms in usage.retries_ms:
+            usage.retries_ms.remove(spent_ms)
 
     def _current_usage(self, service: str) -> _Usage:
         usage = self._usage_by_service.setdefault(service, _Usage())
--- a/bergamotthread/request/relay/attempt_loop.py
+++ b/bergamotthread/request/relay/attempt_loop.py
@@ -31,6 +31,7 @@
     parts: RelayParts
     attempts_sent: int = 0
     denied_by: str = ''
+    _spent_ms: float = 0
 
     @property
     def remaining_ms(self) -> float:
@@ -69,12 +70,17 @@
         """
         if not self.attempts_sent:
             return True
-        return self.parts.retry_budget.spend(self.call.service.name)
+        budget = self.parts.retry_budget
+        is_allowed = budget.spend(self.call.service.name)
+        self._spent_ms = budget.newest_ms(self.call.service.name)
+        return is_allowed
 
     def refund_attempt(self) -> None:
         """Return the retry that an unsent attempt took from the budget."""
         if self.attempts_sent:
-            self.parts.retry_budget.refund(self.call.service.name)
+            self.parts.retry_budget.refund(
+                self.call.service.name, self._spent_ms
+            )
 
 
 class AttemptSteps(Protocol[_Placement]):
--- /dev/null
+++ b/tests/test_attempt_limits.py
@@ -0,0 +1,46 @@
+"""Tests of the limits of a call's attempts, without a network."""
+
+from __future__ import annotations
+
+import itertools
+from types import SimpleNamespace
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.relay.repeat_budget import (
+    ServiceRetryBudget,
+    ServiceRetryLimits,
+)
+from bergamotthread.request.relay.attempt_loop import AttemptLimits
+
+
+def _passing_clock():
+    """Return a clock that passes between any two readings, as a real one."""
+    readings = itertools.count(1, 0.001)
+    return Clock(
+        monotonic_s=lambda: next(readings), calendar_s=lambda: next(readings)
+    )
+
+
+def _budget(slack):
+    limits = ServiceRetryLimits(ratio=0, window_ms=10_000, slack=slack)
+    return ServiceRetryBudget(_passing_clock(), limits, lambda: 1)
+
+
+def _sent_call(budget):
+    """Return the limits of a call that has sent one attempt."""
+    call = SimpleNamespace(service=SimpleNamespace(name='s'))
+    parts = SimpleNamespace(retry_budget=budget, clock=budget.clock)
+    return AttemptLimits(call, parts, attempts_sent=1)
+
+
+# Guards against an unsent retry that stays in the budget, or takes that of
+# another request out of it.
+def test_unsent_retry_is_refunded_and_no_other():
+    budget = _budget(slack=2)
+    unsent, sent = _sent_call(budget), _sent_call(budget)
+    assert unsent.spend_attempt()
+    assert sent.spend_attempt()
+    newest_ms = budget.newest_ms('s')
+    unsent.refund_attempt()
+    assert budget.newest_ms('s') == newest_ms
+    assert budget.has_room('s')
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -674,5 +674,21 @@
     assert budget.spend('s')
     assert budget.spend('s')
     assert not budget.has_room('s')
-    budget.refund('s')
+    budget.refund('s', manual_clock.now_ms)
     assert budget.has_room('s')
+
+
+def test_refund_leaves_the_retries_of_other_requests_in_the_window():
+    """The newest retry was removed, which another request may have sent."""
+    manual_clock = ManualClock()
+    budget = ServiceRetryBudget(
+        manual_clock.clock(), ServiceRetryLimits(0, 10_000, 2), lambda: 1
+    )
+    unsent_ms = manual_clock.now_ms
+    assert budget.spend('s')
+    manual_clock.now_ms += 350
+    assert budget.spend('s')
+    budget.refund('s', unsent_ms)
+    manual_clock.now_ms += 9900
+    assert budget.spend('s')
+    assert not budget.has_room('s')
