--- a/tests/test_attempt_limits.py
+++ b/tests/test_attempt_limits.py
@@ -44,3 +44,32 @@
     unsent.refund_attempt()
     assert budget.newest_ms('s') == newest_ms
     assert budget.has_room('s')
+
+
+# Guards against calls that give up running attempts for the same retry.
+def test_reserved_retry_is_kept_for_its_call():
+    budget = _budget(slack=1)
+    first, second = _sent_call(budget), _sent_call(budget)
+    assert first.reserve_attempt()
+    assert not second.reserve_attempt()
+    assert not second.has_budget
+    assert first.has_budget
+    assert first.spend_attempt()
+    assert not second.spend_attempt()
+
+
+def test_retry_that_was_reserved_but_not_used_returns_to_the_budget():
+    budget = _budget(slack=1)
+    first, second = _sent_call(budget), _sent_call(budget)
+    assert first.reserve_attempt()
+    first.release_attempt()
+    assert second.spend_attempt()
+
+
+def test_reserved_retry_counts_from_the_time_of_its_attempt():
+    budget = _budget(slack=1)
+    call = _sent_call(budget)
+    call.reserve_attempt()
+    reserved_ms = budget.newest_ms('s')
+    call.spend_attempt()
+    assert budget.newest_ms('s') > reserved_ms
--- a/tests/test_own_path_stall.py
+++ b/tests/test_own_path_stall.py
@@ -101,3 +101,31 @@
         assert 'relay_own_path_doubts_total 0' not in metrics
 
     run_in_memory(check())
+
+
+# Guards against streams that all give up their attempts for the one retry that
+# the budget has room for, and then wait without an attempt.
+def test_streams_taken_for_lost_share_the_room_of_the_budget():
+    async def check():
+        deployment = await Deployment.start(models=6)
+        _limit_retries(deployment, ratio=0, slack=8)
+        tasks = await _start_streams(deployment)
+        liveness = deployment.entries[0]._parts.liveness
+        is_alive = liveness.is_alive
+
+        async def answer_no(*_):
+            return False
+
+        liveness.is_alive = answer_no
+        deployment.net.hold(400)
+        await deployment.clock.sleep_ms(390)
+        liveness.is_alive = is_alive
+        answers = await asyncio.gather(*tasks)
+        # A retry may be turned away by its upstream; only that stream waits.
+        pauses_ms = sorted(answer.longest_pause_ms for answer in answers)
+        assert pauses_ms[-2] < RESUME_BOUND_MS
+        assert [answer.is_whole for answer in answers] == [True] * STREAMS
+        for answer in answers:
+            assert answer.event_ids == list(range(1, STREAM_EVENTS + 1))
+
+    run_in_memory(check())
