--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from bergamotthread.connection.http.messages import end_to_end
 from bergamotthread.process.relay.choice import RelayPlacementRequest
 from bergamotthread.process.relay.plain_gate import PlainDemand, PlainRefused
 from bergamotthread.process.relay.upstreams import Upstream
@@ -133,7 +132,7 @@
             not_sent = await attempt.send(headers)
             if not_sent is not None:
                 return not_sent
-            self._limits.attempts_sent += 1
+            self._limits.record_sent()
             outcome = await read_response(attempt, self._attempt_timeout_ms())
             self._latency_ms = self._parts.clock.now_ms() - attempt.sent_ms
             return outcome
@@ -159,7 +158,7 @@
                 if head.status >= _SERVER_ERROR and self._may_retry():
                     self._may_have_run = True
                     return False
-                headers = end_to_end(head.headers)
+                headers = self._parts.header_names.for_caller(head.headers)
                 self._call.exchange.respond(head.status, headers, body)
                 self._count_answer(head.status)
                 return True
