--- a/bergamotthread/platform/runner_calls.py
+++ b/bergamotthread/platform/runner_calls.py
@@ -15,7 +15,10 @@
 )
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.runner_rows import decode_report
-from bergamotthread.process.relay.liveness import UPSTREAM_PROBE_TIMEOUT_MS
+from bergamotthread.process.relay.liveness import (
+    PROBE_ANSWER_MAX_MS,
+    UPSTREAM_PROBE_TIMEOUT_MS,
+)
 from bergamotthread.process.relay.upstreams import LoadReport, Upstream
 from bergamotthread.request.relay.engine_memory import EngineKvCache
 from bergamotthread.request.relay.leaving_notices import LeavingNotices
@@ -49,7 +52,7 @@
                 upstream,
                 'report',
                 FetchRequest(b'GET', b'/api/report'),
-                UPSTREAM_PROBE_TIMEOUT_MS,
+                PROBE_ANSWER_MAX_MS,
             )
         except ConnectionError as error:
             logging.debug(
--- /dev/null
+++ b/tests/test_attempt_limits.py
@@ -0,0 +1,53 @@
+"""Tests of the limits of a call's attempts, without a network."""
+
+from __future__ import annotations
+
+import itertools
+from types import SimpleNamespace
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.relay.repeat_budget import (
+    ServiceRetryBudget,
+    ServiceRetryLimits,
+)
+from bergamotthread.request.relay.attempt_loop import AttemptLimits
+
+
+def _passing_clock():
+    """Return a clock that passes between any two readings, as a real one."""
+    readings = itertools.count(1, 0.001)
+    return Clock(
+        monotonic_s=lambda: next(readings), calendar_s=lambda: next(readings)
+    )
+
+
+def _budget(slack):
+    limits = ServiceRetryLimits(ratio=0, window_ms=10_000, slack=slack)
+    return ServiceRetryBudget(_passing_clock(), limits, lambda: 1)
+
+
+def _sent_call(budget):
+    """Return the limits of a call that has sent one attempt."""
+    call = SimpleNamespace(service=SimpleNamespace(name='s'))
+    parts = SimpleNamespace(retry_budget=budget, clock=budget.clock)
+    return AttemptLimits(call, parts, attempts_sent=1)
+
+
+# Guards against calls that give up running attempts for the same retry.
+def test_reserved_retry_is_kept_for_its_call():
+    budget = _budget(slack=1)
+    first, second = _sent_call(budget), _sent_call(budget)
+    assert first.reserve_attempt()
+    assert not second.reserve_attempt()
+    assert not second.has_budget
+    assert first.has_budget
+    first.record_sent()
+    assert not second.reserve_attempt()
+
+
+def test_retry_that_was_reserved_but_not_used_returns_to_the_budget():
+    budget = _budget(slack=1)
+    first, second = _sent_call(budget), _sent_call(budget)
+    assert first.reserve_attempt()
+    first.release()
+    assert second.reserve_attempt()
