Soak: SIGTERM no longer loses a process that is being started

Cause: SIGTERM was handled by `signal.default_int_handler`, which raises KeyboardInterrupt at whatever instruction the main thread executes. Within `subprocess.Popen` the process already exists while no reference to it has been returned yet, so nobody can end it: the transport's `close` sees no process. The store and the runners end with their standard input; an entry does not read its own and stays.

Evidence: the new test runs a soak that gets SIGTERM just after the fork of its n-th process.

Fix: SIGTERM and SIGINT are handlers of the event loop that cancel the main task once. A second signal does not interrupt the end of the processes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -40,8 +40,6 @@
     shrinks: bool,
 ) -> None:
     """Play faults against the real programs and check what they promise."""
-    # SIGTERM raises KeyboardInterrupt, so that the child processes are ended.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     drawn = _kinds(kinds)
     failed = False
     for plan_seed in range(seed, seed + seeds):
@@ -64,8 +62,28 @@
 
 
 def _play(plan: Plan) -> tuple[Soak, Records]:
+    try:
+        return asyncio.run(_play_until_signal(plan))
+    except asyncio.CancelledError as error:
+        raise click.Abort from error
+
+
+async def _play_until_signal(plan: Plan) -> tuple[Soak, Records]:
+    """Play a plan; SIGTERM and SIGINT cancel it, so that its processes end."""
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # A handler that raises could interrupt the creation of a process.
+        loop.add_signal_handler(number, _cancel_once, task)
     soak = Soak(plan)
-    return soak, asyncio.run(soak.run())
+    return soak, await soak.run()
+
+
+def _cancel_once(task: asyncio.Task[object]) -> None:
+    """Cancel a task, unless it already ends since it was cancelled."""
+    if not task.cancelling():
+        task.cancel()
 
 
 def _report(plan: Plan) -> list[Finding]:
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import subprocess
 import sys
 import time
 
 import psutil
+import pytest
 
 from soak import answer_checks, system_checks
 from soak.checks import findings_of
@@ -36,6 +38,27 @@
     system_checks.check_reverts,
 )
 
+# Runs a soak that gets SIGTERM within the start of its n-th child process: the
+# process exists, and the soak has no reference to it yet.
+_TERMINATED_WITHIN_START = """
+import os, signal, subprocess, sys
+from soak.__main__ import main
+
+execute = subprocess.Popen._execute_child
+last = int(sys.argv.pop(1))
+pids = []
+
+def execute_child(process, *arguments):
+    execute(process, *arguments)
+    pids.append(process.pid)
+    print(process.pid, flush=True)
+    if len(pids) == last:
+        os.kill(os.getpid(), signal.SIGTERM)
+
+subprocess.Popen._execute_child = execute_child
+main()
+"""
+
 
 def test_short_soak_has_no_findings_and_leaves_no_process():
     plan = Plan(5, 7.0, 2, 6, _FAULTS)
@@ -72,3 +95,28 @@
     soak.wait(60)
     _, alive = psutil.wait_procs(children, timeout=10)
     assert alive == []
+
+
+@pytest.mark.parametrize('started', [1, 9])
+def test_soak_terminated_within_a_start_leaves_no_process(started):
+    """SIGTERM could end the soak between the fork and the return of Popen."""
+    soak = subprocess.run(
+        [
+            *(sys.executable, '-c', _TERMINATED_WITHIN_START, str(started)),
+            *('--seed', '1', '--minutes', '5'),
+        ],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.DEVNULL,
+        timeout=60,
+        check=False,
+    )
+    pids = [int(pid) for pid in soak.stdout.split()]
+    alive = []
+    for pid in pids:
+        with contextlib.suppress(psutil.NoSuchProcess):
+            alive.append(psutil.Process(pid))
+    _, alive = psutil.wait_procs(alive, timeout=10)
+    for process in alive:
+        process.kill()
+    assert len(pids) == started
+    assert alive == []
