Benchmarks: a process whose start fails is stopped

`start_entry` and `start_engine` wait until the process is ready before their caller can register its end; a timeout or a cancellation in that wait left the process running.

--- a/benchmarks/data_path_processes.py
+++ b/benchmarks/data_path_processes.py
@@ -145,7 +145,7 @@
         str(path),
         profile=profile,
     )
-    await _until_ready(port)
+    await _stop_unless_ready(child, port)
     return child, port
 
 
@@ -187,10 +187,22 @@
         '--token-interval-ms',
         str(interval_ms),
     )
-    await _until_ready(port, '/load')
+    await _stop_unless_ready(child, port, '/load')
     return child, address
 
 
+async def _stop_unless_ready(
+    child: Child,
+    port: int,
+    path: str = '/readyz',
+) -> None:
+    """Wait until a process is ready; stop it if that fails or is cancelled."""
+    async with contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(child.stop)
+        await _until_ready(port, path)
+        stack.pop_all()
+
+
 async def _until_ready(port: int, path: str = '/readyz') -> None:
     async with asyncio.timeout(20):
         while True:
