Soak: checks of runners that leave or ask for a pause

Runners' lines may carry two notices: an answer says that the runner leaves, and a request is refused with Retry-After. `check_leaving` finds requests that reach a runner later than drain_ms after its entry has passed on such an answer (a frozen entry, a restarted entry and a held way to the runner excuse it); `check_pauses` finds more than two requests between half a second after a refusal and the end of its pause. Runs name the runner's process, so that a restarted runner is another one. Nothing sends the notices yet.

Each check is proved by records that break it and by ones that do not.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -41,6 +41,7 @@
     """The answer received on a connection, as far as it came."""
 
     status: int = 0
+    head_ms: float = 0
     sealed: bool = False
     keeps: bool = False
     body: bytearray = field(default_factory=bytearray)
@@ -167,6 +168,7 @@
                 answer.status,
                 answer.sealed,
                 bytes(answer.body),
+                answer.head_ms,
             ),
         )
         if ending is not Ending.WHOLE or not answer.keeps:
@@ -220,7 +222,9 @@
         assert self._reader is not None
         self._writer.write(request.encode())
         await self._writer.drain()
-        await _read_answer(self._reader, answer)
+        headers = await _read_head(self._reader, answer)
+        answer.head_ms = self._clock.now_ms()
+        await _read_body(self._reader, answer, headers)
         return Ending.WHOLE
 
     def _close(self) -> None:
@@ -231,8 +235,11 @@
         self._writer = None
 
 
-async def _read_answer(reader: asyncio.StreamReader, answer: Answer) -> None:
-    """Read an answer into `answer`; raise if the connection ends before it."""
+async def _read_head(
+    reader: asyncio.StreamReader,
+    answer: Answer,
+) -> dict[bytes, bytes]:
+    """Read the head of an answer; raise if the connection ends before it."""
     head = await reader.readuntil(b'\r\n\r\n')
     status_line, _, header_lines = head.partition(b'\r\n')
     answer.status = int(status_line.split(b' ')[1])
@@ -242,6 +249,14 @@
         headers[name.strip().lower()] = header_value.strip()
     answer.sealed = SEAL in headers
     answer.keeps = headers.get(b'connection') != b'close'
+    return headers
+
+
+async def _read_body(
+    reader: asyncio.StreamReader,
+    answer: Answer,
+    headers: dict[bytes, bytes],
+) -> None:
     if headers.get(b'transfer-encoding') == b'chunked':
         await _read_chunks(reader, answer)
     else:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable
 
-from soak import answer_checks, system_checks
+from soak import answer_checks, notice_checks, system_checks
 from soak.findings import Finding
 from soak.records import Records
 
@@ -25,6 +25,8 @@
     system_checks.check_planned_stop,
     system_checks.check_repeats,
     system_checks.check_memory,
+    notice_checks.check_leaving,
+    notice_checks.check_pauses,
 )
 
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -10,15 +10,17 @@
 import tempfile
 from dataclasses import dataclass
 
+import msgspec
+
 from bergamotthread.clock import Clock
 from bergamotthread.testing.loopback import connect
 from soak.callers import Place
-from soak.orders import StoreOrder, encode_order
+from soak.orders import RunnerOrder, StoreOrder, encode_order
 from soak.plan import Plan
 from soak.programs import Program
 from soak.proxy import LoopbackProxy
-from soak.records import PublicationRecord, Records, Run
-from soak.runner_process import ENDED
+from soak.records import Notice, NoticeKind, PublicationRecord, Records, Run
+from soak.runner_process import ENDED, STARTED
 from soak.store_process import DONE
 from standins.platform_runner import (
     MODEL,
@@ -77,6 +79,7 @@
     service: str
     zone: str
     is_changing: bool = False
+    behaviour: RunnerOrder = RunnerOrder()
 
     @property
     def instance(self) -> str:
@@ -113,6 +116,8 @@
         self._added: tuple[str, ...] = ()
         self._pending: dict[str, PublicationRecord] = {}
         self._open_runs: dict[tuple[str, str], float] = {}
+        # The last order about each row, by its table and key.
+        self._row_orders: dict[tuple[str, str], StoreOrder] = {}
 
     @property
     def version(self) -> int:
@@ -154,6 +159,7 @@
         address = str(program.arguments[1])
         instance = f'{program.name}-{program.incarnation + 1}'
         program.arguments = _runner_arguments(address, instance)
+        runner.behaviour = RunnerOrder()
         await program.start()
         await self.list_runner(runner, 'ready')
 
@@ -184,8 +190,24 @@
 
     async def order_store(self, order: StoreOrder) -> None:
         """Send an order to the store."""
+        if order.table:
+            self._row_orders[order.table, order.key] = order
         await self.store.order(encode_order(order))
 
+    async def rewrite_rows(self) -> None:
+        """Repeat what the operator and the runners wrote to the store."""
+        for order in tuple(self._row_orders.values()):
+            await self.order_store(order)
+
+    async def change_runner(
+        self,
+        runner: RunnerNode,
+        **changes: object,
+    ) -> None:
+        """Change part of the behaviour of a runner until its process ends."""
+        runner.behaviour = msgspec.structs.replace(runner.behaviour, **changes)
+        await runner.program.order(encode_order(runner.behaviour))
+
     async def publish(self, path: str = '', revoked: str = '') -> None:
         """Publish a version that adds a route or revokes a key."""
         self._version += 1
@@ -246,7 +268,7 @@
         program = Program(
             name,
             _runner_arguments(runner_address, f'{name}-1'),
-            lambda line: self._on_run_line(name, line),
+            lambda line: self._on_run_line(self.runners[number].instance, line),
         )
         return RunnerNode(program, link, service, zone)
 
@@ -269,17 +291,23 @@
             self.paths.append(publication.path)
 
     def _on_run_line(self, runner: str, line: str) -> None:
-        word, request, time_text = line.split(' ')
-        at_ms = float(time_text)
-        started_ms = self._open_runs.pop((runner, request), None)
+        word, request, *numbers = line.split(' ')
+        at_ms, *for_s = map(float, numbers)
         if word == ENDED:
-            started_ms = at_ms if started_ms is None else started_ms
+            started_ms = self._open_runs.pop((runner, request), at_ms)
             self.records.runs.append(Run(request, runner, started_ms, at_ms))
-            return
-        if started_ms is not None:
-            # The process was killed during the run, and its successor runs the
-            # request again.
-            self.records.runs.append(Run(request, runner, started_ms))
+        elif word == STARTED:
+            self._start_run(runner, request, at_ms)
+        else:
+            for_ms = sum(for_s) * _MS_PER_S
+            self.records.notices.append(
+                Notice(NoticeKind(word), request, runner, at_ms, for_ms),
+            )
+
+    def _start_run(self, runner: str, request: str, at_ms: float) -> None:
+        earlier_ms = self._open_runs.get((runner, request))
+        if earlier_ms is not None:
+            self.records.runs.append(Run(request, runner, earlier_ms))
         self._open_runs[runner, request] = at_ms
 
     def _on_log_line(self, line: str) -> None:
--- a/soak/orders.py
+++ b/soak/orders.py
@@ -23,7 +23,9 @@
     status, late_ms, loses_answers
         See `StoreStandIn`.
     forgets
-        Whether to drop the history of changes now.
+        Whether to drop the history of changes now; sets no other fault.
+    restored_age_ms
+        Age of the state to restore now, in ms; 0 for none. Sets no other fault.
     mark
         Name that the store writes with the time once the order is carried
         out; empty for no such line.
@@ -36,6 +38,7 @@
     late_ms: float = 0
     loses_answers: bool = False
     forgets: bool = False
+    restored_age_ms: float = 0
     mark: str = ''
 
 
@@ -45,6 +48,8 @@
     not_run: bool = False
     stalls_after: int | None = None
     comment: int = 0
+    leaving: bool = False
+    retry_after: str = ''
 
 
 def encode_order(order: StoreOrder | RunnerOrder) -> bytes:
--- a/soak/records.py
+++ b/soak/records.py
@@ -52,6 +52,8 @@
         Number of starts of the entry's process when the request was sent.
     sealed
         Whether the answer carries a back end's signature.
+    answered_ms
+        Time at which the head of the answer arrived; 0 if none did.
     """
 
     request: str
@@ -66,11 +68,18 @@
     status: int = 0
     sealed: bool = False
     body: bytes = b''
+    answered_ms: float = 0
 
 
 @dataclass(frozen=True)
 class Run:
-    """A run of a request at a back end; no end if none was reported."""
+    """A run of a request at a back end; no end if none was reported.
+
+    Parameters
+    ----------
+    runner
+        Name of the back end's process; a restarted one has another.
+    """
 
     request: str
     runner: str
@@ -78,6 +87,32 @@
     ended_ms: float | None = None
 
 
+class NoticeKind(enum.StrEnum):
+    """What a back end says of itself in an answer."""
+
+    LEAVING = 'leaving'
+    PAUSED = 'paused'
+
+
+@dataclass(frozen=True)
+class Notice:
+    """An answer in which a back end said that it leaves or has no room.
+
+    Parameters
+    ----------
+    runner
+        See `Run`.
+    for_ms
+        Time for which it wants no requests, if it has no room.
+    """
+
+    kind: NoticeKind
+    request: str
+    runner: str
+    at_ms: float
+    for_ms: float = 0
+
+
 @dataclass(frozen=True)
 class PublicationRecord:
     """A configuration version that the operator published.
@@ -139,6 +174,7 @@
 
     calls: list[Call] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
+    notices: list[Notice] = field(default_factory=list)
     publications: list[PublicationRecord] = field(default_factory=list)
     played_faults: list[PlayedFault] = field(default_factory=list)
     planned_stops: list[PlannedStop] = field(default_factory=list)
--- a/standins/platform_settings.py
+++ b/standins/platform_settings.py
@@ -6,6 +6,7 @@
 FRONT_PORT = 8000
 READY_PORT = 8001
 GRACE_S = 8
+DRAIN_MS = 3000
 REVOKE_MS = 5000
 REPEAT_RATIO = 0.8
 REPEAT_SLACK = 150
@@ -30,6 +31,7 @@
         'internal_ports': [7000, 7010],
         'platform': {'address': store},
         'bounds': {
+            'drain_ms': DRAIN_MS,
             'grace_s': GRACE_S,
             'revoke_ms': REVOKE_MS,
             'revoke_everywhere': True,
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -16,6 +16,8 @@
     EntryKill,
     Kind,
     Memory,
+    Notice,
+    NoticeKind,
     PlannedStop,
     PlayedFault,
     PublicationRecord,
@@ -251,3 +253,130 @@
     records = _valid_records()
     records.memory = [Memory('entry0-1', points)]
     assert _rules(records) == {'memory'}
+
+
+def _add_run(records: Records, name: str, at_ms: float, **more) -> None:
+    """Add a plain request whose answer arrives 300 ms after it ran."""
+    call = _call(
+        name,
+        sent_ms=at_ms,
+        ended_ms=at_ms + 300,
+        **{'answered_ms': at_ms + 300, **more},
+    )
+    records.calls.append(call)
+    records.runs.append(Run(name, 'runner1-1', at_ms, at_ms + 300))
+
+
+def _leaving_records(**more) -> Records:
+    """Return records of a request that ran 3.1 s after its entry knew."""
+    records = _valid_records()
+    _add_run(records, 'x', 60_000)
+    records.notices = [Notice(NoticeKind.LEAVING, 'x', 'runner1-1', 60_000)]
+    _add_run(records, 'y', 63_400, **more)
+    return records
+
+
+def test_request_to_a_runner_known_to_leave_is_found():
+    assert _rules(_leaving_records()) == {'leaving'}
+
+
+@pytest.mark.parametrize(
+    'more', [{'entry': 'entry2'}, {'incarnation': 2}], ids=str
+)
+def test_entry_may_not_know_that_a_runner_leaves(more):
+    assert _rules(_leaving_records(**more)) == set()
+
+
+def test_request_soon_after_a_runner_said_that_it_leaves_is_allowed():
+    records = _leaving_records()
+    records.runs[-1] = replace(records.runs[-1], at_ms=63_200)
+    assert _rules(records) == set()
+
+
+def test_restarted_runner_does_not_leave():
+    records = _leaving_records()
+    records.runs[-1] = replace(records.runs[-1], runner='runner1-2')
+    assert _rules(records) == set()
+
+
+def test_answer_of_another_runner_does_not_tell_that_one_leaves():
+    """The head of the answer may come from the other run."""
+    records = _leaving_records()
+    _replace_call(records, 'x', kind=Kind.STREAM, body=_events('x'))
+    records.runs.append(Run('x', 'runner2-1', 60_100, 60_200))
+    assert _rules(records) == set()
+
+
+@pytest.mark.parametrize(
+    ('kind', 'target', 'rules'),
+    [
+        ('pause-entry', '0', set()),
+        ('pause-entry', '1', {'leaving'}),
+        ('cut-link-up', '1', set()),
+        ('cut-link-up', '11', {'leaving'}),
+        ('delay-link', '1', {'leaving'}),
+    ],
+)
+def test_frozen_entry_may_send_late_to_a_leaving_runner(kind, target, rules):
+    records = _leaving_records()
+    records.played_faults = [PlayedFault(kind, target, 61_000, 62_000)]
+    assert _rules(records) == rules
+
+
+def _pause_records(arrival_times_ms, **more) -> Records:
+    """Return records of requests to a runner that wants none for 2 s."""
+    records = _valid_records()
+    refused = _call('x', status=503, sealed=False, sent_ms=60_000.0)
+    records.calls.append(refused)
+    records.lines_by_request['x'] = ['{"event":"refused"}']
+    records.notices = [
+        Notice(NoticeKind.PAUSED, 'x', 'runner1-1', 60_000, 2000),
+    ]
+    for at_ms in arrival_times_ms:
+        _add_run(records, f'y{at_ms}', at_ms, **more)
+    return records
+
+
+@pytest.mark.parametrize(
+    ('arrival_times_ms', 'rules'),
+    [
+        ((60_100, 60_200, 60_500, 60_600, 61_900), set()),
+        ((60_600, 61_000, 61_900), {'pauses'}),
+        ((60_600, 61_000, 62_100), set()),
+    ],
+)
+def test_requests_to_a_runner_without_room_are_found(arrival_times_ms, rules):
+    assert _rules(_pause_records(arrival_times_ms)) == rules
+
+
+def test_refused_requests_count_as_sent_to_a_runner_without_room():
+    records = _pause_records((60_600, 61_000))
+    records.calls.append(replace(records.calls[-1], request='z', body=b'z'))
+    records.notices.append(
+        Notice(NoticeKind.PAUSED, 'z', 'runner1-1', 61_900, 1000),
+    )
+    assert _rules(records) == {'pauses'}
+
+
+@pytest.mark.parametrize(
+    'more', [{'entry': 'entry2'}, {'incarnation': 2}], ids=str
+)
+def test_entry_may_not_know_that_a_runner_has_no_room(more):
+    records = _pause_records((60_600, 61_000, 61_900), **more)
+    assert _rules(records) == set()
+
+
+@pytest.mark.parametrize(
+    ('kind', 'target', 'rules'),
+    [
+        ('pause-entry', '0', set()),
+        ('cut-link-down', '1', set()),
+        ('pause-runner', '1', set()),
+        ('pause-runner', '2', {'pauses'}),
+        ('busy-store', '0', {'pauses'}),
+    ],
+)
+def test_frozen_entry_may_send_to_a_runner_without_room(kind, target, rules):
+    records = _pause_records((60_600, 61_000, 61_900))
+    records.played_faults = [PlayedFault(kind, target, 60_200, 60_400)]
+    assert _rules(records) == rules
