Store that comes back older: era and version order all that came from it

In a drill the store returns from a copy, gives versions out again and raises `store-era`. Versions were compared as bare numbers that only rise, so that entries waited for numbers that were given out again, dropped what was written under them, and took rows of the copy for news: a draining or removed upstream got requests again.

- StoreVersion(era, number) orders everything; the era is read in one place from every answer.
Late answers of an older era are dropped, pages of two eras never joined, status 410 or a new era leads to a whole read.
- Relayed feeds carry the era; a follower takes the whole table of a new era from the first entry of its region.
- The stand-in store knows `era` and `restore(ver)`, and answers 410 to reads after versions that it does not have.

One call in test_platform_entry.py passes the new type in place of a number.

--- a/bergamotthread/connection/http/fetch.py
+++ b/bergamotthread/connection/http/fetch.py
@@ -31,10 +31,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchResponse:
-    """Status and body of the answer to a short call."""
+    """Status, body and fields of the answer to a short call."""
 
     status: int
     body: bytes
+    headers: tuple[Header, ...] = ()
 
 
 async def fetch(
@@ -76,15 +77,17 @@
     timeout_ms: float,
 ) -> FetchResponse:
     status = 0
+    headers: tuple[Header, ...] = ()
     body: list[bytes] = []
     answer_item: AnswerItem | None = None
     while not isinstance(answer_item, AnswerEnd):
         answer_item = await connection.receive(timeout_ms)
         match answer_item:
-            case AnswerHead(answer_status):
+            case AnswerHead(answer_status, answer_headers):
                 status = answer_status
+                headers = answer_headers
             case AnswerPart(part):
                 body.append(part)
             case AnswerLost() | None:
                 raise ConnectionError(f'{connection.address}: {answer_item}')
-    return FetchResponse(status, b''.join(body))
+    return FetchResponse(status, b''.join(body), headers)
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -109,6 +109,7 @@
             self._parts,
             self._life_cycle,
         )
+        self._store.eras.listeners.append(self._handle_new_era)
         self._watches = self._make_watches()
         self._add_gauges()
 
@@ -174,6 +175,18 @@
         self._parts.retry_budget.limits = _retry_limits(settings)
         self._parts.choice.region_by_domain = settings.region_by_domain
 
+    def _handle_new_era(self, former: int, era: int) -> None:
+        """Log that the store came back older, and end backoffs."""
+        self._feeds.forget_failures()
+        table = self._holder.table
+        self._log.write(
+            'store-era',
+            former=former,
+            era=era,
+            version_in_force=None if table is None else table.version,
+            version_age_ms=self._freshness.age_ms,
+        )
+
     def _is_finished(self) -> bool:
         if self._life_cycle.must_end:
             return True
@@ -245,6 +258,16 @@
                 'Calls to the store since the start.',
                 lambda: self._store.call_count,
             ),
+            (
+                'store_era',
+                'Era of the store; it rises when the store comes back older.',
+                lambda: self._store.eras.known or 0,
+            ),
+            (
+                'store_rows_rewritten',
+                'Own rows that the store lost and that are written again.',
+                lambda: self._watches.entries.rewritten_count,
+            ),
             (
                 'upstream_connections_opened',
                 'Connections to upstreams, other entries and the store.',
@@ -306,6 +329,7 @@
             self._feeds,
             self._clock,
             self._log,
+            self._rng,
         )
         settings = self._settings
         own_record = EntryRecord(
--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -23,6 +23,7 @@
     Exchange,
 )
 from bergamotthread.platform.store import StoredRow, WireRow, WireRows
+from bergamotthread.platform.store_version import StoreVersion
 
 FEED_PATH = b'/api/rows-feed'
 # Changes of one table kept for other entries; a manifest takes some 20 KB.
@@ -33,7 +34,9 @@
 
 @dataclass
 class TableHistory:
-    """Most recent changes of one table, and when they were confirmed.
+    """One table with its most recent changes, and when they were confirmed.
+
+    All rows and changes are of one era of the store.
 
     Parameters
     ----------
@@ -46,85 +49,155 @@
         known.
     is_direct
         Whether the latest changes came from the store itself.
+    is_settled
+        False while rows that the store acknowledged before it came back older
+        may not have been written again.
+    known_era
+        Highest era of the store that this process has seen, which may be newer
+        than that of the table.
     """
 
     clock: Clock
-    version: int = 0
-    kept_after_version: int = 0
+    version: StoreVersion = StoreVersion()
+    kept_after_version: StoreVersion = StoreVersion()
     confirmed_ms: float = 0
     is_direct: bool = True
+    is_settled: bool = True
+    known_era: int = 0
+    _row_by_key: dict[str, StoredRow] = field(default_factory=dict)
     _changes: deque[StoredRow] = field(default_factory=deque)
     _updated: asyncio.Event = field(default_factory=asyncio.Event)
 
-    def restart(self, version: int, requested_ms: float) -> None:
-        """Drop the kept changes; the whole table was read at `version`.
+    def note_era(self, era: int) -> None:
+        """Tell waiting followers of an older era that there is a newer one."""
+        self.known_era = era
+        self._wake()
+
+    def restart(
+        self,
+        rows: Iterable[StoredRow],
+        version: StoreVersion,
+        requested_ms: float,
+        *,
+        is_direct: bool = True,
+    ) -> None:
+        """Replace the table and drop the kept changes.
 
         Parameters
         ----------
+        rows, version
+            The whole table, and the version at which it was read.
         requested_ms
             Boot clock time at which the read was requested.
+        is_direct
+            Whether the table came from the store itself.
         """
         self._changes.clear()
+        self._row_by_key = {row.key: row for row in rows}
         self.kept_after_version = version
-        self.is_direct = True
-        self._confirm(version, requested_ms)
+        self.is_direct = is_direct
+        self.version = version
+        self._confirm(requested_ms)
 
     def add(
         self,
         rows: Iterable[StoredRow],
-        version: int,
+        version: StoreVersion,
         requested_ms: float,
+        *,
         is_direct: bool,
     ) -> None:
         """Append changes; all writes up to `requested_ms` are then known.
 
+        Changes of another era are dropped.
+
         Parameters
         ----------
         is_direct
             Whether the changes came from the store itself.
         """
+        if version.era != self.version.era:
+            return
         self.is_direct = is_direct
         for row in rows:
+            self._row_by_key[row.key] = row
+            if row.payload is None:
+                self._row_by_key.pop(row.key)
             if len(self._changes) >= KEPT_CHANGES_MAX:
                 self.kept_after_version = self._changes.popleft().version
             self._changes.append(row)
-        self._confirm(version, requested_ms)
+        self.version = max(version, self.version)
+        self._confirm(requested_ms)
 
     async def changes_after(
         self,
-        version: int,
+        version: StoreVersion,
         wait_ms: float,
     ) -> WireRows | None:
-        """Return the changes after a version.
+        """Return the changes after a version, or the whole table.
+
+        The table is whole if its era is newer than that of the version, or if
+        the version is the start of its era.
 
         If there are none yet, wait up to `wait_ms`, but no longer than
-        `FEED_WAIT_MAX_MS`, for the next confirmation. Return None if some of
-        the changes are no longer kept or the table has not been read yet.
-        The result has the age of the latest confirmation.
+        `FEED_WAIT_MAX_MS`, for the next confirmation, or for an era that is
+        not known here yet. Return None if some of the changes are no longer
+        kept, the table has not been read yet, or not in that era.
+        The result has the age of the latest confirmation. It has no rows if
+        only the number of a newer era is known here.
         """
-        if version < self.kept_after_version or not self.version:
+        if not self._can_follow(version):
             return None
-        event = self._updated
         if version >= self.version:
-            await _wait_for_event(
-                event, min(wait_ms, FEED_WAIT_MAX_MS), self.clock
+            await self._wait_for_era(
+                version.era, min(wait_ms, FEED_WAIT_MAX_MS)
             )
-        if version < self.kept_after_version:
+        if not self._can_follow(version) or version.era > self.version.era:
             return None
-        rows = tuple(
-            _wire_row(row) for row in self._changes if row.version > version
-        )
-        age_ms = self.clock.boot_ms() - self.confirmed_ms
+        if self.known_era > max(version.era, self.version.era):
+            return WireRows(era=self.known_era)
+        is_whole = self._lacks_changes(version)
+        rows = tuple(self._row_by_key.values())
+        if not is_whole:
+            rows = tuple(row for row in self._changes if row.version > version)
         return WireRows(
-            rows,
-            self.version,
-            age_ms=age_ms,
+            tuple(_wire_row(row) for row in rows),
+            self.version.number,
+            age_ms=self.clock.boot_ms() - self.confirmed_ms,
             is_direct=self.is_direct,
+            era=self.version.era,
+            is_whole=is_whole,
+            is_settled=self.is_settled,
         )
 
-    def _confirm(self, version: int, requested_ms: float) -> None:
-        self.version = max(version, self.version)
+    def _can_follow(self, version: StoreVersion) -> bool:
+        if not self.version.number:
+            return False
+        is_same_era = version.era == self.version.era
+        return (
+            not is_same_era
+            or version >= self.kept_after_version
+            or self._lacks_changes(version)
+        )
+
+    def _lacks_changes(self, version: StoreVersion) -> bool:
+        return version.era < self.version.era or not version.number
+
+    async def _wait_for_era(self, era: int, wait_ms: float) -> None:
+        """Wait for the next confirmation in an era or a later one."""
+        try:
+            async with self.clock.timeout_ms(wait_ms):
+                await self._updated.wait()
+                while self.version.era < era:
+                    await self._updated.wait()
+        except TimeoutError:
+            return
+
+    def _confirm(self, requested_ms: float) -> None:
         self.confirmed_ms = max(requested_ms, self.confirmed_ms)
+        self._wake()
+
+    def _wake(self) -> None:
         event = self._updated
         self._updated = asyncio.Event()
         event.set()
@@ -145,6 +218,7 @@
 
         The status is 404 if the path or the table is unknown or the version
         is not a number, and 410 if `TableHistory.changes_after` returns None.
+        A call that names no era is of an entry that knows of none.
         """
         path, _, query = exchange.request.target.partition(b'?')
         fields = dict(parse_qsl(query.decode('latin-1')))
@@ -154,8 +228,9 @@
             exchange.respond(404, ())
             return
         wait_ms = fields.get('wait_ms', '0')
+        era = fields.get('era', '')
         changes = await history.changes_after(
-            int(after),
+            StoreVersion(int(era) if era.isdigit() else 0, int(after)),
             float(wait_ms) if wait_ms.isdigit() else 0,
         )
         if changes is None:
@@ -164,18 +239,8 @@
         exchange.respond(200, (), msgspec.json.encode(changes))
 
 
-async def _wait_for_event(
-    event: asyncio.Event, wait_ms: float, clock: Clock
-) -> None:
-    try:
-        async with clock.timeout_ms(wait_ms):
-            await event.wait()
-    except TimeoutError:
-        return
-
-
 def _wire_row(row: StoredRow) -> WireRow:
     if row.payload is None:
-        return WireRow(row.key, deleted=True, ver=row.version)
+        return WireRow(row.key, deleted=True, ver=row.version.number)
     encoded = base64.b64encode(row.payload).decode()
-    return WireRow(row.key, encoded=encoded, ver=row.version)
+    return WireRow(row.key, encoded=encoded, ver=row.version.number)
--- a/bergamotthread/platform/store.py
+++ b/bergamotthread/platform/store.py
@@ -5,7 +5,7 @@
 import base64
 import binascii
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TypeVar
 from urllib.parse import quote, urlencode
 
@@ -14,6 +14,11 @@
 from bergamotthread.connection.http.fetch import FetchRequest, fetch
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.errors import BergamotError, Step
+from bergamotthread.platform.store_version import (
+    EraError,
+    EraTracker,
+    StoreVersion,
+)
 
 # Calls without a wait are answered within some milliseconds. While the store is
 # slow, this can take up to a hundred times as long.
@@ -64,8 +69,10 @@
 class WireRows(msgspec.Struct, frozen=True, omit_defaults=True):
     """Answer to a read, a feed call or a transaction.
 
-    An entry that relays rows adds how long ago the store confirmed them, and
-    whether the entry read them from the store itself.
+    An entry that relays rows adds how long ago the store confirmed them,
+    whether the entry read them from the store itself, the store's era, whether
+    the rows are the whole table, and whether the confirmation proves that
+    nothing acknowledged is missing from the rows.
     """
 
     rows: tuple[WireRow, ...] = ()
@@ -73,6 +80,9 @@
     has_more: bool = False
     age_ms: float = 0
     is_direct: bool = True
+    era: int = 0
+    is_whole: bool = False
+    is_settled: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +91,7 @@
 
     key: str
     payload: bytes | None
-    version: int = 0
+    version: StoreVersion = StoreVersion()
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,11 +103,18 @@
     age_ms
         Time since the store confirmed the rows, when the answer was sent; 0
         for an answer of the store itself.
+    is_whole
+        Whether the rows are the whole table and not only changes.
+    is_settled
+        False while rows that the store acknowledged before it came back older
+        may not have been written again.
     """
 
     rows: tuple[StoredRow, ...]
-    version: int
+    version: StoreVersion
     age_ms: float = 0
+    is_whole: bool = False
+    is_settled: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,10 +143,16 @@
 @dataclass(frozen=True, slots=True)
 class _FeedPoll:
     table: str
-    after: int
+    after: StoreVersion
     wait_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class _StoreAnswer:
+    body: bytes
+    era: int
+
+
 @dataclass
 class PlatformStoreClient:
     """Calls the store over pooled connections; no call is retried.
@@ -138,11 +161,14 @@
     ----------
     call_count
         Number of calls to the store so far.
+    eras
+        Follows the era of the store, which each of its answers states.
     """
 
     address: str
     pool: UpstreamPool
     call_count: int = 0
+    eras: EraTracker = field(default_factory=EraTracker)
 
     async def read_rows(
         self,
@@ -163,10 +189,11 @@
         Raises
         ------
         StoreCallError
-            If the store did not answer as expected.
+            If the store did not answer as expected, or came back older between
+            two pages.
         """
         rows: list[StoredRow] = []
-        version = 0
+        version = StoreVersion()
         bounds = {'from': start, 'target': end}
         while True:
             remaining = ROWS_PER_PAGE if limit is None else limit - len(rows)
@@ -182,8 +209,15 @@
                 query,
                 CALL_TIMEOUT_MS,
             )
-            version = version or page.ver
-            rows.extend(_decode_rows(page.rows))
+            read_at = StoreVersion(page.era, page.ver)
+            version = version if rows else read_at
+            if version.era != page.era:
+                raise StoreCallError(
+                    f'{table}: pages of eras {version.era} and {page.era}',
+                    step=Step.STORE,
+                    peer=self.address,
+                )
+            rows.extend(_decode_rows(page))
             is_full = limit is not None and len(rows) >= limit
             if is_full or not page.has_more or not page.rows:
                 return ReadResult(tuple(rows), version)
@@ -202,11 +236,11 @@
         row = _row_reference(change.table, change.key)
         condition = {**row, 'ver': change.expected}
         if change.payload is None:
-            body = await self._transact(expected=[condition], removed=[row])
+            answer = await self._transact(expected=[condition], removed=[row])
         else:
             put = {**row, 'value': _encode_payload(change.payload)}
-            body = await self._transact(expected=[condition], puts=[put])
-        return _decode(body, WireRows, self.address).ver
+            answer = await self._transact(expected=[condition], puts=[put])
+        return _decode(answer.body, WireRows, self.address).ver
 
     async def put_object(self, name: str, body: bytes) -> None:
         """Store an object under a new name.
@@ -239,9 +273,10 @@
         """
         request = FetchRequest(b'GET', _object_target('get', name))
         try:
-            return await self._call(self.address, request, CALL_TIMEOUT_MS)
+            answer = await self._call(self.address, request, CALL_TIMEOUT_MS)
         except NotFoundError:
             return None
+        return answer.body
 
     async def list_objects(self, prefix: str, limit: int) -> tuple[str, ...]:
         """Return up to `limit` object names that start with a prefix, sorted.
@@ -255,12 +290,12 @@
         query = {'path_prefix': prefix}
         while True:
             target = f'/api/blob-list?{urlencode(query)}'.encode()
-            body = await self._call(
+            answer = await self._call(
                 self.address,
                 FetchRequest(b'GET', target),
                 CALL_TIMEOUT_MS,
             )
-            page = _decode(body, _WireNames, self.address)
+            page = _decode(answer.body, _WireNames, self.address)
             names.extend(page.names)
             if not page.has_more or not page.names or len(names) >= limit:
                 return tuple(names[:limit])
@@ -269,7 +304,7 @@
     async def read_changes(
         self,
         table: str,
-        after: int,
+        after: StoreVersion,
         wait_ms: int,
     ) -> ReadResult:
         """Return the rows changed after a version.
@@ -279,7 +314,8 @@
         Raises
         ------
         HistoryLostError
-            If the store no longer keeps changes as old as `after`.
+            If the store no longer keeps changes as old as `after`, or came back
+            older since then.
         StoreCallError
             If the store did not answer as expected.
         """
@@ -288,18 +324,26 @@
             _FeedPoll(table, after, wait_ms),
             POLL_TIMEOUT_MARGIN_MS + wait_ms,
         )
+        if page.era != after.era:
+            raise HistoryLostError(
+                f'{table}: era {page.era}, expected {after.era}',
+                step=Step.STORE,
+                peer=self.address,
+            )
         return _read_result(page, after)
 
     async def read_relayed_changes(
         self,
         peer: str,
         table: str,
-        after: int,
+        after: StoreVersion,
         wait_ms: int,
         age_max_ms: float,
     ) -> ReadResult:
         """Return the changes that another entry read from the store.
 
+        If the entry knows a newer era, the whole table is returned.
+
         Parameters
         ----------
         age_max_ms
@@ -311,7 +355,8 @@
             If the entry does not keep changes as old as `after`.
         StoreCallError
             If the entry did not answer as expected, itself follows another
-            entry, or its changes were confirmed longer ago than `age_max_ms`.
+            entry, its changes were confirmed longer ago than `age_max_ms`, or
+            they are of an older era than is known here.
         """
         page = await self._poll_feed(
             peer,
@@ -325,6 +370,12 @@
                 step=Step.STORE,
                 peer=peer,
             )
+        if page.era != after.era and not page.is_whole:
+            raise HistoryLostError(
+                f'{table}: changes of era {page.era}, expected {after.era}',
+                step=Step.STORE,
+                peer=peer,
+            )
         return _read_result(page, after)
 
     async def put(self, table: str, key: str, payload: bytes) -> None:
@@ -343,8 +394,8 @@
         expected: Sequence[_WireFields] = (),
         puts: Sequence[_WireFields] = (),
         removed: Sequence[_WireFields] = (),
-    ) -> bytes:
-        """Change rows in one transaction and return the answer's body."""
+    ) -> _StoreAnswer:
+        """Change rows in one transaction and return the answer."""
         changes = {'expected_rev': expected, 'puts': puts, 'remove': removed}
         return await self._call(
             self.address,
@@ -362,9 +413,11 @@
     ) -> WireRows:
         query = {
             'table': feed.table,
-            'after': str(feed.after),
+            'after': str(feed.after.number),
             'wait_ms': str(feed.wait_ms),
         }
+        if address != self.address:
+            query['era'] = str(feed.after.era)
         return await self._request_rows(address, 'rows-feed', query, timeout_ms)
 
     async def _request_rows(
@@ -375,23 +428,33 @@
         timeout_ms: float,
     ) -> WireRows:
         target = f'/api/{call}?{urlencode(query)}'.encode()
-        body = await self._call(
+        answer = await self._call(
             address, FetchRequest(b'GET', target), timeout_ms
         )
-        return _decode(body, WireRows, address)
+        page = _decode(answer.body, WireRows, address)
+        if address == self.address:
+            return msgspec.structs.replace(page, era=answer.era)
+        try:
+            self.eras.observe(page.era)
+        except EraError as error:
+            raise StoreCallError(
+                str(error), step=Step.STORE, peer=address
+            ) from error
+        return page
 
     async def _call(
         self,
         address: str,
         request: FetchRequest,
         timeout_ms: float,
-    ) -> bytes:
+    ) -> _StoreAnswer:
         if address == self.address:
             self.call_count += 1
         target = request.target.decode()
         try:
             fetched = await fetch(self.pool, address, request, timeout_ms)
-        except ConnectionError as error:
+            era = self.eras.read(fetched.headers)
+        except (ConnectionError, EraError) as error:
             raise StoreCallError(
                 str(error), step=Step.STORE, peer=address
             ) from error
@@ -399,7 +462,7 @@
             error_type = _ERROR_BY_STATUS.get(fetched.status, StoreCallError)
             message = f'{target}: status {fetched.status}, expected {_OK}'
             raise error_type(message, step=Step.STORE, peer=address)
-        return fetched.body
+        return _StoreAnswer(fetched.body, era)
 
 
 _ERROR_BY_STATUS: dict[int, type[StoreCallError]] = {
@@ -430,21 +493,27 @@
     return f'/api/blob-{call}/{quote(name, safe="")}'.encode()
 
 
-def _read_result(page: WireRows, after: int) -> ReadResult:
-    rows = tuple(_decode_rows(page.rows))
-    return ReadResult(rows, max(page.ver, after), page.age_ms)
+def _read_result(page: WireRows, after: StoreVersion) -> ReadResult:
+    return ReadResult(
+        tuple(_decode_rows(page)),
+        max(StoreVersion(page.era, page.ver), after),
+        page.age_ms,
+        page.is_whole,
+        page.is_settled,
+    )
 
 
-def _decode_rows(wire_rows: Sequence[WireRow]) -> list[StoredRow]:
-    return [_decode_row(wire_row) for wire_row in wire_rows]
+def _decode_rows(page: WireRows) -> list[StoredRow]:
+    return [_decode_row(wire_row, page.era) for wire_row in page.rows]
 
 
-def _decode_row(wire_row: WireRow) -> StoredRow:
+def _decode_row(wire_row: WireRow, era: int) -> StoredRow:
+    version = StoreVersion(era, wire_row.ver)
     if wire_row.deleted:
-        return StoredRow(wire_row.key, None, wire_row.ver)
+        return StoredRow(wire_row.key, None, version)
     try:
         payload = base64.b64decode(wire_row.encoded)
     except (binascii.Error, ValueError):
         # Other writers may store anything; invalid base64 counts as empty.
         payload = b''
-    return StoredRow(wire_row.key, payload, wire_row.ver)
+    return StoredRow(wire_row.key, payload, version)
--- a/bergamotthread/platform/tables.py
+++ b/bergamotthread/platform/tables.py
@@ -167,7 +167,7 @@
 
 def _rows(stored: tuple[StoredRow, ...]) -> tuple[Row, ...]:
     return tuple(
-        Row(row.key, row.payload or b'', row.version) for row in stored
+        Row(row.key, row.payload or b'', row.version.number) for row in stored
     )
 
 
--- a/bergamotthread/process/relay/feed_sources.py
+++ b/bergamotthread/process/relay/feed_sources.py
@@ -89,6 +89,14 @@
         if source is None:
             self._store_failed_ms_by_table.pop(table, None)
 
+    def forget_failures(self) -> None:
+        """End all backoffs, since an outage of the store has ended.
+
+        During it, all entries sent data that was too old.
+        """
+        self._failed_ms_by_host.clear()
+        self._store_failed_ms_by_table.clear()
+
     def _is_store_failing(self, table: str) -> bool:
         failed_ms = self._store_failed_ms_by_table.get(table)
         if failed_ms is None:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -72,6 +72,8 @@
         Whether to carry out calls but reset the connection before the answer.
     lost_writes
         Number of coming writes that are carried out but whose answer is lost.
+    era
+        Sent as `store-era` in every answer; rises with each `restore`.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -82,9 +84,11 @@
         self.late_ms = float(0)
         self.loses_answers = False
         self.lost_writes = 0
+        self.era = 0
         self.calls: list[str] = []
         self._row_by_key: dict[tuple[str, str], Row] = {}
         self._changes: list[Row] = []
+        self._all_changes: list[Row] = []
         self._object_by_name: dict[str, bytes] = {}
         self._news = asyncio.Event()
 
@@ -103,13 +107,29 @@
         self._changes.clear()
         self.kept_from = self.ver
 
+    def restore(self, ver: int) -> None:
+        """Return to the state as of version `ver`, in the next era.
+
+        Later versions are given out again. Objects stay.
+        """
+        self._all_changes = [row for row in self._all_changes if row.ver <= ver]
+        self._changes = [row for row in self._changes if row.ver <= ver]
+        self._row_by_key = {}
+        for row in self._all_changes:
+            self._apply(row)
+        self.kept_from = min(self.kept_from, ver)
+        self.ver = ver
+        self.era += 1
+        self._wake()
+
     async def answer(self, exchange: Exchange) -> None:
         """Answer one call."""
+        headers = ((b'store-era', b'%d' % self.era),)
         path, _, query = exchange.request.target.decode().partition('?')
         query_fields = dict(parse_qsl(query, keep_blank_values=True))
         self.calls.append(path)
         if self.status:
-            exchange.respond(self.status, ())
+            exchange.respond(self.status, headers)
             return
         body = exchange.request.body
         if path.startswith('/api/blob-'):
@@ -117,12 +137,13 @@
         else:
             status, rows = await self._answer_rows(path, query_fields, body)
             payload = json.dumps(rows).encode()
+        headers = ((b'store-era', b'%d' % self.era),)
         if self.late_ms:
             await self.clock.sleep_ms(self.late_ms)
         if self.loses_answers or self._loses(exchange.request.method):
             exchange.abort()
         else:
-            exchange.respond(status, (), payload)
+            exchange.respond(status, headers, payload)
 
     def _loses(self, method: bytes) -> bool:
         is_lost = method != b'GET' and self.lost_writes > 0
@@ -214,7 +235,7 @@
         table = query_fields['table']
         end_ms = self.clock.now_ms() + int(query_fields['wait_ms'])
         while True:
-            if after < self.kept_from:
+            if not self.kept_from <= after <= self.ver:
                 return None
             rows = [
                 row
@@ -234,10 +255,17 @@
     def _change(self, row: Row) -> None:
         self.ver = row.ver
         self._changes.append(row)
+        self._all_changes.append(row)
+        self._apply(row)
+        self._wake()
+
+    def _apply(self, row: Row) -> None:
         if row.payload is None:
             self._row_by_key.pop((row.table, row.key), None)
         else:
             self._row_by_key[row.table, row.key] = row
+
+    def _wake(self) -> None:
         self._news.set()
         self._news = asyncio.Event()
 
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bergamotthread.platform.store import StoreCallError
+from bergamotthread.platform.store_version import StoreVersion
 from bergamotthread.process.relay.choice import RelayPlacementRequest
 from bergamotthread.request.relay.attempt import BUFFERED_RESPONSE_BYTES_MAX
 from bergamotthread.request.relay.events import EVENT_BYTES_MAX
@@ -848,11 +849,11 @@
         client = deployment.entries[2]._store
         with pytest.raises(StoreCallError, match='direct: False'):
             await client.read_relayed_changes(
-                '10.1.0.2:7001', 'servers', 10, 10, 5000
+                '10.1.0.2:7001', 'servers', StoreVersion(0, 10), 10, 5000
             )
         with pytest.raises(StoreCallError, match='ms old'):
             await client.read_relayed_changes(
-                '10.1.0.3:7001', 'servers', 10, 10, -1
+                '10.1.0.3:7001', 'servers', StoreVersion(0, 10), 10, -1
             )
 
     run_in_memory(check())
