Soak: the store is restored, and runners leave without a word in their row

restore-store returns the store to its state of up to 3 s ago, sometimes twice and sometimes while entries are cut from it; the operator and the runners write their rows again 1 s later. leave-runner says so in the answers alone, serves for 4 s or more, then ends and starts again as another process.

Faults of runners are a module of their own.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,20 +8,23 @@
 from typing import TypeVar
 
 from soak.deployment import EntryNode, RunnerNode, SoakDeployment
-from soak.orders import RunnerOrder, StoreOrder, encode_order
+from soak.orders import StoreOrder
 from soak.plan import Fault, FaultKind
-from soak.programs import Program
 from soak.records import EntryKill, PlannedStop
+from soak.runner_faults import ON_RUNNER
 from standins.platform_settings import GRACE_S
 
 # Time until the balancer removes a stopping process from its rotation: it
 # probes each second and removes a process after two failed probes.
 BALANCER_REMOVAL_S = 2.0
 OUT_AFTER_KILL_S = 0.5
-# Time after which the platform removes the row of a runner that has ended.
-LAPSE_S = 2.0
 LATE_STORE_MS = 700
-LINK_DELAY_MS = 150
+RESTORED_AGE_S_MAX = 3.0
+# Time after which the operator and the runners write again what they wrote
+# to the store before it was restored.
+REWRITE_S = 1.0
+
+_MS_PER_S = 1000
 
 _Node = TypeVar('_Node', EntryNode, RunnerNode)
 
@@ -33,12 +36,9 @@
         FaultKind.STOP_ENTRY,
         FaultKind.KILL_RUNNER,
         FaultKind.DRAIN_RUNNER,
+        FaultKind.LEAVE_RUNNER,
     ),
 )
-_RUNNER_ORDERS = {
-    FaultKind.REFUSE_RUNNER: RunnerOrder(not_run=True),
-    FaultKind.STALL_RUNNER: RunnerOrder(stalls_after=20),
-}
 _STORE_ORDERS = {
     FaultKind.BUSY_STORE: StoreOrder(status=503),
     FaultKind.LATE_STORE: StoreOrder(late_ms=LATE_STORE_MS),
@@ -49,7 +49,7 @@
 async def play_fault(soak: SoakDeployment, fault: Fault) -> None:
     """Play a fault and return once it is over."""
     on_entry = _ON_ENTRY.get(fault.kind)
-    on_runner = _ON_RUNNER.get(fault.kind)
+    on_runner = ON_RUNNER.get(fault.kind)
     if on_entry is not None:
         await _strike_node(soak, soak.entries[fault.target], fault, on_entry)
     elif on_runner is not None:
@@ -126,7 +126,7 @@
 async def _pause_entry(
     soak: SoakDeployment, entry: EntryNode, fault: Fault
 ) -> None:
-    await _pause(entry.program, fault.for_s)
+    await entry.program.pause(fault.for_s)
 
 
 async def _reload_entry(
@@ -143,69 +143,6 @@
     entry.store_link.heal()
 
 
-async def _kill_runner(
-    soak: SoakDeployment, runner: RunnerNode, fault: Fault
-) -> None:
-    ended_instance = runner.instance
-    runner.program.signal(signal.SIGKILL)
-    await runner.program.wait()
-    await asyncio.sleep(min(fault.for_s, LAPSE_S))
-    await soak.order_store(StoreOrder('servers', ended_instance))
-    await asyncio.sleep(max(fault.for_s - LAPSE_S, 0))
-    await soak.start_runner(runner)
-
-
-async def _pause_runner(
-    soak: SoakDeployment, runner: RunnerNode, fault: Fault
-) -> None:
-    await _pause(runner.program, fault.for_s)
-
-
-async def _drain_runner(
-    soak: SoakDeployment, runner: RunnerNode, fault: Fault
-) -> None:
-    await soak.list_runner(runner, 'draining')
-    await asyncio.sleep(fault.for_s)
-    await soak.list_runner(runner, 'ready')
-
-
-async def _reset_link(
-    soak: SoakDeployment, runner: RunnerNode, fault: Fault
-) -> None:
-    runner.link.reset_all()
-
-
-async def _delay_link(
-    soak: SoakDeployment, runner: RunnerNode, fault: Fault
-) -> None:
-    runner.link.delay_ms = LINK_DELAY_MS
-    await asyncio.sleep(fault.for_s)
-    runner.link.heal()
-
-
-async def _cut_link(
-    soak: SoakDeployment,
-    runner: RunnerNode,
-    fault: Fault,
-) -> None:
-    is_up = fault.kind is FaultKind.CUT_LINK_UP
-    direction = runner.link.up if is_up else runner.link.down
-    direction.is_open.clear()
-    await asyncio.sleep(fault.for_s)
-    runner.link.heal()
-
-
-async def _order_runner(
-    soak: SoakDeployment,
-    runner: RunnerNode,
-    fault: Fault,
-) -> None:
-    order = _RUNNER_ORDERS[fault.kind]
-    await runner.program.order(encode_order(order))
-    await asyncio.sleep(fault.for_s)
-    await runner.program.order(encode_order(RunnerOrder()))
-
-
 async def _trouble_store(soak: SoakDeployment, fault: Fault) -> None:
     await soak.order_store(_STORE_ORDERS[fault.kind])
     await asyncio.sleep(fault.for_s)
@@ -213,13 +150,28 @@
 
 
 async def _pause_store(soak: SoakDeployment, fault: Fault) -> None:
-    await _pause(soak.store, fault.for_s)
+    await soak.store.pause(fault.for_s)
 
 
 async def _forget_history(soak: SoakDeployment, fault: Fault) -> None:
     await soak.order_store(StoreOrder(forgets=True))
 
 
+async def _restore_store(soak: SoakDeployment, fault: Fault) -> None:
+    """Restore an older state, also twice and while entries are cut from it."""
+    cut = soak.entries[: fault.target % 3]
+    for entry in cut:
+        entry.store_link.down.is_open.clear()
+    age_s = min(fault.for_s, RESTORED_AGE_S_MAX)
+    for _ in range(1 + fault.target % 2):
+        await soak.order_store(StoreOrder(restored_age_ms=age_s * _MS_PER_S))
+        await asyncio.sleep(REWRITE_S)
+        await soak.rewrite_rows()
+    await asyncio.sleep(max(fault.for_s - RESTORED_AGE_S_MAX, 0))
+    for entry in cut:
+        entry.store_link.heal()
+
+
 async def _publish_route(soak: SoakDeployment, fault: Fault) -> None:
     await soak.publish(path=f'/added-{soak.version}/')
 
@@ -229,14 +181,7 @@
         await soak.publish(revoked=soak.keys[-1])
 
 
-async def _pause(program: Program, for_s: float) -> None:
-    program.signal(signal.SIGSTOP)
-    await asyncio.sleep(for_s)
-    program.signal(signal.SIGCONT)
-
-
 _OnEntry = Callable[[SoakDeployment, EntryNode, Fault], Awaitable[None]]
-_OnRunner = Callable[[SoakDeployment, RunnerNode, Fault], Awaitable[None]]
 _OnStore = Callable[[SoakDeployment, Fault], Awaitable[None]]
 
 _ON_ENTRY: dict[FaultKind, _OnEntry] = {
@@ -246,23 +191,13 @@
     FaultKind.RELOAD_ENTRY: _reload_entry,
     FaultKind.CUT_STORE_LINK: _cut_store_link,
 }
-_ON_RUNNER: dict[FaultKind, _OnRunner] = {
-    FaultKind.KILL_RUNNER: _kill_runner,
-    FaultKind.PAUSE_RUNNER: _pause_runner,
-    FaultKind.REFUSE_RUNNER: _order_runner,
-    FaultKind.STALL_RUNNER: _order_runner,
-    FaultKind.DRAIN_RUNNER: _drain_runner,
-    FaultKind.RESET_LINK: _reset_link,
-    FaultKind.DELAY_LINK: _delay_link,
-    FaultKind.CUT_LINK_UP: _cut_link,
-    FaultKind.CUT_LINK_DOWN: _cut_link,
-}
 _ON_STORE: dict[FaultKind, _OnStore] = {
     FaultKind.PAUSE_STORE: _pause_store,
     FaultKind.BUSY_STORE: _trouble_store,
     FaultKind.LATE_STORE: _trouble_store,
     FaultKind.LOSE_STORE_ANSWERS: _trouble_store,
     FaultKind.FORGET_HISTORY: _forget_history,
+    FaultKind.RESTORE_STORE: _restore_store,
     FaultKind.PUBLISH_ROUTE: _publish_route,
     FaultKind.REVOKE_KEY: _revoke_key,
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -20,6 +20,7 @@
     REFUSE_RUNNER = 'refuse-runner'
     STALL_RUNNER = 'stall-runner'
     DRAIN_RUNNER = 'drain-runner'
+    LEAVE_RUNNER = 'leave-runner'
     RESET_LINK = 'reset-link'
     DELAY_LINK = 'delay-link'
     CUT_LINK_UP = 'cut-link-up'
@@ -30,6 +31,7 @@
     LATE_STORE = 'late-store'
     LOSE_STORE_ANSWERS = 'lose-store-answers'
     FORGET_HISTORY = 'forget-history'
+    RESTORE_STORE = 'restore-store'
     PUBLISH_ROUTE = 'publish-route'
     REVOKE_KEY = 'revoke-key'
 
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -65,6 +65,12 @@
         if self.process is not None and self.is_running:
             self.process.send_signal(number)
 
+    async def pause(self, for_s: float) -> None:
+        """Stop the process for some seconds without ending it."""
+        self.signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        self.signal(signal.SIGCONT)
+
     async def order(self, line: bytes) -> None:
         """Write a line to the standard input of the process."""
         if self.process is None or self.process.stdin is None:
--- a/soak/runner_process.py
+++ b/soak/runner_process.py
@@ -3,7 +3,8 @@
 Usage: ``python -m soak.runner_process ADDRESS INSTANCE [WORK_MS]``, where
 ``WORK_MS`` is the run time of a plain request. The process writes a line when a
 run starts and another when it ends, so that a soak also knows of runs during
-which the process was killed.
+which the process was killed. It also writes a line for each request whose
+answer says that the runner leaves, and for each that it refuses for some time.
 """
 
 from __future__ import annotations
@@ -19,6 +20,8 @@
 
 STARTED = 'started'
 ENDED = 'ended'
+LEAVING = 'leaving'
+PAUSED = 'paused'
 
 
 class ReportingRunner(RunnerStandIn):
@@ -47,10 +50,16 @@
         name = source.rpartition(b'/')[2]
         return name == seen.request_id and crc32(name) % 2 == 0
 
-    def _tell(self, event: str, seen: Seen) -> None:
+    async def _serve(self, exchange: Exchange, seen: Seen) -> None:
+        if self.script.leaving:
+            self._tell(LEAVING, seen)
+        await super()._serve(exchange, seen)
+
+    def _tell(self, event: str, seen: Seen, *more: str) -> None:
         now_ms = self.clock.now_ms()
         name = seen.request_id.decode()
-        sys.stdout.write(f'{event} {name} {now_ms:.1f}\n')
+        line = ' '.join((event, name, f'{now_ms:.1f}', *more))
+        sys.stdout.write(f'{line}\n')
         sys.stdout.flush()
 
 
@@ -66,6 +75,7 @@
         runner.script.not_run = order.not_run
         runner.script.stalls_after = order.stalls_after
         runner.script.comment = order.comment
+        runner.script.leaving = order.leaving
         # Requests seen were reported already; clearing them bounds the memory
         # of a long soak.
         runner.seen.clear()
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -15,7 +15,7 @@
 import psutil
 import pytest
 
-from soak import answer_checks, system_checks
+from soak import answer_checks, notice_checks, system_checks
 from soak.checks import findings_of
 from soak.plan import Fault, FaultKind, Plan
 from soak.records import Ending, Kind
@@ -23,8 +23,10 @@
 
 _FAULTS = (
     Fault(1.0, FaultKind.PUBLISH_ROUTE, 0, 1),
+    Fault(1.0, FaultKind.LEAVE_RUNNER, 5, 0.2),
     Fault(1.5, FaultKind.KILL_RUNNER, 0, 1),
     Fault(2.0, FaultKind.RESET_LINK, 1, 1),
+    Fault(2.3, FaultKind.RESTORE_STORE, 1, 1),
     Fault(2.5, FaultKind.BUSY_STORE, 0, 1),
     Fault(3.0, FaultKind.KILL_ENTRY, 0, 0.2),
     Fault(3.5, FaultKind.CUT_LINK_DOWN, 3, 1),
@@ -36,6 +38,7 @@
     answer_checks.check_once,
     answer_checks.check_not_run,
     system_checks.check_reverts,
+    notice_checks.check_leaving,
 )
 
 # Runs a soak that gets SIGTERM within the start of its n-th child process: the
