Platform: a lost stream does not resume at a holder that drains

Cause: a copy counted as usable while its holder was listed and not lost, also when the holder's row said draining. A stream that was lost long after the entry knew of the drain sent its resume there, against the bound on drains.

Change: a copy is usable only while its holder accepts requests.

--- a/bergamotthread/request/relay/copies.py
+++ b/bergamotthread/request/relay/copies.py
@@ -154,7 +154,7 @@
             return 'its holder has gone'
         if directory.is_lost(copy.holder):
             return 'its holder is lost'
-        if copy.holder.is_leaving:
+        if not copy.holder.accepts_requests:
             return 'its holder is leaving'
         return ''
 
--- a/tests/test_upstream_leaving.py
+++ b/tests/test_upstream_leaving.py
@@ -21,7 +21,7 @@
     UpstreamState,
 )
 from bergamotthread.testing.memory_http import run_in_memory
-from standins.platform_runner import LEAVING, PLAIN, REQUEST_ID, SEAL
+from standins.platform_runner import LEAVING, MODEL, PLAIN, REQUEST_ID, SEAL
 from standins.platform_runner import runner_row as row_of
 from tests.platform_standins import Deployment
 
@@ -443,3 +443,27 @@
         assert 'relay_upstreams_leaving 2' in metrics
 
     run_in_memory(check())
+
+
+def test_lost_stream_does_not_resume_at_a_holder_whose_row_says_draining():
+    """The holder got a request long after the entry knew of its drain."""
+
+    async def check():
+        deployment = await Deployment.start()
+        task = asyncio.create_task(deployment.call('/stream/x'))
+        await deployment.clock.sleep_ms(1000)
+        [runner] = [model for model in deployment.models if model.seen]
+        holder, third = _holder_and_third(deployment, runner)
+        holder.script.copies = {f'{holder.address}/r1'}
+        third.script.copies = {f'{runner.address}/h1'}
+        row = row_of(holder.address, MODEL, 'a-1', state='draining', born=1)
+        deployment.store.put('servers', holder.instance, row)
+        await deployment.clock.sleep_ms(ROWS_SETTLE_MS)
+        runner.kill()
+        answer = await task
+        assert answer.is_whole
+        assert answer.longest_pause_ms < 700
+        assert not holder.seen
+        assert len(third.seen) == 1
+
+    run_in_memory(check())
