Platform: an upstream that asks for a pause gets nothing until it ends

UpstreamDirectory keeps the pause by incarnation and lists no upstream that is held, so choice, room and gates see it without room. Attempt checks again just before it writes. After a pause, requests return in steps whose sum over all entries starts at a fraction of the upstream's slots. If all upstreams of a service are held past the time for placement, the entry refuses at once. Such a 503 is no failure besides.

--- a/bergamotthread/connection/http/fetch.py
+++ b/bergamotthread/connection/http/fetch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bergamotthread.connection.http.messages import (
@@ -31,10 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchResponse:
-    """Status and body of the answer to a short call."""
+    """Answer to a short call."""
 
     status: int
     body: bytes
+    headers: tuple[Header, ...] = ()
+
+
+def _always() -> bool:
+    return True
 
 
 async def fetch(
@@ -42,6 +48,7 @@
     address: str,
     request: FetchRequest,
     timeout_ms: float,
+    may_send: Callable[[], bool] = _always,
 ) -> FetchResponse:
     """Send a request and return the answer.
 
@@ -49,16 +56,20 @@
     ----------
     timeout_ms
         Maximum time between two items of the answer, or before the first.
+    may_send
+        Whether the request may be sent; asked once the connection is open.
 
     Raises
     ------
     ConnectionError
-        If the connection can't be opened or no complete answer arrives in
-        time.
+        If the connection can't be opened, the request may not be sent, or no
+        complete answer arrives in time.
     """
     connection = await pool.acquire(address)
     host = (b'host', address.encode())
     try:
+        if not may_send():
+            raise ConnectionError(f'{address}: no request may be sent now')
         encoded = encode_request(
             request.method,
             request.target,
@@ -76,15 +87,16 @@
     timeout_ms: float,
 ) -> FetchResponse:
     status = 0
+    headers: tuple[Header, ...] = ()
     body: list[bytes] = []
     answer_item: AnswerItem | None = None
     while not isinstance(answer_item, AnswerEnd):
         answer_item = await connection.receive(timeout_ms)
         match answer_item:
-            case AnswerHead(answer_status):
-                status = answer_status
+            case AnswerHead(status, headers):
+                pass
             case AnswerPart(part):
                 body.append(part)
             case AnswerLost() | None:
                 raise ConnectionError(f'{connection.address}: {answer_item}')
-    return FetchResponse(status, b''.join(body))
+    return FetchResponse(status, b''.join(body), headers)
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -37,6 +37,8 @@
 from bergamotthread.process.relay.freshness import VersionFreshness
 from bergamotthread.process.relay.life_cycle import LifeCycle
 from bergamotthread.process.relay.liveness import LivenessWatch
+from bergamotthread.process.relay.pause_recorder import PauseRecorder
+from bergamotthread.process.relay.pauses import UpstreamPauses
 from bergamotthread.process.relay.plain_gate import PlainGate
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.repeat_budget import (
@@ -93,7 +95,10 @@
         self._life_cycle = LifeCycle(clock, settings.stop_grace_ms)
         self._freshness = VersionFreshness(clock, settings.revoke_bound_ms)
         self._pool = UpstreamPool(clock, PLATFORM_DIALECT.request_id)
-        self._directory = UpstreamDirectory(clock)
+        self._directory = UpstreamDirectory(
+            clock,
+            pauses=UpstreamPauses(self._rng, lambda: len(self._feeds)),
+        )
         self._store = PlatformStoreClient(settings.store_address, self._pool)
         self._feeds = FeedSources(clock, settings.host, settings.region)
         self._parts = self._make_relay_parts()
@@ -235,6 +240,11 @@
                 'Upstreams that the store lists.',
                 lambda: len(self._directory),
             ),
+            (
+                'relay_upstreams_paused',
+                'Upstreams that asked for a pause that has not ended.',
+                self._directory.paused_count,
+            ),
             (
                 'relay_queued',
                 'Requests that wait for a plain service.',
@@ -269,7 +279,9 @@
 
     def _make_relay_parts(self) -> RelayParts:
         settings = self._settings
-        runners = RunnerClient(self._pool, self._clock)
+        metrics = RelayMetrics.from_clock(self._clock)
+        pauses = PauseRecorder(self._directory, self._log, metrics)
+        runners = RunnerClient(self._pool, self._clock, pauses)
         return RelayParts(
             clock=self._clock,
             pool=self._pool,
@@ -294,10 +306,11 @@
                 self._directory,
                 runners.report,
             ),
+            pauses=pauses,
             kv_cache=runners,
             header_names=PLATFORM_DIALECT,
             log=self._log,
-            metrics=RelayMetrics.from_clock(self._clock),
+            metrics=metrics,
         )
 
     def _make_watches(self) -> _Watches:
--- a/bergamotthread/platform/runner_calls.py
+++ b/bergamotthread/platform/runner_calls.py
@@ -8,10 +8,15 @@
 from absl import logging
 
 from bergamotthread.clock import Clock
-from bergamotthread.connection.http.fetch import FetchRequest, fetch
+from bergamotthread.connection.http.fetch import (
+    FetchRequest,
+    FetchResponse,
+    fetch,
+)
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.runner_rows import decode_report
 from bergamotthread.process.relay.liveness import UPSTREAM_PROBE_TIMEOUT_MS
+from bergamotthread.process.relay.pause_recorder import PauseRecorder
 from bergamotthread.process.relay.upstreams import LoadReport, Upstream
 from bergamotthread.request.relay.engine_memory import EngineKvCache
 
@@ -31,13 +36,21 @@
 
 @dataclass(frozen=True)
 class RunnerClient(EngineKvCache):
-    """Calls runners over pooled connections."""
+    """Calls runners over pooled connections.
+
+    A runner that asked for a pause gets only the load reports that
+    `LivenessWatch` still allows.
+    """
 
     pool: UpstreamPool
     clock: Clock
+    pauses: PauseRecorder
 
     async def report(self, upstream: Upstream) -> LoadReport | None:
-        """Return an upstream's current load, or None if it can't be read."""
+        """Return an upstream's current load, or None if it can't be read.
+
+        A runner that answers with a request for a pause is alive.
+        """
         try:
             fetched = await fetch(
                 self.pool,
@@ -52,6 +65,9 @@
                 error,
             )
             return None
+        if self._record_pause(upstream, fetched):
+            self.pauses.directory.record_heard(upstream)
+            return None
         return decode_report(fetched.body, self.clock.now_ms())
 
     async def copy(
@@ -74,9 +90,8 @@
             'last': False,
         }
         try:
-            fetched = await fetch(
-                self.pool,
-                source.address,
+            fetched = await self._fetch(
+                source,
                 FetchRequest(
                     b'POST', b'/api/kv-move', msgspec.json.encode(copy_request)
                 ),
@@ -108,11 +123,8 @@
         """
         target = f'/api/kv-handle/{copy_id.rpartition("/")[2]}'.encode()
         try:
-            await fetch(
-                self.pool,
-                source.address,
-                FetchRequest(b'DELETE', target),
-                COPY_TIMEOUT_MS,
+            await self._fetch(
+                source, FetchRequest(b'DELETE', target), COPY_TIMEOUT_MS
             )
         except ConnectionError as error:
             # The target frees the copy itself, some time after its last part
@@ -127,9 +139,8 @@
         The number is 0 if there are none or if they can't be read.
         """
         try:
-            fetched = await fetch(
-                self.pool,
-                upstream.address,
+            fetched = await self._fetch(
+                upstream,
                 FetchRequest(b'GET', b'/api/kv-list'),
                 UPSTREAM_PROBE_TIMEOUT_MS,
             )
@@ -147,3 +158,33 @@
             for _, name, tokens, _ in cached.held
             if name.lower() == part_name
         )
+
+    async def _fetch(
+        self, upstream: Upstream, request: FetchRequest, timeout_ms: float
+    ) -> FetchResponse:
+        """Call a runner that is not paused.
+
+        Raises
+        ------
+        ConnectionError
+            If it is paused, or as `fetch` does.
+        """
+        directory = self.pauses.directory
+        if directory.is_paused(upstream):
+            raise ConnectionError(f'{upstream.address} asked for a pause')
+        fetched = await fetch(
+            self.pool,
+            upstream.address,
+            request,
+            timeout_ms,
+            lambda: not directory.is_paused(upstream),
+        )
+        self._record_pause(upstream, fetched)
+        return fetched
+
+    def _record_pause(
+        self, upstream: Upstream, fetched: FetchResponse
+    ) -> float:
+        return self.pauses.record_answer(
+            upstream, fetched.status, fetched.headers
+        )
--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -141,12 +141,15 @@
         admitted before queued requests.
 
         A copy takes memory from prompts that wait, so no prompt may wait at a
-        holder, and `COPY_KV_FRACTION_MAX` of its KV cache may be in use.
+        holder, and `COPY_KV_FRACTION_MAX` of its KV cache may be in use. Copies
+        are not counted among the requests that return in steps after a pause,
+        so they wait until the steps are over.
         """
         with_room = (
             upstream
             for upstream in upstreams
             if _has_room_for_copy(upstream, copy_tokens)
+            and not self.directory.is_returning(upstream)
         )
         return min(with_room, key=self._copy_holder_cost_ms, default=None)
 
--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -24,6 +24,10 @@
 # The same during prefill, where the target for the first event leaves more time
 # than the allowed pause.
 PREFILL_SILENCE_MS = 200
+# The same for both while the upstream is paused, where few probes are allowed:
+# longer than prefill of other prompts delays events, and short enough for the
+# stream to resume elsewhere within the longest allowed pause.
+PAUSED_SILENCE_MS = 400
 # Opening a connection and one round trip between regions take 120 ms.
 UPSTREAM_PROBE_TIMEOUT_MS = 190
 
@@ -60,6 +64,8 @@
         silence_ms: float = STREAM_SILENCE_MS,
     ) -> bool:
         """Return whether an upstream sent bytes recently or answers a probe."""
+        if self.directory.is_paused(upstream):
+            silence_ms = max(silence_ms, PAUSED_SILENCE_MS)
         if self.clock.now_ms() - upstream.heard_ms < silence_ms:
             return True
         return await self.check(upstream)
@@ -70,11 +76,14 @@
         Returns
         -------
         bool
-            Whether the upstream is alive.
+            Whether the upstream is alive, as far as known: while it is paused,
+            few probes are allowed.
         """
         instance = upstream.record.instance
         task = self._probe_by_instance.get(instance)
         if task is None:
+            if not self.directory.admit_probe(upstream):
+                return True
             task = asyncio.create_task(self._probe(upstream))
             self._probe_by_instance[instance] = task
             task.add_done_callback(
@@ -85,18 +94,22 @@
     async def refresh_report(self, upstream: Upstream) -> bool:
         """Probe an upstream unless its load report is recent.
 
-        An upstream that does not answer the probe is marked lost.
+        An upstream that does not answer the probe is marked lost. One that is
+        paused can't take a request and is not probed.
 
         Returns
         -------
         bool
-            Whether the upstream is alive.
+            Whether the upstream is alive and not paused.
         """
+        if self.directory.is_paused(upstream):
+            return False
         report = upstream.report
         now_ms = self.clock.now_ms()
         if report is not None and now_ms - report.at_ms < REPORT_AGE_MAX_MS:
             return True
-        return await self.check(upstream)
+        is_alive = await self.check(upstream)
+        return is_alive and not self.directory.is_paused(upstream)
 
     def check_in_background(self, upstream: Upstream) -> None:
         """Start a probe of an upstream and return at once."""
--- a/bergamotthread/process/relay/relay_metrics.py
+++ b/bergamotthread/process/relay/relay_metrics.py
@@ -33,6 +33,8 @@
         Time that requests to plain services waited in the entry's queue.
     forecast_error_ms
         Difference between the expected and the measured first event.
+    pauses
+        Answers by which upstreams asked for a pause, by service.
     """
 
     registry: Metrics
@@ -44,6 +46,7 @@
     longest_pause_ms: Percentiles
     queue_wait_ms: Percentiles
     forecast_error_ms: Percentiles
+    pauses: LabelledCounter
 
     @classmethod
     def from_clock(cls, clock: Clock) -> RelayMetrics:
@@ -86,4 +89,9 @@
                 'relay_forecast_error_ms',
                 'Difference of expected and measured first event.',
             ),
+            pauses=registry.labelled_counter(
+                'relay_pauses_total',
+                'Answers by which upstreams asked for a pause.',
+                'service',
+            ),
         )
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -11,6 +11,11 @@
 from bergamotthread.clock import Clock
 from bergamotthread.process.overload.run_statistics import RunStatistics
 from bergamotthread.process.relay.hash_ring import HashRing
+from bergamotthread.process.relay.pauses import (
+    Incarnation,
+    Pause,
+    UpstreamPauses,
+)
 
 # Time after which a lost upstream is tried again even if it stayed silent. The
 # store row of an upstream that has ended expires within three intervals of
@@ -66,6 +71,11 @@
     slots: int = 0
     started_ms: int = 0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return what tells this start of the upstream from others."""
+        return Incarnation(self.instance, self.address, self.started_ms)
+
 
 @dataclass(frozen=True, slots=True)
 class RunProgress:
@@ -191,10 +201,13 @@
     ----------
     is_loaded
         Whether the store's list was read completely once.
+    pauses
+        Pauses that the upstreams asked for.
     """
 
     clock: Clock
     is_loaded: bool = False
+    pauses: UpstreamPauses = field(default_factory=UpstreamPauses)
     _upstream_by_instance: dict[str, Upstream] = field(default_factory=dict)
     _instance_by_address: dict[str, str] = field(default_factory=dict)
     _losses_by_domain: dict[str, deque[float]] = field(default_factory=dict)
@@ -304,7 +317,9 @@
     def of_service(self, service: str) -> Iterator[Upstream]:
         """Yield the upstreams of one service that accept new requests."""
         for upstream in self._upstream_by_instance.values():
-            if _accepts_requests(upstream, service):
+            if _accepts_requests(upstream, service) and not self.is_held(
+                upstream
+            ):
                 yield upstream
 
     def by_affinity(self, service: str, key: bytes) -> Iterator[Upstream]:
@@ -315,9 +330,78 @@
         for address in self._ring(service).walk(key):
             instance = self._instance_by_address.get(address, '')
             upstream = self._upstream_by_instance.get(instance)
-            if upstream is not None and _accepts_requests(upstream, service):
+            if (
+                upstream is not None
+                and _accepts_requests(upstream, service)
+                and not self.is_held(upstream)
+            ):
                 yield upstream
 
+    def record_pause(self, upstream: Upstream, asked_ms: float) -> Pause | None:
+        """Record that an upstream asks for a pause; return the pause."""
+        record = upstream.record
+        return self.pauses.record(
+            record.incarnation, asked_ms, self.clock.now_ms(), record.slots
+        )
+
+    def is_paused(self, upstream: Upstream) -> bool:
+        """Return whether an upstream asked for a pause that has not ended."""
+        return self.pauses.is_paused(
+            upstream.record.incarnation, self.clock.now_ms()
+        )
+
+    def is_held(self, upstream: Upstream) -> bool:
+        """Return whether a pause, or the steps after it, allow no request."""
+        return self.is_held_past(upstream, self.clock.now_ms())
+
+    def is_held_past(self, upstream: Upstream, at_ms: float) -> bool:
+        """Return whether an upstream is held until after a time."""
+        return at_ms < self.pauses.opens_ms(upstream.record.incarnation)
+
+    def is_returning(self, upstream: Upstream) -> bool:
+        """Return whether a pause, or the steps after it, have not ended."""
+        ends_ms = self.pauses.ends_ms(upstream.record.incarnation)
+        return self.clock.now_ms() < ends_ms
+
+    def admit(self, upstream: Upstream) -> bool:
+        """Return whether a request may be sent now, and count it if so."""
+        return self.pauses.admit(
+            upstream.record.incarnation, self.clock.now_ms()
+        )
+
+    def admit_probe(self, upstream: Upstream) -> bool:
+        """Return whether a probe may be sent now, and count it if so."""
+        return self.pauses.admit_probe(
+            upstream.record.incarnation, self.clock.now_ms()
+        )
+
+    def paused_count(self) -> int:
+        """Return the number of listed upstreams that are paused."""
+        return sum(map(self.is_paused, self._upstream_by_instance.values()))
+
+    def first_opening(self, service: str) -> Upstream | None:
+        """Return the held upstream of a service that opens first.
+
+        Returns
+        -------
+        Upstream or None
+            None if an upstream of the service is not held, or none is listed.
+        """
+        accepting = [
+            upstream
+            for upstream in self._upstream_by_instance.values()
+            if _accepts_requests(upstream, service)
+        ]
+        if not all(map(self.is_held, accepting)):
+            return None
+        return min(
+            accepting,
+            key=lambda upstream: self.pauses.opens_ms(
+                upstream.record.incarnation
+            ),
+            default=None,
+        )
+
     def record_lost(self, upstream: Upstream) -> None:
         """Mark an upstream lost.
 
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -42,6 +42,7 @@
 MISDIRECTED = 421
 _OK = 200
 _FIRST_REDIRECT = 300
+_HELD = NotSent('the upstream asked for a pause', is_held=True)
 
 
 class Attempt:
@@ -62,6 +63,7 @@
         self.upstream = upstream
         self.parts = parts
         self.sent_ms: float = 0
+        self.pause_ms: float = 0
         self._connection: UpstreamConnection | None = None
         self._is_prefilling = False
 
@@ -90,7 +92,14 @@
             self.upstream.prefill_tokens -= self.call.prompt_tokens
 
     async def send(self, headers: AttemptHeaders) -> NotSent | None:
-        """Send the request; return the outcome if it could not be sent."""
+        """Send the request; return the outcome if it could not be sent.
+
+        The upstream may have asked for a pause since it was chosen, also while
+        the connection was opened.
+        """
+        directory = self.parts.directory
+        if directory.is_held(self.upstream):
+            return _HELD
         may_retry = self.call.route.repeatability.may_retry
         idle_max_ms = IDLE_MAX_MS if may_retry else NON_RETRYABLE_IDLE_MAX_MS
         encoded = encode_attempt(self.call, headers, self.parts.header_names)
@@ -99,9 +108,11 @@
                 self.upstream.address,
                 idle_max_ms,
             )
+            if not directory.admit(self.upstream):
+                return _HELD
             self._connection.send(encoded, self.call.request_id)
         except ConnectFailedError as error:
-            self.parts.directory.record_lost(self.upstream)
+            directory.record_lost(self.upstream)
             return NotSent(str(error))
         except ConnectionError as error:
             return NotSent(str(error))
@@ -116,6 +127,10 @@
         received = await self._connection.receive(timeout_ms)
         if received is not None and not isinstance(received, AnswerLost):
             self.parts.directory.record_heard(self.upstream)
+        if isinstance(received, AnswerHead):
+            self.pause_ms = self.parts.pauses.record_answer(
+                self.upstream, received.status, received.headers
+            )
         return received
 
     def not_run_outcome(self, head: AnswerHead) -> NotRun | None:
@@ -124,7 +139,7 @@
             head.header(self.parts.header_names.not_run) is not None
         )
         if has_not_run_header or head.status == MISDIRECTED:
-            return NotRun(head.status)
+            return NotRun(head.status, self.pause_ms)
         return None
 
     def lacks_signature(self, head: AnswerHead) -> bool:
@@ -188,4 +203,6 @@
         if self._head is None:
             return Broken('an end without a head')
         not_run = self._attempt.not_run_outcome(self._head)
-        return not_run or Answered(self._head, bytes(self._body))
+        return not_run or Answered(
+            self._head, bytes(self._body), self._attempt.pause_ms
+        )
--- a/bergamotthread/request/relay/copies.py
+++ b/bergamotthread/request/relay/copies.py
@@ -82,9 +82,7 @@
         now_ms = self._parts.clock.now_ms()
         if self._task is not None or now_ms < self._next_copy_ms:
             return
-        is_unusable = self._copy is None or bool(
-            self._unusable_reason(self._copy)
-        )
+        is_unusable = self._copy is None or self._must_replace(self._copy)
         if self._is_sent_by_upstream and not is_unusable:
             return
         target = self._choose_holder(make_request())
@@ -147,8 +145,24 @@
             holder.held_tokens += self._prompt_tokens
         self._counted_holder = holder
 
+    def _must_replace(self, copy: KvCacheCopy) -> bool:
+        """Return whether another copy is worth its transfer.
+
+        All streams with a copy at a paused holder would be copied at once, so
+        a pause that ends before a renewal would be due is waited for.
+        """
+        if self._loss_reason(copy):
+            return True
+        soon_ms = self._parts.clock.now_ms() + RECOPY_INTERVAL_MS
+        return self._parts.directory.is_held_past(copy.holder, soon_ms)
+
     def _unusable_reason(self, copy: KvCacheCopy) -> str:
         """Return why a copy can't be used; empty if it is usable."""
+        if self._parts.directory.is_held(copy.holder):
+            return 'its holder asked for a pause'
+        return self._loss_reason(copy)
+
+    def _loss_reason(self, copy: KvCacheCopy) -> str:
         directory = self._parts.directory
         if directory.get(copy.holder.record.instance) is not copy.holder:
             return 'its holder has gone'
--- a/bergamotthread/request/relay/outcomes.py
+++ b/bergamotthread/request/relay/outcomes.py
@@ -2,23 +2,37 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bergamotthread.connection.http.messages import AnswerHead
 
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """The request was not sent, so the upstream did not receive it."""
+    """The request was not sent, so the upstream did not receive it.
+
+    Parameters
+    ----------
+    is_held
+        Whether a pause that the upstream asked for was the reason.
+    """
 
     reason: str
+    is_held: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The upstream stated that it did not and will not run the request."""
+    """The upstream stated that it did not and will not run the request.
+
+    Parameters
+    ----------
+    pause_ms
+        Pause that the upstream asked for; 0 if none.
+    """
 
     status: int
+    pause_ms: float = field(default=0, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,10 +41,16 @@
 
     For a stream, only the head of a response that is not a stream, or that
     lacks its signature; the body is empty.
+
+    Parameters
+    ----------
+    pause_ms
+        Pause that the upstream asked for; 0 if none.
     """
 
     head: AnswerHead
     body: bytes
+    pause_ms: float = field(default=0, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,3 +71,17 @@
 
 
 AttemptOutcome = NotSent | NotRun | Answered | StreamEnded | Broken | OutOfTime
+
+
+def is_pause(outcome: AttemptOutcome) -> bool:
+    """Return whether an outcome follows from a pause of the upstream.
+
+    It says nothing of the upstream's health beyond the pause.
+    """
+    match outcome:
+        case NotSent():
+            return outcome.is_held
+        case NotRun() | Answered():
+            return outcome.pause_ms > 0
+        case _:
+            return False
--- a/bergamotthread/request/relay/parts.py
+++ b/bergamotthread/request/relay/parts.py
@@ -9,6 +9,7 @@
 from bergamotthread.process.relay.choice import UpstreamChoice
 from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.liveness import LivenessWatch
+from bergamotthread.process.relay.pause_recorder import PauseRecorder
 from bergamotthread.process.relay.plain_gate import PlainGate
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.repeat_budget import ServiceRetryBudget
@@ -30,6 +31,7 @@
     stream_gate: StreamGate
     plain_gate: PlainGate
     liveness: LivenessWatch
+    pauses: PauseRecorder
     kv_cache: EngineKvCache
     header_names: RelayHeaderNames
     log: DecisionLog
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -19,8 +19,10 @@
     NotRun,
     NotSent,
     OutOfTime,
+    is_pause,
 )
 from bergamotthread.request.relay.parts import RelayParts
+from bergamotthread.request.relay.pause_refusal import refuse_if_held
 from bergamotthread.request.relay.refusals import RelayRefusal, send_refusal
 
 # Fraction of the target response time of a request that may be retried, after
@@ -71,8 +73,11 @@
         """Return whether the route allows another attempt."""
         return self._limits.has_attempts_left
 
-    async def place(self) -> Upstream | None:
-        """Return the upstream of the next attempt, or None if none for now."""
+    async def place(self) -> Upstream | RelayRefusal | None:
+        """Return the upstream of the next attempt, or None if none for now.
+
+        Where a pause outlasts the wait for an upstream, it is a refusal.
+        """
         request = RelayPlacementRequest(
             self._call.service.name, excluded=self._excluded
         )
@@ -80,7 +85,7 @@
         if upstream is None and self._excluded:
             # The next placement may choose an upstream that was tried before.
             self._excluded = frozenset()
-        return upstream
+        return upstream or self._pause_refusal()
 
     def may_wait(self) -> bool:
         """Return whether placement may be tried again after a pause."""
@@ -98,6 +103,14 @@
         """Send a refusal in place of a response."""
         self._refuse(refusal)
 
+    def _pause_refusal(self) -> RelayRefusal | None:
+        refusal = refuse_if_held(
+            self._call, self._parts, self._placement_deadline_ms
+        )
+        if refusal is None or not self._may_have_run:
+            return refusal
+        return self._final_refusal()
+
     def _demand(self) -> PlainDemand:
         call = self._call
         slots = self._parts.directory.slots(call.service.name)
@@ -137,7 +150,8 @@
     ) -> bool:
         """Handle an outcome; return whether no further attempt is needed."""
         failed = not isinstance(outcome, Answered)
-        self._parts.directory.record_outcome(upstream, failed=failed)
+        if not is_pause(outcome):
+            self._parts.directory.record_outcome(upstream, failed=failed)
         self._excluded |= {upstream.record.instance}
         match outcome:
             case Answered(head, body):
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -46,9 +46,11 @@
     NotSent,
     OutOfTime,
     StreamEnded,
+    is_pause,
 )
 from bergamotthread.request.relay.pace import ArrivalTimes
 from bergamotthread.request.relay.parts import RelayParts
+from bergamotthread.request.relay.pause_refusal import refuse_if_held
 from bergamotthread.request.relay.placement import (
     AttemptPlacement,
     StreamPlacer,
@@ -139,15 +141,22 @@
             self._excluded = frozenset()
         if isinstance(placement, StreamRefused):
             return self._overload_refusal(placement)
+        if placement is None:
+            return self._pause_refusal()
         return placement
 
     def may_wait(self) -> bool:
         """Return whether placement may be tried again after a pause.
 
-        A stream that may have run waits until its deadline.
+        A stream that may have run waits until its deadline, unless all
+        upstreams are paused beyond it.
         """
         if self._call.exchange.has_head or self._may_have_run:
-            return True
+            directory = self._parts.directory
+            first = directory.first_opening(self._call.service.name)
+            return first is None or not directory.is_held_past(
+                first, self._call.deadline_ms
+            )
         if self._limits.is_unservable:
             return False
         return self._parts.clock.now_ms() <= self._placement_deadline_ms
@@ -164,6 +173,17 @@
         self._log_refusal(refusal)
         send_refusal(self._call.exchange, refusal)
 
+    def _pause_refusal(self) -> RelayRefusal | None:
+        """Return a refusal if a pause outlasts the wait for an upstream.
+
+        A stream that may have run is not refused; see `may_wait`.
+        """
+        if self._call.exchange.has_head or self._may_have_run:
+            return None
+        return refuse_if_held(
+            self._call, self._parts, self._placement_deadline_ms
+        )
+
     def _overload_refusal(self, refused: StreamRefused) -> RelayRefusal:
         return RelayRefusal(
             503,
@@ -307,7 +327,7 @@
         if not_run is not None:
             return not_run
         if head.status != _OK or attempt.lacks_signature(head):
-            return Answered(head, b'')
+            return Answered(head, b'', attempt.pause_ms)
         if not self._call.exchange.has_head:
             self._call.exchange.start(_OK, end_to_end(head.headers))
         return None
@@ -346,7 +366,8 @@
         # A full copy holder refuses to resume a run. That is no failure, and it
         # may still run the request without the copy.
         if placement.copy is None or not isinstance(outcome, NotRun):
-            self._parts.directory.record_outcome(upstream, failed=failed)
+            if not is_pause(outcome):
+                self._parts.directory.record_outcome(upstream, failed=failed)
             self._excluded |= {upstream.record.instance}
         match outcome:
             case StreamEnded():
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -10,6 +10,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.caller_connection import Exchange
+from bergamotthread.connection.http.messages import Header
 from standins.platform_server import StandInServer
 
 MODEL = 'model-service'
@@ -67,6 +68,14 @@
     stalls_after
         Number of events after which it sends no more for 60 s; it still
         answers probes.
+    retry_after
+        If not empty, it answers requests with 503, the header for "not
+        executed" and this value of `retry-after`.
+    report_retry_after
+        The same for load reports, without the header for "not executed".
+    turns_away_with
+        Status and headers in place of 503 and "not executed" for
+        `retry_after`.
     """
 
     not_run: bool = False
@@ -77,6 +86,12 @@
     padding: int = 0
     comment: int = 0
     stalls_after: int | None = None
+    retry_after: str = ''
+    report_retry_after: str = ''
+    turns_away_with: tuple[int, tuple[Header, ...]] = (
+        503,
+        ((b'bergamotthread-not-executed', b'1'),),
+    )
     answer: bytes = b'answer'
     work_ms: float = 30
     events: int = STREAM_EVENTS
@@ -98,6 +113,7 @@
         self.script = RunnerScript()
         self.seen: list[Seen] = []
         self.reports = 0
+        self.arrivals: list[tuple[float, bytes]] = []
         self.copied_to: list[str] = []
         self.freed: list[str] = []
         self.cached: set[str] = set()
@@ -105,8 +121,13 @@
     async def answer(self, exchange: Exchange) -> None:
         """Answer a call of the platform or a request of a caller."""
         request = exchange.request
+        self.arrivals.append((self.clock.now_ms(), request.target))
         if request.target == b'/api/report':
             self.reports += 1
+            if self.script.report_retry_after:
+                asked = self.script.report_retry_after.encode()
+                exchange.respond(503, ((b'retry-after', asked),))
+                return
             report = {'queue_depth': 0, 'in_flight': 0, 'kv_total': 88_000}
             exchange.respond(200, (), json.dumps(report).encode())
             return
@@ -148,6 +169,11 @@
         if expected not in {None, self.instance.encode()}:
             exchange.respond(421, ())
             return
+        if self.script.retry_after:
+            status, headers = self.script.turns_away_with
+            asked = (b'retry-after', self.script.retry_after.encode())
+            exchange.respond(status, (*headers, asked))
+            return
         if self.script.not_run or not self.has_copy(seen):
             exchange.respond(503, ((b'bergamotthread-not-executed', b'1'),))
             return
