--- a/bergamotthread/platform/runner_calls.py
+++ b/bergamotthread/platform/runner_calls.py
@@ -16,6 +16,7 @@
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.runner_rows import decode_report
 from bergamotthread.process.relay.liveness import UPSTREAM_PROBE_TIMEOUT_MS
+from bergamotthread.process.relay.pause_recorder import PauseRecorder
 from bergamotthread.process.relay.upstreams import LoadReport, Upstream
 from bergamotthread.request.relay.engine_memory import EngineKvCache
 from bergamotthread.request.relay.leaving_notices import LeavingNotices
@@ -36,18 +37,26 @@
 
 @dataclass(frozen=True)
 class RunnerClient(EngineKvCache):
-    """Calls runners over pooled connections."""
+    """Calls runners over pooled connections.
+
+    A runner that asked for a pause gets only the load reports that
+    `LivenessWatch` still allows.
+    """
 
     pool: UpstreamPool
     clock: Clock
     leaving: LeavingNotices
+    pauses: PauseRecorder
 
     async def report(self, upstream: Upstream) -> LoadReport | None:
-        """Return an upstream's current load, or None if it can't be read."""
+        """Return an upstream's current load, or None if it can't be read.
+
+        A runner that answers with a request for a pause is alive.
+        """
         try:
-            fetched = await self._call(
-                upstream,
-                'report',
+            fetched = await fetch(
+                self.pool,
+                upstream.address,
                 FetchRequest(b'GET', b'/api/report'),
                 UPSTREAM_PROBE_TIMEOUT_MS,
             )
@@ -58,6 +67,10 @@
                 error,
             )
             return None
+        self.leaving.read(upstream, fetched.headers, 'report', fetched.status)
+        if self._record_pause(upstream, fetched):
+            self.pauses.directory.record_heard(upstream)
+            return None
         return decode_report(fetched.body, self.clock.now_ms())
 
     async def copy(
@@ -161,6 +174,30 @@
         request: FetchRequest,
         timeout_ms: float,
     ) -> FetchResponse:
-        fetched = await fetch(self.pool, upstream.address, request, timeout_ms)
+        """Call a runner that is not paused.
+
+        Raises
+        ------
+        ConnectionError
+            If it is paused, or as `fetch` does.
+        """
+        directory = self.pauses.directory
+        if directory.is_paused(upstream):
+            raise ConnectionError(f'{upstream.address} asked for a pause')
+        fetched = await fetch(
+            self.pool,
+            upstream.address,
+            request,
+            timeout_ms,
+            lambda: not directory.is_paused(upstream),
+        )
         self.leaving.read(upstream, fetched.headers, kind, fetched.status)
+        self._record_pause(upstream, fetched)
         return fetched
+
+    def _record_pause(
+        self, upstream: Upstream, fetched: FetchResponse
+    ) -> float:
+        return self.pauses.record_answer(
+            upstream, fetched.status, fetched.headers
+        )
