Soak: runners answer 503 with Retry-After during overload

overload-runner and overload-service let one runner, or all of a service, turn requests away with Retry-After, which lasts longer than the overload itself.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -21,6 +21,8 @@
     STALL_RUNNER = 'stall-runner'
     DRAIN_RUNNER = 'drain-runner'
     LEAVE_RUNNER = 'leave-runner'
+    OVERLOAD_RUNNER = 'overload-runner'
+    OVERLOAD_SERVICE = 'overload-service'
     RESET_LINK = 'reset-link'
     DELAY_LINK = 'delay-link'
     CUT_LINK_UP = 'cut-link-up'
--- a/soak/runner_faults.py
+++ b/soak/runner_faults.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from soak.deployment import RunnerNode, SoakDeployment
 from soak.orders import StoreOrder
@@ -95,6 +96,31 @@
     await _kill_runner(soak, runner, fault)
 
 
+async def _overload_runner(
+    soak: SoakDeployment, runner: RunnerNode, fault: Fault
+) -> None:
+    await _overload(soak, [runner], fault)
+
+
+async def _overload_service(
+    soak: SoakDeployment, runner: RunnerNode, fault: Fault
+) -> None:
+    service = runner.service
+    runners = [node for node in soak.runners if node.service == service]
+    await _overload(soak, runners, fault)
+
+
+async def _overload(
+    soak: SoakDeployment, runners: Sequence[RunnerNode], fault: Fault
+) -> None:
+    retry_after = str(math.ceil(fault.for_s))
+    for runner in runners:
+        await soak.change_runner(runner, retry_after=retry_after)
+    await asyncio.sleep(fault.for_s)
+    for runner in runners:
+        await soak.change_runner(runner, retry_after='')
+
+
 _OnRunner = Callable[[SoakDeployment, RunnerNode, Fault], Awaitable[None]]
 
 ON_RUNNER: dict[FaultKind, _OnRunner] = {
@@ -104,6 +130,8 @@
     FaultKind.STALL_RUNNER: _stall_runner,
     FaultKind.DRAIN_RUNNER: _drain_runner,
     FaultKind.LEAVE_RUNNER: _leave_runner,
+    FaultKind.OVERLOAD_RUNNER: _overload_runner,
+    FaultKind.OVERLOAD_SERVICE: _overload_service,
     FaultKind.RESET_LINK: _reset_link,
     FaultKind.DELAY_LINK: _delay_link,
     FaultKind.CUT_LINK_UP: _cut_link,
--- a/soak/runner_process.py
+++ b/soak/runner_process.py
@@ -53,6 +53,12 @@
     async def _serve(self, exchange: Exchange, seen: Seen) -> None:
         if self.script.leaving:
             self._tell(LEAVING, seen)
+        expected = seen.headers.get(b'bergamotthread-expect-instance')
+        if self.script.retry_after and expected in {
+            None,
+            self.instance.encode(),
+        }:
+            self._tell(PAUSED, seen, self.script.retry_after)
         await super()._serve(exchange, seen)
 
     def _tell(self, event: str, seen: Seen, *more: str) -> None:
@@ -76,6 +82,7 @@
         runner.script.stalls_after = order.stalls_after
         runner.script.comment = order.comment
         runner.script.leaving = order.leaving
+        runner.script.retry_after = order.retry_after
         # Requests seen were reported already; clearing them bounds the memory
         # of a long soak.
         runner.seen.clear()
--- a/tests/test_soak_run.py
+++ b/tests/test_soak_run.py
@@ -30,6 +30,7 @@
     Fault(2.5, FaultKind.BUSY_STORE, 0, 1),
     Fault(3.0, FaultKind.KILL_ENTRY, 0, 0.2),
     Fault(3.5, FaultKind.CUT_LINK_DOWN, 3, 1),
+    Fault(3.7, FaultKind.OVERLOAD_SERVICE, 0, 0.6),
     Fault(4.0, FaultKind.REVOKE_KEY, 0, 1),
 )
 _CHECKS = (
