--- a/bergamotthread/connection/http/fetch.py
+++ b/bergamotthread/connection/http/fetch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bergamotthread.connection.http.messages import (
@@ -38,11 +39,16 @@
     headers: tuple[Header, ...] = ()
 
 
+def _always() -> bool:
+    return True
+
+
 async def fetch(
     pool: UpstreamPool,
     address: str,
     request: FetchRequest,
     timeout_ms: float,
+    may_send: Callable[[], bool] = _always,
 ) -> FetchResponse:
     """Send a request and return the answer.
 
@@ -50,16 +56,20 @@
     ----------
     timeout_ms
         Maximum time between two items of the answer, or before the first.
+    may_send
+        Whether the request may be sent; asked once the connection is open.
 
     Raises
     ------
     ConnectionError
-        If the connection can't be opened or no complete answer arrives in
-        time.
+        If the connection can't be opened, the request may not be sent, or no
+        complete answer arrives in time.
     """
     connection = await pool.acquire(address)
     host = (b'host', address.encode())
     try:
+        if not may_send():
+            raise ConnectionError(f'{address}: no request may be sent now')
         encoded = encode_request(
             request.method,
             request.target,
--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -29,6 +29,10 @@
 # The same during prefill, where the target for the first event leaves more time
 # than the allowed pause.
 PREFILL_SILENCE_MS = 200
+# The same for both while the upstream is paused, where few probes are allowed:
+# longer than prefill of other prompts delays events, and short enough for the
+# stream to resume elsewhere within the longest allowed pause.
+PAUSED_SILENCE_MS = 400
 # Opening a connection and one round trip between regions take 120 ms.
 UPSTREAM_PROBE_TIMEOUT_MS = 190
 
@@ -89,6 +93,8 @@
         silence_ms: float = STREAM_SILENCE_MS,
     ) -> bool:
         """Return whether an upstream sent bytes recently or answers a probe."""
+        if self.directory.is_paused(upstream):
+            silence_ms = max(silence_ms, PAUSED_SILENCE_MS)
         if self.clock.now_ms() - upstream.heard_ms < silence_ms:
             return True
         return await self.check(upstream)
@@ -99,8 +105,13 @@
         Returns
         -------
         bool
-            Whether the upstream is alive.
+            Whether the upstream is alive, as far as known: while it is paused,
+            few probes are allowed.
         """
+        instance = upstream.record.instance
+        is_under_way = instance in self._check_by_instance
+        if not is_under_way and not self.directory.admit_probe(upstream):
+            return True
         return await _share(
             self._check_by_instance, upstream, lambda: self._check(upstream)
         )
@@ -113,18 +124,22 @@
     async def refresh_report(self, upstream: Upstream) -> bool:
         """Probe an upstream unless its load report is recent.
 
-        An upstream that does not answer the probe is marked lost.
+        An upstream that does not answer the probe is marked lost. One that is
+        paused can't take a request and is not probed.
 
         Returns
         -------
         bool
-            Whether the upstream is alive.
+            Whether the upstream is alive and not paused.
         """
+        if self.directory.is_paused(upstream):
+            return False
         report = upstream.report
         now_ms = self.clock.now_ms()
         if report is not None and now_ms - report.at_ms < REPORT_AGE_MAX_MS:
             return True
-        return await self.check(upstream)
+        is_alive = await self.check(upstream)
+        return is_alive and not self.directory.is_paused(upstream)
 
     def check_in_background(self, upstream: Upstream) -> None:
         """Start a probe of an upstream and return at once."""
@@ -213,6 +228,7 @@
 
     async def _probe(self, upstream: Upstream) -> bool:
         self.probes_sent += 1
+        started_ms = self.clock.now_ms()
         report = None
         try:
             async with self.clock.timeout_ms(PROBE_ANSWER_MAX_MS):
@@ -220,7 +236,9 @@
         except TimeoutError:
             report = None
         if report is None:
-            upstream.unanswered_ms = self.clock.now_ms()
+            # One that asks for a pause was heard, but has no report.
+            if upstream.heard_ms < started_ms:
+                upstream.unanswered_ms = self.clock.now_ms()
             return False
         upstream.apply_report(report)
         self.directory.record_heard(upstream)
--- a/bergamotthread/process/relay/relay_metrics.py
+++ b/bergamotthread/process/relay/relay_metrics.py
@@ -40,6 +40,8 @@
         Probes without an answer while no other upstream answered either.
     loop_stall_ms
         Time by which the periodic work of the process ran late.
+    pauses
+        Answers by which upstreams asked for a pause, by service.
     """
 
     registry: Metrics
@@ -54,6 +56,7 @@
     forecast_error_ms: Percentiles
     own_path_doubts: Counter
     loop_stall_ms: Percentiles
+    pauses: LabelledCounter
 
     @classmethod
     def from_clock(cls, clock: Clock) -> RelayMetrics:
@@ -109,4 +112,9 @@
                 'relay_loop_stall_ms',
                 'Time by which periodic work of the process ran late.',
             ),
+            pauses=registry.labelled_counter(
+                'relay_pauses_total',
+                'Answers by which upstreams asked for a pause.',
+                'service',
+            ),
         )
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -42,6 +42,7 @@
 MISDIRECTED = 421
 _OK = 200
 _FIRST_REDIRECT = 300
+_HELD = NotSent('the upstream asked for a pause', is_held=True)
 
 
 class Attempt:
@@ -62,6 +63,7 @@
         self.upstream = upstream
         self.parts = parts
         self.sent_ms: float = 0
+        self.pause_ms: float = 0
         self._connection: UpstreamConnection | None = None
         self._is_prefilling = False
 
@@ -90,7 +92,14 @@
             self.upstream.prefill_tokens -= self.call.prompt_tokens
 
     async def send(self, headers: AttemptHeaders) -> NotSent | None:
-        """Send the request; return the outcome if it could not be sent."""
+        """Send the request; return the outcome if it could not be sent.
+
+        The upstream may have asked for a pause since it was chosen, also while
+        the connection was opened.
+        """
+        directory = self.parts.directory
+        if directory.is_held(self.upstream):
+            return _HELD
         may_retry = self.call.route.repeatability.may_retry
         idle_max_ms = IDLE_MAX_MS if may_retry else NON_RETRYABLE_IDLE_MAX_MS
         encoded = encode_attempt(self.call, headers, self.parts.header_names)
@@ -102,10 +111,12 @@
             if self.upstream.is_leaving:
                 # Another answer said so while the connection was opened.
                 return NotSent('the upstream is leaving')
+            if not directory.admit(self.upstream):
+                return _HELD
             self._connection.send(encoded, self.call.request_id)
         except ConnectFailedError as error:
             if not self.parts.liveness.is_own_path_doubted:
-                self.parts.directory.record_lost(self.upstream)
+                directory.record_lost(self.upstream)
             return NotSent(str(error))
         except ConnectionError as error:
             return NotSent(str(error))
@@ -122,6 +133,9 @@
             self.parts.directory.record_heard(self.upstream)
         if isinstance(received, AnswerHead):
             self._read_leaving(received)
+            self.pause_ms = self.parts.pauses.record_answer(
+                self.upstream, received.status, received.headers
+            )
         return received
 
     def not_run_outcome(self, head: AnswerHead) -> NotRun | None:
@@ -130,7 +144,7 @@
             head.header(self.parts.header_names.not_run) is not None
         )
         if has_not_run_header or head.status == MISDIRECTED:
-            return NotRun(head.status)
+            return NotRun(head.status, self.pause_ms)
         return None
 
     def lacks_signature(self, head: AnswerHead) -> bool:
@@ -200,4 +214,6 @@
         if self._head is None:
             return Broken('an end without a head')
         not_run = self._attempt.not_run_outcome(self._head)
-        return not_run or Answered(self._head, bytes(self._body))
+        return not_run or Answered(
+            self._head, bytes(self._body), self._attempt.pause_ms
+        )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -20,6 +20,9 @@
     REFUSE_RUNNER = 'refuse-runner'
     STALL_RUNNER = 'stall-runner'
     DRAIN_RUNNER = 'drain-runner'
+    LEAVE_RUNNER = 'leave-runner'
+    OVERLOAD_RUNNER = 'overload-runner'
+    OVERLOAD_SERVICE = 'overload-service'
     RESET_LINK = 'reset-link'
     DELAY_LINK = 'delay-link'
     CUT_LINK_UP = 'cut-link-up'
@@ -30,6 +33,7 @@
     LATE_STORE = 'late-store'
     LOSE_STORE_ANSWERS = 'lose-store-answers'
     FORGET_HISTORY = 'forget-history'
+    RESTORE_STORE = 'restore-store'
     PUBLISH_ROUTE = 'publish-route'
     REVOKE_KEY = 'revoke-key'
 
