Platform: entries of a region tell each other which upstreams leave

Cause: each entry learned it from its own answers, so that each sent a request to an upstream that others knew to be leaving.

What was told is kept and ends like what was learned.

--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -13,6 +13,7 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.headers import PLATFORM_DIALECT
+from bergamotthread.platform.leaving_relay import LeavingRelay
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
 from bergamotthread.platform.runner_calls import RunnerClient
 from bergamotthread.platform.settings import (
@@ -131,6 +132,7 @@
                 watches.runners.run(),
                 watches.entries.run(),
                 watches.entries.register(),
+                self._leaving_relay.run(),
             )
         ]
         while not self._is_finished():
@@ -208,6 +210,7 @@
                     self._watches.entries,
                 )
             },
+            leaving=self._leaving_relay,
         )
         await listen(feed_server, f'{settings.ip}:{settings.peer_port}')
 
@@ -276,6 +279,10 @@
     def _make_relay_parts(self) -> RelayParts:
         settings = self._settings
         leaving = LeavingNotices(self._directory, PLATFORM_DIALECT, self._log)
+        self._leaving_relay = LeavingRelay(
+            self._clock, self._pool, self._feeds, leaving, self._log
+        )
+        leaving.listeners.append(self._leaving_relay.add)
         runners = RunnerClient(self._pool, self._clock, leaving)
         return RelayParts(
             clock=self._clock,
--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -22,12 +22,18 @@
     CallerLimits,
     Exchange,
 )
+from bergamotthread.platform.leaving_relay import (
+    LEAVING_PATH,
+    LeavingRelay,
+)
 from bergamotthread.platform.store import StoredRow, WireRow, WireRows
 
 FEED_PATH = b'/api/rows-feed'
 # Changes of one table kept for other entries; a manifest takes some 20 KB.
 KEPT_CHANGES_MAX = 200
 FEED_WAIT_MAX_MS = 10_000
+_OK = 200
+_BAD_REQUEST = 400
 _GONE = 410
 
 
@@ -139,14 +145,19 @@
     connections: set[CallerConnection] = field(default_factory=set)
     limits: CallerLimits = CallerLimits()
     is_draining: bool = False
+    leaving: LeavingRelay | None = None
 
     async def answer(self, exchange: Exchange) -> None:
-        """Answer one feed call.
+        """Answer one feed call, or a message on upstreams that leave.
 
         The status is 404 if the path or the table is unknown or the version
         is not a number, and 410 if `TableHistory.changes_after` returns None.
         """
         path, _, query = exchange.request.target.partition(b'?')
+        if path == LEAVING_PATH and self.leaving is not None:
+            is_valid = self.leaving.apply(exchange.request.body)
+            exchange.respond(_OK if is_valid else _BAD_REQUEST, ())
+            return
         fields = dict(parse_qsl(query.decode('latin-1')))
         history = self.history_by_table.get(fields.get('table', ''))
         after = fields.get('after', '')
--- a/bergamotthread/process/relay/feed_sources.py
+++ b/bergamotthread/process/relay/feed_sources.py
@@ -65,6 +65,14 @@
         """Remove an entry."""
         self._entry_by_host.pop(host, None)
 
+    def local_entries(self) -> list[EntryRecord]:
+        """Return the other entries of the region."""
+        return [
+            entry
+            for entry in self._entry_by_host.values()
+            if entry.region == self.own_region and entry.host != self.own_host
+        ]
+
     def choose(self, table: str) -> EntryRecord | None:
         """Return the entry to read from, or None for the store."""
         ranked = sorted(self._usable(), key=_host)
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -297,8 +297,8 @@
         if upstream is not None:
             upstream.is_unlisted = True
 
-    def record_leaving(self, upstream: Upstream) -> bool:
-        """Record that an upstream said that it is leaving.
+    def record_leaving(self, instance: str, started_ms: int) -> bool:
+        """Record that an incarnation said that it is leaving.
 
         It gets no new request until a newer incarnation is listed. A row that
         still says ready, also one that returns after its removal, changes
@@ -309,10 +309,8 @@
         bool
             Whether this was not known.
         """
-        record = upstream.record
-        upstream.is_leaving = True
-        is_new = self._leaving.add(record.instance, record.started_ms)
-        listed = self._upstream_by_instance.get(record.instance)
+        is_new = self._leaving.add(instance, started_ms)
+        listed = self._upstream_by_instance.get(instance)
         if listed is not None and self._includes_leaving(listed.record):
             listed.is_leaving = True
         return is_new
--- a/tests/test_upstream_leaving.py
+++ b/tests/test_upstream_leaving.py
@@ -7,6 +7,12 @@
 import pytest
 
 from bergamotthread.clock import Clock
+from bergamotthread.connection.http.messages import encode_request
+from bergamotthread.platform.leaving_relay import (
+    LEAVING_PATH,
+    TELL_INTERVAL_MS,
+    TOLD_MAX,
+)
 from bergamotthread.process.relay.choice import (
     RelayPlacementRequest,
     UpstreamChoice,
@@ -23,7 +29,7 @@
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import LEAVING, MODEL, PLAIN, REQUEST_ID, SEAL
 from standins.platform_runner import runner_row as row_of
-from tests.platform_standins import Deployment
+from tests.platform_standins import Deployment, settings
 
 # An entry has this long to learn of changed rows.
 ROWS_SETTLE_MS = 1500
@@ -55,8 +61,8 @@
 def test_leaving_upstream_is_no_candidate_and_has_no_slots():
     other = _record('y', address='10.0.0.2:1', slots=3)
     directory = _directory(_record(slots=4), other)
-    assert directory.record_leaving(directory.get('x'))
-    assert not directory.record_leaving(directory.get('x'))
+    assert directory.record_leaving('x', 5)
+    assert not directory.record_leaving('x', 5)
     assert _open(directory) == ['y']
     assert [one.address for one in directory.by_affinity('s', b'k')] == [
         other.address
@@ -71,7 +77,7 @@
 
 def test_row_of_the_same_incarnation_does_not_end_the_leaving():
     directory = _directory(_record())
-    directory.record_leaving(directory.get('x'))
+    directory.record_leaving('x', 5)
     directory.update(_record(state=UpstreamState.DRAINING))
     directory.update(_record())
     directory.update(_record(address='10.0.0.9:1'))
@@ -89,7 +95,7 @@
 )
 def test_newer_incarnation_ends_the_leaving(started):
     directory = _directory(_record())
-    directory.record_leaving(directory.get('x'))
+    directory.record_leaving('x', 5)
     directory.update(started)
     assert _open(directory) == [started.instance]
 
@@ -97,7 +103,7 @@
 def test_late_answer_of_a_replaced_upstream_does_not_mark_the_next():
     directory = _directory(_record())
     replaced = directory.update(_record(started_ms=6))
-    directory.record_leaving(replaced)
+    assert directory.record_leaving('x', replaced.record.started_ms)
     assert _open(directory) == ['x']
 
 
@@ -105,15 +111,15 @@
     directory = _directory(_record())
     former = directory.remove('x')
     directory.update(_record())
-    directory.record_leaving(former)
+    directory.record_leaving('x', former.record.started_ms)
     assert not _open(directory)
 
 
 def test_service_whose_upstreams_all_leave_is_unservable():
     directory = _directory(_record(), _record('y', address='10.0.0.2:1'))
-    directory.record_leaving(directory.get('x'))
+    directory.record_leaving('x', 5)
     assert not directory.lacks_service('s')
-    directory.record_leaving(directory.get('y'))
+    directory.record_leaving('y', 5)
     assert directory.lacks_service('s')
 
 
@@ -373,7 +379,7 @@
         async def acquire(address, idle_max_ms):
             connection = await connect(address, idle_max_ms)
             if address == deployment.plains[0].address:
-                parts.directory.record_leaving(parts.directory.get('p0'))
+                parts.directory.record_leaving('p0', 10**6)
             return connection
 
         parts.pool.acquire = acquire
@@ -467,3 +473,84 @@
         assert len(third.seen) == 1
 
     run_in_memory(check())
+
+
+async def _entries(*zones_by_host):
+    deployment = await Deployment.start(plains=2)
+    for number, (host, zone) in enumerate(zones_by_host, start=2):
+        await deployment.add_entry(settings(host, zone, number))
+    await deployment.clock.sleep_ms(4000)
+    return deployment
+
+
+def test_other_entries_of_the_region_are_told_that_an_upstream_leaves():
+    """Each entry sent a request to the leaving runner before it knew."""
+
+    async def check():
+        deployment = await _entries(
+            ('edge-a-2', 'a-1'), ('edge-a-3', 'a-1'), ('edge-b-1', 'b-1')
+        )
+        deployment.net.silent.add('10.1.0.3:7001')
+        deployment.store.status = 503
+        runner = deployment.plains[0]
+        runner.script.leaving = True
+        while not runner.seen:
+            await deployment.call('/once/x', '10.1.0.2:8000')
+        await deployment.clock.sleep_ms(TELL_INTERVAL_MS + 50)
+        told = deployment.events('upstream-leaving', entry=0)
+        assert [(one['upstream'], one['said_by']) for one in told] == [
+            ('p0', 'edge-a-2')
+        ]
+        for _ in range(8):
+            assert (await deployment.call('/once/x')).status == 200
+        assert len(runner.seen) == 1
+        await deployment.clock.sleep_ms(2000)
+        for entry in (2, 3):
+            assert not deployment.events('upstream-leaving', entry=entry)
+        [told] = deployment.events('leaving-told', entry=1)
+        assert (told['upstreams'], told['entries'], told['failed']) == (1, 2, 1)
+        assert not deployment.events('leaving-told')
+
+    run_in_memory(check())
+
+
+def test_newer_incarnation_ends_what_an_entry_was_told():
+    async def check():
+        deployment = await _entries(('edge-a-2', 'a-1'))
+        runner = deployment.plains[0]
+        runner.script.leaving = True
+        while not runner.seen:
+            await deployment.call('/once/x', '10.1.0.2:8000')
+        runner.script.leaving = False
+        await deployment.clock.sleep_ms(ROWS_SETTLE_MS)
+        row = row_of(runner.address, PLAIN, 'a-1', born=10**6)
+        deployment.store.put('servers', 'p0', row)
+        await deployment.clock.sleep_ms(ROWS_SETTLE_MS)
+        for _ in range(8):
+            assert (await deployment.call('/once/x')).status == 200
+        assert len(runner.seen) > 1
+
+    run_in_memory(check())
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'',
+        b'[]',
+        b'{"host":"h","leaving":[["p0"]]}',
+        b'{"host":"h","leaving":[["p0",-1]]}',
+        b'{"host":"h","leaving":[%b]}'
+        % b','.join([b'["p0",1]'] * (TOLD_MAX + 1)),
+    ],
+)
+def test_invalid_message_of_another_entry_decides_nothing(body):
+    async def check():
+        deployment = await Deployment.start()
+        connection = await deployment.connect('10.1.0.1:7001')
+        request = encode_request(b'POST', LEAVING_PATH, [(b'host', b'h')], body)
+        connection.send(request, b'')
+        assert (await deployment.read(connection)).status == 400
+        assert not deployment.events('upstream-leaving')
+
+    run_in_memory(check())
