--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -13,6 +13,7 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.headers import PLATFORM_DIALECT
+from bergamotthread.platform.leaving_relay import LeavingRelay
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
 from bergamotthread.platform.runner_calls import RunnerClient
 from bergamotthread.platform.settings import (
@@ -140,6 +141,7 @@
                 watches.runners.run(),
                 watches.entries.run(),
                 watches.entries.register(),
+                self._leaving_relay.run(),
             )
         ]
         while not self._is_finished():
@@ -235,6 +237,7 @@
                     self._watches.entries,
                 )
             },
+            leaving=self._leaving_relay,
         )
         await listen(feed_server, f'{settings.ip}:{settings.peer_port}')
 
@@ -319,6 +322,10 @@
         settings = self._settings
         metrics = RelayMetrics.from_clock(self._clock)
         leaving = LeavingNotices(self._directory, PLATFORM_DIALECT, self._log)
+        self._leaving_relay = LeavingRelay(
+            self._clock, self._pool, self._feeds, leaving, self._log
+        )
+        leaving.listeners.append(self._leaving_relay.add)
         pauses = PauseRecorder(self._directory, self._log, metrics)
         runners = RunnerClient(self._pool, self._clock, leaving, pauses)
         return RelayParts(
