Pauses: the checks that only a race shows have tests; choice stays cheap

A directory in which nothing is paused, or was a moment ago, is read without a look at each upstream's pause. The check before the connection is opened is gone: the one after it is exact.

Tests for answers that promise nothing, a pause that begins while a request connects, control calls, copies and their holders, the return in steps within the directory, silence of a paused upstream, and bounded log lines.

--- a/bergamotthread/process/relay/pauses.py
+++ b/bergamotthread/process/relay/pauses.py
@@ -112,10 +112,13 @@
     ----------
     count_entries
         Returns the number of processes that send to the same upstreams.
+    last_end_ms
+        Monotonic time from which no upstream is held any more.
     """
 
     rng: random.Random = field(default_factory=random.Random)
     count_entries: Callable[[], int] = _count_one
+    last_end_ms: float = -math.inf
     _pause_by_incarnation: dict[Incarnation, Pause] = field(
         default_factory=dict
     )
@@ -148,15 +151,16 @@
         if pause is not None and now_ms < pause.until_ms:
             pause.until_ms = max(pause.until_ms, until_ms)
             pause.step_ms = max(pause.step_ms, step_ms)
-            return pause
-        requests = (slots or SLOTS_DEFAULT) * FIRST_STEP_FRACTION
-        pause = Pause(
-            until_ms,
-            step_ms,
-            first_step=requests / max(self.count_entries(), 1),
-            phase=self.rng.random(),
-        )
-        self._pause_by_incarnation[incarnation] = pause
+        else:
+            requests = (slots or SLOTS_DEFAULT) * FIRST_STEP_FRACTION
+            pause = Pause(
+                until_ms,
+                step_ms,
+                first_step=requests / max(self.count_entries(), 1),
+                phase=self.rng.random(),
+            )
+            self._pause_by_incarnation[incarnation] = pause
+        self.last_end_ms = max(self.last_end_ms, pause.ends_ms)
         return pause
 
     def is_paused(self, incarnation: Incarnation, now_ms: float) -> bool:
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -356,7 +356,10 @@
 
     def is_held_past(self, upstream: Upstream, at_ms: float) -> bool:
         """Return whether an upstream is held until after a time."""
-        return at_ms < self.pauses.opens_ms(upstream.record.incarnation)
+        pauses = self.pauses
+        if at_ms >= pauses.last_end_ms:
+            return False
+        return at_ms < pauses.opens_ms(upstream.record.incarnation)
 
     def is_returning(self, upstream: Upstream) -> bool:
         """Return whether a pause, or the steps after it, have not ended."""
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -98,8 +98,6 @@
         the connection was opened.
         """
         directory = self.parts.directory
-        if directory.is_held(self.upstream):
-            return _HELD
         may_retry = self.call.route.repeatability.may_retry
         idle_max_ms = IDLE_MAX_MS if may_retry else NON_RETRYABLE_IDLE_MAX_MS
         encoded = encode_attempt(self.call, headers, self.parts.header_names)
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -72,7 +72,8 @@
         If not empty, it answers requests with 503, the header for "not
         executed" and this value of `retry-after`.
     report_retry_after
-        The same for load reports, without the header for "not executed".
+        The same for load reports and other control calls, without the header
+        for "not executed".
     turns_away_with
         Status and headers in place of 503 and "not executed" for
         `retry_after`.
@@ -124,10 +125,12 @@
         self.arrivals.append((self.clock.now_ms(), request.target))
         if request.target == b'/api/report':
             self.reports += 1
-            if self.script.report_retry_after:
-                asked = self.script.report_retry_after.encode()
-                exchange.respond(503, ((b'retry-after', asked),))
-                return
+        is_control = request.target.startswith(b'/api/')
+        if is_control and self.script.report_retry_after:
+            asked = self.script.report_retry_after.encode()
+            exchange.respond(503, ((b'retry-after', asked),))
+            return
+        if request.target == b'/api/report':
             report = {'queue_depth': 0, 'in_flight': 0, 'kv_total': 88_000}
             exchange.respond(200, (), json.dumps(report).encode())
             return
--- a/tests/test_upstream_pauses.py
+++ b/tests/test_upstream_pauses.py
@@ -12,7 +12,11 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.retry_after import RetryAfter
-from bergamotthread.process.relay.liveness import LivenessWatch
+from bergamotthread.process.relay.choice import UpstreamChoice
+from bergamotthread.process.relay.liveness import (
+    PAUSED_SILENCE_MS,
+    LivenessWatch,
+)
 from bergamotthread.process.relay.pauses import (
     PAUSE_MAX_MS,
     PAUSE_PROBES_MAX,
@@ -114,6 +118,22 @@
     assert list(directory.of_service('s'))
 
 
+def test_upstream_that_returns_is_held_between_its_steps():
+    time = _ManualTime()
+    directory = UpstreamDirectory(time.clock())
+    directory.pauses = UpstreamPauses(random.Random(1), lambda: 68)
+    record = UpstreamRecord('u', 's', 'h:1', 'a-1', UpstreamState.READY, 64)
+    directory.update(record)
+    upstream = directory.get('u')
+    directory.record_pause(upstream, PAUSE_MS)
+    time.now_ms = directory.pauses.opens_ms(record.incarnation)
+    assert list(directory.of_service('s')) == [upstream]
+    assert directory.admit(upstream)
+    assert directory.first_opening('s') is upstream
+    assert directory.slots('s') == 0
+    assert not directory.admit(upstream)
+
+
 def test_pauses_that_have_ended_are_forgotten():
     pauses = UpstreamPauses()
     for number in range(100):
@@ -193,13 +213,15 @@
 
         watch = LivenessWatch(clock, directory, probe)
         directory.record_heard(upstream)
+        heard_ms = clock.now_ms()
         directory.record_pause(upstream, 20_000)
         for _ in range(100):
             await clock.sleep_ms(100)
             await watch.is_alive(upstream)
             assert not await watch.refresh_report(upstream)
-            watch.check_in_background(upstream)
+        watch.check_in_background(upstream)
         assert len(sent) == PAUSE_PROBES_MAX
+        assert sent[0] == heard_ms + PAUSED_SILENCE_MS
         assert directory.is_lost(upstream) is False
         await clock.sleep_ms(12_000)
         await watch.refresh_report(upstream)
@@ -220,6 +242,11 @@
     ]
 
 
+def _listed(deployment, runner):
+    directory = deployment.entries[0]._directory
+    return directory, directory.get(runner.instance)
+
+
 async def _load(deployment, path, duration_ms, interval_ms=50, **options):
     calls = []
     for _ in range(int(duration_ms / interval_ms)):
@@ -232,7 +259,7 @@
     """Let a plain runner ask for a pause; return when it answered."""
     runner.script.retry_after = seconds
     while not runner.seen:
-        await deployment.call(path, method=b'GET')
+        await deployment.call(path)
     runner.script.retry_after = ''
     return runner.seen[0].ended_ms
 
@@ -299,12 +326,16 @@
         deployment = await Deployment.start()
         runner = deployment.models[0]
         runner.script.report_retry_after = '3'
-        await deployment.call('/stream/x')
+        task = asyncio.create_task(deployment.call('/stream/x'))
+        await deployment.clock.sleep_ms(150)
+        directory, upstream = _listed(deployment, runner)
+        assert directory.is_paused(upstream)
+        assert not directory.is_lost(upstream)
+        assert deployment.events('attempt') == []
         asked_ms = runner.arrivals[0][0]
         await _load(deployment, '/stream/x', 2500)
         assert _arrivals(runner, asked_ms, asked_ms + 3000) == []
-        directory = deployment.entries[0]._directory
-        assert not directory.is_lost(directory.get(runner.instance))
+        assert (await task).is_whole
 
     run_in_memory(check())
 
@@ -361,18 +392,18 @@
     run_in_memory(check())
 
 
-def test_answer_503_that_asks_for_a_pause_is_no_failure_besides():
+@pytest.mark.parametrize('path', ['/any/x', '/stream/x'])
+def test_answer_503_that_asks_for_a_pause_is_no_failure_besides(path):
     async def check():
-        deployment = await Deployment.start()
-        runner = deployment.plains[0]
-        await _settle_plain(deployment, runner)
-        directory = deployment.entries[0]._directory
-        upstream = directory.get(runner.instance)
+        deployment = await Deployment.start(models=1, plains=1)
+        is_stream = path == '/stream/x'
+        [runner] = deployment.models if is_stream else deployment.plains
+        await _settle_plain(deployment, runner, path=path)
+        directory, upstream = _listed(deployment, runner)
         assert directory.decayed_failure_share(upstream) == 0
         runner.script.not_run = True
         await deployment.clock.sleep_ms(8000)
-        while len(runner.seen) < 2:
-            await deployment.call('/any/x', method=b'GET')
+        await deployment.call(path)
         assert directory.decayed_failure_share(upstream) > 0
 
     run_in_memory(check())
@@ -401,8 +432,7 @@
         runner = deployment.plains[0]
         runner.script.turns_away_with = (status, headers)
         await _settle_plain(deployment, runner, value)
-        directory = deployment.entries[0]._directory
-        upstream = directory.get(runner.instance)
+        directory, upstream = _listed(deployment, runner)
         assert directory.is_paused(upstream) is is_paused
         assert len(deployment.events('retry-after-invalid')) == logged
         paused = [
@@ -433,3 +463,201 @@
         assert (await deployment.call('/any/x')).status == 200
 
     run_in_memory(check())
+
+
+@pytest.mark.parametrize(
+    ('path', 'pause', 'status'),
+    [('/any/x', '9', 502), ('/stream/x', '60', 502), ('/stream/x', '3', 200)],
+)
+def test_request_that_may_have_run_is_not_said_not_to_have_run(
+    path, pause, status
+):
+    """A 503 without the header for "not executed" promises nothing.
+
+    A stream waits for the end of the pauses only if they end in its time.
+    """
+
+    async def check():
+        deployment = await Deployment.start(models=2, plains=2)
+        runners = deployment.models + deployment.plains
+        for runner in runners:
+            runner.script.turns_away_with = (503, ())
+            runner.script.retry_after = pause
+        task = asyncio.create_task(deployment.call(path))
+        await deployment.clock.sleep_ms(1000)
+        assert task.done() is (status == 502)
+        for runner in runners:
+            runner.script.retry_after = ''
+        assert (await task).status == status
+
+    run_in_memory(check())
+
+
+@pytest.mark.parametrize('path', ['/any/x', '/stream/x'])
+def test_request_is_not_sent_if_the_pause_began_while_it_connected(path):
+    async def check():
+        deployment = await Deployment.start()
+        group = deployment.models if 'stream' in path else deployment.plains
+        pool = deployment.entries[0]._pool
+        acquire = pool.acquire
+
+        async def acquire_late(address, *more):
+            connection = await acquire(address, *more)
+            if address == group[0].address and not group[0].arrivals:
+                directory, upstream = _listed(deployment, group[0])
+                directory.record_pause(upstream, 5000)
+            return connection
+
+        if path == '/stream/x':
+            await deployment.call(path)
+            for runner in group:
+                runner.arrivals.clear()
+        pool.acquire = acquire_late
+        answers = await _load(deployment, path, 300)
+        assert {answer.status for answer in answers} == {200}
+        started = deployment.clock.now_ms() - 3000
+        sent = [target for _, target in _arrivals(group[0], started, 1e9)]
+        assert [target for target in sent if target != b'/api/report'] == []
+
+    run_in_memory(check())
+
+
+def test_control_calls_keep_the_pause():
+    async def check():
+        deployment = await Deployment.start()
+        runner, other, third = deployment.models
+        memory = deployment.entries[0]._parts.kv_cache
+        directory, upstream = _listed(deployment, runner)
+        target = directory.get(other.instance)
+        runner.script.report_retry_after = '5'
+        await memory.copy(upstream, 'r1', target)
+        assert directory.is_paused(upstream)
+        del runner.arrivals[:]
+        assert await memory.copy(upstream, 'r1', target) == ''
+        await memory.drop(upstream, f'{runner.address}/h1')
+        assert await memory.cached_tokens(upstream, b'aa') == 0
+        assert runner.arrivals == []
+        pool = deployment.entries[0]._pool
+        acquire = pool.acquire
+
+        async def acquire_late(address):
+            directory.record_pause(target, 5000)
+            return await acquire(address)
+
+        pool.acquire = acquire_late
+        await memory.drop(target, f'{other.address}/h1')
+        assert other.arrivals == []
+        _, paused = _listed(deployment, third)
+        directory.record_pause(paused, 5000)
+        opened = pool.opened
+        await memory.drop(paused, f'{third.address}/h1')
+        assert pool.opened == opened
+
+    run_in_memory(check())
+
+
+@pytest.mark.parametrize(
+    ('pause_ms', 'is_replaced'), [(1500, False), (9000, True)]
+)
+def test_stream_does_not_resume_at_a_paused_holder(pause_ms, is_replaced):
+    """A copy is replaced only where the pause is long enough to be worth it."""
+
+    async def check():
+        deployment = await Deployment.start()
+        by_address = {model.address: model for model in deployment.models}
+        task = asyncio.create_task(deployment.call('/stream/x'))
+        await deployment.clock.sleep_ms(1000)
+        source = next(model for model in deployment.models if model.seen)
+        holder_address = source.seen[0].headers[b'bergamotthread-kv-backup']
+        holder = by_address[holder_address.decode()]
+        holder.script.copies = {f'{holder.address}/r1'}
+        directory, upstream = _listed(deployment, holder)
+        directory.record_pause(upstream, pause_ms)
+        del holder.arrivals[:]
+        await deployment.clock.sleep_ms(700)
+        third = next(
+            model
+            for model in deployment.models
+            if model not in {source, holder}
+        )
+        assert source.copied_to == [third.address] * is_replaced
+        source.kill()
+        answer = await task
+        assert answer.event_ids == list(range(1, 61))
+        assert holder.arrivals == []
+        assert third.seen
+
+    run_in_memory(check())
+
+
+def test_holder_takes_no_copies_until_its_steps_are_over():
+    """All streams would be copied at once to the engine that returns."""
+    time = _ManualTime()
+    directory = UpstreamDirectory(time.clock())
+    for number in range(2):
+        address = f'10.0.0.{number}:80'
+        directory.update(
+            UpstreamRecord(
+                f'u{number}', 's', address, 'b-1', UpstreamState.READY, 64
+            )
+        )
+    returning, other = directory.of_service('s')
+    other.held_tokens = 1000
+    choice = UpstreamChoice(directory, 'a-1', {}, random.Random(1))
+    directory.record_pause(returning, PAUSE_MS)
+    time.now_ms += PAUSE_MS + 100
+    assert not directory.is_held(returning)
+    assert choice.copy_holder_among([returning, other], 10) is other
+    time.now_ms += 10_000
+    assert choice.copy_holder_among([returning, other], 10) is not None
+    assert not directory.is_returning(returning)
+
+
+@pytest.mark.parametrize('key', [b'aa', b'bb', b'cc', b'dd'])
+def test_affinity_does_not_send_to_a_paused_upstream(key):
+    directory = UpstreamDirectory(_ManualTime().clock())
+    for number in range(3):
+        record = UpstreamRecord(
+            f'u{number}', 's', f'h{number}:1', 'a-1', UpstreamState.READY
+        )
+        directory.update(record)
+    first, *others = directory.by_affinity('s', key)
+    directory.record_pause(first, PAUSE_MS)
+    assert list(directory.by_affinity('s', key)) == others
+    assert first not in directory.of_service('s')
+
+
+@pytest.mark.parametrize(
+    ('value', 'event'),
+    [('5', 'upstream-paused'), ('soon', 'retry-after-invalid')],
+)
+def test_answers_to_many_requests_are_logged_once(value, event):
+    async def check():
+        deployment = await Deployment.start(plains=1)
+        deployment.plains[0].script.retry_after = value
+        await asyncio.gather(*(deployment.call('/once/x') for _ in range(20)))
+        assert len(deployment.plains[0].seen) >= 20
+        assert len(deployment.events(event)) == 1
+
+    run_in_memory(check())
+
+
+def test_paused_upstream_that_falls_silent_loses_its_streams_in_time():
+    async def check():
+        deployment = await Deployment.start()
+        for model in deployment.models:
+            model.script.copies = {
+                f'{other.address}/r1' for other in deployment.models
+            }
+        task = asyncio.create_task(deployment.call('/stream/x'))
+        await deployment.clock.sleep_ms(1500)
+        source = next(model for model in deployment.models if model.seen)
+        directory, upstream = _listed(deployment, source)
+        directory.record_pause(upstream, 9000)
+        await deployment.clock.sleep_ms(300)
+        source.silence()
+        answer = await task
+        assert answer.event_ids == list(range(1, 61))
+        assert answer.longest_pause_ms < 700
+
+    run_in_memory(check())
