Pauses: no more requests wait for the end than the steps admit

With all upstreams of a service paused, every request whose time for placement reached the first opening waited for it, also where the steps admit one of them; the others were held in vain. A request now waits only if the steps admit it in its time, after those of this entry that wait already.

test_only_as_many_requests_wait_as_the_steps_admit is red without the count: all 12 requests wait where the steps admit fewer than 8.

--- a/bergamotthread/process/relay/pauses.py
+++ b/bergamotthread/process/relay/pauses.py
@@ -17,6 +17,7 @@
 
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -97,6 +98,14 @@
         """Return when the steps are over."""
         return self._reaches_ms(STEPPED_REQUESTS)
 
+    def room_until(self, at_ms: float) -> float:
+        """Return how many more requests may be sent up to a time."""
+        if at_ms >= self.ends_ms:
+            return math.inf
+        steps = max(at_ms - self.until_ms, 0) / self.step_ms
+        reached = self.first_step / _LN_TWO * (2**steps - 1)
+        return max(int(reached + self.phase) - self.admitted, 0)
+
     def _reaches_ms(self, requests: float) -> float:
         """Return when so many requests may have been admitted."""
         requests = min(requests, STEPPED_REQUESTS)
@@ -114,11 +123,14 @@
         Returns the number of processes that send to the same upstreams.
     last_end_ms
         Monotonic time from which no upstream is held any more.
+    waiting_by_service
+        Requests that wait for the first upstream of a service to open.
     """
 
     rng: random.Random = field(default_factory=random.Random)
     count_entries: Callable[[], int] = _count_one
     last_end_ms: float = -math.inf
+    waiting_by_service: Counter[str] = field(default_factory=Counter)
     _pause_by_incarnation: dict[Incarnation, Pause] = field(
         default_factory=dict
     )
@@ -178,6 +190,11 @@
         pause = self._pause_by_incarnation.get(incarnation)
         return 0 if pause is None else pause.ends_ms
 
+    def room_until(self, incarnation: Incarnation, at_ms: float) -> float:
+        """Return how many more requests may be sent up to a time."""
+        pause = self._pause_by_incarnation.get(incarnation)
+        return math.inf if pause is None else pause.room_until(at_ms)
+
     def admit(self, incarnation: Incarnation, now_ms: float) -> bool:
         """Return whether a request may be sent now, and count it if so."""
         pause = self._pause_by_incarnation.get(incarnation)
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -390,11 +390,7 @@
         Upstream or None
             None if an upstream of the service is not held, or none is listed.
         """
-        accepting = [
-            upstream
-            for upstream in self._upstream_by_instance.values()
-            if _accepts_requests(upstream, service)
-        ]
+        accepting = self._accepting(service)
         if not all(map(self.is_held, accepting)):
             return None
         return min(
@@ -405,6 +401,13 @@
             default=None,
         )
 
+    def room_until(self, service: str, at_ms: float) -> float:
+        """Return how many requests the pauses of a service allow by a time."""
+        return sum(
+            self.pauses.room_until(upstream.record.incarnation, at_ms)
+            for upstream in self._accepting(service)
+        )
+
     def record_lost(self, upstream: Upstream) -> None:
         """Mark an upstream lost.
 
@@ -463,6 +466,13 @@
             return False
         return max(upstream.heard_ms, upstream.listed_ms) < recent[0]
 
+    def _accepting(self, service: str) -> list[Upstream]:
+        return [
+            upstream
+            for upstream in self._upstream_by_instance.values()
+            if _accepts_requests(upstream, service)
+        ]
+
     def _ring(self, service: str) -> HashRing:
         return self._ring_by_service.setdefault(service, HashRing(()))
 
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -22,7 +22,7 @@
     is_pause,
 )
 from bergamotthread.request.relay.parts import RelayParts
-from bergamotthread.request.relay.pause_refusal import refuse_if_held
+from bergamotthread.request.relay.pause_wait import PauseWait
 from bergamotthread.request.relay.refusals import RelayRefusal, send_refusal
 
 # Fraction of the target response time of a request that may be retried, after
@@ -53,6 +53,7 @@
         self._placement_deadline_ms = (
             received_ms + timeout_ms * PLACEMENT_TIMEOUT_FRACTION
         )
+        self._pause_wait = PauseWait(call, parts, self._placement_deadline_ms)
 
     async def run(self) -> None:
         """Run the attempts, once there is room, and respond to the caller."""
@@ -67,6 +68,7 @@
             if not await run_attempts(self._limits, self):
                 self._refuse(self._final_refusal())
         finally:
+            self._pause_wait.end()
             gate.leave(self._call.service.name, self._latency_ms)
 
     def may_send(self) -> bool:
@@ -85,7 +87,10 @@
         if upstream is None and self._excluded:
             # The next placement may choose an upstream that was tried before.
             self._excluded = frozenset()
-        return upstream or self._pause_refusal()
+        if upstream is None:
+            return self._pause_refusal()
+        self._pause_wait.end()
+        return upstream
 
     def may_wait(self) -> bool:
         """Return whether placement may be tried again after a pause."""
@@ -104,9 +109,7 @@
         self._refuse(refusal)
 
     def _pause_refusal(self) -> RelayRefusal | None:
-        refusal = refuse_if_held(
-            self._call, self._parts, self._placement_deadline_ms
-        )
+        refusal = self._pause_wait.check()
         if refusal is None or not self._may_have_run:
             return refusal
         return self._final_refusal()
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -50,7 +50,7 @@
 )
 from bergamotthread.request.relay.pace import ArrivalTimes
 from bergamotthread.request.relay.parts import RelayParts
-from bergamotthread.request.relay.pause_refusal import refuse_if_held
+from bergamotthread.request.relay.pause_wait import PauseWait
 from bergamotthread.request.relay.placement import (
     AttemptPlacement,
     StreamPlacer,
@@ -95,6 +95,7 @@
         self._placement_deadline_ms = (
             received_ms + target_ms * PLACEMENT_TARGET_FRACTION
         )
+        self._pause_wait = PauseWait(call, parts, self._placement_deadline_ms)
 
     async def run(self) -> None:
         """Run the attempts and respond to the caller."""
@@ -106,7 +107,7 @@
                 self._refuse_or_abort()
             await self._copy_manager.release()
         finally:
-            self._copy_manager.discard()
+            self._release()
             gate.record_end(call.service.name, call.team, self._run_ms)
 
     def may_send(self) -> bool:
@@ -143,6 +144,7 @@
             return self._overload_refusal(placement)
         if placement is None:
             return self._pause_refusal()
+        self._pause_wait.end()
         return placement
 
     def may_wait(self) -> bool:
@@ -173,6 +175,11 @@
         self._log_refusal(refusal)
         send_refusal(self._call.exchange, refusal)
 
+    def _release(self) -> None:
+        """Release the place among those that wait, and the copy."""
+        self._pause_wait.end()
+        self._copy_manager.discard()
+
     def _pause_refusal(self) -> RelayRefusal | None:
         """Return a refusal if a pause outlasts the wait for an upstream.
 
@@ -180,9 +187,7 @@
         """
         if self._call.exchange.has_head or self._may_have_run:
             return None
-        return refuse_if_held(
-            self._call, self._parts, self._placement_deadline_ms
-        )
+        return self._pause_wait.check()
 
     def _overload_refusal(self, refused: StreamRefused) -> RelayRefusal:
         return RelayRefusal(
--- a/tests/test_upstream_pauses.py
+++ b/tests/test_upstream_pauses.py
@@ -392,6 +392,31 @@
     run_in_memory(check())
 
 
+def test_only_as_many_requests_wait_as_the_steps_admit():
+    """The others would be held until their time for placement is over."""
+
+    async def check():
+        deployment = await Deployment.start(models=1)
+        [runner] = deployment.models
+        directory, upstream = _listed(deployment, runner)
+        directory.pauses.count_entries = lambda: 68
+        directory.record_pause(upstream, 1000)
+        wait_until_ms = deployment.clock.now_ms() + 1800
+        room = directory.room_until(upstream.record.service, wait_until_ms)
+        assert 0 < room < 8
+        calls = [
+            asyncio.create_task(deployment.call('/stream/x')) for _ in range(12)
+        ]
+        await deployment.clock.sleep_ms(100)
+        refused = [call.result().status for call in calls if call.done()]
+        assert refused == [503] * (12 - room)
+        answers = await asyncio.gather(*calls)
+        assert [answer.status for answer in answers].count(200) == room
+        assert not +directory.pauses.waiting_by_service
+
+    run_in_memory(check())
+
+
 @pytest.mark.parametrize('path', ['/any/x', '/stream/x'])
 def test_answer_503_that_asks_for_a_pause_is_no_failure_besides(path):
     async def check():
