--- a/tests/test_upstream_pauses.py
+++ b/tests/test_upstream_pauses.py
@@ -31,7 +31,7 @@
 from bergamotthread.testing.memory_http import run_in_memory
 from bergamotthread.testing.virtual_loop import run_virtual
 from standins.platform_runner import runner_row
-from tests.platform_standins import Deployment
+from tests.platform_standins import Deployment, settings
 
 UPSTREAM = Incarnation('u', '10.0.0.1:80', 1)
 PAUSE_MS = 2000.0
@@ -686,3 +686,47 @@
         assert answer.longest_pause_ms < 700
 
     run_in_memory(check())
+
+
+@pytest.mark.parametrize('entries', [24, 68])
+def test_whole_entries_return_in_steps(entries):
+    """All turn to the idle upstream in its own failure domain at once."""
+
+    async def check():
+        deployment = await Deployment.start(models=0)
+        for number in range(2, entries + 1):
+            await deployment.add_entry(
+                settings(f'edge-{number}', 'a-1', number)
+            )
+        await deployment.clock.sleep_ms(4000)
+        for number, entry in enumerate(deployment.entries):
+            entry._directory.pauses.rng = random.Random(number)
+        runner = deployment.plains[0]
+        runner.script.retry_after = '2'
+
+        async def call_all(duration_ms):
+            answers = await asyncio.gather(
+                *(
+                    _load(
+                        deployment,
+                        '/any/x',
+                        duration_ms,
+                        front=f'10.1.0.{number}:8000',
+                    )
+                    for number in range(1, entries + 1)
+                )
+            )
+            assert {one.status for some in answers for one in some} == {200}
+
+        await call_all(50)
+        asked_ms = [at_ms for at_ms, _ in runner.arrivals]
+        assert len(asked_ms) == entries
+        runner.script.retry_after = ''
+        end_ms = max(asked_ms) + 2000
+        await deployment.clock.sleep_ms(end_ms - deployment.clock.now_ms())
+        await call_all(1000)
+        assert len(_arrivals(runner, max(asked_ms), end_ms)) == 0
+        assert len(_arrivals(runner, end_ms, end_ms + 250)) <= 10
+        assert 10 <= len(_arrivals(runner, end_ms, end_ms + 1000)) <= 60
+
+    run_in_memory(check())
