Upstream listed anew is no longer remembered as gone

Found by a mutant: without the rule on draining upstreams no test failed, since the upstream of that test had been removed and listed again before, and its rows from a copy were still taken for those of a gone one. With the change the mutant fails 5 tests.

--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -572,6 +572,7 @@
             )
             return
         self._lapsed.discard(instance)
+        self._gone_by_instance.pop(instance, None)
         known = self._directory.get(instance)
         if known is None or known.record.state is not record.state:
             self._log.write(
