--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import math
 
 import pytest
 
 from bergamotthread.clock import Clock
 from bergamotthread.platform.relayed_feed import TableHistory
+from bergamotthread.platform.settings import PlatformSettings
 from bergamotthread.platform.store import (
     PlatformStoreClient,
     StoreCallError,
@@ -21,6 +24,7 @@
 from bergamotthread.process.relay.feed_sources import ENTRY_BACKOFF_MS
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import PLAIN, manifest, runner_row
+from standins.platform_settings import ZONES, entry_settings
 from tests.platform_standins import STORE, Deployment, settings
 
 HEADER = b'store-era'
@@ -455,3 +459,57 @@
                 assert watch.history.version.era == 1
 
     run_in_memory(check())
+
+
+async def _read_load(entries: int, outage_ms: float) -> tuple[int, int, float]:
+    """Return the reads after a return of the store, with entries in 3 regions.
+
+    They are the most calls in one second, the reads of whole tables, and the
+    time until all entries have all tables of the new era.
+    """
+    deployment = await _start()
+    zones = list(ZONES)
+    for number in range(2, entries + 1):
+        place = entry_settings(
+            f'edge-{number:03}',
+            f'10.{1 + number // 200}.1.{number % 200}',
+            zones[number % len(zones)],
+            STORE,
+        )
+        encoded = json.dumps(place).encode()
+        await deployment.add_entry(PlatformSettings.from_json(encoded))
+    await deployment.clock.sleep_ms(8000)
+    copy = deployment.store.ver
+    await _register(deployment, 0)
+    await deployment.clock.sleep_ms(1000)
+    await _fall_back(deployment, copy, outage_ms)
+    deployment.store.calls.clear()
+    watches = [
+        watch
+        for entry in deployment.entries
+        for watch in vars(entry._watches).values()
+    ]
+    returned_ms = deployment.clock.now_ms()
+    counts = [0]
+    current_ms = math.inf
+    while deployment.clock.now_ms() < returned_ms + CATCH_UP_MS:
+        await deployment.clock.sleep_ms(10)
+        counts.append(len(deployment.store.calls))
+        is_current = all(watch.history.version.era == 1 for watch in watches)
+        if is_current and current_ms == math.inf:
+            current_ms = deployment.clock.now_ms() - returned_ms
+    most = max(
+        after - before
+        for before, after in zip(counts, counts[100:], strict=False)
+    )
+    whole_reads = deployment.store.calls.count('/api/rows-get')
+    return most, whole_reads, current_ms
+
+
+@pytest.mark.parametrize('outage_ms', [800, 3000])
+def test_whole_tables_are_read_once_for_each_region(outage_ms):
+    """Each entry once read two whole tables within a quarter second."""
+    most, whole_reads, current_ms = run_in_memory(_read_load(68, outage_ms))
+    assert most <= 2 * 68
+    assert whole_reads == 9
+    assert current_ms < 1500
