Relayed feeds: an entry that names no era is led to the store

While entries of the former code still run, they ask without an era. After a return they got a whole table, which they take for changes. They get 410 and read the store. The test got 200 before. Two returns in one turn of the event loop no longer end the same poll twice.

--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -218,7 +218,8 @@
 
         The status is 404 if the path or the table is unknown or the version
         is not a number, and 410 if `TableHistory.changes_after` returns None.
-        A call that names no era is of an entry that knows of none.
+        A call that names no era is of an entry that knows of none: its status
+        is 410 once the store has come back older.
         """
         path, _, query = exchange.request.target.partition(b'?')
         fields = dict(parse_qsl(query.decode('latin-1')))
@@ -233,7 +234,7 @@
             StoreVersion(int(era) if era.isdigit() else 0, int(after)),
             float(wait_ms) if wait_ms.isdigit() else 0,
         )
-        if changes is None:
+        if changes is None or (changes.era and not era):
             exchange.respond(_GONE, ())
             return
         exchange.respond(200, (), msgspec.json.encode(changes))
--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -205,6 +205,7 @@
         is_own_answer = asyncio.current_task() is self._task
         if self._poll_timeout is not None and not is_own_answer:
             self._poll_timeout.reschedule(0)
+            self._poll_timeout = None
 
     def _handle_lost_history(self, error: HistoryLostError) -> None:
         if self._version is None or not self._is_in_old_era:
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bergamotthread.clock import Clock
+from bergamotthread.connection.http.fetch import FetchRequest, fetch
 from bergamotthread.platform.relayed_feed import TableHistory
 from bergamotthread.platform.settings import PlatformSettings
 from bergamotthread.platform.store import (
@@ -461,6 +462,20 @@
     run_in_memory(check())
 
 
+def test_call_of_an_entry_that_knows_no_eras_leads_it_to_the_store():
+    async def check():
+        deployment = await _start()
+        peer, target = '10.1.0.1:7001', b'/api/rows-feed?table=op&after=999'
+        pool = deployment.entries[0]._pool
+        before = await fetch(pool, peer, FetchRequest(b'GET', target), 500)
+        await _fall_back(deployment, deployment.store.ver - 1)
+        await deployment.clock.sleep_ms(500)
+        after = await fetch(pool, peer, FetchRequest(b'GET', target), 500)
+        assert (before.status, after.status) == (200, 410)
+
+    run_in_memory(check())
+
+
 async def _read_load(entries: int, outage_ms: float) -> tuple[int, int, float]:
     """Return the reads after a return of the store, with entries in 3 regions.
 
