Calls that run once do not run again because the store lost their record

After the store came back from a copy, a call whose row was lost ran a second time when its caller repeated the key, and a compare-and-set with a revision of the old era could meet the same number of the new one.

- Row.revision carries the era.
A compare-and-set with a revision of an earlier era is a conflict; one that is answered in a later era counts as unknown.

--- a/bergamotthread/platform/store.py
+++ b/bergamotthread/platform/store.py
@@ -126,13 +126,14 @@
     payload
         New content; None removes the row.
     expected
-        Version that the row must have; 0 if the row must not exist.
+        Version that the row must have; its number is 0 if the row must not
+        exist.
     """
 
     table: str
     key: str
     payload: bytes | None
-    expected: int
+    expected: StoreVersion
 
 
 class _WireNames(msgspec.Struct, frozen=True):
@@ -223,24 +224,44 @@
                 return ReadResult(tuple(rows), version)
             bounds['from'] = f'{page.rows[-1].key}\0'
 
-    async def change(self, change: RowChange) -> int:
+    async def change(self, change: RowChange) -> StoreVersion:
         """Change one row and return its new version.
 
         Raises
         ------
         PreconditionFailedError
-            If the row has another version; nothing was written.
+            If the row has another version, or the expected one is of an era
+            before the known one; nothing was written.
         StoreCallError
-            If the store did not confirm this; the change may have taken effect.
+            If the store did not confirm this, or came back older meanwhile and
+            gave the expected number out again; the change may have taken
+            effect.
         """
+        if change.expected.number and change.expected.era != (
+            self.eras.known or 0
+        ):
+            raise PreconditionFailedError(
+                f'{change.key}: expected {change.expected}, '
+                f'the store is in era {self.eras.known}',
+                step=Step.STORE,
+                peer=self.address,
+            )
         row = _row_reference(change.table, change.key)
-        condition = {**row, 'ver': change.expected}
+        condition = {**row, 'ver': change.expected.number}
         if change.payload is None:
             answer = await self._transact(expected=[condition], removed=[row])
         else:
             put = {**row, 'value': _encode_payload(change.payload)}
             answer = await self._transact(expected=[condition], puts=[put])
-        return _decode(answer.body, WireRows, self.address).ver
+        if change.expected.number and answer.era != change.expected.era:
+            raise StoreCallError(
+                f'{change.key}: written in era {answer.era}, '
+                f'expected {change.expected}',
+                step=Step.STORE,
+                peer=self.address,
+            )
+        written = _decode(answer.body, WireRows, self.address)
+        return StoreVersion(answer.era, written.ver)
 
     async def put_object(self, name: str, body: bytes) -> None:
         """Store an object under a new name.
--- a/bergamotthread/platform/tables.py
+++ b/bergamotthread/platform/tables.py
@@ -22,12 +22,14 @@
     StoreCallError,
     StoredRow,
 )
+from bergamotthread.platform.store_version import StoreVersion
 from bergamotthread.process.settings import PlatformSettings
 from bergamotthread.process.store.platform import (
     HostEntry,
     HostList,
     ObjectStore,
     Row,
+    StoreReturns,
     Table,
 )
 from bergamotthread.process.store.store_client import (
@@ -41,6 +43,9 @@
 # One row for each machine, keyed by address and kept by whoever starts the
 # machines.
 HOSTS_TABLE = 'hosts'
+# A revision is the number of a version, with the era above these bits, so that
+# revisions grow with each write and no revision of one era occurs in another.
+NUMBER_BITS = 48
 # Last code point; a prefix followed by it sorts after all keys with the prefix.
 _LAST_CODE_POINT = '\U0010ffff'
 
@@ -65,14 +70,14 @@
 
     async def write(self, key: str, body: bytes, *, expected: int) -> Row:
         """Write a row whose revision is `expected`."""
-        change = RowChange(ROWS_TABLE, key, body, expected)
+        change = RowChange(ROWS_TABLE, key, body, _version(expected))
         with _translate_errors():
-            revision = await self._calls.change(change)
-        return Row(key, body, revision)
+            version = await self._calls.change(change)
+        return Row(key, body, _revision(version))
 
     async def delete(self, key: str, *, expected: int) -> None:
         """Delete a row whose revision is `expected`."""
-        change = RowChange(ROWS_TABLE, key, None, expected)
+        change = RowChange(ROWS_TABLE, key, None, _version(expected))
         with _translate_errors():
             await self._calls.change(change)
 
@@ -138,12 +143,15 @@
     """Return a client of the platform's store, limited by the settings."""
     connections = UpstreamPool(clock, b'')
     calls = PlatformStoreClient(settings.address, connections)
+    returns = StoreReturns()
+    calls.eras.listeners.append(lambda *_: returns.notify())
     return StoreClient(
         PlatformTable(calls),
         PlatformObjectStore(calls),
         PlatformHostList(calls),
         StoreGuard(StoreLimits.from_settings(settings), clock),
         connections,
+        returns,
     )
 
 
@@ -167,10 +175,20 @@
 
 def _rows(stored: tuple[StoredRow, ...]) -> tuple[Row, ...]:
     return tuple(
-        Row(row.key, row.payload or b'', row.version.number) for row in stored
+        Row(row.key, row.payload or b'', _revision(row.version))
+        for row in stored
     )
 
 
+def _revision(version: StoreVersion) -> int:
+    return version.era << NUMBER_BITS | version.number
+
+
+def _version(revision: int) -> StoreVersion:
+    era = revision >> NUMBER_BITS
+    return StoreVersion(era, revision - (era << NUMBER_BITS))
+
+
 def _decode_host(row: StoredRow) -> HostEntry | None:
     """Decode a host; return None for a row that holds something else."""
     try:
--- a/bergamotthread/process/entry_process.py
+++ b/bergamotthread/process/entry_process.py
@@ -18,6 +18,7 @@
 from bergamotthread.platform.tables import open_store
 from bergamotthread.process.calls.call_cleaner import CallCleaner
 from bergamotthread.process.calls.call_runner import CallRunner
+from bergamotthread.process.calls.kept_call_rows import KeptCallRows
 from bergamotthread.process.drain.drain_report import DrainReporter
 from bergamotthread.process.drain.drain_runner import DrainRunner
 from bergamotthread.process.drain.drain_state import DrainState
@@ -83,8 +84,16 @@
         self._create_recorders()
         self._create_control()
         self._create_generations()
+        self.call_rows = KeptCallRows(
+            store.table(StoreUse.CALLS), clock, store.returns
+        )
+        self.metrics.registry.gauge(
+            'call_rows_rewritten',
+            'Rows of calls that the store lost and that are written again.',
+            lambda: self.call_rows.rewritten_count,
+        )
         self.calls = CallRunner(
-            store.table(StoreUse.CALLS),
+            self.call_rows,
             store.object_store(StoreUse.CALLS),
             transport,
             clock,
@@ -131,6 +140,7 @@
                 for work in (
                     self.versions.run(),
                     self.control.run(),
+                    self.call_rows.run(),
                     self.cleaner.run(),
                     self.generations.run(),
                     self.explanations.run(),
--- a/bergamotthread/process/store/platform.py
+++ b/bergamotthread/process/store/platform.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import abc
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True)
@@ -15,6 +16,24 @@
     revision: int
 
 
+@dataclass
+class StoreReturns:
+    """Tells who must write rows again that the store came back older.
+
+    Parameters
+    ----------
+    listeners
+        Called when an answer shows that the store returned from a copy.
+    """
+
+    listeners: list[Callable[[], None]] = field(default_factory=list)
+
+    def notify(self) -> None:
+        """Call all listeners."""
+        for listener in self.listeners:
+            listener()
+
+
 @dataclass(frozen=True)
 class HostEntry:
     """Host in the platform's host list, which lags behind its real state."""
--- a/bergamotthread/process/store/store_client.py
+++ b/bergamotthread/process/store/store_client.py
@@ -33,6 +33,7 @@
     HostList,
     ObjectStore,
     Row,
+    StoreReturns,
     Table,
 )
 
@@ -263,6 +264,7 @@
     inner_hosts: HostList
     guard: StoreGuard
     connections: UpstreamPool | None = None
+    returns: StoreReturns = field(default_factory=StoreReturns)
 
     def table(self, use: StoreUse) -> GuardedTable:
         """Return the table for accesses of one purpose."""
