--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -246,7 +246,8 @@
 
         The status is 404 if the path or the table is unknown or the version
         is not a number, and 410 if `TableHistory.changes_after` returns None.
-        A call that names no era is of an entry that knows of none.
+        A call that names no era is of an entry that knows of none: its status
+        is 410 once the store has come back older.
         """
         path, _, query = exchange.request.target.partition(b'?')
         if path == LEAVING_PATH and self.leaving is not None:
@@ -266,7 +267,7 @@
             float(wait_ms) if wait_ms.isdigit() else 0,
             is_packed=PACKED_FIELD in fields,
         )
-        if changes is None:
+        if changes is None or (changes.era and not era):
             exchange.respond(_GONE, ())
             return
         exchange.respond(200, (), msgspec.json.encode(changes))
