Retry budget: a reserved retry counts from the time at which it is sent

Cause: a retry was counted when it was reserved. A stream that waits for an upstream may send it seconds later, up to when the window has dropped it: it then counted in no window in which it arrived, and the bound could be exceeded.

Change: a retry is counted anew when it is sent, and reserved anew if the window has dropped it.

Measured: both new tests failed before (slack of 1: two retries within 6 s, and two reserved at once).

--- a/bergamotthread/process/relay/repeat_budget.py
+++ b/bergamotthread/process/relay/repeat_budget.py
@@ -88,6 +88,16 @@
         self._current_usage(service).retries.append(retry)
         return retry
 
+    def is_counted(self, service: str, retry: CountedRetry) -> bool:
+        """Return whether a retry still takes room in the budget."""
+        return retry in self._current_usage(service).retries
+
+    def record_sent(self, service: str, retry: CountedRetry) -> None:
+        """Count a retry from now, since it is sent only now."""
+        self.refund(service, retry)
+        sent = CountedRetry(self.clock.now_ms())
+        self._current_usage(service).retries.append(sent)
+
     def refund(self, service: str, retry: CountedRetry) -> None:
         """Stop counting a retry that was not sent."""
         usage = self._current_usage(service)
--- a/bergamotthread/request/relay/attempt_loop.py
+++ b/bergamotthread/request/relay/attempt_loop.py
@@ -56,7 +56,7 @@
     @property
     def has_budget(self) -> bool:
         """Return whether the retry budget has room for the next attempt."""
-        if not self.attempts_sent or self.retry is not None:
+        if not self.attempts_sent or self._is_reserved:
             return True
         return self.parts.retry_budget.has_room(self.call.service.name)
 
@@ -71,7 +71,7 @@
 
         A first attempt is always allowed and not counted.
         """
-        if self.attempts_sent and self.retry is None:
+        if self.attempts_sent and not self._is_reserved:
             self.retry = self.parts.retry_budget.spend(self.call.service.name)
             return self.retry is not None
         return True
@@ -79,7 +79,10 @@
     def record_sent(self) -> None:
         """Count an attempt whose request was sent, and its retry with it."""
         self.attempts_sent += 1
-        self.retry = None
+        if self.retry is not None:
+            service = self.call.service.name
+            self.parts.retry_budget.record_sent(service, self.retry)
+            self.retry = None
 
     def release(self) -> None:
         """Return a retry that was counted and not sent to the budget."""
@@ -88,6 +91,14 @@
             self.parts.retry_budget.refund(service, self.retry)
             self.retry = None
 
+    @property
+    def _is_reserved(self) -> bool:
+        """Return whether a retry is counted; one may outlast its window."""
+        budget = self.parts.retry_budget
+        return self.retry is not None and budget.is_counted(
+            self.call.service.name, self.retry
+        )
+
 
 class AttemptSteps(Protocol[_Placement]):
     """Steps of an attempt that depend on the kind of call."""
--- a/tests/test_attempt_limits.py
+++ b/tests/test_attempt_limits.py
@@ -51,3 +51,34 @@
     assert first.reserve_attempt()
     first.release()
     assert second.reserve_attempt()
+
+
+# Guards against a retry that is sent when the window in which it was reserved
+# is over: it counted for no window in which it arrived.
+def test_reserved_retry_counts_from_the_time_at_which_it_is_sent():
+    readings_s = [1.0]
+    clock = Clock(
+        monotonic_s=lambda: readings_s[-1], calendar_s=lambda: readings_s[-1]
+    )
+    limits = ServiceRetryLimits(ratio=0, window_ms=10_000, slack=1)
+    budget = ServiceRetryBudget(clock, limits, lambda: 1)
+    first, second = _sent_call(budget), _sent_call(budget)
+    assert first.reserve_attempt()
+    readings_s.append(9.0)
+    first.record_sent()
+    readings_s.append(15.0)
+    assert not second.reserve_attempt()
+
+
+def test_retry_reserved_longer_than_the_window_is_reserved_again():
+    readings_s = [1.0]
+    clock = Clock(
+        monotonic_s=lambda: readings_s[-1], calendar_s=lambda: readings_s[-1]
+    )
+    limits = ServiceRetryLimits(ratio=0, window_ms=10_000, slack=1)
+    budget = ServiceRetryBudget(clock, limits, lambda: 1)
+    first, second = _sent_call(budget), _sent_call(budget)
+    assert first.reserve_attempt()
+    readings_s.append(12.0)
+    assert second.reserve_attempt()
+    assert not first.reserve_attempt()
