Relay: a stream whose event arrives after all reserves no retry

Cause: the retry was reserved before the last look for an event. A stream that went on then kept it until its end, and the budget of the service had less room for the others.

--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -296,9 +296,13 @@
             if attempt.remaining_ms <= 0:
                 return None
             silence = await self._silence_reason(attempt, started_ms)
-            if silence and self._reserve_replacement():
-                received = await attempt.receive(0)
-                return received or AnswerLost(silence)
+            if not silence:
+                continue
+            received = await attempt.receive(0)
+            if received is not None:
+                return received
+            if self._reserve_replacement():
+                return AnswerLost(silence)
 
     async def _silence_reason(self, attempt: Attempt, started_ms: float) -> str:
         """Return why a silent upstream counts as lost; empty if it does not.
--- a/tests/test_own_path_stall.py
+++ b/tests/test_own_path_stall.py
@@ -9,7 +9,7 @@
 
 from bergamotthread.platform.entry import ENTRIES_MIN
 from bergamotthread.testing.memory_http import run_in_memory
-from standins.platform_runner import STREAM_EVENTS
+from standins.platform_runner import MODEL, STREAM_EVENTS
 from standins.platform_settings import REPEAT_SLACK
 from tests.platform_standins import Deployment
 
@@ -122,3 +122,29 @@
             task.cancel()
 
     run_in_memory(check())
+
+
+# Guards against a stream that goes on in its attempt and keeps the retry that
+# it reserved, which no other stream could use.
+def test_stream_that_goes_on_reserves_no_retry():
+    async def check():
+        deployment = await Deployment.start(models=3)
+        budget = _limit_retries(deployment, ratio=0, slack=8)
+        [task] = await _start_streams(deployment, 1)
+        liveness = deployment.entries[0]._parts.liveness
+        is_alive = liveness.is_alive
+
+        async def answer_no_after_a_while(*_):
+            await deployment.clock.sleep_ms(100)
+            return False
+
+        liveness.is_alive = answer_no_after_a_while
+        deployment.net.hold(150)
+        await deployment.clock.sleep_ms(300)
+        liveness.is_alive = is_alive
+        assert budget.has_room(MODEL)
+        answer = await task
+        assert answer.event_ids == list(range(1, STREAM_EVENTS + 1))
+        assert deployment.ran(deployment.models) == 1
+
+    run_in_memory(check())
