Relayed rows: a follower without news waits for the next confirmation

What callers saw: two seconds after a large version, entries with slow links read the next one from the store, uncompressed, and cut streams (the record: version 12 in force at 37.8644, "op is 1463 ms old" 6 ms later, version 14 read from the store).

Cause: the version rises with changes of all tables. A follower that was held up asked after a version that its reader had passed, and was answered at once, without rows and with a confirmation of up to 2 s before. It counted as too old, and the reader was not asked again for 8 s.

Change: a follower for which there are no rows is answered with the next confirmation if the last one is older than its wait.

Measured: the new test failed before ("op is 1466 ms old, direct: True, expected 1300 ms").

--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -124,7 +124,7 @@
             return None
         called_ms = self.clock.boot_ms()
         event = self._updated
-        if version >= self.version:
+        if self._lacks_news(version, wait_ms):
             await _wait_for_event(
                 event, min(wait_ms, FEED_WAIT_MAX_MS), self.clock
             )
@@ -144,6 +144,18 @@
             is_direct=self.is_direct,
         )
 
+    def _lacks_news(self, version: int, wait_ms: float) -> bool:
+        """Return whether a follower gains more from the next confirmation.
+
+        The version rises with changes of other tables. A confirmation older
+        than the follower's wait is too old for it.
+        """
+        if version >= self.version:
+            return True
+        has_rows = any(row.version > version for row in self._changes)
+        is_recent = self.clock.boot_ms() - self.confirmed_ms < wait_ms
+        return not has_rows and not is_recent
+
     def _confirm(self, version: int, requested_ms: float) -> None:
         self.version = max(version, self.version)
         self.confirmed_ms = max(requested_ms, self.confirmed_ms)
--- a/tests/test_relayed_version.py
+++ b/tests/test_relayed_version.py
@@ -11,14 +11,20 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.platform.relayed_feed import TableHistory
+from bergamotthread.connection.http.upstream_pool import UpstreamPool
+from bergamotthread.platform.relayed_feed import (
+    RelayedFeedServer,
+    TableHistory,
+)
 from bergamotthread.platform.store import (
+    PlatformStoreClient,
     StoreCallError,
     StoredRow,
     WireRow,
     _decode_rows,
 )
 from bergamotthread.process.relay.liveness import STREAM_SILENCE_MS
+from bergamotthread.process.relay.servers import listen
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import MODEL, manifest, route_of
 from tests.platform_standins import STORE, Deployment, settings
@@ -147,3 +153,54 @@
         assert in_force[-1]['version'] == 2
 
     run_in_memory(check())
+
+
+async def _relayed(history, age_max_ms, wait_ms=0):
+    """Read the changes after version 1 from an entry that relays them."""
+    loop = asyncio.get_running_loop()
+    clock = Clock.from_loop(loop)
+    server = RelayedFeedServer(clock, {'op': history})
+    await listen(server, '10.1.0.1:7001')
+    client = PlatformStoreClient(STORE, UpstreamPool(clock, b'none'))
+    return await client.read_relayed_changes(
+        '10.1.0.1:7001', 'op', 1, wait_ms, age_max_ms
+    )
+
+
+# Guards against a follower that was held up and then left its reader for a
+# confirmation that was too old, although the next one was on its way.
+def test_follower_without_news_waits_for_the_next_confirmation():
+    async def check():
+        loop = asyncio.get_running_loop()
+        history = TableHistory(Clock.from_loop(loop))
+        history.restart(1, loop.time() * 1000)
+        # Other tables changed, so that the version has risen without rows.
+        history.add((), 5, loop.time() * 1000, is_direct=True)
+        await asyncio.sleep(1.463)
+
+        async def confirm():
+            await asyncio.sleep(0.5)
+            history.add((), 6, loop.time() * 1000, is_direct=True)
+
+        confirming = asyncio.create_task(confirm())
+        read = await _relayed(history, age_max_ms=1300, wait_ms=1300)
+        assert read.version == 6
+        assert read.age_ms < 1300
+        await confirming
+
+    run_in_memory(check())
+
+
+def test_follower_without_news_is_answered_at_once_if_that_is_recent():
+    async def check():
+        loop = asyncio.get_running_loop()
+        history = TableHistory(Clock.from_loop(loop))
+        history.restart(1, loop.time() * 1000)
+        history.add((), 5, loop.time() * 1000, is_direct=True)
+        await asyncio.sleep(1)
+        started_s = loop.time()
+        read = await _relayed(history, age_max_ms=1300, wait_ms=1300)
+        assert read.version == 5
+        assert loop.time() - started_s < 0.1
+
+    run_in_memory(check())
