Relay: a connection that fails in a stall of the own path is no loss

What callers saw: after a stall of 1.3 s of the entry's own link, with plain requests in flight, the entry refused a whole plain service for four seconds (503, no upstream).

Cause: a connection that could not be opened in time marked its upstream lost until the path was doubted, and only silent streams raise that doubt. Requests for plain services tried all their upstreams in the stall.

Change: a connect time-out marks an upstream lost only if some upstream was heard in the second half of it.

Measured: both cases of the new test failed before (503 in the first second after the stall). One dark upstream of two or four and no other traffic: 1 to 4 of 60 requests take over 300 ms, as before.

--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -13,6 +13,7 @@
     UpstreamConnection,
 )
 from bergamotthread.connection.http.upstream_pool import (
+    CONNECT_TIMEOUT_MS,
     IDLE_MAX_MS,
     ConnectFailedError,
 )
@@ -104,7 +105,7 @@
                 return NotSent('the upstream is leaving')
             self._connection.send(encoded, self.call.request_id)
         except ConnectFailedError as error:
-            if not self.parts.liveness.is_own_path_doubted:
+            if self._is_upstream_lost(error):
                 self.parts.directory.record_lost(self.upstream)
             return NotSent(str(error))
         except ConnectionError as error:
@@ -148,6 +149,19 @@
                 self.upstream, head.headers, 'request', head.status
             )
 
+    def _is_upstream_lost(self, error: ConnectFailedError) -> bool:
+        """Return whether a failed connection shows that the upstream is lost.
+
+        If no upstream was heard in the second half of the time to connect, the
+        own path may have stalled.
+        """
+        if self.parts.liveness.is_own_path_doubted:
+            return False
+        if not isinstance(error.__cause__, TimeoutError):
+            return True
+        silent_ms = self.parts.clock.now_ms() - self.parts.directory.heard_ms
+        return silent_ms < CONNECT_TIMEOUT_MS / 2
+
 
 async def read_response(attempt: Attempt, timeout_ms: float) -> AttemptOutcome:
     """Return the response, or the outcome if incomplete after `timeout_ms`."""
--- a/tests/test_own_path_stall.py
+++ b/tests/test_own_path_stall.py
@@ -148,3 +148,40 @@
         assert deployment.ran(deployment.models) == 1
 
     run_in_memory(check())
+
+
+# Guards against a plain service that is refused for seconds after a stall of
+# the own link, because connections to its upstreams could not be opened.
+@pytest.mark.parametrize('path', ['/any/x', '/once/x'])
+def test_stall_of_the_own_link_leaves_no_plain_upstream_lost(path):
+    async def check():
+        deployment = await Deployment.start(plains=4)
+        tasks = [
+            asyncio.create_task(deployment.call(path)) for _ in range(STREAMS)
+        ]
+        # The requests have arrived and connections are being opened.
+        await deployment.clock.sleep_ms(3.5)
+        deployment.net.hold(1300)
+        await asyncio.gather(*tasks)
+        await deployment.clock.sleep_ms(100)
+        for _ in range(8):
+            answer = await deployment.call(path)
+            assert answer.status == 200
+
+    run_in_memory(check())
+
+
+def test_plain_upstream_without_connections_is_lost_while_others_are_heard():
+    async def check():
+        deployment = await Deployment.start(plains=4)
+        deployment.plains[0].silence()
+        dark = deployment.plains[0].instance
+        talking = await _start_streams(deployment, 1)
+        directory = deployment.entries[0]._directory
+        while not directory.is_lost(directory.get(dark)):
+            answer = await deployment.call('/any/x')
+            assert answer.status == 200
+            assert not talking[0].done()
+        await asyncio.gather(*talking)
+
+    run_in_memory(check())
