Relay: a plain attempt is given up only if another may follow

What callers saw: 502 or 504 long before the deadline for requests whose answer took over 0.6 of its target time, while the retry budget had no room or the route allows one attempt.

Cause: the first attempt was given up at that time in any case; only then was looked whether another may follow.

Change: the attempt is read on unless a retry can be reserved for the next one.

Measured: the new test failed before (502 without room in the budget, 504 with one attempt; the answer takes 400 ms of 1,500) and passes.

--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -163,18 +163,7 @@
         return silent_ms < CONNECT_TIMEOUT_MS / 2
 
 
-async def read_response(attempt: Attempt, timeout_ms: float) -> AttemptOutcome:
-    """Return the response, or the outcome if incomplete after `timeout_ms`."""
-    response = _BufferedResponse(attempt)
-    end_ms = attempt.parts.clock.now_ms() + timeout_ms
-    outcome: AttemptOutcome | None = None
-    while outcome is None:
-        remaining_ms = end_ms - attempt.parts.clock.now_ms()
-        outcome = response.add(await attempt.receive(remaining_ms))
-    return outcome
-
-
-class _BufferedResponse:
+class BufferedResponse:
     """Response that is buffered until it is complete."""
 
     def __init__(self, attempt: Attempt) -> None:
@@ -182,6 +171,19 @@
         self._head: AnswerHead | None = None
         self._body = bytearray()
 
+    async def read(self, timeout_ms: float) -> AttemptOutcome:
+        """Return the response, or the outcome if incomplete after the timeout.
+
+        After `OutOfTime`, another call goes on reading.
+        """
+        clock = self._attempt.parts.clock
+        end_ms = clock.now_ms() + timeout_ms
+        outcome: AttemptOutcome | None = None
+        while outcome is None:
+            remaining_ms = end_ms - clock.now_ms()
+            outcome = self.add(await self._attempt.receive(remaining_ms))
+        return outcome
+
     def add(self, received: AnswerItem | None) -> AttemptOutcome | None:
         """Add an item; return the outcome if no more items are needed."""
         match received:
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -5,7 +5,7 @@
 from bergamotthread.process.relay.choice import RelayPlacementRequest
 from bergamotthread.process.relay.plain_gate import PlainDemand, PlainRefused
 from bergamotthread.process.relay.upstreams import Upstream
-from bergamotthread.request.relay.attempt import Attempt, read_response
+from bergamotthread.request.relay.attempt import Attempt, BufferedResponse
 from bergamotthread.request.relay.attempt_loop import (
     AttemptLimits,
     run_attempts,
@@ -133,18 +133,34 @@
             if not_sent is not None:
                 return not_sent
             self._limits.record_sent()
-            outcome = await read_response(attempt, self._attempt_timeout_ms())
+            outcome = await self._read(attempt)
             self._latency_ms = self._parts.clock.now_ms() - attempt.sent_ms
             return outcome
 
+    async def _read(self, attempt: Attempt) -> AttemptOutcome:
+        """Read the response; give it up early if another attempt may follow."""
+        response = BufferedResponse(attempt)
+        outcome = await response.read(self._attempt_timeout_ms())
+        if isinstance(outcome, OutOfTime) and not self._may_replace():
+            return await response.read(self._time_left_ms())
+        return outcome
+
     def _attempt_timeout_ms(self) -> float:
         """Return the timeout of the attempt that was just sent."""
-        remaining_ms = self._limits.remaining_ms + DEADLINE_MARGIN_MS
         may_retry = self._call.route.repeatability.may_retry
         if not may_retry or self._limits.attempts_sent > 1:
-            return remaining_ms
+            return self._time_left_ms()
         target_ms = self._call.route.first_event_target_ms
-        return min(remaining_ms, target_ms * FIRST_ATTEMPT_TARGET_FRACTION)
+        return min(
+            self._time_left_ms(), target_ms * FIRST_ATTEMPT_TARGET_FRACTION
+        )
+
+    def _time_left_ms(self) -> float:
+        return self._limits.remaining_ms + DEADLINE_MARGIN_MS
+
+    def _may_replace(self) -> bool:
+        """Return whether another attempt may follow, and reserve its retry."""
+        return self._may_retry() and self._limits.reserve_attempt()
 
     def _handle_outcome(
         self, upstream: Upstream, outcome: AttemptOutcome
--- a/tests/test_own_path_stall.py
+++ b/tests/test_own_path_stall.py
@@ -9,7 +9,7 @@
 
 from bergamotthread.platform.entry import ENTRIES_MIN
 from bergamotthread.testing.memory_http import run_in_memory
-from standins.platform_runner import MODEL, STREAM_EVENTS
+from standins.platform_runner import MODEL, PLAIN, STREAM_EVENTS, route_of
 from standins.platform_settings import REPEAT_SLACK
 from tests.platform_standins import Deployment
 
@@ -185,3 +185,22 @@
         await asyncio.gather(*talking)
 
     run_in_memory(check())
+
+
+# Guards against a plain request whose running attempt is given up although no
+# other attempt may follow.
+@pytest.mark.parametrize('limit', ['budget', 'attempts'])
+def test_slow_plain_request_without_a_retry_keeps_its_attempt(limit):
+    async def check():
+        once = route_of('/one/', 'idempotent', PLAIN, max_attempts=1)
+        deployment = await Deployment.start(routes=(once,))
+        if limit == 'budget':
+            _limit_retries(deployment, ratio=0, slack=0)
+        for plain in deployment.plains:
+            plain.script.work_ms = 400
+        path = '/any/x' if limit == 'budget' else '/one/x'
+        answer = await deployment.call(path)
+        assert answer.status == 200
+        assert deployment.ran(deployment.plains) == 1
+
+    run_in_memory(check())
