Relay: a stream without a head waits for the retry budget only briefly

Cause: since streams wait for the retry budget, one that has sent nothing to its caller waited until its deadline too (25 s) and failed then. Before, the caller got 502 at once and tried again at another entry, where its request is new.

--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -159,18 +159,21 @@
 
         A stream that may have run waits until its deadline.
         """
-        if self.may_wait_for_budget():
+        if self._call.exchange.has_head or self._may_have_run:
             return True
         if self._limits.is_unservable:
             return False
-        return self._parts.clock.now_ms() <= self._placement_deadline_ms
+        return self._is_placement_due()
 
     def may_wait_for_budget(self) -> bool:
-        """Return whether the stream may have run.
+        """Return whether to wait while the retry budget has no room.
 
-        Such a stream waits until its deadline rather than being cut.
+        A stream that has begun waits until its deadline rather than being cut.
+        Before, its caller may try again elsewhere.
         """
-        return self._call.exchange.has_head or self._may_have_run
+        if self._call.exchange.has_head:
+            return True
+        return self._may_have_run and self._is_placement_due()
 
     async def run_attempt(self, placement: AttemptPlacement) -> bool:
         """Run an attempt; return whether no further attempt is needed."""
@@ -184,6 +187,10 @@
         self._log_refusal(refusal)
         send_refusal(self._call.exchange, refusal)
 
+    def _is_placement_due(self) -> bool:
+        """Return whether the time to find an upstream is not over yet."""
+        return self._parts.clock.now_ms() <= self._placement_deadline_ms
+
     def _overload_refusal(self, refused: StreamRefused) -> RelayRefusal:
         return RelayRefusal(
             503,
--- a/tests/test_own_path_stall.py
+++ b/tests/test_own_path_stall.py
@@ -204,3 +204,20 @@
         assert deployment.ran(deployment.plains) == 1
 
     run_in_memory(check())
+
+
+# Guards against a caller that is kept waiting until its deadline for a stream
+# without a head, although it could try again elsewhere.
+def test_stream_without_a_head_does_not_wait_long_for_the_retry_budget():
+    async def check():
+        deployment = await Deployment.start(models=3)
+        _limit_retries(deployment, ratio=0, slack=0)
+        started_ms = deployment.clock.now_ms()
+        call = asyncio.create_task(deployment.call('/stream/x'))
+        await deployment.clock.sleep_ms(200)
+        next(model for model in deployment.models if model.seen).kill()
+        answer = await call
+        assert answer.status == 502
+        assert deployment.clock.now_ms() - started_ms < RESUME_BOUND_MS
+
+    run_in_memory(check())
