Liveness: bytes of other upstreams stand in for witnesses

Change: bytes of any upstream that arrive one round trip after the silent one was asked show that the path works; witnesses are asked only without any.

The new test failed before (210 ms, and witnesses).

--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -156,16 +156,20 @@
     ) -> bool:
         """Return whether the own path works, as far as others can tell.
 
-        It counts as working if there is no other upstream to ask, or if the
-        silent one is no longer listed.
+        Bytes of any upstream show it, one round trip after the silent one was
+        asked. It counts as working too if there is no other upstream to ask, or
+        if the silent one is no longer listed.
         """
+        heard_from_ms = started_ms + WITNESS_DELAY_MS / 2
+        if self.directory.heard_ms > heard_from_ms:
+            return True
         instance = upstream.record.instance
         witnesses = self.directory.witnesses(upstream, WITNESSES)
         if not witnesses or self.directory.get(instance) is not upstream:
             return True
         if await self._does_any_answer(witnesses):
             return True
-        return self.directory.heard_ms > started_ms + WITNESS_DELAY_MS
+        return self.directory.heard_ms > heard_from_ms
 
     async def _does_any_answer(self, witnesses: Iterable[Upstream]) -> bool:
         """Return whether a witness answers in time, once the first one does."""
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -9,7 +9,10 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.relay.decision_log import DecisionLog
-from bergamotthread.process.relay.liveness import LivenessWatch
+from bergamotthread.process.relay.liveness import (
+    UPSTREAM_PROBE_TIMEOUT_MS,
+    LivenessWatch,
+)
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.upstreams import (
     LoadReport,
@@ -179,3 +182,23 @@
         talking.cancel()
 
     run_virtual(check())
+
+
+# Guards against probes of others, and the time that they take, where bytes of
+# other streams show that the path works.
+def test_bytes_of_other_upstreams_stand_in_for_witnesses():
+    async def check():
+        engines = Engines('abc')
+        engines.dark = {'i0'}
+
+        async def talk():
+            while True:
+                engines.hear(1)
+                await engines.clock.sleep_ms(40)
+
+        talking = asyncio.create_task(talk())
+        assert await engines.time_to_loss_ms(0) <= UPSTREAM_PROBE_TIMEOUT_MS
+        assert engines.watch.probes_sent == 1
+        talking.cancel()
+
+    run_virtual(check())
