--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -37,6 +37,8 @@
 from bergamotthread.process.relay.freshness import VersionFreshness
 from bergamotthread.process.relay.life_cycle import LifeCycle
 from bergamotthread.process.relay.liveness import LivenessWatch
+from bergamotthread.process.relay.pause_recorder import PauseRecorder
+from bergamotthread.process.relay.pauses import UpstreamPauses
 from bergamotthread.process.relay.plain_gate import PlainGate
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.repeat_budget import (
@@ -97,7 +99,10 @@
         self._life_cycle = LifeCycle(clock, settings.stop_grace_ms)
         self._freshness = VersionFreshness(clock, settings.revoke_bound_ms)
         self._pool = UpstreamPool(clock, PLATFORM_DIALECT.request_id)
-        self._directory = UpstreamDirectory(clock)
+        self._directory = UpstreamDirectory(
+            clock,
+            pauses=UpstreamPauses(self._rng, lambda: len(self._feeds)),
+        )
         self._store = PlatformStoreClient(settings.store_address, self._pool)
         self._feeds = FeedSources(clock, settings.host, settings.region)
         self._parts = self._make_relay_parts()
@@ -113,6 +118,7 @@
             self._parts,
             self._life_cycle,
         )
+        self._store.eras.listeners.append(self._handle_new_era)
         self._watches = self._make_watches()
         self._add_gauges()
 
@@ -184,6 +190,18 @@
         self._parts.retry_budget.limits = _retry_limits(settings)
         self._parts.choice.region_by_domain = settings.region_by_domain
 
+    def _handle_new_era(self, former: int, era: int) -> None:
+        """Log that the store came back older, and end backoffs."""
+        self._feeds.forget_failures()
+        table = self._holder.table
+        self._log.write(
+            'store-era',
+            former=former,
+            era=era,
+            version_in_force=None if table is None else table.version,
+            version_age_ms=self._freshness.age_ms,
+        )
+
     def _is_finished(self) -> bool:
         if self._life_cycle.must_end:
             return True
@@ -250,6 +268,11 @@
                 'Listed upstreams that said that they are leaving.',
                 lambda: self._directory.leaving_count,
             ),
+            (
+                'relay_upstreams_paused',
+                'Upstreams that asked for a pause that has not ended.',
+                self._directory.paused_count,
+            ),
             (
                 'relay_queued',
                 'Requests that wait for a plain service.',
@@ -260,6 +283,16 @@
                 'Calls to the store since the start.',
                 lambda: self._store.call_count,
             ),
+            (
+                'store_era',
+                'Era of the store; it rises when the store comes back older.',
+                lambda: self._store.eras.known or 0,
+            ),
+            (
+                'store_rows_rewritten',
+                'Own rows that the store lost and that are written again.',
+                lambda: self._watches.entries.rewritten_count,
+            ),
             (
                 'upstream_connections_opened',
                 'Connections to upstreams, other entries and the store.',
@@ -286,7 +319,8 @@
         settings = self._settings
         metrics = RelayMetrics.from_clock(self._clock)
         leaving = LeavingNotices(self._directory, PLATFORM_DIALECT, self._log)
-        runners = RunnerClient(self._pool, self._clock, leaving)
+        pauses = PauseRecorder(self._directory, self._log, metrics)
+        runners = RunnerClient(self._pool, self._clock, leaving, pauses)
         return RelayParts(
             clock=self._clock,
             pool=self._pool,
@@ -313,6 +347,7 @@
                 self._log,
                 metrics,
             ),
+            pauses=pauses,
             kv_cache=runners,
             header_names=PLATFORM_DIALECT,
             leaving=leaving,
@@ -326,6 +361,7 @@
             self._feeds,
             self._clock,
             self._log,
+            self._rng,
         )
         settings = self._settings
         own_record = EntryRecord(
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -73,6 +73,14 @@
         Whether all its answers say that it is leaving.
     extra
         Further header fields of all its answers.
+    retry_after
+        If not empty, it answers requests with 503, the header for "not
+        executed" and this value of `retry-after`.
+    report_retry_after
+        The same for load reports, without the header for "not executed".
+    turns_away_with
+        Status and headers in place of 503 and "not executed" for
+        `retry_after`.
     """
 
     not_run: bool = False
@@ -83,6 +91,12 @@
     padding: int = 0
     comment: int = 0
     stalls_after: int | None = None
+    retry_after: str = ''
+    report_retry_after: str = ''
+    turns_away_with: tuple[int, tuple[Header, ...]] = (
+        503,
+        ((b'bergamotthread-not-executed', b'1'),),
+    )
     answer: bytes = b'answer'
     work_ms: float = 30
     events: int = STREAM_EVENTS
@@ -111,6 +125,7 @@
         self.script = RunnerScript()
         self.seen: list[Seen] = []
         self.reports = 0
+        self.arrivals: list[tuple[float, bytes]] = []
         self.copied_to: list[str] = []
         self.freed: list[str] = []
         self.cached: set[str] = set()
@@ -119,8 +134,13 @@
         """Answer a call of the platform or a request of a caller."""
         request = exchange.request
         marks = self.script.headers
+        self.arrivals.append((self.clock.now_ms(), request.target))
         if request.target == b'/api/report':
             self.reports += 1
+            if self.script.report_retry_after:
+                asked = self.script.report_retry_after.encode()
+                exchange.respond(503, ((b'retry-after', asked), *marks))
+                return
             report = {'queue_depth': 0, 'in_flight': 0, 'kv_total': 88_000}
             exchange.respond(200, marks, json.dumps(report).encode())
             return
@@ -163,6 +183,11 @@
         if expected not in {None, self.instance.encode()}:
             exchange.respond(421, self.script.headers)
             return
+        if self.script.retry_after:
+            status, headers = self.script.turns_away_with
+            asked = (b'retry-after', self.script.retry_after.encode())
+            exchange.respond(status, (*headers, asked, *self.script.headers))
+            return
         if self.script.not_run or not self.has_copy(seen):
             not_run = (b'bergamotthread-not-executed', b'1')
             exchange.respond(503, (not_run, *self.script.headers))
--- a/tests/test_relayed_version.py
+++ b/tests/test_relayed_version.py
@@ -21,8 +21,10 @@
     StoreCallError,
     StoredRow,
     WireRow,
+    WireRows,
     _decode_rows,
 )
+from bergamotthread.platform.store_version import StoreVersion
 from bergamotthread.process.relay.liveness import STREAM_SILENCE_MS
 from bergamotthread.process.relay.servers import listen
 from bergamotthread.testing.memory_http import run_in_memory
@@ -45,11 +47,16 @@
     )
 
 
+def _version(number):
+    return StoreVersion(0, number)
+
+
 def _history(payload):
     async def make():
         history = TableHistory(Clock.from_loop(asyncio.get_running_loop()))
-        history.restart(1, 1)
-        history.add((StoredRow('config', payload, 2),), 2, 2, is_direct=True)
+        history.restart((), _version(1), 1)
+        row = StoredRow('config', payload, _version(2))
+        history.add((row,), _version(2), 2, is_direct=True)
         return history
 
     return make()
@@ -61,10 +68,10 @@
     async def check():
         payload = json.dumps(_large_manifest()).encode()
         history = await _history(payload)
-        changes = await history.changes_after(1, 0, is_packed=True)
+        changes = await history.changes_after(_version(1), 0, is_packed=True)
         sent = msgspec.json.encode(changes)
         assert len(sent) / LINK_BYTES_PER_MS < STREAM_SILENCE_MS
-        [row] = _decode_rows(changes.rows)
+        [row] = _decode_rows(changes)
         assert row.payload == payload
 
     run_in_memory(check())
@@ -76,10 +83,10 @@
     async def check():
         payload = b'x' * 10_000
         history = await _history(payload)
-        changes = await history.changes_after(1, 0)
+        changes = await history.changes_after(_version(1), 0)
         [wire_row] = changes.rows
         assert not wire_row.is_packed
-        [row] = _decode_rows(changes.rows)
+        [row] = _decode_rows(changes)
         assert row.payload == payload
 
     run_in_memory(check())
@@ -91,7 +98,9 @@
 
     encoded = base64.b64encode(packed).decode()
     with pytest.raises(StoreCallError, match='config is not compressed'):
-        _decode_rows([WireRow('config', encoded=encoded, is_packed=True)])
+        _decode_rows(
+            WireRows((WireRow('config', encoded=encoded, is_packed=True),))
+        )
 
 
 def test_large_version_is_in_force_at_a_follower():
@@ -145,7 +154,7 @@
         leader = deployment.entries[0]._watches.version.history
         row = json.dumps(manifest(version=2)).encode()
         leader.confirmed_ms -= 5000
-        changed = StoredRow('config', row, leader.version + 1)
+        changed = StoredRow('config', row, _version(leader.version.number + 1))
         leader.add((changed,), changed.version, 0, is_direct=True)
         await deployment.clock.sleep_ms(300)
         assert not deployment.events('feed-source-lost', 1)
@@ -163,7 +172,7 @@
     await listen(server, '10.1.0.1:7001')
     client = PlatformStoreClient(STORE, UpstreamPool(clock, b'none'))
     return await client.read_relayed_changes(
-        '10.1.0.1:7001', 'op', 1, wait_ms, age_max_ms
+        '10.1.0.1:7001', 'op', _version(1), wait_ms, age_max_ms
     )
 
 
@@ -173,18 +182,18 @@
     async def check():
         loop = asyncio.get_running_loop()
         history = TableHistory(Clock.from_loop(loop))
-        history.restart(1, loop.time() * 1000)
+        history.restart((), _version(1), loop.time() * 1000)
         # Other tables changed, so that the version has risen without rows.
-        history.add((), 5, loop.time() * 1000, is_direct=True)
+        history.add((), _version(5), loop.time() * 1000, is_direct=True)
         await asyncio.sleep(1.463)
 
         async def confirm():
             await asyncio.sleep(0.5)
-            history.add((), 6, loop.time() * 1000, is_direct=True)
+            history.add((), _version(6), loop.time() * 1000, is_direct=True)
 
         confirming = asyncio.create_task(confirm())
         read = await _relayed(history, age_max_ms=1300, wait_ms=1300)
-        assert read.version == 6
+        assert read.version == _version(6)
         assert read.age_ms < 1300
         await confirming
 
@@ -195,12 +204,12 @@
     async def check():
         loop = asyncio.get_running_loop()
         history = TableHistory(Clock.from_loop(loop))
-        history.restart(1, loop.time() * 1000)
-        history.add((), 5, loop.time() * 1000, is_direct=True)
+        history.restart((), _version(1), loop.time() * 1000)
+        history.add((), _version(5), loop.time() * 1000, is_direct=True)
         await asyncio.sleep(1)
         started_s = loop.time()
         read = await _relayed(history, age_max_ms=1300, wait_ms=1300)
-        assert read.version == 5
+        assert read.version == _version(5)
         assert loop.time() - started_s < 0.1
 
     run_in_memory(check())
