--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -173,7 +173,7 @@
         if not self._can_follow(version):
             return None
         called_ms = self.clock.boot_ms()
-        if version >= self.version:
+        if self._lacks_news(version, wait_ms):
             await self._wait_for_era(
                 version.era, min(wait_ms, FEED_WAIT_MAX_MS)
             )
@@ -197,6 +197,20 @@
             is_settled=self.is_settled,
         )
 
+    def _lacks_news(self, version: StoreVersion, wait_ms: float) -> bool:
+        """Return whether a follower gains more from the next confirmation.
+
+        The version rises with changes of other tables. A confirmation older
+        than the follower's wait is too old for it.
+        """
+        if version >= self.version:
+            return True
+        if self._lacks_changes(version):
+            return False
+        has_rows = any(row.version > version for row in self._changes)
+        is_recent = self.clock.boot_ms() - self.confirmed_ms < wait_ms
+        return not has_rows and not is_recent
+
     def _can_follow(self, version: StoreVersion) -> bool:
         if not self.version.number:
             return False
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -13,6 +13,7 @@
     UpstreamConnection,
 )
 from bergamotthread.connection.http.upstream_pool import (
+    CONNECT_TIMEOUT_MS,
     IDLE_MAX_MS,
     ConnectFailedError,
 )
@@ -113,7 +114,7 @@
                 return _HELD
             self._connection.send(encoded, self.call.request_id)
         except ConnectFailedError as error:
-            if not self.parts.liveness.is_own_path_doubted:
+            if self._is_upstream_lost(error):
                 directory.record_lost(self.upstream)
             return NotSent(str(error))
         except ConnectionError as error:
@@ -160,19 +161,21 @@
                 self.upstream, head.headers, 'request', head.status
             )
 
+    def _is_upstream_lost(self, error: ConnectFailedError) -> bool:
+        """Return whether a failed connection shows that the upstream is lost.
 
-async def read_response(attempt: Attempt, timeout_ms: float) -> AttemptOutcome:
-    """Return the response, or the outcome if incomplete after `timeout_ms`."""
-    response = _BufferedResponse(attempt)
-    end_ms = attempt.parts.clock.now_ms() + timeout_ms
-    outcome: AttemptOutcome | None = None
-    while outcome is None:
-        remaining_ms = end_ms - attempt.parts.clock.now_ms()
-        outcome = response.add(await attempt.receive(remaining_ms))
-    return outcome
+        If no upstream was heard in the second half of the time to connect, the
+        own path may have stalled.
+        """
+        if self.parts.liveness.is_own_path_doubted:
+            return False
+        if not isinstance(error.__cause__, TimeoutError):
+            return True
+        silent_ms = self.parts.clock.now_ms() - self.parts.directory.heard_ms
+        return silent_ms < CONNECT_TIMEOUT_MS / 2
 
 
-class _BufferedResponse:
+class BufferedResponse:
     """Response that is buffered until it is complete."""
 
     def __init__(self, attempt: Attempt) -> None:
@@ -180,6 +183,19 @@
         self._head: AnswerHead | None = None
         self._body = bytearray()
 
+    async def read(self, timeout_ms: float) -> AttemptOutcome:
+        """Return the response, or the outcome if incomplete after the timeout.
+
+        After `OutOfTime`, another call goes on reading.
+        """
+        clock = self._attempt.parts.clock
+        end_ms = clock.now_ms() + timeout_ms
+        outcome: AttemptOutcome | None = None
+        while outcome is None:
+            remaining_ms = end_ms - clock.now_ms()
+            outcome = self.add(await self._attempt.receive(remaining_ms))
+        return outcome
+
     def add(self, received: AnswerItem | None) -> AttemptOutcome | None:
         """Add an item; return the outcome if no more items are needed."""
         match received:
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -166,7 +166,7 @@
         A stream that may have run waits until its deadline, unless all
         upstreams are paused beyond it.
         """
-        if self.may_wait_for_budget():
+        if self._call.exchange.has_head or self._may_have_run:
             directory = self._parts.directory
             first = directory.first_opening(self._call.service.name)
             return first is None or not directory.is_held_past(
@@ -174,14 +174,17 @@
             )
         if self._limits.is_unservable:
             return False
-        return self._parts.clock.now_ms() <= self._placement_deadline_ms
+        return self._is_placement_due()
 
     def may_wait_for_budget(self) -> bool:
-        """Return whether the stream may have run.
+        """Return whether to wait while the retry budget has no room.
 
-        Such a stream waits until its deadline rather than being cut.
+        A stream that has begun waits until its deadline rather than being cut.
+        Before, its caller may try again elsewhere.
         """
-        return self._call.exchange.has_head or self._may_have_run
+        if self._call.exchange.has_head:
+            return True
+        return self._may_have_run and self._is_placement_due()
 
     async def run_attempt(self, placement: AttemptPlacement) -> bool:
         """Run an attempt; return whether no further attempt is needed."""
@@ -200,6 +203,10 @@
         self._pause_wait.end()
         self._copy_manager.discard()
 
+    def _is_placement_due(self) -> bool:
+        """Return whether the time to find an upstream is not over yet."""
+        return self._parts.clock.now_ms() <= self._placement_deadline_ms
+
     def _pause_refusal(self) -> RelayRefusal | None:
         """Return a refusal if a pause outlasts the wait for an upstream.
 
@@ -321,9 +328,13 @@
             if attempt.remaining_ms <= 0:
                 return None
             silence = await self._silence_reason(attempt, started_ms)
-            if silence and self._reserve_replacement():
-                received = await attempt.receive(0)
-                return received or AnswerLost(silence)
+            if not silence:
+                continue
+            received = await attempt.receive(0)
+            if received is not None:
+                return received
+            if self._reserve_replacement():
+                return AnswerLost(silence)
 
     async def _silence_reason(self, attempt: Attempt, started_ms: float) -> str:
         """Return why a silent upstream counts as lost; empty if it does not.
