Pauses: the users' rule checked under losses, silence and full upstreams

The stand-in keeps when it asked for a pause, so a test can count what reached it from half a second later to the end, as the rule does.

--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -115,6 +115,7 @@
         self.seen: list[Seen] = []
         self.reports = 0
         self.arrivals: list[tuple[float, bytes]] = []
+        self.pauses_asked: list[tuple[float, str]] = []
         self.copied_to: list[str] = []
         self.freed: list[str] = []
         self.cached: set[str] = set()
@@ -127,8 +128,7 @@
             self.reports += 1
         is_control = request.target.startswith(b'/api/')
         if is_control and self.script.report_retry_after:
-            asked = self.script.report_retry_after.encode()
-            exchange.respond(503, ((b'retry-after', asked),))
+            self._ask_for_pause(exchange, self.script.report_retry_after, ())
             return
         if request.target == b'/api/report':
             report = {'queue_depth': 0, 'in_flight': 0, 'kv_total': 88_000}
@@ -174,14 +174,26 @@
             return
         if self.script.retry_after:
             status, headers = self.script.turns_away_with
-            asked = (b'retry-after', self.script.retry_after.encode())
-            exchange.respond(status, (*headers, asked))
+            self._ask_for_pause(
+                exchange, self.script.retry_after, headers, status
+            )
             return
         if self.script.not_run or not self.has_copy(seen):
             exchange.respond(503, ((b'bergamotthread-not-executed', b'1'),))
             return
         await self.run(exchange, seen)
 
+    def _ask_for_pause(
+        self,
+        exchange: Exchange,
+        seconds: str,
+        headers: tuple[Header, ...],
+        status: int = 503,
+    ) -> None:
+        self.pauses_asked.append((self.clock.now_ms(), seconds))
+        asked = (b'retry-after', seconds.encode())
+        exchange.respond(status, (*headers, asked))
+
     async def run(self, exchange: Exchange, seen: Seen) -> None:
         """Run a request that was not refused."""
         if b'bergamotthread-token-counts' in seen.headers:
--- a/tests/test_upstream_pauses.py
+++ b/tests/test_upstream_pauses.py
@@ -30,7 +30,7 @@
 )
 from bergamotthread.testing.memory_http import run_in_memory
 from bergamotthread.testing.virtual_loop import run_virtual
-from standins.platform_runner import runner_row
+from standins.platform_runner import RunnerScript, runner_row
 from tests.platform_standins import Deployment, settings
 
 UPSTREAM = Incarnation('u', '10.0.0.1:80', 1)
@@ -730,3 +730,60 @@
         assert 10 <= len(_arrivals(runner, end_ms, end_ms + 1000)) <= 60
 
     run_in_memory(check())
+
+
+def _in_pauses(runner):
+    """Return how many requests reached a runner in each pause, by the rule."""
+    return [
+        len(
+            _arrivals(
+                runner,
+                asked_ms + ON_ITS_WAY_MS,
+                asked_ms + float(seconds) * 1000,
+            )
+        )
+        for asked_ms, seconds in runner.pauses_asked
+    ]
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_at_most_two_requests_reach_a_pause_whatever_else_happens(seed):
+    """Losses, silence, returns of streams and full upstreams in the pauses."""
+
+    async def check():
+        rng = random.Random(seed)
+        deployment = await Deployment.start(models=4, plains=3)
+        runners = deployment.models + deployment.plains
+        for model in deployment.models:
+            model.script.copies = {
+                f'{other.address}/r{number}'
+                for other in deployment.models
+                for number in range(400)
+            }
+        calls = []
+        for _ in range(40):
+            runner = rng.choice(runners)
+            script = runner.script
+            script.retry_after = rng.choice(['', '', '.8', '2', '4'])
+            script.report_retry_after = rng.choice(['', '', '', '1', '3'])
+            script.not_run = rng.random() < 0.2
+            script.turns_away_with = rng.choice(
+                [(503, ()), RunnerScript().turns_away_with]
+            )
+            if rng.random() < 0.2:
+                deployment.net.reset(runner.address)
+            if rng.random() < 0.1:
+                deployment.net.silent ^= {runner.address}
+            for _ in range(4):
+                path = rng.choice(['/stream/x', '/once/x', '/any/x'])
+                extra = rng.choice([(), ((b'last-event-id', b'7'),)])
+                call = deployment.call(path, extra=extra)
+                calls.append(asyncio.create_task(call))
+                await deployment.clock.sleep_ms(rng.uniform(20, 120))
+        deployment.net.silent.clear()
+        await asyncio.gather(*calls)
+        in_pauses = [count for one in runners for count in _in_pauses(one)]
+        assert len(in_pauses) > 5
+        assert max(in_pauses) <= 2
+
+    run_in_memory(check())
