Copies: an upstream that is paused is not asked to copy its streams

The call was not sent, but each stream there tried it twice a second and logged a copy that failed. test_no_copy_is_asked_of_a_paused_upstream was red before: four such lines in one stream.

--- a/bergamotthread/request/relay/copies.py
+++ b/bergamotthread/request/relay/copies.py
@@ -85,10 +85,13 @@
         is_unusable = self._copy is None or self._must_replace(self._copy)
         if self._is_sent_by_upstream and not is_unusable:
             return
+        source = self._upstream
+        if source is None or self._parts.directory.is_paused(source):
+            return
         target = self._choose_holder(make_request())
-        if target is not None and self._upstream is not None:
+        if target is not None:
             self._task = asyncio.create_task(
-                self._copy_to(self._upstream, target),
+                self._copy_to(source, target),
             )
 
     def pop(self) -> KvCacheCopy | None:
--- a/tests/test_upstream_pauses.py
+++ b/tests/test_upstream_pauses.py
@@ -787,3 +787,26 @@
         assert max(in_pauses) <= 2
 
     run_in_memory(check())
+
+
+def test_no_copy_is_asked_of_a_paused_upstream():
+    """Each stream there would log a copy that failed twice a second."""
+
+    async def check():
+        deployment = await Deployment.start()
+        task = asyncio.create_task(deployment.call('/stream/x'))
+        await deployment.clock.sleep_ms(1000)
+        source = next(model for model in deployment.models if model.seen)
+        holder_address = source.seen[0].headers[b'bergamotthread-kv-backup']
+        holder = next(
+            model
+            for model in deployment.models
+            if model.address == holder_address.decode()
+        )
+        for runner in (source, holder):
+            directory, upstream = _listed(deployment, runner)
+            directory.record_pause(upstream, 9000)
+        assert (await task).is_whole
+        assert deployment.events('memory-copied') == []
+
+    run_in_memory(check())
