Soak: an entry's paths are delayed together

No rule excuses it, so it also occurs beside planned work. `check_begun` finds streams that began and that an entry cut while nothing else disturbed it.

--- a/soak/answer_checks.py
+++ b/soak/answer_checks.py
@@ -130,6 +130,23 @@
             )
 
 
+def check_begun(records: Records) -> Iterable[Finding]:
+    """Find streams that began and that an undisturbed entry cut."""
+    for call in records.calls:
+        is_cut = call.kind.is_stream and call.ending is Ending.CUT
+        if (
+            is_cut
+            and call.body
+            and records.is_undisturbed(
+                call.sent_ms - SETTLE_MS,
+                call.ended_ms,
+            )
+        ):
+            yield Finding(
+                'begun', f'cut after {len(call.body)} bytes', call.request
+            )
+
+
 def check_explained(records: Records) -> Iterable[Finding]:
     """Find failures of an entry itself that its log does not explain."""
     if records.dropped_lines:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -17,6 +17,7 @@
     answer_checks.check_not_run,
     answer_checks.check_gone,
     answer_checks.check_answered,
+    answer_checks.check_begun,
     answer_checks.check_explained,
     system_checks.check_keys,
     system_checks.check_reverts,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,9 @@
 BALANCER_REMOVAL_S = 2.0
 OUT_AFTER_KILL_S = 0.5
 LATE_STORE_MS = 700
+HELD_FRACTION = 0.1
+# Time until connections that a held entry opens are held too.
+HELD_REFRESH_S = 0.02
 RESTORED_AGE_S_MAX = 3.0
 # Time after which the operator and the runners write again what they wrote
 # to the store before it was restored.
@@ -135,6 +138,22 @@
     entry.program.signal(signal.SIGHUP)
 
 
+async def _hold_entry(
+    soak: SoakDeployment, entry: EntryNode, fault: Fault
+) -> None:
+    """Hold back all between an entry and its runners and store at once."""
+    name = entry.program.name
+    links = [entry.store_link, *(runner.link for runner in soak.runners)]
+    end_ms = soak.clock.now_ms() + HELD_FRACTION * fault.for_s * _MS_PER_S
+    while soak.clock.now_ms() < end_ms:
+        ports = entry.program.local_ports()
+        for link in links:
+            link.hold(name, ports)
+        await asyncio.sleep(HELD_REFRESH_S)
+    for link in links:
+        link.release(name)
+
+
 async def _cut_store_link(
     soak: SoakDeployment, entry: EntryNode, fault: Fault
 ) -> None:
@@ -189,6 +208,7 @@
     FaultKind.STOP_ENTRY: _stop_entry,
     FaultKind.PAUSE_ENTRY: _pause_entry,
     FaultKind.RELOAD_ENTRY: _reload_entry,
+    FaultKind.HOLD_ENTRY: _hold_entry,
     FaultKind.CUT_STORE_LINK: _cut_store_link,
 }
 _ON_STORE: dict[FaultKind, _OnStore] = {
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -15,6 +15,7 @@
     STOP_ENTRY = 'stop-entry'
     PAUSE_ENTRY = 'pause-entry'
     RELOAD_ENTRY = 'reload-entry'
+    HOLD_ENTRY = 'hold-entry'
     KILL_RUNNER = 'kill-runner'
     PAUSE_RUNNER = 'pause-runner'
     REFUSE_RUNNER = 'refuse-runner'
@@ -38,11 +39,13 @@
     REVOKE_KEY = 'revoke-key'
 
 
-# Operations that an operator plans; they do not count as disturbances.
+# Operations that an operator plans, and delays that no rule excuses. They
+# do not count as disturbances.
 PLANNED = frozenset(
     (
         FaultKind.STOP_ENTRY,
         FaultKind.RELOAD_ENTRY,
+        FaultKind.HOLD_ENTRY,
         FaultKind.DRAIN_RUNNER,
         FaultKind.PUBLISH_ROUTE,
         FaultKind.REVOKE_KEY,
@@ -54,6 +57,7 @@
         FaultKind.STOP_ENTRY,
         FaultKind.PAUSE_ENTRY,
         FaultKind.RELOAD_ENTRY,
+        FaultKind.HOLD_ENTRY,
         FaultKind.CUT_STORE_LINK,
     ),
 )
--- a/soak/programs.py
+++ b/soak/programs.py
@@ -102,6 +102,18 @@
         except psutil.NoSuchProcess:
             return None
 
+    def local_ports(self) -> frozenset[int]:
+        """Return the local ports of the TCP connections of the process."""
+        if self.process is None or not self.is_running:
+            return frozenset()
+        try:
+            connections = psutil.Process(self.process.pid).net_connections(
+                'tcp'
+            )
+        except psutil.NoSuchProcess:
+            return frozenset()
+        return frozenset(connection.laddr.port for connection in connections)
+
     async def _read(self, process: asyncio.subprocess.Process) -> None:
         assert process.stdout is not None
         while line := await process.stdout.readline():
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import struct
+from dataclasses import dataclass, field
 
 from bergamotthread.testing.loopback import connect
 
@@ -23,6 +24,14 @@
         self.is_open.set()
 
 
+@dataclass
+class _Hold:
+    """Connections held back, by their ports at the side that opened them."""
+
+    ports: frozenset[int] = frozenset()
+    released: asyncio.Event = field(default_factory=asyncio.Event)
+
+
 class LoopbackProxy:
     """Forwards connections from its own address to a target address.
 
@@ -41,6 +50,7 @@
         self.delay_ms = float(0)
         self.up = _Way()
         self.down = _Way()
+        self._hold_by_name: dict[str, _Hold] = {}
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
@@ -59,6 +69,19 @@
         for writer in tuple(self._writers):
             _reset(writer)
 
+    def hold(self, name: str, ports: frozenset[int]) -> None:
+        """Hold back what connections from these ports carry, until `release`.
+
+        Replaces the ports held under the same name.
+        """
+        self._hold_by_name.setdefault(name, _Hold()).ports = ports
+
+    def release(self, name: str) -> None:
+        """Let the connections go on that are held under this name."""
+        hold = self._hold_by_name.pop(name, None)
+        if hold is not None:
+            hold.released.set()
+
     def heal(self) -> None:
         """Remove the delay and the cuts of both directions."""
         self.delay_ms = 0
@@ -86,9 +109,10 @@
             self._drop(writer)
             return
         self._writers.add(target_writer)
+        port = writer.get_extra_info('peername')[1]
         pumps = (
-            self._pump(reader, target_writer, self.up),
-            self._pump(target_reader, writer, self.down),
+            self._pump(reader, target_writer, self.up, port),
+            self._pump(target_reader, writer, self.down, port),
         )
         tasks = [asyncio.create_task(pump) for pump in pumps]
         self._tasks.update(tasks)
@@ -111,17 +135,24 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         way: _Way,
+        port: int,
     ) -> None:
         while payload := await reader.read(_CHUNK_BYTES):
             if self.delay_ms:
                 await asyncio.sleep(self.delay_ms / _MS_PER_S)
             await way.is_open.wait()
+            await self._until_released(port)
             writer.write(payload)
             await writer.drain()
         await way.is_open.wait()
         writer.write_eof()
         raise ConnectionError('the peer closed the connection')
 
+    async def _until_released(self, port: int) -> None:
+        for hold in tuple(self._hold_by_name.values()):
+            if port in hold.ports:
+                await hold.released.wait()
+
     def _drop(self, writer: asyncio.StreamWriter) -> None:
         self._writers.discard(writer)
         with contextlib.suppress(OSError, RuntimeError):
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -380,3 +380,18 @@
     records = _pause_records((60_600, 61_000, 61_900))
     records.played_faults = [PlayedFault(kind, target, 60_200, 60_400)]
     assert _rules(records) == rules
+
+
+def test_begun_stream_that_is_cut_is_found():
+    """Beside no fault, or beside one that no rule excuses."""
+    records = _valid_records()
+    _replace_call(records, 'b', ending=Ending.CUT, body=_events('b', [1, 2]))
+    assert _rules(records) == {'begun'}
+    records.played_faults = [PlayedFault('kill-runner', '0', 18_000, 19_000)]
+    assert _rules(records) == set()
+
+
+def test_stream_that_ends_before_it_began_is_no_begun_stream():
+    records = _valid_records()
+    _replace_call(records, 'b', ending=Ending.CUT, body=b'')
+    assert _rules(records) == set()
--- a/tests/test_soak_proxy.py
+++ b/tests/test_soak_proxy.py
@@ -64,3 +64,26 @@
         await proxy.close()
 
     asyncio.run(check())
+
+
+def test_held_connection_goes_on_once_released():
+    """A hold that also held other connections would hide which path is slow."""
+
+    async def check():
+        proxy, (reader, writer) = await _start_proxy()
+        other_reader, other_writer = await connect(proxy.address)
+        port = writer.get_extra_info('sockname')[1]
+        proxy.hold('entry0', frozenset())
+        proxy.hold('entry0', frozenset((port,)))
+        writer.write(b'held\n')
+        other_writer.write(b'free\n')
+        assert await other_reader.readline() == b'free\n'
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await reader.readline()
+        proxy.release('entry1')
+        proxy.release('entry0')
+        assert await reader.readline() == b'held\n'
+        await proxy.close()
+
+    asyncio.run(check())
