--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -60,6 +60,9 @@
 READY_PATH = b'/api/ready'
 METRICS_PATH = b'/metrics'
 HOUSEKEEPING_INTERVAL_MS = 200
+# Time for the final answers to requests in flight; the margin before the kill
+# covers it and the housekeeping interval.
+FINAL_ANSWERS_MS = 20
 # The slack of the retry budget is divided by at least this many entries, which
 # allows for entries that have not registered yet.
 ENTRIES_MIN = 8
@@ -140,10 +143,16 @@
             )
         ]
         while not self._is_finished():
+            due_ms = self._clock.now_ms() + HOUSEKEEPING_INTERVAL_MS
             await self._clock.sleep_ms(HOUSEKEEPING_INTERVAL_MS)
+            self._parts.metrics.loop_stall_ms.record(
+                self._clock.now_ms() - due_ms
+            )
             self._pool.close_stale()
             if self._life_cycle.is_out_of_rotation:
                 self._close_idle()
+        self._server.end_requests()
+        await self._clock.sleep_ms(FINAL_ANSWERS_MS)
         for task in tasks:
             task.cancel()
         self._log.write('stop', in_flight=self._server.in_flight)
@@ -335,6 +344,8 @@
                 self._clock,
                 self._directory,
                 runners.report,
+                self._log,
+                metrics,
             ),
             pauses=pauses,
             kv_cache=runners,
--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -9,9 +9,11 @@
 
 import asyncio
 import base64
+import zlib
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import lru_cache
 from urllib.parse import parse_qsl
 
 import msgspec
@@ -22,12 +24,21 @@
     CallerLimits,
     Exchange,
 )
-from bergamotthread.platform.store import StoredRow, WireRow, WireRows
+from bergamotthread.platform.store import (
+    PACKED_FIELD,
+    StoredRow,
+    WireRow,
+    WireRows,
+)
 from bergamotthread.platform.store_version import StoreVersion
 
 FEED_PATH = b'/api/rows-feed'
-# Changes of one table kept for other entries; a manifest takes some 20 KB.
+# Changes of one table kept for other entries; a manifest takes 20 to 800 KB.
 KEPT_CHANGES_MAX = 200
+# Rows of at least this size are compressed for followers.
+PACKED_BYTES_MIN = 4096
+# Compressed rows that are kept, for the followers that ask one after the other.
+_PACKED_ROWS_KEPT = 4
 FEED_WAIT_MAX_MS = 10_000
 _GONE = 410
 
@@ -133,12 +144,19 @@
         self,
         version: StoreVersion,
         wait_ms: float,
+        *,
+        is_packed: bool = False,
     ) -> WireRows | None:
         """Return the changes after a version, or the whole table.
 
         The table is whole if its era is newer than that of the version, or if
         the version is the start of its era.
 
+        Parameters
+        ----------
+        is_packed
+            Whether to compress large rows.
+
         If there are none yet, wait up to `wait_ms`, but no longer than
         `FEED_WAIT_MAX_MS`, for the next confirmation, or for an era that is
         not known here yet. Return None if some of the changes are no longer
@@ -148,6 +166,7 @@
         """
         if not self._can_follow(version):
             return None
+        called_ms = self.clock.boot_ms()
         if version >= self.version:
             await self._wait_for_era(
                 version.era, min(wait_ms, FEED_WAIT_MAX_MS)
@@ -160,10 +179,12 @@
         rows = tuple(self._row_by_key.values())
         if not is_whole:
             rows = tuple(row for row in self._changes if row.version > version)
+        now_ms = self.clock.boot_ms()
         return WireRows(
-            tuple(_wire_row(row) for row in rows),
+            tuple(_wire_row(row, is_packed=is_packed) for row in rows),
             self.version.number,
-            age_ms=self.clock.boot_ms() - self.confirmed_ms,
+            age_ms=now_ms - self.confirmed_ms,
+            waited_ms=now_ms - called_ms,
             is_direct=self.is_direct,
             era=self.version.era,
             is_whole=is_whole,
@@ -232,6 +253,7 @@
         changes = await history.changes_after(
             StoreVersion(int(era) if era.isdigit() else 0, int(after)),
             float(wait_ms) if wait_ms.isdigit() else 0,
+            is_packed=PACKED_FIELD in fields,
         )
         if changes is None:
             exchange.respond(_GONE, ())
@@ -239,8 +261,18 @@
         exchange.respond(200, (), msgspec.json.encode(changes))
 
 
-def _wire_row(row: StoredRow) -> WireRow:
+def _wire_row(row: StoredRow, *, is_packed: bool) -> WireRow:
+    number = row.version.number
     if row.payload is None:
-        return WireRow(row.key, deleted=True, ver=row.version.number)
+        return WireRow(row.key, deleted=True, ver=number)
+    if is_packed and len(row.payload) >= PACKED_BYTES_MIN:
+        return WireRow(
+            row.key, encoded=_pack(row.payload), ver=number, is_packed=True
+        )
     encoded = base64.b64encode(row.payload).decode()
-    return WireRow(row.key, encoded=encoded, ver=row.version.number)
+    return WireRow(row.key, encoded=encoded, ver=number)
+
+
+@lru_cache(maxsize=_PACKED_ROWS_KEPT)
+def _pack(payload: bytes) -> str:
+    return base64.b64encode(zlib.compress(payload)).decode()
--- a/bergamotthread/platform/store.py
+++ b/bergamotthread/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import zlib
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import TypeVar
@@ -28,6 +29,8 @@
 # The same for a poll of another entry, which answers from memory.
 FOLLOW_TIMEOUT_MARGIN_MS = 200
 ROWS_PER_PAGE = 500
+# Field of the query by which a follower asks for compressed rows.
+PACKED_FIELD = 'packed'
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -58,27 +61,34 @@
 
 
 class WireRow(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Row in the store's wire format; `encoded` is base64."""
+    """Row in the store's wire format; `encoded` is base64.
+
+    An entry that relays rows compresses large ones with zlib before, for
+    followers that ask for it, and sets `is_packed`.
+    """
 
     key: str
     encoded: str = msgspec.field(name='value', default='')
     deleted: bool = False
     ver: int = 0
+    is_packed: bool = False
 
 
 class WireRows(msgspec.Struct, frozen=True, omit_defaults=True):
     """Answer to a read, a feed call or a transaction.
 
-    An entry that relays rows adds how long ago the store confirmed them,
-    whether the entry read them from the store itself, the store's era, whether
-    the rows are the whole table, and whether the confirmation proves that
-    nothing acknowledged is missing from the rows.
+    An entry that relays rows adds how long ago the store confirmed them, how
+    long the call waited at the entry, whether the entry read them from the
+    store itself, the store's era, whether the rows are the whole table, and
+    whether the confirmation proves that nothing acknowledged is missing from
+    the rows.
     """
 
     rows: tuple[WireRow, ...] = ()
     ver: int = 0
     has_more: bool = False
     age_ms: float = 0
+    waited_ms: float = 0
     is_direct: bool = True
     era: int = 0
     is_whole: bool = False
@@ -103,6 +113,9 @@
     age_ms
         Time since the store confirmed the rows, when the answer was sent; 0
         for an answer of the store itself.
+    waited_ms
+        Time for which the call waited before the answer was sent; 0 for an
+        answer of the store itself.
     is_whole
         Whether the rows are the whole table and not only changes.
     is_settled
@@ -113,6 +126,7 @@
     rows: tuple[StoredRow, ...]
     version: StoreVersion
     age_ms: float = 0
+    waited_ms: float = 0
     is_whole: bool = False
     is_settled: bool = True
 
@@ -145,6 +159,7 @@
     table: str
     after: StoreVersion
     wait_ms: int
+    accepts_packed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -355,15 +370,17 @@
             If the entry does not keep changes as old as `after`.
         StoreCallError
             If the entry did not answer as expected, itself follows another
-            entry, its changes were confirmed longer ago than `age_max_ms`, or
-            they are of an older era than is known here.
+            entry, has no change and a confirmation older than `age_max_ms`, or
+            its changes are of an older era than is known here.
         """
         page = await self._poll_feed(
             peer,
-            _FeedPoll(table, after, wait_ms),
+            _FeedPoll(table, after, wait_ms, accepts_packed=True),
             FOLLOW_TIMEOUT_MARGIN_MS + wait_ms,
         )
-        if not page.is_direct or page.age_ms > age_max_ms:
+        # A change is news whatever its age.
+        is_too_old = not page.rows and page.age_ms > age_max_ms
+        if not page.is_direct or is_too_old:
             raise StoreCallError(
                 f'{table} is {page.age_ms:.0f} ms old, '
                 f'direct: {page.is_direct}, expected {age_max_ms} ms, direct',
@@ -416,6 +433,8 @@
             'after': str(feed.after.number),
             'wait_ms': str(feed.wait_ms),
         }
+        if feed.accepts_packed:
+            query[PACKED_FIELD] = '1'
         if address != self.address:
             query['era'] = str(feed.after.era)
         return await self._request_rows(address, 'rows-feed', query, timeout_ms)
@@ -485,6 +504,16 @@
     return {'table': table, 'part': '', 'key': key}
 
 
+def _unpack(key: str, packed: bytes) -> bytes:
+    try:
+        return zlib.decompress(packed)
+    except zlib.error as error:
+        raise StoreCallError(
+            f'relayed row {key} is not compressed as stated: {error}',
+            step=Step.STORE,
+        ) from error
+
+
 def _encode_payload(payload: bytes) -> str:
     return base64.b64encode(payload).decode()
 
@@ -498,6 +527,7 @@
         tuple(_decode_rows(page)),
         max(StoreVersion(page.era, page.ver), after),
         page.age_ms,
+        page.waited_ms,
         page.is_whole,
         page.is_settled,
     )
@@ -516,4 +546,6 @@
     except (binascii.Error, ValueError):
         # Other writers may store anything; invalid base64 counts as empty.
         payload = b''
+    if wire_row.is_packed:
+        payload = _unpack(wire_row.key, payload)
     return StoredRow(wire_row.key, payload, version)
--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -305,7 +305,9 @@
                 self._follow_wait_ms(),
                 self.age_max_ms,
             )
-            requested_ms = self._clock.boot_ms() - read.age_ms
+            # The answer was sent at this time or later; it may have been under
+            # way for long.
+            requested_ms += read.waited_ms - read.age_ms
         is_direct = source is None
         if read.is_whole:
             self._replace(read, requested_ms, is_direct=is_direct)
--- a/bergamotthread/process/relay/relay_metrics.py
+++ b/bergamotthread/process/relay/relay_metrics.py
@@ -6,6 +6,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.metrics import (
+    Counter,
     LabelledCounter,
     Metrics,
     Percentiles,
@@ -24,6 +25,8 @@
         Requests that the entry refused itself, by reason.
     attempts
         Attempts, by outcome.
+    ended_by_limit
+        Requests whose attempts a limit of the entry ended, by limit.
     answer_ms
         Time to the complete response; streams are not counted.
     first_event_ms, longest_pause_ms
@@ -33,6 +36,10 @@
         Time that requests to plain services waited in the entry's queue.
     forecast_error_ms
         Difference between the expected and the measured first event.
+    own_path_doubts
+        Probes without an answer while no other upstream answered either.
+    loop_stall_ms
+        Time by which the periodic work of the process ran late.
     pauses
         Answers by which upstreams asked for a pause, by service.
     """
@@ -41,11 +48,14 @@
     answers: LabelledCounter
     refusals: LabelledCounter
     attempts: LabelledCounter
+    ended_by_limit: LabelledCounter
     answer_ms: Percentiles
     first_event_ms: Percentiles
     longest_pause_ms: Percentiles
     queue_wait_ms: Percentiles
     forecast_error_ms: Percentiles
+    own_path_doubts: Counter
+    loop_stall_ms: Percentiles
     pauses: LabelledCounter
 
     @classmethod
@@ -69,6 +79,11 @@
                 'Attempts at upstreams.',
                 'outcome',
             ),
+            ended_by_limit=registry.labelled_counter(
+                'relay_ended_by_limit_total',
+                'Requests whose attempts a limit of the entry ended.',
+                'limit',
+            ),
             answer_ms=registry.percentiles(
                 'relay_answer_ms',
                 'Time to a whole answer that is no stream.',
@@ -89,6 +104,14 @@
                 'relay_forecast_error_ms',
                 'Difference of expected and measured first event.',
             ),
+            own_path_doubts=registry.counter(
+                'relay_own_path_doubts_total',
+                'Probes without an answer while no other upstream answered.',
+            ),
+            loop_stall_ms=registry.percentiles(
+                'relay_loop_stall_ms',
+                'Time by which periodic work of the process ran late.',
+            ),
             pauses=registry.labelled_counter(
                 'relay_pauses_total',
                 'Answers by which upstreams asked for a pause.',
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -142,6 +142,9 @@
     listed_ms, heard_ms, lost_ms
         Monotonic times at which it was first listed, last sent bytes and was
         marked lost; 0 before. `lost_ms` is reset when it sends something.
+    unanswered_ms
+        Monotonic time at which a probe of it last failed; 0 if none did since
+        it sent something.
     failure_share, outcome_ms
         Average of failures after the last outcome, and the monotonic time of
         that outcome, from which the average decays.
@@ -153,6 +156,7 @@
     heard_ms: float = 0
     listed_ms: float = 0
     lost_ms: float = 0
+    unanswered_ms: float = 0
     failure_share: float = 0
     outcome_ms: float = 0
     report: LoadReport | None = None
@@ -210,12 +214,15 @@
     ----------
     is_loaded
         Whether the store's list was read completely once.
+    heard_ms
+        Monotonic time at which any upstream last sent something; 0 before.
     pauses
         Pauses that the upstreams asked for.
     """
 
     clock: Clock
     is_loaded: bool = False
+    heard_ms: float = 0
     pauses: UpstreamPauses = field(default_factory=UpstreamPauses)
     _upstream_by_instance: dict[str, Upstream] = field(default_factory=dict)
     _instance_by_address: dict[str, str] = field(default_factory=dict)
@@ -380,6 +387,31 @@
             ):
                 yield upstream
 
+    def witnesses(self, upstream: Upstream, count: int) -> list[Upstream]:
+        """Return other upstreams of its service, to be asked in its place.
+
+        Those heard last come first, each in another failure domain; others
+        only if there are too few domains. Those that failed to answer come
+        last, so that all are asked in turn. Paused ones are not asked.
+        """
+        others = sorted(
+            (
+                other
+                for other in self.of_service(upstream.record.service)
+                if other is not upstream
+                and not self.is_lost(other)
+                and not self.is_paused(other)
+            ),
+            key=lambda other: (other.unanswered_ms, -other.heard_ms),
+        )
+        by_domain: dict[str, Upstream] = {}
+        for heard in others:
+            by_domain.setdefault(heard.record.failure_domain, heard)
+        by_domain.pop(upstream.record.failure_domain, None)
+        chosen = list(by_domain.values())
+        chosen.extend(other for other in others if other not in chosen)
+        return chosen[:count]
+
     def record_pause(self, upstream: Upstream, asked_ms: float) -> Pause | None:
         """Record that an upstream asks for a pause; return the pause."""
         record = upstream.record
@@ -463,6 +495,8 @@
         """Record that an upstream sent something."""
         upstream.heard_ms = self.clock.now_ms()
         upstream.lost_ms = 0
+        upstream.unanswered_ms = 0
+        self.heard_ms = upstream.heard_ms
 
     def record_outcome(self, upstream: Upstream, *, failed: bool) -> None:
         """Add an outcome to the average of failures."""
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -115,7 +115,8 @@
                 return _HELD
             self._connection.send(encoded, self.call.request_id)
         except ConnectFailedError as error:
-            directory.record_lost(self.upstream)
+            if not self.parts.liveness.is_own_path_doubted:
+                directory.record_lost(self.upstream)
             return NotSent(str(error))
         except ConnectionError as error:
             return NotSent(str(error))
--- a/bergamotthread/request/relay/attempt_loop.py
+++ b/bergamotthread/request/relay/attempt_loop.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
+from bergamotthread.process.relay.repeat_budget import CountedRetry
 from bergamotthread.request.relay.call import RelayedCall
 from bergamotthread.request.relay.parts import RelayParts
 from bergamotthread.request.relay.refusals import RelayRefusal
@@ -23,11 +24,17 @@
     ----------
     attempts_sent
         Number of attempts whose request was sent.
+    denied_by
+        Limit that ended the attempts; empty if none did.
+    retry
+        Retry that is counted in the budget and not sent yet.
     """
 
     call: RelayedCall
     parts: RelayParts
     attempts_sent: int = 0
+    denied_by: str = ''
+    retry: CountedRetry | None = None
 
     @property
     def remaining_ms(self) -> float:
@@ -46,14 +53,40 @@
             return False
         return self.parts.directory.lacks_service(self.call.service.name)
 
-    def spend_attempt(self) -> bool:
-        """Return whether the retry budget allows the next attempt.
+    @property
+    def has_budget(self) -> bool:
+        """Return whether the retry budget has room for the next attempt."""
+        if not self.attempts_sent or self.retry is not None:
+            return True
+        return self.parts.retry_budget.has_room(self.call.service.name)
+
+    def deny(self, limit: str) -> bool:
+        """Record the limit that ended the attempts; return False."""
+        self.denied_by = limit
+        self.parts.metrics.ended_by_limit.increment(limit)
+        return False
 
-        A retry that is allowed is counted; a first attempt is always allowed.
+    def reserve_attempt(self) -> bool:
+        """Count the next attempt in the budget; return whether it may run.
+
+        A first attempt is always allowed and not counted.
         """
-        if not self.attempts_sent:
-            return True
-        return self.parts.retry_budget.spend(self.call.service.name)
+        if self.attempts_sent and self.retry is None:
+            self.retry = self.parts.retry_budget.spend(self.call.service.name)
+            return self.retry is not None
+        return True
+
+    def record_sent(self) -> None:
+        """Count an attempt whose request was sent, and its retry with it."""
+        self.attempts_sent += 1
+        self.retry = None
+
+    def release(self) -> None:
+        """Return a retry that was counted and not sent to the budget."""
+        if self.retry is not None:
+            service = self.call.service.name
+            self.parts.retry_budget.refund(service, self.retry)
+            self.retry = None
 
 
 class AttemptSteps(Protocol[_Placement]):
@@ -74,6 +107,9 @@
     def may_wait(self) -> bool:
         """Return whether placement may be tried again after a pause."""
 
+    def may_wait_for_budget(self) -> bool:
+        """Return whether to wait while the retry budget has no room."""
+
     async def run_attempt(self, placement: _Placement) -> bool:
         """Run an attempt; return whether no further attempt is needed."""
 
@@ -92,17 +128,48 @@
         Whether an attempt settled the call.
     """
     limits.parts.retry_budget.record_first_attempt(limits.call.service.name)
-    while limits.remaining_ms > 0 and steps.may_send():
-        placement = await steps.place()
-        if isinstance(placement, RelayRefusal):
-            steps.refuse(placement)
-            return True
-        if placement is None:
-            if not steps.may_wait():
-                return False
-            await limits.parts.clock.sleep_ms(PLACEMENT_RETRY_MS)
-        elif not limits.spend_attempt():
-            return False
-        elif await steps.run_attempt(placement):
-            return True
-    return False
+    try:
+        return await _run_all(limits, steps)
+    finally:
+        limits.release()
+
+
+async def _run_all(
+    limits: AttemptLimits, steps: AttemptSteps[_Placement]
+) -> bool:
+    while limits.remaining_ms > 0:
+        if not steps.may_send():
+            return limits.deny('attempts')
+        is_settled = await _run_next(limits, steps)
+        if is_settled is not None:
+            return is_settled
+    return limits.deny('deadline')
+
+
+async def _run_next(
+    limits: AttemptLimits, steps: AttemptSteps[_Placement]
+) -> bool | None:
+    """Run the next attempt, or pause; return None to go on.
+
+    The budget is checked before the placement, which may probe upstreams.
+    """
+    if not limits.has_budget:
+        return await _pause(limits, steps.may_wait_for_budget(), 'retry-budget')
+    placement = await steps.place()
+    if isinstance(placement, RelayRefusal):
+        steps.refuse(placement)
+        return True
+    if placement is None:
+        return await _pause(limits, steps.may_wait(), 'no-upstream')
+    if not limits.reserve_attempt():
+        return None
+    return await steps.run_attempt(placement) or None
+
+
+async def _pause(
+    limits: AttemptLimits, may_wait: bool, limit: str
+) -> bool | None:
+    if not may_wait:
+        return limits.deny(limit)
+    await limits.parts.clock.sleep_ms(PLACEMENT_RETRY_MS)
+    return None
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -22,7 +22,11 @@
 )
 from bergamotthread.request.relay.parts import RelayParts
 from bergamotthread.request.relay.pause_refusal import refuse_if_held
-from bergamotthread.request.relay.refusals import RelayRefusal, send_refusal
+from bergamotthread.request.relay.refusals import (
+    RelayRefusal,
+    ending_refusal,
+    send_refusal,
+)
 
 # Fraction of the target response time of a request that may be retried, after
 # which the first attempt is abandoned and the request is sent to another
@@ -68,6 +72,13 @@
         finally:
             gate.leave(self._call.service.name, self._latency_ms)
 
+    def end(self) -> None:
+        """Send the final answer; `run` was cancelled as the entry ends."""
+        if self._call.exchange.is_ended:
+            return
+        may_have_run = self._limits.attempts_sent > 0
+        self.refuse(ending_refusal(may_have_run=may_have_run))
+
     def may_send(self) -> bool:
         """Return whether the route allows another attempt."""
         return self._limits.has_attempts_left
@@ -92,6 +103,10 @@
             return False
         return self._parts.clock.now_ms() <= self._placement_deadline_ms
 
+    def may_wait_for_budget(self) -> bool:
+        """Return False; the caller learns at once that there is no retry."""
+        return False
+
     async def run_attempt(self, placement: Upstream) -> bool:
         """Run an attempt; return whether no further attempt is needed."""
         outcome = await self._attempt(placement)
@@ -130,7 +145,7 @@
             not_sent = await attempt.send(headers)
             if not_sent is not None:
                 return not_sent
-            self._limits.attempts_sent += 1
+            self._limits.record_sent()
             outcome = await read_response(attempt, self._attempt_timeout_ms())
             self._latency_ms = self._parts.clock.now_ms() - attempt.sent_ms
             return outcome
@@ -215,6 +230,7 @@
             status=refusal.status,
             reason=refusal.reason,
             detail=refusal.detail,
+            limit=self._limits.denied_by,
             version=self._call.version,
             sent=self._limits.attempts_sent,
             retry_after_ms=refusal.retry_after_ms,
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -54,7 +54,11 @@
     AttemptPlacement,
     StreamPlacer,
 )
-from bergamotthread.request.relay.refusals import RelayRefusal, send_refusal
+from bergamotthread.request.relay.refusals import (
+    RelayRefusal,
+    ending_refusal,
+    send_refusal,
+)
 
 # A stream without an event for this long is resumed at another upstream even if
 # its own still answers probes; prefill of other prompts delays events by up to
@@ -108,6 +112,16 @@
             self._copy_manager.discard()
             gate.record_end(call.service.name, call.team, self._run_ms)
 
+    def end(self) -> None:
+        """Send the final answer; `run` was cancelled as the entry ends."""
+        if self._call.exchange.is_ended:
+            return
+        if self._call.exchange.has_head:
+            self._refuse_or_abort()
+            return
+        may_have_run = self._limits.attempts_sent > 0
+        self.refuse(ending_refusal(may_have_run=may_have_run))
+
     def may_send(self) -> bool:
         """Return whether the route allows another attempt.
 
@@ -150,7 +164,7 @@
         A stream that may have run waits until its deadline, unless all
         upstreams are paused beyond it.
         """
-        if self._call.exchange.has_head or self._may_have_run:
+        if self.may_wait_for_budget():
             directory = self._parts.directory
             first = directory.first_opening(self._call.service.name)
             return first is None or not directory.is_held_past(
@@ -160,6 +174,13 @@
             return False
         return self._parts.clock.now_ms() <= self._placement_deadline_ms
 
+    def may_wait_for_budget(self) -> bool:
+        """Return whether the stream may have run.
+
+        Such a stream waits until its deadline rather than being cut.
+        """
+        return self._call.exchange.has_head or self._may_have_run
+
     async def run_attempt(self, placement: AttemptPlacement) -> bool:
         """Run an attempt; return whether no further attempt is needed."""
         outcome = await self._attempt(placement)
@@ -222,7 +243,7 @@
             not_sent = await attempt.send(headers)
             if not_sent is not None:
                 return not_sent
-            self._limits.attempts_sent += 1
+            self._limits.record_sent()
             self._attempt_times = ArrivalTimes(attempt.sent_ms)
             self._is_from_copy = copy is not None
             self._copy_manager.start_attempt(upstream, copy_target)
@@ -287,27 +308,54 @@
         A silent upstream is probed, and marked lost if it does not respond.
         """
         started_ms = self._parts.clock.now_ms()
-        silence_ms = (
-            STREAM_SILENCE_MS
-            if self._attempt_times.count
-            else PREFILL_SILENCE_MS
-        )
         while True:
-            wait_ms = min(silence_ms, attempt.remaining_ms)
+            wait_ms = min(self._silence_ms, attempt.remaining_ms)
             received = await attempt.receive(wait_ms)
             if received is not None:
                 return received
             if attempt.remaining_ms <= 0:
                 return None
-            liveness = self._parts.liveness
-            if not await liveness.is_alive(attempt.upstream, silence_ms):
+            silence = await self._silence_reason(attempt, started_ms)
+            if silence and self._reserve_replacement():
                 received = await attempt.receive(0)
-                return received or AnswerLost('the upstream is silent')
-            silent_ms = self._parts.clock.now_ms() - started_ms
-            if silent_ms > self._stall_timeout_ms:
-                return AnswerLost(
-                    f'no event for {silent_ms:.0f} ms',
-                )
+                return received or AnswerLost(silence)
+
+    async def _silence_reason(self, attempt: Attempt, started_ms: float) -> str:
+        """Return why a silent upstream counts as lost; empty if it does not.
+
+        Parameters
+        ----------
+        started_ms
+            Monotonic time at which the silence began.
+        """
+        silence_ms = self._silence_ms
+        if not await self._parts.liveness.is_alive(
+            attempt.upstream, silence_ms
+        ):
+            return 'the upstream is silent'
+        # Silence of all upstreams together says nothing about this one.
+        started_ms = max(started_ms, self._parts.liveness.doubted_ms)
+        silent_ms = self._parts.clock.now_ms() - started_ms
+        if silent_ms > self._stall_timeout_ms:
+            return f'no event for {silent_ms:.0f} ms'
+        return ''
+
+    def _reserve_replacement(self) -> bool:
+        """Reserve the attempt that is to follow the silent one.
+
+        Return whether one may follow. If not, the silent attempt, which may go
+        on, is all that is left of the stream.
+        """
+        may_retry = self._call.route.repeatability.may_retry
+        has_attempts = may_retry and self._limits.has_attempts_left
+        return has_attempts and self._limits.reserve_attempt()
+
+    @property
+    def _silence_ms(self) -> float:
+        """Return the silence after which the upstream is probed."""
+        if self._attempt_times.count:
+            return STREAM_SILENCE_MS
+        return PREFILL_SILENCE_MS
 
     @property
     def _stall_timeout_ms(self) -> float:
@@ -442,6 +490,7 @@
             reason=refusal.reason,
             retry_after_ms=refusal.retry_after_ms,
             detail=self._last_outcome,
+            limit=self._limits.denied_by,
             version=self._call.version,
             sent=self._limits.attempts_sent,
             last_event=self._last_event,
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -939,3 +939,56 @@
         assert details == {'status 200'}
 
     run_in_memory(check())
+
+
+async def _answer_after_sigterm(deployment, path, sent_after_ms):
+    """Call an entry that drains; its sockets close when it has ended.
+
+    A stream keeps the entry from ending early.
+    """
+    for model in deployment.models:
+        model.script.events = 400
+    stream = asyncio.create_task(deployment.call('/stream/x'))
+    await deployment.clock.sleep_ms(500)
+    deployment.entries[0].stop()
+    await deployment.clock.sleep_ms(sent_after_ms)
+    call = asyncio.create_task(deployment.call(path))
+    await deployment.tasks[0]
+    await deployment.clock.sleep_ms(20)
+    deployment.net.kill('10.1.0.1:8000')
+    await stream
+    return await call
+
+
+# Guards against a request that was taken long after SIGTERM and then got
+# neither an answer nor a refusal, because the process ended.
+@pytest.mark.parametrize('path', ['/once/x', '/any/x'])
+@pytest.mark.parametrize('sent_after_ms', [4000, 6500, 7500])
+def test_request_taken_by_a_draining_entry_is_answered(path, sent_after_ms):
+    async def check():
+        deployment = await Deployment.start()
+        for plain in deployment.plains:
+            plain.script.work_ms = 1400
+        answer = await _answer_after_sigterm(deployment, path, sent_after_ms)
+        assert answer.is_whole
+        if answer.status == 503:
+            assert deployment.ran(deployment.plains) == 0
+
+    run_in_memory(check())
+
+
+# Guards against a request that arrives in the last moment of an entry, is
+# passed on to an upstream and lost with the process.
+@pytest.mark.parametrize('path', ['/once/x', '/stream/x'])
+def test_request_that_arrives_after_the_final_answers_is_refused(path):
+    async def check():
+        deployment = await Deployment.start()
+        entry = deployment.entries[0]
+        entry._server.end_requests()
+        answer = await deployment.call(path)
+        assert answer.status == 503
+        assert answer.headers[b'retry-after']
+        assert deployment.ran(deployment.plains) == 0
+        assert deployment.ran(deployment.models) == 0
+
+    run_in_memory(check())
--- a/tests/test_upstream_pauses.py
+++ b/tests/test_upstream_pauses.py
@@ -12,6 +12,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.retry_after import RetryAfter
+from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.liveness import LivenessWatch
 from bergamotthread.process.relay.pauses import (
     PAUSE_MAX_MS,
@@ -19,6 +20,7 @@
     Incarnation,
     UpstreamPauses,
 )
+from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.upstreams import (
     UpstreamDirectory,
     UpstreamRecord,
@@ -191,7 +193,13 @@
         async def probe(probed):
             sent.append(clock.now_ms())
 
-        watch = LivenessWatch(clock, directory, probe)
+        watch = LivenessWatch(
+            clock,
+            directory,
+            probe,
+            DecisionLog(clock),
+            RelayMetrics.from_clock(clock),
+        )
         directory.record_heard(upstream)
         directory.record_pause(upstream, 20_000)
         for _ in range(100):
