Benchmarks: SIGTERM ends their child processes

SIGTERM ended a benchmark at once, without the end of its processes; engines, agents and entries went on. They now run like the soak: SIGTERM and SIGINT cancel the main task once.

--- a/benchmarks/data_path.py
+++ b/benchmarks/data_path.py
@@ -26,6 +26,7 @@
     start_entry,
 )
 from bergamotthread.process.agent import AgentConfig
+from bergamotthread.testing.termination import run_until_signal
 from standins.users import TERMOLAB
 
 LOAD_PROCESSES = 4
@@ -260,7 +261,7 @@
 ) -> None:
     """Measure the relay of one entry process."""
     if not sizes:
-        run = asyncio.run(
+        run = run_until_signal(
             measure(streams, tokens_per_s, seconds, flush_ms, profile)
         )
         print(describe(run))
@@ -268,7 +269,7 @@
     runs = []
     for rate in (NODE_TOKENS_PER_S, TARGET_TOKENS_PER_S):
         for size in SIZES:
-            run = asyncio.run(
+            run = run_until_signal(
                 measure(size, rate * size / SIZES[-1], seconds, flush_ms)
             )
             print(describe(run), flush=True)
--- a/benchmarks/data_path_agent.py
+++ b/benchmarks/data_path_agent.py
@@ -27,6 +27,7 @@
 from bergamotthread.connection.zmq_transport import ZmqTransport
 from bergamotthread.process.settings import KeySettings, PlaceSettings
 from bergamotthread.testing.loopback import free_address
+from bergamotthread.testing.termination import run_until_signal
 from bergamotthread.wire.messages import (
     Ack,
     Acks,
@@ -199,7 +200,7 @@
     """Measure an agent at all points."""
     runs = []
     for streams, interval_ms in POINTS:
-        run = asyncio.run(measure(streams, interval_ms, seconds, profile))
+        run = run_until_signal(measure(streams, interval_ms, seconds, profile))
         print(
             f'streams {run.streams}, {run.tokens_per_s:.0f} tokens/s, '
             f'{run.batches_per_s:.0f} batches/s: {run.core_share:.2%} of a '
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -29,6 +29,7 @@
     start_engine,
     start_entry,
 )
+from bergamotthread.testing.termination import run_until_signal
 from standins.engine import Fault
 from standins.tokens import BrokenAnswerError, verify_answer
 from standins.users import TERMOLAB
@@ -249,7 +250,7 @@
 def main(minutes: float) -> None:
     """Run the soak and exit with 1 if it found a fault."""
     figures = SoakFigures()
-    asyncio.run(run(minutes, figures))
+    run_until_signal(run(minutes, figures))
     print(describe(figures))
     sys.exit(1 if figures.faults() else 0)
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-import signal
 import sys
 from collections import Counter
 from functools import partial
 
 import click
 
+from bergamotthread.testing.termination import run_until_signal
 from soak.checks import findings_of
 from soak.findings import Finding
 from soak.plan import Fault, FaultKind, Plan, shrink
@@ -62,28 +61,12 @@
 
 
 def _play(plan: Plan) -> tuple[Soak, Records]:
-    try:
-        return asyncio.run(_play_until_signal(plan))
-    except asyncio.CancelledError as error:
-        raise click.Abort from error
-
-
-async def _play_until_signal(plan: Plan) -> tuple[Soak, Records]:
-    """Play a plan; SIGTERM and SIGINT cancel it, so that its processes end."""
-    task = asyncio.current_task()
-    assert task is not None
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        # A handler that raises could interrupt the creation of a process.
-        loop.add_signal_handler(number, _cancel_once, task)
-    soak = Soak(plan)
-    return soak, await soak.run()
+    return run_until_signal(_play_plan(plan))
 
 
-def _cancel_once(task: asyncio.Task[object]) -> None:
-    """Cancel a task, unless it already ends since it was cancelled."""
-    if not task.cancelling():
-        task.cancel()
+async def _play_plan(plan: Plan) -> tuple[Soak, Records]:
+    soak = Soak(plan)
+    return soak, await soak.run()
 
 
 def _report(plan: Plan) -> list[Finding]:
--- a/tests/test_benchmark_processes.py
+++ b/tests/test_benchmark_processes.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
+import time
 
 import psutil
 import pytest
@@ -24,3 +27,24 @@
     for child in alive:
         child.kill()
     assert alive == []
+
+
+def test_terminated_benchmark_leaves_no_process():
+    """SIGTERM ended the benchmark at once, and its processes stayed."""
+    benchmark = subprocess.Popen(
+        [sys.executable, '-m', 'benchmarks.soak', '--minutes', '5'],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    benchmark_process = psutil.Process(benchmark.pid)
+    children = []
+    while len(children) < 3:
+        time.sleep(0.1)
+        assert benchmark.poll() is None
+        children = benchmark_process.children()
+    benchmark.terminate()
+    benchmark.wait(60)
+    _, alive = psutil.wait_procs(children, timeout=10)
+    for child in alive:
+        child.kill()
+    assert alive == []
