--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -24,6 +24,10 @@
     CallerLimits,
     Exchange,
 )
+from bergamotthread.platform.leaving_relay import (
+    LEAVING_PATH,
+    LeavingRelay,
+)
 from bergamotthread.platform.store import (
     PACKED_FIELD,
     StoredRow,
@@ -40,6 +44,8 @@
 # Compressed rows that are kept, for the followers that ask one after the other.
 _PACKED_ROWS_KEPT = 4
 FEED_WAIT_MAX_MS = 10_000
+_OK = 200
+_BAD_REQUEST = 400
 _GONE = 410
 
 
@@ -167,7 +173,7 @@
         if not self._can_follow(version):
             return None
         called_ms = self.clock.boot_ms()
-        if version >= self.version:
+        if self._lacks_news(version, wait_ms):
             await self._wait_for_era(
                 version.era, min(wait_ms, FEED_WAIT_MAX_MS)
             )
@@ -191,6 +197,20 @@
             is_settled=self.is_settled,
         )
 
+    def _lacks_news(self, version: StoreVersion, wait_ms: float) -> bool:
+        """Return whether a follower gains more from the next confirmation.
+
+        The version rises with changes of other tables. A confirmation older
+        than the follower's wait is too old for it.
+        """
+        if version >= self.version:
+            return True
+        if self._lacks_changes(version):
+            return False
+        has_rows = any(row.version > version for row in self._changes)
+        is_recent = self.clock.boot_ms() - self.confirmed_ms < wait_ms
+        return not has_rows and not is_recent
+
     def _can_follow(self, version: StoreVersion) -> bool:
         if not self.version.number:
             return False
@@ -233,15 +253,21 @@
     connections: set[CallerConnection] = field(default_factory=set)
     limits: CallerLimits = CallerLimits()
     is_draining: bool = False
+    leaving: LeavingRelay | None = None
 
     async def answer(self, exchange: Exchange) -> None:
-        """Answer one feed call.
+        """Answer one feed call, or a message on upstreams that leave.
 
         The status is 404 if the path or the table is unknown or the version
         is not a number, and 410 if `TableHistory.changes_after` returns None.
-        A call that names no era is of an entry that knows of none.
+        A call that names no era is of an entry that knows of none: its status
+        is 410 once the store has come back older.
         """
         path, _, query = exchange.request.target.partition(b'?')
+        if path == LEAVING_PATH and self.leaving is not None:
+            is_valid = self.leaving.apply(exchange.request.body)
+            exchange.respond(_OK if is_valid else _BAD_REQUEST, ())
+            return
         fields = dict(parse_qsl(query.decode('latin-1')))
         history = self.history_by_table.get(fields.get('table', ''))
         after = fields.get('after', '')
@@ -255,7 +281,7 @@
             float(wait_ms) if wait_ms.isdigit() else 0,
             is_packed=PACKED_FIELD in fields,
         )
-        if changes is None:
+        if changes is None or (changes.era and not era):
             exchange.respond(_GONE, ())
             return
         exchange.respond(200, (), msgspec.json.encode(changes))
--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -205,6 +205,7 @@
         is_own_answer = asyncio.current_task() is self._task
         if self._poll_timeout is not None and not is_own_answer:
             self._poll_timeout.reschedule(0)
+            self._poll_timeout = None
 
     def _handle_lost_history(self, error: HistoryLostError) -> None:
         if self._version is None or not self._is_in_old_era:
@@ -574,6 +575,7 @@
             )
             return
         self._lapsed.discard(instance)
+        self._gone_by_instance.pop(instance, None)
         known = self._directory.get(instance)
         if known is None or known.record.state is not record.state:
             self._log.write(
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -317,8 +317,8 @@
         if upstream is not None:
             upstream.is_unlisted = True
 
-    def record_leaving(self, upstream: Upstream) -> bool:
-        """Record that an upstream said that it is leaving.
+    def record_leaving(self, instance: str, started_ms: int) -> bool:
+        """Record that an incarnation said that it is leaving.
 
         It gets no new request until a newer incarnation is listed. A row that
         still says ready, also one that returns after its removal, changes
@@ -329,10 +329,8 @@
         bool
             Whether this was not known.
         """
-        record = upstream.record
-        upstream.is_leaving = True
-        is_new = self._leaving.add(record.instance, record.started_ms)
-        listed = self._upstream_by_instance.get(record.instance)
+        is_new = self._leaving.add(instance, started_ms)
+        listed = self._upstream_by_instance.get(instance)
         if listed is not None and self._includes_leaving(listed.record):
             listed.is_leaving = True
         return is_new
@@ -431,7 +429,10 @@
 
     def is_held_past(self, upstream: Upstream, at_ms: float) -> bool:
         """Return whether an upstream is held until after a time."""
-        return at_ms < self.pauses.opens_ms(upstream.record.incarnation)
+        pauses = self.pauses
+        if at_ms >= pauses.last_end_ms:
+            return False
+        return at_ms < pauses.opens_ms(upstream.record.incarnation)
 
     def is_returning(self, upstream: Upstream) -> bool:
         """Return whether a pause, or the steps after it, have not ended."""
@@ -462,11 +463,7 @@
         Upstream or None
             None if an upstream of the service is not held, or none is listed.
         """
-        accepting = [
-            upstream
-            for upstream in self._upstream_by_instance.values()
-            if _accepts_requests(upstream, service)
-        ]
+        accepting = self._accepting(service)
         if not all(map(self.is_held, accepting)):
             return None
         return min(
@@ -477,6 +474,13 @@
             default=None,
         )
 
+    def room_until(self, service: str, at_ms: float) -> float:
+        """Return how many requests the pauses of a service allow by a time."""
+        return sum(
+            self.pauses.room_until(upstream.record.incarnation, at_ms)
+            for upstream in self._accepting(service)
+        )
+
     def record_lost(self, upstream: Upstream) -> None:
         """Mark an upstream lost.
 
@@ -537,6 +541,13 @@
             return False
         return max(upstream.heard_ms, upstream.listed_ms) < recent[0]
 
+    def _accepting(self, service: str) -> list[Upstream]:
+        return [
+            upstream
+            for upstream in self._upstream_by_instance.values()
+            if _accepts_requests(upstream, service)
+        ]
+
     def _ring(self, service: str) -> HashRing:
         return self._ring_by_service.setdefault(service, HashRing(()))
 
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -5,7 +5,7 @@
 from bergamotthread.process.relay.choice import RelayPlacementRequest
 from bergamotthread.process.relay.plain_gate import PlainDemand, PlainRefused
 from bergamotthread.process.relay.upstreams import Upstream
-from bergamotthread.request.relay.attempt import Attempt, read_response
+from bergamotthread.request.relay.attempt import Attempt, BufferedResponse
 from bergamotthread.request.relay.attempt_loop import (
     AttemptLimits,
     run_attempts,
@@ -21,7 +21,7 @@
     is_pause,
 )
 from bergamotthread.request.relay.parts import RelayParts
-from bergamotthread.request.relay.pause_refusal import refuse_if_held
+from bergamotthread.request.relay.pause_wait import PauseWait
 from bergamotthread.request.relay.refusals import (
     RelayRefusal,
     ending_refusal,
@@ -56,6 +56,7 @@
         self._placement_deadline_ms = (
             received_ms + timeout_ms * PLACEMENT_TIMEOUT_FRACTION
         )
+        self._pause_wait = PauseWait(call, parts, self._placement_deadline_ms)
 
     async def run(self) -> None:
         """Run the attempts, once there is room, and respond to the caller."""
@@ -70,6 +71,7 @@
             if not await run_attempts(self._limits, self):
                 self._refuse(self._final_refusal())
         finally:
+            self._pause_wait.end()
             gate.leave(self._call.service.name, self._latency_ms)
 
     def end(self) -> None:
@@ -95,7 +97,10 @@
         if upstream is None and self._excluded:
             # The next placement may choose an upstream that was tried before.
             self._excluded = frozenset()
-        return upstream or self._pause_refusal()
+        if upstream is None:
+            return self._pause_refusal()
+        self._pause_wait.end()
+        return upstream
 
     def may_wait(self) -> bool:
         """Return whether placement may be tried again after a pause."""
@@ -118,9 +123,7 @@
         self._refuse(refusal)
 
     def _pause_refusal(self) -> RelayRefusal | None:
-        refusal = refuse_if_held(
-            self._call, self._parts, self._placement_deadline_ms
-        )
+        refusal = self._pause_wait.check()
         if refusal is None or not self._may_have_run:
             return refusal
         return self._final_refusal()
@@ -146,18 +149,34 @@
             if not_sent is not None:
                 return not_sent
             self._limits.record_sent()
-            outcome = await read_response(attempt, self._attempt_timeout_ms())
+            outcome = await self._read(attempt)
             self._latency_ms = self._parts.clock.now_ms() - attempt.sent_ms
             return outcome
 
+    async def _read(self, attempt: Attempt) -> AttemptOutcome:
+        """Read the response; give it up early if another attempt may follow."""
+        response = BufferedResponse(attempt)
+        outcome = await response.read(self._attempt_timeout_ms())
+        if isinstance(outcome, OutOfTime) and not self._may_replace():
+            return await response.read(self._time_left_ms())
+        return outcome
+
     def _attempt_timeout_ms(self) -> float:
         """Return the timeout of the attempt that was just sent."""
-        remaining_ms = self._limits.remaining_ms + DEADLINE_MARGIN_MS
         may_retry = self._call.route.repeatability.may_retry
         if not may_retry or self._limits.attempts_sent > 1:
-            return remaining_ms
+            return self._time_left_ms()
         target_ms = self._call.route.first_event_target_ms
-        return min(remaining_ms, target_ms * FIRST_ATTEMPT_TARGET_FRACTION)
+        return min(
+            self._time_left_ms(), target_ms * FIRST_ATTEMPT_TARGET_FRACTION
+        )
+
+    def _time_left_ms(self) -> float:
+        return self._limits.remaining_ms + DEADLINE_MARGIN_MS
+
+    def _may_replace(self) -> bool:
+        """Return whether another attempt may follow, and reserve its retry."""
+        return self._may_retry() and self._limits.reserve_attempt()
 
     def _handle_outcome(
         self, upstream: Upstream, outcome: AttemptOutcome
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -49,7 +49,7 @@
 )
 from bergamotthread.request.relay.pace import ArrivalTimes
 from bergamotthread.request.relay.parts import RelayParts
-from bergamotthread.request.relay.pause_refusal import refuse_if_held
+from bergamotthread.request.relay.pause_wait import PauseWait
 from bergamotthread.request.relay.placement import (
     AttemptPlacement,
     StreamPlacer,
@@ -98,6 +98,7 @@
         self._placement_deadline_ms = (
             received_ms + target_ms * PLACEMENT_TARGET_FRACTION
         )
+        self._pause_wait = PauseWait(call, parts, self._placement_deadline_ms)
 
     async def run(self) -> None:
         """Run the attempts and respond to the caller."""
@@ -109,7 +110,7 @@
                 self._refuse_or_abort()
             await self._copy_manager.release()
         finally:
-            self._copy_manager.discard()
+            self._release()
             gate.record_end(call.service.name, call.team, self._run_ms)
 
     def end(self) -> None:
@@ -156,6 +157,7 @@
             return self._overload_refusal(placement)
         if placement is None:
             return self._pause_refusal()
+        self._pause_wait.end()
         return placement
 
     def may_wait(self) -> bool:
@@ -164,7 +166,7 @@
         A stream that may have run waits until its deadline, unless all
         upstreams are paused beyond it.
         """
-        if self.may_wait_for_budget():
+        if self._call.exchange.has_head or self._may_have_run:
             directory = self._parts.directory
             first = directory.first_opening(self._call.service.name)
             return first is None or not directory.is_held_past(
@@ -172,14 +174,17 @@
             )
         if self._limits.is_unservable:
             return False
-        return self._parts.clock.now_ms() <= self._placement_deadline_ms
+        return self._is_placement_due()
 
     def may_wait_for_budget(self) -> bool:
-        """Return whether the stream may have run.
+        """Return whether to wait while the retry budget has no room.
 
-        Such a stream waits until its deadline rather than being cut.
+        A stream that has begun waits until its deadline rather than being cut.
+        Before, its caller may try again elsewhere.
         """
-        return self._call.exchange.has_head or self._may_have_run
+        if self._call.exchange.has_head:
+            return True
+        return self._may_have_run and self._is_placement_due()
 
     async def run_attempt(self, placement: AttemptPlacement) -> bool:
         """Run an attempt; return whether no further attempt is needed."""
@@ -193,6 +198,15 @@
         self._log_refusal(refusal)
         send_refusal(self._call.exchange, refusal)
 
+    def _release(self) -> None:
+        """Release the place among those that wait, and the copy."""
+        self._pause_wait.end()
+        self._copy_manager.discard()
+
+    def _is_placement_due(self) -> bool:
+        """Return whether the time to find an upstream is not over yet."""
+        return self._parts.clock.now_ms() <= self._placement_deadline_ms
+
     def _pause_refusal(self) -> RelayRefusal | None:
         """Return a refusal if a pause outlasts the wait for an upstream.
 
@@ -200,9 +214,7 @@
         """
         if self._call.exchange.has_head or self._may_have_run:
             return None
-        return refuse_if_held(
-            self._call, self._parts, self._placement_deadline_ms
-        )
+        return self._pause_wait.check()
 
     def _overload_refusal(self, refused: StreamRefused) -> RelayRefusal:
         return RelayRefusal(
@@ -316,9 +328,13 @@
             if attempt.remaining_ms <= 0:
                 return None
             silence = await self._silence_reason(attempt, started_ms)
-            if silence and self._reserve_replacement():
-                received = await attempt.receive(0)
-                return received or AnswerLost(silence)
+            if not silence:
+                continue
+            received = await attempt.receive(0)
+            if received is not None:
+                return received
+            if self._reserve_replacement():
+                return AnswerLost(silence)
 
     async def _silence_reason(self, attempt: Attempt, started_ms: float) -> str:
         """Return why a silent upstream counts as lost; empty if it does not.
