Liveness: witnesses are asked only beside a silent upstream

Cause: the check went on to the witnesses although its probe had been answered in the meantime, so that each answered probe started up to three more.

--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -151,6 +151,8 @@
         started_ms = self.clock.now_ms()
         probe = self._start_probe(upstream)
         await asyncio.wait((probe,), timeout=WITNESS_DELAY_MS / _MS_PER_S)
+        if upstream.heard_ms > started_ms:
+            return True
         path = asyncio.create_task(self._is_path_working(upstream, started_ms))
         await asyncio.wait((probe, path), return_when=asyncio.FIRST_COMPLETED)
         if upstream.heard_ms > started_ms:
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -202,3 +202,15 @@
         talking.cancel()
 
     run_virtual(check())
+
+
+# Guards against probes of witnesses beside each probe that is answered.
+def test_upstream_that_answers_is_asked_alone():
+    async def check():
+        engines = Engines('abc')
+        for _ in range(5):
+            assert await engines.watch.check(engines.upstreams[0])
+            await engines.clock.sleep_ms(500)
+        assert engines.watch.probes_sent == 5
+
+    run_virtual(check())
