--- a/tests/test_continuity_faults.py
+++ b/tests/test_continuity_faults.py
@@ -542,3 +542,29 @@
         verify_answer(PROMPT, ''.join(kept + _tokens(tail)), COUNT)
 
     run_virtual(scenario())
+
+
+# Guards against generations that are tried a second time because all links of
+# their entry stall together.
+def test_stall_of_all_links_of_an_entry_loses_no_generation() -> None:
+    async def scenario() -> None:
+        deployment = SmallDeployment(speed=SPEED)
+        lives = []
+        for _ in range(6):
+            lives.append(deployment.entries[0].open(REQUEST)[0])
+            await deployment.clock.sleep_ms(7)
+        await deployment.clock.sleep_ms(200)
+        network = deployment.network
+        held: list[tuple[object, ...]] = []
+        deliver = network._deliver
+        network._deliver = lambda *message: held.append(message)
+        await deployment.clock.sleep_ms(700)
+        network._deliver = deliver
+        for message in held:
+            deliver(*message)
+        for live in lives:
+            await _until_over(live)
+        numbers = [live.generation.place.number for live in lives]
+        assert numbers == [1] * 6
+
+    run_virtual(scenario())
--- a/tests/test_own_path_stall.py
+++ b/tests/test_own_path_stall.py
@@ -221,3 +221,22 @@
         assert deployment.clock.now_ms() - started_ms < RESUME_BOUND_MS
 
     run_in_memory(check())
+
+
+# Guards against plain requests that are sent twice because of a stall of the
+# entry's own link.
+def test_stall_of_the_own_link_repeats_no_plain_request():
+    async def check():
+        deployment = await Deployment.start(plains=4)
+        for plain in deployment.plains:
+            plain.script.work_ms = 100
+        tasks = [
+            asyncio.create_task(deployment.call('/any/x')) for _ in range(6)
+        ]
+        await deployment.clock.sleep_ms(20)
+        deployment.net.hold(900)
+        answers = await asyncio.gather(*tasks)
+        assert [answer.status for answer in answers] == [200] * 6
+        assert deployment.ran(deployment.plains) == 6
+
+    run_in_memory(check())
