--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -158,17 +158,17 @@
         The table is whole if its era is newer than that of the version, or if
         the version is the start of its era.
 
-        Parameters
-        ----------
-        is_packed
-            Whether to compress large rows.
-
         If there are none yet, wait up to `wait_ms`, but no longer than
         `FEED_WAIT_MAX_MS`, for the next confirmation, or for an era that is
         not known here yet. Return None if some of the changes are no longer
         kept, the table has not been read yet, or not in that era.
         The result has the age of the latest confirmation. It has no rows if
         only the number of a newer era is known here.
+
+        Parameters
+        ----------
+        is_packed
+            Whether to compress large rows.
         """
         if not self._can_follow(version):
             return None
