--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import math
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
@@ -109,12 +109,16 @@
             few probes are allowed.
         """
         instance = upstream.record.instance
-        is_under_way = instance in self._check_by_instance
-        if not is_under_way and not self.directory.admit_probe(upstream):
-            return True
-        return await _share(
-            self._check_by_instance, upstream, lambda: self._check(upstream)
-        )
+        task = self._check_by_instance.get(instance)
+        if task is None:
+            if not self.directory.admit_probe(upstream):
+                return True
+            task = asyncio.create_task(self._check(upstream))
+            self._check_by_instance[instance] = task
+            task.add_done_callback(
+                lambda _: self._check_by_instance.pop(instance, None)
+            )
+        return await asyncio.shield(task)
 
     @property
     def is_own_path_doubted(self) -> bool:
@@ -249,18 +253,3 @@
         upstream.apply_report(report)
         self.directory.record_heard(upstream)
         return True
-
-
-async def _share(
-    task_by_instance: dict[str, asyncio.Task[bool]],
-    upstream: Upstream,
-    start: Callable[[], Coroutine[None, None, bool]],
-) -> bool:
-    """Return the result of an upstream's task; start it if there is none."""
-    instance = upstream.record.instance
-    task = task_by_instance.get(instance)
-    if task is None:
-        task = asyncio.create_task(start())
-        task_by_instance[instance] = task
-        task.add_done_callback(lambda _: task_by_instance.pop(instance, None))
-    return await asyncio.shield(task)
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -396,9 +396,7 @@
             (
                 other
                 for other in self.of_service(upstream.record.service)
-                if other is not upstream
-                and not self.is_lost(other)
-                and not self.is_paused(other)
+                if other is not upstream and not self.is_lost(other)
             ),
             key=lambda other: (other.unanswered_ms, -other.heard_ms),
         )
