--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -364,10 +364,8 @@
 
     def of_service(self, service: str) -> Iterator[Upstream]:
         """Yield the upstreams of one service that accept new requests."""
-        for upstream in self._upstream_by_instance.values():
-            if _accepts_requests(upstream, service) and not self.is_held(
-                upstream
-            ):
+        for upstream in self._accepting(service):
+            if not self.is_held(upstream):
                 yield upstream
 
     def by_affinity(self, service: str, key: bytes) -> Iterator[Upstream]:
@@ -461,7 +459,7 @@
         Upstream or None
             None if an upstream of the service is not held, or none is listed.
         """
-        accepting = self._accepting(service)
+        accepting = list(self._accepting(service))
         if not all(map(self.is_held, accepting)):
             return None
         return min(
@@ -539,12 +537,11 @@
             return False
         return max(upstream.heard_ms, upstream.listed_ms) < recent[0]
 
-    def _accepting(self, service: str) -> list[Upstream]:
-        return [
-            upstream
-            for upstream in self._upstream_by_instance.values()
-            if _accepts_requests(upstream, service)
-        ]
+    def _accepting(self, service: str) -> Iterator[Upstream]:
+        """Yield the upstreams of a service, also those held after a pause."""
+        for upstream in self._upstream_by_instance.values():
+            if _accepts_requests(upstream, service):
+                yield upstream
 
     def _ring(self, service: str) -> HashRing:
         return self._ring_by_service.setdefault(service, HashRing(()))
