--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -96,7 +96,7 @@
         version: StoreVersion,
         requested_ms: float,
         *,
-        is_direct: bool = True,
+        is_direct: bool,
     ) -> None:
         """Replace the table and drop the kept changes.
 
--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -288,7 +288,7 @@
     async def _read_all(self) -> None:
         requested_ms = self._clock.boot_ms()
         read = await self._store.read_rows(self.table)
-        self._replace(read, requested_ms, is_direct=True)
+        self._apply(read, requested_ms, is_direct=True, is_whole=True)
 
     async def _read_changes(
         self,
@@ -311,31 +311,34 @@
             # The answer was sent at this time or later; it may have been under
             # way for long.
             requested_ms += read.waited_ms - read.age_ms
-        is_direct = source is None
-        if read.is_whole:
-            self._replace(read, requested_ms, is_direct=is_direct)
-            return
-        self.apply_changes(read.rows)
-        self._version = read.version
-        self._note_settled(read, requested_ms, is_direct=is_direct)
-        self.history.add(
-            read.rows, read.version, requested_ms, is_direct=is_direct
+        self._apply(
+            read,
+            requested_ms,
+            is_direct=source is None,
+            is_whole=read.is_whole,
         )
-        self.record_confirmed(requested_ms)
 
-    def _replace(
-        self, read: ReadResult, requested_ms: float, *, is_direct: bool
+    def _apply(
+        self,
+        read: ReadResult,
+        requested_ms: float,
+        *,
+        is_direct: bool,
+        is_whole: bool,
     ) -> None:
-        """Apply a whole table, which may be of a new era."""
-        if self._era not in {None, read.version.era}:
-            self.begin_era(read.version)
-        self._era = read.version.era
-        self.apply_all(read.rows)
+        """Apply changes, or a whole table, which may be of a new era."""
+        if is_whole:
+            if self._era not in {None, read.version.era}:
+                self.begin_era(read.version)
+            self._era = read.version.era
+            self.apply_all(read.rows)
+            keep_rows = self.history.restart
+        else:
+            self.apply_changes(read.rows)
+            keep_rows = self.history.add
         self._version = read.version
         self._note_settled(read, requested_ms, is_direct=is_direct)
-        self.history.restart(
-            read.rows, read.version, requested_ms, is_direct=is_direct
-        )
+        keep_rows(read.rows, read.version, requested_ms, is_direct=is_direct)
         self.record_confirmed(requested_ms)
 
     def _note_settled(
--- a/tests/test_relayed_version.py
+++ b/tests/test_relayed_version.py
@@ -54,7 +54,7 @@
 def _history(payload):
     async def make():
         history = TableHistory(Clock.from_loop(asyncio.get_running_loop()))
-        history.restart((), _version(1), 1)
+        history.restart((), _version(1), 1, is_direct=True)
         row = StoredRow('config', payload, _version(2))
         history.add((row,), _version(2), 2, is_direct=True)
         return history
@@ -182,7 +182,7 @@
     async def check():
         loop = asyncio.get_running_loop()
         history = TableHistory(Clock.from_loop(loop))
-        history.restart((), _version(1), loop.time() * 1000)
+        history.restart((), _version(1), loop.time() * 1000, is_direct=True)
         # Other tables changed, so that the version has risen without rows.
         history.add((), _version(5), loop.time() * 1000, is_direct=True)
         await asyncio.sleep(1.463)
@@ -204,7 +204,7 @@
     async def check():
         loop = asyncio.get_running_loop()
         history = TableHistory(Clock.from_loop(loop))
-        history.restart((), _version(1), loop.time() * 1000)
+        history.restart((), _version(1), loop.time() * 1000, is_direct=True)
         history.add((), _version(5), loop.time() * 1000, is_direct=True)
         await asyncio.sleep(1)
         started_s = loop.time()
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -123,8 +123,12 @@
 def test_history_sends_the_whole_table_to_a_follower_of_an_older_era():
     async def check():
         history = TableHistory(Clock.from_system())
-        history.restart([_row('a', 1, 7)], StoreVersion(1, 9), 1)
-        history.restart([_row('b', 2, 3)], StoreVersion(2, 4), 2)
+        history.restart(
+            [_row('a', 1, 7)], StoreVersion(1, 9), 1, is_direct=True
+        )
+        history.restart(
+            [_row('b', 2, 3)], StoreVersion(2, 4), 2, is_direct=True
+        )
         history.add([_row('c', 2, 5)], StoreVersion(2, 5), 3, is_direct=True)
         history.add([_row('d', 1, 9)], StoreVersion(1, 9), 4, is_direct=True)
         for after in (StoreVersion(1, 9), StoreVersion(2)):
@@ -142,7 +146,9 @@
 def test_history_of_an_older_era_confirms_nothing_to_a_newer_follower():
     async def check():
         history = TableHistory(Clock.from_system())
-        history.restart([_row('a', 1, 7)], StoreVersion(1, 9), 1)
+        history.restart(
+            [_row('a', 1, 7)], StoreVersion(1, 9), 1, is_direct=True
+        )
         assert await history.changes_after(StoreVersion(2, 3), 10) is None
         waiting = asyncio.create_task(
             history.changes_after(StoreVersion(2), 5000)
@@ -151,7 +157,9 @@
         history.add([], StoreVersion(1, 10), 2, is_direct=True)
         await asyncio.sleep(0)
         assert not waiting.done()
-        history.restart([_row('b', 2, 3)], StoreVersion(2, 4), 3)
+        history.restart(
+            [_row('b', 2, 3)], StoreVersion(2, 4), 3, is_direct=True
+        )
         answer = await waiting
         assert [row.key for row in answer.rows] == ['b']
 
