Watches: the base class and the runners' watch are modules of their own

Code moved as it was; the comment on polls stands where its bound applies. Formatter, linters, types and 202 tests of the platform's path pass.

--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -16,6 +16,7 @@
 from bergamotthread.platform.leaving_relay import LeavingRelay
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
 from bergamotthread.platform.runner_calls import RunnerClient
+from bergamotthread.platform.runner_watch import RunnerWatch
 from bergamotthread.platform.settings import (
     FIXED_SETTINGS,
     SETTINGS_VARIABLE,
@@ -23,12 +24,8 @@
     PlatformSettingsError,
 )
 from bergamotthread.platform.store import PlatformStoreClient
-from bergamotthread.platform.watches import (
-    EntryWatch,
-    RunnerWatch,
-    VersionWatch,
-    WatchContext,
-)
+from bergamotthread.platform.table_watch import WatchContext
+from bergamotthread.platform.watches import EntryWatch, VersionWatch
 from bergamotthread.process.relay.choice import UpstreamChoice
 from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.feed_sources import (
