Poison: the guard moves to process/poison, its fingerprints and its refusal apart

The platform's path needs the same guard. Moved: guard, death log, fingerprints; the refusal of a generation stays with the generations. No behaviour changes.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -40,15 +40,15 @@
 )
 from benchmarks.workload import Arrival, Job, Workload
 from bergamotthread.clock import Clock
-from bergamotthread.process.generations.poison import (
+from bergamotthread.process.overload.admission import GateRules, Refused, Run
+from bergamotthread.process.overload.overload import Overloaded, OverloadGuard
+from bergamotthread.process.overload.retry_budget import Denied, RetryBudget
+from bergamotthread.process.poison.guard import (
     PoisonGuard,
     Quarantined,
     Suspect,
     Undecided,
 )
-from bergamotthread.process.overload.admission import GateRules, Refused, Run
-from bergamotthread.process.overload.overload import Overloaded, OverloadGuard
-from bergamotthread.process.overload.retry_budget import Denied, RetryBudget
 from bergamotthread.process.routing.placement import Placement, PlacementRequest
 from bergamotthread.process.routing.routing import ScoredPlacement
 from bergamotthread.request.refusal import RefusedError
--- a/benchmarks/fleet_parts.py
+++ b/benchmarks/fleet_parts.py
@@ -9,15 +9,15 @@
 from benchmarks.engine_model import KV_CAPACITY, MAX_RUNNING, Engine
 from benchmarks.workload import Job
 from bergamotthread.clock import Clock
-from bergamotthread.process.generations.poison import (
-    PoisonGuard,
-    QuarantineSink,
-)
 from bergamotthread.process.overload.admission import (
     AdmissionGate,
     GateLimits,
     GateRules,
 )
+from bergamotthread.process.poison.guard import (
+    PoisonGuard,
+    QuarantineSink,
+)
 from bergamotthread.process.routing.placement import PlacementRequest
 from bergamotthread.wire.messages import Quarantine
 
--- a/bergamotthread/process/generations/completions.py
+++ b/bergamotthread/process/generations/completions.py
@@ -9,8 +9,8 @@
 from bergamotthread.clock import Clock
 from bergamotthread.errors import DecodeError, Step
 from bergamotthread.process.generations.generations import Generations
-from bergamotthread.process.generations.poison import request_fingerprint
 from bergamotthread.process.overload.admission import CHARS_PER_TOKEN
+from bergamotthread.process.poison.fingerprints import request_fingerprint
 from bergamotthread.process.routing.placement import PlacementRequest
 from bergamotthread.process.routing.prefix_hash import block_hashes
 from bergamotthread.request.completion import (
--- a/bergamotthread/process/generations/generation_guards.py
+++ b/bergamotthread/process/generations/generation_guards.py
@@ -8,13 +8,7 @@
 import msgspec
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.generations.poison import (
-    DEFAULT_DOMAIN_SIZE,
-    PoisonGuard,
-    Quarantined,
-    QuarantineSink,
-    Suspect,
-    Undecided,
+from bergamotthread.process.generations.quarantine_refusal import (
     quarantine_refusal,
 )
 from bergamotthread.process.overload.overload import (
@@ -23,6 +17,14 @@
     overload_refusal,
 )
 from bergamotthread.process.overload.retry_budget import Denied, RetryBudget
+from bergamotthread.process.poison.guard import (
+    DEFAULT_DOMAIN_SIZE,
+    PoisonGuard,
+    Quarantined,
+    QuarantineSink,
+    Suspect,
+    Undecided,
+)
 from bergamotthread.request.generation_refusal import generation_refusal
 from bergamotthread.request.live_generation import LiveGeneration
 from bergamotthread.request.refusal import (
--- /dev/null
+++ b/bergamotthread/process/generations/quarantine_refusal.py
@@ -0,0 +1,31 @@
+"""Refusal of a generation whose content is quarantined."""
+
+from __future__ import annotations
+
+from bergamotthread.errors import Step
+from bergamotthread.process.poison.death_log import CORRELATION_WINDOW_MS
+from bergamotthread.process.poison.guard import (
+    COUNTED_DEATHS_MAX,
+    Quarantined,
+)
+from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
+
+
+def quarantine_refusal(verdict: Quarantined, *, ran: Ran) -> Refusal:
+    """Return the refusal of a quarantined request."""
+    return Refusal(
+        reason=ReasonCode.QUARANTINED,
+        detail=(
+            f'{verdict.deaths} upstreams died while they ran a request of this'
+            ' content; it is not sent to another one'
+        ),
+        step=Step.ADMIT,
+        ran=ran,
+        decided_by='quarantine',
+        retry_after_ms=int(verdict.remaining_ms),
+        figures={
+            'deaths': verdict.deaths,
+            'counted_deaths_max': COUNTED_DEATHS_MAX,
+            'correlation_ms': CORRELATION_WINDOW_MS,
+        },
+    )
--- a/bergamotthread/process/generations/quarantine_store.py
+++ b/bergamotthread/process/generations/quarantine_store.py
@@ -14,7 +14,7 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import StoreConflictError
-from bergamotthread.process.generations.poison import (
+from bergamotthread.process.poison.guard import (
     QUARANTINE_MS,
     PoisonGuard,
     QuarantineSink,
--- a/bergamotthread/process/generations/quarantines.py
+++ b/bergamotthread/process/generations/quarantines.py
@@ -8,11 +8,11 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import StoreUnavailableError
-from bergamotthread.process.generations.poison import PoisonGuard
 from bergamotthread.process.generations.quarantine_store import (
     QuarantineAuditSink,
     QuarantinePublisher,
 )
+from bergamotthread.process.poison.guard import PoisonGuard
 from bergamotthread.process.store.platform import Table
 from bergamotthread.wire.messages import Envelope, Quarantine
 
--- a/bergamotthread/process/generations/poison.py
+++ b/bergamotthread/process/poison/guard.py
@@ -16,33 +16,21 @@
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
-import xxhash
-
 from bergamotthread.clock import Clock
-from bergamotthread.errors import Step
-from bergamotthread.process.generations.death_log import (
-    CORRELATION_WINDOW_MS,
-    DeathLog,
-)
 from bergamotthread.process.generations.running_attempts import (
     PROGRESS_MIN_TOKENS,
 )
-from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
-from bergamotthread.wire.messages import Pin, Quarantine
+from bergamotthread.process.poison.death_log import (
+    CORRELATION_WINDOW_MS,
+    DeathLog,
+)
+from bergamotthread.wire.messages import Quarantine
 
 COUNTED_DEATHS_MAX = 3
 CHARGED_DEATHS_MAX = 6
 QUARANTINE_MS = 86_400_000
 RECORDS_MAX = 4096
 DEFAULT_DOMAIN_SIZE = 2
-_FIELD_SEPARATOR = '\x1f'
-
-
-def request_fingerprint(team: str, pin: Pin, prompt: str) -> int:
-    """Return the non-zero 64-bit fingerprint of a request's content."""
-    parts = (team, pin.model, pin.version, pin.adapter, prompt)
-    joined = _FIELD_SEPARATOR.join(parts).encode()
-    return xxhash.xxh3_64_intdigest(joined) or 1
 
 
 @dataclass(frozen=True)
@@ -324,23 +312,3 @@
         if len(self._record_by_fingerprint) > RECORDS_MAX:
             self._record_by_fingerprint.popitem(last=False)
         return record
-
-
-def quarantine_refusal(verdict: Quarantined, *, ran: Ran) -> Refusal:
-    """Return the refusal of a quarantined request."""
-    return Refusal(
-        reason=ReasonCode.QUARANTINED,
-        detail=(
-            f'{verdict.deaths} upstreams died while they ran a request of this'
-            ' content; it is not sent to another one'
-        ),
-        step=Step.ADMIT,
-        ran=ran,
-        decided_by='quarantine',
-        retry_after_ms=int(verdict.remaining_ms),
-        figures={
-            'deaths': verdict.deaths,
-            'counted_deaths_max': COUNTED_DEATHS_MAX,
-            'correlation_ms': CORRELATION_WINDOW_MS,
-        },
-    )
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -5,7 +5,15 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.generations.poison import (
+from bergamotthread.process.generations.quarantine_refusal import (
+    quarantine_refusal,
+)
+from bergamotthread.process.generations.quarantine_store import (
+    QuarantinePublisher,
+    QuarantineRow,
+)
+from bergamotthread.process.poison.fingerprints import request_fingerprint
+from bergamotthread.process.poison.guard import (
     CHARGED_DEATHS_MAX,
     COUNTED_DEATHS_MAX,
     Clear,
@@ -13,12 +21,6 @@
     Quarantined,
     Suspect,
     Undecided,
-    quarantine_refusal,
-    request_fingerprint,
-)
-from bergamotthread.process.generations.quarantine_store import (
-    QuarantinePublisher,
-    QuarantineRow,
 )
 from bergamotthread.request.refusal import Ran, ReasonCode
 from bergamotthread.testing.memory_network import MemoryNetwork
