Relay: log lines carry the fingerprint of a request's content

A caller that sends a request again gives it a new id, so that the logs could not tell one request that crashes upstreams from many. 'attempt' and 'refused' get 'content': caller, method, host, path and body.

--- a/bergamotthread/request/relay/admission.py
+++ b/bergamotthread/request/relay/admission.py
@@ -9,6 +9,10 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.caller_connection import Exchange
 from bergamotthread.connection.http.messages import CallerRequest
+from bergamotthread.process.poison.fingerprints import (
+    RequestFingerprints,
+    relayed_fingerprint,
+)
 from bergamotthread.process.relay.freshness import VersionFreshness
 from bergamotthread.request.relay.call import (
     DEFAULT_PROMPT_TOKENS,
@@ -118,6 +122,7 @@
             request_id=request.header(self.header_names.request_id) or b'',
             deadline_ms=request.received_ms + min(timeout_ms, route.timeout_ms),
             version=table.version,
+            fingerprints=_fingerprints(request, team),
             prompt_tokens=self._prompt_tokens(request, route),
             resume_after=_last_event_id(request),
             affinity=self._affinity(request),
@@ -143,6 +148,12 @@
     return RelayRefusal(503, 'not-ready', detail, NOT_READY_RETRY_AFTER_MS)
 
 
+def _fingerprints(request: CallerRequest, team: str) -> RequestFingerprints:
+    host = request.header(b'host') or b''
+    fields = (request.method, host, request.target, request.body)
+    return RequestFingerprints(relayed_fingerprint(team, fields))
+
+
 def _bearer_key(request: CallerRequest) -> bytes:
     authorization = request.header(AUTHORIZATION) or b''
     if authorization[: len(_BEARER)].lower() != _BEARER:
--- a/bergamotthread/request/relay/call.py
+++ b/bergamotthread/request/relay/call.py
@@ -11,6 +11,7 @@
     encode_request,
     end_to_end,
 )
+from bergamotthread.process.poison.fingerprints import RequestFingerprints
 from bergamotthread.request.relay.dialect import (
     AUTHORIZATION,
     RESUME_AFTER,
@@ -37,6 +38,8 @@
         stream.
     affinity
         Key of the prompt for cache affinity; empty if the request names none.
+    fingerprints
+        By which the request is recognised when its caller sends it again.
     """
 
     exchange: Exchange
@@ -46,6 +49,7 @@
     request_id: bytes
     deadline_ms: float
     version: int
+    fingerprints: RequestFingerprints
     prompt_tokens: int = 0
     resume_after: int | None = None
     affinity: bytes = b''
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -246,6 +246,7 @@
         self._parts.log.write(
             'refused',
             request=self._call.request_label,
+            content=self._call.fingerprints.label,
             status=refusal.status,
             reason=refusal.reason,
             detail=refusal.detail,
@@ -273,6 +274,7 @@
         self._parts.log.write(
             'attempt',
             request=self._call.request_label,
+            content=self._call.fingerprints.label,
             upstream=upstream.record.instance,
             domain=upstream.record.failure_domain,
             outcome=type(outcome).__name__,
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -502,6 +502,7 @@
         self._parts.log.write(
             'refused',
             request=self._call.request_label,
+            content=self._call.fingerprints.label,
             status=refusal.status,
             reason=refusal.reason,
             retry_after_ms=refusal.retry_after_ms,
@@ -544,6 +545,7 @@
         self._parts.log.write(
             'attempt',
             request=self._call.request_label,
+            content=self._call.fingerprints.label,
             upstream=upstream.record.instance,
             domain=upstream.record.failure_domain,
             outcome=type(outcome).__name__,
