--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -19,10 +19,13 @@
 SEAL = b'bergamotthread-response-seal'
 REQUEST_ID = b'bergamotthread-request-id'
 LEAVING = b'server-leaving'
+PROMPT_PARTS = b'bergamotthread-prompt-prefix'
 EVENT_MS = 40
 PREFILL_MS = 400
 # Number of events of a complete stream.
 STREAM_EVENTS = 60
+# Events of a stream that a request sends before it crashes the runner.
+CRASH_EVENTS = 2
 
 
 @dataclass
@@ -79,6 +82,9 @@
     report_retry_after
         The same for load reports and other control calls, without the header
         for "not executed".
+    crash_marks
+        A request whose path, body or prompt parts contain one of them crashes
+        the runner: a plain one while it runs, a stream after two events.
     turns_away_with
         Status and headers in place of 503 and "not executed" for
         `retry_after`.
@@ -102,6 +108,7 @@
     work_ms: float = 30
     events: int = STREAM_EVENTS
     copies: set[str] = field(default_factory=set)
+    crash_marks: frozenset[bytes] = frozenset()
     leaving: bool = False
     extra: tuple[Header, ...] = ()
 
@@ -125,6 +132,7 @@
         self.address = address
         self.script = RunnerScript()
         self.seen: list[Seen] = []
+        self.crash_ms: list[float] = []
         self.reports = 0
         self.arrivals: list[tuple[float, bytes]] = []
         self.pauses_asked: list[tuple[float, str]] = []
@@ -177,6 +185,20 @@
         """Reset the connection before the answer is complete."""
         exchange.abort()
 
+    def crash(self, exchange: Exchange) -> None:
+        """End as a process does that crashes."""
+        self.crash_ms.append(self.clock.now_ms())
+        self.break_off(exchange)
+
+    def is_crashed_by(self, seen: Seen) -> bool:
+        """Return whether a request crashes the runner."""
+        parts = seen.headers.get(PROMPT_PARTS, b'')
+        return any(
+            mark in text
+            for mark in self.script.crash_marks
+            for text in (seen.target, seen.body, parts)
+        )
+
     def plain_body(self, seen: Seen) -> bytes:
         """Return the body of a plain answer."""
         return self.script.answer
@@ -218,6 +240,9 @@
             await self._stream(exchange, seen)
             return
         await self.clock.sleep_ms(self.script.work_ms)
+        if self.is_crashed_by(seen):
+            self.crash(exchange)
+            return
         if self.script.breaks_after is not None:
             exchange.abort()
             return
@@ -249,6 +274,9 @@
                 exchange.write(b'id: 9')
                 self.break_off(exchange)
                 return
+            if sent == CRASH_EVENTS and self.is_crashed_by(seen):
+                self.crash(exchange)
+                return
             if sent == self.script.stalls_after:
                 await self.clock.sleep_ms(60_000)
             if self.script.padding:
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import json
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.caller_connection import Exchange
@@ -37,6 +39,8 @@
 from standins.platform_store import StoreStandIn
 
 STORE = '10.200.1.7:8000'
+# Time in which a runner that crashed is started anew.
+RESTART_MS = 3000
 
 
 class MemoryRunner(RunnerStandIn):
@@ -51,10 +55,20 @@
     ) -> None:
         super().__init__(clock, instance, address)
         self._net = net
+        self.row: dict[str, object] = {}
+        self.restart: Callable[[MemoryRunner], Coroutine[Any, Any, None]] | None
+        self.restart = None
 
     def kill(self) -> None:
         self._net.kill(self.address)
 
+    def crash(self, exchange: Exchange) -> None:
+        """Crash, and start anew some seconds later if `restart` is set."""
+        super().crash(exchange)
+        self.kill()
+        if self.restart is not None:
+            self._restart_task = asyncio.create_task(self.restart(self))
+
     def silence(self) -> None:
         self._net.silent.add(self.address)
 
@@ -163,13 +177,24 @@
         number = len(self.models) + len(self.plains) + 1
         address = address or f'10.9.0.{number}:8080'
         runner = MemoryRunner(self.clock, self.net, instance, address)
+        runner.restart = self._restart
         await runner.listen(address)
         group.append(runner)
         born = int(self.clock.now_ms()) + 1
-        row = runner_row(runner.address, service, zone, born=born)
-        self.store.put('servers', instance, row)
+        runner.row = runner_row(runner.address, service, zone, born=born)
+        self.store.put('servers', instance, runner.row)
         return runner
 
+    async def _restart(self, crashed: MemoryRunner) -> None:
+        """Start a runner anew, under another instance and the old address."""
+        await self.clock.sleep_ms(RESTART_MS)
+        self.store.remove('servers', crashed.instance)
+        starts = len(crashed.crash_ms)
+        crashed.instance = f'{crashed.instance.split("-")[0]}-{starts}'
+        await crashed.listen(crashed.address)
+        crashed.row |= {'born': int(self.clock.now_ms())}
+        self.store.put('servers', crashed.instance, crashed.row)
+
     async def add_entry(
         self, platform_settings: PlatformSettings
     ) -> PlatformEntry:
