Poison: deaths are named, so that several processes count each once

A death has an identifier, and its notice can be merged; progress at one entry clears at all; limits and the recognition of a common cause are data (DomainCorrelation as before, and SimultaneousDeaths for processes that see only the deaths under their own requests). New for both interfaces: a death under a quarantined request counts against no other one, and a quarantine ends in probation.

--- a/benchmarks/test_routing.py
+++ b/benchmarks/test_routing.py
@@ -27,7 +27,7 @@
     run_overload,
     run_poison,
 )
-from bergamotthread.process.poison.guard import COUNTED_DEATHS_MAX
+from bergamotthread.process.poison.limits import COUNTED_DEATHS_MAX
 
 _COLD_MS = 20_000
 _STEADY_MS = 60_000
--- a/bergamotthread/process/generations/quarantine_refusal.py
+++ b/bergamotthread/process/generations/quarantine_refusal.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from bergamotthread.errors import Step
-from bergamotthread.process.poison.death_log import CORRELATION_WINDOW_MS
-from bergamotthread.process.poison.guard import (
+from bergamotthread.process.poison.guard import Quarantined
+from bergamotthread.process.poison.limits import (
+    CORRELATION_WINDOW_MS,
     COUNTED_DEATHS_MAX,
-    Quarantined,
 )
 from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
 
--- a/bergamotthread/process/generations/quarantine_store.py
+++ b/bergamotthread/process/generations/quarantine_store.py
@@ -14,11 +14,8 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.transport import Transport
 from bergamotthread.errors import StoreConflictError
-from bergamotthread.process.poison.guard import (
-    QUARANTINE_MS,
-    PoisonGuard,
-    QuarantineSink,
-)
+from bergamotthread.process.poison.guard import PoisonGuard, QuarantineSink
+from bergamotthread.process.poison.limits import QUARANTINE_MS
 from bergamotthread.process.store.platform import Table
 from bergamotthread.wire.messages import Quarantine
 
--- a/bergamotthread/process/poison/fingerprints.py
+++ b/bergamotthread/process/poison/fingerprints.py
@@ -18,16 +18,16 @@
 
     Parameters
     ----------
-    content
+    content_hash
         Fingerprint of the whole request.
     """
 
-    content: int
+    content_hash: int
 
     @property
     def label(self) -> str:
         """Return the fingerprint of the content as text, for logs."""
-        return f'{self.content:016x}'
+        return f'{self.content_hash:016x}'
 
 
 def request_fingerprint(team: str, pin: Pin, prompt: str) -> int:
--- a/bergamotthread/process/poison/guard.py
+++ b/bergamotthread/process/poison/guard.py
@@ -1,34 +1,27 @@
 """Detection and quarantine of requests that crash the upstreams running them.
 
 When an upstream dies, the death is charged to the content fingerprint of each
-attempt that ran on it. A charged death is not counted if its failure domain
-lost several upstreams at once. Progress of an attempt by `PROGRESS_MIN_TOKENS`
-clears the counted deaths, its completion all charged ones. A fingerprint is
-quarantined after `COUNTED_DEATHS_MAX` counted deaths without progress in
-between, or after `CHARGED_DEATHS_MAX` deaths of any kind without a completion.
+attempt that ran on it. A charged death is not counted if it has a common cause
+with others, see `DeathLog.count_for`. Progress of an attempt clears the counted
+deaths, its completion all charged ones. A fingerprint is quarantined after a
+number of counted deaths without progress in between, or of deaths of any kind
+without a completion, see `PoisonLimits`. After the quarantine it is on
+probation: it is quarantined again by the next counted death.
 """
 
 from __future__ import annotations
 
 import math
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.generations.running_attempts import (
-    PROGRESS_MIN_TOKENS,
-)
-from bergamotthread.process.poison.death_log import (
-    CORRELATION_WINDOW_MS,
-    DeathLog,
-)
+from bergamotthread.process.poison.death_log import Death, DeathLog
+from bergamotthread.process.poison.limits import PoisonLimits
 from bergamotthread.wire.messages import Quarantine
 
-COUNTED_DEATHS_MAX = 3
-CHARGED_DEATHS_MAX = 6
-QUARANTINE_MS = 86_400_000
 RECORDS_MAX = 4096
 DEFAULT_DOMAIN_SIZE = 2
 
@@ -43,9 +36,16 @@
     """Upstreams died while running the request.
 
     It may run, but not on an upstream that runs another suspect request.
+
+    Parameters
+    ----------
+    is_tried
+        Whether the next death quarantines it, and an attempt of this process
+        that shows whether it does is under way.
     """
 
     deaths: int
+    is_tried: bool = False
 
 
 @dataclass(frozen=True)
@@ -81,15 +81,39 @@
     return DEFAULT_DOMAIN_SIZE
 
 
+@dataclass(frozen=True)
+class DeathNotice:
+    """Death of an upstream, as one process tells others.
+
+    Parameters
+    ----------
+    death_id
+        Identifier of the death, the same in all processes.
+    age_ms
+        Time since the death.
+    content_hashes, waiting_hashes
+        See `Death`.
+    """
+
+    death_id: int
+    failure_domain: str
+    age_ms: float
+    content_hashes: frozenset[int]
+    waiting_hashes: frozenset[int] = frozenset()
+
+
 @dataclass(frozen=True)
 class _Attempt:
     fingerprint: int
-    produced: int = 0
+    produced: float = 0
+    has_begun: bool = True
 
 
 @dataclass
 class _Record:
     death_ids: list[int] = field(default_factory=list)
+    cleared_ms: float = -math.inf
+    is_on_probation: bool = False
     charged: int = 0
     deaths_by_peer: dict[str, int] = field(default_factory=dict)
     peer_ms: float = -math.inf
@@ -112,6 +136,7 @@
     clock: Clock
     sink: QuarantineSink
     domain_size: Callable[[str], int] = _default_domain_size
+    limits: PoisonLimits = PoisonLimits()
     deaths: DeathLog = field(init=False)
     _attempts_by_agent: dict[str, dict[str, _Attempt]] = field(
         default_factory=dict,
@@ -119,10 +144,26 @@
     _record_by_fingerprint: OrderedDict[int, _Record] = field(
         default_factory=OrderedDict,
     )
+    _quarantined_hashes: set[int] = field(default_factory=set)
     _changed_fingerprints: set[int] = field(default_factory=set)
 
     def __post_init__(self) -> None:
-        self.deaths = DeathLog(self.clock, self.domain_size)
+        self.deaths = DeathLog(
+            self.clock, self.domain_size, self.limits.correlation
+        )
+
+    @property
+    def quarantined_count(self) -> int:
+        """Return the number of quarantined fingerprints."""
+        return len(self._quarantined_hashes)
+
+    @property
+    def suspect_count(self) -> int:
+        """Return the number of fingerprints with charged deaths."""
+        return sum(
+            bool(record.death_ids)
+            for record in self._record_by_fingerprint.values()
+        )
 
     def check(self, content_hash: int) -> PoisonVerdict:
         """Return whether and where an attempt with this fingerprint may run.
@@ -132,15 +173,20 @@
         record = self._record_by_fingerprint.get(content_hash)
         if record is None:
             return Clear()
-        now_ms = self.clock.now_ms()
-        if record.quarantined_until_ms > now_ms:
-            remaining_ms = record.quarantined_until_ms - now_ms
+        self._end_quarantine(content_hash, record)
+        if record.quarantined_until_ms:
+            remaining_ms = record.quarantined_until_ms - self.clock.now_ms()
             return Quarantined(record.confirmed_deaths, remaining_ms)
+        limits = self.limits
         counted = self._counted_deaths(content_hash, record)
-        if counted < COUNTED_DEATHS_MAX and record.charged < CHARGED_DEATHS_MAX:
-            is_suspect = self._needs_isolation(record, counted)
-            return Suspect(counted) if is_suspect else Clear()
-        if record.charged < CHARGED_DEATHS_MAX:
+        counted_max = 1 if record.is_on_probation else limits.counted_deaths_max
+        is_over_charged = record.charged >= limits.charged_deaths_max
+        if counted < counted_max and not is_over_charged:
+            if not self._needs_isolation(record, counted):
+                return Clear()
+            is_last = counted == counted_max - 1
+            return Suspect(counted, is_last and self._is_tried(content_hash))
+        if not is_over_charged:
             wait_ms = self._correlation_wait_ms(record)
             if wait_ms > 0:
                 return Undecided(counted, wait_ms)
@@ -148,6 +194,10 @@
             content_hash, record, max(counted, record.charged)
         )
 
+    def is_quarantined(self, content_hash: int) -> bool:
+        """Return whether a fingerprint is quarantined."""
+        return isinstance(self.check(content_hash), Quarantined)
+
     def agents_with_other_suspects(self, content_hash: int) -> frozenset[str]:
         """Return the agents that run another suspect request.
 
@@ -165,31 +215,50 @@
         )
 
     def record_start(
-        self, agent: str, generation: str, content_hash: int
+        self,
+        agent: str,
+        generation: str,
+        content_hash: int,
+        *,
+        has_begun: bool = True,
     ) -> None:
         """Record that an agent confirmed an attempt with `Admitted`.
 
         An attempt that was sent but not confirmed can't have caused a death.
         If it were charged, the loss of many upstreams at once would charge a
         request for every dead upstream that it was resumed at.
+
+        Parameters
+        ----------
+        has_begun
+            Whether the upstream is known to run it, or will not say when it
+            begins.
         """
         attempts = self._attempts_by_agent.setdefault(agent, {})
-        attempts[generation] = _Attempt(content_hash)
+        attempts[generation] = _Attempt(content_hash, has_begun=has_begun)
 
     def record_progress(
         self,
         agent: str,
         generation: str,
-        produced: int,
-    ) -> None:
-        """Record the total number of tokens that an attempt has produced."""
+        produced: float,
+    ) -> bool:
+        """Record the total progress of an attempt, which has begun.
+
+        Returns
+        -------
+        bool
+            Whether this cleared deaths.
+        """
         attempts = self._attempts_by_agent.get(agent, {})
         attempt = attempts.get(generation)
-        if attempt is None or attempt.produced >= PROGRESS_MIN_TOKENS:
-            return
-        attempts[generation] = replace(attempt, produced=produced)
-        if produced >= PROGRESS_MIN_TOKENS:
-            self._clear_counted_deaths(attempt.fingerprint)
+        if attempt is None or self._has_progressed(attempt):
+            return False
+        progressed = replace(attempt, produced=produced, has_begun=True)
+        attempts[generation] = progressed
+        if not self._has_progressed(progressed):
+            return False
+        return self._clear_counted_deaths(attempt.fingerprint)
 
     def record_end(
         self,
@@ -197,33 +266,116 @@
         generation: str,
         *,
         completed: bool,
-    ) -> None:
-        """Record that an attempt ended while its upstream was alive."""
-        attempt = self._attempts_by_agent.get(agent, {}).pop(generation, None)
+    ) -> bool:
+        """Record that an attempt ended while its upstream was alive.
+
+        Returns
+        -------
+        bool
+            Whether this cleared deaths.
+        """
+        attempts = self._attempts_by_agent.get(agent, {})
+        attempt = attempts.pop(generation, None)
+        if not attempts:
+            self._attempts_by_agent.pop(agent, None)
         if attempt is None or not completed:
-            return
+            return False
         record = self._record_by_fingerprint.get(attempt.fingerprint)
-        if record is not None and not record.quarantined_until_ms:
-            self._clear_counted_deaths(attempt.fingerprint)
-            record.charged = 0
+        if record is None or record.quarantined_until_ms:
+            return False
+        record.charged = 0
+        return self._clear_counted_deaths(attempt.fingerprint)
 
-    def record_death(self, agent: str, failure_domain: str) -> None:
+    def record_death(
+        self,
+        agent: str,
+        failure_domain: str,
+        death_id: int | None = None,
+    ) -> DeathNotice:
         """Charge the death of an upstream to the requests that ran on it.
 
         Only requests that this process sent are known. The death of an
         upstream without such requests is recorded too, because it helps to
-        recognise the loss of a failure domain.
+        recognise deaths with a common cause.
+
+        Parameters
+        ----------
+        death_id
+            Identifier by which several processes name the same death; a new
+            one if None.
         """
-        attempts = self._attempts_by_agent.pop(agent, {})
-        content_hashes = frozenset(
-            attempt.fingerprint for attempt in attempts.values()
+        attempts = self._attempts_by_agent.pop(agent, {}).values()
+        begun = [attempt for attempt in attempts if attempt.has_begun]
+        for content_hash in _fingerprints(begun):
+            self._record(content_hash).charged += 1
+        counted = begun
+        if not self.limits.counts_progressed:
+            counted = [one for one in begun if not self._has_progressed(one)]
+        death = Death(
+            failure_domain,
+            self.clock.now_ms(),
+            _fingerprints(counted),
+            _fingerprints(one for one in attempts if not one.has_begun),
+        )
+        death_id = self._record_death(death, death_id)
+        return DeathNotice(
+            death_id,
+            failure_domain,
+            0,
+            death.content_hashes,
+            death.waiting_hashes,
+        )
+
+    def merge_death(self, notice: DeathNotice) -> None:
+        """Charge a death that another process told."""
+        death = Death(
+            notice.failure_domain,
+            self.clock.now_ms() - notice.age_ms,
+            notice.content_hashes,
+            notice.waiting_hashes,
+        )
+        self._record_death(death, notice.death_id)
+
+    def merge_clear(self, content_hash: int) -> None:
+        """Clear the counted deaths of a fingerprint that made progress.
+
+        Deaths before now are not counted either if they are told later.
+        """
+        self._record(content_hash)
+        self._clear_counted_deaths(content_hash)
+
+    def open_deaths(self) -> tuple[DeathNotice, ...]:
+        """Return the deaths that are charged and not cleared."""
+        death_ids = {
+            death_id
+            for record in self._record_by_fingerprint.values()
+            for death_id in record.death_ids
+        }
+        now_ms = self.clock.now_ms()
+        return tuple(
+            DeathNotice(
+                death_id,
+                death.failure_domain,
+                now_ms - death.at_ms,
+                death.content_hashes,
+                death.waiting_hashes,
+            )
+            for death_id in sorted(death_ids)
+            if (death := self.deaths.get(death_id)) is not None
+        )
+
+    def quarantines(self) -> tuple[tuple[Quarantine, float], ...]:
+        """Return the quarantines in force with their remaining times, in ms."""
+        now_ms = self.clock.now_ms()
+        records = self._record_by_fingerprint
+        return tuple(
+            (
+                Quarantine(one, records[one].confirmed_deaths, confirmed=True),
+                records[one].quarantined_until_ms - now_ms,
+            )
+            for one in sorted(self._quarantined_hashes)
+            if records[one].quarantined_until_ms > now_ms
         )
-        death_id = self.deaths.record(failure_domain, content_hashes)
-        for content_hash in content_hashes:
-            record = self._record(content_hash)
-            record.death_ids.append(death_id)
-            record.charged += 1
-        self._changed_fingerprints |= content_hashes
 
     def pop_changed_charges(self) -> tuple[Quarantine, ...]:
         """Return the own counted deaths that changed since the last call.
@@ -234,7 +386,7 @@
         changed: list[Quarantine] = []
         for content_hash in sorted(self._changed_fingerprints):
             record = self._record(content_hash)
-            own = self.deaths.count_for(content_hash, record.death_ids)
+            own = self._own_deaths(content_hash, record)
             if own != record.told:
                 record.told = own
                 changed.append(Quarantine(content_hash, own, confirmed=False))
@@ -246,7 +398,7 @@
         """Apply counted deaths or a confirmed quarantine of another entry."""
         record = self._record(notice.fingerprint)
         if notice.confirmed:
-            self.restore_quarantine(notice, QUARANTINE_MS)
+            self.restore_quarantine(notice, self.limits.quarantine_ms)
         else:
             record.deaths_by_peer[sender] = notice.deaths
             record.peer_ms = self.clock.now_ms()
@@ -258,22 +410,41 @@
         record = self._record(notice.fingerprint)
         record.confirmed_deaths = max(record.confirmed_deaths, notice.deaths)
         record.quarantined_until_ms = self.clock.now_ms() + remaining_ms
+        self._quarantined_hashes.add(notice.fingerprint)
 
     def release(self, content_hash: int) -> None:
         """Remove a fingerprint that an operator released."""
         self._record_by_fingerprint.pop(content_hash, None)
+        self._quarantined_hashes.discard(content_hash)
+
+    def _record_death(self, death: Death, death_id: int | None) -> int:
+        known = death_id is not None and self.deaths.get(death_id)
+        death_id = self.deaths.record(death, death_id)
+        at_ms = known.at_ms if known else death.at_ms
+        for content_hash in death.content_hashes | death.waiting_hashes:
+            record = self._record(content_hash)
+            if at_ms >= record.cleared_ms and death_id not in record.death_ids:
+                record.death_ids.append(death_id)
+            self._changed_fingerprints.add(content_hash)
+        return death_id
 
     def _counted_deaths(self, content_hash: int, record: _Record) -> int:
-        own = self.deaths.count_for(content_hash, record.death_ids)
+        own = self._own_deaths(content_hash, record)
         return own + sum(record.deaths_by_peer.values())
 
+    def _own_deaths(self, content_hash: int, record: _Record) -> int:
+        return self.deaths.count_for(
+            content_hash, record.death_ids, self._quarantined_hashes
+        )
+
     def _correlation_wait_ms(self, record: _Record) -> float:
-        peer_ms = record.peer_ms + CORRELATION_WINDOW_MS - self.clock.now_ms()
+        window_ms = self.limits.correlation.window_ms
+        peer_ms = record.peer_ms + window_ms - self.clock.now_ms()
         return max(peer_ms, self.deaths.correlation_wait_ms(record.death_ids))
 
     def _is_suspect_attempt(self, attempt: _Attempt) -> bool:
         record = self._record_by_fingerprint.get(attempt.fingerprint)
-        if record is None or attempt.produced >= PROGRESS_MIN_TOKENS:
+        if record is None or self._has_progressed(attempt):
             return False
         counted = self._counted_deaths(attempt.fingerprint, record)
         return self._needs_isolation(record, counted)
@@ -286,29 +457,77 @@
         its second counted death on, a request is isolated even if other
         upstreams died at the same time.
         """
+        if record.is_on_probation:
+            return True
         if counted != 1 or not record.death_ids:
             return counted > 0
         return not self.deaths.is_simultaneous_loss(record.death_ids)
 
+    def _is_tried(self, content_hash: int) -> bool:
+        """Return whether an attempt without progress is under way."""
+        return any(
+            attempt.fingerprint == content_hash
+            and not self._has_progressed(attempt)
+            for attempts in self._attempts_by_agent.values()
+            for attempt in attempts.values()
+        )
+
+    def _has_progressed(self, attempt: _Attempt) -> bool:
+        return attempt.produced >= self.limits.progress_min
+
     def _quarantine(
         self, content_hash: int, record: _Record, deaths: int
     ) -> PoisonVerdict:
-        record.confirmed_deaths = deaths
-        record.quarantined_until_ms = self.clock.now_ms() + QUARANTINE_MS
-        self.sink.quarantined(Quarantine(content_hash, deaths, confirmed=True))
-        return Quarantined(deaths, QUARANTINE_MS)
+        quarantine_ms = self.limits.quarantine_ms
+        notice = Quarantine(content_hash, deaths, confirmed=True)
+        self.restore_quarantine(notice, quarantine_ms)
+        self.sink.quarantined(notice)
+        return Quarantined(record.confirmed_deaths, quarantine_ms)
+
+    def _end_quarantine(self, content_hash: int, record: _Record) -> None:
+        """Put a fingerprint on probation once its quarantine has passed."""
+        until_ms = record.quarantined_until_ms
+        if until_ms and until_ms <= self.clock.now_ms():
+            record.quarantined_until_ms = 0
+            record.charged = 0
+            self._clear_counted_deaths(content_hash)
+            record.is_on_probation = True
+            self._quarantined_hashes.discard(content_hash)
 
-    def _clear_counted_deaths(self, content_hash: int) -> None:
+    def _clear_counted_deaths(self, content_hash: int) -> bool:
+        """Clear the counted deaths; return whether there were any."""
         record = self._record_by_fingerprint.get(content_hash)
         if record is None or record.quarantined_until_ms:
-            return
+            return False
+        has_cleared = bool(record.death_ids) or record.is_on_probation
         record.death_ids.clear()
         record.deaths_by_peer.clear()
+        record.is_on_probation = False
+        record.cleared_ms = self.clock.now_ms()
         self._changed_fingerprints.add(content_hash)
+        return has_cleared
 
     def _record(self, content_hash: int) -> _Record:
         record = self._record_by_fingerprint.setdefault(content_hash, _Record())
         self._record_by_fingerprint.move_to_end(content_hash)
         if len(self._record_by_fingerprint) > RECORDS_MAX:
-            self._record_by_fingerprint.popitem(last=False)
+            self._evict_record()
         return record
+
+    def _evict_record(self) -> None:
+        """Remove the oldest record; a quarantined one only if all are."""
+        by_fingerprint = self._record_by_fingerprint
+        evicted = next(
+            (
+                one
+                for one in by_fingerprint
+                if one not in self._quarantined_hashes
+            ),
+            next(iter(by_fingerprint)),
+        )
+        by_fingerprint.pop(evicted)
+        self._quarantined_hashes.discard(evicted)
+
+
+def _fingerprints(attempts: Iterable[_Attempt]) -> frozenset[int]:
+    return frozenset(attempt.fingerprint for attempt in attempts)
--- /dev/null
+++ b/tests/test_poison_ledger.py
@@ -0,0 +1,188 @@
+"""Deaths that several processes charge, and what explains them."""
+
+from dataclasses import replace
+
+import pytest
+
+from bergamotthread.process.poison.guard import (
+    Clear,
+    DeathNotice,
+    PoisonGuard,
+    Quarantined,
+    Suspect,
+)
+from bergamotthread.process.poison.limits import (
+    PoisonLimits,
+    SimultaneousDeaths,
+)
+from tests.placement_fixtures import ManualClock
+
+_POISON = 666
+_SOUND = 7
+_LIMITS = PoisonLimits(
+    progress_min=500,
+    quarantine_ms=60_000,
+    counts_progressed=False,
+    correlation=SimultaneousDeaths(500),
+)
+_APART_MS = 800
+
+
+class _Sink:
+    def __init__(self) -> None:
+        self.confirmed = []
+
+    def quarantined(self, notice) -> None:
+        self.confirmed.append(notice)
+
+
+class _Entries:
+    """Guards of several entries, with a clock in common."""
+
+    def __init__(self, count: int = 2) -> None:
+        self.time = ManualClock()
+        self.guards = [
+            PoisonGuard(self.time.clock, _Sink(), limits=_LIMITS)
+            for _ in range(count)
+        ]
+
+    def crash(self, entry, death_id, *content, waiting=()) -> DeathNotice:
+        """Crash an upstream under requests of one entry."""
+        guard = self.guards[entry]
+        agent = f'u{death_id}'
+        for one in content:
+            guard.record_start(agent, f'r{one}', one)
+        for one in waiting:
+            guard.record_start(agent, f'r{one}', one, has_begun=False)
+        return guard.record_death(agent, 'd', death_id)
+
+    def tell(self, notice: DeathNotice) -> None:
+        for guard in self.guards:
+            guard.merge_death(notice)
+
+
+@pytest.mark.parametrize('entries', [1, 2, 3])
+def test_crashes_seen_by_several_entries_are_counted_together(entries):
+    shared = _Entries(entries)
+    for number in range(3):
+        assert not isinstance(shared.guards[0].check(_POISON), Quarantined)
+        shared.tell(shared.crash(number % entries, number, _POISON))
+        shared.time.advance_ms(_APART_MS)
+    for guard in shared.guards:
+        assert isinstance(guard.check(_POISON), Quarantined)
+
+
+def test_crash_that_several_entries_saw_counts_once():
+    shared = _Entries()
+    for entry in (0, 1):
+        shared.tell(shared.crash(entry, 1, _POISON))
+        shared.time.advance_ms(_APART_MS)
+    assert shared.guards[0].check(_POISON) == Suspect(1)
+    assert shared.guards[1].check(_POISON) == Suspect(1)
+
+
+def test_upstreams_lost_at_the_same_time_count_once():
+    """The same content ran on three upstreams of a domain that is lost."""
+    shared = _Entries(1)
+    for number in range(3):
+        shared.crash(0, number, _SOUND)
+        shared.time.advance_ms(100)
+    assert shared.guards[0].check(_SOUND) == Suspect(1)
+
+
+def test_request_beside_a_quarantined_one_is_cleared():
+    """It ran beside the poison each time and never made progress."""
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(3):
+        shared.crash(0, number, *((_POISON, _SOUND) if number else (_POISON,)))
+        shared.time.advance_ms(_APART_MS)
+    assert guard.check(_SOUND) == Suspect(2)
+    assert isinstance(guard.check(_POISON), Quarantined)
+    assert guard.check(_SOUND) == Clear()
+
+
+def test_waiting_request_is_charged_only_if_it_was_alone():
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    shared.crash(0, 1, _POISON, waiting=(_SOUND,))
+    assert guard.check(_SOUND) == Clear()
+    assert guard.check(_POISON) == Suspect(1)
+    shared.time.advance_ms(_APART_MS)
+    shared.crash(0, 2, waiting=(_SOUND, 8))
+    assert guard.check(_SOUND) == Clear()
+    shared.time.advance_ms(_APART_MS)
+    shared.crash(0, 3, waiting=(_SOUND,))
+    assert guard.check(_SOUND) == Suspect(1)
+
+
+def test_progress_at_one_entry_clears_at_all_also_what_arrives_late():
+    shared = _Entries()
+    first, second = shared.guards
+    notice = shared.crash(0, 1, _SOUND)
+    shared.time.advance_ms(_APART_MS)
+    first.record_start('u9', 'r', _SOUND)
+    assert not first.record_progress('u9', 'r', 499)
+    assert first.record_progress('u9', 'r', 500)
+    second.merge_clear(_SOUND)
+    second.merge_death(replace(notice, age_ms=_APART_MS))
+    assert first.check(_SOUND) == Clear()
+    assert not second.open_deaths()
+
+
+def test_crash_after_progress_does_not_count():
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(3):
+        guard.record_start(f'u{number}', 'r', _SOUND)
+        guard.record_progress(f'u{number}', 'r', 600)
+        guard.record_death(f'u{number}', 'd', number)
+        shared.time.advance_ms(_APART_MS)
+    assert guard.check(_SOUND) == Clear()
+
+
+def test_quarantine_ends_in_probation():
+    """One more crash quarantines again, progress clears."""
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(3):
+        shared.crash(0, number, _POISON)
+        shared.time.advance_ms(_APART_MS)
+    assert isinstance(guard.check(_POISON), Quarantined)
+    shared.time.advance_ms(_LIMITS.quarantine_ms + 1)
+    assert guard.check(_POISON) == Suspect(0)
+    shared.crash(0, 9, _POISON)
+    assert isinstance(guard.check(_POISON), Quarantined)
+    shared.time.advance_ms(_LIMITS.quarantine_ms + 1)
+    assert guard.check(_POISON) == Suspect(0)
+    guard.record_start('u10', 'r', _POISON)
+    assert guard.check(_POISON) == Suspect(0, is_tried=True)
+    guard.record_end('u10', 'r', completed=True)
+    assert guard.check(_POISON) == Clear()
+
+
+def test_last_trial_is_known_while_it_runs():
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(2):
+        shared.crash(0, number, _POISON)
+        shared.time.advance_ms(_APART_MS)
+    assert guard.check(_POISON) == Suspect(2)
+    guard.record_start('u7', 'r', _POISON)
+    assert guard.check(_POISON) == Suspect(2, is_tried=True)
+
+
+def test_what_an_entry_knows_is_told_whole_to_one_that_starts():
+    shared = _Entries()
+    first, second = shared.guards
+    for number in range(3):
+        shared.crash(0, number, _POISON)
+        shared.time.advance_ms(_APART_MS)
+    shared.crash(0, 9, _SOUND)
+    assert isinstance(first.check(_POISON), Quarantined)
+    for notice in first.open_deaths():
+        second.merge_death(notice)
+    for notice, remaining_ms in first.quarantines():
+        second.restore_quarantine(notice, remaining_ms)
+    assert second.check(_POISON) == first.check(_POISON)
+    assert second.check(_SOUND) == first.check(_SOUND) == Suspect(1)
