--- a/bergamotthread/connection/http/upstream_pool.py
+++ b/bergamotthread/connection/http/upstream_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import socket
 from collections import deque
 from dataclasses import dataclass, field
@@ -30,6 +31,14 @@
     """The connection could not be opened, so nothing was sent."""
 
 
+class Reachability(enum.Enum):
+    """What an attempt to open a connection showed."""
+
+    LISTENING = 'listening'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+
+
 @dataclass
 class UpstreamPool:
     """Opens connections and keeps idle ones for further requests.
@@ -76,6 +85,17 @@
             connection.close()
         return await self._open(address)
 
+    async def reach(self, address: str) -> Reachability:
+        """Open a connection to see whether something listens, and keep it."""
+        try:
+            connection = await self._open(address)
+        except ConnectFailedError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return Reachability.REFUSED
+            return Reachability.UNKNOWN
+        self.release(connection)
+        return Reachability.LISTENING
+
     def release(self, connection: UpstreamConnection) -> None:
         """Keep a connection if it is reusable; otherwise close it."""
         if not connection.is_reusable or connection.is_writing:
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -13,7 +13,9 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.headers import PLATFORM_DIALECT
-from bergamotthread.platform.leaving_relay import LeavingRelay
+from bergamotthread.platform.leaving_relay import LEAVING_PATH, LeavingRelay
+from bergamotthread.platform.peer_messages import PeerMessages
+from bergamotthread.platform.poison_relay import POISON_PATH, PoisonRelay
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
 from bergamotthread.platform.runner_calls import RunnerClient
 from bergamotthread.platform.runner_watch import RunnerWatch
@@ -27,6 +29,7 @@
 from bergamotthread.platform.table_watch import WatchContext
 from bergamotthread.platform.watches import EntryWatch, VersionWatch
 from bergamotthread.process.relay.choice import UpstreamChoice
+from bergamotthread.process.relay.crash_watch import CrashWatch
 from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.feed_sources import (
     EntryRecord,
@@ -139,6 +142,7 @@
                 watches.entries.run(),
                 watches.entries.register(),
                 self._leaving_relay.run(),
+                self._poison_relay.run(),
             )
         ]
         while not self._is_finished():
@@ -234,7 +238,10 @@
                     self._watches.entries,
                 )
             },
-            leaving=self._leaving_relay,
+            answer_by_path={
+                LEAVING_PATH: self._leaving_relay.answer,
+                POISON_PATH: self._poison_relay.answer,
+            },
         )
         await listen(feed_server, f'{settings.ip}:{settings.peer_port}')
 
@@ -273,6 +280,16 @@
                 'Upstreams that asked for a pause that has not ended.',
                 self._directory.paused_count,
             ),
+            (
+                'relay_quarantined',
+                'Requests that are refused because upstreams crashed.',
+                lambda: self._parts.crashes.guard.quarantined_count,
+            ),
+            (
+                'relay_suspects',
+                'Requests under which upstreams crashed, not cleared yet.',
+                lambda: self._parts.crashes.guard.suspect_count,
+            ),
             (
                 'relay_queued',
                 'Requests that wait for a plain service.',
@@ -319,10 +336,14 @@
         settings = self._settings
         metrics = RelayMetrics.from_clock(self._clock)
         leaving = LeavingNotices(self._directory, PLATFORM_DIALECT, self._log)
+        peers = PeerMessages(self._pool)
         self._leaving_relay = LeavingRelay(
-            self._clock, self._pool, self._feeds, leaving, self._log
+            self._clock, peers, self._feeds, leaving, self._log
         )
         leaving.listeners.append(self._leaving_relay.add)
+        self._poison_relay = PoisonRelay(
+            self._clock, peers, self._feeds, self._log, metrics, self._rng
+        )
         pauses = PauseRecorder(self._directory, self._log, metrics)
         runners = RunnerClient(self._pool, self._clock, leaving, pauses)
         return RelayParts(
@@ -352,6 +373,13 @@
                 metrics,
             ),
             pauses=pauses,
+            crashes=CrashWatch(
+                self._poison_relay.guard,
+                self._pool.reach,
+                self._poison_relay,
+                self._log,
+                metrics,
+            ),
             kv_cache=runners,
             header_names=PLATFORM_DIALECT,
             leaving=leaving,
--- a/bergamotthread/platform/leaving_relay.py
+++ b/bergamotthread/platform/leaving_relay.py
@@ -15,10 +15,9 @@
 from absl import logging
 
 from bergamotthread.clock import Clock
-from bergamotthread.connection.http.fetch import FetchRequest, fetch
-from bergamotthread.connection.http.upstream_pool import UpstreamPool
+from bergamotthread.platform.peer_messages import PeerMessages
 from bergamotthread.process.relay.decision_log import DecisionLog
-from bergamotthread.process.relay.feed_sources import EntryRecord, FeedSources
+from bergamotthread.process.relay.feed_sources import FeedSources
 from bergamotthread.process.relay.upstreams import UpstreamRecord
 from bergamotthread.request.relay.leaving_notices import LeavingNotices
 
@@ -27,10 +26,6 @@
 TELL_INTERVAL_MS = 100
 # Incarnations in one message. Further ones follow in the next.
 TOLD_MAX = 256
-# Entries that are told at the same time.
-TELL_CONCURRENCY_MAX = 16
-TELL_TIMEOUT_MS = 300
-_OK = 200
 
 _StartedMs = Annotated[int, msgspec.Meta(ge=0)]
 _Incarnation = tuple[str, _StartedMs]
@@ -50,7 +45,7 @@
     """Exchanges leaving upstreams with the other entries of the region."""
 
     clock: Clock
-    pool: UpstreamPool
+    peers: PeerMessages
     feeds: FeedSources
     notices: LeavingNotices
     log: DecisionLog
@@ -62,6 +57,10 @@
         self._untold[record.instance] = record.started_ms
         self._learned.set()
 
+    def answer(self, method: bytes, body: bytes) -> bytes | None:
+        """Answer a message of another entry; None if it is invalid."""
+        return b'' if self.apply(body) else None
+
     def apply(self, encoded: bytes) -> bool:
         """Apply a message of another entry; return whether it is valid."""
         try:
@@ -92,30 +91,11 @@
         encoded = msgspec.json.encode(
             _Message(self.feeds.own_host, incarnations)
         )
-        request = FetchRequest(b'POST', LEAVING_PATH, encoded)
         entries = self.feeds.local_entries()
-        told = 0
-        for start in range(0, len(entries), TELL_CONCURRENCY_MAX):
-            part = entries[start : start + TELL_CONCURRENCY_MAX]
-            told += sum(
-                await asyncio.gather(
-                    *(self._tell(entry, request) for entry in part)
-                )
-            )
+        failed = await self.peers.tell(entries, LEAVING_PATH, encoded)
         self.log.write(
             'leaving-told',
             upstreams=len(incarnations),
             entries=len(entries),
-            failed=len(entries) - told,
+            failed=len(failed),
         )
-
-    async def _tell(self, entry: EntryRecord, request: FetchRequest) -> bool:
-        """Return whether an entry accepted a message."""
-        try:
-            fetched = await fetch(
-                self.pool, entry.address, request, TELL_TIMEOUT_MS
-            )
-        except ConnectionError as error:
-            logging.debug('entry %s not told: %s', entry.host, error)
-            return False
-        return fetched.status == _OK
--- /dev/null
+++ b/bergamotthread/platform/peer_messages.py
@@ -0,0 +1,66 @@
+"""Short messages from one entry to others."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from absl import logging
+
+from bergamotthread.connection.http.fetch import FetchRequest, fetch
+from bergamotthread.connection.http.upstream_pool import UpstreamPool
+from bergamotthread.process.relay.feed_sources import EntryRecord
+
+# Entries that are told at the same time.
+TELL_CONCURRENCY_MAX = 16
+TELL_TIMEOUT_MS = 300
+_OK = 200
+
+
+@dataclass(frozen=True)
+class PeerMessages:
+    """Sends messages to the address at which an entry serves other entries."""
+
+    pool: UpstreamPool
+
+    async def tell(
+        self, entries: Sequence[EntryRecord], path: bytes, encoded: bytes
+    ) -> list[EntryRecord]:
+        """Send a message to entries; return those that did not accept it."""
+        request = FetchRequest(b'POST', path, encoded)
+        failed: list[EntryRecord] = []
+        for start in range(0, len(entries), TELL_CONCURRENCY_MAX):
+            part = entries[start : start + TELL_CONCURRENCY_MAX]
+            accepted = await asyncio.gather(
+                *(self._send(entry, request) for entry in part)
+            )
+            failed.extend(
+                entry
+                for entry, is_accepted in zip(part, accepted, strict=True)
+                if not is_accepted
+            )
+        return failed
+
+    async def ask(self, entry: EntryRecord, path: bytes) -> bytes | None:
+        """Return an entry's answer to a question; None if there is none."""
+        request = FetchRequest(b'GET', path)
+        try:
+            fetched = await fetch(
+                self.pool, entry.address, request, TELL_TIMEOUT_MS
+            )
+        except ConnectionError as error:
+            logging.debug('entry %s not asked: %s', entry.host, error)
+            return None
+        return fetched.body if fetched.status == _OK else None
+
+    async def _send(self, entry: EntryRecord, request: FetchRequest) -> bool:
+        """Return whether an entry accepted a message."""
+        try:
+            fetched = await fetch(
+                self.pool, entry.address, request, TELL_TIMEOUT_MS
+            )
+        except ConnectionError as error:
+            logging.debug('entry %s not told: %s', entry.host, error)
+            return False
+        return fetched.status == _OK
--- /dev/null
+++ b/bergamotthread/platform/poison_relay.py
@@ -0,0 +1,340 @@
+"""Exchanges crashes of upstreams and quarantines with the other entries.
+
+An entry tells the entries of its own region, and one entry of each other
+region, which passes the message on to its region. An entry that starts asks
+another one for all that is known.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Coroutine, Iterable
+from dataclasses import dataclass, field
+from itertools import chain, islice
+from typing import Annotated
+
+import msgspec
+from absl import logging
+
+from bergamotthread.clock import Clock
+from bergamotthread.platform.peer_messages import PeerMessages
+from bergamotthread.process.poison.guard import DeathNotice, PoisonGuard
+from bergamotthread.process.relay.crash_watch import (
+    RELAYED_LIMITS,
+    CrashListener,
+)
+from bergamotthread.process.relay.decision_log import DecisionLog
+from bergamotthread.process.relay.feed_sources import EntryRecord, FeedSources
+from bergamotthread.process.relay.relay_metrics import RelayMetrics
+from bergamotthread.wire.messages import Quarantine
+
+POISON_PATH = b'/api/poison'
+# Pause before a message, so that it has the crashes that happen together.
+TELL_INTERVAL_MS = 50
+# Crashes told in one message and kept until they are told. Each entry tells
+# of so many at once, and all entries together of so many a second: a storm of
+# crashes costs an entry 6 KB/s, at 150 bytes for a crash.
+DEATHS_TOLD_MAX = 8
+DEATHS_TOLD_PER_S = 40.0
+DEATHS_WAITING_MAX = 64
+# Items in one message of each kind.
+TOLD_MAX = 256
+# Fingerprints of one crash that are told.
+HASHES_TOLD_MAX = 64
+# Time for which an entry that starts looks for one to ask, and the pause
+# between two attempts.
+ASK_TIMEOUT_MS = 10_000
+ASK_INTERVAL_MS = 200
+ENTRIES_ASKED_MAX = 3
+# Entries of another region that are tried until one accepts a message.
+REGION_ATTEMPTS_MAX = 3
+_MS_PER_S = 1000
+
+_Hash = Annotated[int, msgspec.Meta(ge=0)]
+_AT_MOST_HASHES = msgspec.Meta(max_length=HASHES_TOLD_MAX)
+_Hashes = Annotated[tuple[_Hash, ...], _AT_MOST_HASHES]
+_Duration = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class _Death(msgspec.Struct, frozen=True, array_like=True):
+    death_id: _Hash
+    failure_domain: str
+    age_ms: _Duration
+    content_hashes: _Hashes
+    waiting_hashes: _Hashes = ()
+
+
+class _Quarantine(msgspec.Struct, frozen=True, array_like=True):
+    content_hash: _Hash
+    deaths: int
+    remaining_ms: _Duration
+
+
+_AT_MOST_TOLD = msgspec.Meta(max_length=TOLD_MAX)
+_Deaths = Annotated[tuple[_Death, ...], _AT_MOST_TOLD]
+_Cleared = Annotated[tuple[_Hash, ...], _AT_MOST_TOLD]
+_Quarantines = Annotated[tuple[_Quarantine, ...], _AT_MOST_TOLD]
+
+
+class _Message(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What one entry learned; `forward` asks to pass it on in the region."""
+
+    host: str
+    deaths: _Deaths = ()
+    cleared: _Cleared = ()
+    quarantines: _Quarantines = ()
+    forward: bool = False
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to tell."""
+        return not (self.deaths or self.cleared or self.quarantines)
+
+
+@dataclass
+class PoisonRelay(CrashListener):
+    """Tells other entries what this one learns, and applies what they tell.
+
+    Parameters
+    ----------
+    dropped
+        Crashes that were not told because too many waited.
+    """
+
+    clock: Clock
+    peers: PeerMessages
+    feeds: FeedSources
+    log: DecisionLog
+    metrics: RelayMetrics
+    rng: random.Random
+    dropped: int = 0
+    guard: PoisonGuard = field(init=False)
+    _deaths: deque[DeathNotice] = field(default_factory=deque)
+    _recorded_ms: deque[float] = field(default_factory=deque)
+    _cleared: list[int] = field(default_factory=list)
+    _quarantines: list[Quarantine] = field(default_factory=list)
+    _learned: asyncio.Event = field(default_factory=asyncio.Event)
+    _tokens: float = DEATHS_TOLD_MAX
+    _filled_ms: float = 0
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.guard = PoisonGuard(self.clock, self, limits=RELAYED_LIMITS)
+
+    def upstream_crashed(self, notice: DeathNotice) -> None:
+        """Tell the other entries of a crash soon."""
+        self._deaths.append(notice)
+        self._recorded_ms.append(self.clock.now_ms())
+        if len(self._deaths) > DEATHS_WAITING_MAX:
+            self._deaths.popleft()
+            self._recorded_ms.popleft()
+            self.dropped += 1
+        self._learned.set()
+
+    def request_cleared(self, content_hash: int) -> None:
+        """Tell the other entries soon that a suspect request is sound."""
+        self._cleared.append(content_hash)
+        self._learned.set()
+
+    def quarantined(self, notice: Quarantine) -> None:
+        """Log a quarantine of this entry and tell the others soon."""
+        self._log_quarantine(notice, self.feeds.own_host)
+        self._quarantines.append(notice)
+        self._learned.set()
+
+    def answer(self, method: bytes, body: bytes) -> bytes | None:
+        """Answer another entry; None if its message is invalid.
+
+        A GET asks for all that is known.
+        """
+        if method == b'GET':
+            return msgspec.json.encode(self._everything())
+        return b'' if self.apply(body) else None
+
+    def apply(self, encoded: bytes) -> bool:
+        """Apply a message of another entry; return whether it is valid."""
+        try:
+            message = msgspec.json.decode(encoded, type=_Message)
+        except msgspec.MsgspecError as error:
+            logging.debug('message on crashes is invalid: %s', error)
+            return False
+        self._apply(message)
+        if message.forward:
+            self._start(self._pass_on(message))
+        return True
+
+    async def run(self) -> None:
+        """Ask another entry once, and tell all what this one learns."""
+        self._start(self._ask_another())
+        while True:
+            await self._learned.wait()
+            await self.clock.sleep_ms(TELL_INTERVAL_MS)
+            self._learned.clear()
+            await self._tell(self._next_message())
+            if self._deaths or self._cleared or self._quarantines:
+                self._learned.set()
+
+    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _apply(self, message: _Message) -> None:
+        guard = self.guard
+        for death in message.deaths:
+            guard.merge_death(
+                DeathNotice(
+                    death.death_id,
+                    death.failure_domain,
+                    death.age_ms,
+                    frozenset(death.content_hashes),
+                    frozenset(death.waiting_hashes),
+                )
+            )
+        for content_hash in message.cleared:
+            guard.merge_clear(content_hash)
+        for told in message.quarantines:
+            notice = Quarantine(told.content_hash, told.deaths, confirmed=True)
+            is_known = guard.is_quarantined(told.content_hash)
+            guard.restore_quarantine(notice, told.remaining_ms)
+            if not is_known:
+                self._log_quarantine(notice, message.host)
+
+    def _next_message(self) -> _Message:
+        message = _Message(
+            self.feeds.own_host,
+            self._next_deaths(),
+            tuple(self._cleared[:TOLD_MAX]),
+            tuple(self._encode_quarantines(self._quarantines[:TOLD_MAX])),
+        )
+        del self._cleared[:TOLD_MAX]
+        del self._quarantines[:TOLD_MAX]
+        return message
+
+    def _next_deaths(self) -> tuple[_Death, ...]:
+        """Return the deaths to be told now, within the rate."""
+        self._refill()
+        deaths = []
+        now_ms = self.clock.now_ms()
+        while self._deaths and self._tokens >= 1:
+            self._tokens -= 1
+            waited_ms = now_ms - self._recorded_ms.popleft()
+            deaths.append(_encode_death(self._deaths.popleft(), waited_ms))
+        return tuple(deaths)
+
+    def _refill(self) -> None:
+        now_ms = self.clock.now_ms()
+        per_s = DEATHS_TOLD_PER_S / max(len(self.feeds), 1)
+        gained = (now_ms - self._filled_ms) * per_s / _MS_PER_S
+        self._tokens = min(self._tokens + gained, DEATHS_TOLD_MAX)
+        self._filled_ms = now_ms
+
+    def _everything(self) -> _Message:
+        guard = self.guard
+        quarantines = guard.quarantines()[-TOLD_MAX:]
+        return _Message(
+            self.feeds.own_host,
+            tuple(
+                _encode_death(notice, 0)
+                for notice in guard.open_deaths()[-TOLD_MAX:]
+            ),
+            (),
+            tuple(
+                _Quarantine(notice.fingerprint, notice.deaths, remaining_ms)
+                for notice, remaining_ms in quarantines
+            ),
+        )
+
+    def _encode_quarantines(
+        self, notices: Iterable[Quarantine]
+    ) -> Iterable[_Quarantine]:
+        for notice in notices:
+            remaining_ms = self.guard.limits.quarantine_ms
+            yield _Quarantine(notice.fingerprint, notice.deaths, remaining_ms)
+
+    async def _tell(self, message: _Message) -> None:
+        if message.is_empty:
+            return
+        regions = self.feeds.entries_by_other_region().values()
+        passed_on = [self._tell_region(entries, message) for entries in regions]
+        failed, are_told = await asyncio.gather(
+            self.peers.tell(
+                self.feeds.local_entries(),
+                POISON_PATH,
+                msgspec.json.encode(message),
+            ),
+            asyncio.gather(*passed_on),
+        )
+        self.log.write(
+            'crashes-told',
+            deaths=len(message.deaths),
+            cleared=len(message.cleared),
+            quarantines=len(message.quarantines),
+            entries_failed=len(failed),
+            regions_failed=are_told.count(False),
+            waiting=len(self._deaths),
+            dropped=self.dropped,
+        )
+
+    async def _tell_region(
+        self, entries: list[EntryRecord], message: _Message
+    ) -> bool:
+        """Tell one entry of another region; return whether one accepted."""
+        forwarded = msgspec.structs.replace(message, forward=True)
+        encoded = msgspec.json.encode(forwarded)
+        tried = self.rng.sample(entries, min(len(entries), REGION_ATTEMPTS_MAX))
+        for entry in tried:
+            if not await self.peers.tell((entry,), POISON_PATH, encoded):
+                return True
+        return False
+
+    async def _pass_on(self, message: _Message) -> None:
+        passed_on = msgspec.structs.replace(message, forward=False)
+        await self.peers.tell(
+            self.feeds.local_entries(),
+            POISON_PATH,
+            msgspec.json.encode(passed_on),
+        )
+
+    async def _ask_another(self) -> None:
+        """Ask for all that is known, entries of the own region first."""
+        end_ms = self.clock.now_ms() + ASK_TIMEOUT_MS
+        while self.clock.now_ms() < end_ms:
+            if await self._ask_any(self._entries_to_ask()):
+                return
+            await self.clock.sleep_ms(ASK_INTERVAL_MS)
+
+    def _entries_to_ask(self) -> list[EntryRecord]:
+        others = self.feeds.entries_by_other_region().values()
+        entries = chain(self.feeds.local_entries(), *others)
+        return list(islice(entries, ENTRIES_ASKED_MAX))
+
+    async def _ask_any(self, entries: Iterable[EntryRecord]) -> bool:
+        """Ask entries in turn; return whether one answered."""
+        for entry in entries:
+            known = await self.peers.ask(entry, POISON_PATH)
+            if known is not None and self.apply(known):
+                self.log.write('crashes-asked', entry=entry.host)
+                return True
+        return False
+
+    def _log_quarantine(self, notice: Quarantine, host: str) -> None:
+        self.metrics.quarantines.increment()
+        self.log.write(
+            'quarantined',
+            content=f'{notice.fingerprint:016x}',
+            deaths=notice.deaths,
+            decided_by=host,
+        )
+
+
+def _encode_death(notice: DeathNotice, waited_ms: float) -> _Death:
+    return _Death(
+        notice.death_id,
+        notice.failure_domain,
+        notice.age_ms + waited_ms,
+        tuple(sorted(notice.content_hashes))[:HASHES_TOLD_MAX],
+        tuple(sorted(notice.waiting_hashes))[:HASHES_TOLD_MAX],
+    )
--- a/bergamotthread/platform/relayed_feed.py
+++ b/bergamotthread/platform/relayed_feed.py
@@ -11,7 +11,7 @@
 import base64
 import zlib
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import lru_cache
 from urllib.parse import parse_qsl
@@ -24,10 +24,6 @@
     CallerLimits,
     Exchange,
 )
-from bergamotthread.platform.leaving_relay import (
-    LEAVING_PATH,
-    LeavingRelay,
-)
 from bergamotthread.platform.store import (
     PACKED_FIELD,
     StoredRow,
@@ -244,19 +240,29 @@
         event.set()
 
 
+MessageAnswer = Callable[[bytes, bytes], bytes | None]
+
+
 @dataclass
 class RelayedFeedServer:
-    """Serves the feed call to other entries."""
+    """Serves the feed call, and takes messages, of other entries.
+
+    Parameters
+    ----------
+    answer_by_path
+        Functions that answer messages, by path, from the method and the body;
+        None if a message is invalid.
+    """
 
     clock: Clock
     history_by_table: dict[str, TableHistory]
     connections: set[CallerConnection] = field(default_factory=set)
     limits: CallerLimits = CallerLimits()
     is_draining: bool = False
-    leaving: LeavingRelay | None = None
+    answer_by_path: Mapping[bytes, MessageAnswer] = field(default_factory=dict)
 
     async def answer(self, exchange: Exchange) -> None:
-        """Answer one feed call, or a message on upstreams that leave.
+        """Answer one feed call, or a message of another entry.
 
         The status is 404 if the path or the table is unknown or the version
         is not a number, and 410 if `TableHistory.changes_after` returns None.
@@ -264,9 +270,12 @@
         is 410 once the store has come back older.
         """
         path, _, query = exchange.request.target.partition(b'?')
-        if path == LEAVING_PATH and self.leaving is not None:
-            is_valid = self.leaving.apply(exchange.request.body)
-            exchange.respond(_OK if is_valid else _BAD_REQUEST, ())
+        answer_message = self.answer_by_path.get(path)
+        if answer_message is not None:
+            request = exchange.request
+            body = answer_message(request.method, request.body)
+            status = _BAD_REQUEST if body is None else _OK
+            exchange.respond(status, (), body or b'')
             return
         fields = dict(parse_qsl(query.decode('latin-1')))
         history = self.history_by_table.get(fields.get('table', ''))
--- /dev/null
+++ b/bergamotthread/process/relay/crash_watch.py
@@ -0,0 +1,180 @@
+"""Finds out whether an upstream crashed when its answers break off.
+
+A broken answer alone does not show it: upstreams also spoil single answers, and
+connections are reset on the way. Nothing listens at the address of a process
+that has ended, so a new connection is refused.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import xxhash
+
+from bergamotthread.connection.http.upstream_pool import Reachability
+from bergamotthread.process.poison.guard import (
+    DeathNotice,
+    PoisonGuard,
+    QuarantineSink,
+)
+from bergamotthread.process.poison.limits import (
+    PoisonLimits,
+    SimultaneousDeaths,
+)
+from bergamotthread.process.relay.decision_log import DecisionLog
+from bergamotthread.process.relay.relay_metrics import RelayMetrics
+from bergamotthread.process.relay.upstreams import Upstream, UpstreamRecord
+
+# Deaths closer than this count once against a request. The loss of a failure
+# domain is found out within a round trip between regions and the interval of
+# probes; a request that is sent again after a crash needs longer.
+SIMULTANEOUS_MS = 500
+# Time from the first event on for which an attempt must run to count as sound;
+# crashes follow the first event within a tenth of a second.
+PROGRESS_MIN_MS = 500
+# Time after which one more sending of a quarantined request is tried.
+RELAYED_QUARANTINE_MS = 600_000
+RELAYED_LIMITS = PoisonLimits(
+    progress_min=PROGRESS_MIN_MS,
+    quarantine_ms=RELAYED_QUARANTINE_MS,
+    counts_progressed=False,
+    correlation=SimultaneousDeaths(SIMULTANEOUS_MS),
+)
+
+
+class CrashListener(QuarantineSink):
+    """Receiver of what this process learns of crashes."""
+
+    def upstream_crashed(self, notice: DeathNotice) -> None:
+        """Tell other processes of the crash of an upstream."""
+
+    def request_cleared(self, content_hash: int) -> None:
+        """Tell other processes that a suspect request made progress."""
+
+
+@dataclass
+class CrashWatch:
+    """Reports attempts to the poison guard, and crashes once they are certain.
+
+    Parameters
+    ----------
+    connect
+        Opens a connection to an address to see whether something listens.
+    """
+
+    guard: PoisonGuard
+    connect: Callable[[str], Awaitable[Reachability]]
+    listener: CrashListener
+    log: DecisionLog
+    metrics: RelayMetrics
+    _broken_runs_by_instance: dict[str, set[str]] = field(default_factory=dict)
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def record_start(
+        self,
+        upstream: Upstream,
+        run: str,
+        content_hash: int,
+        *,
+        is_stream: bool,
+    ) -> None:
+        """Record that an attempt was sent.
+
+        The head of a stream shows that the upstream has begun to run it; a
+        plain request shows nothing before its answer.
+        """
+        instance = upstream.record.instance
+        self.guard.record_start(
+            instance, run, content_hash, has_begun=not is_stream
+        )
+
+    def record_progress(
+        self,
+        upstream: Upstream,
+        run: str,
+        content_hash: int,
+        progress_ms: float,
+    ) -> None:
+        """Record for how long an attempt has sent events."""
+        instance = upstream.record.instance
+        if self.guard.record_progress(instance, run, progress_ms):
+            self._record_cleared(content_hash, run, 'progress')
+
+    def record_end(
+        self,
+        upstream: Upstream,
+        run: str,
+        content_hash: int,
+        *,
+        completed: bool,
+    ) -> None:
+        """Record that an attempt ended while its upstream was alive."""
+        instance = upstream.record.instance
+        if self.guard.record_end(instance, run, completed=completed):
+            self._record_cleared(content_hash, run, 'completion')
+
+    def record_broken(self, upstream: Upstream, run: str) -> None:
+        """Find out whether the upstream of a broken attempt crashed.
+
+        Until then the attempt counts as running.
+        """
+        instance = upstream.record.instance
+        runs = self._broken_runs_by_instance.get(instance)
+        if runs is not None:
+            runs.add(run)
+            return
+        self._broken_runs_by_instance[instance] = {run}
+        task = asyncio.create_task(self._check(upstream))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check(self, upstream: Upstream) -> None:
+        record = upstream.record
+        try:
+            reachability = await self.connect(record.address)
+        finally:
+            runs = self._broken_runs_by_instance.pop(record.instance)
+        if reachability is Reachability.REFUSED:
+            self._record_crash(upstream)
+            return
+        for run in runs:
+            self.guard.record_end(record.instance, run, completed=False)
+
+    def _record_crash(self, upstream: Upstream) -> None:
+        record = upstream.record
+        notice = self.guard.record_death(
+            record.instance, record.failure_domain, _death_id(record)
+        )
+        self.metrics.upstream_crashes.increment()
+        self.log.write(
+            'upstream-crashed',
+            upstream=record.instance,
+            domain=record.failure_domain,
+            service=record.service,
+            running=_labels(notice.content_hashes),
+            waiting=_labels(notice.waiting_hashes),
+            detail='its answers broke off and it refuses connections',
+        )
+        if notice.content_hashes or notice.waiting_hashes:
+            self.listener.upstream_crashed(notice)
+
+    def _record_cleared(self, content_hash: int, run: str, cause: str) -> None:
+        self.log.write(
+            'suspect-cleared',
+            content=f'{content_hash:016x}',
+            request=run,
+            detail=cause,
+        )
+        self.listener.request_cleared(content_hash)
+
+
+def _death_id(record: UpstreamRecord) -> int:
+    """Return the identifier of an incarnation's death, alike in all entries."""
+    name = f'{record.instance}@{record.started_ms}@{record.address}'
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
+def _labels(content_hashes: frozenset[int]) -> str:
+    return ' '.join(f'{one:016x}' for one in sorted(content_hashes))
--- a/bergamotthread/process/relay/feed_sources.py
+++ b/bergamotthread/process/relay/feed_sources.py
@@ -73,6 +73,14 @@
             if entry.region == self.own_region and entry.host != self.own_host
         ]
 
+    def entries_by_other_region(self) -> dict[str, list[EntryRecord]]:
+        """Return the entries of the other regions, by region."""
+        by_region: dict[str, list[EntryRecord]] = {}
+        for entry in self._entry_by_host.values():
+            if entry.region != self.own_region:
+                by_region.setdefault(entry.region, []).append(entry)
+        return by_region
+
     def choose(self, table: str) -> EntryRecord | None:
         """Return the entry to read from, or None for the store."""
         ranked = sorted(self._usable(), key=_host)
--- a/bergamotthread/process/relay/relay_metrics.py
+++ b/bergamotthread/process/relay/relay_metrics.py
@@ -40,6 +40,10 @@
         Probes without an answer while no other upstream answered either.
     loop_stall_ms
         Time by which the periodic work of the process ran late.
+    upstream_crashes
+        Upstreams whose answers broke off and that refuse connections.
+    quarantines
+        Requests that this entry or another one quarantined.
     pauses
         Answers by which upstreams asked for a pause, by service.
     """
@@ -56,6 +60,8 @@
     forecast_error_ms: Percentiles
     own_path_doubts: Counter
     loop_stall_ms: Percentiles
+    upstream_crashes: Counter
+    quarantines: Counter
     pauses: LabelledCounter
 
     @classmethod
@@ -112,6 +118,14 @@
                 'relay_loop_stall_ms',
                 'Time by which periodic work of the process ran late.',
             ),
+            upstream_crashes=registry.counter(
+                'relay_upstream_crashes_total',
+                'Upstreams that broke off answers and refuse connections.',
+            ),
+            quarantines=registry.counter(
+                'relay_quarantines_total',
+                'Requests quarantined by this entry or another one.',
+            ),
             pauses=registry.labelled_counter(
                 'relay_pauses_total',
                 'Answers by which upstreams asked for a pause.',
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -32,6 +32,7 @@
     OutOfTime,
 )
 from bergamotthread.request.relay.parts import RelayParts
+from bergamotthread.request.relay.suspicion import TrackedAttempt
 
 # Largest response that is buffered before it is sent to the caller; an entry
 # has 128 MB of memory.
@@ -65,6 +66,7 @@
         self.parts = parts
         self.sent_ms: float = 0
         self.pause_ms: float = 0
+        self.tracked = TrackedAttempt(call, upstream, parts)
         self._connection: UpstreamConnection | None = None
         self._is_prefilling = False
 
@@ -78,6 +80,7 @@
     def __exit__(self, *_: object) -> None:
         self.upstream.in_flight -= 1
         self.end_prefill()
+        self.tracked.abandon()
         if self._connection is not None:
             self.parts.pool.release(self._connection)
 
@@ -121,6 +124,7 @@
             return NotSent(str(error))
         self.sent_ms = self.parts.clock.now_ms()
         self.upstream.record_send(self.call.prompt_tokens, self.sent_ms)
+        self.tracked.start()
         return None
 
     async def receive(self, timeout_ms: float) -> AnswerItem | None:
--- a/bergamotthread/request/relay/parts.py
+++ b/bergamotthread/request/relay/parts.py
@@ -7,6 +7,7 @@
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.process.relay.choice import UpstreamChoice
+from bergamotthread.process.relay.crash_watch import CrashWatch
 from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.liveness import LivenessWatch
 from bergamotthread.process.relay.pause_recorder import PauseRecorder
@@ -33,6 +34,7 @@
     plain_gate: PlainGate
     liveness: LivenessWatch
     pauses: PauseRecorder
+    crashes: CrashWatch
     kv_cache: EngineKvCache
     header_names: RelayHeaderNames
     leaving: LeavingNotices
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -27,6 +27,7 @@
     ending_refusal,
     send_refusal,
 )
+from bergamotthread.request.relay.suspicion import Suspicion
 
 # Fraction of the target response time of a request that may be retried, after
 # which the first attempt is abandoned and the request is sent to another
@@ -57,9 +58,14 @@
             received_ms + timeout_ms * PLACEMENT_TIMEOUT_FRACTION
         )
         self._pause_wait = PauseWait(call, parts, self._placement_deadline_ms)
+        self._suspicion = Suspicion(call, parts)
 
     async def run(self) -> None:
         """Run the attempts, once there is room, and respond to the caller."""
+        quarantined = self._suspicion.refusal()
+        if quarantined is not None:
+            self._refuse(quarantined)
+            return
         gate = self._parts.plain_gate
         refused = await gate.enter(self._demand())
         waited_ms = self._parts.clock.now_ms() - self._call.request.received_ms
@@ -90,10 +96,12 @@
 
         Where a pause outlasts the wait for an upstream, it is a refusal.
         """
-        request = RelayPlacementRequest(
-            self._call.service.name, excluded=self._excluded
-        )
-        upstream = self._parts.choice.choose(request)
+        quarantined = self._suspicion.refusal()
+        if quarantined is not None:
+            return self._unless_run(quarantined)
+        if self._suspicion.is_tried:
+            return None if self.may_wait() else self._tried_refusal()
+        upstream = self._choose(self._suspicion.excluded())
         if upstream is None and self._excluded:
             # The next placement may choose an upstream that was tried before.
             self._excluded = frozenset()
@@ -122,6 +130,26 @@
         """Send a refusal in place of a response."""
         self._refuse(refusal)
 
+    def _choose(self, avoided: frozenset[str]) -> Upstream | None:
+        """Choose an upstream; an avoided one only if there is no other."""
+        service = self._call.service.name
+        choices = (self._excluded | avoided, self._excluded)
+        for excluded in choices if avoided else choices[1:]:
+            request = RelayPlacementRequest(service, excluded=excluded)
+            upstream = self._parts.choice.choose(request)
+            if upstream is not None:
+                return upstream
+        return None
+
+    def _tried_refusal(self) -> RelayRefusal:
+        return self._unless_run(self._suspicion.tried_refusal())
+
+    def _unless_run(self, refusal: RelayRefusal) -> RelayRefusal:
+        """Return a refusal that is true also after an attempt has run."""
+        if not self._may_have_run:
+            return refusal
+        return RelayRefusal(502, refusal.reason, refusal.detail)
+
     def _pause_refusal(self) -> RelayRefusal | None:
         refusal = self._pause_wait.check()
         if refusal is None or not self._may_have_run:
@@ -150,6 +178,7 @@
                 return not_sent
             self._limits.record_sent()
             outcome = await self._read(attempt)
+            attempt.tracked.settle(outcome)
             self._latency_ms = self._parts.clock.now_ms() - attempt.sent_ms
             return outcome
 
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -59,6 +59,7 @@
     ending_refusal,
     send_refusal,
 )
+from bergamotthread.request.relay.suspicion import Suspicion
 
 # A stream without an event for this long is resumed at another upstream even if
 # its own still answers probes; prefill of other prompts delays events by up to
@@ -99,10 +100,15 @@
             received_ms + target_ms * PLACEMENT_TARGET_FRACTION
         )
         self._pause_wait = PauseWait(call, parts, self._placement_deadline_ms)
+        self._suspicion = Suspicion(call, parts)
 
     async def run(self) -> None:
         """Run the attempts and respond to the caller."""
         call = self._call
+        quarantined = self._suspicion.refusal()
+        if quarantined is not None:
+            self.refuse(quarantined)
+            return
         gate = self._parts.stream_gate
         gate.record_start(call.service.name, call.team)
         try:
@@ -140,17 +146,18 @@
         Only a new stream is refused for its expected wait: one that was placed
         before, here or at another entry, has been accepted.
         """
+        quarantined = self._suspicion.refusal()
+        if quarantined is not None:
+            return quarantined
+        if self._suspicion.is_tried:
+            return None if self.may_wait() else self._suspicion.tried_refusal()
         copy = self._copy_manager.pop()
         if copy is not None and self._attempt_times.count:
             return self._placer.place_at_copy(
                 copy,
                 self._placement_request(copy.holder.record.instance),
             )
-        request = self._placement_request()
-        is_new = self._call.resume_after is None
-        placement = await self._placer.place(
-            request, in_time=is_new and not self._limits.attempts_sent
-        )
+        placement = await self._place_anew(self._suspicion.excluded())
         if placement is None:
             self._excluded = frozenset()
         if isinstance(placement, StreamRefused):
@@ -193,11 +200,33 @@
         return self._handle_outcome(placement, outcome)
 
     def refuse(self, refusal: RelayRefusal) -> None:
-        """Send a refusal in place of a response."""
+        """Send a refusal in place of a response, or cut one that has begun."""
         self._last_outcome = refusal.detail
+        if self._call.exchange.has_head:
+            self._log_refusal(refusal)
+            self._call.exchange.abort()
+            return
+        if self._may_have_run:
+            refusal = RelayRefusal(502, refusal.reason, refusal.detail)
         self._log_refusal(refusal)
         send_refusal(self._call.exchange, refusal)
 
+    async def _place_anew(
+        self, avoided: frozenset[str]
+    ) -> AttemptPlacement | StreamRefused | None:
+        """Place an attempt; at an avoided upstream if there is no other."""
+        is_new = self._call.resume_after is None
+        in_time = is_new and not self._limits.attempts_sent
+        if avoided:
+            placement = await self._placer.place(
+                self._placement_request(*avoided), in_time=in_time
+            )
+            if placement is not None:
+                return placement
+        return await self._placer.place(
+            self._placement_request(), in_time=in_time
+        )
+
     def _release(self) -> None:
         """Release the place among those that wait, and the copy."""
         self._pause_wait.end()
@@ -259,7 +288,9 @@
             self._attempt_times = ArrivalTimes(attempt.sent_ms)
             self._is_from_copy = copy is not None
             self._copy_manager.start_attempt(upstream, copy_target)
-            return await self._relay(attempt)
+            outcome = await self._relay(attempt)
+            attempt.tracked.settle(outcome)
+            return outcome
 
     async def _relay(self, attempt: Attempt) -> AttemptOutcome:
         splitter = EventSplitter()
@@ -269,11 +300,13 @@
         head_outcome = self._forward_head(attempt, head)
         if head_outcome is not None:
             return head_outcome
+        attempt.tracked.report_progress(0)
         received = await self._receive_next(attempt)
         while isinstance(received, AnswerPart):
             self._attempt_times.record(self._parts.clock.now_ms())
             if self._attempt_times.count == 1:
                 self._record_first_event(attempt)
+            attempt.tracked.report_progress(self._attempt_times.span_ms)
             if self._placer.may_copy:
                 self._copy_manager.renew(self._placement_request)
             try:
