Poison rows: quarantines outlive all entries, crashes are shared past cuts

An operator lifts a quarantine by removing its row.

tests/test_relayed_poison.py: test_crashes_are_shared_by_entries_cut_from_one_another fails without the row of crashes (run with its write disabled).

--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -12,10 +12,11 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
+from bergamotthread.platform.crash_parts import CrashParts
 from bergamotthread.platform.headers import PLATFORM_DIALECT
 from bergamotthread.platform.leaving_relay import LEAVING_PATH, LeavingRelay
 from bergamotthread.platform.peer_messages import PeerMessages
-from bergamotthread.platform.poison_relay import POISON_PATH, PoisonRelay
+from bergamotthread.platform.poison_relay import POISON_PATH
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
 from bergamotthread.platform.runner_calls import RunnerClient
 from bergamotthread.platform.runner_watch import RunnerWatch
@@ -29,7 +30,6 @@
 from bergamotthread.platform.table_watch import WatchContext
 from bergamotthread.platform.watches import EntryWatch, VersionWatch
 from bergamotthread.process.relay.choice import UpstreamChoice
-from bergamotthread.process.relay.crash_watch import CrashWatch
 from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.feed_sources import (
     EntryRecord,
@@ -142,7 +142,7 @@
                 watches.entries.run(),
                 watches.entries.register(),
                 self._leaving_relay.run(),
-                self._poison_relay.run(),
+                self._crashes.run(),
             )
         ]
         while not self._is_finished():
@@ -240,7 +240,7 @@
             },
             answer_by_path={
                 LEAVING_PATH: self._leaving_relay.answer,
-                POISON_PATH: self._poison_relay.answer,
+                POISON_PATH: self._crashes.relay.answer,
             },
         )
         await listen(feed_server, f'{settings.ip}:{settings.peer_port}')
@@ -341,8 +341,13 @@
             self._clock, peers, self._feeds, leaving, self._log
         )
         leaving.listeners.append(self._leaving_relay.add)
-        self._poison_relay = PoisonRelay(
-            self._clock, peers, self._feeds, self._log, metrics, self._rng
+        self._crashes = CrashParts.from_connections(
+            self._pool,
+            self._store,
+            self._feeds,
+            self._log,
+            metrics,
+            self._rng,
         )
         pauses = PauseRecorder(self._directory, self._log, metrics)
         runners = RunnerClient(self._pool, self._clock, leaving, pauses)
@@ -373,13 +378,7 @@
                 metrics,
             ),
             pauses=pauses,
-            crashes=CrashWatch(
-                self._poison_relay.guard,
-                self._pool.reach,
-                self._poison_relay,
-                self._log,
-                metrics,
-            ),
+            crashes=self._crashes.watch,
             kv_cache=runners,
             header_names=PLATFORM_DIALECT,
             leaving=leaving,
@@ -409,7 +408,7 @@
                 self._life_cycle,
             ),
             RunnerWatch(sources, self._directory, self._pool),
-            EntryWatch(sources, own_record),
+            EntryWatch(sources, own_record, self._crashes.rows.apply),
         )
 
 
--- a/bergamotthread/platform/poison_relay.py
+++ b/bergamotthread/platform/poison_relay.py
@@ -13,7 +13,7 @@
 from collections.abc import Coroutine, Iterable
 from dataclasses import dataclass, field
 from itertools import chain, islice
-from typing import Annotated
+from typing import Annotated, Protocol
 
 import msgspec
 from absl import logging
@@ -78,7 +78,7 @@
 _Quarantines = Annotated[tuple[_Quarantine, ...], _AT_MOST_TOLD]
 
 
-class _Message(msgspec.Struct, frozen=True, omit_defaults=True):
+class PoisonMessage(msgspec.Struct, frozen=True, omit_defaults=True):
     """What one entry learned; `forward` asks to pass it on in the region."""
 
     host: str
@@ -93,6 +93,16 @@
         return not (self.deaths or self.cleared or self.quarantines)
 
 
+class PoisonSink(Protocol):
+    """Keeps what is to outlive this entry or to reach it otherwise."""
+
+    def save_quarantine(self, notice: Quarantine) -> None:
+        """Keep a quarantine that this entry decided."""
+
+    def save_crashes(self, message: PoisonMessage) -> None:
+        """Keep what could not be told to all entries."""
+
+
 @dataclass
 class PoisonRelay(CrashListener):
     """Tells other entries what this one learns, and applies what they tell.
@@ -101,6 +111,8 @@
     ----------
     dropped
         Crashes that were not told because too many waited.
+    rows
+        Keeps quarantines, and what could not be told to all entries.
     """
 
     clock: Clock
@@ -110,6 +122,7 @@
     metrics: RelayMetrics
     rng: random.Random
     dropped: int = 0
+    rows: PoisonSink | None = None
     guard: PoisonGuard = field(init=False)
     _deaths: deque[DeathNotice] = field(default_factory=deque)
     _recorded_ms: deque[float] = field(default_factory=deque)
@@ -143,6 +156,8 @@
         self._log_quarantine(notice, self.feeds.own_host)
         self._quarantines.append(notice)
         self._learned.set()
+        if self.rows is not None:
+            self.rows.save_quarantine(notice)
 
     def answer(self, method: bytes, body: bytes) -> bytes | None:
         """Answer another entry; None if its message is invalid.
@@ -156,11 +171,11 @@
     def apply(self, encoded: bytes) -> bool:
         """Apply a message of another entry; return whether it is valid."""
         try:
-            message = msgspec.json.decode(encoded, type=_Message)
+            message = msgspec.json.decode(encoded, type=PoisonMessage)
         except msgspec.MsgspecError as error:
             logging.debug('message on crashes is invalid: %s', error)
             return False
-        self._apply(message)
+        self.apply_message(message)
         if message.forward:
             self._start(self._pass_on(message))
         return True
@@ -181,29 +196,43 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _apply(self, message: _Message) -> None:
-        guard = self.guard
+    def apply_message(self, message: PoisonMessage, age_ms: float = 0) -> None:
+        """Apply what another entry learned; `age_ms` is the message's age."""
         for death in message.deaths:
-            guard.merge_death(
+            self.guard.merge_death(
                 DeathNotice(
                     death.death_id,
                     death.failure_domain,
-                    death.age_ms,
+                    death.age_ms + age_ms,
                     frozenset(death.content_hashes),
                     frozenset(death.waiting_hashes),
                 )
             )
         for content_hash in message.cleared:
-            guard.merge_clear(content_hash)
+            self.guard.merge_clear(content_hash)
         for told in message.quarantines:
             notice = Quarantine(told.content_hash, told.deaths, confirmed=True)
-            is_known = guard.is_quarantined(told.content_hash)
-            guard.restore_quarantine(notice, told.remaining_ms)
-            if not is_known:
-                self._log_quarantine(notice, message.host)
+            self.apply_quarantine(
+                notice, told.remaining_ms - age_ms, message.host
+            )
 
-    def _next_message(self) -> _Message:
-        message = _Message(
+    def apply_quarantine(
+        self, notice: Quarantine, remaining_ms: float, host: str
+    ) -> None:
+        """Apply a quarantine that another entry decided."""
+        is_known = self.guard.is_quarantined(notice.fingerprint)
+        self.guard.restore_quarantine(notice, remaining_ms)
+        if not is_known:
+            self._log_quarantine(notice, host)
+
+    def lift(self, content_hash: int) -> None:
+        """End a quarantine whose row an operator removed."""
+        if self.guard.is_quarantined(content_hash):
+            self.guard.release(content_hash)
+            self.log.write('quarantine-lifted', content=f'{content_hash:016x}')
+
+    def _next_message(self) -> PoisonMessage:
+        message = PoisonMessage(
             self.feeds.own_host,
             self._next_deaths(),
             tuple(self._cleared[:TOLD_MAX]),
@@ -231,10 +260,10 @@
         self._tokens = min(self._tokens + gained, DEATHS_TOLD_MAX)
         self._filled_ms = now_ms
 
-    def _everything(self) -> _Message:
+    def _everything(self) -> PoisonMessage:
         guard = self.guard
         quarantines = guard.quarantines()[-TOLD_MAX:]
-        return _Message(
+        return PoisonMessage(
             self.feeds.own_host,
             tuple(
                 _encode_death(notice, 0)
@@ -254,7 +283,7 @@
             remaining_ms = self.guard.limits.quarantine_ms
             yield _Quarantine(notice.fingerprint, notice.deaths, remaining_ms)
 
-    async def _tell(self, message: _Message) -> None:
+    async def _tell(self, message: PoisonMessage) -> None:
         if message.is_empty:
             return
         regions = self.feeds.entries_by_other_region().values()
@@ -267,6 +296,8 @@
             ),
             asyncio.gather(*passed_on),
         )
+        if self.rows is not None and (failed or not all(are_told)):
+            self.rows.save_crashes(message)
         self.log.write(
             'crashes-told',
             deaths=len(message.deaths),
@@ -279,7 +310,7 @@
         )
 
     async def _tell_region(
-        self, entries: list[EntryRecord], message: _Message
+        self, entries: list[EntryRecord], message: PoisonMessage
     ) -> bool:
         """Tell one entry of another region; return whether one accepted."""
         forwarded = msgspec.structs.replace(message, forward=True)
@@ -290,7 +321,7 @@
                 return True
         return False
 
-    async def _pass_on(self, message: _Message) -> None:
+    async def _pass_on(self, message: PoisonMessage) -> None:
         passed_on = msgspec.structs.replace(message, forward=False)
         await self.peers.tell(
             self.feeds.local_entries(),
--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from absl import logging
@@ -142,9 +142,22 @@
     # Entries rarely come and go, and calls to one that has gone fail.
     age_max_ms = math.inf
 
-    def __init__(self, sources: WatchContext, own: EntryRecord) -> None:
+    def __init__(
+        self,
+        sources: WatchContext,
+        own: EntryRecord,
+        apply_other: Callable[[StoredRow], bool],
+    ) -> None:
+        """Follow the table of entries.
+
+        Parameters
+        ----------
+        apply_other
+            Applies a row that is no registration; returns whether it did.
+        """
         super().__init__(sources)
         self._own_record = own
+        self._apply_other = apply_other
         self._must_register = asyncio.Event()
         self._must_register.set()
         self._is_new_era = False
@@ -190,7 +203,8 @@
     def apply_changes(self, rows: Iterable[StoredRow]) -> None:
         """Apply changed registrations; remove entries without a valid row."""
         for row in rows:
-            self._apply_row(row)
+            if not self._apply_other(row):
+                self._apply_row(row)
 
     def record_confirmed(self, requested_ms: float) -> None:
         """Do nothing; calls to an entry that has gone fail."""
--- a/tests/test_relayed_poison.py
+++ b/tests/test_relayed_poison.py
@@ -256,3 +256,67 @@
         assert again.status == 200
 
     run_in_memory(check())
+
+
+async def _restart_all(deployment: Deployment, entries: int = 3) -> None:
+    for task in deployment.tasks:
+        task.cancel()
+    for number in range(1, entries + 1):
+        for port in (7000, 7001, 8000, 8001):
+            deployment.net.kill(f'10.1.0.{number}:{port}')
+    await deployment.clock.sleep_ms(1000)
+    for number in range(1, entries + 1):
+        zone = ('a-1', 'b-1', 'c-1')[(number - 1) % 3]
+        host = f'edge-{zone[0]}-{number}'
+        await deployment.add_entry(settings(host, zone, number))
+    await deployment.clock.sleep_ms(1500)
+
+
+# Guards against: a quarantine that ends with the processes that know it.
+def test_quarantine_outlives_all_entries():
+    async def check():
+        deployment = await _start()
+        await _crash_until_quarantined(deployment, POISON_PATH)
+        await deployment.clock.sleep_ms(4000)
+        reached = len(_arrivals(deployment.plains))
+        await _restart_all(deployment)
+        for front in itertools.islice(_fronts(deployment), 3):
+            answer = await deployment.call(POISON_PATH, front, method=b'GET')
+            assert answer.status == 503
+        assert len(_arrivals(deployment.plains)) == reached
+
+    run_in_memory(check())
+
+
+# Guards against: each of several entries that reach the store, but not one
+# another, counting crashes for itself.
+def test_crashes_are_shared_by_entries_cut_from_one_another():
+    async def check():
+        deployment = await _start(4, plains=12)
+        for number in range(1, 5):
+            for port in (7000, 7001):
+                deployment.net.kill(f'10.1.0.{number}:{port}')
+        for front in itertools.islice(_fronts(deployment), 30):
+            await deployment.call(f'/once/{MARK.decode()}', front)
+            await deployment.clock.sleep_ms(RESEND_MS)
+        assert len(_crashes(deployment.plains)) >= CRASHES
+        assert _sent_after(deployment.plains, CRASHES) <= SENT_MAX
+
+    run_in_memory(check())
+
+
+def test_operator_lifts_a_quarantine_by_removing_its_row():
+    async def check():
+        deployment = await _start()
+        await _crash_until_quarantined(deployment, POISON_PATH)
+        for plain in deployment.plains:
+            plain.script.crash_marks = frozenset()
+        content = deployment.events('quarantined')[0]['content']
+        deployment.store.remove('entries', f'quarantine/{content}')
+        await deployment.clock.sleep_ms(3000)
+        for front in itertools.islice(_fronts(deployment), 3):
+            answer = await deployment.call(POISON_PATH, front, method=b'GET')
+            assert answer.status == 200
+        assert deployment.events('quarantine-lifted')
+
+    run_in_memory(check())
