--- a/bergamotthread/platform/poison_relay.py
+++ b/bergamotthread/platform/poison_relay.py
@@ -191,11 +191,6 @@
             if self._deaths or self._cleared or self._quarantines:
                 self._learned.set()
 
-    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def apply_message(self, message: PoisonMessage, age_ms: float = 0) -> None:
         """Apply what another entry learned; `age_ms` is the message's age."""
         for death in message.deaths:
@@ -231,6 +226,11 @@
             self.guard.release(content_hash)
             self.log.write('quarantine-lifted', content=f'{content_hash:016x}')
 
+    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _next_message(self) -> PoisonMessage:
         message = PoisonMessage(
             self.feeds.own_host,
