--- a/tests/test_relayed_poison.py
+++ b/tests/test_relayed_poison.py
@@ -9,7 +9,7 @@
 
 from bergamotthread.process.relay.crash_watch import RELAYED_QUARANTINE_MS
 from bergamotthread.testing.memory_http import run_in_memory
-from standins.platform_runner import Seen
+from standins.platform_runner import PROMPT_PARTS, Seen
 from tests.platform_standins import Deployment, MemoryRunner, settings
 
 # Bounds that the platform states: time after the third upstream that a request
@@ -320,3 +320,74 @@
         assert deployment.events('quarantine-lifted')
 
     run_in_memory(check())
+
+
+# Bounds that the platform states for a part of a prompt that crashes upstreams.
+PART_CRASHES = 5
+FIRST_PART = b'aa01:800'
+DEADLY_PART = b'dead:400'
+
+
+def _parts_of(number: int, *, is_deadly: bool) -> tuple[bytes, ...]:
+    middle = DEADLY_PART if is_deadly else b'%04x:400' % (number % 7)
+    return (FIRST_PART, middle, b'%06x:250' % number)
+
+
+async def _prompt(
+    deployment: Deployment, front: str, number: int, *, is_deadly: bool
+):
+    parts = b','.join(_parts_of(number, is_deadly=is_deadly))
+    return await deployment.call(
+        f'/stream/{number}',
+        front,
+        extra=((PROMPT_PARTS, parts), (b'bergamotthread-model', b'm')),
+        body=b'prompt %d' % number,
+    )
+
+
+async def _start_deadly_part(entries: int = 3, models: int = 9) -> Deployment:
+    deployment = await _start(entries, models=models)
+    for model in deployment.models:
+        model.script.crash_marks = frozenset((DEADLY_PART,))
+    return deployment
+
+
+def _deadly_arrivals(deployment: Deployment) -> list[float]:
+    return sorted(
+        seen.at_ms
+        for model in deployment.models
+        for seen in model.seen
+        if DEADLY_PART in seen.headers[PROMPT_PARTS]
+    )
+
+
+# Guards against: requests that are no two alike but share a part of their
+# prompts that crashes upstreams end upstream after upstream; and against sound
+# requests with the same caller and first part refused with them.
+@pytest.mark.parametrize('entries', [3, 6])
+def test_part_that_crashes_upstreams_reaches_few_more_after_the_fifth(entries):
+    async def check():
+        deployment = await _start_deadly_part(entries)
+        fronts = _fronts(deployment)
+        deadly = []
+        sound = []
+        for number in range(60):
+            is_deadly = number % 4 == 0
+            task = asyncio.create_task(
+                _prompt(deployment, next(fronts), number, is_deadly=is_deadly)
+            )
+            (deadly if is_deadly else sound).append(task)
+            await deployment.clock.sleep_ms(400)
+        answers = await asyncio.gather(*sound)
+        refused = await asyncio.gather(*deadly)
+        crash_ms = _crashes(deployment.models)
+        assert len(crash_ms) >= 3
+        if len(crash_ms) >= PART_CRASHES:
+            limit_ms = crash_ms[PART_CRASHES - 1] + STABLE_MS
+            late = [at for at in _deadly_arrivals(deployment) if at > limit_ms]
+            assert len(late) <= SENT_MAX
+        assert {answer.status for answer in answers} == {200}
+        assert all(answer.is_whole for answer in answers)
+        assert {answer.status for answer in refused[-5:]} == {503}
+
+    run_in_memory(check())
