Poison: a part of prompts that crashes upstreams is quarantined

Cause: a fingerprint of the whole content recognises none of them.

A request has a fingerprint for each part of its prompt but the last, and a crash is charged to content and parts. A part is quarantined after four counted crashes under two or more contents; of parts with equally many the last, whose crashes then count no more against the others, unless these crash upstreams without it. Progress of any request clears all of its parts, at all entries. Crashes at the same time count once, unless the requests were sent after the crash before. Quarantines last 2 min, then 4 times as long after each failed trial; entries end them at different times, and the first to succeed tells the others.

--- a/bergamotthread/platform/headers.py
+++ b/bergamotthread/platform/headers.py
@@ -13,6 +13,7 @@
     not_run=b'bergamotthread-not-executed',
     token_counts=b'bergamotthread-token-counts',
     prompt_parts=b'bergamotthread-prompt-prefix',
+    model=b'bergamotthread-model',
     copy_target=b'bergamotthread-kv-backup',
     copy_source=b'kv-from',
     leaving=b'server-leaving',
--- a/bergamotthread/platform/poison_relay.py
+++ b/bergamotthread/platform/poison_relay.py
@@ -41,8 +41,9 @@
 DEATHS_WAITING_MAX = 64
 # Items in one message of each kind.
 TOLD_MAX = 256
-# Fingerprints of one crash that are told.
-HASHES_TOLD_MAX = 64
+# Requests of one crash that are told, and fingerprints of each.
+REQUESTS_TOLD_MAX = 32
+HASHES_TOLD_MAX = 32
 # Time for which an entry that starts looks for one to ask, and the pause
 # between two attempts.
 ASK_TIMEOUT_MS = 10_000
@@ -50,11 +51,15 @@
 ENTRIES_ASKED_MAX = 3
 # Entries of another region that are tried until one accepts a message.
 REGION_ATTEMPTS_MAX = 3
+# Fraction by which a quarantine lasts longer at entries that were told of it.
+QUARANTINE_SPREAD = 0.25
 _MS_PER_S = 1000
 
 _Hash = Annotated[int, msgspec.Meta(ge=0)]
-_AT_MOST_HASHES = msgspec.Meta(max_length=HASHES_TOLD_MAX)
+_AT_MOST_HASHES = msgspec.Meta(min_length=1, max_length=HASHES_TOLD_MAX)
 _Hashes = Annotated[tuple[_Hash, ...], _AT_MOST_HASHES]
+_AT_MOST_REQUESTS = msgspec.Meta(max_length=REQUESTS_TOLD_MAX)
+_Requests = Annotated[tuple[_Hashes, ...], _AT_MOST_REQUESTS]
 _Duration = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -62,8 +67,9 @@
     death_id: _Hash
     failure_domain: str
     age_ms: _Duration
-    content_hashes: _Hashes
-    waiting_hashes: _Hashes = ()
+    running: _Requests
+    waiting: _Requests = ()
+    sent_age_ms: _Duration = 0
 
 
 class _Quarantine(msgspec.Struct, frozen=True, array_like=True):
@@ -146,9 +152,9 @@
             self.dropped += 1
         self._learned.set()
 
-    def request_cleared(self, content_hash: int) -> None:
-        """Tell the other entries soon that a suspect request is sound."""
-        self._cleared.append(content_hash)
+    def request_cleared(self, fingerprint: int) -> None:
+        """Tell the other entries soon that a content or a part is sound."""
+        self._cleared.append(fingerprint)
         self._learned.set()
 
     def quarantined(self, notice: Quarantine) -> None:
@@ -199,12 +205,15 @@
                     death.death_id,
                     death.failure_domain,
                     death.age_ms + age_ms,
-                    frozenset(death.content_hashes),
-                    frozenset(death.waiting_hashes),
+                    frozenset(death.running),
+                    frozenset(death.waiting),
+                    death.sent_age_ms + age_ms,
                 )
             )
-        for content_hash in message.cleared:
-            self.guard.merge_clear(content_hash)
+        for fingerprint in message.cleared:
+            if self.guard.is_quarantined(fingerprint):
+                self._log_lifted(fingerprint, message.host)
+            self.guard.merge_clear(fingerprint)
         for told in message.quarantines:
             notice = Quarantine(told.content_hash, told.deaths, confirmed=True)
             self.apply_quarantine(
@@ -214,17 +223,22 @@
     def apply_quarantine(
         self, notice: Quarantine, remaining_ms: float, host: str
     ) -> None:
-        """Apply a quarantine that another entry decided."""
-        is_known = self.guard.is_quarantined(notice.fingerprint)
-        self.guard.restore_quarantine(notice, remaining_ms)
-        if not is_known:
-            self._log_quarantine(notice, host)
+        """Apply a quarantine that another entry decided.
+
+        It ends somewhat later here, at another time in each entry: the entry
+        that decided it tries the request first, and tells the outcome.
+        """
+        if self.guard.is_quarantined(notice.fingerprint):
+            return
+        spread = 1 + self.rng.uniform(0, QUARANTINE_SPREAD)
+        self.guard.restore_quarantine(notice, remaining_ms * spread)
+        self._log_quarantine(notice, host)
 
     def lift(self, content_hash: int) -> None:
         """End a quarantine whose row an operator removed."""
         if self.guard.is_quarantined(content_hash):
             self.guard.release(content_hash)
-            self.log.write('quarantine-lifted', content=f'{content_hash:016x}')
+            self._log_lifted(content_hash, 'row removed')
 
     def _start(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
@@ -280,7 +294,9 @@
         self, notices: Iterable[Quarantine]
     ) -> Iterable[_Quarantine]:
         for notice in notices:
-            remaining_ms = self.guard.limits.quarantine_ms
+            remaining_ms = self.guard.quarantine_remaining_ms(
+                notice.fingerprint
+            )
             yield _Quarantine(notice.fingerprint, notice.deaths, remaining_ms)
 
     async def _tell(self, message: PoisonMessage) -> None:
@@ -351,11 +367,18 @@
                 return True
         return False
 
+    def _log_lifted(self, fingerprint: int, decided_by: str) -> None:
+        self.log.write(
+            'quarantine-lifted',
+            fingerprint=f'{fingerprint:016x}',
+            decided_by=decided_by,
+        )
+
     def _log_quarantine(self, notice: Quarantine, host: str) -> None:
         self.metrics.quarantines.increment()
         self.log.write(
             'quarantined',
-            content=f'{notice.fingerprint:016x}',
+            fingerprint=f'{notice.fingerprint:016x}',
             deaths=notice.deaths,
             decided_by=host,
         )
@@ -366,6 +389,7 @@
         notice.death_id,
         notice.failure_domain,
         notice.age_ms + waited_ms,
-        tuple(sorted(notice.content_hashes))[:HASHES_TOLD_MAX],
-        tuple(sorted(notice.waiting_hashes))[:HASHES_TOLD_MAX],
+        tuple(sorted(notice.running))[:REQUESTS_TOLD_MAX],
+        tuple(sorted(notice.waiting))[:REQUESTS_TOLD_MAX],
+        notice.sent_age_ms + waited_ms,
     )
--- a/bergamotthread/platform/poison_rows.py
+++ b/bergamotthread/platform/poison_rows.py
@@ -70,9 +70,10 @@
 
     def save_quarantine(self, notice: Quarantine) -> None:
         """Write a quarantine that this entry decided."""
-        until_ms = self.clock.calendar_ms() + int(
-            self.relay.guard.limits.quarantine_ms
+        remaining_ms = self.relay.guard.quarantine_remaining_ms(
+            notice.fingerprint
         )
+        until_ms = self.clock.calendar_ms() + int(remaining_ms)
         row = _QuarantineRow(notice.deaths, until_ms, self.relay.feeds.own_host)
         self._save(
             f'{QUARANTINE_PREFIX}{notice.fingerprint:016x}',
--- a/bergamotthread/process/poison/death_log.py
+++ b/bergamotthread/process/poison/death_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
 
@@ -16,6 +17,13 @@
 
 DEATH_RETENTION_MS = 3_600_000
 DEATHS_MAX = 4096
+# Deaths without a quarantined part that show that it was not the cause of the
+# others either.
+UNTIED_DEATHS_MIN = 2
+
+
+# Fingerprints of one request: of its content first, then of its prompt parts.
+RequestHashes = tuple[int, ...]
 
 
 @dataclass(frozen=True)
@@ -24,32 +32,40 @@
 
     Parameters
     ----------
-    content_hashes
-        Fingerprints of the requests that ran on it.
-    waiting_hashes
-        Fingerprints of the requests of which it is not known whether it had
-        begun to run them. One of them is charged only if it was alone.
+    running
+        Requests that ran on it.
+    waiting
+        Requests of which it is not known whether it had begun to run them. One
+        of them is charged only if it was alone.
+    sent_ms
+        Monotonic time at which the first of them was sent.
     """
 
     failure_domain: str
     at_ms: float
-    content_hashes: frozenset[int]
-    waiting_hashes: frozenset[int] = frozenset()
+    running: frozenset[RequestHashes]
+    waiting: frozenset[RequestHashes] = frozenset()
+    sent_ms: float = -math.inf
 
     @property
-    def charged_hashes(self) -> frozenset[int]:
-        """Return the fingerprints against which the death may count."""
-        if self.content_hashes or len(self.waiting_hashes) > 1:
-            return self.content_hashes
-        return self.waiting_hashes
+    def charged(self) -> frozenset[RequestHashes]:
+        """Return the requests against which the death may count."""
+        if self.running or len(self.waiting) > 1:
+            return self.running
+        return self.waiting
+
+    def is_charged_to(self, fingerprint: int) -> bool:
+        """Return whether it may count against a content or a part."""
+        return any(fingerprint in request for request in self.charged)
 
     def merge(self, other: Death) -> Death:
         """Return the death with the requests that another process had on it."""
         return Death(
             self.failure_domain,
             min(self.at_ms, other.at_ms),
-            self.content_hashes | other.content_hashes,
-            self.waiting_hashes | other.waiting_hashes,
+            self.running | other.running,
+            self.waiting | other.waiting,
+            min(self.sent_ms, other.sent_ms),
         )
 
 
@@ -100,7 +116,7 @@
 
     def count_for(
         self,
-        content_hash: int,
+        fingerprint: int,
         death_ids: Iterable[int],
         culprits: Container[int] = (),
     ) -> int:
@@ -117,25 +133,32 @@
         ----------
         culprits
             Quarantined fingerprints. A death under one of them does not count
-            against any other.
+            against other requests, nor one under a quarantined part against the
+            rest of its request, unless the rest crashed upstreams without it
+            `UNTIED_DEATHS_MIN` times.
         """
         deaths = [
             death
             for death in map(self.get, death_ids)
             if death is not None
-            and content_hash in death.charged_hashes
-            and not _is_explained(death, content_hash, culprits)
+            and death.is_charged_to(fingerprint)
+            and not _has_other_culprit(death, fingerprint, culprits)
+        ]
+        untied = [
+            death
+            for death in deaths
+            if not _has_culprit_beside(death, fingerprint, culprits)
         ]
+        if len(untied) < UNTIED_DEATHS_MIN:
+            deaths = untied
         match self.correlation:
             case DomainCorrelation():
                 return sum(
-                    not self._is_correlated(content_hash, death)
+                    not self._is_correlated(fingerprint, death)
                     for death in deaths
                 )
             case SimultaneousDeaths(window_ms):
-                return _count_apart(
-                    sorted(death.at_ms for death in deaths), window_ms
-                )
+                return _count_apart(sorted(deaths, key=_at_ms), window_ms)
 
     def is_simultaneous_loss(self, death_ids: Iterable[int]) -> bool:
         """Return whether each death coincides with many others.
@@ -170,7 +193,7 @@
             count += other.at_ms <= death.at_ms + window_ms
         return count
 
-    def _is_correlated(self, content_hash: int, death: Death) -> bool:
+    def _is_correlated(self, fingerprint: int, death: Death) -> bool:
         half = self.domain_size(death.failure_domain) // 2
         needed = max(1, min(half, CORRELATED_DEATHS_THRESHOLD))
         others = map(self.get, self._ids_by_domain[death.failure_domain])
@@ -179,7 +202,7 @@
             for other in others
             if other is not None
             and abs(other.at_ms - death.at_ms) <= self.correlation.window_ms
-            and content_hash not in other.content_hashes
+            and not other.is_charged_to(fingerprint)
         )
         return len(tuple(itertools.islice(nearby, needed))) == needed
 
@@ -201,22 +224,42 @@
             self._ids_by_domain[death.failure_domain].remove(death_id)
 
 
-def _is_explained(
-    death: Death, content_hash: int, culprits: Container[int]
+def _has_other_culprit(
+    death: Death, fingerprint: int, culprits: Container[int]
+) -> bool:
+    """Return whether a request without a fingerprint is quarantined."""
+    return any(
+        fingerprint not in request and any(one in culprits for one in request)
+        for request in death.charged
+    )
+
+
+def _has_culprit_beside(
+    death: Death, fingerprint: int, culprits: Container[int]
 ) -> bool:
-    """Return whether another request on the upstream caused its death."""
+    """Return whether a request with a fingerprint has a quarantined part."""
     return any(
-        other != content_hash and other in culprits
-        for other in death.charged_hashes
+        one != fingerprint and one in culprits
+        for request in death.charged
+        if fingerprint in request
+        for one in request[1:]
     )
 
 
-def _count_apart(times_ms: list[float], window_ms: float) -> int:
-    """Return the number of times, with those within a window as one."""
+def _count_apart(deaths: Iterable[Death], window_ms: float) -> int:
+    """Return the number of deaths, with simultaneous ones as one.
+
+    Two are simultaneous if they are within the window, unless all requests on
+    the second upstream were sent after the first death.
+    """
     count = 0
-    start_ms = -window_ms
-    for at_ms in times_ms:
-        if not count or at_ms - start_ms > window_ms:
+    last_ms = -math.inf
+    for death in deaths:
+        if death.sent_ms > last_ms or death.at_ms - last_ms > window_ms:
             count += 1
-            start_ms = at_ms
+            last_ms = death.at_ms
     return count
+
+
+def _at_ms(death: Death) -> float:
+    return death.at_ms
--- a/bergamotthread/process/poison/fingerprints.py
+++ b/bergamotthread/process/poison/fingerprints.py
@@ -20,9 +20,13 @@
     ----------
     content_hash
         Fingerprint of the whole request.
+    part_hashes
+        Fingerprints of the parts of its prompt that other requests share, in
+        order.
     """
 
     content_hash: int
+    part_hashes: tuple[int, ...] = ()
 
     @property
     def label(self) -> str:
@@ -51,3 +55,8 @@
         digest.update(b'%d:' % len(part))
         digest.update(part)
     return digest.intdigest() or 1
+
+
+def part_fingerprint(model: bytes, part_id: bytes) -> int:
+    """Return the non-zero 64-bit fingerprint of a part of prompts."""
+    return xxhash.xxh3_64_intdigest(b'%b\x1f%b' % (model, part_id)) or 1
--- a/bergamotthread/process/poison/guard.py
+++ b/bergamotthread/process/poison/guard.py
@@ -15,11 +15,16 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
+from itertools import chain
 from typing import Protocol
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.poison.death_log import Death, DeathLog
-from bergamotthread.process.poison.limits import PoisonLimits
+from bergamotthread.process.poison.death_log import (
+    Death,
+    DeathLog,
+    RequestHashes,
+)
+from bergamotthread.process.poison.limits import QUARANTINE_MS, PoisonLimits
 from bergamotthread.wire.messages import Quarantine
 
 RECORDS_MAX = 4096
@@ -61,10 +66,17 @@
 
 @dataclass(frozen=True)
 class Quarantined:
-    """The request is refused at every entry."""
+    """The request is refused at every entry.
+
+    Parameters
+    ----------
+    is_part
+        Whether a part of its prompt is quarantined, not its whole content.
+    """
 
     deaths: int
     remaining_ms: float
+    is_part: bool = False
 
 
 PoisonVerdict = Clear | Suspect | Undecided | Quarantined
@@ -91,20 +103,48 @@
         Identifier of the death, the same in all processes.
     age_ms
         Time since the death.
-    content_hashes, waiting_hashes
+    running, waiting
         See `Death`.
+    sent_age_ms
+        Time since the first of these requests was sent.
     """
 
     death_id: int
     failure_domain: str
     age_ms: float
-    content_hashes: frozenset[int]
-    waiting_hashes: frozenset[int] = frozenset()
+    running: frozenset[RequestHashes]
+    waiting: frozenset[RequestHashes] = frozenset()
+    sent_age_ms: float = math.inf
+
+    @classmethod
+    def from_death(
+        cls, death_id: int, death: Death, now_ms: float
+    ) -> DeathNotice:
+        """Return the notice of a death."""
+        return cls(
+            death_id,
+            death.failure_domain,
+            now_ms - death.at_ms,
+            death.running,
+            death.waiting,
+            now_ms - death.sent_ms,
+        )
+
+    def to_death(self, now_ms: float) -> Death:
+        """Return the death that was told just now."""
+        return Death(
+            self.failure_domain,
+            now_ms - self.age_ms,
+            self.running,
+            self.waiting,
+            now_ms - self.sent_age_ms,
+        )
 
 
 @dataclass(frozen=True)
 class _Attempt:
-    fingerprint: int
+    hashes: RequestHashes
+    sent_ms: float
     produced: float = 0
     has_begun: bool = True
 
@@ -117,6 +157,7 @@
     charged: int = 0
     deaths_by_peer: dict[str, int] = field(default_factory=dict)
     peer_ms: float = -math.inf
+    quarantines: int = 0
     quarantined_until_ms: float = 0
     confirmed_deaths: int = 0
     told: int = 0
@@ -165,38 +206,34 @@
             for record in self._record_by_fingerprint.values()
         )
 
-    def check(self, content_hash: int) -> PoisonVerdict:
-        """Return whether and where an attempt with this fingerprint may run.
+    def check(
+        self, content_hash: int, part_hashes: tuple[int, ...] = ()
+    ) -> PoisonVerdict:
+        """Return whether and where an attempt with these fingerprints may run.
 
-        A fingerprint that has reached a limit is quarantined by this call.
+        A fingerprint that has reached a limit is quarantined by this call. If
+        several parts have, the one with the most deaths is, and of parts with
+        equally many the last: what precedes it is shared by more requests.
+        Its deaths then no longer count against the others.
         """
-        record = self._record_by_fingerprint.get(content_hash)
-        if record is None:
-            return Clear()
-        self._end_quarantine(content_hash, record)
-        if record.quarantined_until_ms:
-            remaining_ms = record.quarantined_until_ms - self.clock.now_ms()
-            return Quarantined(record.confirmed_deaths, remaining_ms)
-        limits = self.limits
-        counted = self._counted_deaths(content_hash, record)
-        counted_max = 1 if record.is_on_probation else limits.counted_deaths_max
-        is_over_charged = record.charged >= limits.charged_deaths_max
-        if counted < counted_max and not is_over_charged:
-            if not self._needs_isolation(record, counted):
-                return Clear()
-            is_last = counted == counted_max - 1
-            return Suspect(counted, is_last and self._is_tried(content_hash))
-        if not is_over_charged:
-            wait_ms = self._correlation_wait_ms(record)
-            if wait_ms > 0:
-                return Undecided(counted, wait_ms)
-        return self._quarantine(
-            content_hash, record, max(counted, record.charged)
-        )
-
-    def is_quarantined(self, content_hash: int) -> bool:
-        """Return whether a fingerprint is quarantined."""
-        return isinstance(self.check(content_hash), Quarantined)
+        worst: PoisonVerdict = Clear()
+        for part_hash in sorted(
+            reversed(part_hashes), key=self._part_deaths, reverse=True
+        ):
+            verdict = self._check_part(part_hash)
+            if isinstance(verdict, Quarantined):
+                return verdict
+            worst = _worse(worst, verdict)
+        return _worse(worst, self._check_content(content_hash))
+
+    def is_quarantined(self, fingerprint: int) -> bool:
+        """Return whether a content or a part is quarantined."""
+        return self.quarantine_remaining_ms(fingerprint) > 0
+
+    def quarantine_remaining_ms(self, fingerprint: int) -> float:
+        """Return the time for which a fingerprint is quarantined yet."""
+        record = self._record_by_fingerprint.get(fingerprint, _Record())
+        return max(record.quarantined_until_ms - self.clock.now_ms(), 0)
 
     def agents_with_other_suspects(self, content_hash: int) -> frozenset[str]:
         """Return the agents that run another suspect request.
@@ -208,7 +245,7 @@
             agent
             for agent, attempts in self._attempts_by_agent.items()
             if any(
-                attempt.fingerprint != content_hash
+                content_hash not in attempt.hashes
                 and self._is_suspect_attempt(attempt)
                 for attempt in attempts.values()
             )
@@ -219,6 +256,7 @@
         agent: str,
         generation: str,
         content_hash: int,
+        part_hashes: tuple[int, ...] = (),
         *,
         has_begun: bool = True,
     ) -> None:
@@ -235,30 +273,34 @@
             begins.
         """
         attempts = self._attempts_by_agent.setdefault(agent, {})
-        attempts[generation] = _Attempt(content_hash, has_begun=has_begun)
+        attempts[generation] = _Attempt(
+            (content_hash, *part_hashes),
+            self.clock.now_ms(),
+            has_begun=has_begun,
+        )
 
     def record_progress(
         self,
         agent: str,
         generation: str,
         produced: float,
-    ) -> bool:
+    ) -> tuple[int, ...]:
         """Record the total progress of an attempt, which has begun.
 
         Returns
         -------
-        bool
-            Whether this cleared deaths.
+        tuple of int
+            Fingerprints of which this cleared deaths.
         """
         attempts = self._attempts_by_agent.get(agent, {})
         attempt = attempts.get(generation)
         if attempt is None or self._has_progressed(attempt):
-            return False
+            return ()
         progressed = replace(attempt, produced=produced, has_begun=True)
         attempts[generation] = progressed
         if not self._has_progressed(progressed):
-            return False
-        return self._clear_counted_deaths(attempt.fingerprint)
+            return ()
+        return self._clear_all(attempt.hashes)
 
     def record_end(
         self,
@@ -266,25 +308,24 @@
         generation: str,
         *,
         completed: bool,
-    ) -> bool:
+    ) -> tuple[int, ...]:
         """Record that an attempt ended while its upstream was alive.
 
         Returns
         -------
-        bool
-            Whether this cleared deaths.
+        tuple of int
+            Fingerprints of which this cleared deaths.
         """
         attempts = self._attempts_by_agent.get(agent, {})
         attempt = attempts.pop(generation, None)
         if not attempts:
             self._attempts_by_agent.pop(agent, None)
         if attempt is None or not completed:
-            return False
-        record = self._record_by_fingerprint.get(attempt.fingerprint)
-        if record is None or record.quarantined_until_ms:
-            return False
-        record.charged = 0
-        return self._clear_counted_deaths(attempt.fingerprint)
+            return ()
+        record = self._record_by_fingerprint.get(attempt.hashes[0])
+        if record is not None and not record.quarantined_until_ms:
+            record.charged = 0
+        return self._clear_all(attempt.hashes)
 
     def record_death(
         self,
@@ -306,42 +347,36 @@
         """
         attempts = self._attempts_by_agent.pop(agent, {}).values()
         begun = [attempt for attempt in attempts if attempt.has_begun]
-        for content_hash in _fingerprints(begun):
-            self._record(content_hash).charged += 1
+        for request in _hashes_of(begun):
+            self._record(request[0]).charged += 1
         counted = begun
         if not self.limits.counts_progressed:
             counted = [one for one in begun if not self._has_progressed(one)]
+        waiting = [attempt for attempt in attempts if not attempt.has_begun]
+        now_ms = self.clock.now_ms()
+        suspects = counted or waiting
         death = Death(
             failure_domain,
-            self.clock.now_ms(),
-            _fingerprints(counted),
-            _fingerprints(one for one in attempts if not one.has_begun),
+            now_ms,
+            _hashes_of(counted),
+            _hashes_of(waiting),
+            min((one.sent_ms for one in suspects), default=-math.inf),
         )
         death_id = self._record_death(death, death_id)
-        return DeathNotice(
-            death_id,
-            failure_domain,
-            0,
-            death.content_hashes,
-            death.waiting_hashes,
-        )
+        return DeathNotice.from_death(death_id, death, now_ms)
 
     def merge_death(self, notice: DeathNotice) -> None:
         """Charge a death that another process told."""
-        death = Death(
-            notice.failure_domain,
-            self.clock.now_ms() - notice.age_ms,
-            notice.content_hashes,
-            notice.waiting_hashes,
-        )
+        death = notice.to_death(self.clock.now_ms())
         self._record_death(death, notice.death_id)
 
     def merge_clear(self, content_hash: int) -> None:
-        """Clear the counted deaths of a fingerprint that made progress.
+        """Clear a fingerprint that made progress, also if it is quarantined.
 
         Deaths before now are not counted either if they are told later.
         """
-        self._record(content_hash)
+        self._record(content_hash).quarantined_until_ms = 0
+        self._quarantined_hashes.discard(content_hash)
         self._clear_counted_deaths(content_hash)
 
     def open_deaths(self) -> tuple[DeathNotice, ...]:
@@ -353,13 +388,7 @@
         }
         now_ms = self.clock.now_ms()
         return tuple(
-            DeathNotice(
-                death_id,
-                death.failure_domain,
-                now_ms - death.at_ms,
-                death.content_hashes,
-                death.waiting_hashes,
-            )
+            DeathNotice.from_death(death_id, death, now_ms)
             for death_id in sorted(death_ids)
             if (death := self.deaths.get(death_id)) is not None
         )
@@ -417,15 +446,85 @@
         self._record_by_fingerprint.pop(content_hash, None)
         self._quarantined_hashes.discard(content_hash)
 
+    def _check_content(self, content_hash: int) -> PoisonVerdict:
+        record = self._record_by_fingerprint.get(content_hash)
+        if record is None:
+            return Clear()
+        self._end_quarantine(content_hash, record)
+        if record.quarantined_until_ms:
+            remaining_ms = record.quarantined_until_ms - self.clock.now_ms()
+            return Quarantined(record.confirmed_deaths, remaining_ms)
+        limits = self.limits
+        counted = self._counted_deaths(content_hash, record)
+        counted_max = 1 if record.is_on_probation else limits.counted_deaths_max
+        is_over_charged = record.charged >= limits.charged_deaths_max
+        if counted < counted_max and not is_over_charged:
+            if not self._needs_isolation(record, counted):
+                return Clear()
+            is_last = counted == counted_max - 1
+            return Suspect(counted, is_last and self._is_tried(content_hash))
+        if not is_over_charged:
+            wait_ms = self._correlation_wait_ms(record)
+            if wait_ms > 0:
+                return Undecided(counted, wait_ms)
+        return self._quarantine(
+            content_hash, record, max(counted, record.charged)
+        )
+
+    def _check_part(self, part_hash: int) -> PoisonVerdict:
+        record = self._record_by_fingerprint.get(part_hash)
+        if record is None:
+            return Clear()
+        self._end_quarantine(part_hash, record)
+        if record.quarantined_until_ms:
+            remaining_ms = record.quarantined_until_ms - self.clock.now_ms()
+            return Quarantined(
+                record.confirmed_deaths, remaining_ms, is_part=True
+            )
+        counted = self._counted_deaths(part_hash, record)
+        limits = self.limits
+        if record.is_on_probation:
+            deaths_max = 1
+        elif self._count_contents(part_hash, record) < limits.part_contents_min:
+            # The content of the one request is the likelier cause.
+            return Clear()
+        else:
+            deaths_max = limits.part_deaths_max
+        if counted >= deaths_max:
+            return replace(
+                self._quarantine(part_hash, record, counted), is_part=True
+            )
+        is_last = counted == deaths_max - 1
+        if not is_last:
+            return Clear()
+        return Suspect(counted, self._is_tried(part_hash))
+
+    def _part_deaths(self, part_hash: int) -> int:
+        record = self._record_by_fingerprint.get(part_hash)
+        return self._own_deaths(part_hash, record) if record else 0
+
+    def _count_contents(self, part_hash: int, record: _Record) -> int:
+        """Return the number of different requests with a part that died."""
+        deaths = map(self.deaths.get, record.death_ids)
+        return len(
+            {
+                request[0]
+                for death in deaths
+                if death is not None
+                for request in death.charged
+                if part_hash in request
+            }
+        )
+
     def _record_death(self, death: Death, death_id: int | None) -> int:
         known = death_id is not None and self.deaths.get(death_id)
         death_id = self.deaths.record(death, death_id)
         at_ms = known.at_ms if known else death.at_ms
-        for content_hash in death.content_hashes | death.waiting_hashes:
-            record = self._record(content_hash)
+        for fingerprint in chain.from_iterable(death.running | death.waiting):
+            record = self._record(fingerprint)
             if at_ms >= record.cleared_ms and death_id not in record.death_ids:
                 record.death_ids.append(death_id)
-            self._changed_fingerprints.add(content_hash)
+            self._changed_fingerprints.add(fingerprint)
         return death_id
 
     def _counted_deaths(self, content_hash: int, record: _Record) -> int:
@@ -443,10 +542,11 @@
         return max(peer_ms, self.deaths.correlation_wait_ms(record.death_ids))
 
     def _is_suspect_attempt(self, attempt: _Attempt) -> bool:
-        record = self._record_by_fingerprint.get(attempt.fingerprint)
+        content_hash = attempt.hashes[0]
+        record = self._record_by_fingerprint.get(content_hash)
         if record is None or self._has_progressed(attempt):
             return False
-        counted = self._counted_deaths(attempt.fingerprint, record)
+        counted = self._counted_deaths(content_hash, record)
         return self._needs_isolation(record, counted)
 
     def _needs_isolation(self, record: _Record, counted: int) -> bool:
@@ -463,11 +563,10 @@
             return counted > 0
         return not self.deaths.is_simultaneous_loss(record.death_ids)
 
-    def _is_tried(self, content_hash: int) -> bool:
+    def _is_tried(self, fingerprint: int) -> bool:
         """Return whether an attempt without progress is under way."""
         return any(
-            attempt.fingerprint == content_hash
-            and not self._has_progressed(attempt)
+            fingerprint in attempt.hashes and not self._has_progressed(attempt)
             for attempts in self._attempts_by_agent.values()
             for attempt in attempts.values()
         )
@@ -477,8 +576,11 @@
 
     def _quarantine(
         self, content_hash: int, record: _Record, deaths: int
-    ) -> PoisonVerdict:
-        quarantine_ms = self.limits.quarantine_ms
+    ) -> Quarantined:
+        limits = self.limits
+        growth = limits.quarantine_growth**record.quarantines
+        quarantine_ms = min(limits.quarantine_ms * growth, QUARANTINE_MS)
+        record.quarantines += 1
         notice = Quarantine(content_hash, deaths, confirmed=True)
         self.restore_quarantine(notice, quarantine_ms)
         self.sink.quarantined(notice)
@@ -494,6 +596,10 @@
             record.is_on_probation = True
             self._quarantined_hashes.discard(content_hash)
 
+    def _clear_all(self, hashes: RequestHashes) -> tuple[int, ...]:
+        """Clear content and parts; return those that had deaths."""
+        return tuple(one for one in hashes if self._clear_counted_deaths(one))
+
     def _clear_counted_deaths(self, content_hash: int) -> bool:
         """Clear the counted deaths; return whether there were any."""
         record = self._record_by_fingerprint.get(content_hash)
@@ -529,5 +635,22 @@
         self._quarantined_hashes.discard(evicted)
 
 
-def _fingerprints(attempts: Iterable[_Attempt]) -> frozenset[int]:
-    return frozenset(attempt.fingerprint for attempt in attempts)
+def _hashes_of(attempts: Iterable[_Attempt]) -> frozenset[RequestHashes]:
+    return frozenset(attempt.hashes for attempt in attempts)
+
+
+def _worse(one: PoisonVerdict, other: PoisonVerdict) -> PoisonVerdict:
+    """Return the verdict that restricts an attempt more."""
+    return max(one, other, key=_severity)
+
+
+def _severity(verdict: PoisonVerdict) -> tuple[int, bool]:
+    match verdict:
+        case Clear():
+            return 0, False
+        case Suspect(is_tried=is_tried):
+            return 1, is_tried
+        case Undecided():
+            return 2, False
+        case Quarantined():
+            return 3, False
--- a/bergamotthread/process/poison/limits.py
+++ b/bergamotthread/process/poison/limits.py
@@ -10,6 +10,8 @@
 
 COUNTED_DEATHS_MAX = 3
 CHARGED_DEATHS_MAX = 6
+PART_DEATHS_MAX = 4
+PART_CONTENTS_MIN = 2
 QUARANTINE_MS = 86_400_000
 # Deaths closer than this have a common cause, within one failure domain where
 # entries learn of most deaths (`DomainCorrelation`).
@@ -32,8 +34,8 @@
 class SimultaneousDeaths:
     """Deaths at about the same time count once for a fingerprint.
 
-    For processes that learn only of deaths under their own requests. A request
-    that is sent again after each death is counted each time.
+    For processes that learn only of deaths under their own requests. A death
+    under requests that were sent after the one before is counted in any case.
     """
 
     window_ms: float
@@ -51,16 +53,25 @@
     counted_deaths_max, charged_deaths_max
         Counted deaths without progress, and deaths of any kind without a
         completion, after which a request is quarantined.
+    part_deaths_max, part_contents_min
+        Counted deaths, under so many different requests, after which a part of
+        prompts is quarantined.
     progress_min
         Progress from which an attempt counts as sound, in the unit in which it
         is recorded.
+    quarantine_ms, quarantine_growth
+        Length of the first quarantine of a request, and the factor by which
+        each further one is longer, up to `QUARANTINE_MS`.
     counts_progressed
         Whether a death counts against an attempt that has made progress.
     """
 
     counted_deaths_max: int = COUNTED_DEATHS_MAX
     charged_deaths_max: int = CHARGED_DEATHS_MAX
+    part_deaths_max: int = PART_DEATHS_MAX
+    part_contents_min: int = PART_CONTENTS_MIN
     progress_min: float = PROGRESS_MIN_TOKENS
     quarantine_ms: float = QUARANTINE_MS
+    quarantine_growth: float = 1
     counts_progressed: bool = True
     correlation: Correlation = DomainCorrelation()
--- a/bergamotthread/process/relay/crash_watch.py
+++ b/bergamotthread/process/relay/crash_watch.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
 import xxhash
 
 from bergamotthread.connection.http.upstream_pool import Reachability
+from bergamotthread.process.poison.death_log import RequestHashes
+from bergamotthread.process.poison.fingerprints import RequestFingerprints
 from bergamotthread.process.poison.guard import (
     DeathNotice,
     PoisonGuard,
@@ -34,11 +36,14 @@
 # Time from the first event on for which an attempt must run to count as sound;
 # crashes follow the first event within a tenth of a second.
 PROGRESS_MIN_MS = 500
-# Time after which one more sending of a quarantined request is tried.
-RELAYED_QUARANTINE_MS = 600_000
+# Time after which a quarantined request is tried again, and the factor by which
+# it grows each time the trial fails.
+RELAYED_QUARANTINE_MS = 120_000
+RELAYED_QUARANTINE_GROWTH = 4
 RELAYED_LIMITS = PoisonLimits(
     progress_min=PROGRESS_MIN_MS,
     quarantine_ms=RELAYED_QUARANTINE_MS,
+    quarantine_growth=RELAYED_QUARANTINE_GROWTH,
     counts_progressed=False,
     correlation=SimultaneousDeaths(SIMULTANEOUS_MS),
 )
@@ -50,8 +55,8 @@
     def upstream_crashed(self, notice: DeathNotice) -> None:
         """Tell other processes of the crash of an upstream."""
 
-    def request_cleared(self, content_hash: int) -> None:
-        """Tell other processes that a suspect request made progress."""
+    def request_cleared(self, fingerprint: int) -> None:
+        """Tell other processes that a suspect content or part is sound."""
 
 
 @dataclass
@@ -76,7 +81,7 @@
         self,
         upstream: Upstream,
         run: str,
-        content_hash: int,
+        fingerprints: RequestFingerprints,
         *,
         is_stream: bool,
     ) -> None:
@@ -87,33 +92,28 @@
         """
         instance = upstream.record.instance
         self.guard.record_start(
-            instance, run, content_hash, has_begun=not is_stream
+            instance,
+            run,
+            fingerprints.content_hash,
+            fingerprints.part_hashes,
+            has_begun=not is_stream,
         )
 
     def record_progress(
-        self,
-        upstream: Upstream,
-        run: str,
-        content_hash: int,
-        progress_ms: float,
+        self, upstream: Upstream, run: str, progress_ms: float
     ) -> None:
         """Record for how long an attempt has sent events."""
         instance = upstream.record.instance
-        if self.guard.record_progress(instance, run, progress_ms):
-            self._record_cleared(content_hash, run, 'progress')
+        cleared = self.guard.record_progress(instance, run, progress_ms)
+        self._record_cleared(cleared, run, 'progress')
 
     def record_end(
-        self,
-        upstream: Upstream,
-        run: str,
-        content_hash: int,
-        *,
-        completed: bool,
+        self, upstream: Upstream, run: str, *, completed: bool
     ) -> None:
         """Record that an attempt ended while its upstream was alive."""
         instance = upstream.record.instance
-        if self.guard.record_end(instance, run, completed=completed):
-            self._record_cleared(content_hash, run, 'completion')
+        cleared = self.guard.record_end(instance, run, completed=completed)
+        self._record_cleared(cleared, run, 'completion')
 
     def record_broken(self, upstream: Upstream, run: str) -> None:
         """Find out whether the upstream of a broken attempt crashed.
@@ -153,21 +153,24 @@
             upstream=record.instance,
             domain=record.failure_domain,
             service=record.service,
-            running=_labels(notice.content_hashes),
-            waiting=_labels(notice.waiting_hashes),
+            running=_labels(notice.running),
+            waiting=_labels(notice.waiting),
             detail='its answers broke off and it refuses connections',
         )
-        if notice.content_hashes or notice.waiting_hashes:
+        if notice.running or notice.waiting:
             self.listener.upstream_crashed(notice)
 
-    def _record_cleared(self, content_hash: int, run: str, cause: str) -> None:
-        self.log.write(
-            'suspect-cleared',
-            content=f'{content_hash:016x}',
-            request=run,
-            detail=cause,
-        )
-        self.listener.request_cleared(content_hash)
+    def _record_cleared(
+        self, cleared: tuple[int, ...], run: str, cause: str
+    ) -> None:
+        for fingerprint in cleared:
+            self.log.write(
+                'suspect-cleared',
+                fingerprint=f'{fingerprint:016x}',
+                request=run,
+                detail=cause,
+            )
+            self.listener.request_cleared(fingerprint)
 
 
 def _death_id(record: UpstreamRecord) -> int:
@@ -176,5 +179,8 @@
     return xxhash.xxh3_64_intdigest(name.encode())
 
 
-def _labels(content_hashes: frozenset[int]) -> str:
-    return ' '.join(f'{one:016x}' for one in sorted(content_hashes))
+def _labels(requests: Iterable[RequestHashes]) -> str:
+    """Return fingerprints as text, those of one request joined by commas."""
+    return ' '.join(
+        ','.join(f'{one:016x}' for one in hashes) for hashes in sorted(requests)
+    )
--- a/bergamotthread/request/relay/admission.py
+++ b/bergamotthread/request/relay/admission.py
@@ -11,6 +11,7 @@
 from bergamotthread.connection.http.messages import CallerRequest
 from bergamotthread.process.poison.fingerprints import (
     RequestFingerprints,
+    part_fingerprint,
     relayed_fingerprint,
 )
 from bergamotthread.process.relay.freshness import VersionFreshness
@@ -36,6 +37,8 @@
 NOT_READY_RETRY_AFTER_MS = 300
 # Time limit of a request whose caller sends none.
 DEFAULT_TIMEOUT_MS = 30_000.0
+# Shared parts of a prompt by which a request is recognised.
+PARTS_MAX = 16
 _BEARER = b'bearer '
 
 
@@ -122,19 +125,40 @@
             request_id=request.header(self.header_names.request_id) or b'',
             deadline_ms=request.received_ms + min(timeout_ms, route.timeout_ms),
             version=table.version,
-            fingerprints=_fingerprints(request, team),
+            fingerprints=self._fingerprints(request, team),
             prompt_tokens=self._prompt_tokens(request, route),
             resume_after=_last_event_id(request),
             affinity=self._affinity(request),
         )
 
+    def _fingerprints(
+        self, request: CallerRequest, team: str
+    ) -> RequestFingerprints:
+        host = request.header(b'host') or b''
+        fields = (request.method, host, request.target, request.body)
+        model = request.header(self.header_names.model) or b''
+        *shared, _ = self._part_ids(request)
+        return RequestFingerprints(
+            relayed_fingerprint(team, fields),
+            tuple(
+                part_fingerprint(model, part_id)
+                for part_id in shared[:PARTS_MAX]
+            ),
+        )
+
     def _affinity(self, request: CallerRequest) -> bytes:
         """Return the identifier of the last prompt part.
 
         That part belongs to the request or its session alone.
         """
+        return self._part_ids(request)[-1]
+
+    def _part_ids(self, request: CallerRequest) -> list[bytes]:
+        """Return the identifiers of the prompt parts; one empty if none."""
         prompt_parts = request.header(self.header_names.prompt_parts) or b''
-        return prompt_parts.rpartition(b',')[2].partition(b':')[0].strip()
+        return [
+            part.partition(b':')[0].strip() for part in prompt_parts.split(b',')
+        ]
 
     def _prompt_tokens(self, request: CallerRequest, route: RelayRoute) -> int:
         if not route.is_stream:
@@ -148,12 +172,6 @@
     return RelayRefusal(503, 'not-ready', detail, NOT_READY_RETRY_AFTER_MS)
 
 
-def _fingerprints(request: CallerRequest, team: str) -> RequestFingerprints:
-    host = request.header(b'host') or b''
-    fields = (request.method, host, request.target, request.body)
-    return RequestFingerprints(relayed_fingerprint(team, fields))
-
-
 def _bearer_key(request: CallerRequest) -> bytes:
     authorization = request.header(AUTHORIZATION) or b''
     if authorization[: len(_BEARER)].lower() != _BEARER:
--- a/bergamotthread/request/relay/dialect.py
+++ b/bergamotthread/request/relay/dialect.py
@@ -37,6 +37,8 @@
     prompt_parts
         Parts of the prompt in order, as ``ID:TOKENS`` separated by commas;
         the last part belongs to the request or its session alone.
+    model
+        Model that the request is for.
     copy_target
         Address of the upstream to which the run's KV cache is copied.
     copy_source
@@ -59,6 +61,7 @@
     not_run: bytes
     token_counts: bytes
     prompt_parts: bytes
+    model: bytes
     copy_target: bytes
     copy_source: bytes
     leaving: bytes
--- a/bergamotthread/request/relay/suspicion.py
+++ b/bergamotthread/request/relay/suspicion.py
@@ -50,15 +50,20 @@
         if not isinstance(verdict, Quarantined):
             return None
         limits = self._parts.crashes.guard.limits
+        deaths_max = limits.counted_deaths_max
+        cause = 'a request of this content'
+        if verdict.is_part:
+            deaths_max = limits.part_deaths_max
+            cause = 'requests with a part of this prompt'
         return RelayRefusal(
             503,
             QUARANTINED,
-            f'{verdict.deaths} upstreams crashed while they ran a request of '
-            'this content; it is not sent to another one',
+            f'{verdict.deaths} upstreams crashed while they ran {cause}; '
+            'it is not sent to another one',
             int(verdict.remaining_ms),
             {
                 'deaths': verdict.deaths,
-                'deaths_max': limits.counted_deaths_max,
+                'deaths_max': deaths_max,
                 'remaining_ms': round(verdict.remaining_ms),
             },
         )
@@ -87,8 +92,10 @@
         )
 
     def _verdict(self) -> PoisonVerdict:
-        guard = self._parts.crashes.guard
-        return guard.check(self._call.fingerprints.content_hash)
+        fingerprints = self._call.fingerprints
+        return self._parts.crashes.guard.check(
+            fingerprints.content_hash, fingerprints.part_hashes
+        )
 
 
 class TrackedAttempt:
@@ -109,18 +116,13 @@
         self._crashes.record_start(
             self._upstream,
             self._run,
-            self._call.fingerprints.content_hash,
+            self._call.fingerprints,
             is_stream=self._call.route.is_stream,
         )
 
     def report_progress(self, progress_ms: float) -> None:
         """Report for how long the upstream has sent events; 0 at the head."""
-        self._crashes.record_progress(
-            self._upstream,
-            self._run,
-            self._call.fingerprints.content_hash,
-            progress_ms,
-        )
+        self._crashes.record_progress(self._upstream, self._run, progress_ms)
 
     def settle(self, outcome: AttemptOutcome) -> None:
         """Report the outcome of the attempt."""
@@ -142,9 +144,4 @@
             self._end(completed=False)
 
     def _end(self, *, completed: bool) -> None:
-        self._crashes.record_end(
-            self._upstream,
-            self._run,
-            self._call.fingerprints.content_hash,
-            completed=completed,
-        )
+        self._crashes.record_end(self._upstream, self._run, completed=completed)
--- a/tests/test_poison_ledger.py
+++ b/tests/test_poison_ledger.py
@@ -84,10 +84,22 @@
 def test_upstreams_lost_at_the_same_time_count_once():
     """The same content ran on three upstreams of a domain that is lost."""
     shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(3):
+        guard.record_start(f'u{number}', 'r', _SOUND)
     for number in range(3):
-        shared.crash(0, number, _SOUND)
+        guard.record_death(f'u{number}', 'd', number)
         shared.time.advance_ms(100)
-    assert shared.guards[0].check(_SOUND) == Suspect(1)
+    assert guard.check(_SOUND) == Suspect(1)
+
+
+def test_crash_of_a_request_that_was_sent_again_counts_however_soon():
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(3):
+        shared.crash(0, number, _POISON)
+        shared.time.advance_ms(100)
+    assert isinstance(guard.check(_POISON), Quarantined)
 
 
 def test_request_beside_a_quarantined_one_is_cleared():
@@ -186,3 +198,83 @@
         second.restore_quarantine(notice, remaining_ms)
     assert second.check(_POISON) == first.check(_POISON)
     assert second.check(_SOUND) == first.check(_SOUND) == Suspect(1)
+
+
+_DEADLY, _FIRST, _OTHER = 901, 902, 903
+
+
+def _crash_with_parts(shared, death_id, content, *parts) -> None:
+    guard = shared.guards[0]
+    guard.record_start(f'u{death_id}', 'r', content, parts)
+    guard.record_death(f'u{death_id}', 'd', death_id)
+    shared.time.advance_ms(_APART_MS)
+
+
+def test_part_is_quarantined_once_different_requests_crashed():
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(3):
+        _crash_with_parts(shared, number, 1, _FIRST, _DEADLY)
+    assert isinstance(guard.check(1, (_FIRST, _DEADLY)), Quarantined)
+    assert guard.check(2, (_FIRST, _DEADLY)) == Clear()
+    _crash_with_parts(shared, 3, 2, _FIRST, _DEADLY)
+    verdict = guard.check(5, (_FIRST, _DEADLY))
+    assert isinstance(verdict, Quarantined)
+    assert verdict.is_part
+    # The shared first part is in all of them too.
+    assert guard.check(6, (_FIRST, _OTHER)) == Clear()
+
+
+def test_part_shared_by_all_is_quarantined_if_it_is_the_cause():
+    """The later of two parts in all crashed requests was blamed first."""
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(4):
+        _crash_with_parts(shared, number, number, _FIRST, _OTHER)
+    assert guard.check(50, (_FIRST, _OTHER)).is_part
+    assert guard.check(51, (_FIRST,)) == Clear()
+    for number in range(60, 62):
+        _crash_with_parts(shared, number, number, _FIRST)
+    assert isinstance(guard.check(52, (_FIRST,)), Quarantined)
+
+
+def test_progress_clears_the_parts_of_a_request():
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(3):
+        _crash_with_parts(shared, number, number, _FIRST, _DEADLY)
+    guard.record_start('u8', 'r', 8, (_FIRST, _OTHER))
+    assert guard.record_progress('u8', 'r', 500) == (_FIRST,)
+    for number in range(10, 12):
+        _crash_with_parts(shared, number, number, _FIRST, _DEADLY)
+    assert guard.check(20, (_FIRST, _OTHER)) == Clear()
+    assert isinstance(guard.check(21, (_FIRST, _DEADLY)), Quarantined)
+
+
+def test_loss_of_a_domain_quarantines_no_part_that_its_requests_share():
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for wave in range(3):
+        for number in range(6):
+            guard.record_start(f'u{wave}-{number}', 'r', number, (_FIRST,))
+        shared.time.advance_ms(200)
+        for number in range(6):
+            guard.record_death(f'u{wave}-{number}', 'd', 100 * wave + number)
+            shared.time.advance_ms(50)
+        shared.time.advance_ms(_APART_MS)
+    assert not isinstance(guard.check(7, (_FIRST,)), Quarantined)
+
+
+def test_each_further_quarantine_is_longer():
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    guard.limits = replace(_LIMITS, quarantine_growth=4)
+    for number in range(3):
+        shared.crash(0, number, _POISON)
+        shared.time.advance_ms(_APART_MS)
+    first = guard.check(_POISON)
+    shared.time.advance_ms(first.remaining_ms + 1)
+    assert guard.check(_POISON) == Suspect(0)
+    shared.crash(0, 9, _POISON)
+    second = guard.check(_POISON)
+    assert second.remaining_ms == pytest.approx(4 * first.remaining_ms)
--- a/tests/test_relayed_poison.py
+++ b/tests/test_relayed_poison.py
@@ -311,7 +311,7 @@
         await _crash_until_quarantined(deployment, POISON_PATH)
         for plain in deployment.plains:
             plain.script.crash_marks = frozenset()
-        content = deployment.events('quarantined')[0]['content']
+        content = deployment.events('quarantined')[0]['fingerprint']
         deployment.store.remove('entries', f'quarantine/{content}')
         await deployment.clock.sleep_ms(3000)
         for front in itertools.islice(_fronts(deployment), 3):
