Poison: simultaneous crashes are those within 250 ms; a wrongly blamed part is released

The window only has to cover differences between links and the message between entries. A part is now released if all of its crashes turn out to have another quarantined part, which crashed upstreams without it too.

--- a/bergamotthread/process/poison/guard.py
+++ b/bergamotthread/process/poison/guard.py
@@ -440,6 +440,8 @@
         record.confirmed_deaths = max(record.confirmed_deaths, notice.deaths)
         record.quarantined_until_ms = self.clock.now_ms() + remaining_ms
         self._quarantined_hashes.add(notice.fingerprint)
+        for fingerprint in self._blamed_for(notice.fingerprint):
+            self.release(fingerprint)
 
     def release(self, content_hash: int) -> None:
         """Remove a fingerprint that an operator released."""
@@ -516,6 +518,34 @@
             }
         )
 
+    def _blamed_for(self, part_hash: int) -> list[int]:
+        """Return the quarantined parts whose deaths all have another part.
+
+        If that part also has deaths without them, it is the cause of all.
+        """
+        culprit_ids = self._record(part_hash).death_ids
+        return [
+            other
+            for other in self._quarantined_hashes
+            if other != part_hash
+            and self._is_always_beside(other, part_hash)
+            and len(self._record(other).death_ids) < len(culprit_ids)
+        ]
+
+    def _is_always_beside(self, fingerprint: int, part_hash: int) -> bool:
+        """Return whether all requests charged with a part have another one."""
+        deaths = map(self.deaths.get, self._record(fingerprint).death_ids)
+        requests = [
+            request
+            for death in deaths
+            if death is not None
+            for request in death.charged
+            if fingerprint in request[1:]
+        ]
+        return bool(requests) and all(
+            part_hash in request[1:] for request in requests
+        )
+
     def _record_death(self, death: Death, death_id: int | None) -> int:
         known = death_id is not None and self.deaths.get(death_id)
         death_id = self.deaths.record(death, death_id)
--- a/bergamotthread/process/relay/crash_watch.py
+++ b/bergamotthread/process/relay/crash_watch.py
@@ -29,10 +29,10 @@
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.upstreams import Upstream, UpstreamRecord
 
-# Deaths closer than this count once against a request. The loss of a failure
-# domain is found out within a round trip between regions and the interval of
-# probes; a request that is sent again after a crash needs longer.
-SIMULTANEOUS_MS = 500
+# Deaths closer than this count once against a request. Links delay the end of a
+# connection by up to 60 ms; another entry tells of it 50 ms and a round trip
+# between regions later.
+SIMULTANEOUS_MS = 250
 # Time from the first event on for which an attempt must run to count as sound;
 # crashes follow the first event within a tenth of a second.
 PROGRESS_MIN_MS = 500
--- a/tests/test_poison_ledger.py
+++ b/tests/test_poison_ledger.py
@@ -278,3 +278,18 @@
     shared.crash(0, 9, _POISON)
     second = guard.check(_POISON)
     assert second.remaining_ms == pytest.approx(4 * first.remaining_ms)
+
+
+def test_part_blamed_wrongly_is_released_once_the_cause_is_known():
+    """The deadly part precedes a harmless one in the first requests."""
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(4):
+        _crash_with_parts(shared, number, number, _DEADLY, _OTHER)
+    assert isinstance(guard.check(50, (_DEADLY, _OTHER)), Quarantined)
+    assert isinstance(guard.check(51, (_OTHER,)), Quarantined)
+    for number in range(60, 62):
+        _crash_with_parts(shared, number, number, _DEADLY, _FIRST)
+    assert isinstance(guard.check(52, (_DEADLY, _FIRST)), Quarantined)
+    assert guard.check(53, (_OTHER,)) == Clear()
+    assert guard.check(54, (_FIRST,)) == Clear()
