--- a/bergamotthread/process/relay/crash_watch.py
+++ b/bergamotthread/process/relay/crash_watch.py
@@ -130,6 +130,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def is_listening(self, upstream: Upstream) -> bool:
+        """Return whether something listens at the address of an upstream."""
+        reachability = await self.connect(upstream.address)
+        return reachability is Reachability.LISTENING
+
     async def _check(self, upstream: Upstream) -> None:
         record = upstream.record
         try:
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -314,7 +314,23 @@
             except EventTooLongError as error:
                 return Broken(str(error))
             received = await self._receive_next(attempt)
-        return self._end_outcome(received, head, splitter)
+        outcome = self._end_outcome(received, head, splitter)
+        is_unframed = head.framing is Framing.CLOSE
+        if is_unframed and isinstance(outcome, StreamEnded):
+            return await self._unframed_outcome(attempt, outcome)
+        return outcome
+
+    async def _unframed_outcome(
+        self, attempt: Attempt, ended: StreamEnded
+    ) -> AttemptOutcome:
+        """Return the outcome of a stream whose end only the close marks.
+
+        A process that crashes between two events closes the connection too.
+        """
+        upstream = attempt.upstream
+        if await self._parts.crashes.is_listening(upstream):
+            return ended
+        return Broken('the stream ended with its upstream')
 
     def _forecast_work(self, placement: AttemptPlacement) -> EngineWork | None:
         """Return the work ahead; None if little of the prompt is prefilled."""
@@ -450,8 +466,8 @@
             return OutOfTime()
         if splitter.has_partial:
             return Broken('the stream ended within an event')
-        if head is None or head.framing is Framing.CLOSE:
-            return Broken('the stream has no marked end')
+        if head is None:
+            return Broken('the stream has no head')
         return StreamEnded()
 
     def _handle_outcome(
--- /dev/null
+++ b/tests/test_unframed_answers.py
@@ -0,0 +1,167 @@
+"""Answers without a length or chunks, and bytes without end, on raw sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+import pytest
+
+from bergamotthread.testing.memory_http import MemoryTransport, run_in_memory
+from standins.platform_runner import (
+    MODEL,
+    PLAIN,
+    REQUEST_ID,
+    SEAL,
+    event_of,
+    runner_row,
+)
+from tests.platform_standins import Deployment
+
+EVENTS = 20
+REPORT = b'{"queue_depth":0,"in_flight":0,"kv_total":88000}'
+RAW_ADDRESS = '10.9.9.9:8080'
+
+
+class RawRunner:
+    """Runner that writes bytes as a script says; `arrived` are its requests."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        script: Callable[[RawRunner, MemoryTransport, bytes], None],
+    ) -> None:
+        self.net = deployment.net
+        self.clock = deployment.clock
+        self.arrived: list[bytes] = []
+        self.closed = 0
+        self.written = 0
+        self._script = script
+
+    def connect(self) -> asyncio.Protocol:
+        return _RawConnection(self)
+
+    def serve(self, transport: MemoryTransport, received: bytes) -> None:
+        if b'/api/report' in received:
+            head = b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n'
+            transport.write(head % len(REPORT) + REPORT)
+            return
+        self.arrived.append(received)
+        self._script(self, transport, received)
+
+
+class _RawConnection(asyncio.Protocol):
+    def __init__(self, runner: RawRunner) -> None:
+        self._runner = runner
+        self._transport: MemoryTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(MemoryTransport, transport)
+
+    def data_received(self, received: bytes) -> None:
+        if self._transport is not None:
+            self._runner.serve(self._transport, received)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._runner.closed += 1
+
+
+def _request_id(received: bytes) -> bytes:
+    for line in received.split(b'\r\n'):
+        name, _, content = line.partition(b': ')
+        if name.lower() == REQUEST_ID:
+            return content
+    return b''
+
+
+def _unframed_head(received: bytes) -> bytes:
+    return b''.join(
+        (
+            b'HTTP/1.1 200 OK\r\n',
+            b'%b: %b\r\n' % (REQUEST_ID, _request_id(received)),
+            b'%b: raw\r\n\r\n' % SEAL,
+        )
+    )
+
+
+def _events(received: bytes, last: int = EVENTS) -> bytes:
+    request_id = _request_id(received)
+    return b''.join(event_of(request_id, n) for n in range(1, last + 1))
+
+
+def _plain(runner, transport, received):
+    transport.write(_unframed_head(received) + b'answer')
+    transport.close()
+
+
+def _whole_stream(runner, transport, received):
+    transport.write(_unframed_head(received) + _events(received))
+    transport.close()
+
+
+def _cut_in_event(runner, transport, received):
+    transport.write(_unframed_head(received) + _events(received, 3) + b'id: 4')
+    transport.close()
+
+
+def _crash_between_events(runner, transport, received):
+    transport.write(_unframed_head(received) + _events(received, 3))
+    transport.close()
+    runner.net.factory_by_address.pop(RAW_ADDRESS)
+
+
+async def _start(script, service: str, others: int = 1):
+    """Start a deployment whose first choice is the raw runner."""
+    deployment = await Deployment.start(models=0, plains=0)
+    raw = RawRunner(deployment, script)
+    deployment.net.listen(raw.connect, RAW_ADDRESS)
+    row = runner_row(RAW_ADDRESS, service, 'a-1', born=1)
+    deployment.store.put('servers', 'raw', row)
+    await deployment.clock.sleep_ms(1500)
+    return deployment, raw
+
+
+async def _add_sound(deployment: Deployment, service: str) -> None:
+    runner = await deployment.add_runner('sound', service, 'b-1')
+    runner.script.events = EVENTS
+    await deployment.clock.sleep_ms(1500)
+
+
+def test_plain_answer_that_ends_with_its_connection_is_whole():
+    async def check():
+        deployment, raw = await _start(_plain, PLAIN)
+        answer = await deployment.call('/once/x')
+        assert (answer.status, answer.body) == (200, b'answer')
+        assert len(raw.arrived) == 1
+
+    run_in_memory(check())
+
+
+# Guards against: a whole stream without a length or chunks is run once more.
+def test_stream_that_ends_with_its_connection_is_whole():
+    async def check():
+        deployment, raw = await _start(_whole_stream, MODEL)
+        answer = await deployment.call('/stream/x')
+        assert answer.is_whole
+        assert answer.event_ids == list(range(1, EVENTS + 1))
+        assert len(raw.arrived) == 1
+        assert len(deployment.events('attempt')) == 1
+
+    run_in_memory(check())
+
+
+@pytest.mark.parametrize('script', [_cut_in_event, _crash_between_events])
+def test_stream_that_is_broken_off_without_framing_is_resumed(script):
+    async def check():
+        deployment, raw = await _start(script, MODEL)
+        task = asyncio.create_task(deployment.call('/stream/x'))
+        await deployment.clock.sleep_ms(20)
+        await _add_sound(deployment, MODEL)
+        answer = await task
+        assert answer.is_whole
+        assert answer.event_ids == list(range(1, EVENTS + 1))
+        assert len(deployment.plains + deployment.models) == 1
+        assert deployment.ran(deployment.models) == 1
+
+    run_in_memory(check())
