--- a/bergamotthread/connection/http/fetch.py
+++ b/bergamotthread/connection/http/fetch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -19,6 +20,8 @@
 )
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 
+_MS_PER_S = 1000
+
 
 @dataclass(frozen=True, slots=True)
 class FetchRequest:
@@ -39,6 +42,13 @@
     headers: tuple[Header, ...] = ()
 
 
+# Largest body of a short call; a page of the store's rows has 1 MB.
+FETCH_BODY_BYTES_MAX = 8_388_608
+# Longest time from the first item of an answer to the last, in units of the
+# time between two.
+FETCH_TIMEOUTS_MAX = 10
+
+
 def _always() -> bool:
     return True
 
@@ -49,6 +59,7 @@
     request: FetchRequest,
     timeout_ms: float,
     may_send: Callable[[], bool] = _always,
+    body_bytes_max: int = FETCH_BODY_BYTES_MAX,
 ) -> FetchResponse:
     """Send a request and return the answer.
 
@@ -56,6 +67,8 @@
     ----------
     timeout_ms
         Maximum time between two items of the answer, or before the first.
+    body_bytes_max
+        Largest body that is read.
     may_send
         Whether the request may be sent; asked once the connection is open.
 
@@ -77,7 +90,11 @@
             request.body,
         )
         connection.send(encoded, b'')
-        return await _read(connection, timeout_ms)
+        return await _read(connection, timeout_ms, body_bytes_max)
+    except TimeoutError as error:
+        raise ConnectionError(
+            f'{address}: no complete answer in time'
+        ) from error
     finally:
         pool.release(connection)
 
@@ -85,19 +102,27 @@
 async def _read(
     connection: UpstreamConnection,
     timeout_ms: float,
+    body_bytes_max: int,
 ) -> FetchResponse:
     status = 0
     headers: tuple[Header, ...] = ()
-    body: list[bytes] = []
+    body = bytearray()
     answer_item: AnswerItem | None = None
-    while not isinstance(answer_item, AnswerEnd):
-        answer_item = await connection.receive(timeout_ms)
-        match answer_item:
-            case AnswerHead(answer_status, answer_headers):
-                status = answer_status
-                headers = answer_headers
-            case AnswerPart(part):
-                body.append(part)
-            case AnswerLost() | None:
-                raise ConnectionError(f'{connection.address}: {answer_item}')
-    return FetchResponse(status, b''.join(body), headers)
+    async with asyncio.timeout(FETCH_TIMEOUTS_MAX * timeout_ms / _MS_PER_S):
+        while not isinstance(answer_item, AnswerEnd):
+            answer_item = await connection.receive(timeout_ms)
+            match answer_item:
+                case AnswerHead(answer_status, answer_headers):
+                    status = answer_status
+                    headers = answer_headers
+                case AnswerPart(part):
+                    body += part
+                case AnswerLost() | None:
+                    raise ConnectionError(
+                        f'{connection.address}: {answer_item}'
+                    )
+            if len(body) > body_bytes_max:
+                raise ConnectionError(
+                    f'{connection.address}: more than {body_bytes_max} bytes'
+                )
+    return FetchResponse(status, bytes(body), headers)
--- a/bergamotthread/connection/http/upstream_connection.py
+++ b/bergamotthread/connection/http/upstream_connection.py
@@ -28,6 +28,9 @@
 _MS_PER_S = 1000
 # Bytes of an answer that are buffered before the socket is no longer read.
 BUFFERED_BYTES_MAX = 65_536
+# Bytes of an answer beside its body (heads, framing, other answers), in addition
+# to as many as its body has. Upstreams may send other bytes without end.
+OVERHEAD_BYTES_MAX = 65_536
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -64,12 +67,14 @@
         if not self._is_waiting:
             self._make_unusable()
             return
+        self._received_bytes += len(received)
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
             self._report_lost('the upstream changed the protocol')
         except httptools.HttpParserError as error:
             self._report_lost(f'bytes that are no answer: {error}')
+        self._check_overhead()
 
     def eof_received(self) -> bool:
         """Complete an answer whose end is marked by the close."""
@@ -121,6 +126,7 @@
         """Queue a part of the body."""
         if not self._is_waiting or self._is_skipping or not self._has_head:
             return
+        self._body_bytes += len(payload)
         self._buffered += len(payload)
         if self._buffered > BUFFERED_BYTES_MAX and self._transport:
             self._transport.pause_reading()
@@ -191,6 +197,8 @@
         self._request_id = b''
         self._framing = Framing.LENGTH
         self._buffered = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._is_waiting = False
         self._is_skipping = False
         self._is_unusable = False
@@ -241,6 +249,16 @@
         self._make_unusable()
         self._queue_item(AnswerLost(reason))
 
+    def _check_overhead(self) -> None:
+        """Break the connection if too little of what arrives is an answer."""
+        overhead = self._received_bytes - self._body_bytes
+        limit = OVERHEAD_BYTES_MAX + self._body_bytes
+        if self._is_waiting and overhead > limit:
+            self._report_lost(
+                f'bytes that are no answer: {overhead} bytes beside the body, '
+                f'expected at most {limit}'
+            )
+
     def _make_unusable(self) -> None:
         self._is_unusable = True
         if self._transport is not None:
--- a/bergamotthread/request/relay/events.py
+++ b/bergamotthread/request/relay/events.py
@@ -6,6 +6,8 @@
 
 # Largest event; an event of a model's response takes some hundred bytes.
 EVENT_BYTES_MAX = 1_048_576
+# Bytes of events without a number that may follow one another.
+UNNUMBERED_BYTES_MAX = 65_536
 _BLANK_LINES = (b'\n\n', b'\r\n\r\n')
 
 
@@ -24,7 +26,7 @@
 
 
 class EventTooLongError(ValueError):
-    """An event did not end within `EVENT_BYTES_MAX` bytes."""
+    """A stream went on without the end, or the number, of an event."""
 
 
 class EventSplitter:
@@ -32,6 +34,7 @@
 
     def __init__(self) -> None:
         self._pending = b''
+        self._unnumbered_bytes = 0
 
     @property
     def has_partial(self) -> bool:
@@ -44,7 +47,8 @@
         Raises
         ------
         EventTooLongError
-            If an event does not end within `EVENT_BYTES_MAX` bytes.
+            If an event does not end within `EVENT_BYTES_MAX` bytes, or those
+            without a number go on for more than `UNNUMBERED_BYTES_MAX`.
         """
         self._pending += received
         events = []
@@ -54,7 +58,9 @@
                 break
             payload = self._pending[:end]
             self._pending = self._pending[end:]
-            events.append(StreamEvent(payload, _event_id(payload)))
+            event = StreamEvent(payload, _event_id(payload))
+            events.append(event)
+            self._count_unnumbered(event)
         if len(self._pending) > EVENT_BYTES_MAX:
             raise EventTooLongError(
                 f'event of {len(self._pending)} bytes, '
@@ -62,6 +68,17 @@
             )
         return events
 
+    def _count_unnumbered(self, event: StreamEvent) -> None:
+        if event.event_id is not None:
+            self._unnumbered_bytes = 0
+            return
+        self._unnumbered_bytes += len(event.payload)
+        if self._unnumbered_bytes > UNNUMBERED_BYTES_MAX:
+            raise EventTooLongError(
+                f'{self._unnumbered_bytes} bytes of events without a number, '
+                f'expected at most {UNNUMBERED_BYTES_MAX}',
+            )
+
 
 def _end_of_event(pending: bytes) -> int:
     ends = [
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bergamotthread.connection.http.fetch import FetchRequest, fetch
 from bergamotthread.testing.memory_http import MemoryTransport, run_in_memory
 from standins.platform_runner import (
     MODEL,
@@ -165,3 +166,89 @@
         assert deployment.ran(deployment.models) == 1
 
     run_in_memory(check())
+
+
+# Bytes that an attempt may read of an answer that never ends.
+ENDLESS_BYTES_MAX = 2_000_000
+BLOCK_BYTES = 8192
+
+
+def _endless(opening: Callable[[bytes], bytes], block: bytes):
+    """Return a script that writes a block each millisecond until closed."""
+
+    def serve(runner, transport, received):
+        transport.write(opening(received))
+        asyncio.get_running_loop().create_task(write_on(runner, transport))
+
+    async def write_on(runner, transport):
+        while not transport.is_closing() and runner.clock.now_ms() < 30_000:
+            transport.write(block)
+            runner.written += len(block)
+            await runner.clock.sleep_ms(1)
+
+    return serve
+
+
+def _status_line(received: bytes) -> bytes:
+    return b'HTTP/1.1 200 OK\r\n'
+
+
+def _chunked_head(received: bytes) -> bytes:
+    head = _unframed_head(received).removesuffix(b'\r\n')
+    return head + b'transfer-encoding: chunked\r\n\r\n'
+
+
+def _other_answer(received: bytes) -> bytes:
+    head = b'HTTP/1.1 200 OK\r\n%b: other\r\ncontent-length: 99999999\r\n\r\n'
+    return head % REQUEST_ID
+
+
+_FIELD = b'x-%b: y\r\n' % (b'a' * 1000)
+ENDLESS = {
+    'head': _endless(_status_line, _FIELD * 8),
+    'interim': _endless(lambda _: b'', b'HTTP/1.1 103 Early\r\n\r\n' * 300),
+    'no answer': _endless(lambda _: b'', b'\x00' * BLOCK_BYTES),
+    'other answer': _endless(_other_answer, b'z' * BLOCK_BYTES),
+    'chunk extension': _endless(_chunked_head, b'1;' + b'e' * BLOCK_BYTES),
+    'body': _endless(_unframed_head, b'b' * BLOCK_BYTES),
+    'events': _endless(_unframed_head, b': nothing\n\n' * 700),
+}
+
+
+# Guards against: bytes that are no answer read until memory or the caller's
+# time runs out, and upstreams or callers lost to one such answer.
+@pytest.mark.parametrize('kind', ENDLESS)
+@pytest.mark.parametrize('path', ['/any/x', '/stream/x'])
+def test_bytes_without_end_are_read_for_a_bounded_time(kind, path):
+    async def check():
+        service = MODEL if 'stream' in path else PLAIN
+        deployment, raw = await _start(ENDLESS[kind], service)
+        task = asyncio.create_task(
+            deployment.call(path, method=b'POST', remaining_ms=9000)
+        )
+        await deployment.clock.sleep_ms(20)
+        runner = await deployment.add_runner('sound', service, 'b-1')
+        runner.script.events = EVENTS
+        answer = await task
+        assert answer.status == 200
+        assert raw.written < (8 if service == PLAIN else 1) * ENDLESS_BYTES_MAX
+        assert raw.closed
+        await deployment.clock.sleep_ms(200)
+        upstream = deployment.entries[0]._directory.get('raw')
+        assert not deployment.entries[0]._directory.is_lost(upstream)
+
+    run_in_memory(check())
+
+
+def test_control_call_reads_bounded_bytes():
+    async def check():
+        deployment = await Deployment.start(models=0, plains=0)
+        raw = RawRunner(deployment, ENDLESS['body'])
+        deployment.net.listen(raw.connect, RAW_ADDRESS)
+        pool = deployment.entries[0]._pool
+        request = FetchRequest(b'GET', b'/any')
+        with pytest.raises(ConnectionError, match='bytes'):
+            await fetch(pool, RAW_ADDRESS, request, 500, body_bytes_max=100_000)
+        assert raw.written < ENDLESS_BYTES_MAX
+
+    run_in_memory(check())
