--- a/bergamotthread/connection/http/upstream_connection.py
+++ b/bergamotthread/connection/http/upstream_connection.py
@@ -28,8 +28,8 @@
 _MS_PER_S = 1000
 # Bytes of an answer that are buffered before the socket is no longer read.
 BUFFERED_BYTES_MAX = 65_536
-# Bytes of an answer beside its body (heads, framing, other answers), in addition
-# to as many as its body has. Upstreams may send other bytes without end.
+# Bytes of an answer beside its body (heads, framing, other answers), added to
+# as many as its body has. Upstreams may send other bytes without end.
 OVERHEAD_BYTES_MAX = 65_536
 
 
