Soak: a request that crashes runners, sent on by its caller

A fault of its own kind sends one content through all entries, each time under another name; runners crash under it, their links refuse connections, and they are back after 2 s. Drawn apart from the other kinds, so that the faults of all seeds stay as they were. The check counts sendings later than 4 s after the third crash.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -75,6 +75,7 @@
     path: str
     key: str
     leaves_after_ms: float | None
+    prompt: str = ''
 
     @property
     def time_ms(self) -> float:
@@ -93,7 +94,9 @@
         ]
         if self.kind.is_stream:
             lines.append('bergamotthread-token-counts: 800,60')
-        body = '' if method == 'GET' else f'prompt of {self.name}'
+        body = (
+            '' if method == 'GET' else self.prompt or f'prompt of {self.name}'
+        )
         if body:
             lines.append(f'content-length: {len(body)}')
         return '\r\n'.join([*lines, '', body]).encode()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -4,7 +4,12 @@
 
 from collections.abc import Callable, Iterable
 
-from soak import answer_checks, notice_checks, system_checks
+from soak import (
+    answer_checks,
+    notice_checks,
+    poison_checks,
+    system_checks,
+)
 from soak.findings import Finding
 from soak.records import Records
 
@@ -28,6 +33,7 @@
     system_checks.check_memory,
     notice_checks.check_leaving,
     notice_checks.check_pauses,
+    poison_checks.check_poison,
 )
 
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -19,8 +19,15 @@
 from soak.plan import Plan
 from soak.programs import Program
 from soak.proxy import LoopbackProxy
-from soak.records import Notice, NoticeKind, PublicationRecord, Records, Run
-from soak.runner_process import ENDED, STARTED
+from soak.records import (
+    Crash,
+    Notice,
+    NoticeKind,
+    PublicationRecord,
+    Records,
+    Run,
+)
+from soak.runner_process import CRASHED, ENDED, STARTED
 from soak.store_process import DONE
 from standins.platform_runner import (
     MODEL,
@@ -44,6 +51,8 @@
 LASTING_KEY = KEYS[0]
 _READY_S = 15
 _REST_S = 1.0
+# Time after which a runner that crashed is started anew.
+CRASHED_S = 2.0
 _MS_PER_S = 1000
 # Concurrent soaks use different loopback networks, 127.N. A soak that holds the
 # port of reservation in a network has reserved it.
@@ -115,6 +124,7 @@
         self._version = 0
         self._added: tuple[str, ...] = ()
         self._pending: dict[str, PublicationRecord] = {}
+        self._crash_tasks: set[asyncio.Task[None]] = set()
         self._open_runs: dict[tuple[str, str], float] = {}
         # The last order about each row, by its table and key.
         self._row_orders: dict[tuple[str, str], StoreOrder] = {}
@@ -138,6 +148,8 @@
 
     async def end(self) -> None:
         """End all processes."""
+        for task in tuple(self._crash_tasks):
+            task.cancel()
         # Runs whose callers have left may still end at the back ends.
         await asyncio.sleep(_REST_S)
         programs = [
@@ -298,12 +310,40 @@
             self.records.runs.append(Run(request, runner, started_ms, at_ms))
         elif word == STARTED:
             self._start_run(runner, request, at_ms)
+        elif word == CRASHED:
+            self._on_crash(runner, request, at_ms)
         else:
             for_ms = sum(for_s) * _MS_PER_S
             self.records.notices.append(
                 Notice(NoticeKind(word), request, runner, at_ms, for_ms),
             )
 
+    def _on_crash(self, instance: str, request: str, at_ms: float) -> None:
+        series = request.rpartition('-')[0]
+        self.records.crashes.append(Crash(series, instance, at_ms))
+        runner = next(
+            node for node in self.runners if node.instance == instance
+        )
+        if runner.link.is_refusing:
+            # Two requests crashed it at the same time.
+            return
+        runner.link.refuse()
+        task = asyncio.create_task(self._start_crashed(runner))
+        self._crash_tasks.add(task)
+        task.add_done_callback(self._crash_tasks.discard)
+
+    async def _start_crashed(self, runner: RunnerNode) -> None:
+        """Start a runner anew some seconds after its crash."""
+        ended_instance = runner.instance
+        await runner.program.wait()
+        await asyncio.sleep(CRASHED_S)
+        await runner.link.start()
+        if runner.is_changing:
+            # A fault that replaces the runner starts it.
+            return
+        await self.order_store(StoreOrder('servers', ended_instance))
+        await self.start_runner(runner)
+
     def _start_run(self, runner: str, request: str, at_ms: float) -> None:
         earlier_ms = self._open_runs.get((runner, request))
         if earlier_ms is not None:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -17,6 +17,7 @@
     RELOAD_ENTRY = 'reload-entry'
     HOLD_ENTRY = 'hold-entry'
     KILL_RUNNER = 'kill-runner'
+    CRASH_RUNNERS = 'crash-runners'
     PAUSE_RUNNER = 'pause-runner'
     REFUSE_RUNNER = 'refuse-runner'
     STALL_RUNNER = 'stall-runner'
@@ -61,6 +62,11 @@
         FaultKind.CUT_STORE_LINK,
     ),
 )
+_DRAWN_TOGETHER = tuple(
+    kind for kind in FaultKind if kind is not FaultKind.CRASH_RUNNERS
+)
+# Length of a series of requests that crash runners.
+CRASHES_S = 8.0
 # Quiet time at the start and at the end of a soak.
 QUIET_START_S = 2.0
 QUIET_END_S = 3.0
@@ -124,10 +130,11 @@
         Parameters
         ----------
         kinds
-            Kinds to draw from; all kinds if empty.
+            Kinds to draw from; all kinds if empty. Requests that crash runners
+            are then drawn apart, so that the other faults of a seed stay.
         """
         rng = random.Random(seed)
-        kinds_drawn = tuple(kinds) or tuple(FaultKind)
+        kinds_drawn = tuple(kinds) or _DRAWN_TOGETHER
         entries = max(2, processes // 4)
         runners = max(3, processes - entries - 1)
         faults: list[Fault] = []
@@ -144,6 +151,9 @@
                 Fault(round(at_s, 2), kind, rng.randrange(count), for_s),
             )
             at_s += rng.expovariate(1 / _MEAN_GAP_S)
+        if not kinds:
+            faults += _draw_crashes(seed, seconds, runners)
+            faults.sort(key=lambda fault: fault.at_s)
         return cls(seed, seconds, entries, runners, tuple(faults))
 
     def only(self, faults: Sequence[Fault]) -> Plan:
@@ -157,6 +167,19 @@
         )
 
 
+def _draw_crashes(seed: int, seconds: float, runners: int) -> list[Fault]:
+    """Draw one request that crashes runners for each mixed phase."""
+    rng = random.Random(f'{seed} crashes')
+    faults = []
+    phase_s = QUIET_START_S
+    while phase_s + CRASHES_S < seconds - QUIET_END_S:
+        at_s = round(phase_s + rng.uniform(0, MIXED_PHASE_S - CRASHES_S), 2)
+        kind = FaultKind.CRASH_RUNNERS
+        faults.append(Fault(at_s, kind, rng.randrange(runners), CRASHES_S))
+        phase_s += CYCLE_S
+    return faults
+
+
 def _kinds_at(
     at_s: float,
     kinds: Sequence[FaultKind],
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -64,6 +64,17 @@
             int(port),
         )
 
+    def refuse(self) -> None:
+        """Refuse connections until `start`, as if the target had ended."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    @property
+    def is_refusing(self) -> bool:
+        """Return whether connections are refused."""
+        return self._server is None
+
     def reset_all(self) -> None:
         """Reset all open connections."""
         for writer in tuple(self._writers):
--- a/soak/records.py
+++ b/soak/records.py
@@ -131,6 +131,15 @@
     revoked: str = ''
 
 
+@dataclass(frozen=True)
+class Crash:
+    """Crash of a runner under a request; its sendings form a `series`."""
+
+    series: str
+    runner: str
+    at_ms: float
+
+
 @dataclass(frozen=True)
 class PlayedFault:
     """A disturbing fault that was played, with its start and end."""
@@ -176,6 +185,7 @@
     runs: list[Run] = field(default_factory=list)
     notices: list[Notice] = field(default_factory=list)
     publications: list[PublicationRecord] = field(default_factory=list)
+    crashes: list[Crash] = field(default_factory=list)
     played_faults: list[PlayedFault] = field(default_factory=list)
     planned_stops: list[PlannedStop] = field(default_factory=list)
     entry_kills: list[EntryKill] = field(default_factory=list)
--- a/soak/runner_faults.py
+++ b/soak/runner_faults.py
@@ -10,6 +10,7 @@
 from soak.deployment import RunnerNode, SoakDeployment
 from soak.orders import StoreOrder
 from soak.plan import Fault, FaultKind
+from soak.poison_faults import crash_runners
 
 # Time after which the platform removes the row of a runner that has ended.
 LAPSE_S = 2.0
@@ -125,6 +126,7 @@
 
 ON_RUNNER: dict[FaultKind, _OnRunner] = {
     FaultKind.KILL_RUNNER: _kill_runner,
+    FaultKind.CRASH_RUNNERS: crash_runners,
     FaultKind.PAUSE_RUNNER: _pause_runner,
     FaultKind.REFUSE_RUNNER: _refuse_runner,
     FaultKind.STALL_RUNNER: _stall_runner,
--- a/soak/runner_process.py
+++ b/soak/runner_process.py
@@ -10,18 +10,30 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from zlib import crc32
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.caller_connection import Exchange
 from soak.orders import RunnerOrder, orders_of
-from standins.platform_runner import RunnerScript, RunnerStandIn, Seen
+from standins.platform_runner import (
+    REQUEST_ID,
+    RunnerScript,
+    RunnerStandIn,
+    Seen,
+)
 
 STARTED = 'started'
 ENDED = 'ended'
 LEAVING = 'leaving'
 PAUSED = 'paused'
+CRASHED = 'crashed'
+# Requests whose paths contain this crash the runner.
+DEADLY = b'deadly'
+# Time between the line that reports a crash and the end of the process, in
+# which the soak lets its link refuse connections.
+CRASH_DELAY_S = 0.05
 
 
 class ReportingRunner(RunnerStandIn):
@@ -39,6 +51,15 @@
         finally:
             self._tell(ENDED, seen)
 
+    def crash(self, exchange: Exchange) -> None:
+        """Report the crash, then end the process."""
+        request_id = dict(exchange.request.headers).get(REQUEST_ID, b'')
+        sys.stdout.write(
+            f'{CRASHED} {request_id.decode()} {self.clock.now_ms():.1f}\n'
+        )
+        sys.stdout.flush()
+        asyncio.get_running_loop().call_later(CRASH_DELAY_S, os._exit, 1)
+
     def has_copy(self, seen: Seen) -> bool:
         """Return whether the KV cache copy that a request names is here.
 
@@ -76,6 +97,7 @@
 ) -> None:
     runner = ReportingRunner(Clock.from_system(), instance, address)
     runner.script.work_ms = work_ms
+    runner.script.crash_marks = frozenset((DEADLY,))
     await runner.listen(address)
     async for order in orders_of(RunnerOrder):
         runner.script.not_run = order.not_run
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -10,8 +10,11 @@
 import pytest
 
 from soak.checks import findings_of
+from soak.plan import FaultKind
+from soak.poison_checks import check_poison
 from soak.records import (
     Call,
+    Crash,
     Ending,
     EntryKill,
     Kind,
@@ -401,3 +404,27 @@
     records = _valid_records()
     _replace_call(records, 'b', ending=Ending.CUT, body=b'')
     assert _rules(records) == set()
+
+
+@pytest.mark.parametrize(
+    ('late', 'kind', 'rules'),
+    [
+        (3, FaultKind.KILL_RUNNER, set()),
+        (4, FaultKind.KILL_RUNNER, {'poison'}),
+        (4, FaultKind.KILL_ENTRY, set()),
+    ],
+)
+def test_request_sent_on_though_it_crashes_runners_is_found(late, kind, rules):
+    """A killed entry may not know of the crashes yet."""
+    records = Records()
+    records.crashes = [
+        Crash('deadly1', f'runner{number}-1', 1000.0 * number)
+        for number in range(1, 4)
+    ]
+    records.runs = [
+        Run(f'deadly1-{number}', 'runner5-1', 8000.0, 8001.0)
+        for number in range(late)
+    ]
+    records.played_faults = [PlayedFault(kind, '0', 6000.0, 6500.0)]
+    found = findings_of(records, (check_poison,))
+    assert {finding.rule for finding in found} == rules
