--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -43,8 +43,8 @@
 from bergamotthread.process.overload.admission import GateRules, Refused, Run
 from bergamotthread.process.overload.overload import Overloaded, OverloadGuard
 from bergamotthread.process.overload.retry_budget import Denied, RetryBudget
-from bergamotthread.process.poison.guard import (
-    PoisonGuard,
+from bergamotthread.process.poison.guard import PoisonGuard
+from bergamotthread.process.poison.verdicts import (
     Quarantined,
     Suspect,
     Undecided,
--- a/benchmarks/fleet_parts.py
+++ b/benchmarks/fleet_parts.py
@@ -14,10 +14,7 @@
     GateLimits,
     GateRules,
 )
-from bergamotthread.process.poison.guard import (
-    PoisonGuard,
-    QuarantineSink,
-)
+from bergamotthread.process.poison.guard import PoisonGuard, QuarantineSink
 from bergamotthread.process.routing.placement import PlacementRequest
 from bergamotthread.wire.messages import Quarantine
 
--- a/bergamotthread/platform/peer_messages.py
+++ b/bergamotthread/platform/peer_messages.py
@@ -32,35 +32,29 @@
         failed: list[EntryRecord] = []
         for start in range(0, len(entries), TELL_CONCURRENCY_MAX):
             part = entries[start : start + TELL_CONCURRENCY_MAX]
-            accepted = await asyncio.gather(
+            answers = await asyncio.gather(
                 *(self._send(entry, request) for entry in part)
             )
             failed.extend(
                 entry
-                for entry, is_accepted in zip(part, accepted, strict=True)
-                if not is_accepted
+                for entry, answer in zip(part, answers, strict=True)
+                if answer is None
             )
         return failed
 
     async def ask(self, entry: EntryRecord, path: bytes) -> bytes | None:
         """Return an entry's answer to a question; None if there is none."""
-        request = FetchRequest(b'GET', path)
+        return await self._send(entry, FetchRequest(b'GET', path))
+
+    async def _send(
+        self, entry: EntryRecord, request: FetchRequest
+    ) -> bytes | None:
+        """Return the body of an entry's answer; None unless it accepted."""
         try:
             fetched = await fetch(
                 self.pool, entry.address, request, TELL_TIMEOUT_MS
             )
         except ConnectionError as error:
-            logging.debug('entry %s not asked: %s', entry.host, error)
+            logging.debug('entry %s not reached: %s', entry.host, error)
             return None
         return fetched.body if fetched.status == _OK else None
-
-    async def _send(self, entry: EntryRecord, request: FetchRequest) -> bool:
-        """Return whether an entry accepted a message."""
-        try:
-            fetched = await fetch(
-                self.pool, entry.address, request, TELL_TIMEOUT_MS
-            )
-        except ConnectionError as error:
-            logging.debug('entry %s not told: %s', entry.host, error)
-            return False
-        return fetched.status == _OK
--- a/bergamotthread/platform/poison_relay.py
+++ b/bergamotthread/platform/poison_relay.py
@@ -20,7 +20,8 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.platform.peer_messages import PeerMessages
-from bergamotthread.process.poison.guard import DeathNotice, PoisonGuard
+from bergamotthread.process.poison.death_log import DeathNotice
+from bergamotthread.process.poison.guard import PoisonGuard
 from bergamotthread.process.relay.crash_watch import (
     RELAYED_LIMITS,
     CrashListener,
--- a/bergamotthread/process/generations/generation_guards.py
+++ b/bergamotthread/process/generations/generation_guards.py
@@ -20,8 +20,10 @@
 from bergamotthread.process.poison.guard import (
     DEFAULT_DOMAIN_SIZE,
     PoisonGuard,
-    Quarantined,
     QuarantineSink,
+)
+from bergamotthread.process.poison.verdicts import (
+    Quarantined,
     Suspect,
     Undecided,
 )
--- a/bergamotthread/process/generations/quarantine_refusal.py
+++ b/bergamotthread/process/generations/quarantine_refusal.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from bergamotthread.errors import Step
-from bergamotthread.process.poison.guard import Quarantined
 from bergamotthread.process.poison.limits import (
     CORRELATION_WINDOW_MS,
     COUNTED_DEATHS_MAX,
 )
+from bergamotthread.process.poison.verdicts import Quarantined
 from bergamotthread.request.refusal import Ran, ReasonCode, Refusal
 
 
--- a/bergamotthread/process/poison/death_log.py
+++ b/bergamotthread/process/poison/death_log.py
@@ -69,6 +69,54 @@
         )
 
 
+@dataclass(frozen=True)
+class DeathNotice:
+    """Death of an upstream, as one process tells others.
+
+    Parameters
+    ----------
+    death_id
+        Identifier of the death, the same in all processes.
+    age_ms
+        Time since the death.
+    running, waiting
+        See `Death`.
+    sent_age_ms
+        Time since the first of these requests was sent.
+    """
+
+    death_id: int
+    failure_domain: str
+    age_ms: float
+    running: frozenset[RequestHashes]
+    waiting: frozenset[RequestHashes] = frozenset()
+    sent_age_ms: float = math.inf
+
+    @classmethod
+    def from_death(
+        cls, death_id: int, death: Death, now_ms: float
+    ) -> DeathNotice:
+        """Return the notice of a death."""
+        return cls(
+            death_id,
+            death.failure_domain,
+            now_ms - death.at_ms,
+            death.running,
+            death.waiting,
+            now_ms - death.sent_ms,
+        )
+
+    def to_death(self, now_ms: float) -> Death:
+        """Return the death that was told just now."""
+        return Death(
+            self.failure_domain,
+            now_ms - self.age_ms,
+            self.running,
+            self.waiting,
+            now_ms - self.sent_age_ms,
+        )
+
+
 @dataclass
 class DeathLog:
     """Distinguishes independent deaths from those with a common cause.
--- a/bergamotthread/process/poison/guard.py
+++ b/bergamotthread/process/poison/guard.py
@@ -22,66 +22,24 @@
 from bergamotthread.process.poison.death_log import (
     Death,
     DeathLog,
+    DeathNotice,
     RequestHashes,
 )
 from bergamotthread.process.poison.limits import QUARANTINE_MS, PoisonLimits
+from bergamotthread.process.poison.verdicts import (
+    Clear,
+    PoisonVerdict,
+    Quarantined,
+    Suspect,
+    Undecided,
+    worse_verdict,
+)
 from bergamotthread.wire.messages import Quarantine
 
 RECORDS_MAX = 4096
 DEFAULT_DOMAIN_SIZE = 2
 
 
-@dataclass(frozen=True)
-class Clear:
-    """The request may run on any upstream."""
-
-
-@dataclass(frozen=True)
-class Suspect:
-    """Upstreams died while running the request.
-
-    It may run, but not on an upstream that runs another suspect request.
-
-    Parameters
-    ----------
-    is_tried
-        Whether the next death quarantines it, and an attempt of this process
-        that shows whether it does is under way.
-    """
-
-    deaths: int
-    is_tried: bool = False
-
-
-@dataclass(frozen=True)
-class Undecided:
-    """The last death may still prove part of the loss of a failure domain.
-
-    The request has to wait for `wait_ms` until this is decided.
-    """
-
-    deaths: int
-    wait_ms: float
-
-
-@dataclass(frozen=True)
-class Quarantined:
-    """The request is refused at every entry.
-
-    Parameters
-    ----------
-    is_part
-        Whether a part of its prompt is quarantined, not its whole content.
-    """
-
-    deaths: int
-    remaining_ms: float
-    is_part: bool = False
-
-
-PoisonVerdict = Clear | Suspect | Undecided | Quarantined
-
-
 class QuarantineSink(Protocol):
     """Receiver of quarantines that this process confirms."""
 
@@ -93,54 +51,6 @@
     return DEFAULT_DOMAIN_SIZE
 
 
-@dataclass(frozen=True)
-class DeathNotice:
-    """Death of an upstream, as one process tells others.
-
-    Parameters
-    ----------
-    death_id
-        Identifier of the death, the same in all processes.
-    age_ms
-        Time since the death.
-    running, waiting
-        See `Death`.
-    sent_age_ms
-        Time since the first of these requests was sent.
-    """
-
-    death_id: int
-    failure_domain: str
-    age_ms: float
-    running: frozenset[RequestHashes]
-    waiting: frozenset[RequestHashes] = frozenset()
-    sent_age_ms: float = math.inf
-
-    @classmethod
-    def from_death(
-        cls, death_id: int, death: Death, now_ms: float
-    ) -> DeathNotice:
-        """Return the notice of a death."""
-        return cls(
-            death_id,
-            death.failure_domain,
-            now_ms - death.at_ms,
-            death.running,
-            death.waiting,
-            now_ms - death.sent_ms,
-        )
-
-    def to_death(self, now_ms: float) -> Death:
-        """Return the death that was told just now."""
-        return Death(
-            self.failure_domain,
-            now_ms - self.age_ms,
-            self.running,
-            self.waiting,
-            now_ms - self.sent_age_ms,
-        )
-
-
 @dataclass(frozen=True)
 class _Attempt:
     hashes: RequestHashes
@@ -223,8 +133,8 @@
             verdict = self._check_part(part_hash)
             if isinstance(verdict, Quarantined):
                 return verdict
-            worst = _worse(worst, verdict)
-        return _worse(worst, self._check_content(content_hash))
+            worst = worse_verdict(worst, verdict)
+        return worse_verdict(worst, self._check_content(content_hash))
 
     def is_quarantined(self, fingerprint: int) -> bool:
         """Return whether a content or a part is quarantined."""
@@ -667,20 +577,3 @@
 
 def _hashes_of(attempts: Iterable[_Attempt]) -> frozenset[RequestHashes]:
     return frozenset(attempt.hashes for attempt in attempts)
-
-
-def _worse(one: PoisonVerdict, other: PoisonVerdict) -> PoisonVerdict:
-    """Return the verdict that restricts an attempt more."""
-    return max(one, other, key=_severity)
-
-
-def _severity(verdict: PoisonVerdict) -> tuple[int, bool]:
-    match verdict:
-        case Clear():
-            return 0, False
-        case Suspect(is_tried=is_tried):
-            return 1, is_tried
-        case Undecided():
-            return 2, False
-        case Quarantined():
-            return 3, False
--- a/bergamotthread/process/relay/crash_watch.py
+++ b/bergamotthread/process/relay/crash_watch.py
@@ -14,13 +14,9 @@
 import xxhash
 
 from bergamotthread.connection.http.upstream_pool import Reachability
-from bergamotthread.process.poison.death_log import RequestHashes
+from bergamotthread.process.poison.death_log import DeathNotice, RequestHashes
 from bergamotthread.process.poison.fingerprints import RequestFingerprints
-from bergamotthread.process.poison.guard import (
-    DeathNotice,
-    PoisonGuard,
-    QuarantineSink,
-)
+from bergamotthread.process.poison.guard import PoisonGuard, QuarantineSink
 from bergamotthread.process.poison.limits import (
     PoisonLimits,
     SimultaneousDeaths,
--- a/bergamotthread/request/relay/suspicion.py
+++ b/bergamotthread/request/relay/suspicion.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bergamotthread.process.poison.guard import (
+from bergamotthread.process.poison.verdicts import (
     PoisonVerdict,
     Quarantined,
     Suspect,
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -13,17 +13,17 @@
     QuarantineRow,
 )
 from bergamotthread.process.poison.fingerprints import request_fingerprint
-from bergamotthread.process.poison.guard import (
+from bergamotthread.process.poison.guard import PoisonGuard
+from bergamotthread.process.poison.limits import (
+    CHARGED_DEATHS_MAX,
+    COUNTED_DEATHS_MAX,
+)
+from bergamotthread.process.poison.verdicts import (
     Clear,
-    PoisonGuard,
     Quarantined,
     Suspect,
     Undecided,
 )
-from bergamotthread.process.poison.limits import (
-    CHARGED_DEATHS_MAX,
-    COUNTED_DEATHS_MAX,
-)
 from bergamotthread.request.refusal import Ran, ReasonCode
 from bergamotthread.testing.memory_network import MemoryNetwork
 from bergamotthread.testing.memory_platform import MemoryPlatform, MemoryTable
--- a/tests/test_poison_ledger.py
+++ b/tests/test_poison_ledger.py
@@ -4,17 +4,13 @@
 
 import pytest
 
-from bergamotthread.process.poison.guard import (
-    Clear,
-    DeathNotice,
-    PoisonGuard,
-    Quarantined,
-    Suspect,
-)
+from bergamotthread.process.poison.death_log import DeathNotice
+from bergamotthread.process.poison.guard import PoisonGuard
 from bergamotthread.process.poison.limits import (
     PoisonLimits,
     SimultaneousDeaths,
 )
+from bergamotthread.process.poison.verdicts import Clear, Quarantined, Suspect
 from tests.placement_fixtures import ManualClock
 
 _POISON = 666
