--- a/bergamotthread/platform/poison_relay.py
+++ b/bergamotthread/platform/poison_relay.py
@@ -35,10 +35,11 @@
 # Pause before a message, so that it has the crashes that happen together.
 TELL_INTERVAL_MS = 50
 # Crashes told in one message and kept until they are told. Each entry tells
-# of so many at once, and all entries together of so many a second: a storm of
-# crashes costs an entry 6 KB/s, at 150 bytes for a crash.
-DEATHS_TOLD_MAX = 8
-DEATHS_TOLD_PER_S = 40.0
+# of so many at once, and all entries together of so many a second. A storm of
+# crashes seen by 324 entries costs each of them less than the 16 KB/s that it
+# has for control.
+DEATHS_TOLD_MAX = 4
+DEATHS_TOLD_PER_S = 30.0
 DEATHS_WAITING_MAX = 64
 # Items in one message of each kind.
 TOLD_MAX = 256
