Relay: each attempt is tracked under a name of its own

Found by reading: a second attempt of a call at the same upstream replaced the first one, whose check on a crash could still be under way; its end would then have removed the second.

--- a/bergamotthread/process/relay/crash_watch.py
+++ b/bergamotthread/process/relay/crash_watch.py
@@ -168,7 +168,7 @@
             self.log.write(
                 'suspect-cleared',
                 fingerprint=f'{fingerprint:016x}',
-                request=run,
+                run=run,
                 detail=cause,
             )
             self.listener.request_cleared(fingerprint)
--- a/bergamotthread/request/relay/suspicion.py
+++ b/bergamotthread/request/relay/suspicion.py
@@ -107,12 +107,17 @@
         self._call = call
         self._upstream = upstream
         self._crashes = parts.crashes
-        self._run = call.request_label
+        self._clock = parts.clock
+        self._run = ''
         self._is_open = False
 
     def start(self) -> None:
-        """Report that the attempt was sent."""
+        """Report that the attempt was sent.
+
+        Another attempt of the call at the same upstream has another name.
+        """
         self._is_open = True
+        self._run = f'{self._call.request_label}@{self._clock.now_ms():.0f}'
         self._crashes.record_start(
             self._upstream,
             self._run,
--- a/tests/test_relayed_poison.py
+++ b/tests/test_relayed_poison.py
@@ -391,3 +391,25 @@
         assert {answer.status for answer in refused[-5:]} == {503}
 
     run_in_memory(check())
+
+
+def test_attempt_after_a_broken_one_at_the_same_upstream_is_charged():
+    """The first broke off without a crash."""
+
+    async def check():
+        deployment = await _start(entries=1, models=1, plains=1)
+        [plain] = deployment.plains
+        plain.script.crash_marks = frozenset()
+        plain.script.breaks_after = 0
+        task = asyncio.create_task(
+            deployment.call(POISON_PATH, method=b'GET', remaining_ms=1500)
+        )
+        await deployment.clock.sleep_ms(40)
+        plain.script.breaks_after = None
+        plain.script.crash_marks = frozenset((MARK,))
+        await task
+        crashed = deployment.events('upstream-crashed')
+        assert len(crashed) == len(plain.crash_ms) == 1
+        assert crashed[0]['running']
+
+    run_in_memory(check())
