Poison rows: quarantines are written again after the store came back older

The entry that decided them writes the rows again, as entries do with their own. tests/test_relayed_poison.py: the new test failed before (the request reached the entries' upstreams again after all entries had restarted).

--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -196,6 +196,7 @@
     def _handle_new_era(self, former: int, era: int) -> None:
         """Log that the store came back older, and end backoffs."""
         self._feeds.forget_failures()
+        self._crashes.rows.save_all_again()
         table = self._holder.table
         self._log.write(
             'store-era',
--- a/bergamotthread/platform/poison_rows.py
+++ b/bergamotthread/platform/poison_rows.py
@@ -63,6 +63,7 @@
     store: PlatformStoreClient
     relay: PoisonRelay
     log: DecisionLog
+    _own_hashes: set[int] = field(default_factory=set)
     _unsaved: dict[str, bytes] = field(default_factory=dict)
     _past_row_by_key: dict[str, StoredRow] = field(default_factory=dict)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -74,12 +75,19 @@
             notice.fingerprint
         )
         until_ms = self.clock.calendar_ms() + int(remaining_ms)
+        self._own_hashes.add(notice.fingerprint)
         row = _QuarantineRow(notice.deaths, until_ms, self.relay.feeds.own_host)
         self._save(
             f'{QUARANTINE_PREFIX}{notice.fingerprint:016x}',
             msgspec.json.encode(row),
         )
 
+    def save_all_again(self) -> None:
+        """Write the quarantines in force of this entry; the store lost rows."""
+        for notice, _ in self.relay.guard.quarantines():
+            if notice.fingerprint in self._own_hashes:
+                self.save_quarantine(notice)
+
     def save_crashes(self, message: PoisonMessage) -> None:
         """Write what could not be told to all entries, within the rate."""
         now_ms = self.clock.now_ms()
--- a/tests/test_relayed_poison.py
+++ b/tests/test_relayed_poison.py
@@ -413,3 +413,23 @@
         assert crashed[0]['running']
 
     run_in_memory(check())
+
+
+# Guards against: a quarantine lost as the store comes back older.
+def test_quarantine_is_written_again_after_the_store_came_back_older():
+    async def check():
+        deployment = await _start()
+        copy = deployment.store.ver
+        await _crash_until_quarantined(deployment, POISON_PATH)
+        await deployment.clock.sleep_ms(2000)
+        deployment.store.restore(copy)
+        await deployment.clock.sleep_ms(4000)
+        reached = len(_arrivals(deployment.plains))
+        await _restart_all(deployment)
+        for front in itertools.islice(_fronts(deployment), 3):
+            answer = await deployment.call(POISON_PATH, front, method=b'GET')
+            assert answer.status == 503
+            assert b'crashed while' in answer.body
+        assert len(_arrivals(deployment.plains)) == reached
+
+    run_in_memory(check())
