Poison: what a guard remembers is bounded on the platform's path too

Found by reading: the set of changed numbers is emptied by the own interface only. The new test failed before (4,196 entries after 4,196 crashes, 4,096 allowed). Rows are recognised by their prefixes; names of parameters say fingerprint.

--- a/bergamotthread/platform/poison_relay.py
+++ b/bergamotthread/platform/poison_relay.py
@@ -236,11 +236,11 @@
         self.guard.restore_quarantine(notice, remaining_ms * spread)
         self._log_quarantine(notice, host)
 
-    def lift(self, content_hash: int) -> None:
+    def lift(self, fingerprint: int) -> None:
         """End a quarantine whose row an operator removed."""
-        if self.guard.is_quarantined(content_hash):
-            self.guard.release(content_hash)
-            self._log_lifted(content_hash, 'row removed')
+        if self.guard.is_quarantined(fingerprint):
+            self.guard.release(fingerprint)
+            self._log_lifted(fingerprint, 'row removed')
 
     def _start(self, coroutine: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
--- a/bergamotthread/platform/poison_rows.py
+++ b/bergamotthread/platform/poison_rows.py
@@ -37,7 +37,7 @@
 UNSAVED_MAX = 256
 # Rows of past quarantines that are removed when a new one is written.
 REMOVED_MAX = 4
-_HASH_DIGITS = 16
+_HASH_BASE = 16
 
 
 class _QuarantineRow(msgspec.Struct, frozen=True):
@@ -102,15 +102,14 @@
 
     def apply(self, row: StoredRow) -> bool:
         """Apply a row of the table; return whether it is one of these."""
-        kind, separator, name = row.key.partition('/')
         try:
-            match f'{kind}{separator}':
-                case 'quarantine/':
-                    self._apply_quarantine(row, name)
-                case 'crashes/':
-                    self._apply_crashes(row)
-                case _:
-                    return False
+            if row.key.startswith(QUARANTINE_PREFIX):
+                name = row.key.removeprefix(QUARANTINE_PREFIX)
+                self._apply_quarantine(row, int(name, _HASH_BASE))
+            elif row.key.startswith(CRASHES_PREFIX):
+                self._apply_crashes(row)
+            else:
+                return False
         except (msgspec.MsgspecError, ValueError) as error:
             logging.warning('row %s is ignored: %s', row.key, error)
         return True
@@ -145,18 +144,17 @@
                 RowChange(ENTRY_TABLE, key, None, past.version)
             )
 
-    def _apply_quarantine(self, row: StoredRow, name: str) -> None:
-        content_hash = int(name[:_HASH_DIGITS], 16)
+    def _apply_quarantine(self, row: StoredRow, fingerprint: int) -> None:
         if row.payload is None:
             self._past_row_by_key.pop(row.key, None)
-            self.relay.lift(content_hash)
+            self.relay.lift(fingerprint)
             return
         stored = msgspec.json.decode(row.payload, type=_QuarantineRow)
         remaining_ms = stored.until_ms - self.clock.calendar_ms()
         if remaining_ms <= 0:
             self._past_row_by_key[row.key] = row
             return
-        notice = Quarantine(content_hash, stored.deaths, confirmed=True)
+        notice = Quarantine(fingerprint, stored.deaths, confirmed=True)
         self.relay.apply_quarantine(notice, remaining_ms, stored.decided_by)
 
     def _apply_crashes(self, row: StoredRow) -> None:
--- a/bergamotthread/process/poison/guard.py
+++ b/bergamotthread/process/poison/guard.py
@@ -77,6 +77,9 @@
 class PoisonGuard:
     """Charges deaths to fingerprints and quarantines those over the limits.
 
+    An agent stands for the upstream beside it, a generation for one attempt.
+    For relayed requests, an agent is the instance of an upstream.
+
     Parameters
     ----------
     domain_size
@@ -280,14 +283,14 @@
         death = notice.to_death(self.clock.now_ms())
         self._record_death(death, notice.death_id)
 
-    def merge_clear(self, content_hash: int) -> None:
+    def merge_clear(self, fingerprint: int) -> None:
         """Clear a fingerprint that made progress, also if it is quarantined.
 
         Deaths before now are not counted either if they are told later.
         """
-        self._record(content_hash).quarantined_until_ms = 0
-        self._quarantined_hashes.discard(content_hash)
-        self._clear_counted_deaths(content_hash)
+        self._record(fingerprint).quarantined_until_ms = 0
+        self._quarantined_hashes.discard(fingerprint)
+        self._clear_counted_deaths(fingerprint)
 
     def open_deaths(self) -> tuple[DeathNotice, ...]:
         """Return the deaths that are charged and not cleared."""
@@ -354,9 +357,10 @@
             self.release(fingerprint)
 
     def release(self, content_hash: int) -> None:
-        """Remove a fingerprint that an operator released."""
+        """Remove all that is known of a fingerprint."""
         self._record_by_fingerprint.pop(content_hash, None)
         self._quarantined_hashes.discard(content_hash)
+        self._changed_fingerprints.discard(content_hash)
 
     def _check_content(self, content_hash: int) -> PoisonVerdict:
         record = self._record_by_fingerprint.get(content_hash)
@@ -571,8 +575,7 @@
             ),
             next(iter(by_fingerprint)),
         )
-        by_fingerprint.pop(evicted)
-        self._quarantined_hashes.discard(evicted)
+        self.release(evicted)
 
 
 def _hashes_of(attempts: Iterable[_Attempt]) -> frozenset[RequestHashes]:
--- a/tests/test_poison_ledger.py
+++ b/tests/test_poison_ledger.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bergamotthread.process.poison.death_log import DeathNotice
-from bergamotthread.process.poison.guard import PoisonGuard
+from bergamotthread.process.poison.guard import RECORDS_MAX, PoisonGuard
 from bergamotthread.process.poison.limits import (
     PoisonLimits,
     SimultaneousDeaths,
@@ -289,3 +289,14 @@
     assert isinstance(guard.check(52, (_DEADLY, _FIRST)), Quarantined)
     assert guard.check(53, (_OTHER,)) == Clear()
     assert guard.check(54, (_FIRST,)) == Clear()
+
+
+def test_memory_of_a_guard_is_bounded():
+    """Nobody asks for the changed numbers of deaths on the platform's path."""
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(RECORDS_MAX + 100):
+        shared.crash(0, number, 10_000 + number)
+    assert len(guard._record_by_fingerprint) == RECORDS_MAX
+    assert len(guard._changed_fingerprints) <= RECORDS_MAX
+    assert not guard._attempts_by_agent
