Crashes: one under no own request no longer spoils what others told of it

An entry that sees a crash under none of its requests recorded that these were sent at minus infinity; merged with the notice of another entry this won. The crash then counted by the 250 ms window alone, and the answer to an entry that starts had a null and was refused as invalid.

A change of behaviour: the time of the crash is taken instead. The new test failed before (inf, 90 expected).

--- a/bergamotthread/process/poison/guard.py
+++ b/bergamotthread/process/poison/guard.py
@@ -273,7 +273,7 @@
             now_ms,
             _hashes_of(counted),
             _hashes_of(waiting),
-            min((one.sent_ms for one in suspects), default=-math.inf),
+            min((one.sent_ms for one in suspects), default=now_ms),
         )
         death_id = self._record_death(death, death_id)
         return DeathNotice.from_death(death_id, death, now_ms)
--- a/tests/test_poison_relay.py
+++ b/tests/test_poison_relay.py
@@ -124,3 +124,21 @@
         assert not relay.guard.quarantines()
 
     run_virtual(check())
+
+
+# Guards against: a crash under no own request, merged with what another entry
+# told of it, that makes the answer to an entry that starts invalid.
+def test_all_that_is_known_can_be_read_after_a_crash_under_no_own_request():
+    async def check():
+        relay, _ = _relay()
+        starting, _ = _relay()
+        relay.guard.record_death('u1', 'domain', 1)
+        relay.guard.merge_death(
+            DeathNotice(1, 'domain', 10, frozenset(((5,),)), sent_age_ms=90)
+        )
+        [known] = relay.guard.open_deaths()
+        assert known.sent_age_ms == pytest.approx(90)
+        assert starting.apply(relay.answer(b'GET', b''))
+        assert starting.guard.open_deaths()
+
+    run_virtual(check())
