Refusals: one method gives the form for a request that may have run

Both relays built it; the tests check the refusal of a quarantined request at three entries in one place, with the assertion on its text in both. No behaviour changes.

--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -146,9 +146,7 @@
 
     def _unless_run(self, refusal: RelayRefusal) -> RelayRefusal:
         """Return a refusal that is true also after an attempt has run."""
-        if not self._may_have_run:
-            return refusal
-        return RelayRefusal(502, refusal.reason, refusal.detail)
+        return refusal.after_run() if self._may_have_run else refusal
 
     def _pause_refusal(self) -> RelayRefusal | None:
         refusal = self._pause_wait.check()
--- a/bergamotthread/request/relay/refusals.py
+++ b/bergamotthread/request/relay/refusals.py
@@ -36,6 +36,10 @@
     retry_after_ms: int = 0
     figures: Mapping[str, float] = field(default_factory=dict)
 
+    def after_run(self) -> RelayRefusal:
+        """Return it with a status that is true if an attempt may have run."""
+        return RelayRefusal(502, self.reason, self.detail)
+
 
 def ending_refusal(*, may_have_run: bool) -> RelayRefusal:
     """Return the final answer to a request whose process ends."""
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -207,7 +207,7 @@
             self._call.exchange.abort()
             return
         if self._may_have_run:
-            refusal = RelayRefusal(502, refusal.reason, refusal.detail)
+            refusal = refusal.after_run()
         self._log_refusal(refusal)
         send_refusal(self._call.exchange, refusal)
 
--- a/tests/test_relayed_poison.py
+++ b/tests/test_relayed_poison.py
@@ -258,6 +258,14 @@
     run_in_memory(check())
 
 
+async def _assert_quarantined(deployment: Deployment) -> None:
+    """Check that three entries refuse the request as quarantined."""
+    for front in itertools.islice(_fronts(deployment), 3):
+        answer = await deployment.call(POISON_PATH, front, method=b'GET')
+        assert answer.status == 503
+        assert b'crashed while' in answer.body
+
+
 async def _restart_all(deployment: Deployment, entries: int = 3) -> None:
     for task in deployment.tasks:
         task.cancel()
@@ -280,9 +288,7 @@
         await deployment.clock.sleep_ms(4000)
         reached = len(_arrivals(deployment.plains))
         await _restart_all(deployment)
-        for front in itertools.islice(_fronts(deployment), 3):
-            answer = await deployment.call(POISON_PATH, front, method=b'GET')
-            assert answer.status == 503
+        await _assert_quarantined(deployment)
         assert len(_arrivals(deployment.plains)) == reached
 
     run_in_memory(check())
@@ -426,10 +432,7 @@
         await deployment.clock.sleep_ms(4000)
         reached = len(_arrivals(deployment.plains))
         await _restart_all(deployment)
-        for front in itertools.islice(_fronts(deployment), 3):
-            answer = await deployment.call(POISON_PATH, front, method=b'GET')
-            assert answer.status == 503
-            assert b'crashed while' in answer.body
+        await _assert_quarantined(deployment)
         assert len(_arrivals(deployment.plains)) == reached
 
     run_in_memory(check())
