--- a/benchmarks/shares.py
+++ b/benchmarks/shares.py
@@ -215,7 +215,7 @@
         usage = self._usage.get((rank, entry))
         if usage is None:
             usage = ShareUsage(self._teams[rank], self._entry_count, now_ms)
-            share = 1 / self._entry_count - usage.floor
+            share = 1 / self._entry_count - usage.share.floor
             usage.set_lease(share, float('inf'), now_ms)
             self._usage[rank, entry] = usage
         admitted = usage.try_start(1, now_ms) is None
--- a/benchmarks/test_shares.py
+++ b/benchmarks/test_shares.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from benchmarks.shares import measure
-from bergamotthread.process.shares.shares import SHARE_BYTES_PER_S
+from bergamotthread.process.shares.lease_exchange import SHARE_BYTES_PER_S
 
 MAX_OVERSHOOT = 0.1
 
--- a/bergamotthread/process/shares/share_home.py
+++ b/bergamotthread/process/shares/share_home.py
@@ -1,4 +1,4 @@
-"""Leases of a team's limits, granted by the home entry of the team."""
+"""Leases of a limit, granted by the home entry of the limit."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.process.routing.subset import top_nodes
-from bergamotthread.wire.messages import TeamDemand, TeamShare
+from bergamotthread.wire.messages import GrantedShare, ShareDemand
 
 SHARE_LEASE_MS = 10_000
 # Views of the membership may differ between entries for this long.
@@ -16,9 +16,33 @@
 DEMAND_HEADROOM = 1.25
 
 
-def home_of(team: str, entries: Sequence[str]) -> str:
-    """Return the entry that leases the limits of a team."""
-    return top_nodes(entries, team, 1)[0]
+@dataclass(frozen=True)
+class LeaseTimes:
+    """Durations that leases depend on, in milliseconds.
+
+    Parameters
+    ----------
+    lease_ms
+        Time for which a lease is valid.
+    view_lag_ms
+        Time for which views of the membership may differ between entries.
+    """
+
+    lease_ms: float
+    view_lag_ms: float
+
+    @property
+    def hold_ms(self) -> float:
+        """Return for how long a lease that isn't renewed stays counted."""
+        return self.lease_ms + self.view_lag_ms
+
+
+TEAM_LEASE_TIMES = LeaseTimes(SHARE_LEASE_MS, VIEW_LAG_MS)
+
+
+def home_of(name: str, entries: Sequence[str]) -> str:
+    """Return the entry that leases the limit of a name."""
+    return top_nodes(entries, name, 1)[0]
 
 
 @dataclass
@@ -29,7 +53,7 @@
 
 
 @dataclass
-class _TeamLeases:
+class _NamedLeases:
     renewal_only_until_ms: float
     lease_by_entry: dict[str, _Lease] = field(default_factory=dict)
 
@@ -41,13 +65,13 @@
 
 
 class ShareHome:
-    """Leases that this entry has granted for the teams it is the home of.
+    """Leases that this entry has granted for the limits it is the home of.
 
-    No lease is granted that would raise the sum of a team's leases above the
-    team's pool. A lease that isn't renewed stays counted for `LEASE_HOLD_MS`,
-    which is ten seconds longer than it is valid, since views of the membership
-    may differ for that long. For its first `LEASE_HOLD_MS` a new home only
-    renews what entries report to hold.
+    No lease is granted that would raise the sum of a limit's leases above its
+    pool. A lease that isn't renewed stays counted for `LeaseTimes.hold_ms`,
+    which is longer than it is valid, since views of the membership may differ
+    for a while. For that time a new home only renews what entries report to
+    hold.
 
     Parameters
     ----------
@@ -55,15 +79,20 @@
         Address of this entry.
     now_ms
         Monotonic time.
+    times
+        Durations of the leases.
     """
 
-    def __init__(self, own: str, now_ms: float) -> None:
+    def __init__(
+        self, own: str, now_ms: float, times: LeaseTimes = TEAM_LEASE_TIMES
+    ) -> None:
         self._own = own
+        self._times = times
         self._started_ms = now_ms
         self._entries: tuple[str, ...] = (own,)
         self._past_views: list[_View] = []
-        self._leases_by_team: dict[str, _TeamLeases] = {}
-        self._home_by_team: dict[str, str] = {}
+        self._leases_by_name: dict[str, _NamedLeases] = {}
+        self._home_by_name: dict[str, str] = {}
 
     def apply_view(self, entries: tuple[str, ...], now_ms: float) -> None:
         """Set the entries that can be homes."""
@@ -72,36 +101,36 @@
         self._past_views = [
             view
             for view in self._past_views
-            if now_ms - view.replaced_ms < LEASE_HOLD_MS
+            if now_ms - view.replaced_ms < self._times.hold_ms
         ]
         self._past_views.append(_View(self._entries, now_ms))
         self._entries = entries
-        self._home_by_team.clear()
+        self._home_by_name.clear()
 
     def record_suspected(self, now_ms: float) -> None:
-        """Only renew for `LEASE_HOLD_MS`; others may have taken over."""
+        """Only renew for the time of a hold; others may have taken over."""
         self._started_ms = now_ms
-        for leases in self._leases_by_team.values():
-            leases.renewal_only_until_ms = now_ms + LEASE_HOLD_MS
+        for leases in self._leases_by_name.values():
+            leases.renewal_only_until_ms = now_ms + self._times.hold_ms
 
-    def home(self, team: str) -> str:
-        """Return the home of a team in the current view."""
-        home = self._home_by_team.get(team)
+    def home(self, name: str) -> str:
+        """Return the home of a limit in the current view."""
+        home = self._home_by_name.get(name)
         if home is None:
-            home = home_of(team, self._entries or (self._own,))
-            self._home_by_team[team] = home
+            home = home_of(name, self._entries or (self._own,))
+            self._home_by_name[name] = home
         return home
 
     def grant(
         self,
         entry: str,
-        demand: TeamDemand,
+        demand: ShareDemand,
         pool: float,
         now_ms: float,
-    ) -> TeamShare:
+    ) -> GrantedShare:
         """Return the share that an entry is leased now.
 
-        The share is 0 if this entry is not the home of the team.
+        The share is 0 if this entry is not the home of the limit.
 
         Parameters
         ----------
@@ -110,15 +139,15 @@
         demand
             Shares that the entry wants and holds.
         pool
-            Fraction of the limits that may be leased in total. It shrinks with
+            Fraction of the limit that may be leased in total. It shrinks with
             the fraction of entries that respond to this one, so that both
             sides of a partition together stay within the limits.
         now_ms
             Monotonic time.
         """
-        if self.home(demand.team) != self._own:
-            return TeamShare(demand.team, 0)
-        leases = self._leases(demand.team, now_ms)
+        if self.home(demand.name) != self._own:
+            return GrantedShare(demand.name, 0)
+        leases = self._leases(demand.name, now_ms)
         others = _remove_expired(leases, entry, now_ms)
         free = max(0, pool - sum(lease.share for lease in others))
         wanted = max(0, demand.wanted) * DEMAND_HEADROOM
@@ -130,13 +159,13 @@
             share = min(share, demand.held)
         counted = max(share, demand.held)
         leases.lease_by_entry[entry] = _Lease(
-            counted, wanted, now_ms + LEASE_HOLD_MS
+            counted, wanted, now_ms + self._times.hold_ms
         )
-        return TeamShare(demand.team, share, contended=share < wanted)
+        return GrantedShare(demand.name, share, contended=share < wanted)
 
-    def leased(self, team: str, now_ms: float) -> float:
+    def leased(self, name: str, now_ms: float) -> float:
         """Return the sum of the shares counted as leased."""
-        leases = self._leases_by_team.get(team)
+        leases = self._leases_by_name.get(name)
         if leases is None:
             return 0
         return sum(
@@ -146,33 +175,34 @@
         )
 
     def remove_idle(self, now_ms: float) -> None:
-        """Remove teams that have no leases and are past renewal-only time."""
-        for team, leases in tuple(self._leases_by_team.items()):
+        """Remove limits without leases that are past renewal-only time."""
+        for name, leases in tuple(self._leases_by_name.items()):
             _remove_expired(leases, '', now_ms)
             is_idle = not leases.lease_by_entry
             if is_idle and now_ms >= leases.renewal_only_until_ms:
-                self._leases_by_team.pop(team)
+                self._leases_by_name.pop(name)
 
-    def _leases(self, team: str, now_ms: float) -> _TeamLeases:
-        leases = self._leases_by_team.get(team)
+    def _leases(self, name: str, now_ms: float) -> _NamedLeases:
+        leases = self._leases_by_name.get(name)
         if leases is None:
-            until_ms = self._renewal_only_until_ms(team, now_ms)
-            leases = _TeamLeases(until_ms)
-            self._leases_by_team[team] = leases
+            until_ms = self._renewal_only_until_ms(name, now_ms)
+            leases = _NamedLeases(until_ms)
+            self._leases_by_name[name] = leases
         return leases
 
-    def _renewal_only_until_ms(self, team: str, now_ms: float) -> float:
-        until_ms = self._started_ms + LEASE_HOLD_MS
+    def _renewal_only_until_ms(self, name: str, now_ms: float) -> float:
+        hold_ms = self._times.hold_ms
+        until_ms = self._started_ms + hold_ms
         for view in self._past_views:
-            if now_ms - view.replaced_ms >= LEASE_HOLD_MS:
+            if now_ms - view.replaced_ms >= hold_ms:
                 continue
-            if home_of(team, view.entries) != self._own:
-                until_ms = max(until_ms, view.replaced_ms + LEASE_HOLD_MS)
+            if home_of(name, view.entries) != self._own:
+                until_ms = max(until_ms, view.replaced_ms + hold_ms)
         return until_ms
 
 
 def _remove_expired(
-    leases: _TeamLeases,
+    leases: _NamedLeases,
     entry: str,
     now_ms: float,
 ) -> list[_Lease]:
--- a/bergamotthread/process/shares/share_usage.py
+++ b/bergamotthread/process/shares/share_usage.py
@@ -5,6 +5,7 @@
 import math
 from dataclasses import dataclass
 
+from bergamotthread.process.shares.leased_share import LeasedShare
 from bergamotthread.version.objects import Team
 
 MAX_RETRY_AFTER_MS = 30_000
@@ -13,21 +14,11 @@
 BURST_MS = 1000
 # Requests that a bucket holds at least.
 MIN_BURST_REQUESTS = 4
-MIN_FLOOR_FRACTION = 0.1
 INITIAL_RELEASE_INTERVAL_MS = 1000
 RELEASE_SMOOTHING = 0.2
 _MS_PER_S = 1000
 
 
-def floor_fraction(entry_count: int) -> float:
-    """Return the fraction of each limit that is split equally without leases.
-
-    With one entry this is the whole limit, with `n` entries the `n`-th part of
-    it, and with ten or more a tenth.
-    """
-    return max(MIN_FLOOR_FRACTION, 1 / max(1, entry_count))
-
-
 @dataclass(frozen=True)
 class ExceededLimit:
     """Limit that a request would exceed.
@@ -67,10 +58,7 @@
     def __init__(self, team: Team, entry_count: int, now_ms: float) -> None:
         self.team = team
         self.running = 0
-        self.leased = float(0)
-        self.lease_until_ms = -math.inf
-        self.contended = False
-        self._entry_count = max(1, entry_count)
+        self.share = LeasedShare(entry_count)
         self._filled_ms = now_ms
         self._tokens = self._bucket_size(self._rate(now_ms))
         self._demand = float(0)
@@ -83,20 +71,24 @@
 
     def resize(self, team: Team, entry_count: int, now_ms: float) -> None:
         """Apply changed limits or another number of entries."""
-        self._refill(now_ms)
+        self.set_entry_count(entry_count, now_ms)
         self.team = team
-        self._entry_count = max(1, entry_count)
+
+    def set_entry_count(self, entry_count: int, now_ms: float) -> None:
+        """Apply another number of entries."""
+        self._refill(now_ms)
+        self.share.entry_count = max(1, entry_count)
 
     def set_lease(self, share: float, until_ms: float, now_ms: float) -> None:
         """Replace the leased share."""
         self._refill(now_ms)
-        self.leased = share
-        self.lease_until_ms = until_ms
+        self.share.leased = share
+        self.share.until_ms = until_ms
 
     def reduce_lease(self, share: float, now_ms: float) -> None:
         """Reduce the leased share to at most `share`."""
         self._refill(now_ms)
-        self.leased = min(self.leased, share)
+        self.share.leased = min(self.share.leased, share)
 
     def try_start(self, cost: float, now_ms: float) -> ExceededLimit | None:
         """Count a request that starts, or return the limit it would exceed."""
@@ -142,12 +134,8 @@
     def held(self, now_ms: float) -> float:
         """Return the share in use: leased, or still running above the floor."""
         running_share = self.running / self.team.concurrent_generations
-        return max(self._valid_lease(now_ms), running_share - self.floor)
-
-    @property
-    def floor(self) -> float:
-        """Return the share that needs no lease."""
-        return floor_fraction(self._entry_count) / self._entry_count
+        lease = self.share.lease(now_ms)
+        return max(lease, running_share - self.share.floor)
 
     def needs_lease(self, now_ms: float) -> bool:
         """Return whether more than half of what is allowed is in use."""
@@ -163,18 +151,14 @@
     def is_idle(self, now_ms: float) -> bool:
         """Return whether the team can be removed without loss of state."""
         is_full = self._tokens >= self._bucket_size(self._rate(now_ms))
-        is_leased = self._valid_lease(now_ms) > 0
+        is_leased = self.share.lease(now_ms) > 0
         return not self.running and not is_leased and is_full
 
-    def _valid_lease(self, now_ms: float) -> float:
-        return self.leased if now_ms < self.lease_until_ms else 0
-
     def _rate(self, now_ms: float) -> float:
-        share = self.floor + self._valid_lease(now_ms)
-        return share * self.team.requests_per_s
+        return self.share.total(now_ms) * self.team.requests_per_s
 
     def _allowed_running(self, now_ms: float) -> float:
-        share = self.floor + self._valid_lease(now_ms)
+        share = self.share.total(now_ms)
         return max(1, share * self.team.concurrent_generations)
 
     def _refill(self, now_ms: float) -> None:
@@ -190,10 +174,8 @@
         self._demand *= math.exp(-elapsed_ms / DEMAND_WINDOW_MS)
 
     def _earned_tokens(self, now_ms: float) -> float:
-        leased_ms = min(now_ms, self.lease_until_ms) - self._filled_ms
-        leased = self.leased * max(0, leased_ms)
-        floor = self.floor * (now_ms - self._filled_ms)
-        return (leased + floor) * self.team.requests_per_s / _MS_PER_S
+        earned_ms = self.share.earned_ms(self._filled_ms, now_ms)
+        return earned_ms * self.team.requests_per_s / _MS_PER_S
 
     def _bucket_size(self, rate: float) -> float:
         return max(MIN_BURST_REQUESTS, rate * BURST_MS / _MS_PER_S)
--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -316,34 +316,37 @@
     lease_ms: float
 
 
-class TeamDemand(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """Wanted and held share of a team's limits at the sender, 0 to 1."""
+class ShareDemand(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Wanted and held share of a limit at the sender, 0 to 1.
 
-    team: str
+    `name` is that of the limit, such as the name of a team.
+    """
+
+    name: str
     wanted: float
     held: float
 
 
-class TeamShare(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """Leased share of a team's limits, 0 to 1.
+class GrantedShare(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Leased share of a limit, 0 to 1.
 
-    `contended` is true if the requested shares exceed the limits.
+    `contended` is true if the requested shares exceed the limit.
     """
 
-    team: str
+    name: str
     share: float
     contended: bool = False
 
 
 class ShareRequests(_Message, frozen=True, array_like=True, tag=True):
-    """Entry to home entry: demands of the teams of that home entry.
+    """Entry to home entry: demands for the limits of that home entry.
 
     The answer repeats `sequence`, so that the lease is counted from the time at
     which the request was sent.
     """
 
     sequence: int
-    demands: tuple[TeamDemand, ...]
+    demands: tuple[ShareDemand, ...]
 
 
 class ShareGrants(_Message, frozen=True, array_like=True, tag=True):
@@ -351,7 +354,7 @@
 
     sequence: int
     lease_ms: float
-    shares: tuple[TeamShare, ...]
+    shares: tuple[GrantedShare, ...]
 
 
 class DrainNotice(_Message, frozen=True, array_like=True, tag=True):
