--- a/bergamotthread/connection/http/retry_after.py
+++ b/bergamotthread/connection/http/retry_after.py
@@ -6,14 +6,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from bergamotthread.connection.http.decimal_field import DECIMAL, DecimalField
 from bergamotthread.connection.http.messages import Header
 
 RETRY_AFTER = b'retry-after'
-# Bytes of an invalid value that are kept for the log.
-QUOTED_BYTES_MAX = 32
-# Seconds with an optional fraction and exponent. `float` alone would also take
-# signs, underscores, `nan` and `inf`.
-_SECONDS = re.compile(rb'(\d{1,15}(\.\d{0,15})?|\.\d{1,15})([eE][+-]?\d{1,2})?')
+# Seconds with an optional fraction and exponent.
+_SECONDS = re.compile(b'(%b)([eE][+-]?\\d{1,2})?' % DECIMAL.pattern)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,16 +37,5 @@
         them. A date is invalid: hosts' clocks may differ by more than the
         times that are asked for.
         """
-        texts = [
-            text.strip()
-            for name, payload in headers
-            if name == RETRY_AFTER
-            for text in payload.split(b',')
-        ]
-        valid = [float(text) for text in texts if _SECONDS.fullmatch(text)]
-        invalid = (
-            text[:QUOTED_BYTES_MAX].decode('latin-1')
-            for text in texts
-            if not _SECONDS.fullmatch(text)
-        )
-        return cls(max(valid, default=None), tuple(invalid))
+        stated = DecimalField.from_headers(headers, RETRY_AFTER, _SECONDS)
+        return cls(max(stated.valid, default=None), stated.invalid)
