--- a/bergamotthread/connection/http/retry_after.py
+++ b/bergamotthread/connection/http/retry_after.py
@@ -11,7 +11,7 @@
 
 RETRY_AFTER = b'retry-after'
 # Seconds with an optional fraction and exponent.
-_SECONDS = re.compile(b'(%b)([eE][+-]?\\d{1,2})?' % DECIMAL.pattern)
+_SECONDS = re.compile(rb'(%b)([eE][+-]?\d{1,2})?' % DECIMAL.pattern)
 
 
 @dataclass(frozen=True, slots=True)
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -56,6 +56,7 @@
 from bergamotthread.process.relay.version_holder import RouteTableHolder
 from bergamotthread.request.relay.admission import Admission
 from bergamotthread.request.relay.leaving_notices import LeavingNotices
+from bergamotthread.request.relay.limit_notices import LimitNotices
 from bergamotthread.request.relay.parts import RelayParts
 
 READY_PATH = b'/api/ready'
@@ -281,6 +282,11 @@
                 'Upstreams that asked for a pause that has not ended.',
                 self._directory.paused_count,
             ),
+            (
+                'relay_upstreams_limited',
+                'Upstreams that state a limit on requests.',
+                lambda: len(self._directory.limits),
+            ),
             (
                 'relay_quarantined',
                 'Requests that are refused because upstreams crashed.',
@@ -351,7 +357,10 @@
             self._rng,
         )
         pauses = PauseRecorder(self._directory, self._log, metrics)
-        runners = RunnerClient(self._pool, self._clock, leaving, pauses)
+        limits = LimitNotices(
+            self._directory, PLATFORM_DIALECT, self._log, metrics
+        )
+        runners = RunnerClient(self._pool, self._clock, leaving, limits, pauses)
         return RelayParts(
             clock=self._clock,
             pool=self._pool,
@@ -383,6 +392,7 @@
             kv_cache=runners,
             header_names=PLATFORM_DIALECT,
             leaving=leaving,
+            limits=limits,
             log=self._log,
             metrics=metrics,
         )
--- a/bergamotthread/platform/runner_calls.py
+++ b/bergamotthread/platform/runner_calls.py
@@ -23,6 +23,7 @@
 from bergamotthread.process.relay.upstreams import LoadReport, Upstream
 from bergamotthread.request.relay.engine_memory import EngineKvCache
 from bergamotthread.request.relay.leaving_notices import LeavingNotices
+from bergamotthread.request.relay.limit_notices import LimitNotices
 
 # Copying the KV cache of a long prompt between failure domains takes 80 ms,
 # and the copy waits for other copies on both links.
@@ -49,6 +50,7 @@
     pool: UpstreamPool
     clock: Clock
     leaving: LeavingNotices
+    limits: LimitNotices
     pauses: PauseRecorder
 
     async def report(self, upstream: Upstream) -> LoadReport | None:
@@ -56,6 +58,7 @@
 
         A runner that answers with a request for a pause is alive.
         """
+        sent_ms = self.clock.now_ms()
         try:
             fetched = await fetch(
                 self.pool,
@@ -70,7 +73,7 @@
                 error,
             )
             return None
-        self.leaving.read(upstream, fetched.headers, 'report', fetched.status)
+        self._read_notices(upstream, fetched, 'report', sent_ms)
         if self._record_pause(upstream, fetched):
             self.pauses.directory.record_heard(upstream)
             return None
@@ -187,6 +190,7 @@
         directory = self.pauses.directory
         if directory.is_paused(upstream):
             raise ConnectionError(f'{upstream.address} asked for a pause')
+        sent_ms = self.clock.now_ms()
         fetched = await fetch(
             self.pool,
             upstream.address,
@@ -194,10 +198,20 @@
             timeout_ms,
             lambda: not directory.is_paused(upstream),
         )
-        self.leaving.read(upstream, fetched.headers, kind, fetched.status)
+        self._read_notices(upstream, fetched, kind, sent_ms)
         self._record_pause(upstream, fetched)
         return fetched
 
+    def _read_notices(
+        self,
+        upstream: Upstream,
+        fetched: FetchResponse,
+        kind: str,
+        sent_ms: float,
+    ) -> None:
+        self.leaving.read(upstream, fetched.headers, kind, fetched.status)
+        self.limits.read(upstream, fetched.headers, kind, sent_ms)
+
     def _record_pause(
         self, upstream: Upstream, fetched: FetchResponse
     ) -> float:
--- a/bergamotthread/process/relay/pause_recorder.py
+++ b/bergamotthread/process/relay/pause_recorder.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from bergamotthread.connection.http.messages import Header
 from bergamotthread.connection.http.retry_after import RetryAfter
 from bergamotthread.process.relay.decision_log import DecisionLog
+from bergamotthread.process.relay.invalid_values import InvalidValueLog
 from bergamotthread.process.relay.pauses import PROLONGED_LOG_MS
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.relay.upstreams import Upstream, UpstreamDirectory
@@ -16,8 +16,6 @@
 # Only this status turns a request away until a later time (RFC 9110, section
 # 10.2.3).
 UNAVAILABLE = 503
-# Shortest time between two log lines on invalid values of one upstream.
-INVALID_LOG_INTERVAL_MS = 10_000.0
 _MS_PER_S = 1000
 
 
@@ -28,7 +26,10 @@
     directory: UpstreamDirectory
     log: DecisionLog
     metrics: RelayMetrics
-    _invalid_logged_ms: dict[str, float] = field(default_factory=dict)
+    _invalid_log: InvalidValueLog = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._invalid_log = InvalidValueLog(self.directory.clock, self.log)
 
     def record_answer(
         self, upstream: Upstream, status: int, headers: Iterable[Header]
@@ -70,21 +71,10 @@
         return applied_ms
 
     def _log_invalid(self, upstream: Upstream, asked: RetryAfter) -> None:
-        now_ms = self.directory.clock.now_ms()
-        instance = upstream.record.instance
-        logged_ms = self._invalid_logged_ms.get(instance, -math.inf)
-        if now_ms < logged_ms + INVALID_LOG_INTERVAL_MS:
-            return
-        self._invalid_logged_ms = {
-            other: at_ms
-            for other, at_ms in self._invalid_logged_ms.items()
-            if now_ms < at_ms + INVALID_LOG_INTERVAL_MS
-        }
-        self._invalid_logged_ms[instance] = now_ms
-        self.log.write(
+        self._invalid_log.write(
             'retry-after-invalid',
-            upstream=instance,
-            found=', '.join(asked.invalid),
+            upstream.record.instance,
+            asked.invalid,
             expected='seconds',
             used_s=asked.seconds,
         )
--- a/bergamotthread/process/relay/relay_metrics.py
+++ b/bergamotthread/process/relay/relay_metrics.py
@@ -46,6 +46,9 @@
         Requests that this entry or another one quarantined.
     pauses
         Answers by which upstreams asked for a pause, by service.
+    request_limits
+        Limits on requests that upstreams began to state or changed, by
+        service.
     """
 
     registry: Metrics
@@ -63,6 +66,7 @@
     upstream_crashes: Counter
     quarantines: Counter
     pauses: LabelledCounter
+    request_limits: LabelledCounter
 
     @classmethod
     def from_clock(cls, clock: Clock) -> RelayMetrics:
@@ -131,4 +135,9 @@
                 'Answers by which upstreams asked for a pause.',
                 'service',
             ),
+            request_limits=registry.labelled_counter(
+                'relay_request_limits_total',
+                'Limits on requests that upstreams stated newly or changed.',
+                'service',
+            ),
         )
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -17,6 +17,7 @@
     Pause,
     UpstreamPauses,
 )
+from bergamotthread.process.relay.request_limits import RequestLimits
 
 # Time after which a lost upstream is tried again even if it stayed silent. The
 # store row of an upstream that has ended expires within three intervals of
@@ -218,12 +219,15 @@
         Monotonic time at which any upstream last sent something; 0 before.
     pauses
         Pauses that the upstreams asked for.
+    limits
+        Rates of requests that the upstreams stated.
     """
 
     clock: Clock
     is_loaded: bool = False
     heard_ms: float = 0
     pauses: UpstreamPauses = field(default_factory=UpstreamPauses)
+    limits: RequestLimits = field(default_factory=RequestLimits)
     _upstream_by_instance: dict[str, Upstream] = field(default_factory=dict)
     _instance_by_address: dict[str, str] = field(default_factory=dict)
     _losses_by_domain: dict[str, deque[float]] = field(default_factory=dict)
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -135,7 +135,7 @@
         if received is not None and not isinstance(received, AnswerLost):
             self.parts.directory.record_heard(self.upstream)
         if isinstance(received, AnswerHead):
-            self._read_leaving(received)
+            self._read_notices(received)
             self.pause_ms = self.parts.pauses.record_answer(
                 self.upstream, received.status, received.headers
             )
@@ -159,11 +159,12 @@
         signature = head.header(self.parts.header_names.signature)
         return is_success and signature is None
 
-    def _read_leaving(self, head: AnswerHead) -> None:
-        if not self.lacks_signature(head):
-            self.parts.leaving.read(
-                self.upstream, head.headers, 'request', head.status
-            )
+    def _read_notices(self, head: AnswerHead) -> None:
+        if self.lacks_signature(head):
+            return
+        upstream = self.upstream
+        self.parts.leaving.read(upstream, head.headers, 'request', head.status)
+        self.parts.limits.read(upstream, head.headers, 'request', self.sent_ms)
 
     def _is_upstream_lost(self, error: ConnectFailedError) -> bool:
         """Return whether a failed connection shows that the upstream is lost.
--- a/bergamotthread/request/relay/dialect.py
+++ b/bergamotthread/request/relay/dialect.py
@@ -48,6 +48,9 @@
         upstream that ran the request and that upstream's name for the copy.
     leaving
         In all answers of an upstream that is leaving, with the value 1.
+    request_limit
+        In answers of an upstream in need: requests per second that it takes
+        from all hosts together.
     set_by_entry
         Fields that only the entry sets; they are removed from callers'
         requests.
@@ -65,6 +68,7 @@
     copy_target: bytes
     copy_source: bytes
     leaving: bytes
+    request_limit: bytes
     set_by_entry: frozenset[bytes]
 
     def says_leaving(self, headers: Iterable[Header]) -> bool:
@@ -77,8 +81,9 @@
 
     def for_caller(self, headers: Iterable[Header]) -> list[Header]:
         """Return the fields of an upstream's answer that a caller gets."""
+        for_entries = (self.leaving, self.request_limit)
         return [
             header
             for header in end_to_end(headers)
-            if header[0] != self.leaving
+            if header[0] not in for_entries
         ]
--- a/bergamotthread/request/relay/parts.py
+++ b/bergamotthread/request/relay/parts.py
@@ -19,6 +19,7 @@
 from bergamotthread.request.relay.dialect import RelayHeaderNames
 from bergamotthread.request.relay.engine_memory import EngineKvCache
 from bergamotthread.request.relay.leaving_notices import LeavingNotices
+from bergamotthread.request.relay.limit_notices import LimitNotices
 
 
 @dataclass(frozen=True)
@@ -38,5 +39,6 @@
     kv_cache: EngineKvCache
     header_names: RelayHeaderNames
     leaving: LeavingNotices
+    limits: LimitNotices
     log: DecisionLog
     metrics: RelayMetrics
