--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -19,6 +19,7 @@
 SEAL = b'bergamotthread-response-seal'
 REQUEST_ID = b'bergamotthread-request-id'
 LEAVING = b'server-leaving'
+REQUEST_LIMIT = b'server-limit'
 PROMPT_PARTS = b'bergamotthread-prompt-prefix'
 EVENT_MS = 40
 PREFILL_MS = 400
@@ -26,6 +27,7 @@
 STREAM_EVENTS = 60
 # Events of a stream that a request sends before it crashes the runner.
 CRASH_EVENTS = 2
+_ERROR = 500
 
 
 @dataclass
@@ -76,6 +78,12 @@
         Whether all its answers say that it is leaving.
     extra
         Further header fields of all its answers.
+    request_limit
+        Requests per second that all its answers state, if not empty.
+    error_every
+        Each so many plain answers, one is a 500; 0 for none.
+    limits_on_errors
+        Whether only answers with 500 state `request_limit`.
     retry_after
         If not empty, it answers requests with 503, the header for "not
         executed" and this value of `retry-after`.
@@ -111,11 +119,29 @@
     crash_marks: frozenset[bytes] = frozenset()
     leaving: bool = False
     extra: tuple[Header, ...] = ()
+    request_limit: str = ''
+    error_every: int = 0
+    limits_on_errors: bool = False
 
     @property
     def headers(self) -> tuple[Header, ...]:
         """Return the header fields that all answers have."""
-        return ((LEAVING, b'1'), *self.extra) if self.leaving else self.extra
+        stated = list(self.extra)
+        if self.leaving:
+            stated.append((LEAVING, b'1'))
+        if self.request_limit and not self.limits_on_errors:
+            stated.append(self.limit_header)
+        return tuple(stated)
+
+    @property
+    def limit_header(self) -> Header:
+        """Return the field that states the limit."""
+        return (REQUEST_LIMIT, self.request_limit.encode())
+
+    def plain_status(self, number: int) -> int:
+        """Return the status of the plain answer with a number from 1 on."""
+        is_error = self.error_every and not number % self.error_every
+        return 500 if is_error else self.status
 
 
 class RunnerStandIn(StandInServer):
@@ -246,11 +272,11 @@
         if self.script.breaks_after is not None:
             exchange.abort()
             return
-        exchange.respond(
-            self.script.status,
-            self._headers(seen),
-            self.plain_body(seen),
-        )
+        status = self.script.plain_status(len(self.seen))
+        headers = self._headers(seen)
+        if self.script.limits_on_errors and status == _ERROR:
+            headers.append(self.script.limit_header)
+        exchange.respond(status, headers, self.plain_body(seen))
 
     def has_copy(self, seen: Seen) -> bool:
         """Return whether the KV cache copy that a request names is here."""
