--- a/bergamotthread/request/relay/pause_wait.py
+++ b/bergamotthread/request/relay/opening_wait.py
@@ -1,4 +1,4 @@
-"""Wait or refusal of a request while its service's upstreams are paused."""
+"""Wait or refusal of a request while its service's upstreams are held."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 _MS_PER_S = 1000
 
 
-class PauseWait:
-    """Decides whether one request waits for the end of a pause.
+class OpeningWait:
+    """Decides whether one request waits until an upstream takes it.
 
     Parameters
     ----------
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -11,6 +11,7 @@
     run_attempts,
 )
 from bergamotthread.request.relay.call import AttemptHeaders, RelayedCall
+from bergamotthread.request.relay.opening_wait import OpeningWait
 from bergamotthread.request.relay.outcomes import (
     Answered,
     AttemptOutcome,
@@ -21,7 +22,6 @@
     is_pause,
 )
 from bergamotthread.request.relay.parts import RelayParts
-from bergamotthread.request.relay.pause_wait import PauseWait
 from bergamotthread.request.relay.refusals import (
     RelayRefusal,
     ending_refusal,
@@ -57,7 +57,9 @@
         self._placement_deadline_ms = (
             received_ms + timeout_ms * PLACEMENT_TIMEOUT_FRACTION
         )
-        self._pause_wait = PauseWait(call, parts, self._placement_deadline_ms)
+        self._opening_wait = OpeningWait(
+            call, parts, self._placement_deadline_ms
+        )
         self._suspicion = Suspicion(call, parts)
 
     async def run(self) -> None:
@@ -77,7 +79,7 @@
             if not await run_attempts(self._limits, self):
                 self._refuse(self._final_refusal())
         finally:
-            self._pause_wait.end()
+            self._opening_wait.end()
             gate.leave(self._call.service.name, self._latency_ms)
 
     def end(self) -> None:
@@ -107,7 +109,7 @@
             self._excluded = frozenset()
         if upstream is None:
             return self._pause_refusal()
-        self._pause_wait.end()
+        self._opening_wait.end()
         return upstream
 
     def may_wait(self) -> bool:
@@ -149,7 +151,7 @@
         return refusal.after_run() if self._may_have_run else refusal
 
     def _pause_refusal(self) -> RelayRefusal | None:
-        refusal = self._pause_wait.check()
+        refusal = self._opening_wait.check()
         if refusal is None or not self._may_have_run:
             return refusal
         return self._final_refusal()
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -37,6 +37,7 @@
     EventTooLongError,
     StreamEvent,
 )
+from bergamotthread.request.relay.opening_wait import OpeningWait
 from bergamotthread.request.relay.outcomes import (
     Answered,
     AttemptOutcome,
@@ -49,7 +50,6 @@
 )
 from bergamotthread.request.relay.pace import ArrivalTimes
 from bergamotthread.request.relay.parts import RelayParts
-from bergamotthread.request.relay.pause_wait import PauseWait
 from bergamotthread.request.relay.placement import (
     AttemptPlacement,
     StreamPlacer,
@@ -99,7 +99,9 @@
         self._placement_deadline_ms = (
             received_ms + target_ms * PLACEMENT_TARGET_FRACTION
         )
-        self._pause_wait = PauseWait(call, parts, self._placement_deadline_ms)
+        self._opening_wait = OpeningWait(
+            call, parts, self._placement_deadline_ms
+        )
         self._suspicion = Suspicion(call, parts)
 
     async def run(self) -> None:
@@ -164,7 +166,7 @@
             return self._overload_refusal(placement)
         if placement is None:
             return self._pause_refusal()
-        self._pause_wait.end()
+        self._opening_wait.end()
         return placement
 
     def may_wait(self) -> bool:
@@ -229,7 +231,7 @@
 
     def _release(self) -> None:
         """Release the place among those that wait, and the copy."""
-        self._pause_wait.end()
+        self._opening_wait.end()
         self._copy_manager.discard()
 
     def _is_placement_due(self) -> bool:
@@ -243,7 +245,7 @@
         """
         if self._call.exchange.has_head or self._may_have_run:
             return None
-        return self._pause_wait.check()
+        return self._opening_wait.check()
 
     def _overload_refusal(self, refused: StreamRefused) -> RelayRefusal:
         return RelayRefusal(
