--- a/bergamotthread/platform/crash_parts.py
+++ b/bergamotthread/platform/crash_parts.py
@@ -8,8 +8,9 @@
 
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.peer_messages import PeerMessages
-from bergamotthread.platform.poison_relay import PoisonRelay
+from bergamotthread.platform.poison_relay import POISON_PATH, PoisonRelay
 from bergamotthread.platform.poison_rows import PoisonRows
+from bergamotthread.platform.relayed_feed import MessageAnswer
 from bergamotthread.platform.store import PlatformStoreClient
 from bergamotthread.process.relay.crash_watch import CrashWatch
 from bergamotthread.process.relay.decision_log import DecisionLog
@@ -43,6 +44,11 @@
         watch = CrashWatch(relay.guard, pool.reach, relay, log, metrics)
         return cls(watch, relay, rows)
 
+    @property
+    def answer_by_path(self) -> dict[bytes, MessageAnswer]:
+        """Return what answers the messages of other entries."""
+        return {POISON_PATH: self.relay.answer}
+
     async def run(self) -> None:
         """Share crashes and quarantines until cancelled."""
         await asyncio.gather(self.relay.run(), self.rows.run())
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -15,8 +15,8 @@
 from bergamotthread.platform.crash_parts import CrashParts
 from bergamotthread.platform.headers import PLATFORM_DIALECT
 from bergamotthread.platform.leaving_relay import LEAVING_PATH, LeavingRelay
+from bergamotthread.platform.limit_parts import LimitParts
 from bergamotthread.platform.peer_messages import PeerMessages
-from bergamotthread.platform.poison_relay import POISON_PATH
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
 from bergamotthread.platform.runner_calls import RunnerClient
 from bergamotthread.platform.runner_watch import RunnerWatch
@@ -101,12 +101,19 @@
         self._life_cycle = LifeCycle(clock, settings.stop_grace_ms)
         self._freshness = VersionFreshness(clock, settings.revoke_bound_ms)
         self._pool = UpstreamPool(clock, PLATFORM_DIALECT.request_id)
+        self._feeds = FeedSources(clock, settings.host, settings.region)
+        self._limit_parts = LimitParts.from_connections(
+            self._pool,
+            self._feeds,
+            f'{settings.ip}:{settings.peer_port}',
+            self._rng,
+        )
         self._directory = UpstreamDirectory(
             clock,
             pauses=UpstreamPauses(self._rng, lambda: len(self._feeds)),
+            limits=self._limit_parts.limits,
         )
         self._store = PlatformStoreClient(settings.store_address, self._pool)
-        self._feeds = FeedSources(clock, settings.host, settings.region)
         self._parts = self._make_relay_parts()
         self._server = RelayServer(
             clock,
@@ -144,6 +151,7 @@
                 watches.entries.register(),
                 self._leaving_relay.run(),
                 self._crashes.run(),
+                self._limit_parts.run(),
             )
         ]
         while not self._is_finished():
@@ -242,7 +250,8 @@
             },
             answer_by_path={
                 LEAVING_PATH: self._leaving_relay.answer,
-                POISON_PATH: self._crashes.relay.answer,
+                **self._crashes.answer_by_path,
+                **self._limit_parts.answer_by_path,
             },
         )
         await listen(feed_server, f'{settings.ip}:{settings.peer_port}')
--- a/bergamotthread/platform/peer_messages.py
+++ b/bergamotthread/platform/peer_messages.py
@@ -46,6 +46,12 @@
         """Return an entry's answer to a question; None if there is none."""
         return await self._send(entry, FetchRequest(b'GET', path))
 
+    async def send(
+        self, entry: EntryRecord, path: bytes, encoded: bytes
+    ) -> bytes | None:
+        """Return an entry's answer to a message; None if there is none."""
+        return await self._send(entry, FetchRequest(b'POST', path, encoded))
+
     async def _send(
         self, entry: EntryRecord, request: FetchRequest
     ) -> bytes | None:
--- a/bergamotthread/process/overload/retry_after.py
+++ b/bergamotthread/process/overload/retry_after.py
@@ -27,6 +27,15 @@
         """Return a wait within the bounds; the longest counts first."""
         return int(min(self.longest_ms, max(self.shortest_ms, wait_ms)))
 
+    def spread_out(self, wait_ms: float, rng: random.Random) -> int:
+        """Return a wait, or a random one in the second half of the bounds.
+
+        Those whose waits exceed the longest one would return together.
+        """
+        if wait_ms <= self.longest_ms:
+            return self.clamp(wait_ms)
+        return self.clamp(self.longest_ms * (1 - rng.random() / 2))
+
     def spread(
         self, excess_ms: float, backlog_ms: float, rng: random.Random
     ) -> int:
--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -104,18 +104,28 @@
     rng: random.Random = field(default_factory=random.Random)
 
     def choose(self, request: RelayPlacementRequest) -> Upstream | None:
-        """Return the cheapest eligible upstream, or None if there is none."""
+        """Return the cheapest eligible upstream, or None if there is none.
+
+        Cheaper ones that their limits hold count the request as wanted there.
+        """
+        directory = self.directory
         eligible = [
             upstream
-            for upstream in self.directory.of_service(request.service)
+            for upstream in directory.accepting(request.service)
             if self._is_eligible(upstream, request)
         ]
-        healthy = [
-            upstream
-            for upstream in eligible
-            if not self.directory.is_suspected(upstream)
-        ]
-        return self._cheapest(healthy or eligible, request)
+        ordered = sorted(
+            eligible,
+            key=lambda upstream: (
+                directory.is_suspected(upstream),
+                self.cost_ms(upstream, request),
+            ),
+        )
+        for upstream in ordered:
+            directory.record_demand(upstream)
+            if not directory.is_held(upstream):
+                return upstream
+        return None
 
     def choose_copy_holder(
         self, request: RelayPlacementRequest, domain: str
@@ -144,14 +154,25 @@
         holder, and `COPY_KV_FRACTION_MAX` of its KV cache may be in use. Copies
         are not counted among the requests that return in steps after a pause,
         so they wait until the steps are over.
+        A limited upstream holds a copy only if no other one has room.
         """
-        with_room = (
+        directory = self.directory
+        with_room = [
             upstream
             for upstream in upstreams
             if _has_room_for_copy(upstream, copy_tokens)
-            and not self.directory.is_returning(upstream)
+            and not directory.is_returning(upstream)
+        ]
+        unlimited = [
+            upstream
+            for upstream in with_room
+            if not directory.is_limited(upstream)
+        ]
+        return min(
+            unlimited or with_room,
+            key=self._copy_holder_cost_ms,
+            default=None,
         )
-        return min(with_room, key=self._copy_holder_cost_ms, default=None)
 
     def draw_candidates(self, request: RelayPlacementRequest) -> list[Upstream]:
         """Return a few candidates, from two failure domains if possible.
@@ -162,6 +183,7 @@
         reconnects, entries of all regions draw the same candidates as long as
         they agree on which upstreams are lost or suspected.
         """
+        self._record_demand(request)
         considered = list(
             islice(self._eligible_in_order(request), CONSIDERED_UPSTREAMS_MAX)
         )
@@ -272,6 +294,19 @@
         cost_ms = kv_fraction * KV_FULL_COST_MS + self._region_cost_ms(upstream)
         return cost_ms + self.rng.random()
 
+    def _record_demand(self, request: RelayPlacementRequest) -> None:
+        """Count an equal part of a request at each limited engine."""
+        directory = self.directory
+        if not directory.limits:
+            return
+        eligible = [
+            upstream
+            for upstream in directory.accepting(request.service)
+            if self._is_eligible(upstream, request)
+        ]
+        for upstream in eligible:
+            directory.record_demand(upstream, 1 / len(eligible))
+
     def _first_of_each_region(self, ordered: list[Upstream]) -> list[Upstream]:
         by_region: dict[str, list[Upstream]] = {}
         for upstream in ordered:
@@ -303,17 +338,6 @@
         is_excluded = upstream.record.instance in request.excluded
         return not is_excluded and not self.directory.is_lost(upstream)
 
-    def _cheapest(
-        self,
-        upstreams: Sequence[Upstream],
-        request: RelayPlacementRequest,
-    ) -> Upstream | None:
-        return min(
-            upstreams,
-            key=lambda upstream: self.cost_ms(upstream, request),
-            default=None,
-        )
-
     def _region_cost_ms(self, upstream: Upstream) -> float:
         region = self.region_by_domain.get(upstream.record.failure_domain)
         is_local = region == self.region_by_domain.get(self.own_domain)
--- a/bergamotthread/process/relay/feed_sources.py
+++ b/bergamotthread/process/relay/feed_sources.py
@@ -65,12 +65,18 @@
         """Remove an entry."""
         self._entry_by_host.pop(host, None)
 
-    def local_entries(self) -> list[EntryRecord]:
-        """Return the other entries of the region."""
+    def others(self) -> list[EntryRecord]:
+        """Return the other entries of all regions."""
         return [
             entry
             for entry in self._entry_by_host.values()
-            if entry.region == self.own_region and entry.host != self.own_host
+            if entry.host != self.own_host
+        ]
+
+    def local_entries(self) -> list[EntryRecord]:
+        """Return the other entries of the region."""
+        return [
+            entry for entry in self.others() if entry.region == self.own_region
         ]
 
     def entries_by_other_region(self) -> dict[str, list[EntryRecord]]:
--- a/bergamotthread/process/relay/request_limits.py
+++ b/bergamotthread/process/relay/request_limits.py
@@ -1,10 +1,18 @@
-"""Limits on the rate of requests that upstreams state in their answers."""
+"""Limits on the rate of requests that upstreams state in their answers.
+
+The limit of an upstream holds for all processes together. Each sends within a
+leased share of it, see `process/shares`.
+"""
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from bergamotthread.process.relay.pauses import Incarnation
+from bergamotthread.process.shares.lease_exchange import LeaseExchange
+from bergamotthread.process.shares.rate_usage import RateUsage
 
 # Stated rates are clamped to this range, in requests per second. A few requests
 # go also to an upstream that states 0, since only answers end a limit; a rate
@@ -41,11 +49,23 @@
 
     A limit outlives the removal of the upstream's row, and ends with the
     incarnation that stated it.
+
+    Parameters
+    ----------
+    leases
+        Exchange of the shares; None if no other process sends to the
+        upstreams.
     """
 
+    leases: LeaseExchange[RateUsage] | None = None
     _limit_by_incarnation: dict[Incarnation, RequestLimit] = field(
         default_factory=dict
     )
+    _usage_by_name: dict[str, RateUsage] = field(init=False)
+
+    def __post_init__(self) -> None:
+        leases = self.leases
+        self._usage_by_name = {} if leases is None else leases.usage_by_name
 
     def __len__(self) -> int:
         return len(self._limit_by_incarnation)
@@ -65,10 +85,12 @@
             limit = RequestLimit(per_s, now_ms)
             self._limit_by_incarnation[incarnation] = limit
             return True
-        is_changed = limit.per_s != per_s
-        limit.per_s = per_s
         limit.stated_ms = now_ms
-        return is_changed
+        if limit.per_s == per_s:
+            return False
+        limit.per_s = per_s
+        self._usage(incarnation, limit, now_ms).resize(per_s, now_ms)
+        return True
 
     def record_unstated(
         self, incarnation: Incarnation, sent_ms: float
@@ -83,9 +105,94 @@
         limit = self.get(incarnation)
         if limit is None or sent_ms < limit.stated_ms + UNSTATED_MS:
             return None
-        return self._limit_by_incarnation.pop(incarnation)
+        self._forget(incarnation)
+        return limit
+
+    def record_demand(
+        self, incarnation: Incarnation, now_ms: float, weight: float = 1
+    ) -> None:
+        """Count a request that an upstream would get without its limit.
+
+        Parameters
+        ----------
+        weight
+            Part of the request, if another upstream may be chosen as well.
+        """
+        limit = self.get(incarnation)
+        if limit is None:
+            return
+        self._usage(incarnation, limit, now_ms).record_demand(now_ms, weight)
+        if self.leases is not None:
+            self.leases.record_active(_name(incarnation))
+
+    def admit(self, incarnation: Incarnation, now_ms: float) -> bool:
+        """Return whether a request may be sent now, and count it if so."""
+        limit = self.get(incarnation)
+        if limit is None:
+            return True
+        return self._usage(incarnation, limit, now_ms).try_start(now_ms)
+
+    def opens_ms(self, incarnation: Incarnation, now_ms: float) -> float:
+        """Return when a request is expected to be allowed; 0 if unlimited."""
+        limit = self.get(incarnation)
+        if limit is None:
+            return 0
+        return self._usage(incarnation, limit, now_ms).opens_ms(now_ms)
+
+    def room_until(
+        self, incarnation: Incarnation, at_ms: float, now_ms: float
+    ) -> float:
+        """Return how many requests may be sent up to a time."""
+        limit = self.get(incarnation)
+        if limit is None:
+            return math.inf
+        usage = self._usage(incarnation, limit, now_ms)
+        return usage.room_until(at_ms, now_ms)
+
+    def refuse_until_ms(
+        self, incarnations: Iterable[Incarnation], now_ms: float
+    ) -> float:
+        """Return how long a request is to stay away that all refuse now.
+
+        It is counted at the upstream where the fewest were refused before, for
+        its rate.
+        """
+        usages = [
+            self._usage(incarnation, limit, now_ms)
+            for incarnation in incarnations
+            if (limit := self.get(incarnation)) is not None
+        ]
+        if not usages:
+            return 0
+        chosen = min(usages, key=lambda usage: usage.backlog_ms(now_ms))
+        chosen.record_refused()
+        return chosen.backlog_ms(now_ms)
+
+    def _usage(
+        self, incarnation: Incarnation, limit: RequestLimit, now_ms: float
+    ) -> RateUsage:
+        name = _name(incarnation)
+        usage = self._usage_by_name.get(name)
+        if usage is not None:
+            return usage
+        usage = RateUsage(limit.per_s, now_ms)
+        if self.leases is None:
+            usage.set_lease(1, math.inf, now_ms)
+        else:
+            usage.set_entry_count(self.leases.entry_count, now_ms)
+        self._usage_by_name[name] = usage
+        return usage
+
+    def _forget(self, incarnation: Incarnation) -> None:
+        self._limit_by_incarnation.pop(incarnation)
+        self._usage_by_name.pop(_name(incarnation), None)
 
     def _forget_old(self, now_ms: float) -> None:
         for incarnation, limit in tuple(self._limit_by_incarnation.items()):
             if now_ms - limit.stated_ms > LIMIT_KEPT_MS:
-                self._limit_by_incarnation.pop(incarnation)
+                self._forget(incarnation)
+
+
+def _name(incarnation: Incarnation) -> str:
+    """Return the name of an upstream's limit, the same at all entries."""
+    return f'{incarnation.instance}@{incarnation.started_ms}'
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -368,10 +368,16 @@
 
     def of_service(self, service: str) -> Iterator[Upstream]:
         """Yield the upstreams of one service that accept new requests."""
-        for upstream in self._accepting(service):
+        for upstream in self.accepting(service):
             if not self.is_held(upstream):
                 yield upstream
 
+    def accepting(self, service: str) -> Iterator[Upstream]:
+        """Yield the upstreams of a service, also those that are held."""
+        for upstream in self._upstream_by_instance.values():
+            if _accepts_requests(upstream, service):
+                yield upstream
+
     def by_affinity(self, service: str, key: bytes) -> Iterator[Upstream]:
         """Yield a service's upstreams in the order preferred by a key.
 
@@ -424,15 +430,45 @@
         )
 
     def is_held(self, upstream: Upstream) -> bool:
-        """Return whether a pause, or the steps after it, allow no request."""
+        """Return whether a pause, the steps after it or a limit hold it."""
         return self.is_held_past(upstream, self.clock.now_ms())
 
     def is_held_past(self, upstream: Upstream, at_ms: float) -> bool:
         """Return whether an upstream is held until after a time."""
-        pauses = self.pauses
-        if at_ms >= pauses.last_end_ms:
+        if at_ms >= self.pauses.last_end_ms and not self.limits:
             return False
-        return at_ms < pauses.opens_ms(upstream.record.incarnation)
+        return at_ms < self.opens_ms(upstream)
+
+    def opens_ms(self, upstream: Upstream) -> float:
+        """Return when an upstream is expected to take a request.
+
+        The time is past for one that takes requests now.
+        """
+        incarnation = upstream.record.incarnation
+        return max(
+            self.pauses.opens_ms(incarnation),
+            self.limits.opens_ms(incarnation, self.clock.now_ms()),
+        )
+
+    def is_limited(self, upstream: Upstream) -> bool:
+        """Return whether an upstream states a limit on requests."""
+        return self.limits.get(upstream.record.incarnation) is not None
+
+    def record_demand(self, upstream: Upstream, weight: float = 1) -> None:
+        """Count a request, or its part, that a limited upstream would get."""
+        self.limits.record_demand(
+            upstream.record.incarnation, self.clock.now_ms(), weight
+        )
+
+    def refuse_until_ms(self, service: str) -> float:
+        """Return how long a request that limits refuse is to stay away."""
+        return self.limits.refuse_until_ms(
+            (
+                upstream.record.incarnation
+                for upstream in self.accepting(service)
+            ),
+            self.clock.now_ms(),
+        )
 
     def is_returning(self, upstream: Upstream) -> bool:
         """Return whether a pause, or the steps after it, have not ended."""
@@ -441,9 +477,11 @@
 
     def admit(self, upstream: Upstream) -> bool:
         """Return whether a request may be sent now, and count it if so."""
-        return self.pauses.admit(
-            upstream.record.incarnation, self.clock.now_ms()
-        )
+        incarnation = upstream.record.incarnation
+        now_ms = self.clock.now_ms()
+        if not self.limits.admit(incarnation, now_ms):
+            return False
+        return self.pauses.admit(incarnation, now_ms)
 
     def admit_probe(self, upstream: Upstream) -> bool:
         """Return whether a probe may be sent now, and count it if so."""
@@ -463,22 +501,16 @@
         Upstream or None
             None if an upstream of the service is not held, or none is listed.
         """
-        accepting = list(self._accepting(service))
+        accepting = list(self.accepting(service))
         if not all(map(self.is_held, accepting)):
             return None
-        return min(
-            accepting,
-            key=lambda upstream: self.pauses.opens_ms(
-                upstream.record.incarnation
-            ),
-            default=None,
-        )
+        return min(accepting, key=self.opens_ms, default=None)
 
     def room_until(self, service: str, at_ms: float) -> float:
-        """Return how many requests the pauses of a service allow by a time."""
+        """Return how many requests pauses and limits allow by a time."""
         return sum(
-            self.pauses.room_until(upstream.record.incarnation, at_ms)
-            for upstream in self._accepting(service)
+            self._upstream_room_until(upstream, at_ms)
+            for upstream in self.accepting(service)
         )
 
     def record_lost(self, upstream: Upstream) -> None:
@@ -541,11 +573,13 @@
             return False
         return max(upstream.heard_ms, upstream.listed_ms) < recent[0]
 
-    def _accepting(self, service: str) -> Iterator[Upstream]:
-        """Yield the upstreams of a service, also those held after a pause."""
-        for upstream in self._upstream_by_instance.values():
-            if _accepts_requests(upstream, service):
-                yield upstream
+    def _upstream_room_until(self, upstream: Upstream, at_ms: float) -> float:
+        incarnation = upstream.record.incarnation
+        now_ms = self.clock.now_ms()
+        return min(
+            self.pauses.room_until(incarnation, at_ms),
+            self.limits.room_until(incarnation, at_ms, now_ms),
+        )
 
     def _ring(self, service: str) -> HashRing:
         return self._ring_by_service.setdefault(service, HashRing(()))
--- a/bergamotthread/process/shares/lease_exchange.py
+++ b/bergamotthread/process/shares/lease_exchange.py
@@ -10,6 +10,7 @@
 from bergamotthread.connection.transport import Transport
 from bergamotthread.process.overload.byte_budget import ByteBudget
 from bergamotthread.process.shares.leased_share import (
+    FloorFraction,
     LeasedShare,
     floor_fraction,
 )
@@ -48,19 +49,27 @@
     ----------
     tick_ms
         Interval between checks for leases that are due.
-    renew_ms, renew_urgent_ms
-        Interval between requests for a lease, and the same while the entry
-        needs more than it holds or far less.
+    renew_ms, renew_urgent_ms, renew_waiting_ms
+        Interval between requests for a lease, the same while the entry needs
+        more than it holds or far less, and the shortest while it holds none.
     message_bytes, share_bytes
         Estimated size of a message, and of each share in it.
+    waiting_ms_per_entry
+        The interval while an entry holds none is at least this for each entry,
+        which bounds the requests that reach one home.
+    floor_fraction_of
+        Returns the fraction that so many entries split equally.
     """
 
     times: LeaseTimes
     tick_ms: float
     renew_ms: float
     renew_urgent_ms: float
+    renew_waiting_ms: float
     message_bytes: int
     share_bytes: int
+    waiting_ms_per_entry: float = 0
+    floor_fraction_of: FloorFraction = floor_fraction
 
 
 TEAM_POLICY = ExchangePolicy(
@@ -68,6 +77,7 @@
     tick_ms=1000,
     renew_ms=5000,
     renew_urgent_ms=2000,
+    renew_waiting_ms=2000,
     message_bytes=90,
     share_bytes=28,
 )
@@ -88,6 +98,10 @@
 
     share: LeasedShare
 
+    @property
+    def least(self) -> float:
+        """Return the smallest share that is worth a lease."""
+
     def wanted(self, now_ms: float) -> float:
         """Return the share of the limit that the demand here requires."""
 
@@ -240,6 +254,12 @@
         is_urgent = usage.share.contended or is_short or has_surplus
         policy = self._policy
         interval_ms = policy.renew_urgent_ms if is_urgent else policy.renew_ms
+        if not held:
+            interval_ms = max(
+                interval_ms,
+                policy.renew_waiting_ms,
+                policy.waiting_ms_per_entry * self.entry_count,
+            )
         return now_ms - requested_ms >= interval_ms
 
     def _request_leases(
@@ -278,7 +298,8 @@
 
     def _grant(self, entry: str, demand: ShareDemand) -> GrantedShare:
         reachable_fraction = self._view.reachable_fraction()
-        pool = (1 - floor_fraction(self.entry_count)) * reachable_fraction
+        floor = self._policy.floor_fraction_of(self.entry_count)
+        pool = (1 - floor) * reachable_fraction
         return self.home.grant(entry, demand, pool, self._clock.now_ms())
 
     def _apply_grants(self, home: str, grants: ShareGrants) -> None:
@@ -344,4 +365,4 @@
     if wanted <= usage.share.floor * FLOOR_DEMAND_FRACTION:
         wanted = 0
     usage.reduce_lease(wanted * DEMAND_HEADROOM, now_ms)
-    return ShareDemand(name, wanted, usage.held(now_ms))
+    return ShareDemand(name, wanted, usage.held(now_ms), usage.least)
--- a/bergamotthread/process/shares/leased_share.py
+++ b/bergamotthread/process/shares/leased_share.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 MIN_FLOOR_FRACTION = 0.1
 
@@ -16,6 +17,14 @@
     return max(MIN_FLOOR_FRACTION, 1 / max(1, entry_count))
 
 
+def no_floor(entry_count: int) -> float:
+    """Return 0: the whole limit is leased."""
+    return 0
+
+
+FloorFraction = Callable[[int], float]
+
+
 class LeasedShare:
     """Fraction of a limit, 0 to 1, that this entry may use.
 
@@ -23,10 +32,17 @@
     ----------
     entry_count
         Number of entries that split the limit.
+    floor_fraction_of
+        Returns the fraction that so many entries split equally.
     """
 
-    def __init__(self, entry_count: int) -> None:
+    def __init__(
+        self,
+        entry_count: int,
+        floor_fraction_of: FloorFraction = floor_fraction,
+    ) -> None:
         self.entry_count = max(1, entry_count)
+        self._floor_fraction_of = floor_fraction_of
         self.leased = float(0)
         self.until_ms = -math.inf
         self.contended = False
@@ -34,7 +50,7 @@
     @property
     def floor(self) -> float:
         """Return the share that needs no lease."""
-        return floor_fraction(self.entry_count) / self.entry_count
+        return self._floor_fraction_of(self.entry_count) / self.entry_count
 
     def lease(self, now_ms: float) -> float:
         """Return the leased share; 0 if the lease is not valid any more."""
--- a/bergamotthread/process/shares/share_home.py
+++ b/bergamotthread/process/shares/share_home.py
@@ -14,6 +14,10 @@
 LEASE_HOLD_MS = SHARE_LEASE_MS + VIEW_LAG_MS
 # Leases are granted for this multiple of the demand.
 DEMAND_HEADROOM = 1.25
+# Entries that hold a lease of the same limit, if it has a least share: half as
+# many as there are least shares in it, and these. Each of them may have saved
+# a request, see `RateUsage`.
+HOLDERS_MAX = 3
 
 
 @dataclass(frozen=True)
@@ -94,6 +98,11 @@
         self._leases_by_name: dict[str, _NamedLeases] = {}
         self._home_by_name: dict[str, str] = {}
 
+    @property
+    def is_granting(self) -> bool:
+        """Return whether leases of a limit are known."""
+        return bool(self._leases_by_name)
+
     def apply_view(self, entries: tuple[str, ...], now_ms: float) -> None:
         """Set the entries that can be homes."""
         if entries == self._entries:
@@ -149,12 +158,12 @@
             return GrantedShare(demand.name, 0)
         leases = self._leases(demand.name, now_ms)
         others = _remove_expired(leases, entry, now_ms)
-        free = max(0, pool - sum(lease.share for lease in others))
+        free = _free(pool, others, demand)
         wanted = max(0, demand.wanted) * DEMAND_HEADROOM
         fair_level = _fair_level(
             pool, [wanted, *(lease.wanted for lease in others)]
         )
-        share = min(wanted, fair_level, free)
+        share = min(wanted, max(fair_level, demand.least), free)
         if now_ms < leases.renewal_only_until_ms:
             share = min(share, demand.held)
         counted = max(share, demand.held)
@@ -215,6 +224,15 @@
     return others
 
 
+def _free(pool: float, others: list[_Lease], demand: ShareDemand) -> float:
+    """Return the share that is left beside the leases of others."""
+    if demand.least and not demand.held:
+        holders = sum(lease.share > 0 for lease in others)
+        if holders >= HOLDERS_MAX + 1 / (2 * demand.least):
+            return 0
+    return max(0, pool - sum(lease.share for lease in others))
+
+
 def _fair_level(pool: float, wanted: list[float]) -> float:
     """Return the max-min fair level at which the demands fill the pool."""
     remaining = pool
--- a/bergamotthread/process/shares/share_usage.py
+++ b/bergamotthread/process/shares/share_usage.py
@@ -69,6 +69,11 @@
         self._released_ms = now_ms
         self._release_interval_ms = float(INITIAL_RELEASE_INTERVAL_MS)
 
+    @property
+    def least(self) -> float:
+        """Return 0: each part of a team's limits is worth a lease."""
+        return 0
+
     def resize(self, team: Team, entry_count: int, now_ms: float) -> None:
         """Apply changed limits or another number of entries."""
         self.set_entry_count(entry_count, now_ms)
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -44,7 +44,7 @@
 MISDIRECTED = 421
 _OK = 200
 _FIRST_REDIRECT = 300
-_HELD = NotSent('the upstream asked for a pause', is_held=True)
+_HELD = NotSent('the upstream takes no request now', is_held=True)
 
 
 class Attempt:
@@ -98,8 +98,8 @@
     async def send(self, headers: AttemptHeaders) -> NotSent | None:
         """Send the request; return the outcome if it could not be sent.
 
-        The upstream may have asked for a pause since it was chosen, also while
-        the connection was opened.
+        The upstream may have asked for a pause since it was chosen, or have got
+        all that its limit allows, also while the connection was opened.
         """
         directory = self.parts.directory
         may_retry = self.call.route.repeatability.may_retry
--- a/bergamotthread/request/relay/copies.py
+++ b/bergamotthread/request/relay/copies.py
@@ -162,7 +162,7 @@
     def _unusable_reason(self, copy: KvCacheCopy) -> str:
         """Return why a copy can't be used; empty if it is usable."""
         if self._parts.directory.is_held(copy.holder):
-            return 'its holder asked for a pause'
+            return 'its holder takes no request now'
         return self._loss_reason(copy)
 
     def _loss_reason(self, copy: KvCacheCopy) -> str:
--- a/bergamotthread/request/relay/opening_wait.py
+++ b/bergamotthread/request/relay/opening_wait.py
@@ -62,19 +62,55 @@
             pauses.waiting_by_service[self._call.service.name] -= 1
 
     def _refusal(self, first: Upstream) -> RelayRefusal:
-        """Return a refusal until the first opens.
+        """Return a refusal until the first opens."""
+        if self._parts.directory.is_limited(first):
+            return self._limit_refusal(first)
+        return self._pause_refusal(first)
 
-        The returns of callers are spread over the steps after its pause.
+    def _limit_refusal(self, first: Upstream) -> RelayRefusal:
+        """Return a refusal by limits on requests.
+
+        Refused requests get a place each in what the limits allow here, in the
+        order of their refusals.
+        """
+        directory = self._parts.directory
+        now_ms = self._parts.clock.now_ms()
+        service = self._call.service.name
+        opens_in_ms = directory.opens_ms(first) - now_ms
+        expected_ms = max(directory.refuse_until_ms(service), opens_in_ms)
+        retry_after_ms = self._bounds(now_ms).spread_out(
+            expected_ms, directory.pauses.rng
+        )
+        return RelayRefusal(
+            503,
+            'upstreams-limited',
+            'all upstreams state limits on requests, and have got what these '
+            f'allow; a place is free in {expected_ms / _MS_PER_S:.1f} s',
+            retry_after_ms,
+            {
+                'opens_in_ms': round(opens_in_ms),
+                'expected_ms': round(expected_ms),
+                'wait_ms': round(max(self._wait_until_ms - now_ms, 0)),
+                'waiting': directory.pauses.waiting_by_service[service],
+            },
+        )
+
+    def _bounds(self, now_ms: float) -> RetryAfterRange:
+        return RetryAfterRange.from_remaining(
+            PAUSED_RETRY_AFTER_MIN_MS, self._call.deadline_ms - now_ms
+        )
+
+    def _pause_refusal(self, first: Upstream) -> RelayRefusal:
+        """Return a refusal by pauses.
+
+        The returns of callers are spread over the steps after the pause.
         """
         pauses = self._parts.directory.pauses
         incarnation = first.record.incarnation
         now_ms = self._parts.clock.now_ms()
         opens_in_ms = pauses.opens_ms(incarnation) - now_ms
         ends_in_ms = pauses.ends_ms(incarnation) - now_ms
-        bounds = RetryAfterRange.from_remaining(
-            PAUSED_RETRY_AFTER_MIN_MS, self._call.deadline_ms - now_ms
-        )
-        retry_after_ms = bounds.spread(
+        retry_after_ms = self._bounds(now_ms).spread(
             opens_in_ms, ends_in_ms - opens_in_ms, pauses.rng
         )
         opens_in_s = opens_in_ms / _MS_PER_S
--- a/bergamotthread/wire/messages.py
+++ b/bergamotthread/wire/messages.py
@@ -319,12 +319,14 @@
 class ShareDemand(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Wanted and held share of a limit at the sender, 0 to 1.
 
-    `name` is that of the limit, such as the name of a team.
+    `name` is that of the limit, such as the name of a team. Shares below
+    `least` are worth a lease only if no more is wanted.
     """
 
     name: str
     wanted: float
     held: float
+    least: float = 0
 
 
 class GrantedShare(msgspec.Struct, frozen=True, array_like=True, gc=False):
