--- a/bergamotthread/platform/runner_rows.py
+++ b/bergamotthread/platform/runner_rows.py
@@ -23,6 +23,8 @@
     state: str
     slots: int = 0
     born: int = 0
+    # Of the software; the weights have versions of their own.
+    version: str = ''
 
 
 class _Report(msgspec.Struct, frozen=True):
@@ -57,6 +59,7 @@
         state=state,
         slots=row.slots,
         started_ms=row.born,
+        build=row.version,
     )
 
 
--- a/bergamotthread/platform/runner_watch.py
+++ b/bergamotthread/platform/runner_watch.py
@@ -144,6 +144,7 @@
                 service=record.service,
                 domain=record.failure_domain,
                 state=record.state.value,
+                build=record.build,
             )
         former = self._directory.update(record)
         if former is not None:
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -63,6 +63,9 @@
         Identifier of this incarnation of the upstream.
     started_ms
         Calendar time of its start; 0 if unknown.
+    build
+        Version of its software; empty if its row names none. Builds have no
+        order.
     """
 
     instance: str
@@ -72,6 +75,7 @@
     state: UpstreamState
     slots: int = 0
     started_ms: int = 0
+    build: str = ''
 
     @property
     def incarnation(self) -> Incarnation:
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -263,6 +263,7 @@
             request=self.call.request_label,
             upstream=upstream.record.instance,
             domain=domain,
+            build=upstream.record.build,
             holder=copy_target.record.instance if copy_target else '',
             rank=chosen.rank,
             candidates=len(ranked),
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -599,6 +599,7 @@
             content=self._call.fingerprints.label,
             upstream=upstream.record.instance,
             domain=upstream.record.failure_domain,
+            build=upstream.record.build,
             outcome=type(outcome).__name__,
             detail=self._last_outcome,
             from_copy=placement.copy is not None,
