--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -47,9 +47,16 @@
         return self.headers.get(REQUEST_ID, b'')
 
 
-def event_of(request_id: bytes, number: int) -> bytes:
-    """Return an event of a stream; it contains the request identifier."""
-    return b'id: %d\ndata: t%d %b\n\n' % (number, number, request_id)
+def event_of(request_id: bytes, number: int, instance: bytes = b'') -> bytes:
+    """Return an event of a stream; it contains the request identifier.
+
+    Parameters
+    ----------
+    instance
+        Runner that the event names too, if not empty.
+    """
+    text = b'%b @%b' % (request_id, instance) if instance else request_id
+    return b'id: %d\ndata: t%d %b\n\n' % (number, number, text)
 
 
 @dataclass
@@ -84,6 +91,8 @@
         Each so many plain answers, one is a 500; 0 for none.
     limits_on_errors
         Whether only answers with 500 state `request_limit`.
+    names_itself
+        Whether its events name the runner.
     retry_after
         If not empty, it answers requests with 503, the header for "not
         executed" and this value of `retry-after`.
@@ -122,6 +131,7 @@
     request_limit: str = ''
     error_every: int = 0
     limits_on_errors: bool = False
+    names_itself: bool = False
 
     @property
     def headers(self) -> tuple[Header, ...]:
@@ -309,7 +319,9 @@
                 exchange.write(b'data: %b' % (b'x' * self.script.padding))
             if self.script.comment:
                 exchange.write(b': %b\n' % (b'x' * self.script.comment))
-            exchange.write(event_of(seen.request_id, number))
+            instance = self.instance if self.script.names_itself else ''
+            event = event_of(seen.request_id, number, instance.encode())
+            exchange.write(event)
             await self.clock.sleep_ms(EVENT_MS)
         if self.script.ends_in_event:
             exchange.write(b'id: 99\ndata')
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -172,6 +172,7 @@
         service: str,
         zone: str,
         address: str = '',
+        build: str = '',
     ) -> MemoryRunner:
         group = self.models if service == MODEL else self.plains
         number = len(self.models) + len(self.plains) + 1
@@ -182,6 +183,8 @@
         group.append(runner)
         born = int(self.clock.now_ms()) + 1
         runner.row = runner_row(runner.address, service, zone, born=born)
+        if build:
+            runner.row['version'] = build
         self.store.put('servers', instance, runner.row)
         return runner
 
--- /dev/null
+++ b/tests/test_stream_builds.py
@@ -0,0 +1,298 @@
+"""Streams go on only at the build of their upstream that began them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import pytest
+
+from bergamotthread.testing.memory_http import run_in_memory
+from standins.platform_runner import MODEL
+from tests.platform_standins import Answer, Deployment, MemoryRunner, settings
+
+ZONES = ('a-1', 'b-1', 'c-1')
+RESUMES = b'resumes'
+# Part of the streams, taken up while their build is served, that goes on.
+GOES_ON_MIN = 0.95
+# A refusal of what is known not to be servable comes within this time.
+AT_ONCE_MS = 300
+_INSTANCE = re.compile(rb'@(\S+)')
+
+
+@dataclass
+class Stream:
+    """One stream over all tries of its caller."""
+
+    path: str
+    origin: bytes = b''
+    last_event: int = 0
+    answers: list[Answer] = field(default_factory=list)
+
+    @property
+    def ids(self) -> list[int]:
+        return [one for answer in self.answers for one in answer.event_ids]
+
+    @property
+    def instances(self) -> set[str]:
+        """Return the upstreams whose events it holds."""
+        return {
+            instance.decode()
+            for answer in self.answers
+            for instance in _INSTANCE.findall(answer.body)
+        }
+
+
+@dataclass
+class Builds:
+    """Deployment with engines of several builds, and streams through it."""
+
+    deployment: Deployment
+    build_by_instance: dict[str, str]
+    streams: list[Stream] = field(default_factory=list)
+
+    @classmethod
+    async def start(
+        cls, builds: Iterable[str], entries: int = 3, settle_ms: float = 3000
+    ) -> Builds:
+        deployment = await Deployment.start(models=0, plains=0)
+        started = cls(deployment, {})
+        for build in builds:
+            await started.add(build)
+        for number in range(2, entries + 1):
+            zone = ZONES[(number - 1) % 3]
+            host = f'edge-{zone[0]}-{number}'
+            await deployment.add_entry(settings(host, zone, number))
+        await deployment.clock.sleep_ms(settle_ms)
+        return started
+
+    async def add(self, build: str) -> MemoryRunner:
+        number = len(self.build_by_instance)
+        runner = await self.deployment.add_runner(
+            f'm{number}', MODEL, ZONES[number % 3], build=build
+        )
+        runner.script.names_itself = True
+        runner.restart = None
+        self.build_by_instance[runner.instance] = build
+        return runner
+
+    def of(self, build: str) -> list[MemoryRunner]:
+        return [
+            runner
+            for runner in self.deployment.models
+            if self.build_by_instance[runner.instance] == build
+        ]
+
+    def remove(self, runner: MemoryRunner) -> None:
+        """End a runner as a crash does, with its row."""
+        runner.kill()
+        self.deployment.store.remove('servers', runner.instance)
+
+    def front(self, number: int) -> str:
+        return f'10.1.0.{number}:8000'
+
+    async def read(
+        self, stream: Stream, front: str, events: int = 0, **options: object
+    ) -> Answer:
+        """Read a stream, or go on with it; leave after some events."""
+        deployment = self.deployment
+        extra: list[tuple[bytes, bytes]] = list(options.pop('extra', ()))
+        if stream.ids:
+            extra.append((b'last-event-id', b'%d' % max(stream.ids)))
+            extra.append((RESUMES, stream.origin))
+        connection = await deployment.connect(front)
+        encoded = deployment.request(stream.path, extra=tuple(extra))
+        request_id = b'r%d' % deployment._next_id
+        connection.send(encoded, b'')
+        answer = Answer()
+        has_more = True
+        while has_more and not (events and len(answer.event_ids) >= events):
+            arrived = await connection.receive(30_000)
+            has_more = answer.take(arrived, deployment.clock.now_ms())
+        connection.close()
+        if not stream.ids and answer.event_ids:
+            stream.origin = request_id
+        stream.answers.append(answer)
+        return answer
+
+    async def begin(
+        self, count: int, events: int = 0, fronts: Iterable[int] = (1, 2, 3)
+    ) -> list[Stream]:
+        """Begin streams through entries in turn; leave after some events."""
+        turn = itertools.cycle(fronts)
+        begun = [Stream(f'/stream/x{number}') for number in range(count)]
+        self.streams += begun
+        await asyncio.gather(
+            *(
+                self.read(stream, self.front(next(turn)), events)
+                for stream in begun
+            )
+        )
+        return begun
+
+    async def take_up(
+        self,
+        streams: list[Stream],
+        fronts: Iterable[int] = (2, 3, 1),
+        events: int = 0,
+    ) -> None:
+        turn = itertools.cycle(fronts)
+        await asyncio.gather(
+            *(
+                self.read(stream, self.front(next(turn)), events)
+                for stream in streams
+            )
+        )
+
+    def builds_of(self, stream: Stream) -> set[str]:
+        return {self.build_by_instance[one] for one in stream.instances}
+
+    def check_builds(self) -> None:
+        """Check that no stream holds events of two builds, or has a gap."""
+        mixed = [
+            stream for stream in self.streams if len(self.builds_of(stream)) > 1
+        ]
+        assert not mixed, len(mixed)
+        for stream in self.streams:
+            assert stream.ids == list(range(1, len(stream.ids) + 1))
+
+    def whole(self) -> int:
+        return sum(len(stream.ids) == 60 for stream in self.streams)
+
+
+# Guards against: a stream that lost its upstream goes on at another build.
+def test_stream_that_lost_its_upstream_goes_on_at_its_build():
+    async def check():
+        builds = await Builds.start(['v1', 'v2'] * 5)
+        task = asyncio.create_task(builds.begin(60))
+        await builds.deployment.clock.sleep_ms(1200)
+        for build in ('v1', 'v2'):
+            for runner in builds.of(build)[:2]:
+                builds.remove(runner)
+        await task
+        builds.check_builds()
+        assert builds.whole() == 60
+
+    run_in_memory(check())
+
+
+# Guards against: the last resort of a stream is another build.
+def test_stream_whose_build_has_gone_is_cut_and_not_mixed():
+    async def check():
+        builds = await Builds.start(['v1', 'v1', 'v2', 'v2', 'v2', 'v2'])
+        task = asyncio.create_task(builds.begin(30))
+        await builds.deployment.clock.sleep_ms(1200)
+        for runner in builds.of('v1'):
+            builds.remove(runner)
+        await task
+        builds.check_builds()
+        cut = [one for one in builds.streams if not one.answers[0].is_whole]
+        assert 0 < len(cut) < 30
+        assert all('v1' in builds.builds_of(stream) for stream in cut)
+
+    run_in_memory(check())
+
+
+# Guards against: callers that take their streams up at another entry get the
+# rest of them from another build.
+@pytest.mark.parametrize('after', ['', 'store', 'end', 'cut', 'restart'])
+def test_stream_taken_up_at_another_entry_goes_on_at_its_build(after):
+    async def check():
+        builds = await Builds.start(['v1', 'v2'] * 4, entries=4)
+        begun = await builds.begin(24, events=20, fronts=(1,))
+        await builds.deployment.clock.sleep_ms(300)
+        await _disturb(builds, after)
+        await builds.take_up(begun, fronts=(2, 3, 4))
+        builds.check_builds()
+        assert builds.whole() >= GOES_ON_MIN * 24
+
+    run_in_memory(check())
+
+
+async def _disturb(builds: Builds, after: str) -> None:
+    deployment = builds.deployment
+    if after == 'store':
+        deployment.net.silent.add('10.200.1.7:8000')
+    if after == 'cut':
+        deployment.net.silent.add('10.1.0.1:7001')
+    if after in {'end', 'restart'}:
+        deployment.tasks[0].cancel()
+        for port in (7000, 7001, 8000, 8001):
+            deployment.net.kill(f'10.1.0.1:{port}')
+    if after == 'restart':
+        await deployment.add_entry(settings())
+        await deployment.clock.sleep_ms(1500)
+
+
+def test_stream_taken_up_several_times_stays_at_its_build():
+    async def check():
+        builds = await Builds.start(['v1', 'v2'] * 4)
+        begun = await builds.begin(24, events=10)
+        for fronts in ((2, 3, 1), (3, 1, 2), (1, 2, 3)):
+            await builds.deployment.clock.sleep_ms(200)
+            await builds.take_up(begun, fronts, events=10)
+        await builds.take_up(begun, (2, 3, 1))
+        builds.check_builds()
+        assert builds.whole() >= GOES_ON_MIN * 24
+
+    run_in_memory(check())
+
+
+# Guards against: a stream whose build nobody knows goes on anywhere.
+def test_stream_of_an_unknown_build_is_refused_at_once():
+    async def check():
+        builds = await Builds.start(['v1', 'v2'] * 4)
+        reached = builds.deployment.ran(builds.deployment.models)
+        stream = Stream('/stream/x', b'never-seen')
+        stream.answers.append(Answer(body=b'id: 1\n\nid: 2\n\n'))
+        started_ms = builds.deployment.clock.now_ms()
+        answer = await builds.read(stream, builds.front(2))
+        assert answer.status == 503
+        assert float(answer.headers[b'retry-after']) > 0
+        assert builds.deployment.clock.now_ms() - started_ms < AT_ONCE_MS
+        assert builds.deployment.ran(builds.deployment.models) == reached
+
+    run_in_memory(check())
+
+
+def test_stream_whose_build_has_gone_is_refused_at_once():
+    async def check():
+        builds = await Builds.start(['v1', 'v2', 'v2', 'v2'])
+        begun = await builds.begin(12, events=20)
+        gone = [one for one in begun if builds.builds_of(one) == {'v1'}]
+        builds.remove(builds.of('v1')[0])
+        await builds.deployment.clock.sleep_ms(5000)
+        for stream in gone:
+            started_ms = builds.deployment.clock.now_ms()
+            answer = await builds.read(stream, builds.front(2))
+            assert answer.status == 503
+            assert builds.deployment.clock.now_ms() - started_ms < AT_ONCE_MS
+        builds.check_builds()
+
+    run_in_memory(check())
+
+
+# Guards against: a copy of a stream's memory at an upstream of another build.
+def test_copies_are_held_by_upstreams_of_the_same_build():
+    async def check():
+        builds = await Builds.start(['v1', 'v2'] * 5)
+        await builds.begin(30)
+        build_by_address = {
+            runner.address: builds.build_by_instance[runner.instance]
+            for runner in builds.deployment.models
+        }
+        copied = [
+            (runner, seen.headers[b'bergamotthread-kv-backup'].decode())
+            for runner in builds.deployment.models
+            for seen in runner.seen
+            if b'bergamotthread-kv-backup' in seen.headers
+        ]
+        assert len(copied) >= 25
+        for runner, target in copied:
+            build = builds.build_by_instance[runner.instance]
+            assert build_by_address[target] == build
+
+    run_in_memory(check())
