--- /dev/null
+++ b/bergamotthread/platform/build_relay.py
@@ -0,0 +1,344 @@
+"""Tells other entries at which builds streams began, and asks them.
+
+A caller that lost its entry takes its stream up at another one. An entry tells
+two others of each stream that it begins, chosen by a hash of the stream's
+request so that any entry knows whom to ask: one of its region, since callers
+stay there, and one of another region, since a region may be lost. While all
+upstreams of a service have had one build for as long as a stream may last,
+there is nothing to tell.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+from itertools import chain, islice
+
+import msgspec
+from absl import logging
+
+from bergamotthread.clock import Clock
+from bergamotthread.platform.peer_messages import (
+    TELL_CONCURRENCY_MAX,
+    PeerMessages,
+)
+from bergamotthread.platform.relayed_feed import MessageAnswer
+from bergamotthread.process.relay.feed_sources import EntryRecord, FeedSources
+from bergamotthread.process.relay.hash_ring import HashRing
+from bergamotthread.process.relay.stream_builds import (
+    STREAM_MAX_MS,
+    TOLD,
+    KnownBuild,
+    StreamBuilds,
+)
+from bergamotthread.process.relay.upstreams import UpstreamDirectory
+from bergamotthread.request.relay.build_source import BuildSource
+
+BUILDS_PATH = b'/api/builds'
+# Pause before a message, so that it has the streams that begin together.
+TELL_INTERVAL_MS = 50
+# Streams in one message. Further ones follow in the next.
+TOLD_MAX = 512
+# Entries that are told of a stream, and that are asked of each of the two
+# orders.
+HOLDERS = 2
+ASKED_MAX = 3
+# Time for the answers of the entries that are asked.
+ASK_TIMEOUT_MS = 250
+# Time for which an entry that did not accept a message is passed over.
+FAILED_MS = 3000
+_MS_PER_S = 1000
+
+
+class _Told(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    streams_by_build: dict[str, tuple[int, ...]]
+
+
+class _Asked(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    service: str
+    stream: int
+
+
+class _Found(msgspec.Struct, frozen=True, array_like=True):
+    build: str
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Begun:
+    build: str
+    begun_ms: float
+
+
+_decoder = msgspec.msgpack.Decoder(_Told | _Asked)
+
+
+@dataclass
+class BuildRelay(BuildSource):
+    """Exchanges the builds of streams with other entries."""
+
+    peers: PeerMessages
+    feeds: FeedSources
+    builds: StreamBuilds
+    _begun_by_service: defaultdict[str, dict[int, _Begun]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+    _has_begun: asyncio.Event = field(default_factory=asyncio.Event)
+    _failed_ms_by_host: dict[str, float] = field(default_factory=dict)
+    _rings: _Rings | None = None
+
+    @classmethod
+    def from_directory(
+        cls,
+        peers: PeerMessages,
+        feeds: FeedSources,
+        directory: UpstreamDirectory,
+    ) -> BuildRelay:
+        """Return a relay of the builds of a directory's upstreams."""
+        return cls(peers, feeds, StreamBuilds(directory.clock, directory))
+
+    @property
+    def clock(self) -> Clock:
+        """Return the clock of the process."""
+        return self.builds.clock
+
+    def tell(self, service: str, stream: int, build: str) -> None:
+        """Tell other entries of a stream that begins here, if needed."""
+        begun = _Begun(build, self.clock.now_ms())
+        self._begun_by_service[service][stream] = begun
+        self._has_begun.set()
+
+    async def find(self, service: str, stream: int) -> KnownBuild | None:
+        """Return the build at which a stream began, or None if unknown.
+
+        What an entry was told outweighs what an entry concludes from the
+        service having a single build.
+        """
+        known = self.builds.get(stream)
+        if known is not None:
+            return known
+        found = await self._ask(service, stream)
+        told = next((one for one in found if TOLD in one.source), None)
+        if told is not None:
+            self.builds.record(stream, told.build, told.source)
+            return told
+        single = self.builds.single(service)
+        return single or next(iter(found), None)
+
+    @property
+    def answer_by_path(self) -> dict[bytes, MessageAnswer]:
+        """Return what answers the messages of other entries."""
+        return {BUILDS_PATH: self.answer}
+
+    def answer(self, method: bytes, body: bytes) -> bytes | None:
+        """Answer a message of another entry; None if it is invalid."""
+        try:
+            message = _decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            logging.debug('message on builds is invalid: %s', error)
+            return None
+        match message:
+            case _Told(streams_by_build):
+                self._record_told(streams_by_build)
+                return b''
+            case _Asked(service, stream):
+                return self._answer_asked(service, stream)
+
+    async def run(self) -> None:
+        """Tell other entries of the streams that begin here."""
+        while True:
+            await self._has_begun.wait()
+            await self.clock.sleep_ms(TELL_INTERVAL_MS)
+            await self._tell_all(self._next_untold())
+            if not any(self._begun_by_service.values()):
+                self._has_begun.clear()
+
+    def _record_told(
+        self, streams_by_build: dict[str, tuple[int, ...]]
+    ) -> None:
+        for build, streams in streams_by_build.items():
+            for stream in streams:
+                self.builds.record(stream, build, TOLD)
+
+    def _answer_asked(self, service: str, stream: int) -> bytes:
+        known = self.builds.get(stream)
+        if known is not None:
+            return msgspec.msgpack.encode(_Found(known.build, TOLD))
+        single = self.builds.single(service)
+        if single is None:
+            return b''
+        return msgspec.msgpack.encode(_Found(single.build, single.source))
+
+    def _next_untold(self) -> dict[int, str]:
+        """Remove and return streams that have to be told now.
+
+        Those of services with a single build wait until another build appears
+        or they are over.
+        """
+        untold: dict[int, str] = {}
+        oldest_ms = self.clock.now_ms() - STREAM_MAX_MS
+        for service, begun_by_stream in self._begun_by_service.items():
+            _forget_older(begun_by_stream, oldest_ms)
+            if self.builds.single(service) is None:
+                streams = list(islice(begun_by_stream, TOLD_MAX))
+                for stream in streams:
+                    untold[stream] = begun_by_stream.pop(stream).build
+        return untold
+
+    async def _tell_all(self, build_by_stream: dict[int, str]) -> None:
+        streams_by_host: defaultdict[str, list[int]] = defaultdict(list)
+        entry_by_host: dict[str, EntryRecord] = {}
+        for stream in build_by_stream:
+            for holder in self._holders(stream):
+                entry_by_host[holder.host] = holder
+                streams_by_host[holder.host].append(stream)
+        hosts = list(streams_by_host)
+        for start in range(0, len(hosts), TELL_CONCURRENCY_MAX):
+            part = hosts[start : start + TELL_CONCURRENCY_MAX]
+            await asyncio.gather(
+                *(
+                    self._tell(
+                        entry_by_host[host],
+                        _by_build(streams_by_host[host], build_by_stream),
+                    )
+                    for host in part
+                )
+            )
+
+    async def _tell(self, entry: EntryRecord, message: _Told) -> None:
+        encoded = msgspec.msgpack.encode(message)
+        answer = await self.peers.send(entry, BUILDS_PATH, encoded)
+        if answer is None:
+            self._failed_ms_by_host[entry.host] = self.clock.now_ms()
+
+    def _holders(self, stream: int) -> list[EntryRecord]:
+        """Return the entries to be told: in the region, and in another."""
+        rings = self._current_rings()
+        usable = (
+            entry
+            for entry in rings.region_first(stream)
+            if not self._has_failed(entry)
+        )
+        others = (
+            entry
+            for entry in rings.walk_all(stream)
+            if not self._has_failed(entry)
+        )
+        holders = list(islice(usable, 1))
+        candidates = list(others)
+        elsewhere = (
+            entry
+            for entry in candidates
+            if entry.region != self.feeds.own_region
+        )
+        ordered = chain(islice(elsewhere, 1), candidates)
+        for entry in ordered:
+            if len(holders) < HOLDERS and entry not in holders:
+                holders.append(entry)
+        return holders
+
+    async def _ask(self, service: str, stream: int) -> list[KnownBuild]:
+        """Return what the entries that may have been told know."""
+        rings = self._current_rings()
+        entries = {
+            entry.host: entry
+            for entry in (
+                *islice(rings.region_first(stream), ASKED_MAX),
+                *islice(rings.walk_all(stream), ASKED_MAX),
+            )
+        }
+        if not entries:
+            return []
+        encoded = msgspec.msgpack.encode(_Asked(service, stream))
+        tasks = [
+            asyncio.create_task(self._ask_one(entry, encoded))
+            for entry in entries.values()
+        ]
+        return await self._first_told(tasks)
+
+    async def _first_told(
+        self, tasks: Sequence[asyncio.Task[KnownBuild | None]]
+    ) -> list[KnownBuild]:
+        """Return the answers, up to the first of an entry that was told."""
+        found: list[KnownBuild] = []
+        pending = set(tasks)
+        end_ms = self.clock.now_ms() + ASK_TIMEOUT_MS
+        while pending and not any(TOLD in one.source for one in found):
+            remaining_ms = max(end_ms - self.clock.now_ms(), 0)
+            answered, pending = await asyncio.wait(
+                pending,
+                timeout=remaining_ms / _MS_PER_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not answered:
+                break
+            found.extend(known for task in answered if (known := task.result()))
+        for task in pending:
+            task.cancel()
+        return found
+
+    async def _ask_one(
+        self, entry: EntryRecord, encoded: bytes
+    ) -> KnownBuild | None:
+        answer = await self.peers.send(entry, BUILDS_PATH, encoded)
+        if not answer:
+            return None
+        try:
+            found = msgspec.msgpack.decode(answer, type=_Found)
+        except msgspec.MsgspecError as error:
+            logging.debug('answer of %s is invalid: %s', entry.host, error)
+            return None
+        return KnownBuild(found.build, f'{found.source} {entry.host}')
+
+    def _has_failed(self, entry: EntryRecord) -> bool:
+        failed_ms = self._failed_ms_by_host.get(entry.host, -FAILED_MS)
+        return self.clock.now_ms() - failed_ms < FAILED_MS
+
+    def _current_rings(self) -> _Rings:
+        others = self.feeds.others()
+        if self._rings is None or self._rings.entries != others:
+            self._rings = _Rings(others, self.feeds.own_region)
+        return self._rings
+
+
+class _Rings:
+    """Other entries in the orders of a stream's key."""
+
+    def __init__(self, entries: list[EntryRecord], region: str) -> None:
+        self.entries = entries
+        self._by_host = {entry.host: entry for entry in entries}
+        self._all = HashRing(self._by_host)
+        self._region = HashRing(
+            entry.host for entry in entries if entry.region == region
+        )
+
+    def walk_all(self, stream: int) -> Iterator[EntryRecord]:
+        """Yield all other entries, preferred ones first."""
+        return self._walk(self._all, stream)
+
+    def region_first(self, stream: int) -> Iterator[EntryRecord]:
+        """Yield the other entries of the region, preferred ones first."""
+        return self._walk(self._region, stream)
+
+    def _walk(self, ring: HashRing, stream: int) -> Iterator[EntryRecord]:
+        for host in ring.walk(b'%d' % stream):
+            yield self._by_host[host]
+
+
+def _by_build(streams: Iterable[int], build_by_stream: dict[int, str]) -> _Told:
+    streams_by_build: defaultdict[str, list[int]] = defaultdict(list)
+    for stream in streams:
+        streams_by_build[build_by_stream[stream]].append(stream)
+    return _Told(
+        {build: tuple(told) for build, told in streams_by_build.items()}
+    )
+
+
+def _forget_older(begun: dict[int, _Begun], oldest_ms: float) -> None:
+    while begun:
+        stream, first = next(iter(begun.items()))
+        if first.begun_ms >= oldest_ms:
+            return
+        begun.pop(stream)
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -12,9 +12,10 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
+from bergamotthread.platform.build_relay import BuildRelay
 from bergamotthread.platform.crash_parts import CrashParts
 from bergamotthread.platform.headers import PLATFORM_DIALECT
-from bergamotthread.platform.leaving_relay import LEAVING_PATH, LeavingRelay
+from bergamotthread.platform.leaving_relay import LeavingRelay
 from bergamotthread.platform.limit_parts import LimitParts
 from bergamotthread.platform.peer_messages import PeerMessages
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
@@ -152,6 +153,7 @@
                 self._leaving_relay.run(),
                 self._crashes.run(),
                 self._limit_parts.run(),
+                self._build_relay.run(),
             )
         ]
         while not self._is_finished():
@@ -249,9 +251,10 @@
                 )
             },
             answer_by_path={
-                LEAVING_PATH: self._leaving_relay.answer,
+                **self._leaving_relay.answer_by_path,
                 **self._crashes.answer_by_path,
                 **self._limit_parts.answer_by_path,
+                **self._build_relay.answer_by_path,
             },
         )
         await listen(feed_server, f'{settings.ip}:{settings.peer_port}')
@@ -370,6 +373,9 @@
             self._directory, PLATFORM_DIALECT, self._log, metrics
         )
         runners = RunnerClient(self._pool, self._clock, leaving, limits, pauses)
+        self._build_relay = BuildRelay.from_directory(
+            peers, self._feeds, self._directory
+        )
         return RelayParts(
             clock=self._clock,
             pool=self._pool,
@@ -402,6 +408,7 @@
             header_names=PLATFORM_DIALECT,
             leaving=leaving,
             limits=limits,
+            builds=self._build_relay,
             log=self._log,
             metrics=metrics,
         )
--- a/bergamotthread/platform/headers.py
+++ b/bergamotthread/platform/headers.py
@@ -17,6 +17,7 @@
     copy_target=b'bergamotthread-kv-backup',
     copy_source=b'kv-from',
     leaving=b'server-leaving',
+    origin=b'resumes',
     request_limit=b'server-limit',
     set_by_entry=frozenset(
         (
--- a/bergamotthread/platform/leaving_relay.py
+++ b/bergamotthread/platform/leaving_relay.py
@@ -16,6 +16,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.platform.peer_messages import PeerMessages
+from bergamotthread.platform.relayed_feed import MessageAnswer
 from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.feed_sources import FeedSources
 from bergamotthread.process.relay.upstreams import UpstreamRecord
@@ -57,6 +58,11 @@
         self._untold[record.instance] = record.started_ms
         self._learned.set()
 
+    @property
+    def answer_by_path(self) -> dict[bytes, MessageAnswer]:
+        """Return what answers the messages of other entries."""
+        return {LEAVING_PATH: self.answer}
+
     def answer(self, method: bytes, body: bytes) -> bytes | None:
         """Answer a message of another entry; None if it is invalid."""
         return b'' if self.apply(body) else None
--- a/bergamotthread/platform/runner_rows.py
+++ b/bergamotthread/platform/runner_rows.py
@@ -34,6 +34,7 @@
     kv_total: int = 0
     handles: int = 0
     runs: tuple[tuple[str, int, int, int], ...] = ()
+    born: int = 0
 
 
 def decode_runner(instance: str, encoded: bytes) -> UpstreamRecord | None:
@@ -93,6 +94,7 @@
             for run, tokens, events, _ in report.runs
         ),
         copies=report.handles,
+        started_ms=report.born,
     )
 
 
--- a/bergamotthread/platform/runner_watch.py
+++ b/bergamotthread/platform/runner_watch.py
@@ -97,7 +97,7 @@
         self.apply_changes(rows)
         for instance in self._directory.instances() - listed:
             self._handle_missing_row(instance)
-        self._directory.is_loaded = True
+        self._directory.record_loaded()
         self._is_new_era = False
 
     def apply_changes(self, rows: Iterable[StoredRow]) -> None:
--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -77,6 +77,8 @@
     is_reconnect
         Whether the caller reconnects, so that an upstream may cache its
         prompt.
+    build
+        The only build that may be chosen; None if any may.
     """
 
     service: str
@@ -84,6 +86,7 @@
     excluded: frozenset[str] = frozenset()
     affinity: bytes = b''
     is_reconnect: bool = False
+    build: str | None = None
 
 
 @dataclass
@@ -181,12 +184,15 @@
         upstreams come first, then those that the affinity prefers. Suspected
         upstreams are candidates only if there are no others. For a caller that
         reconnects, entries of all regions draw the same candidates as long as
-        they agree on which upstreams are lost or suspected.
+        they agree on which upstreams are lost or suspected. Streams that begin
+        avoid builds that are being replaced.
         """
         self._record_demand(request)
-        considered = list(
-            islice(self._eligible_in_order(request), CONSIDERED_UPSTREAMS_MAX)
-        )
+        directory = self.directory
+        service = request.service
+        avoided = directory.sparse_builds(service)
+        avoided |= directory.shrinking_builds(service)
+        considered = self._considered(request, avoided)
         healthy = [
             upstream
             for upstream in considered
@@ -220,9 +226,8 @@
 
         They are drawn at random, as all entries know about the same reports.
         """
-        considered = islice(
-            self._eligible_in_order(request), CONSIDERED_UPSTREAMS_MAX
-        )
+        avoided = self.directory.sparse_builds(request.service)
+        considered = self._considered(request, avoided)
         healthy = (
             upstream
             for upstream in considered
@@ -241,7 +246,8 @@
     def count_engines(self, request: RelayPlacementRequest) -> int:
         """Return the number of engines that may run a request."""
         return sum(
-            not self.directory.is_lost(upstream)
+            _has_build(upstream, request.build)
+            and not self.directory.is_lost(upstream)
             for upstream in self.directory.of_service(request.service)
         )
 
@@ -332,11 +338,33 @@
             if self._is_eligible(upstream, request):
                 yield upstream
 
+    def _considered(
+        self, request: RelayPlacementRequest, avoided: frozenset[str]
+    ) -> list[Upstream]:
+        """Return the first eligible upstreams.
+
+        Those of avoided builds are considered only for a stream that is bound
+        to a build, or if there are no others.
+        """
+        if request.build is None:
+            preferred = (
+                upstream
+                for upstream in self._eligible_in_order(request)
+                if upstream.record.build not in avoided
+            )
+            considered = list(islice(preferred, CONSIDERED_UPSTREAMS_MAX))
+            if considered:
+                return considered
+        eligible = self._eligible_in_order(request)
+        return list(islice(eligible, CONSIDERED_UPSTREAMS_MAX))
+
     def _is_eligible(
         self, upstream: Upstream, request: RelayPlacementRequest
     ) -> bool:
         is_excluded = upstream.record.instance in request.excluded
-        return not is_excluded and not self.directory.is_lost(upstream)
+        if is_excluded or not _has_build(upstream, request.build):
+            return False
+        return not self.directory.is_lost(upstream)
 
     def _region_cost_ms(self, upstream: Upstream) -> float:
         region = self.region_by_domain.get(upstream.record.failure_domain)
@@ -360,6 +388,10 @@
     return [*candidates[:-1], last]
 
 
+def _has_build(upstream: Upstream, build: str | None) -> bool:
+    return build is None or upstream.record.build == build
+
+
 def _kv_fraction(upstream: Upstream, more_tokens: int = 0) -> float:
     """Return the fraction of the KV cache in use; 0 without a load report."""
     report = upstream.report
--- a/bergamotthread/process/relay/liveness.py
+++ b/bergamotthread/process/relay/liveness.py
@@ -251,5 +251,6 @@
                 upstream.unanswered_ms = self.clock.now_ms()
             return False
         upstream.apply_report(report)
+        self.directory.record_restarted(upstream, report.started_ms)
         self.directory.record_heard(upstream)
         return True
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -4,12 +4,18 @@
 
 import enum
 import math
-from collections import Counter, deque
-from collections.abc import Iterator
+from collections import Counter, defaultdict, deque
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field, replace
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.overload.run_statistics import RunStatistics
+from bergamotthread.process.relay.build_history import (
+    BuildHistory,
+    count_accepting,
+    shrinking_builds,
+    sparse_builds,
+)
 from bergamotthread.process.relay.hash_ring import HashRing
 from bergamotthread.process.relay.leaving import LeavingIncarnations
 from bergamotthread.process.relay.pauses import (
@@ -110,6 +116,8 @@
         Copies of other upstreams' runs that it holds.
     at_ms
         Monotonic time at which the report arrived.
+    started_ms
+        Calendar time of the upstream's start; 0 if it says none.
     """
 
     queued: int
@@ -121,6 +129,7 @@
     waiting_tokens: int = 0
     runs: tuple[RunProgress, ...] = ()
     copies: int = 0
+    started_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -144,6 +153,9 @@
         Whether its row disappeared in an outage of the store and may return.
     is_leaving
         Whether it said in an answer that it is leaving.
+    is_restarted
+        Whether it said that it started later than its row says. What the row
+        says of its build may be wrong then.
     listed_ms, heard_ms, lost_ms
         Monotonic times at which it was first listed, last sent bytes and was
         marked lost; 0 before. `lost_ms` is reset when it sends something.
@@ -169,6 +181,7 @@
     held_tokens: int = 0
     is_unlisted: bool = False
     is_leaving: bool = False
+    is_restarted: bool = False
     statistics: RunStatistics = field(default_factory=RunStatistics)
     has_prefilled: bool = False
     _recent_sends: deque[tuple[float, int]] = field(default_factory=deque)
@@ -181,7 +194,8 @@
     @property
     def accepts_requests(self) -> bool:
         """Return whether it is to get new requests."""
-        return self.record.state is UpstreamState.READY and not self.is_leaving
+        is_ending = self.is_leaving or self.is_restarted
+        return self.record.state is UpstreamState.READY and not is_ending
 
     def record_send(self, prompt_tokens: int, now_ms: float) -> None:
         """Record an own attempt that was sent just now.
@@ -240,6 +254,13 @@
     _outputs_by_service: dict[str, RunStatistics] = field(default_factory=dict)
     _stream_count_by_service: Counter[str] = field(default_factory=Counter)
     _leaving: LeavingIncarnations = field(default_factory=LeavingIncarnations)
+    _loaded_ms: float = math.inf
+    _history_by_service: defaultdict[str, BuildHistory] = field(
+        default_factory=lambda: defaultdict(BuildHistory)
+    )
+    _accepting_by_service: dict[str, dict[str, int]] = field(
+        default_factory=dict
+    )
 
     def __len__(self) -> int:
         return len(self._upstream_by_instance)
@@ -259,12 +280,16 @@
     def update(self, record: UpstreamRecord) -> Upstream | None:
         """Add or update an upstream; return the one that it replaces.
 
-        A record of an older incarnation at a known address is ignored.
+        A record of an older incarnation at a known address is ignored. One
+        that has another build counts as another incarnation.
         """
+        self._accepting_by_service.clear()
         listed = self._upstream_by_instance.get(record.instance)
         if listed is not None and _is_same_incarnation(listed.record, record):
+            did_accept = listed.accepts_requests
             listed.record = record
             listed.is_unlisted = False
+            self._record_left(listed, did_accept=did_accept)
             return None
         replaced = listed or self._at_address(record)
         if replaced is not None:
@@ -279,6 +304,8 @@
         self._upstream_by_instance[record.instance] = upstream
         self._instance_by_address[record.address] = record.instance
         self._ring(record.service).add(record.address)
+        history = self._history_by_service[record.service]
+        history.record_came(record.build, self.clock.now_ms())
         return replaced
 
     def remove(self, instance: str) -> Upstream | None:
@@ -288,10 +315,95 @@
             address = upstream.address
             self._instance_by_address.pop(address)
             service = upstream.record.service
+            now_ms = self.clock.now_ms()
             self._ring(service).remove(address)
-            self._removed_ms_by_service[service] = self.clock.now_ms()
+            self._removed_ms_by_service[service] = now_ms
+            self._accepting_by_service.clear()
+            history = self._history_by_service[service]
+            history.record_removed(upstream.record.build, now_ms)
+            if upstream.accepts_requests:
+                history.record_left(upstream.record.build, now_ms)
         return upstream
 
+    def record_loaded(self) -> None:
+        """Record that the store's list was read completely."""
+        if not self.is_loaded:
+            self.is_loaded = True
+            self._loaded_ms = self.clock.now_ms()
+
+    def record_restarted(self, upstream: Upstream, started_ms: int) -> None:
+        """Compare the start that an upstream states with that of its row."""
+        listed_ms = upstream.record.started_ms
+        if listed_ms and started_ms > listed_ms:
+            upstream.is_restarted = True
+            self._accepting_by_service.clear()
+
+    def accepting_by_build(self, service: str) -> Mapping[str, int]:
+        """Return the upstreams of each listed build that accept requests."""
+        accepting = self._accepting_by_service.get(service)
+        if accepting is None:
+            accepting = count_accepting(
+                (upstream.record.build, upstream.accepts_requests)
+                for upstream in self._upstream_by_instance.values()
+                if upstream.record.service == service
+            )
+            self._accepting_by_service[service] = accepting
+        return accepting
+
+    def sparse_builds(self, service: str) -> frozenset[str]:
+        """Return the builds at which no stream is to begin."""
+        return sparse_builds(self.accepting_by_build(service))
+
+    def shrinking_builds(self, service: str) -> frozenset[str]:
+        """Return the builds at which streams begin only if others are full."""
+        return shrinking_builds(
+            self.accepting_by_build(service),
+            self._history_by_service[service],
+            self.clock.now_ms(),
+        )
+
+    def accepting_builds(self, service: str) -> set[str]:
+        """Return the builds of the upstreams that accept new requests."""
+        return {
+            build
+            for build, accepting in self.accepting_by_build(service).items()
+            if accepting
+        }
+
+    def single_build(self, service: str, within_ms: float) -> str | None:
+        """Return the only build that a service had lately, or None.
+
+        Parameters
+        ----------
+        within_ms
+            Time for which it must have been the only one. Upstreams that name
+            no build need no time.
+        """
+        now_ms = self.clock.now_ms()
+        history = self._history_by_service[service]
+        builds = history.since(
+            self.accepting_by_build(service), now_ms - within_ms
+        )
+        if len(builds) != 1 or not self.is_loaded:
+            return None
+        build = next(iter(builds))
+        is_known = not build or now_ms - self._loaded_ms >= within_ms
+        return build if is_known else None
+
+    def lacks_build(self, service: str, build: str) -> bool:
+        """Return whether a service has upstreams of other builds alone.
+
+        Upstreams removed within `REPLACEMENT_MS` may be replaced, and so may
+        those of a service that has none at all.
+        """
+        removed_ms = self._history_by_service[service].removed_ms(build)
+        if not self.is_loaded or (
+            self.clock.now_ms() - removed_ms < REPLACEMENT_MS
+        ):
+            return False
+        offered = self.accepting_builds(service)
+        return bool(offered) and build not in offered
+
     def outputs(self, service: str) -> RunStatistics:
         """Return the speed and output lengths learned of a service."""
         return self._outputs_by_service.setdefault(service, RunStatistics())
@@ -340,7 +452,9 @@
         is_new = self._leaving.add(instance, started_ms)
         listed = self._upstream_by_instance.get(instance)
         if listed is not None and self._includes_leaving(listed.record):
+            did_accept = listed.accepts_requests
             listed.is_leaving = True
+            self._record_left(listed, did_accept=did_accept)
         return is_new
 
     def instances(self) -> frozenset[str]:
@@ -585,6 +699,14 @@
             self.limits.room_until(incarnation, at_ms, now_ms),
         )
 
+    def _record_left(self, upstream: Upstream, *, did_accept: bool) -> None:
+        """Record that an upstream stopped to accept requests, if it did."""
+        self._accepting_by_service.clear()
+        record = upstream.record
+        if did_accept and not upstream.accepts_requests:
+            history = self._history_by_service[record.service]
+            history.record_left(record.build, self.clock.now_ms())
+
     def _ring(self, service: str) -> HashRing:
         return self._ring_by_service.setdefault(service, HashRing(()))
 
@@ -618,8 +740,8 @@
 def _is_same_incarnation(
     listed: UpstreamRecord, updated: UpstreamRecord
 ) -> bool:
-    return (listed.address, listed.service, listed.started_ms) == (
-        updated.address,
-        updated.service,
-        updated.started_ms,
-    )
+    return _identity(listed) == _identity(updated)
+
+
+def _identity(record: UpstreamRecord) -> tuple[str, str, int, str]:
+    return record.address, record.service, record.started_ms, record.build
--- a/bergamotthread/request/relay/admission.py
+++ b/bergamotthread/request/relay/admission.py
@@ -129,6 +129,7 @@
             prompt_tokens=self._prompt_tokens(request, route),
             resume_after=_last_event_id(request),
             affinity=self._affinity(request),
+            origin=request.header(self.header_names.origin) or b'',
         )
 
     def _fingerprints(
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -110,11 +110,9 @@
                 self.upstream.address,
                 idle_max_ms,
             )
-            if self.upstream.is_leaving:
-                # Another answer said so while the connection was opened.
-                return NotSent('the upstream is leaving')
-            if not directory.admit(self.upstream):
-                return _HELD
+            not_sent = self._reason_not_to_send()
+            if not_sent is not None:
+                return not_sent
             self._connection.send(encoded, self.call.request_id)
         except ConnectFailedError as error:
             if self._is_upstream_lost(error):
@@ -159,6 +157,17 @@
         signature = head.header(self.parts.header_names.signature)
         return is_success and signature is None
 
+    def _reason_not_to_send(self) -> NotSent | None:
+        """Return what was learned while the connection was opened."""
+        directory = self.parts.directory
+        record = self.upstream.record
+        if self.upstream.is_leaving:
+            return NotSent('the upstream is leaving')
+        listed = directory.get(record.instance)
+        if listed is not None and listed.record.build != record.build:
+            return NotSent('the upstream has another build now')
+        return None if directory.admit(self.upstream) else _HELD
+
     def _read_notices(self, head: AnswerHead) -> None:
         if self.lacks_signature(head):
             return
--- a/bergamotthread/request/relay/call.py
+++ b/bergamotthread/request/relay/call.py
@@ -36,6 +36,9 @@
     resume_after
         Identifier of the last event that the caller received; None for a new
         stream.
+    origin
+        Identifier of the request that brought the first event of the stream
+        that is taken up; empty if none is named.
     affinity
         Key of the prompt for cache affinity; empty if the request names none.
     fingerprints
@@ -53,6 +56,7 @@
     prompt_tokens: int = 0
     resume_after: int | None = None
     affinity: bytes = b''
+    origin: bytes = b''
 
     @property
     def request(self) -> CallerRequest:
--- a/bergamotthread/request/relay/dialect.py
+++ b/bergamotthread/request/relay/dialect.py
@@ -48,6 +48,9 @@
         upstream that ran the request and that upstream's name for the copy.
     leaving
         In all answers of an upstream that is leaving, with the value 1.
+    origin
+        In requests of callers that take a stream up: identifier of the request
+        that brought its first event.
     request_limit
         In answers of an upstream in need: requests per second that it takes
         from all hosts together.
@@ -68,6 +71,7 @@
     copy_target: bytes
     copy_source: bytes
     leaving: bytes
+    origin: bytes
     request_limit: bytes
     set_by_entry: frozenset[bytes]
 
--- a/bergamotthread/request/relay/parts.py
+++ b/bergamotthread/request/relay/parts.py
@@ -16,6 +16,7 @@
 from bergamotthread.process.relay.repeat_budget import ServiceRetryBudget
 from bergamotthread.process.relay.stream_gate import StreamGate
 from bergamotthread.process.relay.upstreams import UpstreamDirectory
+from bergamotthread.request.relay.build_source import BuildSource
 from bergamotthread.request.relay.dialect import RelayHeaderNames
 from bergamotthread.request.relay.engine_memory import EngineKvCache
 from bergamotthread.request.relay.leaving_notices import LeavingNotices
@@ -40,5 +41,6 @@
     header_names: RelayHeaderNames
     leaving: LeavingNotices
     limits: LimitNotices
+    builds: BuildSource
     log: DecisionLog
     metrics: RelayMetrics
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bergamotthread.process.relay.choice import (
     LEAST_LOADED_UPSTREAMS,
@@ -68,7 +68,11 @@
         return engine is not None and engine.copies_memory
 
     def placement_request(
-        self, excluded: frozenset[str], *, is_first: bool
+        self,
+        excluded: frozenset[str],
+        build: str | None = None,
+        *,
+        is_first: bool,
     ) -> RelayPlacementRequest:
         """Return what an attempt requires of an upstream.
 
@@ -76,6 +80,8 @@
         ----------
         excluded
             Instances that must not be chosen.
+        build
+            The only build that may be chosen; None if any may.
         is_first
             Whether no attempt of this call was sent yet.
         """
@@ -86,6 +92,7 @@
             excluded=excluded,
             affinity=call.affinity,
             is_reconnect=is_first and call.resume_after is not None,
+            build=build,
         )
 
     def place_at_copy(
@@ -249,15 +256,10 @@
         choice = self.parts.choice
         upstream = chosen.upstream
         domain = upstream.record.failure_domain
-        others = [one.upstream for one in ranked if one is not chosen]
-        other_domains = [
-            other for other in others if other.record.failure_domain != domain
-        ]
         copy_target = None
         if self.may_copy:
-            copy_target = choice.copy_holder_among(
-                other_domains or others, request.prompt_tokens
-            )
+            others = [one.upstream for one in ranked if one is not chosen]
+            copy_target = self._copy_holder(upstream, others, request)
         self.parts.log.write(
             'placed',
             request=self.call.request_label,
@@ -278,6 +280,26 @@
         )
         return AttemptPlacement(upstream, copy_target=copy_target)
 
+    def _copy_holder(
+        self,
+        upstream: Upstream,
+        others: list[Upstream],
+        request: RelayPlacementRequest,
+    ) -> Upstream | None:
+        """Return a holder of the same build for the copy of an attempt."""
+        choice = self.parts.choice
+        domain = upstream.record.failure_domain
+        build = upstream.record.build
+        same_build = [one for one in others if one.record.build == build]
+        other_domains = [
+            one for one in same_build if one.record.failure_domain != domain
+        ]
+        if same_build:
+            return choice.copy_holder_among(
+                other_domains or same_build, request.prompt_tokens
+            )
+        return choice.choose_copy_holder(replace(request, build=build), domain)
+
     def _report_age_ms(self, upstream: Upstream) -> float:
         if upstream.report is None:
             return -1
--- /dev/null
+++ b/bergamotthread/request/relay/stream_build.py
@@ -0,0 +1,93 @@
+"""Build to which one stream is bound."""
+
+from __future__ import annotations
+
+from bergamotthread.process.relay.stream_builds import (
+    OWN,
+    stream_key,
+)
+from bergamotthread.process.relay.upstreams import Upstream
+from bergamotthread.request.relay.call import RelayedCall
+from bergamotthread.request.relay.parts import RelayParts
+from bergamotthread.request.relay.refusals import RelayRefusal
+
+# Retry-After where the build of a stream isn't known, or none of its upstreams
+# is left. Other entries may know more, and an upstream may be started anew.
+BUILD_RETRY_AFTER_MS = 1000
+
+
+class StreamBuild:
+    """Binds a stream to the build that makes its first event.
+
+    What two builds write doesn't fit together, and upstreams don't check it.
+
+    Parameters
+    ----------
+    build
+        Build to which the stream is bound; None before its first event.
+    """
+
+    def __init__(self, call: RelayedCall, parts: RelayParts) -> None:
+        self.build: str | None = None
+        self._call = call
+        self._parts = parts
+
+    async def take_up(self) -> RelayRefusal | None:
+        """Find the build of a stream that its caller takes up again.
+
+        Returns
+        -------
+        RelayRefusal or None
+            A refusal if the stream can't go on here.
+        """
+        call = self._call
+        if call.resume_after is None and not call.origin:
+            return None
+        service = call.service.name
+        known = await self._parts.builds.find(service, stream_key(call.origin))
+        if known is None:
+            return self._refuse(
+                'build-unknown',
+                'no entry knows at which build of its upstream the stream '
+                f'of request {call.origin.decode("latin-1")!r} began',
+            )
+        self.build = known.build
+        self._parts.log.write(
+            'stream-taken-up',
+            request=call.request_label,
+            origin=call.origin.decode('latin-1'),
+            build=known.build,
+            known_from=known.source,
+            builds_offered=' '.join(
+                sorted(self._parts.directory.accepting_builds(service))
+            ),
+            last_event=call.resume_after,
+        )
+        return self.gone_refusal()
+
+    def gone_refusal(self) -> RelayRefusal | None:
+        """Return a refusal if no upstream of the stream's build is left."""
+        directory = self._parts.directory
+        service = self._call.service.name
+        if self.build is None or not directory.lacks_build(service, self.build):
+            return None
+        offered = ' '.join(sorted(directory.accepting_builds(service)))
+        return self._refuse(
+            'build-gone',
+            f'the stream began at build {self.build!r}, and no upstream of it '
+            f'is left; builds offered: {offered or "none"}',
+        )
+
+    def record_event(self, upstream: Upstream) -> None:
+        """Bind the stream to the build of its first event."""
+        if self.build is not None:
+            return
+        call = self._call
+        self.build = upstream.record.build
+        if call.route.repeatability.may_retry:
+            stream = stream_key(call.request_id)
+            self._parts.builds.builds.record(stream, self.build, OWN)
+            self._parts.builds.tell(call.service.name, stream, self.build)
+
+    def _refuse(self, reason: str, detail: str) -> RelayRefusal:
+        return RelayRefusal(503, reason, detail, BUILD_RETRY_AFTER_MS)
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 from bergamotthread.connection.http.messages import (
     AnswerEnd,
@@ -59,6 +60,7 @@
     ending_refusal,
     send_refusal,
 )
+from bergamotthread.request.relay.stream_build import StreamBuild
 from bergamotthread.request.relay.suspicion import Suspicion
 
 # A stream without an event for this long is resumed at another upstream even if
@@ -91,6 +93,7 @@
         self._attempt_times = ArrivalTimes(parts.clock.now_ms())
         self._caller_times = ArrivalTimes(call.request.received_ms)
         self._is_from_copy = False
+        self._attempt_build = ''
         self._work_ahead: EngineWork | None = None
         self._run_ms: float = 0
         self._last_outcome = ''
@@ -103,13 +106,14 @@
             call, parts, self._placement_deadline_ms
         )
         self._suspicion = Suspicion(call, parts)
+        self._build = StreamBuild(call, parts)
 
     async def run(self) -> None:
         """Run the attempts and respond to the caller."""
         call = self._call
-        quarantined = self._suspicion.refusal()
-        if quarantined is not None:
-            self.refuse(quarantined)
+        refused = self._suspicion.refusal() or await self._build.take_up()
+        if refused is not None:
+            self.refuse(refused)
             return
         gate = self._parts.stream_gate
         gate.record_start(call.service.name, call.team)
@@ -148,9 +152,9 @@
         Only a new stream is refused for its expected wait: one that was placed
         before, here or at another entry, has been accepted.
         """
-        quarantined = self._suspicion.refusal()
-        if quarantined is not None:
-            return quarantined
+        refused = self._suspicion.refusal() or self._build.gone_refusal()
+        if refused is not None:
+            return refused
         if self._suspicion.is_tried:
             return None if self.may_wait() else self._suspicion.tried_refusal()
         copy = self._copy_manager.pop()
@@ -264,9 +268,14 @@
             },
         )
 
+    def _copy_request(self) -> RelayPlacementRequest:
+        """Return what the attempt under way requires of a copy holder."""
+        return replace(self._placement_request(), build=self._attempt_build)
+
     def _placement_request(self, *excluded: str) -> RelayPlacementRequest:
         return self._placer.placement_request(
             self._excluded.union(excluded),
+            self._build.build,
             is_first=not self._limits.attempts_sent,
         )
 
@@ -274,6 +283,7 @@
         upstream = placement.upstream
         copy_target = placement.copy_target
         copy = placement.copy
+        self._attempt_build = upstream.record.build
         headers = AttemptHeaders(
             upstream.record.instance,
             self._limits.remaining_ms,
@@ -310,9 +320,9 @@
                 self._record_first_event(attempt)
             attempt.tracked.report_progress(self._attempt_times.span_ms)
             if self._placer.may_copy:
-                self._copy_manager.renew(self._placement_request)
+                self._copy_manager.renew(self._copy_request)
             try:
-                await self._forward_events(received.payload, splitter)
+                await self._forward_events(attempt, received.payload, splitter)
             except EventTooLongError as error:
                 return Broken(str(error))
             received = await self._receive_next(attempt)
@@ -358,10 +368,12 @@
 
     async def _forward_events(
         self,
+        attempt: Attempt,
         payload: bytes,
         splitter: EventSplitter,
     ) -> None:
         for event in splitter.feed(payload):
+            self._build.record_event(attempt.upstream)
             self._forward(event)
         await self._call.exchange.wait_writable()
 
--- a/tests/test_stream_builds.py
+++ b/tests/test_stream_builds.py
@@ -296,3 +296,59 @@
             assert build_by_address[target] == build
 
     run_in_memory(check())
+
+
+async def _replace(
+    builds: Builds, former: str, build: str, count: int, pause_ms: float
+) -> None:
+    """Replace upstreams one by one: a new one starts, an old one drains."""
+    deployment = builds.deployment
+    for runner in builds.of(former)[:count]:
+        added = await builds.add(build)
+        added.script.events = runner.script.events
+        await deployment.clock.sleep_ms(pause_ms / 2)
+        runner.row |= {'state': 'draining', 'seq': 2}
+        deployment.store.put('servers', runner.instance, runner.row)
+        asyncio.create_task(_end_later(builds, runner))
+        await deployment.clock.sleep_ms(pause_ms / 2)
+
+
+async def _end_later(builds: Builds, runner: MemoryRunner) -> None:
+    await builds.deployment.clock.sleep_ms(3500)
+    builds.remove(runner)
+
+
+async def _load(builds: Builds, per_s: float, duration_s: float) -> None:
+    tasks = []
+    for number in range(int(per_s * duration_s)):
+        one = asyncio.create_task(builds.begin(1, fronts=(number % 3 + 1,)))
+        tasks.append(one)
+        await builds.deployment.clock.sleep_ms(1000 / per_s)
+    await asyncio.gather(*tasks)
+
+
+async def _released(steps) -> tuple[int, int]:
+    """Return the streams cut by a release under load, and all streams."""
+    builds = await Builds.start(['v1'] * 8)
+    for runner in builds.deployment.models:
+        runner.script.events = 150
+    load = asyncio.create_task(_load(builds, 5, 24))
+    for former, build, count in steps:
+        await _replace(builds, former, build, count, 1500)
+    await load
+    builds.check_builds()
+    cut = sum(len(stream.ids) < 150 for stream in builds.streams)
+    return cut, len(builds.streams)
+
+
+RELEASES = {
+    'release': [('v1', 'v2', 8)],
+    'rolled back': [('v1', 'v2', 4), ('v2', 'v1', 4)],
+}
+
+
+# Guards against: streams begin at the last upstreams of a build that leaves.
+@pytest.mark.parametrize('kind', RELEASES)
+def test_few_streams_are_cut_by_a_release_under_load(kind):
+    cut, streams = run_in_memory(_released(RELEASES[kind]))
+    assert cut <= (1 - GOES_ON_MIN) * streams
