--- a/bergamotthread/platform/runner_rows.py
+++ b/bergamotthread/platform/runner_rows.py
@@ -23,6 +23,8 @@
     state: str
     slots: int = 0
     born: int = 0
+    # Of the software; the weights have versions of their own.
+    version: str = ''
 
 
 class _Report(msgspec.Struct, frozen=True):
@@ -32,6 +34,7 @@
     kv_total: int = 0
     handles: int = 0
     runs: tuple[tuple[str, int, int, int], ...] = ()
+    born: int = 0
 
 
 def decode_runner(instance: str, encoded: bytes) -> UpstreamRecord | None:
@@ -57,6 +60,7 @@
         state=state,
         slots=row.slots,
         started_ms=row.born,
+        build=row.version,
     )
 
 
@@ -90,6 +94,7 @@
             for run, tokens, events, _ in report.runs
         ),
         copies=report.handles,
+        started_ms=report.born,
     )
 
 
