--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -52,7 +52,7 @@
 
 def _kinds(names: str) -> tuple[FaultKind, ...]:
     if not names:
-        return tuple(FaultKind)
+        return ()
     valid = ', '.join(FaultKind)
     try:
         return tuple(FaultKind(name.strip()) for name in names.split(','))
--- a/soak/answer_checks.py
+++ b/soak/answer_checks.py
@@ -22,7 +22,9 @@
 LOG_LOSS_WINDOW_MS = 2 * LOG_FLUSH_INTERVAL_MS
 _OK = 200
 _NOT_RUN = frozenset((408, 421, 429, 503))
-_EVENT = re.compile(rb'id: (\d+)\ndata: t\d+ (\S+)\n\n')
+_EVENT = re.compile(rb'id: (\d+)\ndata: t\d+ (\S+)(?: @\S+)?\n\n')
+# Name of the runner in an event.
+_RUNNER = re.compile(rb' @\S+')
 _EXPLAINS = re.compile('"event":"(refused|not-admitted)"')
 
 
@@ -44,9 +46,9 @@
 def _check_events(call: Call) -> Iterable[Finding]:
     expected = b''.join(
         event_of(call.request.encode(), number + 1)
-        for number in range(STREAM_EVENTS)
+        for number in range(call.resumed_after, STREAM_EVENTS)
     )
-    if call.body == expected:
+    if _RUNNER.sub(b'', call.body) == expected:
         return
     events = _EVENT.findall(call.body)
     numbers = [int(number) for number, _ in events]
@@ -63,7 +65,8 @@
         if not call.kind.is_stream or call.status != _OK:
             continue
         numbers = [int(number) for number, _ in _EVENT.findall(call.body)]
-        if numbers != list(range(1, len(numbers) + 1)):
+        first = call.resumed_after + 1
+        if numbers != list(range(first, first + len(numbers))):
             yield Finding('order', f'events {numbers}', call.request)
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,8 +5,9 @@
 import asyncio
 import contextlib
 import random
+import re
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bergamotthread.clock import Clock
 from bergamotthread.testing.loopback import connect
@@ -33,6 +34,10 @@
     *(Kind.ONCE,) * 4,
     *(Kind.LOOKUP,) * 4,
 )
+# Times that a caller takes up a stream that was cut.
+TAKE_UPS_MAX = 3
+_EVENT_ID = re.compile(rb'id: (\d+)\ndata: [^\n]+\n\n')
+_OK = 200
 _MS_PER_S = 1000
 
 
@@ -76,6 +81,8 @@
     key: str
     leaves_after_ms: float | None
     prompt: str = ''
+    origin: str = ''
+    resumed_after: int = 0
 
     @property
     def time_ms(self) -> float:
@@ -94,6 +101,9 @@
         ]
         if self.kind.is_stream:
             lines.append('bergamotthread-token-counts: 800,60')
+        if self.origin:
+            lines.append(f'last-event-id: {self.resumed_after}')
+            lines.append(f'resumes: {self.origin}')
         body = (
             '' if method == 'GET' else self.prompt or f'prompt of {self.name}'
         )
@@ -127,7 +137,7 @@
         try:
             while True:
                 number += 1
-                await self._call(self._draw(number))
+                await self._call_until_whole(self._draw(number))
                 pause_ms = self._rng.uniform(0, 100)
                 await self._clock.sleep_ms(pause_ms)
         finally:
@@ -152,30 +162,52 @@
         name = f'{self._name}-{number}'
         return Request(name, kind, path, key, leaves_after_ms)
 
-    async def _call(self, request: Request) -> None:
+    async def _call_until_whole(self, request: Request) -> None:
+        """Send a request; take a stream that was cut up again, elsewhere."""
+        call = await self._call(request)
+        last_event = 0
+        for number in range(TAKE_UPS_MAX):
+            events = _EVENT_ID.findall(call.body)
+            last_event = int(events[-1]) if events else last_event
+            is_cut = call.ending is Ending.CUT or call.status != _OK
+            if call.kind is not Kind.STREAM or not is_cut or not last_event:
+                return
+            call = await self._call(
+                replace(
+                    request,
+                    name=f'{request.name}-up{number}',
+                    leaves_after_ms=None,
+                    origin=request.name,
+                    resumed_after=last_event,
+                )
+            )
+
+    async def _call(self, request: Request) -> Call:
         place = await self._choose_place()
         sent_ms = self._clock.now_ms()
         answer = Answer()
         ending = await self._ending(request, place, answer)
-        self.calls.append(
-            Call(
-                request.name,
-                request.kind,
-                request.path,
-                request.key,
-                place.name,
-                place.incarnation,
-                sent_ms,
-                self._clock.now_ms(),
-                ending,
-                answer.status,
-                answer.sealed,
-                bytes(answer.body),
-                answer.head_ms,
-            ),
+        call = Call(
+            request.name,
+            request.kind,
+            request.path,
+            request.key,
+            place.name,
+            place.incarnation,
+            sent_ms,
+            self._clock.now_ms(),
+            ending,
+            answer.status,
+            answer.sealed,
+            bytes(answer.body),
+            answer.head_ms,
+            request.origin,
+            request.resumed_after,
         )
+        self.calls.append(call)
         if ending is not Ending.WHOLE or not answer.keeps:
             self._close()
+        return call
 
     async def _choose_place(self) -> Place:
         """Return the entry for the next request.
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 
 from soak import (
     answer_checks,
+    limit_checks,
     notice_checks,
     poison_checks,
     system_checks,
@@ -34,6 +35,8 @@
     notice_checks.check_leaving,
     notice_checks.check_pauses,
     poison_checks.check_poison,
+    limit_checks.check_limits,
+    limit_checks.check_builds,
 )
 
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -177,13 +177,16 @@
 
     async def list_runner(self, runner: RunnerNode, state: str) -> None:
         """Write the row of a runner to the store."""
+        build = _build_of(runner.instance)
         row = runner_row(
             runner.link.address,
             runner.service,
             runner.zone,
             born=runner.program.incarnation,
             state=state,
+            version=build,
         )
+        self.records.build_by_runner[runner.instance] = build
         await self.order_store(
             StoreOrder('servers', runner.instance, row),
         )
@@ -364,6 +367,12 @@
             lines.append(line)
 
 
+def _build_of(instance: str) -> str:
+    """Return the build of a runner's process; each start has the other one."""
+    numbers = instance.removeprefix('runner').split('-')
+    return f'v{sum(map(int, numbers)) % 2 + 1}'
+
+
 def _runner_arguments(address: str, instance: str) -> tuple[str, ...]:
     return ('soak.runner_process', address, instance, str(PLAIN_WORK_MS))
 
--- a/soak/orders.py
+++ b/soak/orders.py
@@ -50,6 +50,7 @@
     comment: int = 0
     leaving: bool = False
     retry_after: str = ''
+    request_limit: str = ''
 
 
 def encode_order(order: StoreOrder | RunnerOrder) -> bytes:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -24,6 +24,7 @@
     DRAIN_RUNNER = 'drain-runner'
     LEAVE_RUNNER = 'leave-runner'
     OVERLOAD_RUNNER = 'overload-runner'
+    LIMIT_RUNNER = 'limit-runner'
     OVERLOAD_SERVICE = 'overload-service'
     RESET_LINK = 'reset-link'
     DELAY_LINK = 'delay-link'
@@ -62,11 +63,16 @@
         FaultKind.CUT_STORE_LINK,
     ),
 )
-_DRAWN_TOGETHER = tuple(
-    kind for kind in FaultKind if kind is not FaultKind.CRASH_RUNNERS
-)
-# Length of a series of requests that crash runners.
-CRASHES_S = 8.0
+_DRAWN_APART = frozenset((FaultKind.CRASH_RUNNERS, FaultKind.LIMIT_RUNNER))
+_DRAWN_TOGETHER = tuple(kind for kind in FaultKind if kind not in _DRAWN_APART)
+# Length of a series of requests that crash runners, and of a limit: both are
+# judged from 4 s after their start.
+APART_S = 8.0
+# Name of the draw of each kind that is drawn apart.
+_DRAWS = {
+    FaultKind.CRASH_RUNNERS: 'crashes',
+    FaultKind.LIMIT_RUNNER: 'limits',
+}
 # Quiet time at the start and at the end of a soak.
 QUIET_START_S = 2.0
 QUIET_END_S = 3.0
@@ -131,7 +137,8 @@
         ----------
         kinds
             Kinds to draw from; all kinds if empty. Requests that crash runners
-            are then drawn apart, so that the other faults of a seed stay.
+            and limits are then drawn apart, so that the other faults of a seed
+            stay.
         """
         rng = random.Random(seed)
         kinds_drawn = tuple(kinds) or _DRAWN_TOGETHER
@@ -152,7 +159,8 @@
             )
             at_s += rng.expovariate(1 / _MEAN_GAP_S)
         if not kinds:
-            faults += _draw_crashes(seed, seconds, runners)
+            for apart in sorted(_DRAWN_APART):
+                faults.extend(_draw_apart(apart, seed, seconds, runners))
             faults.sort(key=lambda fault: fault.at_s)
         return cls(seed, seconds, entries, runners, tuple(faults))
 
@@ -167,15 +175,16 @@
         )
 
 
-def _draw_crashes(seed: int, seconds: float, runners: int) -> list[Fault]:
-    """Draw one request that crashes runners for each mixed phase."""
-    rng = random.Random(f'{seed} crashes')
+def _draw_apart(
+    kind: FaultKind, seed: int, seconds: float, runners: int
+) -> list[Fault]:
+    """Draw one fault of a kind for each mixed phase."""
+    rng = random.Random(f'{seed} {_DRAWS[kind]}')
     faults = []
     phase_s = QUIET_START_S
-    while phase_s + CRASHES_S < seconds - QUIET_END_S:
-        at_s = round(phase_s + rng.uniform(0, MIXED_PHASE_S - CRASHES_S), 2)
-        kind = FaultKind.CRASH_RUNNERS
-        faults.append(Fault(at_s, kind, rng.randrange(runners), CRASHES_S))
+    while phase_s + APART_S < seconds - QUIET_END_S:
+        at_s = round(phase_s + rng.uniform(0, MIXED_PHASE_S - APART_S), 2)
+        faults.append(Fault(at_s, kind, rng.randrange(runners), APART_S))
         phase_s += CYCLE_S
     return faults
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -54,6 +54,9 @@
         Whether the answer carries a back end's signature.
     answered_ms
         Time at which the head of the answer arrived; 0 if none did.
+    origin, resumed_after
+        Request that began the stream that is taken up, and the last event that
+        its caller has; empty and 0 if none is.
     """
 
     request: str
@@ -69,6 +72,8 @@
     sealed: bool = False
     body: bytes = b''
     answered_ms: float = 0
+    origin: str = ''
+    resumed_after: int = 0
 
 
 @dataclass(frozen=True)
@@ -92,6 +97,7 @@
 
     LEAVING = 'leaving'
     PAUSED = 'paused'
+    LIMITED = 'limited'
 
 
 @dataclass(frozen=True)
@@ -103,7 +109,8 @@
     runner
         See `Run`.
     for_ms
-        Time for which it wants no requests, if it has no room.
+        Time for which it wants no requests, if it has no room; the requests
+        that it takes in a second, times 1000, if it is limited.
     """
 
     kind: NoticeKind
@@ -192,6 +199,7 @@
     memory: list[Memory] = field(default_factory=list)
     lines_by_request: dict[str, list[str]] = field(default_factory=dict)
     dropped_lines: int = 0
+    build_by_runner: dict[str, str] = field(default_factory=dict)
 
     def runs_by_request(self) -> dict[str, list[Run]]:
         """Return the runs of each request, ordered by start."""
--- a/soak/runner_faults.py
+++ b/soak/runner_faults.py
@@ -18,6 +18,9 @@
 STALLS_AFTER_EVENTS = 20
 # A runner that leaves serves for `drain_ms` and often longer.
 LEAVING_S_MIN = 4.0
+# Requests per second that a runner in need states, and for how long.
+STATED_LIMIT = '1.4'
+LIMIT_S_MIN = 8.0
 
 
 async def _kill_runner(
@@ -111,6 +114,14 @@
     await _overload(soak, runners, fault)
 
 
+async def _limit_runner(
+    soak: SoakDeployment, runner: RunnerNode, fault: Fault
+) -> None:
+    await soak.change_runner(runner, request_limit=STATED_LIMIT)
+    await asyncio.sleep(max(fault.for_s, LIMIT_S_MIN))
+    await soak.change_runner(runner, request_limit='')
+
+
 async def _overload(
     soak: SoakDeployment, runners: Sequence[RunnerNode], fault: Fault
 ) -> None:
@@ -134,6 +145,7 @@
     FaultKind.LEAVE_RUNNER: _leave_runner,
     FaultKind.OVERLOAD_RUNNER: _overload_runner,
     FaultKind.OVERLOAD_SERVICE: _overload_service,
+    FaultKind.LIMIT_RUNNER: _limit_runner,
     FaultKind.RESET_LINK: _reset_link,
     FaultKind.DELAY_LINK: _delay_link,
     FaultKind.CUT_LINK_UP: _cut_link,
--- a/soak/runner_process.py
+++ b/soak/runner_process.py
@@ -4,7 +4,8 @@
 ``WORK_MS`` is the run time of a plain request. The process writes a line when a
 run starts and another when it ends, so that a soak also knows of runs during
 which the process was killed. It also writes a line for each request whose
-answer says that the runner leaves, and for each that it refuses for some time.
+answer says that the runner leaves or states a limit, and for each that it
+refuses for some time.
 """
 
 from __future__ import annotations
@@ -28,6 +29,7 @@
 ENDED = 'ended'
 LEAVING = 'leaving'
 PAUSED = 'paused'
+LIMITED = 'limited'
 CRASHED = 'crashed'
 # Requests whose paths contain this crash the runner.
 DEADLY = b'deadly'
@@ -74,6 +76,8 @@
     async def _serve(self, exchange: Exchange, seen: Seen) -> None:
         if self.script.leaving:
             self._tell(LEAVING, seen)
+        if self.script.request_limit:
+            self._tell(LIMITED, seen, self.script.request_limit)
         expected = seen.headers.get(b'bergamotthread-expect-instance')
         if self.script.retry_after and expected in {
             None,
@@ -97,6 +101,7 @@
 ) -> None:
     runner = ReportingRunner(Clock.from_system(), instance, address)
     runner.script.work_ms = work_ms
+    runner.script.names_itself = True
     runner.script.crash_marks = frozenset((DEADLY,))
     await runner.listen(address)
     async for order in orders_of(RunnerOrder):
@@ -105,6 +110,7 @@
         runner.script.comment = order.comment
         runner.script.leaving = order.leaving
         runner.script.retry_after = order.retry_after
+        runner.script.request_limit = order.request_limit
         # Requests seen were reported already; clearing them bounds the memory
         # of a long soak.
         runner.seen.clear()
--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -10,6 +10,7 @@
 import pytest
 
 from soak.checks import findings_of
+from soak.limit_checks import check_builds, check_limits
 from soak.plan import FaultKind
 from soak.poison_checks import check_poison
 from soak.records import (
@@ -428,3 +429,49 @@
     records.played_faults = [PlayedFault(kind, '0', 6000.0, 6500.0)]
     found = findings_of(records, (check_poison,))
     assert {finding.rule for finding in found} == rules
+
+
+def _limited_records(requests: int, entries: int = 2) -> Records:
+    """Return records of a runner that states 1.4 a second for 8 s."""
+    records = Records()
+    for number in range(requests):
+        at_ms = 20_000 + number * 8000 / requests
+        request = f'l{number}'
+        entry = f'entry{number % entries}'
+        records.calls.append(
+            _call(request, entry=entry, sent_ms=at_ms, answered_ms=at_ms + 30)
+        )
+        records.runs.append(Run(request, 'runner0-1', at_ms, at_ms + 20))
+        notice = Notice(NoticeKind.LIMITED, request, 'runner0-1', at_ms, 1400)
+        records.notices.append(notice)
+    return records
+
+
+def test_limit_of_a_runner_is_checked():
+    assert not list(check_limits(_limited_records(22)))
+    [finding] = check_limits(_limited_records(40))
+    assert finding.rule == 'limits'
+
+
+def test_requests_of_entries_that_were_not_told_are_no_finding():
+    assert not list(check_limits(_limited_records(40, entries=40)))
+
+
+def test_builds_of_a_stream_are_checked_over_its_tries():
+    records = Records(build_by_runner={'runner0-1': 'v1', 'runner1-1': 'v2'})
+    begun = event_of(b'a', 1, b'runner0-1')
+    records.calls = [
+        _call('a', Kind.STREAM, body=begun, ending=Ending.CUT),
+        _call(
+            'a-up0',
+            Kind.STREAM,
+            body=event_of(b'a-up0', 2, b'runner0-1'),
+            origin='a',
+            resumed_after=1,
+        ),
+    ]
+    assert not list(check_builds(records))
+    other = event_of(b'a-up0', 2, b'runner1-1')
+    records.calls[1] = replace(records.calls[1], body=other)
+    [finding] = check_builds(records)
+    assert finding.rule == 'builds'
