--- a/soak/limit_checks.py
+++ b/soak/limit_checks.py
@@ -94,7 +94,8 @@
     for notice in notices:
         call = calls.get(notice.request)
         # The answer to a request that ran elsewhere too may come from there.
-        if call is None or len(runs.get(call.request, ())) != 1:
+        run_count = len(runs.get(notice.request, ()))
+        if call is None or run_count != 1:
             continue
         entry = (call.entry, call.incarnation)
         if call.sealed:
--- a/tests/test_continuity.py
+++ b/tests/test_continuity.py
@@ -7,6 +7,8 @@
 
 from bergamotthread.request.completion import CompletionRequest
 from bergamotthread.testing.virtual_loop import run_virtual
+from bergamotthread.wire.messages import Pin
+from standins.engine_core import Engine
 from standins.small_deployment import AgentNode, SmallDeployment
 from standins.tokens import verify_answer
 
@@ -112,3 +114,27 @@
             verify_answer(prompt, answer, COUNT)
 
     run_virtual(scenario())
+
+
+def test_engine_replaced_under_the_same_pin_goes_on() -> None:
+    """A pin holds model, weights and adapter, not the engine's software.
+
+    A resumed attempt is given the prompt and the accepted tokens; nothing of
+    the former engine's memory is used.
+    """
+
+    async def scenario() -> None:
+        deployment = SmallDeployment(agent_count=1)
+        request = CompletionRequest('furnace', PROMPT, max_tokens=COUNT)
+        live, _ = deployment.entries[0].open(request)
+        await _read_until(live, 30)
+        [former] = deployment.agents
+        former.engine.die()
+        former.kill()
+        software = Engine(deployment.clock, deployment.speed, seed=99)
+        replaced = deployment.start_agent(0, incarnation=2, engine=software)
+        deployment.agents = [replaced]
+        verify_answer(PROMPT, await _finish(live), COUNT)
+        assert Pin.__struct_fields__ == ('model', 'version', 'adapter')
+
+    run_virtual(scenario())
