--- a/bergamotthread/process/poison/death_log.py
+++ b/bergamotthread/process/poison/death_log.py
@@ -35,8 +35,8 @@
     running
         Requests that ran on it.
     waiting
-        Requests of which it is not known whether it had begun to run them. One
-        of them is charged only if it was alone.
+        Requests of which it is not known whether it had begun to run them. The
+        content of one is charged only if it was alone; their parts always are.
     sent_ms
         Monotonic time at which the first of them was sent.
     """
@@ -54,9 +54,16 @@
             return self.running
         return self.waiting
 
+    @property
+    def suspects(self) -> frozenset[RequestHashes]:
+        """Return the requests whose parts may have caused it."""
+        return self.running | self.waiting
+
     def is_charged_to(self, fingerprint: int) -> bool:
         """Return whether it may count against a content or a part."""
-        return any(fingerprint in request for request in self.charged)
+        if any(fingerprint in request for request in self.charged):
+            return True
+        return any(fingerprint in request[1:] for request in self.waiting)
 
     def merge(self, other: Death) -> Death:
         """Return the death with the requests that another process had on it."""
@@ -278,7 +285,7 @@
     """Return whether a request without a fingerprint is quarantined."""
     return any(
         fingerprint not in request and any(one in culprits for one in request)
-        for request in death.charged
+        for request in death.suspects
     )
 
 
@@ -288,7 +295,7 @@
     """Return whether a request with a fingerprint has a quarantined part."""
     return any(
         one != fingerprint and one in culprits
-        for request in death.charged
+        for request in death.suspects
         if fingerprint in request
         for one in request[1:]
     )
--- a/bergamotthread/process/poison/guard.py
+++ b/bergamotthread/process/poison/guard.py
@@ -37,6 +37,8 @@
 from bergamotthread.wire.messages import Quarantine
 
 RECORDS_MAX = 4096
+# Deaths under a part from which it is compared with the parts beside it.
+SHARED_DEATHS_MIN = 2
 DEFAULT_DOMAIN_SIZE = 2
 
 
@@ -99,6 +101,7 @@
         default_factory=OrderedDict,
     )
     _quarantined_hashes: set[int] = field(default_factory=set)
+    _starts_by_part: OrderedDict[int, int] = field(default_factory=OrderedDict)
     _changed_fingerprints: set[int] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -185,6 +188,8 @@
             Whether the upstream is known to run it, or will not say when it
             begins.
         """
+        for part_hash in part_hashes:
+            self._count_start(part_hash)
         attempts = self._attempts_by_agent.setdefault(agent, {})
         attempts[generation] = _Attempt(
             (content_hash, *part_hashes),
@@ -207,13 +212,16 @@
         """
         attempts = self._attempts_by_agent.get(agent, {})
         attempt = attempts.get(generation)
-        if attempt is None or self._has_progressed(attempt):
+        if attempt is None:
             return ()
+        if self._has_progressed(attempt):
+            # A part with which an attempt goes on has crashed no upstream.
+            return self._clear_parts(attempt.hashes[1:])
         progressed = replace(attempt, produced=produced, has_begun=True)
         attempts[generation] = progressed
         if not self._has_progressed(progressed):
             return ()
-        return self._clear_all(attempt.hashes)
+        return self._clear_sound(attempt.hashes)
 
     def record_end(
         self,
@@ -238,7 +246,7 @@
         record = self._record_by_fingerprint.get(attempt.hashes[0])
         if record is not None and not record.quarantined_until_ms:
             record.charged = 0
-        return self._clear_all(attempt.hashes)
+        return self._clear_sound(attempt.hashes)
 
     def record_death(
         self,
@@ -399,6 +407,8 @@
             )
         counted = self._counted_deaths(part_hash, record)
         limits = self.limits
+        if self._has_rarer_suspect(part_hash, record):
+            return Clear()
         if record.is_on_probation:
             deaths_max = 1
         elif self._count_contents(part_hash, record) < limits.part_contents_min:
@@ -427,11 +437,48 @@
                 request[0]
                 for death in deaths
                 if death is not None
-                for request in death.charged
+                for request in death.suspects
                 if part_hash in request
             }
         )
 
+    def _has_rarer_suspect(self, part_hash: int, record: _Record) -> bool:
+        """Return whether a part that fewer requests share is likelier.
+
+        A part that most requests share is beside the cause of nearly every
+        death. It is not blamed while a rarer one has as many of its deaths, all
+        but one at most, since other processes may not have told the last yet.
+        """
+        death_ids = set(record.death_ids)
+        if len(death_ids) < SHARED_DEATHS_MIN:
+            return False
+        starts = self._starts_by_part.get(part_hash, 0)
+        return any(
+            self._starts_by_part.get(other, 0) < starts
+            and self._count_open(other, death_ids) >= len(death_ids) - 1
+            for other in self._parts_beside(part_hash, death_ids)
+        )
+
+    def _parts_beside(self, part_hash: int, death_ids: set[int]) -> set[int]:
+        """Return the other parts of the requests that some deaths had."""
+        requests: set[RequestHashes] = set()
+        for death in map(self.deaths.get, death_ids):
+            if death is not None:
+                requests |= death.suspects
+        parts = {one for request in requests for one in request[1:]}
+        return parts - {part_hash}
+
+    def _count_open(self, part_hash: int, death_ids: set[int]) -> int:
+        """Return how many of some deaths a part is charged with too."""
+        record = self._record_by_fingerprint.get(part_hash, _Record())
+        return len(death_ids.intersection(record.death_ids))
+
+    def _count_start(self, part_hash: int) -> None:
+        starts = self._starts_by_part
+        starts[part_hash] = starts.pop(part_hash, 0) + 1
+        if len(starts) > RECORDS_MAX:
+            starts.popitem(last=False)
+
     def _blamed_for(self, part_hash: int) -> list[int]:
         """Return the quarantined parts whose deaths all have another part.
 
@@ -453,7 +500,7 @@
             request
             for death in deaths
             if death is not None
-            for request in death.charged
+            for request in death.suspects
             if fingerprint in request[1:]
         ]
         return bool(requests) and all(
@@ -540,9 +587,24 @@
             record.is_on_probation = True
             self._quarantined_hashes.discard(content_hash)
 
-    def _clear_all(self, hashes: RequestHashes) -> tuple[int, ...]:
+    def _clear_sound(self, hashes: RequestHashes) -> tuple[int, ...]:
         """Clear content and parts; return those that had deaths."""
-        return tuple(one for one in hashes if self._clear_counted_deaths(one))
+        content_hash, *part_hashes = hashes
+        parts = self._clear_parts(part_hashes)
+        if self._clear_counted_deaths(content_hash):
+            return (content_hash, *parts)
+        return parts
+
+    def _clear_parts(self, part_hashes: Iterable[int]) -> tuple[int, ...]:
+        """Clear parts that are proved sound, also if they are quarantined."""
+        cleared = []
+        for part_hash in part_hashes:
+            is_quarantined = part_hash in self._quarantined_hashes
+            if is_quarantined:
+                self.merge_clear(part_hash)
+            if self._clear_counted_deaths(part_hash) or is_quarantined:
+                cleared.append(part_hash)
+        return tuple(cleared)
 
     def _clear_counted_deaths(self, content_hash: int) -> bool:
         """Clear the counted deaths; return whether there were any."""
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -102,6 +102,9 @@
     crash_marks
         A request whose path, body or prompt parts contain one of them crashes
         the runner: a plain one while it runs, a stream after two events.
+    crashes_before_head_ms
+        Time after which such a stream crashes the runner instead, before the
+        head of its answer; None for after two events.
     turns_away_with
         Status and headers in place of 503 and "not executed" for
         `retry_after`.
@@ -126,6 +129,7 @@
     events: int = STREAM_EVENTS
     copies: set[str] = field(default_factory=set)
     crash_marks: frozenset[bytes] = frozenset()
+    crashes_before_head_ms: float | None = None
     leaving: bool = False
     extra: tuple[Header, ...] = ()
     request_limit: str = ''
@@ -298,6 +302,11 @@
     async def _stream(self, exchange: Exchange, seen: Seen) -> None:
         start = int(seen.headers.get(b'last-event-id') or b'0')
         start = max(start - self.script.repeats, 0)
+        before_head_ms = self.script.crashes_before_head_ms
+        if before_head_ms is not None and self.is_crashed_by(seen):
+            await self.clock.sleep_ms(before_head_ms)
+            self.crash(exchange)
+            return
         if b'kv-from' not in seen.headers:
             await self.clock.sleep_ms(PREFILL_MS)
         headers = [
--- a/tests/test_relayed_poison.py
+++ b/tests/test_relayed_poison.py
@@ -399,6 +399,40 @@
     run_in_memory(check())
 
 
+# Guards against: a part of prompts that crashes upstreams before the head of an
+# answer is charged to the sound requests beside it, and the part that all share
+# is refused in its place.
+@pytest.mark.parametrize('crash_ms', [0, 100, 400, 1000, 2000])
+@pytest.mark.parametrize('interval_ms', [400, 120])
+def test_part_that_crashes_before_the_head_is_found(crash_ms, interval_ms):
+    async def check():
+        deployment = await _start_deadly_part(3)
+        for model in deployment.models:
+            model.script.crashes_before_head_ms = crash_ms
+        fronts = _fronts(deployment)
+        sound = []
+        deadly = []
+        for number in range(160):
+            is_deadly = number % 4 == 0
+            task = asyncio.create_task(
+                _prompt(deployment, next(fronts), number, is_deadly=is_deadly)
+            )
+            (deadly if is_deadly else sound).append(task)
+            await deployment.clock.sleep_ms(interval_ms)
+        answers = await asyncio.gather(*sound)
+        await asyncio.gather(*deadly)
+        crashed_ms = _crashes(deployment.models)
+        served = sum(answer.status == 200 for answer in answers)
+        late = []
+        if len(crashed_ms) >= PART_CRASHES:
+            limit_ms = crashed_ms[PART_CRASHES - 1] + STABLE_MS
+            late = [at for at in _deadly_arrivals(deployment) if at > limit_ms]
+        assert len(late) <= SENT_MAX
+        assert served >= 0.9 * len(answers)
+
+    run_in_memory(check())
+
+
 def test_attempt_after_a_broken_one_at_the_same_upstream_is_charged():
     """The first broke off without a crash."""
 
