--- a/bergamotthread/platform/poison_relay.py
+++ b/bergamotthread/platform/poison_relay.py
@@ -20,6 +20,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.platform.peer_messages import PeerMessages
+from bergamotthread.platform.region_messages import RegionMessages
 from bergamotthread.process.poison.death_log import DeathNotice
 from bergamotthread.process.poison.guard import PoisonGuard
 from bergamotthread.process.relay.crash_watch import (
@@ -51,8 +52,6 @@
 ASK_TIMEOUT_MS = 10_000
 ASK_INTERVAL_MS = 200
 ENTRIES_ASKED_MAX = 3
-# Entries of another region that are tried until one accepts a message.
-REGION_ATTEMPTS_MAX = 3
 # Fraction by which a quarantine lasts longer at entries that were told of it.
 QUARANTINE_SPREAD = 0.25
 _MS_PER_S = 1000
@@ -132,6 +131,7 @@
     dropped: int = 0
     rows: PoisonSink | None = None
     guard: PoisonGuard = field(init=False)
+    _regions: RegionMessages = field(init=False)
     _deaths: deque[DeathNotice] = field(default_factory=deque)
     _recorded_ms: deque[float] = field(default_factory=deque)
     _cleared: list[int] = field(default_factory=list)
@@ -143,6 +143,7 @@
 
     def __post_init__(self) -> None:
         self.guard = PoisonGuard(self.clock, self, limits=RELAYED_LIMITS)
+        self._regions = RegionMessages(self.peers, self.feeds, self.rng)
 
     def upstream_crashed(self, notice: DeathNotice) -> None:
         """Tell the other entries of a crash soon."""
@@ -304,47 +305,29 @@
     async def _tell(self, message: PoisonMessage) -> None:
         if message.is_empty:
             return
-        regions = self.feeds.entries_by_other_region().values()
-        passed_on = [self._tell_region(entries, message) for entries in regions]
-        failed, are_told = await asyncio.gather(
-            self.peers.tell(
-                self.feeds.local_entries(),
-                POISON_PATH,
-                msgspec.json.encode(message),
-            ),
-            asyncio.gather(*passed_on),
+        forwarded = msgspec.structs.replace(message, forward=True)
+        entries_failed, regions_failed = await self._regions.tell_all(
+            POISON_PATH,
+            msgspec.json.encode(message),
+            msgspec.json.encode(forwarded),
         )
-        if self.rows is not None and (failed or not all(are_told)):
+        if self.rows is not None and (entries_failed or regions_failed):
             self.rows.save_crashes(message)
         self.log.write(
             'crashes-told',
             deaths=len(message.deaths),
             cleared=len(message.cleared),
             quarantines=len(message.quarantines),
-            entries_failed=len(failed),
-            regions_failed=are_told.count(False),
+            entries_failed=entries_failed,
+            regions_failed=regions_failed,
             waiting=len(self._deaths),
             dropped=self.dropped,
         )
 
-    async def _tell_region(
-        self, entries: list[EntryRecord], message: PoisonMessage
-    ) -> bool:
-        """Tell one entry of another region; return whether one accepted."""
-        forwarded = msgspec.structs.replace(message, forward=True)
-        encoded = msgspec.json.encode(forwarded)
-        tried = self.rng.sample(entries, min(len(entries), REGION_ATTEMPTS_MAX))
-        for entry in tried:
-            if not await self.peers.tell((entry,), POISON_PATH, encoded):
-                return True
-        return False
-
     async def _pass_on(self, message: PoisonMessage) -> None:
         passed_on = msgspec.structs.replace(message, forward=False)
-        await self.peers.tell(
-            self.feeds.local_entries(),
-            POISON_PATH,
-            msgspec.json.encode(passed_on),
+        await self._regions.tell_region(
+            POISON_PATH, msgspec.json.encode(passed_on)
         )
 
     async def _ask_another(self) -> None:
