--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -17,6 +17,7 @@
 from bergamotthread.platform.headers import PLATFORM_DIALECT
 from bergamotthread.platform.leaving_relay import LeavingRelay
 from bergamotthread.platform.limit_parts import LimitParts
+from bergamotthread.platform.limit_relay import LimitRelay
 from bergamotthread.platform.peer_messages import PeerMessages
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
 from bergamotthread.platform.runner_calls import RunnerClient
@@ -32,10 +33,7 @@
 from bergamotthread.platform.watches import EntryWatch, VersionWatch
 from bergamotthread.process.relay.choice import UpstreamChoice
 from bergamotthread.process.relay.decision_log import DecisionLog
-from bergamotthread.process.relay.feed_sources import (
-    EntryRecord,
-    FeedSources,
-)
+from bergamotthread.process.relay.feed_sources import FeedSources
 from bergamotthread.process.relay.freshness import VersionFreshness
 from bergamotthread.process.relay.life_cycle import LifeCycle
 from bergamotthread.process.relay.liveness import LivenessWatch
@@ -154,6 +152,7 @@
                 self._crashes.run(),
                 self._limit_parts.run(),
                 self._build_relay.run(),
+                self._limit_relay.run(),
             )
         ]
         while not self._is_finished():
@@ -255,6 +254,7 @@
                 **self._crashes.answer_by_path,
                 **self._limit_parts.answer_by_path,
                 **self._build_relay.answer_by_path,
+                **self._limit_relay.answer_by_path,
             },
         )
         await listen(feed_server, f'{settings.ip}:{settings.peer_port}')
@@ -372,6 +372,9 @@
         limits = LimitNotices(
             self._directory, PLATFORM_DIALECT, self._log, metrics
         )
+        self._limit_relay = LimitRelay.from_peers(
+            peers, self._feeds, self._rng, limits
+        )
         runners = RunnerClient(self._pool, self._clock, leaving, limits, pauses)
         self._build_relay = BuildRelay.from_directory(
             peers, self._feeds, self._directory
@@ -422,11 +425,8 @@
             self._rng,
         )
         settings = self._settings
-        own_record = EntryRecord(
-            settings.host,
-            f'{settings.ip}:{settings.peer_port}',
-            settings.region,
-        )
+        own_address = f'{settings.ip}:{settings.peer_port}'
+        own_record = self._feeds.own_record(own_address)
         return _Watches(
             VersionWatch(
                 sources,
--- a/bergamotthread/process/relay/feed_sources.py
+++ b/bergamotthread/process/relay/feed_sources.py
@@ -56,6 +56,10 @@
     def __len__(self) -> int:
         return len(self._entry_by_host)
 
+    def own_record(self, address: str) -> EntryRecord:
+        """Return this entry, serving others at an address."""
+        return EntryRecord(self.own_host, address, self.own_region)
+
     def update(self, record: EntryRecord) -> None:
         """Add or replace an entry."""
         self._entry_by_host[record.host] = record
--- a/bergamotthread/process/relay/request_limits.py
+++ b/bergamotthread/process/relay/request_limits.py
@@ -77,7 +77,7 @@
     def record(
         self, incarnation: Incarnation, stated_per_s: float, now_ms: float
     ) -> bool:
-        """Record a stated limit; return whether it is new or has changed."""
+        """Record a limit stated at a time; return whether it changes it."""
         per_s = min(max(stated_per_s, LIMIT_PER_S_MIN), LIMIT_PER_S_MAX)
         limit = self.get(incarnation)
         if limit is None:
@@ -85,6 +85,8 @@
             limit = RequestLimit(per_s, now_ms)
             self._limit_by_incarnation[incarnation] = limit
             return True
+        if limit.stated_ms > now_ms:
+            return False
         limit.stated_ms = now_ms
         if limit.per_s == per_s:
             return False
@@ -102,8 +104,14 @@
         sent_ms
             Monotonic time at which the answered request was sent.
         """
+        return self.end_before(incarnation, sent_ms - UNSTATED_MS)
+
+    def end_before(
+        self, incarnation: Incarnation, at_ms: float
+    ) -> RequestLimit | None:
+        """End and return a limit that was last stated before a time."""
         limit = self.get(incarnation)
-        if limit is None or sent_ms < limit.stated_ms + UNSTATED_MS:
+        if limit is None or limit.stated_ms > at_ms:
             return None
         self._forget(incarnation)
         return limit
--- a/bergamotthread/request/relay/limit_notices.py
+++ b/bergamotthread/request/relay/limit_notices.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from bergamotthread.connection.http.decimal_field import DecimalField
@@ -10,18 +10,44 @@
 from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.invalid_values import InvalidValueLog
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
+from bergamotthread.process.relay.request_limits import RequestLimit
 from bergamotthread.process.relay.upstreams import Upstream, UpstreamDirectory
 from bergamotthread.request.relay.dialect import RelayHeaderNames
 
 
+@dataclass(frozen=True)
+class LimitChange:
+    """A limit that an upstream states newly, or its end.
+
+    Parameters
+    ----------
+    per_s
+        Requests per second as stated; None at the end of the limit.
+    at_ms
+        Monotonic time of the answer that said so.
+    """
+
+    instance: str
+    started_ms: int
+    per_s: float | None
+    at_ms: float
+
+
 @dataclass
 class LimitNotices:
-    """Records the limits that answers state, and their end."""
+    """Records the limits that answers state, and their end.
+
+    Parameters
+    ----------
+    listeners
+        Called with each change that the entry itself learned of.
+    """
 
     directory: UpstreamDirectory
     header_names: RelayHeaderNames
     log: DecisionLog
     metrics: RelayMetrics
+    listeners: list[Callable[[LimitChange], None]] = field(default_factory=list)
     _invalid_log: InvalidValueLog = field(init=False)
 
     def __post_init__(self) -> None:
@@ -61,15 +87,62 @@
         elif not stated.invalid:
             self._record_unstated(upstream, said_by, sent_ms)
 
+    def apply_told(self, change: LimitChange, host: str) -> None:
+        """Apply what another entry learned.
+
+        Parameters
+        ----------
+        host
+            Name of the host of that entry.
+        """
+        upstream = self.directory.get(change.instance)
+        if upstream is None:
+            return
+        record = upstream.record
+        limits = self.directory.limits
+        if record.started_ms != change.started_ms:
+            return
+        if change.per_s is not None:
+            if limits.record(record.incarnation, change.per_s, change.at_ms):
+                self._log_limited(upstream, change.per_s, host)
+            return
+        ended = limits.end_before(record.incarnation, change.at_ms)
+        if ended is not None:
+            self._log_ended(upstream, ended, host)
+
     def _record(
         self, upstream: Upstream, stated_per_s: float, said_by: str
     ) -> None:
-        directory = self.directory
+        now_ms = self.directory.clock.now_ms()
+        incarnation = upstream.record.incarnation
+        if self.directory.limits.record(incarnation, stated_per_s, now_ms):
+            self._log_limited(upstream, stated_per_s, said_by)
+            self._tell(upstream, stated_per_s)
+
+    def _record_unstated(
+        self, upstream: Upstream, said_by: str, sent_ms: float
+    ) -> None:
+        incarnation = upstream.record.incarnation
+        ended = self.directory.limits.record_unstated(incarnation, sent_ms)
+        if ended is not None:
+            self._log_ended(upstream, ended, said_by)
+            self._tell(upstream, None)
+
+    def _tell(self, upstream: Upstream, per_s: float | None) -> None:
+        record = upstream.record
+        change = LimitChange(
+            record.instance,
+            record.started_ms,
+            per_s,
+            self.directory.clock.now_ms(),
+        )
+        for listener in self.listeners:
+            listener(change)
+
+    def _log_limited(
+        self, upstream: Upstream, stated_per_s: float, said_by: str
+    ) -> None:
         record = upstream.record
-        if not directory.limits.record(
-            record.incarnation, stated_per_s, directory.clock.now_ms()
-        ):
-            return
         self.metrics.request_limits.increment(record.service)
         self.log.write(
             'upstream-limited',
@@ -81,15 +154,11 @@
             in_flight=upstream.in_flight,
         )
 
-    def _record_unstated(
-        self, upstream: Upstream, said_by: str, sent_ms: float
+    def _log_ended(
+        self, upstream: Upstream, ended: RequestLimit, said_by: str
     ) -> None:
-        record = upstream.record
-        limits = self.directory.limits
-        ended = limits.record_unstated(record.incarnation, sent_ms)
-        if ended is None:
-            return
         now_ms = self.directory.clock.now_ms()
+        record = upstream.record
         self.log.write(
             'upstream-limit-ended',
             upstream=record.instance,
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -398,3 +398,26 @@
         load.check_used()
 
     run_in_memory(check())
+
+
+# Guards against: an upstream in need gets a request of each entry before all
+# know of its limit, and is spared for long by entries without a share of it.
+def test_entries_tell_each_other_of_a_limit_and_of_its_end():
+    async def check():
+        load = await Load.start(14, plains=3)
+        limited = load.deployment.plains[0]
+        load.state([limited], 1)
+        await load.ask(12, 8)
+        for number in range(14):
+            assert load.deployment.events('upstream-limited', number)
+        # Those under way as the first answer arrived, and the limit since.
+        assert len(limited.seen) <= 14 + 8
+        limited.script.request_limit = ''
+        await load.ask(12, 8)
+        for number in range(14):
+            assert load.deployment.events('upstream-limit-ended', number)
+        reached = len(limited.seen)
+        await load.ask(12, 6)
+        assert len(limited.seen) - reached > 12
+
+    run_in_memory(check())
