--- a/tests/test_relayed_poison.py
+++ b/tests/test_relayed_poison.py
@@ -433,6 +433,47 @@
     run_in_memory(check())
 
 
+# Guards against: of two parts that crash upstreams at the same time, the deaths
+# of one hide the other, or condemn the part that all share.
+@pytest.mark.parametrize('crash_ms', [None, 100, 400, 1000])
+def test_two_parts_that_crash_upstreams_at_once_are_both_found(crash_ms):
+    async def check():
+        deployment = await _start_deadly_part(3)
+        marks = (DEADLY_PART, b'0003:400')
+        for model in deployment.models:
+            model.script.crash_marks = frozenset(marks)
+            model.script.crashes_before_head_ms = crash_ms
+        fronts = _fronts(deployment)
+        sound = []
+        tasks = []
+        for number in range(160):
+            is_deadly = number % 4 == 0
+            is_sound = not is_deadly and number % 7 != 3
+            task = asyncio.create_task(
+                _prompt(deployment, next(fronts), number, is_deadly=is_deadly)
+            )
+            (sound if is_sound else tasks).append(task)
+            await deployment.clock.sleep_ms(300)
+        answers = await asyncio.gather(*sound)
+        await asyncio.gather(*tasks)
+        served = sum(answer.status == 200 for answer in answers)
+        assert served >= 0.9 * len(answers)
+        crashed_ms = _crashes(deployment.models)
+        if len(crashed_ms) < 2 * PART_CRASHES:
+            return
+        limit_ms = crashed_ms[2 * PART_CRASHES - 1] + STABLE_MS
+        for mark in marks:
+            late = [
+                seen.at_ms
+                for model in deployment.models
+                for seen in model.seen
+                if mark in seen.headers[PROMPT_PARTS] and seen.at_ms > limit_ms
+            ]
+            assert len(late) <= SENT_MAX
+
+    run_in_memory(check())
+
+
 def test_attempt_after_a_broken_one_at_the_same_upstream_is_charged():
     """The first broke off without a crash."""
 
