--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -157,6 +157,7 @@
         holder, and `COPY_KV_FRACTION_MAX` of its KV cache may be in use. Copies
         are not counted among the requests that return in steps after a pause,
         so they wait until the steps are over.
+
         A limited upstream holds a copy only if no other one has room.
         """
         directory = self.directory
--- a/bergamotthread/process/shares/share_home.py
+++ b/bergamotthread/process/shares/share_home.py
@@ -228,7 +228,7 @@
     """Return the share that is left beside the leases of others."""
     if demand.least and not demand.held:
         holders = sum(lease.share > 0 for lease in others)
-        if holders >= HOLDERS_MAX + 1 / (2 * demand.least):
+        if holders + 1 > HOLDERS_MAX + 1 / (2 * demand.least):
             return 0
     return max(0, pool - sum(lease.share for lease in others))
 
