--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -8,9 +8,12 @@
 
 import pytest
 
+from bergamotthread.process.relay.pauses import Incarnation
 from bergamotthread.process.relay.request_limits import (
     LIMIT_PER_S_MAX,
     LIMIT_PER_S_MIN,
+    UNSTATED_MS,
+    RequestLimits,
 )
 from bergamotthread.testing.memory_http import run_in_memory
 from tests.platform_standins import Answer, Deployment, MemoryRunner, settings
@@ -307,6 +310,20 @@
     run_in_memory(check())
 
 
+# Guards against: an answer that was under way, or one of a kind that states no
+# limit, ends the limit.
+def test_answer_sent_for_before_the_limit_or_just_after_does_not_end_it():
+    limits = RequestLimits()
+    upstream = Incarnation('u', '10.0.0.1:80', 1)
+    limits.record(upstream, 2, 10_000)
+    for sent_ms in (9000, 10_001, 10_000 + UNSTATED_MS - 1):
+        assert limits.record_unstated(upstream, sent_ms) is None
+    limits.record(upstream, 2, 11_000)
+    assert limits.record_unstated(upstream, 10_000 + UNSTATED_MS) is None
+    assert limits.record_unstated(upstream, 11_000 + UNSTATED_MS).per_s == 2
+    assert limits.get(upstream) is None
+
+
 # Guards against: an upstream that has recovered is spared for ever.
 def test_limit_ends_with_answers_that_do_not_state_it():
     async def check():
