--- a/bergamotthread/platform/build_relay.py
+++ b/bergamotthread/platform/build_relay.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from itertools import chain, islice
+from typing import Annotated
 
 import msgspec
 from absl import logging
@@ -52,8 +53,12 @@
 _MS_PER_S = 1000
 
 
+_AT_MOST_TOLD = msgspec.Meta(max_length=TOLD_MAX)
+_Streams = Annotated[tuple[int, ...], _AT_MOST_TOLD]
+
+
 class _Told(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    streams_by_build: dict[str, tuple[int, ...]]
+    streams_by_build: dict[str, _Streams]
 
 
 class _Asked(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -68,6 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Begun:
+    service: str
     build: str
     begun_ms: float
 
@@ -106,15 +112,14 @@
 
     def tell(self, service: str, stream: int, build: str) -> None:
         """Tell other entries of a stream that begins here, if needed."""
-        begun = _Begun(build, self.clock.now_ms())
-        self._begun_by_service[service][stream] = begun
-        self._has_begun.set()
+        self._add(stream, _Begun(service, build, self.clock.now_ms()))
 
     async def find(self, service: str, stream: int) -> KnownBuild | None:
         """Return the build at which a stream began, or None if unknown.
 
         What an entry was told outweighs what an entry concludes from the
-        service having a single build.
+        service having a single build. The conclusion of another one counts only
+        if this one has seen no other build either.
         """
         known = self.builds.get(stream)
         if known is not None:
@@ -125,7 +130,7 @@
             self.builds.record(stream, told.build, told.source)
             return told
         single = self.builds.single(service)
-        return single or next(iter(found), None)
+        return single or self._concluded(service, found)
 
     @property
     def answer_by_path(self) -> dict[bytes, MessageAnswer]:
@@ -155,6 +160,16 @@
             if not any(self._begun_by_service.values()):
                 self._has_begun.clear()
 
+    def _add(self, stream: int, begun: _Begun) -> None:
+        self._begun_by_service[begun.service][stream] = begun
+        self._has_begun.set()
+
+    def _concluded(
+        self, service: str, found: Iterable[KnownBuild]
+    ) -> KnownBuild | None:
+        seen = self.builds.directory.builds_since(service, STREAM_MAX_MS)
+        return next((one for one in found if seen <= {one.build}), None)
+
     def _record_told(
         self, streams_by_build: dict[str, tuple[int, ...]]
     ) -> None:
@@ -171,26 +186,27 @@
             return b''
         return msgspec.msgpack.encode(_Found(single.build, single.source))
 
-    def _next_untold(self) -> dict[int, str]:
+    def _next_untold(self) -> dict[int, _Begun]:
         """Remove and return streams that have to be told now.
 
         Those of services with a single build wait until another build appears
         or they are over.
         """
-        untold: dict[int, str] = {}
+        untold: dict[int, _Begun] = {}
         oldest_ms = self.clock.now_ms() - STREAM_MAX_MS
         for service, begun_by_stream in self._begun_by_service.items():
             _forget_older(begun_by_stream, oldest_ms)
             if self.builds.single(service) is None:
                 streams = list(islice(begun_by_stream, TOLD_MAX))
                 for stream in streams:
-                    untold[stream] = begun_by_stream.pop(stream).build
+                    untold[stream] = begun_by_stream.pop(stream)
         return untold
 
-    async def _tell_all(self, build_by_stream: dict[int, str]) -> None:
+    async def _tell_all(self, untold: dict[int, _Begun]) -> None:
+        """Tell the holders of each stream; again if one is not reached."""
         streams_by_host: defaultdict[str, list[int]] = defaultdict(list)
         entry_by_host: dict[str, EntryRecord] = {}
-        for stream in build_by_stream:
+        for stream in untold:
             for holder in self._holders(stream):
                 entry_by_host[holder.host] = holder
                 streams_by_host[holder.host].append(stream)
@@ -201,17 +217,21 @@
                 *(
                     self._tell(
                         entry_by_host[host],
-                        _by_build(streams_by_host[host], build_by_stream),
+                        {one: untold[one] for one in streams_by_host[host]},
                     )
                     for host in part
                 )
             )
 
-    async def _tell(self, entry: EntryRecord, message: _Told) -> None:
-        encoded = msgspec.msgpack.encode(message)
+    async def _tell(
+        self, entry: EntryRecord, untold: dict[int, _Begun]
+    ) -> None:
+        encoded = msgspec.msgpack.encode(_told(untold))
         answer = await self.peers.send(entry, BUILDS_PATH, encoded)
         if answer is None:
             self._failed_ms_by_host[entry.host] = self.clock.now_ms()
+            for stream, begun in untold.items():
+                self._add(stream, begun)
 
     def _holders(self, stream: int) -> list[EntryRecord]:
         """Return the entries to be told: in the region, and in another."""
@@ -327,10 +347,10 @@
             yield self._by_host[host]
 
 
-def _by_build(streams: Iterable[int], build_by_stream: dict[int, str]) -> _Told:
+def _told(untold: dict[int, _Begun]) -> _Told:
     streams_by_build: defaultdict[str, list[int]] = defaultdict(list)
-    for stream in streams:
-        streams_by_build[build_by_stream[stream]].append(stream)
+    for stream, begun in untold.items():
+        streams_by_build[begun.build].append(stream)
     return _Told(
         {build: tuple(told) for build, told in streams_by_build.items()}
     )
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -379,16 +379,18 @@
             Time for which it must have been the only one. Upstreams that name
             no build need no time.
         """
-        now_ms = self.clock.now_ms()
-        history = self._history_by_service[service]
-        builds = history.since(
-            self.accepting_by_build(service), now_ms - within_ms
-        )
+        builds = self.builds_since(service, within_ms)
         if len(builds) != 1 or not self.is_loaded:
             return None
         build = next(iter(builds))
-        is_known = not build or now_ms - self._loaded_ms >= within_ms
-        return build if is_known else None
+        loaded_since_ms = self.clock.now_ms() - self._loaded_ms
+        return build if not build or loaded_since_ms >= within_ms else None
+
+    def builds_since(self, service: str, within_ms: float) -> set[str]:
+        """Return the builds that were listed of a service lately."""
+        history = self._history_by_service[service]
+        listed = self.accepting_by_build(service)
+        return history.since(listed, self.clock.now_ms() - within_ms)
 
     def lacks_build(self, service: str, build: str) -> bool:
         """Return whether a service has upstreams of other builds alone.
--- a/tests/test_stream_builds.py
+++ b/tests/test_stream_builds.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from bergamotthread.process.relay.stream_builds import KnownBuild
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import MODEL
 from tests.platform_standins import Answer, Deployment, MemoryRunner, settings
@@ -334,6 +335,47 @@
     run_in_memory(check())
 
 
+# Guards against: an entry that has not read of a new build yet tells one that
+# has that the service has the former one alone.
+@pytest.mark.parametrize(
+    ('listed', 'expected'), [(['v1'], 'v1'), (['v1', 'v2'], None)]
+)
+def test_conclusion_of_another_entry_counts_only_if_it_can_be_right(
+    listed, expected
+):
+    async def check():
+        builds = await Builds.start(['v1', 'v1', *listed], settle_ms=1500)
+        relay = builds.deployment.entries[0]._build_relay
+        found = [KnownBuild('v1', 'single edge-b-2')]
+        known = relay._concluded(MODEL, found)
+        assert (known and known.build) == expected
+
+    run_in_memory(check())
+
+
+# Guards against: a stream that only one entry knows, since another was not
+# reached, is lost with that one.
+def test_entry_that_was_not_reached_is_replaced_by_another():
+    async def check():
+        builds = await Builds.start(['v1', 'v2'] * 4, entries=5)
+        net = builds.deployment.net
+        net.silent.add('10.1.0.2:7001')
+        begun = await builds.begin(24, events=20, fronts=(1,))
+        await builds.deployment.clock.sleep_ms(1500)
+        knowing = [
+            len(entry._build_relay.builds)
+            for entry in builds.deployment.entries[2:]
+        ]
+        # Each of two entries is told, besides the one that began the stream.
+        assert sum(knowing) >= 2 * sum(bool(one.ids) for one in begun)
+        await _disturb(builds, 'end')
+        await builds.take_up(begun, fronts=(3, 4, 5))
+        builds.check_builds()
+        assert builds.whole() >= GOES_ON_MIN * 24
+
+    run_in_memory(check())
+
+
 async def _replace(
     builds: Builds, former: str, build: str, count: int, pause_ms: float
 ) -> None:
