--- a/bergamotthread/platform/build_relay.py
+++ b/bergamotthread/platform/build_relay.py
@@ -29,10 +29,12 @@
 from bergamotthread.process.relay.feed_sources import EntryRecord, FeedSources
 from bergamotthread.process.relay.hash_ring import HashRing
 from bergamotthread.process.relay.stream_builds import (
+    SINGLE,
     STREAM_MAX_MS,
     TOLD,
     KnownBuild,
     StreamBuilds,
+    StreamKey,
 )
 from bergamotthread.process.relay.upstreams import UpstreamDirectory
 from bergamotthread.request.relay.build_source import BuildSource
@@ -114,23 +116,27 @@
         """Tell other entries of a stream that begins here, if needed."""
         self._add(stream, _Begun(service, build, self.clock.now_ms()))
 
-    async def find(self, service: str, stream: int) -> KnownBuild | None:
+    async def find(self, service: str, key: StreamKey) -> KnownBuild | None:
         """Return the build at which a stream began, or None if unknown.
 
         What an entry was told outweighs what an entry concludes from the
         service having a single build. The conclusion of another one counts only
-        if this one has seen no other build either.
+        if this one has seen no other build either. A caller that names no
+        request gets the only build that was seen, for however short a time.
         """
+        stream = key.hashed
         known = self.builds.get(stream)
-        if known is not None:
+        if known is not None or self.builds.is_ambiguous(stream):
             return known
         found = await self._ask(service, stream)
         told = next((one for one in found if TOLD in one.source), None)
         if told is not None:
             self.builds.record(stream, told.build, told.source)
             return told
-        single = self.builds.single(service)
-        return single or self._concluded(service, found)
+        single = self.builds.single(service) or self._concluded(service, found)
+        if single is None and not key.is_named:
+            return self._only_seen(service)
+        return single
 
     @property
     def answer_by_path(self) -> dict[bytes, MessageAnswer]:
@@ -164,6 +170,12 @@
         self._begun_by_service[begun.service][stream] = begun
         self._has_begun.set()
 
+    def _only_seen(self, service: str) -> KnownBuild | None:
+        seen = self.builds.directory.builds_since(service, STREAM_MAX_MS)
+        if len(seen) != 1:
+            return None
+        return KnownBuild(seen.pop(), SINGLE)
+
     def _concluded(
         self, service: str, found: Iterable[KnownBuild]
     ) -> KnownBuild | None:
--- a/bergamotthread/process/relay/stream_builds.py
+++ b/bergamotthread/process/relay/stream_builds.py
@@ -40,10 +40,29 @@
 class _Kept:
     known: KnownBuild
     until_ms: float
+    is_ambiguous: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StreamKey:
+    """Key of a stream that its caller takes up.
+
+    Parameters
+    ----------
+    hashed
+        Hash of the request that began the stream, or of the content of the
+        stream's requests.
+    is_named
+        Whether the caller named the request that began it. Callers that don't
+        send the same content in each try; others may send it too.
+    """
+
+    hashed: int
+    is_named: bool
 
 
 def stream_key(request_id: bytes) -> int:
-    """Return the key of a stream: a hash of the request that began it."""
+    """Return the hash of the request that began a stream."""
     return xxhash.xxh3_64_intdigest(request_id)
 
 
@@ -61,18 +80,33 @@
         return len(self._kept_by_stream)
 
     def record(self, stream: int, build: str, source: str) -> None:
-        """Remember the build of a stream."""
+        """Remember the build of a stream.
+
+        Streams of the same content that began at different builds are not told
+        apart by their content.
+        """
         now_ms = self.clock.now_ms()
         kept = self._kept_by_stream
-        kept[stream] = _Kept(KnownBuild(build, source), now_ms + KEPT_MS)
+        former = kept.get(stream)
+        kept[stream] = _Kept(
+            KnownBuild(build, source),
+            now_ms + KEPT_MS,
+            is_ambiguous=former is not None
+            and (former.is_ambiguous or former.known.build != build),
+        )
         kept.move_to_end(stream)
         while len(kept) > KEPT_MAX or self._oldest_until_ms <= now_ms:
             kept.popitem(last=False)
 
     def get(self, stream: int) -> KnownBuild | None:
-        """Return the build of a stream, or None if it is not remembered."""
+        """Return the build of a stream, or None if it is not known."""
+        kept = self._kept_by_stream.get(stream)
+        return None if kept is None or kept.is_ambiguous else kept.known
+
+    def is_ambiguous(self, stream: int) -> bool:
+        """Return whether streams of this content began at several builds."""
         kept = self._kept_by_stream.get(stream)
-        return None if kept is None else kept.known
+        return kept is not None and kept.is_ambiguous
 
     def single(self, service: str) -> KnownBuild | None:
         """Return the only build of a service, or None.
--- a/bergamotthread/request/relay/build_source.py
+++ b/bergamotthread/request/relay/build_source.py
@@ -7,6 +7,7 @@
 from bergamotthread.process.relay.stream_builds import (
     KnownBuild,
     StreamBuilds,
+    StreamKey,
 )
 
 
@@ -20,5 +21,5 @@
         """Tell other entries of a stream that begins here."""
 
     @abc.abstractmethod
-    async def find(self, service: str, stream: int) -> KnownBuild | None:
+    async def find(self, service: str, key: StreamKey) -> KnownBuild | None:
         """Return the build at which a stream began, or None if unknown."""
--- a/bergamotthread/request/relay/stream_build.py
+++ b/bergamotthread/request/relay/stream_build.py
@@ -4,6 +4,7 @@
 
 from bergamotthread.process.relay.stream_builds import (
     OWN,
+    StreamKey,
     stream_key,
 )
 from bergamotthread.process.relay.upstreams import Upstream
@@ -44,18 +45,19 @@
         if call.resume_after is None and not call.origin:
             return None
         service = call.service.name
-        known = await self._parts.builds.find(service, stream_key(call.origin))
+        origin = call.origin.decode('latin-1')
+        known = await self._parts.builds.find(service, self._key())
         if known is None:
             return self._refuse(
                 'build-unknown',
                 'no entry knows at which build of its upstream the stream '
-                f'of request {call.origin.decode("latin-1")!r} began',
+                f'of request {origin!r} began',
             )
         self.build = known.build
         self._parts.log.write(
             'stream-taken-up',
             request=call.request_label,
-            origin=call.origin.decode('latin-1'),
+            origin=origin,
             build=known.build,
             known_from=known.source,
             builds_offered=' '.join(
@@ -85,9 +87,19 @@
         call = self._call
         self.build = upstream.record.build
         if call.route.repeatability.may_retry:
-            stream = stream_key(call.request_id)
-            self._parts.builds.builds.record(stream, self.build, OWN)
-            self._parts.builds.tell(call.service.name, stream, self.build)
+            self._record(stream_key(call.request_id), self.build)
+            self._record(call.fingerprints.content_hash, self.build)
+
+    def _key(self) -> StreamKey:
+        call = self._call
+        if call.origin:
+            return StreamKey(stream_key(call.origin), is_named=True)
+        return StreamKey(call.fingerprints.content_hash, is_named=False)
+
+    def _record(self, stream: int, build: str) -> None:
+        source = self._parts.builds
+        source.builds.record(stream, build, OWN)
+        source.tell(self._call.service.name, stream, build)
 
     def _refuse(self, reason: str, detail: str) -> RelayRefusal:
         return RelayRefusal(503, reason, detail, BUILD_RETRY_AFTER_MS)
--- a/tests/test_stream_builds.py
+++ b/tests/test_stream_builds.py
@@ -10,7 +10,12 @@
 
 import pytest
 
-from bergamotthread.process.relay.stream_builds import KnownBuild
+from bergamotthread.clock import Clock
+from bergamotthread.process.relay.stream_builds import (
+    KnownBuild,
+    StreamBuilds,
+)
+from bergamotthread.process.relay.upstreams import UpstreamDirectory
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import MODEL
 from tests.platform_standins import Answer, Deployment, MemoryRunner, settings
@@ -95,6 +100,8 @@
     def front(self, number: int) -> str:
         return f'10.1.0.{number}:8000'
 
+    names_origin: bool = True
+
     async def read(
         self, stream: Stream, front: str, events: int = 0, **options: object
     ) -> Answer:
@@ -103,7 +110,8 @@
         extra: list[tuple[bytes, bytes]] = list(options.pop('extra', ()))
         if stream.ids:
             extra.append((b'last-event-id', b'%d' % max(stream.ids)))
-            extra.append((RESUMES, stream.origin))
+            if self.names_origin:
+                extra.append((RESUMES, stream.origin))
         connection = await deployment.connect(front)
         encoded = deployment.request(stream.path, extra=tuple(extra))
         request_id = b'r%d' % deployment._next_id
@@ -242,6 +250,34 @@
     run_in_memory(check())
 
 
+# Guards against: streams of callers that name no request are refused, though
+# one build alone was seen, or their content tells the build.
+@pytest.mark.parametrize('builds_listed', [['v1'] * 4, ['v1', 'v2'] * 4])
+def test_stream_is_known_by_its_content_if_no_request_is_named(builds_listed):
+    async def check():
+        builds = await Builds.start(builds_listed)
+        builds.names_origin = False
+        begun = await builds.begin(24, events=20, fronts=(1,))
+        await builds.deployment.clock.sleep_ms(300)
+        await _disturb(builds, 'end')
+        await builds.take_up(begun, fronts=(2, 3))
+        builds.check_builds()
+        assert builds.whole() >= GOES_ON_MIN * 24
+
+    run_in_memory(check())
+
+
+def test_content_that_began_at_two_builds_tells_none():
+    directory = UpstreamDirectory(Clock(lambda: 1.0, lambda: 1.0))
+    known = StreamBuilds(directory.clock, directory)
+    known.record(7, 'v1', 'own')
+    assert known.get(7).build == 'v1'
+    known.record(7, 'v2', 'told')
+    known.record(7, 'v2', 'told')
+    assert known.get(7) is None
+    assert known.is_ambiguous(7)
+
+
 # Guards against: a stream whose build nobody knows goes on anywhere.
 def test_stream_of_an_unknown_build_is_refused_at_once():
     async def check():
