--- a/bergamotthread/platform/lease_relay.py
+++ b/bergamotthread/platform/lease_relay.py
@@ -133,8 +133,10 @@
         for task in tuple(self._tasks):
             task.cancel()
 
-    def check_homes(self, home_of: Callable[[str], str]) -> None:
-        """Check the home that this entry expects when it is asked for leases.
+    def use_homes(self, home_of: Callable[[str], str]) -> None:
+        """Set how the home of a limit is found.
+
+        An entry that is asked for leases checks the home that it expects.
 
         Parameters
         ----------
--- a/bergamotthread/platform/limit_parts.py
+++ b/bergamotthread/platform/limit_parts.py
@@ -64,7 +64,7 @@
         relay = LeaseRelay(clock, PeerMessages(pool), view, rng, started_ms)
         leases = LeaseExchange[RateUsage](relay, clock, view, LIMIT_POLICY)
         relay.start(leases.on_message)
-        relay.check_homes(leases.home.home)
+        relay.use_homes(leases.home.home)
         return cls(RequestLimits(leases), leases, relay)
 
     async def run(self) -> None:
--- a/bergamotthread/process/relay/request_limits.py
+++ b/bergamotthread/process/relay/request_limits.py
@@ -157,13 +157,18 @@
         usage = self._usage(incarnation, limit, now_ms)
         return usage.room_until(at_ms, now_ms)
 
-    def refuse_until_ms(
+    def record_refusal(
         self, incarnations: Iterable[Incarnation], now_ms: float
     ) -> float:
-        """Return how long a request is to stay away that all refuse now.
+        """Count a request that the limits of some upstreams refuse.
 
         It is counted at the upstream where the fewest were refused before, for
         its rate.
+
+        Returns
+        -------
+        float
+            Time in ms until it has a place there.
         """
         usages = [
             self._usage(incarnation, limit, now_ms)
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -580,9 +580,9 @@
             upstream.record.incarnation, self.clock.now_ms(), weight
         )
 
-    def refuse_until_ms(self, service: str) -> float:
-        """Return how long a request that limits refuse is to stay away."""
-        return self.limits.refuse_until_ms(
+    def record_refusal(self, service: str) -> float:
+        """Count a request that limits refuse; return the ms until its place."""
+        return self.limits.record_refusal(
             (
                 upstream.record.incarnation
                 for upstream in self.accepting(service)
--- a/bergamotthread/request/relay/opening_wait.py
+++ b/bergamotthread/request/relay/opening_wait.py
@@ -77,7 +77,7 @@
         now_ms = self._parts.clock.now_ms()
         service = self._call.service.name
         opens_in_ms = directory.opens_ms(first) - now_ms
-        expected_ms = max(directory.refuse_until_ms(service), opens_in_ms)
+        expected_ms = max(directory.record_refusal(service), opens_in_ms)
         retry_after_ms = self._bounds(now_ms).spread_out(
             expected_ms, directory.pauses.rng
         )
