--- a/bergamotthread/platform/lease_relay.py
+++ b/bergamotthread/platform/lease_relay.py
@@ -5,9 +5,8 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -18,6 +17,7 @@
 from bergamotthread.connection.transport import Receiver, Transport
 from bergamotthread.errors import DecodeError
 from bergamotthread.platform.peer_messages import PeerMessages
+from bergamotthread.process.background_tasks import BackgroundTasks
 from bergamotthread.process.relay.feed_sources import EntryRecord, FeedSources
 from bergamotthread.process.shares.lease_exchange import EntryView
 from bergamotthread.wire.codec import decode_envelope, encode_envelope
@@ -109,7 +109,7 @@
     _home_of: Callable[[str], str] | None = None
     _asking: str = ''
     _reply: bytes = b''
-    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
     _checked: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -122,7 +122,7 @@
         if peer == self._asking:
             self._reply = encoded
             return
-        self._start(self._post(peer, encoded))
+        self._tasks.start(self._post(peer, encoded))
 
     def start(self, receiver: Receiver) -> None:
         """Start passing received envelopes to `receiver`."""
@@ -130,8 +130,7 @@
 
     def close(self) -> None:
         """Stop all calls."""
-        for task in tuple(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
 
     def use_homes(self, home_of: Callable[[str], str]) -> None:
         """Set how the home of a limit is found.
@@ -192,7 +191,7 @@
     def _check_soon(self, address: str) -> None:
         if address not in self._checked:
             self._checked.add(address)
-            self._start(self._check(address))
+            self._tasks.start(self._check(address))
 
     async def _check(self, address: str) -> None:
         try:
@@ -221,11 +220,6 @@
         has_ended = reachability is Reachability.REFUSED
         self.view.record_lost(address, has_ended=has_ended)
 
-    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _record(address: str) -> EntryRecord:
     return EntryRecord(address, address, '')
--- a/bergamotthread/platform/limit_relay.py
+++ b/bergamotthread/platform/limit_relay.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from itertools import islice
 from typing import Annotated
@@ -21,6 +20,7 @@
 from bergamotthread.platform.peer_messages import PeerMessages
 from bergamotthread.platform.region_messages import RegionMessages
 from bergamotthread.platform.relayed_feed import MessageAnswer
+from bergamotthread.process.background_tasks import BackgroundTasks
 from bergamotthread.process.relay.feed_sources import FeedSources
 from bergamotthread.request.relay.limit_notices import LimitChange, LimitNotices
 
@@ -54,7 +54,7 @@
     notices: LimitNotices
     _untold: dict[tuple[str, int], LimitChange] = field(default_factory=dict)
     _learned: asyncio.Event = field(default_factory=asyncio.Event)
-    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
     def __post_init__(self) -> None:
         self.notices.listeners.append(self._add)
@@ -98,7 +98,7 @@
             self.notices.apply_told(change, message.host)
         if message.forward:
             passed_on = msgspec.structs.replace(message, forward=False)
-            self._start(self._pass_on(passed_on))
+            self._tasks.start(self._pass_on(passed_on))
         return b''
 
     async def run(self) -> None:
@@ -144,8 +144,3 @@
     async def _pass_on(self, message: _Message) -> None:
         encoded = msgspec.json.encode(message)
         await self.regions.tell_region(LIMITS_PATH, encoded)
-
-    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/bergamotthread/platform/poison_relay.py
+++ b/bergamotthread/platform/poison_relay.py
@@ -10,7 +10,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Coroutine, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from itertools import chain, islice
 from typing import Annotated, Protocol
@@ -21,6 +21,7 @@
 from bergamotthread.clock import Clock
 from bergamotthread.platform.peer_messages import PeerMessages
 from bergamotthread.platform.region_messages import RegionMessages
+from bergamotthread.process.background_tasks import BackgroundTasks
 from bergamotthread.process.poison.death_log import DeathNotice
 from bergamotthread.process.poison.guard import PoisonGuard
 from bergamotthread.process.relay.crash_watch import (
@@ -139,7 +140,7 @@
     _learned: asyncio.Event = field(default_factory=asyncio.Event)
     _tokens: float = DEATHS_TOLD_MAX
     _filled_ms: float = 0
-    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
     def __post_init__(self) -> None:
         self.guard = PoisonGuard(self.clock, self, limits=RELAYED_LIMITS)
@@ -186,12 +187,12 @@
             return False
         self.apply_message(message)
         if message.forward:
-            self._start(self._pass_on(message))
+            self._tasks.start(self._pass_on(message))
         return True
 
     async def run(self) -> None:
         """Ask another entry once, and tell all what this one learns."""
-        self._start(self._ask_another())
+        self._tasks.start(self._ask_another())
         while True:
             await self._learned.wait()
             await self.clock.sleep_ms(TELL_INTERVAL_MS)
@@ -243,11 +244,6 @@
             self.guard.release(fingerprint)
             self._log_lifted(fingerprint, 'row removed')
 
-    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _next_message(self) -> PoisonMessage:
         message = PoisonMessage(
             self.feeds.own_host,
--- a/bergamotthread/process/relay/crash_watch.py
+++ b/bergamotthread/process/relay/crash_watch.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
 import xxhash
 
 from bergamotthread.connection.http.upstream_pool import Reachability
+from bergamotthread.process.background_tasks import BackgroundTasks
 from bergamotthread.process.poison.death_log import DeathNotice, RequestHashes
 from bergamotthread.process.poison.fingerprints import RequestFingerprints
 from bergamotthread.process.poison.guard import PoisonGuard, QuarantineSink
@@ -71,7 +71,7 @@
     log: DecisionLog
     metrics: RelayMetrics
     _broken_runs_by_instance: dict[str, set[str]] = field(default_factory=dict)
-    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
     def record_start(
         self,
@@ -122,9 +122,7 @@
             runs.add(run)
             return
         self._broken_runs_by_instance[instance] = {run}
-        task = asyncio.create_task(self._check(upstream))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start(self._check(upstream))
 
     async def is_listening(self, upstream: Upstream) -> bool:
         """Return whether something listens at the address of an upstream."""
