--- a/bergamotthread/request/relay/opening_wait.py
+++ b/bergamotthread/request/relay/opening_wait.py
@@ -8,7 +8,7 @@
 from bergamotthread.request.relay.parts import RelayParts
 from bergamotthread.request.relay.refusals import RelayRefusal
 
-PAUSED_RETRY_AFTER_MIN_MS = 100.0
+HELD_RETRY_AFTER_MIN_MS = 100.0
 _MS_PER_S = 1000
 
 
@@ -87,17 +87,13 @@
             'all upstreams state limits on requests, and have got what these '
             f'allow; a place is free in {expected_ms / _MS_PER_S:.1f} s',
             retry_after_ms,
-            {
-                'opens_in_ms': round(opens_in_ms),
-                'expected_ms': round(expected_ms),
-                'wait_ms': round(max(self._wait_until_ms - now_ms, 0)),
-                'waiting': directory.pauses.waiting_by_service[service],
-            },
+            self._figures(opens_in_ms, now_ms)
+            | {'expected_ms': round(expected_ms)},
         )
 
     def _bounds(self, now_ms: float) -> RetryAfterRange:
         return RetryAfterRange.from_remaining(
-            PAUSED_RETRY_AFTER_MIN_MS, self._call.deadline_ms - now_ms
+            HELD_RETRY_AFTER_MIN_MS, self._call.deadline_ms - now_ms
         )
 
     def _pause_refusal(self, first: Upstream) -> RelayRefusal:
@@ -120,9 +116,14 @@
             'all upstreams asked for a pause; the first takes requests again '
             f'in {opens_in_s:.1f} s',
             retry_after_ms,
-            {
-                'opens_in_ms': round(opens_in_ms),
-                'wait_ms': round(max(self._wait_until_ms - now_ms, 0)),
-                'waiting': pauses.waiting_by_service[self._call.service.name],
-            },
+            self._figures(opens_in_ms, now_ms),
         )
+
+    def _figures(self, opens_in_ms: float, now_ms: float) -> dict[str, float]:
+        """Return the figures that decided, for the log."""
+        pauses = self._parts.directory.pauses
+        return {
+            'opens_in_ms': round(opens_in_ms),
+            'wait_ms': round(max(self._wait_until_ms - now_ms, 0)),
+            'waiting': pauses.waiting_by_service[self._call.service.name],
+        }
