--- a/bergamotthread/platform/build_relay.py
+++ b/bergamotthread/platform/build_relay.py
@@ -21,10 +21,7 @@
 from absl import logging
 
 from bergamotthread.clock import Clock
-from bergamotthread.platform.peer_messages import (
-    TELL_CONCURRENCY_MAX,
-    PeerMessages,
-)
+from bergamotthread.platform.peer_messages import PeerMessages
 from bergamotthread.platform.relayed_feed import MessageAnswer
 from bergamotthread.process.relay.feed_sources import EntryRecord, FeedSources
 from bergamotthread.process.relay.hash_ring import HashRing
@@ -216,60 +213,39 @@
 
     async def _tell_all(self, untold: dict[int, _Begun]) -> None:
         """Tell the holders of each stream; again if one is not reached."""
-        streams_by_host: defaultdict[str, list[int]] = defaultdict(list)
-        entry_by_host: dict[str, EntryRecord] = {}
+        streams_by_holder: defaultdict[EntryRecord, list[int]] = defaultdict(
+            list
+        )
         for stream in untold:
             for holder in self._holders(stream):
-                entry_by_host[holder.host] = holder
-                streams_by_host[holder.host].append(stream)
-        hosts = list(streams_by_host)
-        for start in range(0, len(hosts), TELL_CONCURRENCY_MAX):
-            part = hosts[start : start + TELL_CONCURRENCY_MAX]
-            await asyncio.gather(
-                *(
-                    self._tell(
-                        entry_by_host[host],
-                        {one: untold[one] for one in streams_by_host[host]},
-                    )
-                    for host in part
-                )
-            )
-
-    async def _tell(
-        self, entry: EntryRecord, untold: dict[int, _Begun]
-    ) -> None:
-        encoded = msgspec.msgpack.encode(_told(untold))
-        answer = await self.peers.send(entry, BUILDS_PATH, encoded)
-        if answer is None:
-            self._failed_ms_by_host[entry.host] = self.clock.now_ms()
-            for stream, begun in untold.items():
-                self._add(stream, begun)
+                streams_by_holder[holder].append(stream)
+        messages = [
+            (entry, msgspec.msgpack.encode(_told(streams, untold)))
+            for entry, streams in streams_by_holder.items()
+        ]
+        for failed in await self.peers.tell_each(BUILDS_PATH, messages):
+            self._failed_ms_by_host[failed.host] = self.clock.now_ms()
+            for stream in streams_by_holder[failed]:
+                self._add(stream, untold[stream])
 
     def _holders(self, stream: int) -> list[EntryRecord]:
         """Return the entries to be told: in the region, and in another."""
         rings = self._current_rings()
-        usable = (
-            entry
-            for entry in rings.region_first(stream)
-            if not self._has_failed(entry)
-        )
-        others = (
-            entry
-            for entry in rings.walk_all(stream)
-            if not self._has_failed(entry)
-        )
-        holders = list(islice(usable, 1))
-        candidates = list(others)
+        nearby = self._usable(rings.region_first(stream))
+        usable = list(self._usable(rings.walk_all(stream)))
         elsewhere = (
-            entry
-            for entry in candidates
-            if entry.region != self.feeds.own_region
+            entry for entry in usable if entry.region != self.feeds.own_region
         )
-        ordered = chain(islice(elsewhere, 1), candidates)
-        for entry in ordered:
-            if len(holders) < HOLDERS and entry not in holders:
-                holders.append(entry)
-        return holders
+        ordered = chain(islice(nearby, 1), islice(elsewhere, 1), usable)
+        return list(islice(dict.fromkeys(ordered), HOLDERS))
+
+    def _usable(self, entries: Iterable[EntryRecord]) -> Iterator[EntryRecord]:
+        """Yield the entries that were not unreachable lately."""
+        now_ms = self.clock.now_ms()
+        for entry in entries:
+            failed_ms = self._failed_ms_by_host.get(entry.host, -FAILED_MS)
+            if now_ms - failed_ms >= FAILED_MS:
+                yield entry
 
     async def _ask(self, service: str, stream: int) -> list[KnownBuild]:
         """Return what the entries that may have been told know."""
@@ -324,10 +300,6 @@
             return None
         return KnownBuild(found.build, f'{found.source} {entry.host}')
 
-    def _has_failed(self, entry: EntryRecord) -> bool:
-        failed_ms = self._failed_ms_by_host.get(entry.host, -FAILED_MS)
-        return self.clock.now_ms() - failed_ms < FAILED_MS
-
     def _current_rings(self) -> _Rings:
         others = self.feeds.others()
         if self._rings is None or self._rings.entries != others:
@@ -359,10 +331,10 @@
             yield self._by_host[host]
 
 
-def _told(untold: dict[int, _Begun]) -> _Told:
+def _told(streams: Iterable[int], untold: dict[int, _Begun]) -> _Told:
     streams_by_build: defaultdict[str, list[int]] = defaultdict(list)
-    for stream, begun in untold.items():
-        streams_by_build[begun.build].append(stream)
+    for stream in streams:
+        streams_by_build[untold[stream].build].append(stream)
     return _Told(
         {build: tuple(told) for build, told in streams_by_build.items()}
     )
--- a/bergamotthread/platform/peer_messages.py
+++ b/bergamotthread/platform/peer_messages.py
@@ -28,16 +28,21 @@
         self, entries: Sequence[EntryRecord], path: bytes, encoded: bytes
     ) -> list[EntryRecord]:
         """Send a message to entries; return those that did not accept it."""
-        request = FetchRequest(b'POST', path, encoded)
+        return await self.tell_each(path, [(one, encoded) for one in entries])
+
+    async def tell_each(
+        self, path: bytes, messages: Sequence[tuple[EntryRecord, bytes]]
+    ) -> list[EntryRecord]:
+        """Send each entry its message; return those that did not accept it."""
         failed: list[EntryRecord] = []
-        for start in range(0, len(entries), TELL_CONCURRENCY_MAX):
-            part = entries[start : start + TELL_CONCURRENCY_MAX]
+        for start in range(0, len(messages), TELL_CONCURRENCY_MAX):
+            part = messages[start : start + TELL_CONCURRENCY_MAX]
             answers = await asyncio.gather(
-                *(self._send(entry, request) for entry in part)
+                *(self.send(entry, path, encoded) for entry, encoded in part)
             )
             failed.extend(
                 entry
-                for entry, answer in zip(part, answers, strict=True)
+                for (entry, _), answer in zip(part, answers, strict=True)
                 if answer is None
             )
         return failed
