--- a/bergamotthread/platform/headers.py
+++ b/bergamotthread/platform/headers.py
@@ -19,6 +19,8 @@
     leaving=b'server-leaving',
     origin=b'resumes',
     request_limit=b'server-limit',
+    urgency=b'bergamotthread-request-urgency',
+    length_hint=b'bergamotthread-length-hint',
     set_by_entry=frozenset(
         (
             b'bergamotthread-deadline-remaining',
--- a/bergamotthread/platform/manifest.py
+++ b/bergamotthread/platform/manifest.py
@@ -39,6 +39,7 @@
     max_attempts: int = 1
     auth_exempt: bool = False
     stream_resume: bool = False
+    gap_target_ms: float = 0
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -65,6 +66,8 @@
 class _Tenant(msgspec.Struct, frozen=True):
     name: str
     api_keys: tuple[str, ...] = ()
+    # Goes before the priority of the route.
+    priority: int | None = None
 
 
 class _Manifest(msgspec.Struct, frozen=True):
@@ -124,6 +127,7 @@
         },
         limits=_caller_limits(manifest.limits),
         team_by_key=_team_by_key(manifest.tenants),
+        priority_by_team=_priority_by_team(manifest.tenants),
     )
     return table, tuple(_find_faults(manifest))
 
@@ -179,6 +183,7 @@
         first_event_target_ms=route.target_latency_ms,
         priority=route.priority,
         needs_key=not route.auth_exempt,
+        pause_target_ms=route.gap_target_ms,
     )
 
 
@@ -213,6 +218,14 @@
     )
 
 
+def _priority_by_team(tenants: tuple[_Tenant, ...] | None) -> dict[str, int]:
+    return {
+        tenant.name: tenant.priority
+        for tenant in tenants or ()
+        if tenant.priority is not None
+    }
+
+
 def _team_by_key(
     tenants: tuple[_Tenant, ...] | None,
 ) -> dict[bytes, str] | None:
--- a/bergamotthread/platform/runner_rows.py
+++ b/bergamotthread/platform/runner_rows.py
@@ -90,8 +90,8 @@
         unread_tokens=_unread_tokens(report),
         waiting_tokens=report.queue_depth * TYPICAL_PROMPT_TOKENS,
         runs=tuple(
-            RunProgress(run, tokens, events)
-            for run, tokens, events, _ in report.runs
+            RunProgress(run, tokens, events, urgency)
+            for run, tokens, events, urgency in report.runs
         ),
         copies=report.handles,
         started_ms=report.born,
--- a/bergamotthread/platform/settings.py
+++ b/bergamotthread/platform/settings.py
@@ -8,8 +8,14 @@
 import msgspec
 
 from bergamotthread.errors import BergamotError, Step
+from bergamotthread.process.machine_limits import MachineLimits
+from bergamotthread.process.rollouts.order import ExposureBound
 
 SETTINGS_VARIABLE = 'BERGAMOTTHREAD_CONFIG'
+# Part of the platform's rules that is in force where roll-outs are ordered.
+ROLLOUT_CONTRACT = 'rollout'
+BYTES_PER_MB = 1_000_000
+_BYTES_PER_S_OF_MBPS = 125_000
 # Settings that a running process keeps: its name, place and own addresses.
 FIXED_SETTINGS = frozenset(
     (
@@ -43,12 +49,22 @@
     retry_budget_ratio: float = 0.1
     budget_window_s: float = 10
     retry_budget_slack: float = 10
+    exposure_share: float = 0
+    exposure_slack: float = 0
+    rollback_ms: float = 5000
 
 
 class _Store(msgspec.Struct, frozen=True):
     address: str
 
 
+class _MachineLimits(msgspec.Struct, frozen=True):
+    cpu_share: float = 1
+    cores: float = 1
+    memory_mb: float = 128
+    link_mbps: float = 1000
+
+
 class _SettingsFile(msgspec.Struct, frozen=True):
     node_name: str
     ip: str
@@ -58,6 +74,8 @@
     internal_ports: tuple[int, int]
     platform: _Store
     bounds: _Bounds = _Bounds()
+    limits: _MachineLimits = _MachineLimits()
+    contracts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -84,6 +102,9 @@
         Bound on the retries of a service, summed over all entries: retries
         for each first attempt, length of the sliding window, and retries in a
         window beyond the ratio.
+    exposure
+        Bound on what the build of a roll-out gets; None where the deployment
+        has no roll-outs.
     """
 
     host: str
@@ -102,6 +123,8 @@
     repeat_ratio: float
     repeat_window_ms: float
     repeat_slack: float
+    exposure: ExposureBound | None
+    machine: MachineLimits
 
     @property
     def region(self) -> str:
@@ -172,11 +195,30 @@
             repeat_ratio=bounds.retry_budget_ratio,
             repeat_window_ms=bounds.budget_window_s * 1000,
             repeat_slack=bounds.retry_budget_slack,
+            exposure=_exposure(settings_file),
+            machine=_machine(settings_file.limits),
         )
 
 
+def _exposure(settings_file: _SettingsFile) -> ExposureBound | None:
+    if ROLLOUT_CONTRACT not in settings_file.contracts:
+        return None
+    bounds = settings_file.bounds
+    return ExposureBound(
+        bounds.exposure_share, bounds.exposure_slack, bounds.rollback_ms
+    )
+
+
+def _machine(limits: _MachineLimits) -> MachineLimits:
+    return MachineLimits(
+        cores=limits.cpu_share * limits.cores,
+        memory_bytes=limits.memory_mb * BYTES_PER_MB,
+        link_bytes_per_s=limits.link_mbps * _BYTES_PER_S_OF_MBPS,
+    )
+
+
 def _check_bounds(bounds: _Bounds) -> None:
-    positive = ['grace_s', 'config_apply_ms', 'budget_window_s']
+    positive = ['grace_s', 'config_apply_ms', 'budget_window_s', 'rollback_ms']
     if bounds.revoke_everywhere:
         positive.append('revoke_ms')
     for name in positive:
@@ -185,7 +227,12 @@
                 f'{getattr(bounds, name):g} at `$.bounds.{name}`, '
                 'expected more than 0'
             )
-    for name in ('retry_budget_ratio', 'retry_budget_slack'):
+    for name in (
+        'retry_budget_ratio',
+        'retry_budget_slack',
+        'exposure_share',
+        'exposure_slack',
+    ):
         if getattr(bounds, name) < 0:
             raise ValueError(
                 f'{getattr(bounds, name):g} at `$.bounds.{name}`, '
--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -23,6 +23,7 @@
     Upstream,
     UpstreamDirectory,
 )
+from bergamotthread.process.rollouts.build_plan import ANY_BUILD, BuildPlan
 
 # Delay that each running request adds to the tokens of the others.
 RUNNING_REQUEST_COST_MS = 15.0
@@ -79,6 +80,8 @@
         prompt.
     build
         The only build that may be chosen; None if any may.
+    plan
+        Where the roll-out under way allows the request to run.
     """
 
     service: str
@@ -87,6 +90,7 @@
     affinity: bytes = b''
     is_reconnect: bool = False
     build: str | None = None
+    plan: BuildPlan = ANY_BUILD
 
 
 @dataclass
@@ -347,7 +351,7 @@
         Those of avoided builds are considered only for a stream that is bound
         to a build, or if there are no others.
         """
-        if request.build is None:
+        if request.build is None and request.plan.only is None:
             preferred = (
                 upstream
                 for upstream in self._eligible_in_order(request)
@@ -365,6 +369,9 @@
         is_excluded = upstream.record.instance in request.excluded
         if is_excluded or not _has_build(upstream, request.build):
             return False
+        record = upstream.record
+        if not request.plan.admits(record.instance, record.build):
+            return False
         return not self.directory.is_lost(upstream)
 
     def _region_cost_ms(self, upstream: Upstream) -> float:
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -24,7 +24,10 @@
     UpstreamPauses,
 )
 from bergamotthread.process.relay.request_limits import RequestLimits
+from bergamotthread.process.rollouts.gate import UpstreamBuild
 
+# Urgency of a run whose request names none.
+DEFAULT_URGENCY = 5
 # Time after which a lost upstream is tried again even if it stayed silent. The
 # store row of an upstream that has ended expires within three intervals of
 # 1.2 s, so by then only live upstreams are listed.
@@ -88,14 +91,29 @@
         """Return what tells this start of the upstream from others."""
         return Incarnation(self.instance, self.address, self.started_ms)
 
+    @property
+    def upstream_build(self) -> UpstreamBuild:
+        """Return what roll-outs know of this upstream."""
+        return UpstreamBuild(
+            self.instance, self.service, self.build, self.failure_domain
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class RunProgress:
-    """Tokens that a run holds in the KV cache, and events it has produced."""
+    """Tokens that a run holds in the KV cache, and events it has produced.
+
+    Parameters
+    ----------
+    urgency
+        0 for the most urgent; the upstream takes memory back from the least
+        urgent run first.
+    """
 
     run: str
     tokens: int
     events: int
+    urgency: int = DEFAULT_URGENCY
 
 
 @dataclass(frozen=True, slots=True)
--- a/bergamotthread/request/relay/admission.py
+++ b/bergamotthread/request/relay/admission.py
@@ -39,6 +39,8 @@
 DEFAULT_TIMEOUT_MS = 30_000.0
 # Shared parts of a prompt by which a request is recognised.
 PARTS_MAX = 16
+# Digits of a number of tokens that is read; a longer one is taken for unknown.
+COUNT_DIGITS_MAX = 9
 _BEARER = b'bearer '
 
 
@@ -130,6 +132,11 @@
             resume_after=_last_event_id(request),
             affinity=self._affinity(request),
             origin=request.header(self.header_names.origin) or b'',
+            output_tokens_max=self._output_tokens_max(request),
+            output_tokens_hint=_parse_count(
+                request.header(self.header_names.length_hint)
+            ),
+            rank=table.rank(route, service_name, team),
         )
 
     def _fingerprints(
@@ -161,6 +168,10 @@
             part.partition(b':')[0].strip() for part in prompt_parts.split(b',')
         ]
 
+    def _output_tokens_max(self, request: CallerRequest) -> int:
+        token_counts = request.header(self.header_names.token_counts) or b''
+        return _parse_count(token_counts.partition(b',')[-1])
+
     def _prompt_tokens(self, request: CallerRequest, route: RelayRoute) -> int:
         if not route.is_stream:
             return 0
@@ -169,6 +180,13 @@
         return int(_parse_number(prompt_tokens) or DEFAULT_PROMPT_TOKENS)
 
 
+def _parse_count(text: bytes | None) -> int:
+    """Return a number of tokens; 0 if the text is no such number."""
+    digits = (text or b'').strip()
+    is_count = digits.isdigit() and len(digits) <= COUNT_DIGITS_MAX
+    return int(digits) if is_count else 0
+
+
 def _not_ready_refusal(detail: str) -> RelayRefusal:
     return RelayRefusal(503, 'not-ready', detail, NOT_READY_RETRY_AFTER_MS)
 
--- a/bergamotthread/request/relay/call.py
+++ b/bergamotthread/request/relay/call.py
@@ -11,6 +11,7 @@
     encode_request,
     end_to_end,
 )
+from bergamotthread.process.overload.rank import SINGLE_RANK, Rank
 from bergamotthread.process.poison.fingerprints import RequestFingerprints
 from bergamotthread.request.relay.dialect import (
     AUTHORIZATION,
@@ -43,6 +44,12 @@
         Key of the prompt for cache affinity; empty if the request names none.
     fingerprints
         By which the request is recognised when its caller sends it again.
+    output_tokens_max
+        Largest number of tokens in the answer; 0 if unknown.
+    output_tokens_hint
+        Tokens that the caller expects in the answer; 0 if it names none.
+    rank
+        Rank among the requests for the service.
     """
 
     exchange: Exchange
@@ -57,6 +64,9 @@
     resume_after: int | None = None
     affinity: bytes = b''
     origin: bytes = b''
+    output_tokens_max: int = 0
+    output_tokens_hint: int = 0
+    rank: Rank = SINGLE_RANK
 
     @property
     def request(self) -> CallerRequest:
@@ -83,6 +93,7 @@
     resume_after: int | None = None
     copy_target: str = ''
     copy_source: str = ''
+    urgency: int | None = None
 
 
 def encode_attempt(
@@ -125,6 +136,7 @@
         (header_names.copy_target, headers.copy_target),
         (header_names.copy_source, headers.copy_source),
         (RESUME_AFTER, _format_number(headers.resume_after)),
+        (header_names.urgency, _format_number(headers.urgency)),
     )
     return [(name, text.encode()) for name, text in optional if text]
 
--- a/bergamotthread/request/relay/dialect.py
+++ b/bergamotthread/request/relay/dialect.py
@@ -54,6 +54,11 @@
     request_limit
         In answers of an upstream in need: requests per second that it takes
         from all hosts together.
+    urgency
+        Position of the request among those that wait at the upstream; 0 for
+        the first. Only the entry sets it.
+    length_hint
+        Tokens that the caller expects in the answer; it is often far off.
     set_by_entry
         Fields that only the entry sets; they are removed from callers'
         requests.
@@ -73,6 +78,8 @@
     leaving: bytes
     origin: bytes
     request_limit: bytes
+    urgency: bytes
+    length_hint: bytes
     set_by_entry: frozenset[bytes]
 
     def says_leaving(self, headers: Iterable[Header]) -> bool:
--- a/bergamotthread/request/relay/parts.py
+++ b/bergamotthread/request/relay/parts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
@@ -16,6 +16,7 @@
 from bergamotthread.process.relay.repeat_budget import ServiceRetryBudget
 from bergamotthread.process.relay.stream_gate import StreamGate
 from bergamotthread.process.relay.upstreams import UpstreamDirectory
+from bergamotthread.process.rollouts.gate import NoRollouts, RolloutGate
 from bergamotthread.request.relay.build_source import BuildSource
 from bergamotthread.request.relay.dialect import RelayHeaderNames
 from bergamotthread.request.relay.engine_memory import EngineKvCache
@@ -44,3 +45,4 @@
     builds: BuildSource
     log: DecisionLog
     metrics: RelayMetrics
+    rollouts: RolloutGate = field(default_factory=NoRollouts)
--- a/bergamotthread/version/route_table.py
+++ b/bergamotthread/version/route_table.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.connection.http.caller_connection import CallerLimits
+from bergamotthread.process.overload.rank import SINGLE_RANK, Rank
 
 
 class Repeatability(enum.Enum):
@@ -44,6 +45,11 @@
         Maximum time that a request waits for an answer.
     first_event_target_ms
         Target for the time to the answer, or to its first event.
+    priority
+        0 for the most urgent.
+    pause_target_ms
+        Longest pause between events of a stream that is on time; 0 if the
+        version states none.
     """
 
     name: str
@@ -57,6 +63,7 @@
     first_event_target_ms: float
     priority: int = 0
     needs_key: bool = True
+    pause_target_ms: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +98,8 @@
 class RouteTable:
     """Routes, services, limits and keys of one version.
 
-    `team_by_key` is None if requests need no key.
+    `team_by_key` is None if requests need no key. The priority of a team goes
+    before that of the route.
     """
 
     version: int
@@ -99,13 +107,28 @@
     service_by_name: dict[str, RelayService]
     limits: CallerLimits
     team_by_key: dict[bytes, str] | None
+    priority_by_team: dict[str, int] = field(default_factory=dict)
     routes_by_host: dict[bytes, tuple[RelayRoute, ...]] = field(
         init=False,
         repr=False,
     )
+    _priorities_by_service: dict[str, tuple[int, ...]] = field(
+        init=False,
+        repr=False,
+    )
 
     def __post_init__(self) -> None:
         object.__setattr__(self, 'routes_by_host', _by_host(self.routes))
+        priorities = _priorities_by_service(self.routes, self.priority_by_team)
+        object.__setattr__(self, '_priorities_by_service', priorities)
+
+    def rank(self, route: RelayRoute, service: str, team: str) -> Rank:
+        """Return the rank of a team's request among those for a service."""
+        priorities = self._priorities_by_service.get(service, ())
+        priority = self.priority_by_team.get(team, route.priority)
+        if priority not in priorities:
+            return SINGLE_RANK
+        return Rank(priorities.index(priority), len(priorities))
 
     def match(self, host: bytes, target: bytes) -> RelayRoute | None:
         """Return the route with the longest matching prefix, or None."""
@@ -132,5 +155,24 @@
     }
 
 
+def _priorities_by_service(
+    routes: Iterable[RelayRoute], priority_by_team: dict[str, int]
+) -> dict[str, tuple[int, ...]]:
+    """Return the priorities of each service, the most urgent in front.
+
+    Any team may use any route.
+    """
+    of_teams = set(priority_by_team.values())
+    grouped: dict[str, set[int]] = {}
+    for route in routes:
+        for weighted in route.services:
+            priorities = grouped.setdefault(weighted.service, set(of_teams))
+            priorities.add(route.priority)
+    return {
+        service: tuple(sorted(priorities))
+        for service, priorities in grouped.items()
+    }
+
+
 def _prefix_length(route: RelayRoute) -> int:
     return len(route.path_prefix)
