--- a/bergamotthread/process/overload/expected_wait.py
+++ b/bergamotthread/process/overload/expected_wait.py
@@ -1,22 +1,18 @@
 """Expected wait of a prompt at an engine, from the work ahead of it.
 
 An engine prefills prompts in order of arrival. A prompt also waits for a slot
-and for memory, which running attempts release as they end.
+and for memory, which running attempts release as they end. The engine starts it
+once there is memory for the prompt; the entry sends it once there is memory for
+what it and the other runs add, too.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-_MS_PER_S = 1000
-
+from bergamotthread.process.overload.engine_room import Holding, RoomProfile
 
-@dataclass(frozen=True, slots=True)
-class Holding:
-    """KV cache tokens that an attempt holds, and the time until its end."""
-
-    tokens: float
-    remaining_ms: float
+_MS_PER_S = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +34,10 @@
         prompt and all those ahead of it.
     holdings
         What the attempts at the engine hold.
+    growth_tokens, run_ms
+        Output of the prompt in tokens, and the time that it takes.
+    spread_tokens
+        Tokens by which all runs together may outgrow what is expected.
     """
 
     prefill_tokens: float
@@ -46,6 +46,9 @@
     slot_ms: float = 0
     missing_tokens: float = 0
     holdings: tuple[Holding, ...] = ()
+    growth_tokens: float = 0
+    run_ms: float = 0
+    spread_tokens: float = 0
 
     @property
     def prefill_ms(self) -> float:
@@ -66,10 +69,33 @@
 
     @property
     def wait_ms(self) -> float:
-        """Return the time until the prefill of the prompt starts."""
+        """Return the time until the prefill of the prompt may start."""
+        return self.engine_wait_ms + self.overfill_ms
+
+    @property
+    def engine_wait_ms(self) -> float:
+        """Return the time until the engine would start the prefill."""
         slot_wait_ms = max(self.missing_slots, 0) * self.slot_ms
         return max(self.prefill_ms, slot_wait_ms, self.memory_ms)
 
+    @property
+    def overfill_ms(self) -> float:
+        """Return how much too early the engine would start the prompt.
+
+        Its runs would grow beyond its memory then, and one of them would be
+        preempted.
+        """
+        growth_tokens = self.growth_tokens + sum(
+            holding.growth_tokens for holding in self.holdings
+        )
+        missing_tokens = self.missing_tokens + self.spread_tokens
+        if missing_tokens + growth_tokens <= 0 or not self.growth_tokens:
+            return 0
+        profile = RoomProfile.from_holdings(missing_tokens, self.holdings)
+        start_ms = self.engine_wait_ms
+        room_ms = profile.start_ms(start_ms, self.growth_tokens, self.run_ms)
+        return room_ms - start_ms
+
     @property
     def is_prefill_bound(self) -> bool:
         """Return whether the prompt waits for prefill rather than for room."""
--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -80,6 +80,8 @@
         prompt.
     build
         The only build that may be chosen; None if any may.
+    output_tokens
+        Expected output; 0 for the usual one of the service.
     plan
         Where the roll-out under way allows the request to run.
     """
@@ -90,6 +92,7 @@
     affinity: bytes = b''
     is_reconnect: bool = False
     build: str | None = None
+    output_tokens: float = 0
     plan: BuildPlan = ANY_BUILD
 
 
@@ -288,7 +291,12 @@
     ) -> EngineForecast:
         """Return the expected first event of a prompt at an engine."""
         outputs = self.directory.outputs(request.service)
-        return forecast_engine(upstream, request.prompt_tokens, outputs)
+        return forecast_engine(
+            upstream,
+            request.prompt_tokens,
+            outputs,
+            output_tokens=request.output_tokens,
+        )
 
     def _engine_cost_ms(
         self, upstream: Upstream, request: RelayPlacementRequest
--- a/bergamotthread/process/relay/engine_forecast.py
+++ b/bergamotthread/process/relay/engine_forecast.py
@@ -7,12 +7,18 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Iterator
 from dataclasses import dataclass
 
-from bergamotthread.process.overload.expected_wait import EngineWork, Holding
+from bergamotthread.process.overload.engine_room import Holding
+from bergamotthread.process.overload.expected_wait import EngineWork
 from bergamotthread.process.overload.run_statistics import RunStatistics
 from bergamotthread.process.relay.upstreams import LoadReport, Upstream
 
+# Standard deviations by which the outputs of all runs at an engine may exceed
+# their expectation: they do so once in forty times.
+SPREAD_DEVIATIONS = 2
 _MS_PER_S = 1000
 
 
@@ -45,7 +51,10 @@
 
 
 def forecast_engine(
-    upstream: Upstream, prompt_tokens: int, outputs: RunStatistics
+    upstream: Upstream,
+    prompt_tokens: int,
+    outputs: RunStatistics,
+    output_tokens: float = 0,
 ) -> EngineForecast:
     """Return the forecast of a prompt at an upstream.
 
@@ -53,6 +62,8 @@
     ----------
     outputs
         Output lengths of the service, in events, and the speed of its engines.
+    output_tokens
+        Expected output of the prompt; 0 for the usual one of the service.
     """
     learned = upstream.statistics if upstream.has_prefilled else outputs
     rate_per_s = learned.prefill_per_s
@@ -68,13 +79,27 @@
     run_ms = _run_ms(upstream, outputs)
     waiting_tokens = report.waiting_tokens + upstream.sent_since_report
     needed_tokens = report.kv_used + waiting_tokens + prompt_tokens
+    usual_tokens = outputs.output_tokens * _event_tokens(upstream, outputs)
+    waiting = report.queued + upstream.sends_since_report
     work = EngineWork(
         unread_tokens,
         rate_per_s,
         missing_slots=_missing_slots(upstream, report),
         slot_ms=run_ms / max(upstream.record.slots, 1),
         missing_tokens=needed_tokens - report.kv_total,
-        holdings=_holdings(upstream, report, outputs),
+        holdings=(
+            *_holdings(upstream, report, outputs, rate_per_s),
+            *_waiting(
+                waiting,
+                usual_tokens,
+                unread_tokens / rate_per_s * _MS_PER_S + run_ms,
+            ),
+        ),
+        growth_tokens=output_tokens or usual_tokens,
+        run_ms=run_ms,
+        spread_tokens=_spread_tokens(
+            upstream, outputs, report.running + waiting + 1
+        ),
     )
     memory_ms = run_ms * prompt_tokens / max(report.kv_total, 1)
     event_ms = upstream.statistics.between_tokens_ms
@@ -101,31 +126,76 @@
     return report.queued + 1 - free_slots
 
 
+def _event_tokens(upstream: Upstream, outputs: RunStatistics) -> float:
+    """Return the tokens of an event; 0 while they are unknown."""
+    return upstream.statistics.tokens_per_event or outputs.tokens_per_event
+
+
+def _spread_tokens(
+    upstream: Upstream, outputs: RunStatistics, runs: int
+) -> float:
+    """Return by how much the outputs of so many runs may be longer."""
+    each = outputs.output_deviation * _event_tokens(upstream, outputs)
+    return SPREAD_DEVIATIONS * each * math.sqrt(runs)
+
+
+def _waiting(
+    count: int, output_tokens: float, remaining_ms: float
+) -> tuple[Holding, ...]:
+    """Return the output of prompts that hold no memory yet.
+
+    Their prompts count as missing already. They release nothing in time for
+    the prompt, which starts after them.
+    """
+    if not count or not output_tokens:
+        return ()
+    return (Holding(0, remaining_ms, count * output_tokens),)
+
+
 def _holdings(
-    upstream: Upstream, report: LoadReport, outputs: RunStatistics
+    upstream: Upstream,
+    report: LoadReport,
+    outputs: RunStatistics,
+    rate_per_s: float,
 ) -> tuple[Holding, ...]:
-    """Return what the KV cache holds.
+    """Return what the KV cache holds, and what is still added to it.
 
-    Runs that are still prefilling, and copies of other upstreams' runs, are
-    halfway on average.
+    Copies of other upstreams' runs are halfway on average, and grow with these
+    runs. Prompts that are still prefilled hold as much as copies do.
     """
     run_ms = _run_ms(upstream, outputs)
     event_ms = run_ms / max(outputs.output_tokens, 1)
-    holdings = [
-        Holding(
-            run.tokens, max(outputs.output_tokens - run.events, 1) * event_ms
-        )
+    event_tokens = _event_tokens(upstream, outputs)
+    # A run at the usual length or beyond is expected to go on for a while.
+    missing_min = max(outputs.output_deviation, 1)
+    missing_events = [
+        max(outputs.output_tokens - run.events, missing_min)
         for run in report.runs
     ]
+    holdings = [
+        Holding(run.tokens, missing * event_ms, missing * event_tokens)
+        for run, missing in zip(report.runs, missing_events, strict=True)
+    ]
     other_tokens = report.kv_used - sum(run.tokens for run in report.runs)
     prefilling = max(report.running - len(report.runs), 0)
     other_count = report.copies + prefilling
     if not other_count or other_tokens <= 0:
         return tuple(holdings)
     each_tokens = other_tokens / other_count
-    part_ms = run_ms / other_count
+    output_tokens = outputs.output_tokens * event_tokens
+    unread_tokens = max(report.unread_tokens - report.waiting_tokens, 0)
+    unread_ms = unread_tokens / rate_per_s * _MS_PER_S
     holdings.extend(
-        Holding(each_tokens, part_ms * (number + 0.5))
-        for number in range(other_count)
+        Holding(each_tokens, run_ms + unread_ms * part, output_tokens)
+        for part in _evenly(prefilling)
+    )
+    holdings.extend(
+        Holding(each_tokens, run_ms * part, output_tokens * part)
+        for part in _evenly(report.copies)
     )
     return tuple(holdings)
+
+
+def _evenly(count: int) -> Iterator[float]:
+    """Yield so many numbers evenly between 0 and 1."""
+    return ((number + 0.5) / count for number in range(count))
--- a/bergamotthread/process/relay/relay_metrics.py
+++ b/bergamotthread/process/relay/relay_metrics.py
@@ -36,6 +36,8 @@
         Time that requests to plain services waited in the entry's queue.
     forecast_error_ms
         Difference between the expected and the measured first event.
+    room_wait_ms
+        Time that streams waited at the entry for room in an engine's KV cache.
     own_path_doubts
         Probes without an answer while no other upstream answered either.
     loop_stall_ms
@@ -61,6 +63,7 @@
     longest_pause_ms: Percentiles
     queue_wait_ms: Percentiles
     forecast_error_ms: Percentiles
+    room_wait_ms: Percentiles
     own_path_doubts: Counter
     loop_stall_ms: Percentiles
     upstream_crashes: Counter
@@ -114,6 +117,10 @@
                 'relay_forecast_error_ms',
                 'Difference of expected and measured first event.',
             ),
+            room_wait_ms=registry.percentiles(
+                'relay_room_wait_ms',
+                'Time that streams waited for room in KV caches.',
+            ),
             own_path_doubts=registry.counter(
                 'relay_own_path_doubts_total',
                 'Probes without an answer while no other upstream answered.',
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field, replace
 
 from bergamotthread.clock import Clock
+from bergamotthread.process.overload.output_length import OutputLengths
 from bergamotthread.process.overload.run_statistics import RunStatistics
 from bergamotthread.process.relay.build_history import (
     BuildHistory,
@@ -167,6 +168,8 @@
         Whether a prefill of an own stream is among them.
     held_tokens
         Prompt tokens of this process's streams whose copies the upstream holds.
+    is_awaited
+        Whether a stream of this process waits for room in its KV cache.
     is_unlisted
         Whether its row disappeared in an outage of the store and may return.
     is_leaving
@@ -197,6 +200,7 @@
     report: LoadReport | None = None
     sent_since_report: int = 0
     held_tokens: int = 0
+    is_awaited: bool = False
     is_unlisted: bool = False
     is_leaving: bool = False
     is_restarted: bool = False
@@ -204,6 +208,11 @@
     has_prefilled: bool = False
     _recent_sends: deque[tuple[float, int]] = field(default_factory=deque)
 
+    @property
+    def sends_since_report(self) -> int:
+        """Return the number of own attempts that the report can't show yet."""
+        return len(self._recent_sends)
+
     @property
     def address(self) -> str:
         """Return the address at which it listens."""
@@ -236,10 +245,14 @@
             self._recent_sends.popleft()
         self.sent_since_report = sum(tokens for _, tokens in self._recent_sends)
         if former is not None:
-            interval_ms = _event_interval_ms(former, report)
-            if interval_ms:
+            progress = _Progress.between(former, report)
+            if progress.interval_ms:
                 self.statistics.record_interval(
-                    interval_ms, EVENT_INTERVAL_WEIGHT
+                    progress.interval_ms, EVENT_INTERVAL_WEIGHT
+                )
+            if progress.tokens_per_event:
+                self.statistics.record_growth(
+                    progress.tokens_per_event, EVENT_INTERVAL_WEIGHT
                 )
 
 
@@ -271,6 +284,9 @@
     _removed_ms_by_service: dict[str, float] = field(default_factory=dict)
     _outputs_by_service: dict[str, RunStatistics] = field(default_factory=dict)
     _stream_count_by_service: Counter[str] = field(default_factory=Counter)
+    _lengths_by_service: defaultdict[str, OutputLengths] = field(
+        default_factory=lambda: defaultdict(OutputLengths.create)
+    )
     _leaving: LeavingIncarnations = field(default_factory=LeavingIncarnations)
     _loaded_ms: float = math.inf
     _history_by_service: defaultdict[str, BuildHistory] = field(
@@ -443,13 +459,35 @@
         )
 
     def record_stream(
-        self, upstream: Upstream, events: int, span_ms: float
+        self, upstream: Upstream, events: int, span_ms: float, hint: int = 0
     ) -> None:
-        """Record the length of a complete stream."""
+        """Record the length of a complete stream.
+
+        Parameters
+        ----------
+        hint
+            Output tokens that its caller expected; 0 if unknown.
+        """
         service = upstream.record.service
         self._stream_count_by_service[service] += 1
         weight = max(1 / self._stream_count_by_service[service], _OUTPUT_WEIGHT)
-        self.outputs(service).record_end(events, span_ms, weight)
+        outputs = self.outputs(service)
+        outputs.record_end(events, span_ms, weight)
+        per_event = upstream.statistics.tokens_per_event
+        if per_event:
+            outputs.record_growth(per_event, weight)
+        tokens = events * outputs.tokens_per_event
+        self._lengths_by_service[service].record(tokens, hint)
+
+    def expected_output(self, service: str, hint: int, most: int) -> float:
+        """Return the expected output of a request in tokens; 0 if unknown.
+
+        Parameters
+        ----------
+        hint, most
+            Tokens that its caller expects and allows; 0 if unknown.
+        """
+        return self._lengths_by_service[service].expected(hint, most)
 
     def record_unlisted(self, instance: str) -> None:
         """Suspect an upstream that became unlisted in an outage."""
@@ -742,19 +780,42 @@
     return upstream.accepts_requests and upstream.record.service == service
 
 
-def _event_interval_ms(former: LoadReport, newer: LoadReport) -> float:
-    """Return the mean time between events of the runs; 0 if unknown."""
-    span_ms = newer.at_ms - former.at_ms
-    if span_ms < EVENT_INTERVAL_SPAN_MS:
-        return 0
-    events_by_run = {run.run: run.events for run in former.runs}
-    produced = [
-        run.events - events_by_run[run.run]
-        for run in newer.runs
-        if run.run in events_by_run
-    ]
-    total = sum(produced)
-    return span_ms * len(produced) / total if total > 0 else 0
+def _step(former: RunProgress, newer: RunProgress) -> tuple[int, int]:
+    """Return the events and tokens that a run has added."""
+    return newer.events - former.events, newer.tokens - former.tokens
+
+
+@dataclass(frozen=True, slots=True)
+class _Progress:
+    """Pace of the runs that two load reports show; 0 where it is unknown."""
+
+    interval_ms: float = 0
+    tokens_per_event: float = 0
+
+    @classmethod
+    def between(cls, former: LoadReport, newer: LoadReport) -> _Progress:
+        """Return the mean time between events, and the tokens of an event.
+
+        A run that was preempted in between holds less than before, and says
+        nothing of either.
+        """
+        span_ms = newer.at_ms - former.at_ms
+        if span_ms < EVENT_INTERVAL_SPAN_MS:
+            return cls()
+        former_by_run = {run.run: run for run in former.runs}
+        steps = [
+            _step(former_by_run[run.run], run)
+            for run in newer.runs
+            if run.run in former_by_run
+        ]
+        events = sum(events for events, _ in steps)
+        if events <= 0:
+            return cls()
+        grown = [step for step in steps if step[0] > 0 and step[1] >= 0]
+        tokens = sum(tokens for _, tokens in grown)
+        grown_events = sum(events for events, _ in grown)
+        interval_ms = span_ms * len(steps) / events
+        return cls(interval_ms, tokens / max(grown_events, 1))
 
 
 def _is_same_incarnation(
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -93,6 +93,11 @@
             affinity=call.affinity,
             is_reconnect=is_first and call.resume_after is not None,
             build=build,
+            output_tokens=self.parts.directory.expected_output(
+                call.service.name,
+                call.output_tokens_hint,
+                call.output_tokens_max,
+            ),
         )
 
     def place_at_copy(
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -60,6 +60,7 @@
     ending_refusal,
     send_refusal,
 )
+from bergamotthread.request.relay.room_wait import RoomWait
 from bergamotthread.request.relay.stream_build import StreamBuild
 from bergamotthread.request.relay.suspicion import Suspicion
 
@@ -105,6 +106,7 @@
         self._opening_wait = OpeningWait(
             call, parts, self._placement_deadline_ms
         )
+        self._room_wait = RoomWait(call, parts, self._placement_deadline_ms)
         self._suspicion = Suspicion(call, parts)
         self._build = StreamBuild(call, parts)
 
@@ -171,7 +173,7 @@
         if placement is None:
             return self._pause_refusal()
         self._opening_wait.end()
-        return placement
+        return placement if await self._has_room(placement) else None
 
     def may_wait(self) -> bool:
         """Return whether placement may be tried again after a pause.
@@ -233,6 +235,21 @@
             self._placement_request(), in_time=in_time
         )
 
+    async def _has_room(self, placement: AttemptPlacement) -> bool:
+        """Return whether the upstream has room, if need be after a wait.
+
+        Only a new stream waits. One that goes on after a loss is late already,
+        and its caller has waited for a part of it.
+        """
+        if self._limits.attempts_sent or self._call.resume_after is not None:
+            return True
+        upstream = placement.upstream
+        request = self._placement_request()
+        if await self._room_wait.wait(upstream, request):
+            return True
+        self._excluded |= {upstream.record.instance}
+        return False
+
     def _release(self) -> None:
         """Release the place among those that wait, and the copy."""
         self._opening_wait.end()
@@ -508,6 +525,7 @@
                         upstream,
                         self._caller_times.count,
                         self._caller_times.span_ms,
+                        self._call.output_tokens_hint,
                     )
                 return True
             case NotSent() | NotRun():
--- /dev/null
+++ b/tests/test_room_wait.py
@@ -0,0 +1,92 @@
+"""Wait of a stream for room at its engine."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from bergamotthread.process.relay.upstreams import (
+    Upstream,
+    UpstreamRecord,
+    UpstreamState,
+)
+from bergamotthread.request.relay.room_wait import (
+    PLACE_ELSEWHERE_MS,
+    RoomWait,
+)
+
+DEADLINE_MS = 1800
+
+
+class _Parts(SimpleNamespace):
+    """Engine that has room from a time on, and that may be lost."""
+
+    def __init__(self, has_room_ms: float, lost_ms: float = 1e9) -> None:
+        super().__init__(now_ms=0.0, logged=[], waits=[])
+        self.clock = SimpleNamespace(
+            now_ms=lambda: self.now_ms, sleep_ms=self._sleep_ms
+        )
+        self.choice = SimpleNamespace(
+            forecast=lambda *_: SimpleNamespace(
+                work=SimpleNamespace(
+                    overfill_ms=max(has_room_ms - self.now_ms, 0)
+                )
+            )
+        )
+        self.liveness = SimpleNamespace(refresh_report=self._refresh)
+        self.log = SimpleNamespace(write=self._write)
+        self.metrics = SimpleNamespace(
+            room_wait_ms=SimpleNamespace(record=self.waits.append)
+        )
+        self.lost_ms = lost_ms
+
+    async def _sleep_ms(self, duration_ms: float) -> None:
+        self.now_ms += duration_ms
+        await asyncio.sleep(0)
+
+    async def _refresh(self, _upstream) -> bool:
+        return self.now_ms < self.lost_ms
+
+    def _write(self, event, **fields) -> None:
+        self.logged.append((event, fields['is_sent']))
+
+
+def _upstream() -> Upstream:
+    return Upstream(UpstreamRecord('u', 's', 'a:1', 'd', UpstreamState.READY))
+
+
+def _wait(parts: _Parts, upstream: Upstream):
+    call = SimpleNamespace(request_label='r')
+    return RoomWait(call, parts, DEADLINE_MS).wait(upstream, None)
+
+
+@pytest.mark.parametrize(
+    ('has_room_ms', 'is_sent', 'waited_ms'),
+    [(0, True, []), (60, True, [150]), (900, True, [900]), (1700, False, [0])],
+)
+def test_prompt_is_sent_once_there_is_room_or_placed_elsewhere(
+    has_room_ms, is_sent, waited_ms
+):
+    parts = _Parts(has_room_ms)
+    assert asyncio.run(_wait(parts, _upstream())) is is_sent
+    assert parts.waits == waited_ms
+    assert parts.now_ms <= DEADLINE_MS - PLACE_ELSEWHERE_MS
+
+
+def test_engine_that_is_lost_meanwhile_gets_no_prompt():
+    parts = _Parts(has_room_ms=900, lost_ms=500)
+    assert not asyncio.run(_wait(parts, _upstream()))
+    assert parts.logged == [('room-awaited', False)]
+
+
+def test_room_is_not_promised_twice():
+    parts = _Parts(has_room_ms=900)
+    upstream = _upstream()
+    upstream.is_awaited = True
+    assert not asyncio.run(_wait(parts, upstream))
+    assert parts.waits == [0]
+    upstream.is_awaited = False
+    assert asyncio.run(_wait(parts, upstream))
+    assert not upstream.is_awaited
