--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -15,9 +15,14 @@
 from heapq import nsmallest
 from itertools import islice
 
+from bergamotthread.process.relay.copy_room import (
+    has_room_for_copy,
+    mean_prompt_tokens,
+)
 from bergamotthread.process.relay.engine_forecast import (
     EngineForecast,
     forecast_engine,
+    usual_output_tokens,
 )
 from bergamotthread.process.relay.upstreams import (
     Upstream,
@@ -30,8 +35,8 @@
 # Cost of a full KV cache; grows with the square of the fraction in use, and
 # linearly for a copy holder.
 KV_FULL_COST_MS = 2000.0
-# Largest fraction of a holder's KV cache in use with the copy.
-COPY_KV_FRACTION_MAX = 0.9
+# Age up to which reports show how many prompts engines hold: the time of a run.
+PROMPT_MEMORY_AGE_MS = 10_000
 # Extra cost of another region, for the round trip and the paid traffic.
 CROSS_REGION_COST_MS = 60.0
 # Cost of an upstream all of whose recent requests failed.
@@ -160,10 +165,10 @@
         placed by free KV cache. Queues do not count, because a resumed run is
         admitted before queued requests.
 
-        A copy takes memory from prompts that wait, so no prompt may wait at a
-        holder, and `COPY_KV_FRACTION_MAX` of its KV cache may be in use. Copies
-        are not counted among the requests that return in steps after a pause,
-        so they wait until the steps are over.
+        A copy takes memory from prompts, so no prompt may wait at a holder, and
+        it keeps room for those that are expected. Copies are not counted among
+        the requests that return in steps after a pause, so they wait until the
+        steps are over.
 
         A limited upstream holds a copy only if no other one has room.
         """
@@ -171,7 +176,7 @@
         with_room = [
             upstream
             for upstream in upstreams
-            if _has_room_for_copy(upstream, copy_tokens)
+            if self._has_room_for_copy(upstream, copy_tokens)
             and not directory.is_returning(upstream)
         ]
         unlimited = [
@@ -308,6 +313,18 @@
         cost_ms += running * RUNNING_REQUEST_COST_MS
         return cost_ms + _kv_fraction(upstream) ** 2 * KV_FULL_COST_MS
 
+    def _has_room_for_copy(self, upstream: Upstream, copy_tokens: int) -> bool:
+        service = upstream.record.service
+        outputs = self.directory.outputs(service)
+        since_ms = self.directory.clock.now_ms() - PROMPT_MEMORY_AGE_MS
+        expected_tokens = mean_prompt_tokens(
+            self.directory.of_service(service), outputs, since_ms
+        )
+        output_tokens = usual_output_tokens(upstream, outputs)
+        return has_room_for_copy(
+            upstream, copy_tokens + output_tokens, outputs, expected_tokens
+        )
+
     def _copy_holder_cost_ms(self, upstream: Upstream) -> float:
         kv_fraction = _kv_fraction(upstream, upstream.held_tokens)
         cost_ms = kv_fraction * KV_FULL_COST_MS + self._region_cost_ms(upstream)
@@ -414,12 +431,3 @@
     if report is None:
         return 0
     return (report.kv_used + more_tokens) / max(report.kv_total, 1)
-
-
-def _has_room_for_copy(upstream: Upstream, copy_tokens: int) -> bool:
-    report = upstream.report
-    if report is None:
-        return True
-    more_tokens = upstream.held_tokens + upstream.sent_since_report
-    kv_fraction = _kv_fraction(upstream, more_tokens + copy_tokens)
-    return not report.waiting_tokens and kv_fraction <= COPY_KV_FRACTION_MAX
--- a/bergamotthread/process/relay/engine_forecast.py
+++ b/bergamotthread/process/relay/engine_forecast.py
@@ -79,7 +79,7 @@
     run_ms = _run_ms(upstream, outputs)
     waiting_tokens = report.waiting_tokens + upstream.sent_since_report
     needed_tokens = report.kv_used + waiting_tokens + prompt_tokens
-    usual_tokens = outputs.output_tokens * _event_tokens(upstream, outputs)
+    usual_tokens = usual_output_tokens(upstream, outputs)
     waiting = report.queued + upstream.sends_since_report
     work = EngineWork(
         unread_tokens,
@@ -111,6 +111,16 @@
     )
 
 
+def event_tokens(upstream: Upstream, outputs: RunStatistics) -> float:
+    """Return the tokens of an event; 0 while they are unknown."""
+    return upstream.statistics.tokens_per_event or outputs.tokens_per_event
+
+
+def usual_output_tokens(upstream: Upstream, outputs: RunStatistics) -> float:
+    """Return the usual output of a run in tokens; 0 while it is unknown."""
+    return outputs.output_tokens * event_tokens(upstream, outputs)
+
+
 def _run_ms(upstream: Upstream, outputs: RunStatistics) -> float:
     """Return the expected time from the first event to the last."""
     event_ms = upstream.statistics.between_tokens_ms
@@ -126,16 +136,11 @@
     return report.queued + 1 - free_slots
 
 
-def _event_tokens(upstream: Upstream, outputs: RunStatistics) -> float:
-    """Return the tokens of an event; 0 while they are unknown."""
-    return upstream.statistics.tokens_per_event or outputs.tokens_per_event
-
-
 def _spread_tokens(
     upstream: Upstream, outputs: RunStatistics, runs: int
 ) -> float:
     """Return by how much the outputs of so many runs may be longer."""
-    each = outputs.output_deviation * _event_tokens(upstream, outputs)
+    each = outputs.output_deviation * event_tokens(upstream, outputs)
     return SPREAD_DEVIATIONS * each * math.sqrt(runs)
 
 
@@ -165,7 +170,7 @@
     """
     run_ms = _run_ms(upstream, outputs)
     event_ms = run_ms / max(outputs.output_tokens, 1)
-    event_tokens = _event_tokens(upstream, outputs)
+    per_event = event_tokens(upstream, outputs)
     # A run at the usual length or beyond is expected to go on for a while.
     missing_min = max(outputs.output_deviation, 1)
     missing_events = [
@@ -173,7 +178,7 @@
         for run in report.runs
     ]
     holdings = [
-        Holding(run.tokens, missing * event_ms, missing * event_tokens)
+        Holding(run.tokens, missing * event_ms, missing * per_event)
         for run, missing in zip(report.runs, missing_events, strict=True)
     ]
     other_tokens = report.kv_used - sum(run.tokens for run in report.runs)
@@ -182,7 +187,7 @@
     if not other_count or other_tokens <= 0:
         return tuple(holdings)
     each_tokens = other_tokens / other_count
-    output_tokens = outputs.output_tokens * event_tokens
+    output_tokens = outputs.output_tokens * per_event
     unread_tokens = max(report.unread_tokens - report.waiting_tokens, 0)
     unread_ms = unread_tokens / rate_per_s * _MS_PER_S
     holdings.extend(
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -785,6 +785,11 @@
     return newer.events - former.events, newer.tokens - former.tokens
 
 
+def _has_grown(step: tuple[int, int]) -> bool:
+    events, tokens = step
+    return events > 0 and tokens >= 0
+
+
 @dataclass(frozen=True, slots=True)
 class _Progress:
     """Pace of the runs that two load reports show; 0 where it is unknown."""
@@ -811,7 +816,7 @@
         events = sum(events for events, _ in steps)
         if events <= 0:
             return cls()
-        grown = [step for step in steps if step[0] > 0 and step[1] >= 0]
+        grown = [step for step in steps if _has_grown(step)]
         tokens = sum(tokens for _, tokens in grown)
         grown_events = sum(events for events, _ in grown)
         interval_ms = span_ms * len(steps) / events
--- a/bergamotthread/request/relay/copies.py
+++ b/bergamotthread/request/relay/copies.py
@@ -3,7 +3,7 @@
 An upstream sends its growing KV cache to the copy holder that the request
 names. If that holder is lost, the entry has the cache copied to another one,
 and again every `RECOPY_INTERVAL_MS`, since holders drop a copy that is not
-renewed.
+renewed. Where prompts wait, such a copy isn't renewed and is freed.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from bergamotthread.process.relay.choice import RelayPlacementRequest
+from bergamotthread.process.relay.copy_room import gives_way
 from bergamotthread.process.relay.upstreams import Upstream
 from bergamotthread.request.relay.parts import RelayParts
 
@@ -88,6 +89,8 @@
         source = self._upstream
         if source is None or self._parts.directory.is_paused(source):
             return
+        if self._give_way(source):
+            return
         target = self._choose_holder(make_request())
         if target is not None:
             self._task = asyncio.create_task(
@@ -148,6 +151,32 @@
             holder.held_tokens += self._prompt_tokens
         self._counted_holder = holder
 
+    def _give_way(self, source: Upstream) -> bool:
+        """Free a copy at a holder where prompts wait; return whether it is.
+
+        Only the entry's own copies can be: one that the upstream sends lasts
+        while the run goes on.
+        """
+        copy = self._copy
+        if copy is None or self._is_sent_by_upstream:
+            return False
+        since_ms = self._parts.clock.now_ms() - RECOPY_INTERVAL_MS
+        if not gives_way(copy.holder, since_ms):
+            return False
+        self._parts.log.write(
+            'copy-gives-way',
+            request=self._label,
+            holder=copy.holder.record.instance,
+        )
+        self._count_at(None)
+        self._copy = None
+        self._task = asyncio.create_task(self._free(source, copy))
+        return True
+
+    async def _free(self, source: Upstream, copy: KvCacheCopy) -> None:
+        await self._parts.kv_cache.drop(source, copy.copy_id)
+        self._task = None
+
     def _must_replace(self, copy: KvCacheCopy) -> bool:
         """Return whether another copy is worth its transfer.
 
