--- a/benchmarks/overload_model.py
+++ b/benchmarks/overload_model.py
@@ -22,10 +22,10 @@
 from bergamotthread.clock import Clock
 from bergamotthread.process.relay.choice import (
     LEAST_LOADED_UPSTREAMS,
-    SAMPLED_CANDIDATES,
     RelayPlacementRequest,
     UpstreamChoice,
 )
+from bergamotthread.process.relay.distance import SAMPLED_CANDIDATES
 from bergamotthread.process.relay.stream_gate import (
     EngineView,
     StreamDemand,
--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -19,6 +19,10 @@
     has_room_for_copy,
     mean_prompt_tokens,
 )
+from bergamotthread.process.relay.distance import (
+    SAMPLED_CANDIDATES,
+    Distance,
+)
 from bergamotthread.process.relay.engine_forecast import (
     EngineForecast,
     forecast_engine,
@@ -37,22 +41,12 @@
 KV_FULL_COST_MS = 2000.0
 # Age up to which reports show how many prompts engines hold: the time of a run.
 PROMPT_MEMORY_AGE_MS = 10_000
-# Extra cost of another region, for the round trip and the paid traffic.
-CROSS_REGION_COST_MS = 60.0
 # Cost of an upstream all of whose recent requests failed.
 FAILURE_COST_MS = 4000.0
-# Upstreams that are asked for their load before one is chosen.
-SAMPLED_CANDIDATES = 4
 # Upstreams that are asked before a stream is refused, drawn from so many that
 # are least loaded by known reports.
 SECOND_CANDIDATES = 8
 LEAST_LOADED_UPSTREAMS = 16
-# Candidates taken from this region if it has enough upstreams: traffic between
-# regions is paid, and a loss in this region is noticed a round trip sooner.
-OWN_REGION_CANDIDATES = 3
-# With fewer upstreams in the region, the choice among queues is too small and
-# all regions are treated alike.
-OWN_REGION_UPSTREAMS_MIN = 6
 # Candidates from each region for a caller that reconnects.
 RECONNECT_CANDIDATES_PER_REGION = 3
 # Upstreams considered as candidates, which bounds the time of a choice.
@@ -85,6 +79,10 @@
         prompt.
     build
         The only build that may be chosen; None if any may.
+    target_ms
+        Target for the first event or the answer. The part of it by which a
+        wait may be longer in this failure domain than in another one; 0 for
+        an attempt that has to go where it is served first.
     output_tokens
         Expected output; 0 for the usual one of the service.
     plan
@@ -97,6 +95,7 @@
     affinity: bytes = b''
     is_reconnect: bool = False
     build: str | None = None
+    target_ms: float = 0
     output_tokens: float = 0
     plan: BuildPlan = ANY_BUILD
 
@@ -193,8 +192,8 @@
     def draw_candidates(self, request: RelayPlacementRequest) -> list[Upstream]:
         """Return a few candidates, from two failure domains if possible.
 
-        With at least `OWN_REGION_UPSTREAMS_MIN` upstreams in this region, its
-        upstreams come first, then those that the affinity prefers. Suspected
+        Those of the own failure domain and region come first if they are
+        enough (`Distance`), then those that the affinity prefers. Suspected
         upstreams are candidates only if there are no others. For a caller that
         reconnects, entries of all regions draw the same candidates as long as
         they agree on which upstreams are lost or suspected. Streams that begin
@@ -214,22 +213,9 @@
         ordered = healthy or considered
         if request.is_reconnect:
             return self._first_of_each_region(ordered)
-        local = [
-            upstream
-            for upstream in ordered
-            if not self._region_cost_ms(upstream)
-        ]
-        if len(local) >= OWN_REGION_UPSTREAMS_MIN:
-            remote = [
-                upstream
-                for upstream in ordered
-                if self._region_cost_ms(upstream)
-            ]
-            candidates = [*local[:OWN_REGION_CANDIDATES], *remote][
-                :SAMPLED_CANDIDATES
-            ]
-        else:
-            candidates = ordered[:SAMPLED_CANDIDATES]
+        candidates = self._distance.draw(
+            ordered, by_domain=request.target_ms > 0
+        )
         return _with_second_domain(candidates, ordered)
 
     def draw_least_loaded(
@@ -289,7 +275,11 @@
         cost_ms += (
             self.directory.decayed_failure_share(upstream) * FAILURE_COST_MS
         )
-        return cost_ms + self._region_cost_ms(upstream) + self.rng.random()
+        return (
+            cost_ms
+            + self._distance_cost_ms(upstream, request)
+            + self.rng.random()
+        )
 
     def forecast(
         self, upstream: Upstream, request: RelayPlacementRequest
@@ -327,7 +317,8 @@
 
     def _copy_holder_cost_ms(self, upstream: Upstream) -> float:
         kv_fraction = _kv_fraction(upstream, upstream.held_tokens)
-        cost_ms = kv_fraction * KV_FULL_COST_MS + self._region_cost_ms(upstream)
+        cost_ms = kv_fraction * KV_FULL_COST_MS
+        cost_ms += self._distance.region_cost_ms(upstream)
         return cost_ms + self.rng.random()
 
     def _record_demand(self, request: RelayPlacementRequest) -> None:
@@ -399,10 +390,24 @@
             return False
         return not self.directory.is_lost(upstream)
 
-    def _region_cost_ms(self, upstream: Upstream) -> float:
-        region = self.region_by_domain.get(upstream.record.failure_domain)
-        is_local = region == self.region_by_domain.get(self.own_domain)
-        return 0 if is_local else CROSS_REGION_COST_MS
+    @property
+    def _distance(self) -> Distance:
+        return Distance(self.own_domain, self.region_by_domain)
+
+    def _distance_cost_ms(
+        self, upstream: Upstream, request: RelayPlacementRequest
+    ) -> float:
+        """Return the cost of the distance to an upstream.
+
+        Streams weigh failure domains only where the own one has enough engines
+        to choose among; a plain request queues for milliseconds.
+        """
+        distance = self._distance
+        target_ms = request.target_ms
+        if target_ms and request.prompt_tokens:
+            accepting = self.directory.accepting(request.service)
+            target_ms *= distance.prefers_domain(accepting)
+        return distance.cost_ms(upstream, target_ms)
 
 
 def _with_second_domain(
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -8,9 +8,9 @@
 
 from bergamotthread.process.relay.choice import (
     LEAST_LOADED_UPSTREAMS,
-    SAMPLED_CANDIDATES,
     RelayPlacementRequest,
 )
+from bergamotthread.process.relay.distance import SAMPLED_CANDIDATES
 from bergamotthread.process.relay.stream_gate import (
     EngineView,
     StreamDemand,
@@ -93,6 +93,7 @@
             affinity=call.affinity,
             is_reconnect=is_first and call.resume_after is not None,
             build=build,
+            target_ms=call.route.first_event_target_ms if is_first else 0,
             output_tokens=self.parts.directory.expected_output(
                 call.service.name,
                 call.output_tokens_hint,
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -137,7 +137,11 @@
         service = self._call.service.name
         choices = (self._excluded | avoided, self._excluded)
         for excluded in choices if avoided else choices[1:]:
-            request = RelayPlacementRequest(service, excluded=excluded)
+            request = RelayPlacementRequest(
+                service,
+                excluded=excluded,
+                target_ms=self._call.route.first_event_target_ms,
+            )
             upstream = self._parts.choice.choose(request)
             if upstream is not None:
                 return upstream
