--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -28,6 +28,7 @@
     forecast_engine,
     usual_output_tokens,
 )
+from bergamotthread.process.relay.kept_prompts import KeptPrompts
 from bergamotthread.process.relay.upstreams import (
     Upstream,
     UpstreamDirectory,
@@ -51,11 +52,9 @@
 RECONNECT_CANDIDATES_PER_REGION = 3
 # Upstreams considered as candidates, which bounds the time of a choice.
 CONSIDERED_UPSTREAMS_MAX = 64
-# Cost of a candidate for each one that the affinity prefers to it. A new prompt
-# goes where the fewest tokens wait, unless the difference is small; the prompt
-# of a caller that reconnects goes where it is cached, which saves a second of
-# prefill.
-AFFINITY_RANK_COST_MS = 200.0
+# Cost of a candidate for each one that the affinity prefers to it, for the
+# prompt of a caller that reconnects. It goes where it is cached, which saves a
+# second of prefill.
 RECONNECT_RANK_COST_MS = 1500.0
 # Expected delay by each request in flight at a plain upstream.
 PLAIN_REQUEST_COST_MS = 15.0
@@ -110,12 +109,18 @@
         Region of each failure domain.
     own_domain
         Failure domain of this process.
+    kept
+        Where prompts of own callers are likely to be cached.
     """
 
     directory: UpstreamDirectory
     own_domain: str
     region_by_domain: dict[str, str]
     rng: random.Random = field(default_factory=random.Random)
+    kept: KeptPrompts = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.kept = KeptPrompts(self.directory.clock)
 
     def choose(self, request: RelayPlacementRequest) -> Upstream | None:
         """Return the cheapest eligible upstream, or None if there is none.
@@ -250,16 +255,37 @@
             for upstream in self.directory.of_service(request.service)
         )
 
-    def rank_cost_ms(self, rank: int, request: RelayPlacementRequest) -> float:
-        """Return the cost in ms of a candidate at a rank by affinity."""
+    def affinity_cost_ms(
+        self, upstream: Upstream, rank: int, request: RelayPlacementRequest
+    ) -> float:
+        """Return the cost in ms of a candidate for what it doesn't cache.
+
+        Parameters
+        ----------
+        rank
+            Position of the candidate by affinity, from 0.
+
+        Returns
+        -------
+        float
+            Negative for the prefill that a cached beginning is expected to
+            save; never more than the prefill of the prompt.
+        """
         if not request.affinity:
             return 0
-        per_rank_ms = (
-            RECONNECT_RANK_COST_MS
-            if request.is_reconnect
-            else AFFINITY_RANK_COST_MS
+        if request.is_reconnect:
+            return rank * RECONNECT_RANK_COST_MS
+        outputs = self.directory.outputs(request.service)
+        cached_tokens = self.kept.cached_tokens(
+            upstream, request.affinity, outputs
         )
-        return rank * per_rank_ms
+        if not rank:
+            cached_tokens += request.prompt_tokens * self.kept.expected_share(
+                upstream, request.affinity, outputs
+            )
+        prompt_ms = self.forecast(upstream, request).prompt_ms
+        share = cached_tokens / max(request.prompt_tokens, 1)
+        return -prompt_ms * min(share, 1)
 
     def cost_ms(
         self, upstream: Upstream, request: RelayPlacementRequest
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -246,7 +246,7 @@
                 upstream,
                 rank,
                 choice.cost_ms(upstream, request)
-                + choice.rank_cost_ms(rank, request),
+                + choice.affinity_cost_ms(upstream, rank, request),
             )
             for rank, upstream in enumerate(alive)
         ]
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -370,6 +370,14 @@
 
     def _record_first_event(self, attempt: Attempt) -> None:
         attempt.end_prefill()
+        call = self._call
+        self._parts.choice.kept.record(
+            attempt.upstream,
+            call.affinity,
+            call.prompt_tokens,
+            is_new=self._limits.attempts_sent == 1
+            and call.resume_after is None,
+        )
         work = self._work_ahead
         if work is None:
             return
