--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -276,6 +276,9 @@
             rank=chosen.rank,
             candidates=len(ranked),
             cost_ms=round(chosen.cost_ms),
+            saved_ms=round(
+                -choice.affinity_cost_ms(upstream, chosen.rank, request)
+            ),
             expected_ms=round(
                 choice.forecast(upstream, request).first_event_ms
             ),
