--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -26,7 +26,6 @@
 from bergamotthread.process.relay.engine_forecast import (
     EngineForecast,
     forecast_engine,
-    usual_output_tokens,
 )
 from bergamotthread.process.relay.kept_prompts import KeptPrompts
 from bergamotthread.process.relay.upstreams import (
@@ -176,11 +175,22 @@
 
         A limited upstream holds a copy only if no other one has room.
         """
+        if not upstreams:
+            return None
         directory = self.directory
+        service = upstreams[0].record.service
+        outputs = directory.outputs(service)
+        expected_tokens = mean_prompt_tokens(
+            directory.of_service(service),
+            outputs,
+            directory.clock.now_ms() - PROMPT_MEMORY_AGE_MS,
+        )
         with_room = [
             upstream
             for upstream in upstreams
-            if self._has_room_for_copy(upstream, copy_tokens)
+            if has_room_for_copy(
+                upstream, copy_tokens, outputs, expected_tokens
+            )
             and not directory.is_returning(upstream)
         ]
         unlimited = [
@@ -329,18 +339,6 @@
         cost_ms += running * RUNNING_REQUEST_COST_MS
         return cost_ms + _kv_fraction(upstream) ** 2 * KV_FULL_COST_MS
 
-    def _has_room_for_copy(self, upstream: Upstream, copy_tokens: int) -> bool:
-        service = upstream.record.service
-        outputs = self.directory.outputs(service)
-        since_ms = self.directory.clock.now_ms() - PROMPT_MEMORY_AGE_MS
-        expected_tokens = mean_prompt_tokens(
-            self.directory.of_service(service), outputs, since_ms
-        )
-        output_tokens = usual_output_tokens(upstream, outputs)
-        return has_room_for_copy(
-            upstream, copy_tokens + output_tokens, outputs, expected_tokens
-        )
-
     def _copy_holder_cost_ms(self, upstream: Upstream) -> float:
         kv_fraction = _kv_fraction(upstream, upstream.held_tokens)
         cost_ms = kv_fraction * KV_FULL_COST_MS
--- a/bergamotthread/process/relay/copy_room.py
+++ b/bergamotthread/process/relay/copy_room.py
@@ -77,6 +77,8 @@
 
     Parameters
     ----------
+    copy_tokens
+        Tokens of the copy now; it grows with its run.
     expected_tokens
         Memory to keep for prompts, those at the upstream included.
     """
@@ -86,8 +88,10 @@
     if report.waiting_tokens:
         return False
     prompts = PromptMemory.at(upstream, outputs)
-    # Copies grow with their runs, which are halfway on average.
-    copy_growth = report.copies * usual_output_tokens(upstream, outputs) / 2
+    # Copies grow with their runs; those there are halfway on average.
+    copy_growth = (report.copies / 2 + 1) * usual_output_tokens(
+        upstream, outputs
+    )
     used_tokens = (
         report.kv_used
         + upstream.held_tokens
--- a/bergamotthread/request/relay/room_wait.py
+++ b/bergamotthread/request/relay/room_wait.py
@@ -40,14 +40,17 @@
         """Wait for room; return whether the prompt may be sent.
 
         One prompt of this process waits for an engine at a time, so that the
-        room that is awaited isn't promised twice.
+        room that is awaited isn't promised twice. Others look elsewhere after
+        the age that a load report may have.
         """
         overfill_ms = self._overfill_ms(upstream, request)
         if not overfill_ms:
             return True
         clock = self._parts.clock
         started_ms = clock.now_ms()
-        if not upstream.is_awaited:
+        if upstream.is_awaited:
+            await clock.sleep_ms(REPORT_AGE_MAX_MS)
+        else:
             upstream.is_awaited = True
             try:
                 overfill_ms = await self._wait_until_ends(upstream, request)
