--- a/bergamotthread/connection/http/caller_connection.py
+++ b/bergamotthread/connection/http/caller_connection.py
@@ -17,6 +17,7 @@
 from absl import logging
 
 from bergamotthread.clock import Clock
+from bergamotthread.connection.held_bytes import HeldBytes
 from bergamotthread.connection.http.messages import (
     LAST_CHUNK,
     CallerRequest,
@@ -28,6 +29,11 @@
 _MS_PER_S = 1000
 # Requests queued on one connection before it is no longer read.
 QUEUED_REQUESTS_MAX = 16
+# Bytes of requests beside the one that is answered before the connection is no
+# longer read.
+QUEUED_BYTES_MAX = 65_536
+# Interval at which a caller that has bytes to read is looked at.
+_UNREAD_CHECK_MS = 500
 # Bytes buffered for a slow caller before `Exchange.wait_writable` waits.
 _WRITE_BUFFER_BYTES = 65_536
 
@@ -126,16 +132,38 @@
         self.is_ended = True
         self._connection.abort()
 
-    async def wait_writable(self) -> None:
-        """Wait while the write buffer for a slow caller is full."""
-        await self._connection.wait_writable()
+    async def wait_writable(self, timeout_ms: float) -> bool:
+        """Wait while the write buffer is full; return whether it has room."""
+        return await self._connection.wait_writable(timeout_ms)
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether more of an answer may be collected for the caller."""
+        return self._connection.account.has_room
+
+    def hold(self, byte_count: int) -> None:
+        """Count bytes that are collected for this exchange."""
+        self._connection.account.add_answer(byte_count)
+
+    def release(self) -> None:
+        """Count collected bytes no longer, as they were passed on."""
+        self._connection.account.release_answer()
 
 
 class CallerConnection(asyncio.Protocol):
-    """Reads the requests of one caller; the server answers them in order."""
+    """Reads the requests of one caller; the server answers them in order.
+
+    Parameters
+    ----------
+    held
+        Bound on what is held for all callers; none if not given.
+    """
 
-    def __init__(self, server: CallerServer) -> None:
+    def __init__(
+        self, server: CallerServer, held: HeldBytes | None = None
+    ) -> None:
         self.is_closed = False
+        self.account = (held or HeldBytes(server.clock)).open(self)
         self._server = server
         self._limits = server.limits
         self._loop = asyncio.get_running_loop()
@@ -145,6 +173,12 @@
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable_waiter: asyncio.Future[None] | None = None
+        self._unread_timer: asyncio.TimerHandle | None = None
+        self._written_bytes = 0
+        self._taken_bytes = 0
+        self._taken_ms: float = 0
+        self._request_bytes = 0
+        self._queued_bytes = 0
         self._closes_after_answer = False
         self._bad_status = 0
         self._answered = 0
@@ -174,7 +208,8 @@
             self._set_bad_status(self._bad_status or 400)
         if self._bad_status:
             self._start_next()
-        if len(self._queue) >= QUEUED_REQUESTS_MAX and self._transport:
+        self._count_request_bytes()
+        if self._has_surplus and self._transport:
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -186,6 +221,8 @@
         self.is_closed = True
         self._server.connections.discard(self)
         self._cancel_timer()
+        self._cancel_unread_timer()
+        self.account.close()
         self.resume_writing()
         if self._task is not None:
             self._task.cancel()
@@ -201,6 +238,8 @@
         self._writable_waiter = None
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
+        if self._task is None and not self.is_closed:
+            self._read_on()
 
     # callbacks of the parser
 
@@ -250,6 +289,7 @@
             keep_alive=self._parser.should_keep_alive(),
             received_ms=self._server.clock.now_ms(),
         )
+        self._queued_bytes += _size(request)
         self._reset_message()
         self._queue.append(request)
         self._start_next()
@@ -271,13 +311,39 @@
 
     def write(self, payload: bytes) -> None:
         """Write unless the caller has disconnected."""
-        if self._transport is not None and not self.is_closed:
-            self._transport.write(payload)
+        if self._transport is None or self.is_closed:
+            return
+        self._transport.write(payload)
+        self._written_bytes += len(payload)
+        self.account.record_written(len(payload))
+        if self._transport.get_write_buffer_size():
+            self.account.look()
+            self._watch_unread()
+
+    async def wait_writable(self, timeout_ms: float) -> bool:
+        """Wait until the write buffer has room; return whether it has."""
+        waiter = self._writable_waiter
+        if waiter is None:
+            return True
+        await asyncio.wait((waiter,), timeout=max(timeout_ms, 0) / _MS_PER_S)
+        return waiter.done()
 
-    async def wait_writable(self) -> None:
-        """Wait until the write buffer has room."""
-        if self._writable_waiter is not None:
-            await asyncio.shield(self._writable_waiter)
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes written for the caller that it has not taken."""
+        if self._transport is None or self.is_closed:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def drop(self, reason: str) -> None:
+        """Refuse a request that is being read, or cut what is not read."""
+        logging.debug('caller dropped: %s', reason)
+        if self.unsent_bytes or self._task is not None:
+            self.abort()
+            return
+        self._set_bad_status(408)
+        self._reset_message()
+        self._start_next()
 
     def abort(self) -> None:
         """Close without sending buffered bytes."""
@@ -320,12 +386,35 @@
     def _set_bad_status(self, status: int) -> None:
         self._bad_status = self._bad_status or status
 
+    @property
+    def _has_surplus(self) -> bool:
+        """Return whether enough is buffered beside the current request."""
+        if self._task is None and self._writable_waiter is None:
+            return False
+        surplus_bytes = self._queued_bytes + self._body_bytes
+        return (
+            len(self._queue) >= QUEUED_REQUESTS_MAX
+            or surplus_bytes > QUEUED_BYTES_MAX
+        )
+
+    def _count_request_bytes(self) -> None:
+        reading_bytes = self._header_bytes + self._body_bytes
+        self.account.set_request(
+            self._request_bytes + self._queued_bytes + reading_bytes,
+            is_reading=self._in_message and self._task is None,
+        )
+
     def _start_next(self) -> None:
         if self._task is not None or self.is_closed:
             return
+        if self._writable_waiter is not None:
+            # The caller reads no answers, so it gets no further ones.
+            return
         if self._queue:
             self._cancel_timer()
             request = self._queue.popleft()
+            self._request_bytes = _size(request)
+            self._queued_bytes -= self._request_bytes
             self._closes_after_answer = not request.keep_alive
             self._limits = self._server.limits
             self._task = self._loop.create_task(self._answer(request))
@@ -347,8 +436,11 @@
             self._after_answer(exchange)
 
     def _after_answer(self, exchange: Exchange) -> None:
+        self._request_bytes = 0
         if self.is_closed or self._transport is None:
             return
+        self.account.release_answer()
+        self._count_request_bytes()
         if not exchange.is_ended:
             self._transport.abort()
             return
@@ -356,8 +448,49 @@
             self._transport.close()
             return
         self._start_timer(self._server.limits.idle_timeout_ms)
-        self._transport.resume_reading()
-        self._start_next()
+        if self._writable_waiter is None:
+            self._read_on()
+
+    def _read_on(self) -> None:
+        """Answer what is queued, and read on."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+            self._start_next()
+
+    def _watch_unread(self) -> None:
+        """Look from time to time whether the caller reads what was written."""
+        if self._unread_timer is not None:
+            return
+        self._taken_bytes = self._written_bytes - self.unsent_bytes
+        self._taken_ms = self._server.clock.now_ms()
+        self._look_later()
+
+    def _look_later(self) -> None:
+        self._unread_timer = self._loop.call_later(
+            _UNREAD_CHECK_MS / _MS_PER_S, self._check_unread
+        )
+
+    def _check_unread(self) -> None:
+        """Cut a caller that has read nothing for the idle timeout."""
+        self._unread_timer = None
+        self.account.look()
+        unsent_bytes = self.unsent_bytes
+        if not unsent_bytes:
+            return
+        now_ms = self._server.clock.now_ms()
+        taken_bytes = self._written_bytes - unsent_bytes
+        if taken_bytes > self._taken_bytes:
+            self._taken_bytes = taken_bytes
+            self._taken_ms = now_ms
+        if now_ms - self._taken_ms > self._server.limits.idle_timeout_ms:
+            self.abort()
+            return
+        self._look_later()
+
+    def _cancel_unread_timer(self) -> None:
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
 
     def _send_bad_status(self) -> None:
         head = encode_head(
@@ -389,3 +522,8 @@
             self._start_next()
             return
         self._transport.close()
+
+
+def _size(request: CallerRequest) -> int:
+    """Return the bytes of a request's body."""
+    return len(request.body)
--- a/bergamotthread/connection/http/upstream_connection.py
+++ b/bergamotthread/connection/http/upstream_connection.py
@@ -178,9 +178,14 @@
     @property
     def is_writing(self) -> bool:
         """Return whether a part of the request is still buffered here."""
-        return bool(
-            self._transport and self._transport.get_write_buffer_size(),
-        )
+        return self.unsent_bytes > 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of the request that the upstream hasn't taken."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
 
     def close(self) -> None:
         """Abort the connection; the upstream sees that the caller has left."""
--- a/bergamotthread/connection/http/upstream_pool.py
+++ b/bergamotthread/connection/http/upstream_pool.py
@@ -50,11 +50,14 @@
         identifier.
     opened
         Number of attempts to open a connection.
+    sent_bytes
+        Bytes of requests of callers that were sent.
     """
 
     clock: Clock
     echo_header: bytes
     opened: int = 0
+    sent_bytes: int = 0
     _idle_by_address: dict[str, deque[UpstreamConnection]] = field(
         default_factory=dict,
     )
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -165,6 +165,8 @@
         Speed of the upstream, learned from reports and own streams.
     has_prefilled
         Whether a prefill of an own stream is among them.
+    request_bytes
+        Bodies of this process's requests that it holds.
     held_tokens
         Prompt tokens of this process's streams whose copies the upstream holds.
     is_unlisted
@@ -196,6 +198,7 @@
     outcome_ms: float = 0
     report: LoadReport | None = None
     sent_since_report: int = 0
+    request_bytes: int = 0
     held_tokens: int = 0
     is_unlisted: bool = False
     is_leaving: bool = False
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -37,6 +37,11 @@
 # Largest response that is buffered before it is sent to the caller; an entry
 # has 128 MB of memory.
 BUFFERED_RESPONSE_BYTES_MAX = 8_388_608
+# Bytes of requests that one upstream is sent at once, beyond the first: two of
+# the largest that callers may send. It crashes if they exceed its memory.
+UPSTREAM_REQUEST_BYTES_MAX = 8_388_608
+# Interval at which an answer that waits for memory is looked at.
+ROOM_CHECK_MS = 20
 # A request that must not run twice reuses a connection only if it was in use
 # within this time, since an idle one may have been lost without notice.
 NON_RETRYABLE_IDLE_MAX_MS = 2500
@@ -44,6 +49,7 @@
 MISDIRECTED = 421
 _OK = 200
 _FIRST_REDIRECT = 300
+_FULL = NotSent('the upstream holds enough bytes of requests', is_held=True)
 _HELD = NotSent('the upstream takes no request now', is_held=True)
 
 
@@ -68,6 +74,7 @@
         self.pause_ms: float = 0
         self.tracked = TrackedAttempt(call, upstream, parts)
         self._connection: UpstreamConnection | None = None
+        self._request_bytes = 0
         self._is_prefilling = False
 
     def __enter__(self) -> Attempt:
@@ -79,8 +86,10 @@
 
     def __exit__(self, *_: object) -> None:
         self.upstream.in_flight -= 1
+        self.upstream.request_bytes -= self._request_bytes
         self.end_prefill()
         self.tracked.abandon()
+        self.call.exchange.release()
         if self._connection is not None:
             self.parts.pool.release(self._connection)
 
@@ -120,9 +129,7 @@
             return NotSent(str(error))
         except ConnectionError as error:
             return NotSent(str(error))
-        self.sent_ms = self.parts.clock.now_ms()
-        self.upstream.record_send(self.call.prompt_tokens, self.sent_ms)
-        self.tracked.start()
+        self._record_sent(self._connection, len(encoded))
         return None
 
     async def receive(self, timeout_ms: float) -> AnswerItem | None:
@@ -157,6 +164,18 @@
         signature = head.header(self.parts.header_names.signature)
         return is_success and signature is None
 
+    def _record_sent(
+        self, connection: UpstreamConnection, encoded_bytes: int
+    ) -> None:
+        """Count a request that was sent, also what the upstream hasn't read."""
+        self.parts.pool.sent_bytes += encoded_bytes
+        self.call.exchange.hold(connection.unsent_bytes)
+        self._request_bytes = len(self.call.request.body)
+        self.upstream.request_bytes += self._request_bytes
+        self.sent_ms = self.parts.clock.now_ms()
+        self.upstream.record_send(self.call.prompt_tokens, self.sent_ms)
+        self.tracked.start()
+
     def _reason_not_to_send(self) -> NotSent | None:
         """Return what was learned while the connection was opened."""
         directory = self.parts.directory
@@ -166,6 +185,13 @@
         listed = directory.get(record.instance)
         if listed is not None and listed.record.build != record.build:
             return NotSent('the upstream has another build now')
+        held_bytes = self.upstream.request_bytes
+        request_bytes = len(self.call.request.body)
+        if (
+            held_bytes
+            and held_bytes + request_bytes > UPSTREAM_REQUEST_BYTES_MAX
+        ):
+            return _FULL
         return None if directory.admit(self.upstream) else _HELD
 
     def _read_notices(self, head: AnswerHead) -> None:
@@ -208,6 +234,8 @@
         while outcome is None:
             remaining_ms = end_ms - clock.now_ms()
             outcome = self.add(await self._attempt.receive(remaining_ms))
+            if outcome is None:
+                await self._wait_for_room(end_ms)
         return outcome
 
     def add(self, received: AnswerItem | None) -> AttemptOutcome | None:
@@ -224,6 +252,13 @@
             case _:
                 return OutOfTime()
 
+    async def _wait_for_room(self, end_ms: float) -> None:
+        """Leave the rest at the upstream while too much is held in all."""
+        clock = self._attempt.parts.clock
+        exchange = self._attempt.call.exchange
+        while not exchange.has_room and clock.now_ms() < end_ms:
+            await clock.sleep_ms(ROOM_CHECK_MS)
+
     def _add_head(self, head: AnswerHead) -> AttemptOutcome | None:
         self._head = head
         if self._attempt.lacks_signature(head):
@@ -232,6 +267,7 @@
 
     def _add_body_part(self, part: bytes) -> AttemptOutcome | None:
         self._body += part
+        self._attempt.call.exchange.hold(len(part))
         if len(self._body) > BUFFERED_RESPONSE_BYTES_MAX:
             return Broken(
                 f'more than {BUFFERED_RESPONSE_BYTES_MAX} bytes',
--- a/bergamotthread/request/relay/events.py
+++ b/bergamotthread/request/relay/events.py
@@ -24,6 +24,13 @@
     payload: bytes
     event_id: int | None
 
+    @property
+    def has_data(self) -> bool:
+        """Return whether it holds more than comments that keep alive."""
+        return any(
+            line.startswith(b'data') for line in self.payload.splitlines()
+        )
+
 
 class EventTooLongError(ValueError):
     """A stream went on without the end, or the number, of an event."""
--- a/bergamotthread/request/relay/outcomes.py
+++ b/bergamotthread/request/relay/outcomes.py
@@ -70,7 +70,16 @@
     """No complete response arrived within the time allowed."""
 
 
-AttemptOutcome = NotSent | NotRun | Answered | StreamEnded | Broken | OutOfTime
+@dataclass(frozen=True, slots=True)
+class Unread:
+    """The upstream cut its response, which the caller had not read."""
+
+    reason: str
+
+
+AttemptOutcome = (
+    NotSent | NotRun | Answered | StreamEnded | Broken | OutOfTime | Unread
+)
 
 
 def is_pause(outcome: AttemptOutcome) -> bool:
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -47,6 +47,7 @@
     NotSent,
     OutOfTime,
     StreamEnded,
+    Unread,
     is_pause,
 )
 from bergamotthread.request.relay.pace import ArrivalTimes
@@ -67,6 +68,15 @@
 # its own still answers probes; prefill of other prompts delays events by up to
 # 300 ms.
 STALL_TIMEOUT_MS = 1200
+# The same limit in multiples of the stream's own mean pause, if that is longer:
+# a stream that is slow throughout is sound.
+STALL_PAUSES = 3
+# Pauses from which the mean is known. Before, the limit is twice as long.
+KNOWN_PAUSES_MIN = 2
+# A response that breaks off this soon after its caller has kept it waiting this
+# long was cut by the upstream because nobody read it.
+UNREAD_CUT_MS = 500
+UNREAD_MIN_MS = 1000
 # The same limit before the first event of a run that resumes from a copy.
 RESUME_STALL_TIMEOUT_MS = 1500
 # Fraction of the first-event target for which a stream waits for an upstream.
@@ -93,6 +103,8 @@
         self._attempt_times = ArrivalTimes(parts.clock.now_ms())
         self._caller_times = ArrivalTimes(call.request.received_ms)
         self._is_from_copy = False
+        self._progress_ms: float = 0
+        self._unread_until_ms: float = -math.inf
         self._attempt_build = ''
         self._work_ahead: EngineWork | None = None
         self._run_ms: float = 0
@@ -298,6 +310,7 @@
                 return not_sent
             self._limits.record_sent()
             self._attempt_times = ArrivalTimes(attempt.sent_ms)
+            self._progress_ms = attempt.sent_ms
             self._is_from_copy = copy is not None
             self._copy_manager.start_attempt(upstream, copy_target)
             outcome = await self._relay(attempt)
@@ -313,18 +326,16 @@
         if head_outcome is not None:
             return head_outcome
         attempt.tracked.report_progress(0)
+        self._progress_ms = self._parts.clock.now_ms()
         received = await self._receive_next(attempt)
         while isinstance(received, AnswerPart):
-            self._attempt_times.record(self._parts.clock.now_ms())
-            if self._attempt_times.count == 1:
-                self._record_first_event(attempt)
-            attempt.tracked.report_progress(self._attempt_times.span_ms)
-            if self._placer.may_copy:
-                self._copy_manager.renew(self._copy_request)
             try:
-                await self._forward_events(attempt, received.payload, splitter)
+                events = splitter.feed(received.payload)
             except EventTooLongError as error:
                 return Broken(str(error))
+            part_outcome = await self._forward_events(attempt, events)
+            if part_outcome is not None:
+                return part_outcome
             received = await self._receive_next(attempt)
         outcome = self._end_outcome(received, head, splitter)
         is_unframed = head.framing is Framing.CLOSE
@@ -367,22 +378,56 @@
             )
 
     async def _forward_events(
-        self,
-        attempt: Attempt,
-        payload: bytes,
-        splitter: EventSplitter,
-    ) -> None:
-        for event in splitter.feed(payload):
+        self, attempt: Attempt, events: list[StreamEvent]
+    ) -> AttemptOutcome | None:
+        """Forward what a part completes; return an outcome to end with."""
+        if any(map(self._is_progress, events)):
+            self._record_events(attempt)
+        for event in events:
             self._build.record_event(attempt.upstream)
             self._forward(event)
-        await self._call.exchange.wait_writable()
+        clock = self._parts.clock
+        began_ms = clock.now_ms()
+        exchange = self._call.exchange
+        if not await exchange.wait_writable(attempt.remaining_ms):
+            return OutOfTime()
+        waited_ms = clock.now_ms() - began_ms
+        self._progress_ms += waited_ms
+        if waited_ms > UNREAD_MIN_MS:
+            self._unread_until_ms = clock.now_ms()
+        silent_ms = self._silent_ms
+        is_stalled = silent_ms > self._stall_timeout_ms
+        if is_stalled and self._reserve_replacement():
+            return Broken(f'no whole event for {silent_ms:.0f} ms')
+        return None
+
+    def _is_progress(self, event: StreamEvent) -> bool:
+        """Return whether the stream has got on by an event.
+
+        Comments and what is sent to keep alive is none: a run that has stalled
+        may go on sending them.
+        """
+        last_event = self._last_event
+        if event.event_id is None:
+            return last_event is None and event.has_data
+        return last_event is None or event.event_id > last_event
+
+    def _record_events(self, attempt: Attempt) -> None:
+        """Record that a part completed at least one event."""
+        now_ms = self._parts.clock.now_ms()
+        self._progress_ms = now_ms
+        self._attempt_times.record(now_ms)
+        if self._attempt_times.count == 1:
+            self._record_first_event(attempt)
+        attempt.tracked.report_progress(self._attempt_times.span_ms)
+        if self._placer.may_copy:
+            self._copy_manager.renew(self._copy_request)
 
     async def _receive_next(self, attempt: Attempt) -> AnswerItem | None:
         """Return the next item of the response; None at the deadline.
 
         A silent upstream is probed, and marked lost if it does not respond.
         """
-        started_ms = self._parts.clock.now_ms()
         while True:
             wait_ms = min(self._silence_ms, attempt.remaining_ms)
             received = await attempt.receive(wait_ms)
@@ -390,7 +435,7 @@
                 return received
             if attempt.remaining_ms <= 0:
                 return None
-            silence = await self._silence_reason(attempt, started_ms)
+            silence = await self._silence_reason(attempt)
             if not silence:
                 continue
             received = await attempt.receive(0)
@@ -399,26 +444,26 @@
             if self._reserve_replacement():
                 return AnswerLost(silence)
 
-    async def _silence_reason(self, attempt: Attempt, started_ms: float) -> str:
-        """Return why a silent upstream counts as lost; empty if it does not.
-
-        Parameters
-        ----------
-        started_ms
-            Monotonic time at which the silence began.
-        """
+    async def _silence_reason(self, attempt: Attempt) -> str:
+        """Return why a silent upstream counts as lost; empty if it does not."""
         silence_ms = self._silence_ms
         if not await self._parts.liveness.is_alive(
             attempt.upstream, silence_ms
         ):
             return 'the upstream is silent'
-        # Silence of all upstreams together says nothing about this one.
-        started_ms = max(started_ms, self._parts.liveness.doubted_ms)
-        silent_ms = self._parts.clock.now_ms() - started_ms
-        if silent_ms > self._stall_timeout_ms:
-            return f'no event for {silent_ms:.0f} ms'
+        if self._silent_ms > self._stall_timeout_ms:
+            return f'no event for {self._silent_ms:.0f} ms'
         return ''
 
+    @property
+    def _silent_ms(self) -> float:
+        """Return the time without a whole event of this attempt.
+
+        Silence of all upstreams together says nothing about this one.
+        """
+        started_ms = max(self._progress_ms, self._parts.liveness.doubted_ms)
+        return self._parts.clock.now_ms() - started_ms
+
     def _reserve_replacement(self) -> bool:
         """Reserve the attempt that is to follow the silent one.
 
@@ -439,9 +484,13 @@
     @property
     def _stall_timeout_ms(self) -> float:
         """Return the longest time to wait for the next event."""
-        if self._attempt_times.count:
-            return STALL_TIMEOUT_MS
-        return RESUME_STALL_TIMEOUT_MS if self._is_from_copy else math.inf
+        times = self._attempt_times
+        pauses = times.count - 1
+        if pauses < 0:
+            return RESUME_STALL_TIMEOUT_MS if self._is_from_copy else math.inf
+        if pauses < KNOWN_PAUSES_MIN:
+            return 2 * STALL_TIMEOUT_MS
+        return max(STALL_TIMEOUT_MS, STALL_PAUSES * times.span_ms / pauses)
 
     def _forward_head(
         self,
@@ -475,7 +524,7 @@
         splitter: EventSplitter,
     ) -> AttemptOutcome:
         if isinstance(received, AnswerLost):
-            return Broken(received.reason)
+            return self._loss(received.reason)
         if not isinstance(received, AnswerEnd):
             return OutOfTime()
         if splitter.has_partial:
@@ -484,10 +533,18 @@
             return Broken('the stream has no head')
         return StreamEnded()
 
+    def _loss(self, reason: str) -> Broken | Unread:
+        """Return whether the upstream failed or cut what nobody read."""
+        since_ms = self._parts.clock.now_ms() - self._unread_until_ms
+        return Unread(reason) if since_ms < UNREAD_CUT_MS else Broken(reason)
+
     def _handle_outcome(
         self, placement: AttemptPlacement, outcome: AttemptOutcome
     ) -> bool:
         """Handle an outcome; return whether no further attempt is needed."""
+        if isinstance(outcome, Unread):
+            self._refuse_or_abort()
+            return True
         failed = not isinstance(outcome, StreamEnded)
         upstream = placement.upstream
         # A full copy holder refuses to resume a run. That is no failure, and it
@@ -599,7 +656,7 @@
         outcome: AttemptOutcome,
     ) -> None:
         match outcome:
-            case Broken(reason) | NotSent(reason):
+            case Broken(reason) | NotSent(reason) | Unread(reason):
                 self._last_outcome = reason
             case _:
                 self._last_outcome = repr(outcome)
--- a/bergamotthread/testing/memory_http.py
+++ b/bergamotthread/testing/memory_http.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
@@ -17,6 +17,8 @@
 
 _Answer = TypeVar('_Answer')
 _MS_PER_S = 1000
+# Size of a write buffer from which on asyncio pauses a protocol.
+_HIGH_WATER_BYTES = 65_536
 ProtocolFactory = Callable[[], asyncio.BaseProtocol]
 
 
@@ -33,23 +35,32 @@
         self._net = net
         self._is_closing = False
         self._is_reading = True
+        self._unsent = b''
+        self._high_water: float = _HIGH_WATER_BYTES
+        self._is_full = False
 
     def write(self, payload: bytes | bytearray | memoryview) -> None:
-        """Send bytes to the other end."""
+        """Send bytes to the other end, as far as its window allows."""
         if not self._is_closing and self.peer is not None:
-            self._net.carry(self, bytes(payload))
+            self._unsent += bytes(payload)
+            self.send_on()
 
     def close(self) -> None:
         """Close the connection after the written bytes."""
         if self._is_closing:
             return
         self._is_closing = True
-        self._net.carry(self, None)
-        self._net.loop.call_soon(self.protocol.connection_lost, None)
+        if not self._unsent:
+            self._end()
 
     def abort(self) -> None:
-        """Close the connection, as `close` does."""
-        self.close()
+        """Close the connection; bytes that are not sent yet are lost."""
+        if self._unsent:
+            self._is_closing = True
+            self._unsent = b''
+            self._end()
+        else:
+            self.close()
 
     def is_closing(self) -> bool:
         """Return whether this end was closed."""
@@ -72,15 +83,29 @@
         self.deliver()
 
     def get_write_buffer_size(self) -> int:
-        """Return 0, since the network accepts all bytes at once."""
-        return 0
+        """Return the bytes for which the other end has no window."""
+        return len(self._unsent)
 
     def set_write_buffer_limits(
         self,
         high: int | None = None,
         low: int | None = None,
     ) -> None:
-        """Ignore the limits, since the network accepts all bytes at once."""
+        """Set the size of the buffer from which on the writer must pause."""
+        self._high_water = _HIGH_WATER_BYTES if high is None else high
+
+    def send_on(self) -> None:
+        """Send buffered bytes as far as the window of the other end allows."""
+        if self.peer is None:
+            return
+        under_way = _size(self.in_transit) + _size(self.peer.unread)
+        sent = self._unsent[: max(self._net.window_bytes - under_way, 0)]
+        if sent:
+            self._unsent = self._unsent[len(sent) :]
+            self._net.carry(self, sent)
+        self._tell_writer()
+        if self._is_closing and sent and not self._unsent:
+            self._end()
 
     def arrive(self, payload: bytes | None) -> None:
         """Receive bytes, or None if the other end closed."""
@@ -93,9 +118,25 @@
             payload = self.unread.popleft()
             if payload is not None:
                 self.protocol.data_received(payload)
+                if self.peer is not None:
+                    self.peer.send_on()
             elif not self.protocol.eof_received():
                 self.close()
 
+    def _tell_writer(self) -> None:
+        """Tell the protocol when to pause and when to go on."""
+        is_full = len(self._unsent) > self._high_water
+        if is_full and not self._is_full:
+            self._is_full = True
+            self.protocol.pause_writing()
+        elif self._is_full and len(self._unsent) <= self._high_water / 4:
+            self._is_full = False
+            self.protocol.resume_writing()
+
+    def _end(self) -> None:
+        self._net.carry(self, None)
+        self._net.loop.call_soon(self.protocol.connection_lost, None)
+
 
 class _MemoryServer:
     """Server that `create_server` returns."""
@@ -117,6 +158,8 @@
     ----------
     delay_ms
         Delay in each direction.
+    window_bytes
+        Bytes that may be under way, or unread, before a sender buffers them.
     silent
         Addresses of servers from and to which no bytes are delivered.
     held_until_ms
@@ -126,6 +169,7 @@
 
     loop: asyncio.AbstractEventLoop
     delay_ms: float = 1
+    window_bytes: int = 1_000_000_000
     silent: set[str] = field(default_factory=set)
     held_until_ms: float = 0
     factory_by_address: dict[str, ProtocolFactory] = field(
@@ -267,3 +311,7 @@
             f'protocol is {type(protocol).__name__}, expected a Protocol'
         )
     return protocol
+
+
+def _size(payloads: Iterable[bytes | None]) -> int:
+    return sum(len(payload or b'') for payload in payloads)
