--- a/bergamotthread/clock.py
+++ b/bergamotthread/clock.py
@@ -23,11 +23,14 @@
     boot_s
         Time in seconds that also advances while the machine is suspended, for
         the age of permissions; `monotonic_s` if None.
+    processor_s
+        Processor time in seconds that the process has used; none if None.
     """
 
     monotonic_s: Callable[[], float]
     calendar_s: Callable[[], float]
     boot_s: Callable[[], float] | None = field(default=None, kw_only=True)
+    processor_s: Callable[[], float] | None = field(default=None, kw_only=True)
 
     @classmethod
     def from_system(cls) -> Clock:
@@ -36,6 +39,7 @@
             monotonic_s=time.monotonic,
             calendar_s=time.time,
             boot_s=_boot_s,
+            processor_s=time.process_time,
         )
 
     @classmethod
@@ -52,6 +56,10 @@
         read_s = self.boot_s or self.monotonic_s
         return read_s() * _MS_PER_S
 
+    def processor_ms(self) -> float:
+        """Return the processor time of the process, in milliseconds."""
+        return self.processor_s() * _MS_PER_S if self.processor_s else 0
+
     def calendar_ms(self) -> int:
         """Return milliseconds since the Unix epoch."""
         return int(self.calendar_s() * _MS_PER_S)
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass
-from pathlib import Path
 
 from bergamotthread.clock import Clock
+from bergamotthread.connection.held_bytes import HeldBytes
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.build_relay import BuildRelay
 from bergamotthread.platform.crash_parts import CrashParts
@@ -24,9 +23,9 @@
 from bergamotthread.platform.runner_watch import RunnerWatch
 from bergamotthread.platform.settings import (
     FIXED_SETTINGS,
-    SETTINGS_VARIABLE,
     PlatformSettings,
     PlatformSettingsError,
+    load_settings,
 )
 from bergamotthread.platform.store import PlatformStoreClient
 from bergamotthread.platform.table_watch import WatchContext
@@ -37,6 +36,7 @@
 from bergamotthread.process.relay.freshness import VersionFreshness
 from bergamotthread.process.relay.life_cycle import LifeCycle
 from bergamotthread.process.relay.liveness import LivenessWatch
+from bergamotthread.process.relay.own_load import OwnLoad
 from bergamotthread.process.relay.pause_recorder import PauseRecorder
 from bergamotthread.process.relay.pauses import UpstreamPauses
 from bergamotthread.process.relay.plain_gate import PlainGate
@@ -96,6 +96,8 @@
         self._clock = clock
         self._log = log or DecisionLog(clock, settings.host)
         self._rng = rng or random.Random()
+        self._held = HeldBytes.from_memory(clock, settings.machine.memory_bytes)
+        self._load = OwnLoad(clock, settings.machine)
         self._holder = RouteTableHolder()
         self._life_cycle = LifeCycle(clock, settings.stop_grace_ms)
         self._freshness = VersionFreshness(clock, settings.revoke_bound_ms)
@@ -125,6 +127,8 @@
             ),
             self._parts,
             self._life_cycle,
+            self._held,
+            self._load,
         )
         self._store.eras.listeners.append(self._handle_new_era)
         self._watches = self._make_watches()
@@ -158,9 +162,7 @@
         while not self._is_finished():
             due_ms = self._clock.now_ms() + HOUSEKEEPING_INTERVAL_MS
             await self._clock.sleep_ms(HOUSEKEEPING_INTERVAL_MS)
-            self._parts.metrics.loop_stall_ms.record(
-                self._clock.now_ms() - due_ms
-            )
+            self._record_use(self._clock.now_ms() - due_ms)
             self._pool.close_stale()
             if self._life_cycle.is_out_of_rotation:
                 self._close_idle()
@@ -216,6 +218,23 @@
             version_age_ms=self._freshness.age_ms,
         )
 
+    def _record_use(self, late_ms: float) -> None:
+        """Measure what this process uses; log when it begins to refuse."""
+        self._parts.metrics.loop_stall_ms.record(late_ms)
+        load = self._load
+        was_choked = load.is_choked
+        load.measure(self._held.written_bytes + self._pool.sent_bytes, late_ms)
+        if load.is_choked == was_choked:
+            return
+        self._log.write(
+            'entry-choked' if load.is_choked else 'entry-has-room',
+            processor_share=round(load.processor_share, 2),
+            late_ms=round(load.late_ms),
+            link_late_ms=round(load.link_late_ms),
+            cores=load.machine.cores,
+            link_bytes_per_s=load.machine.link_bytes_per_s,
+        )
+
     def _is_finished(self) -> bool:
         if self._life_cycle.must_end:
             return True
@@ -236,7 +255,7 @@
                 METRICS_PATH: self._metrics_response,
             },
         )
-        await listen(self._server, settings.front)
+        await listen(self._server, settings.front, self._held)
         await listen(status_server, settings.ready)
         await listen(status_server, f'{settings.ip}:{settings.metrics_port}')
         feed_server = RelayedFeedServer(
@@ -257,10 +276,16 @@
                 **self._limit_relay.answer_by_path,
             },
         )
-        await listen(feed_server, f'{settings.ip}:{settings.peer_port}')
+        await listen(
+            feed_server, f'{settings.ip}:{settings.peer_port}', self._held
+        )
 
     def _readiness_response(self) -> tuple[int, str]:
-        is_ready = self._life_cycle.is_ready and self._freshness.is_ready
+        is_ready = (
+            self._life_cycle.is_ready
+            and self._freshness.is_ready
+            and self._load.is_ready
+        )
         return (200 if is_ready else 503), ''
 
     def _metrics_response(self) -> tuple[int, str]:
@@ -274,6 +299,31 @@
                 'Requests that are being answered.',
                 lambda: self._server.in_flight,
             ),
+            (
+                'relay_held_bytes',
+                'Bytes that are held for callers.',
+                lambda: self._held.total_bytes,
+            ),
+            (
+                'relay_callers_dropped',
+                'Callers that lost what was held for them, for its bound.',
+                lambda: self._held.dropped,
+            ),
+            (
+                'relay_own_processor_share',
+                'Use of the processor that the settings name.',
+                lambda: self._load.processor_share,
+            ),
+            (
+                'relay_own_link_late_ms',
+                'Time that the link needs for what was sent.',
+                lambda: self._load.link_late_ms,
+            ),
+            (
+                'relay_own_room',
+                'Fraction of new work that is taken.',
+                lambda: self._load.room,
+            ),
             (
                 'relay_version_age_ms',
                 'Age of the proof of the version.',
@@ -445,16 +495,3 @@
         window_ms=settings.repeat_window_ms,
         slack=settings.repeat_slack * RETRY_BUDGET_FRACTION,
     )
-
-
-def load_settings() -> PlatformSettings:
-    """Read the settings file named by the environment variable.
-
-    Raises
-    ------
-    PlatformSettingsError
-        If the file can't be read or decoded.
-    """
-    return PlatformSettings.from_file(
-        Path(os.environ.get(SETTINGS_VARIABLE, '')),
-    )
--- a/bergamotthread/platform/settings.py
+++ b/bergamotthread/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass, fields, replace
 from pathlib import Path
 
@@ -200,6 +201,19 @@
         )
 
 
+def load_settings() -> PlatformSettings:
+    """Read the settings file named by the environment variable.
+
+    Raises
+    ------
+    PlatformSettingsError
+        If the file can't be read or decoded.
+    """
+    return PlatformSettings.from_file(
+        Path(os.environ.get(SETTINGS_VARIABLE, '')),
+    )
+
+
 def _exposure(settings_file: _SettingsFile) -> ExposureBound | None:
     if ROLLOUT_CONTRACT not in settings_file.contracts:
         return None
--- a/bergamotthread/process/relay/servers.py
+++ b/bergamotthread/process/relay/servers.py
@@ -7,13 +7,16 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
+from bergamotthread.connection.held_bytes import HeldBytes
 from bergamotthread.connection.http.caller_connection import (
     CallerConnection,
     CallerLimits,
     CallerServer,
     Exchange,
 )
+from bergamotthread.process.overload.retry_after import RetryAfterRange
 from bergamotthread.process.relay.life_cycle import LifeCycle
+from bergamotthread.process.relay.own_load import OwnLoad
 from bergamotthread.process.relay.version_holder import RouteTableHolder
 from bergamotthread.request.relay.admission import Admission
 from bergamotthread.request.relay.call import RelayedCall
@@ -29,6 +32,9 @@
 LISTEN_BACKLOG = 1024
 # Target times of a plain request that must be left before the process ends.
 DRAIN_TARGETS_LEFT = 4
+# Least Retry-After of an entry whose machine is used up; callers come back to
+# another one.
+CHOKED_RETRY_AFTER_MS = 300
 # Wait for the first version; a new process loads it within half a second.
 FIRST_VERSION_TIMEOUT_MS = 600
 
@@ -42,6 +48,8 @@
     admission: Admission
     parts: RelayParts
     life_cycle: LifeCycle
+    held: HeldBytes
+    load: OwnLoad
     connections: set[CallerConnection] = field(default_factory=set)
     in_flight: int = 0
     answered: int = 0
@@ -71,6 +79,9 @@
         if self._is_too_late(admitted):
             self._refuse(exchange, _draining_refusal())
             return
+        if not self._may_take(admitted):
+            self._refuse(exchange, self._choked_refusal(admitted))
+            return
         relay = _make_relay(admitted, self.parts)
         self.in_flight += 1
         try:
@@ -101,6 +112,29 @@
         target_ms = call.route.first_event_target_ms * DRAIN_TARGETS_LEFT
         return self.life_cycle.remaining_ms < min(target_ms, call.time_limit_ms)
 
+    def _may_take(self, call: RelayedCall) -> bool:
+        """Return whether the machine has room for a request.
+
+        A stream that its caller takes up was accepted before.
+        """
+        if call.resume_after is not None:
+            return True
+        return self.held.has_room and self.load.admits(call.rank)
+
+    def _choked_refusal(self, call: RelayedCall) -> RelayRefusal:
+        """Return a refusal; the caller's next attempt is at another entry."""
+        remaining_ms = call.deadline_ms - self.clock.now_ms()
+        bounds = RetryAfterRange.from_remaining(
+            CHOKED_RETRY_AFTER_MS, remaining_ms
+        )
+        return RelayRefusal(
+            503,
+            'entry-choked',
+            f'{self.load.description}; {self.held.total_bytes} bytes held, '
+            f'at most {self.held.limit_bytes:.0f}',
+            bounds.spread(0, 2 * CHOKED_RETRY_AFTER_MS, self.admission.rng),
+        )
+
     def _refuse(self, exchange: Exchange, refusal: RelayRefusal) -> None:
         request_id = exchange.request.header(
             self.admission.header_names.request_id,
@@ -150,11 +184,18 @@
 async def listen(
     server: CallerServer,
     address: str,
+    held: HeldBytes | None = None,
 ) -> asyncio.Server:
-    """Accept connections at an address ``HOST:PORT`` for a server."""
+    """Accept connections at an address ``HOST:PORT`` for a server.
+
+    Parameters
+    ----------
+    held
+        Bound on what is held for all callers; none if not given.
+    """
     host, _, port = address.rpartition(':')
     return await asyncio.get_running_loop().create_server(
-        lambda: CallerConnection(server),
+        lambda: CallerConnection(server, held),
         host,
         int(port),
         backlog=LISTEN_BACKLOG,
