--- a/bergamotthread/request/relay/admission.py
+++ b/bergamotthread/request/relay/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -41,6 +42,8 @@
 PARTS_MAX = 16
 # Digits of a number of tokens that is read; a longer one is taken for unknown.
 COUNT_DIGITS_MAX = 9
+# The same for the number of an event, which may be a time.
+EVENT_ID_DIGITS_MAX = 18
 _BEARER = b'bearer '
 
 
@@ -177,14 +180,19 @@
             return 0
         token_counts = request.header(self.header_names.token_counts) or b''
         prompt_tokens = token_counts.partition(b',')[0]
-        return int(_parse_number(prompt_tokens) or DEFAULT_PROMPT_TOKENS)
+        return _parse_count(prompt_tokens) or DEFAULT_PROMPT_TOKENS
 
 
 def _parse_count(text: bytes | None) -> int:
     """Return a number of tokens; 0 if the text is no such number."""
+    return _parse_digits(text, COUNT_DIGITS_MAX) or 0
+
+
+def _parse_digits(text: bytes | None, digits_max: int) -> int | None:
+    """Return a whole number; None if the text is none, or a longer one."""
     digits = (text or b'').strip()
-    is_count = digits.isdigit() and len(digits) <= COUNT_DIGITS_MAX
-    return int(digits) if is_count else 0
+    is_number = digits.isdigit() and len(digits) <= digits_max
+    return int(digits) if is_number else None
 
 
 def _not_ready_refusal(detail: str) -> RelayRefusal:
@@ -208,12 +216,12 @@
 
 
 def _last_event_id(request: CallerRequest) -> int | None:
-    event_id = _parse_number(request.header(RESUME_AFTER))
-    return None if event_id is None else int(event_id)
+    return _parse_digits(request.header(RESUME_AFTER), EVENT_ID_DIGITS_MAX)
 
 
 def _parse_number(text: bytes | None) -> float | None:
     try:
-        return float(text or b'')
+        number = float(text or b'')
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
