--- a/bergamotthread/connection/http/upstream_connection.py
+++ b/bergamotthread/connection/http/upstream_connection.py
@@ -26,6 +26,8 @@
 )
 
 _MS_PER_S = 1000
+_TRANSFER_ENCODING = b'transfer-encoding'
+_CHUNKED = b'chunked'
 # Bytes of an answer that are buffered before the socket is no longer read.
 BUFFERED_BYTES_MAX = 65_536
 # Bytes of an answer beside its body (heads, framing, other answers), added to
@@ -116,6 +118,12 @@
             if self._framing is Framing.CLOSE:
                 self._report_lost('an answer to another request')
             return
+        coding = headers.get(_TRANSFER_ENCODING, _CHUNKED).strip().lower()
+        if coding != _CHUNKED:
+            self._report_lost(
+                f'transfer coding {coding!r}, expected {_CHUNKED!r}'
+            )
+            return
         self._read_keep_alive(headers)
         self._has_head = True
         self._queue_item(
@@ -277,7 +285,7 @@
 
 
 def _framing(headers: dict[bytes, bytes]) -> Framing:
-    if b'chunked' in headers.get(b'transfer-encoding', b'').lower():
+    if _CHUNKED in headers.get(_TRANSFER_ENCODING, b'').lower():
         return Framing.CHUNKED
     if b'content-length' in headers:
         return Framing.LENGTH
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -48,6 +48,7 @@
 # HTTP status of an upstream that is not the incarnation expected by the entry.
 MISDIRECTED = 421
 _OK = 200
+_UNWANTED = 'a body encoded with {0!r}, which the caller did not ask for'
 _FIRST_REDIRECT = 300
 _FULL = NotSent('the upstream holds enough bytes of requests', is_held=True)
 _HELD = NotSent('the upstream takes no request now', is_held=True)
@@ -164,6 +165,18 @@
         signature = head.header(self.parts.header_names.signature)
         return is_success and signature is None
 
+    def unwanted_encoding(self, head: AnswerHead) -> bytes:
+        """Return the encoding of a success that the caller did not ask for.
+
+        Its bytes are not the body that the caller expects; empty if none.
+        """
+        encoding = head.header(b'content-encoding') or b''
+        accepted = self.call.request.header(b'accept-encoding') or b''
+        is_accepted = encoding.lower() in accepted.lower()
+        return (
+            b'' if is_accepted or head.status >= _FIRST_REDIRECT else encoding
+        )
+
     def _record_sent(
         self, connection: UpstreamConnection, encoded_bytes: int
     ) -> None:
@@ -263,7 +276,8 @@
         self._head = head
         if self._attempt.lacks_signature(head):
             return Broken('a success without signature')
-        return None
+        encoding = self._attempt.unwanted_encoding(head)
+        return Broken(_UNWANTED.format(encoding)) if encoding else None
 
     def _add_body_part(self, part: bytes) -> AttemptOutcome | None:
         self._body += part
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -503,6 +503,8 @@
             return not_run
         if head.status != _OK or attempt.lacks_signature(head):
             return Answered(head, b'', attempt.pause_ms)
+        if attempt.unwanted_encoding(head):
+            return Broken('an encoded stream, which the caller did not ask for')
         if not self._call.exchange.has_head:
             headers = self._parts.header_names.for_caller(head.headers)
             self._call.exchange.start(_OK, headers)
