--- a/bergamotthread/connection/http/caller_connection.py
+++ b/bergamotthread/connection/http/caller_connection.py
@@ -177,6 +177,7 @@
         self._written_bytes = 0
         self._taken_bytes = 0
         self._taken_ms: float = 0
+        self._idle_since_ms = server.clock.now_ms()
         self._request_bytes = 0
         self._queued_bytes = 0
         self._closes_after_answer = False
@@ -302,8 +303,11 @@
         return self._task is None and not self._in_message
 
     def connection_headers(self) -> list[Header]:
-        """Return `connection: close` if this answer is the last one."""
-        if self._server.is_draining:
+        """Return `connection: close` if this answer is the last one.
+
+        Requests that were read already are answered before a drain ends it.
+        """
+        if self._server.is_draining and not self._queue:
             self._closes_after_answer = True
         if self._closes_after_answer:
             return [(b'connection', b'close')]
@@ -355,9 +359,11 @@
         if self._task is not None:
             self._task.cancel()
 
-    def close_idle(self) -> None:
-        """Close if no request is being read or answered."""
-        if self.is_idle and self._transport is not None:
+    def close_idle(self, idle_min_ms: float = 0) -> None:
+        """Close if no request was read or answered for a time."""
+        idle_ms = self._server.clock.now_ms() - self._idle_since_ms
+        is_kept = idle_ms < idle_min_ms or not self.is_idle
+        if not is_kept and self._transport is not None:
             self._transport.close()
 
     # private
@@ -437,6 +443,7 @@
 
     def _after_answer(self, exchange: Exchange) -> None:
         self._request_bytes = 0
+        self._idle_since_ms = self._server.clock.now_ms()
         if self.is_closed or self._transport is None:
             return
         self.account.release_answer()
--- a/bergamotthread/process/relay/life_cycle.py
+++ b/bergamotthread/process/relay/life_cycle.py
@@ -16,6 +16,9 @@
 # Time until the balancer sends no new connections: it checks once a second and
 # removes an entry after two failed checks.
 BALANCER_REMOVAL_MS = 2600
+# Time in which a caller that has just connected, or got an answer, is expected
+# to send its request: a round trip between regions and a lost packet.
+REQUEST_UNDER_WAY_MS = 400
 # Streams that begin later than this after the request to stop would not end
 # before the process is killed.
 NEW_STREAM_GRACE_MS = 1500
--- a/bergamotthread/process/relay/servers.py
+++ b/bergamotthread/process/relay/servers.py
@@ -15,7 +15,10 @@
     Exchange,
 )
 from bergamotthread.process.overload.retry_after import RetryAfterRange
-from bergamotthread.process.relay.life_cycle import LifeCycle
+from bergamotthread.process.relay.life_cycle import (
+    REQUEST_UNDER_WAY_MS,
+    LifeCycle,
+)
 from bergamotthread.process.relay.own_load import OwnLoad
 from bergamotthread.process.relay.version_holder import RouteTableHolder
 from bergamotthread.request.relay.admission import Admission
@@ -103,6 +106,11 @@
         for connection in tuple(self.connections):
             connection.cancel_request()
 
+    def close_idle(self) -> None:
+        """Close connections on which no request is to be expected."""
+        for connection in tuple(self.connections):
+            connection.close_idle(REQUEST_UNDER_WAY_MS)
+
     def _is_too_late(self, call: RelayedCall) -> bool:
         """Return whether the process is likely to end before the answer."""
         if self.is_ending:
