--- a/bergamotthread/platform/crash_parts.py
+++ b/bergamotthread/platform/crash_parts.py
@@ -51,4 +51,6 @@
 
     async def run(self) -> None:
         """Share crashes and quarantines until cancelled."""
-        await asyncio.gather(self.relay.run(), self.rows.run())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.relay.run())
+            group.create_task(self.rows.run())
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -22,7 +22,6 @@
 from bergamotthread.platform.runner_calls import RunnerClient
 from bergamotthread.platform.runner_watch import RunnerWatch
 from bergamotthread.platform.settings import (
-    FIXED_SETTINGS,
     PlatformSettings,
     PlatformSettingsError,
     load_settings,
@@ -34,6 +33,7 @@
 from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.feed_sources import FeedSources
 from bergamotthread.process.relay.freshness import VersionFreshness
+from bergamotthread.process.relay.lasting_tasks import LastingTasks
 from bergamotthread.process.relay.life_cycle import LifeCycle
 from bergamotthread.process.relay.liveness import LivenessWatch
 from bergamotthread.process.relay.own_load import OwnLoad
@@ -145,31 +145,29 @@
         self._log.write('start', domain=self._settings.failure_domain)
         await self._listen()
         watches = self._watches
-        tasks = [
-            asyncio.create_task(coroutine)
-            for coroutine in (
-                watches.version.run(),
-                watches.runners.run(),
-                watches.entries.run(),
-                watches.entries.register(),
-                self._leaving_relay.run(),
-                self._crashes.run(),
-                self._limit_parts.run(),
-                self._build_relay.run(),
-                self._limit_relay.run(),
-            )
-        ]
+        tasks = LastingTasks(self._clock, self._log)
+        for name, run in (
+            ('version', watches.version.run),
+            ('upstreams', watches.runners.run),
+            ('entries', watches.entries.run),
+            ('registration', watches.entries.register),
+            ('leaving', self._leaving_relay.run),
+            ('crashes', self._crashes.run),
+            ('limits', self._limit_parts.run),
+            ('builds', self._build_relay.run),
+            ('limit-notices', self._limit_relay.run),
+        ):
+            tasks.start(name, run)
         while not self._is_finished():
             due_ms = self._clock.now_ms() + HOUSEKEEPING_INTERVAL_MS
             await self._clock.sleep_ms(HOUSEKEEPING_INTERVAL_MS)
             self._record_use(self._clock.now_ms() - due_ms)
             self._pool.close_stale()
             if self._life_cycle.is_out_of_rotation:
-                self._close_idle()
+                self._server.close_idle()
         self._server.end_requests()
         await self._clock.sleep_ms(FINAL_ANSWERS_MS)
-        for task in tasks:
-            task.cancel()
+        tasks.cancel()
         self._log.write('stop', in_flight=self._server.in_flight)
         self._log.flush()
 
@@ -190,10 +188,11 @@
             self._log.write('reload-failed', detail=str(error))
             return
         changed = self._settings.changed_names(settings)
+        fixed = self._settings.fixed_names(changed)
         self._log.write(
             'reload',
             changed=' '.join(sorted(changed)),
-            from_next_start=' '.join(sorted(changed & FIXED_SETTINGS)),
+            from_next_start=' '.join(sorted(fixed)),
         )
         self._apply_settings(settings)
 
@@ -242,10 +241,6 @@
             self._life_cycle.is_out_of_rotation and not self._server.connections
         )
 
-    def _close_idle(self) -> None:
-        for connection in tuple(self._server.connections):
-            connection.close_idle()
-
     async def _listen(self) -> None:
         settings = self._settings
         status_server = StatusServer(
--- a/bergamotthread/platform/limit_parts.py
+++ b/bergamotthread/platform/limit_parts.py
@@ -69,8 +69,9 @@
 
     async def run(self) -> None:
         """Renew leases until cancelled."""
-        checks = self.relay.run(self._is_active)
-        await asyncio.gather(self.leases.run(), checks)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.leases.run())
+            group.create_task(self.relay.run(self._is_active))
 
     @property
     def answer_by_path(self) -> dict[bytes, MessageAnswer]:
--- a/bergamotthread/platform/settings.py
+++ b/bergamotthread/platform/settings.py
@@ -140,6 +140,10 @@
             if getattr(self, setting.name) != getattr(other, setting.name)
         )
 
+    def fixed_names(self, names: frozenset[str]) -> frozenset[str]:
+        """Return those of the names that a running process keeps."""
+        return names & FIXED_SETTINGS
+
     def keep_fixed(self, former: PlatformSettings) -> PlatformSettings:
         """Return these settings with the `FIXED_SETTINGS` of a former set."""
         kept = {name: getattr(former, name) for name in FIXED_SETTINGS}
