--- a/bergamotthread/cli/main.py
+++ b/bergamotthread/cli/main.py
@@ -13,6 +13,7 @@
     keygen,
     publish,
     replay,
+    review,
     serve,
     settings,
 )
@@ -57,6 +58,7 @@
     *settings.COMMANDS,
     *keygen.COMMANDS,
     *publish.COMMANDS,
+    *review.COMMANDS,
     *drain.COMMANDS,
     *calls.COMMANDS,
     *explain.COMMANDS,
--- a/bergamotthread/platform/checks.py
+++ b/bergamotthread/platform/checks.py
@@ -37,6 +37,18 @@
         service, has a malformed prefix or has the host and prefix of another
         route.
     """
+    table = load_manifest_file(path)
+    return f'version {table.version}, {len(table.routes)} routes'
+
+
+def load_manifest_file(path: Path) -> RouteTable:
+    """Return the route table of a manifest that has no errors.
+
+    Raises
+    ------
+    PlatformCheckError
+        As `check_manifest_file` does.
+    """
     try:
         table, invalid_fields = read_manifest(path.read_bytes())
     except OSError as error:
@@ -46,7 +58,7 @@
     faults = (*invalid_fields, *_find_faults(table))
     if faults:
         raise _check_error(path, faults)
-    return f'version {table.version}, {len(table.routes)} routes'
+    return table
 
 
 def _find_faults(table: RouteTable) -> Iterator[str]:
