--- a/bergamotthread/platform/manifest_review.py
+++ b/bergamotthread/platform/manifest_review.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, fields
 from typing import Any
 
@@ -143,23 +143,19 @@
     """Yield how many keys of each team were added and removed."""
     before = _keys(former)
     after = _keys(table)
-    for sign, keys in (('+', after - before), ('-', before - after)):
-        for team, count in sorted(_count_teams(keys).items()):
-            yield f'{sign} {count} keys of {team}'
-    if former.team_by_key is None and table.team_by_key is not None:
-        yield '~ keys are now required'
-    elif former.team_by_key is not None and table.team_by_key is None:
-        yield '~ keys are no longer required'
+    differences = {'+': after - before, '-': before - after}
+    for sign, keys in differences.items():
+        count_by_team = Counter(team for _, team in keys)
+        for team in sorted(count_by_team):
+            yield f'{sign} {count_by_team[team]} keys of {team}'
+    if (former.team_by_key is None) != (table.team_by_key is None):
+        yield '~ keys are required now, or no longer'
 
 
 def _keys(table: RouteTable) -> frozenset[tuple[bytes, str]]:
     return frozenset((table.team_by_key or {}).items())
 
 
-def _count_teams(keys: Iterable[tuple[bytes, str]]) -> Counter[str]:
-    return Counter(team for _, team in keys)
-
-
 def _routes_by_name(table: RouteTable) -> dict[str, RelayRoute]:
     """Return routes by host and prefix, which select them."""
     return {
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -48,6 +48,7 @@
 # HTTP status of an upstream that is not the incarnation expected by the entry.
 MISDIRECTED = 421
 _OK = 200
+_IDENTITY = b'identity'
 _UNWANTED = 'a body encoded with {0!r}, which the caller did not ask for'
 _FIRST_REDIRECT = 300
 _FULL = NotSent('the upstream holds enough bytes of requests', is_held=True)
@@ -171,11 +172,10 @@
         Its bytes are not the body that the caller expects; empty if none.
         """
         encoding = head.header(b'content-encoding') or b''
-        accepted = self.call.request.header(b'accept-encoding') or b''
+        accepted = self.call.request.header(b'accept-encoding') or _IDENTITY
         is_accepted = encoding.lower() in accepted.lower()
-        return (
-            b'' if is_accepted or head.status >= _FIRST_REDIRECT else encoding
-        )
+        is_success = head.status < _FIRST_REDIRECT
+        return b'' if is_accepted or not is_success else encoding
 
     def _record_sent(
         self, connection: UpstreamConnection, encoded_bytes: int
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -74,9 +74,9 @@
 # Pauses from which the mean is known. Before, the limit is twice as long.
 KNOWN_PAUSES_MIN = 2
 # A response that breaks off this soon after its caller has kept it waiting this
-# long was cut by the upstream because nobody read it.
+# long was cut by the upstream because nobody read it, which takes some seconds.
 UNREAD_CUT_MS = 500
-UNREAD_MIN_MS = 1000
+UNREAD_MIN_MS = 2000
 # The same limit before the first event of a run that resumes from a copy.
 RESUME_STALL_TIMEOUT_MS = 1500
 # Fraction of the first-event target for which a stream waits for an upstream.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from soak.plan import Fault, FaultKind
 from soak.records import EntryKill, PlannedStop
 from soak.runner_faults import ON_RUNNER
+from soak.slow_callers import send_slowly
 from standins.platform_settings import GRACE_S
 
 # Time until the balancer removes a stopping process from its rotation: it
@@ -209,6 +210,7 @@
     FaultKind.PAUSE_ENTRY: _pause_entry,
     FaultKind.RELOAD_ENTRY: _reload_entry,
     FaultKind.HOLD_ENTRY: _hold_entry,
+    FaultKind.SLOW_CALLERS: send_slowly,
     FaultKind.CUT_STORE_LINK: _cut_store_link,
 }
 _ON_STORE: dict[FaultKind, _OnStore] = {
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -16,6 +16,7 @@
     PAUSE_ENTRY = 'pause-entry'
     RELOAD_ENTRY = 'reload-entry'
     HOLD_ENTRY = 'hold-entry'
+    SLOW_CALLERS = 'slow-callers'
     KILL_RUNNER = 'kill-runner'
     CRASH_RUNNERS = 'crash-runners'
     PAUSE_RUNNER = 'pause-runner'
@@ -48,6 +49,7 @@
         FaultKind.STOP_ENTRY,
         FaultKind.RELOAD_ENTRY,
         FaultKind.HOLD_ENTRY,
+        FaultKind.SLOW_CALLERS,
         FaultKind.DRAIN_RUNNER,
         FaultKind.PUBLISH_ROUTE,
         FaultKind.REVOKE_KEY,
@@ -60,18 +62,26 @@
         FaultKind.PAUSE_ENTRY,
         FaultKind.RELOAD_ENTRY,
         FaultKind.HOLD_ENTRY,
+        FaultKind.SLOW_CALLERS,
         FaultKind.CUT_STORE_LINK,
     ),
 )
-_DRAWN_APART = frozenset((FaultKind.CRASH_RUNNERS, FaultKind.LIMIT_RUNNER))
+_DRAWN_APART = frozenset(
+    (
+        FaultKind.CRASH_RUNNERS,
+        FaultKind.LIMIT_RUNNER,
+        FaultKind.SLOW_CALLERS,
+    ),
+)
 _DRAWN_TOGETHER = tuple(kind for kind in FaultKind if kind not in _DRAWN_APART)
 # Length of a series of requests that crash runners, and of a limit: both are
-# judged from 4 s after their start.
+# judged from 4 s after their start. Slow callers outlast the header timeout.
 APART_S = 8.0
 # Name of the draw of each kind that is drawn apart.
 _DRAWS = {
     FaultKind.CRASH_RUNNERS: 'crashes',
     FaultKind.LIMIT_RUNNER: 'limits',
+    FaultKind.SLOW_CALLERS: 'slow callers',
 }
 # Quiet time at the start and at the end of a soak.
 QUIET_START_S = 2.0
@@ -136,9 +146,9 @@
         Parameters
         ----------
         kinds
-            Kinds to draw from; all kinds if empty. Requests that crash runners
-            and limits are then drawn apart, so that the other faults of a seed
-            stay.
+            Kinds to draw from; all kinds if empty. Requests that crash
+            runners, limits and slow callers are then drawn apart, so that the
+            other faults of a seed stay.
         """
         rng = random.Random(seed)
         kinds_drawn = tuple(kinds) or _DRAWN_TOGETHER
@@ -160,7 +170,8 @@
             at_s += rng.expovariate(1 / _MEAN_GAP_S)
         if not kinds:
             for apart in sorted(_DRAWN_APART):
-                faults.extend(_draw_apart(apart, seed, seconds, runners))
+                count = entries if apart in _OF_ENTRIES else runners
+                faults.extend(_draw_apart(apart, seed, seconds, count))
             faults.sort(key=lambda fault: fault.at_s)
         return cls(seed, seconds, entries, runners, tuple(faults))
 
@@ -176,7 +187,7 @@
 
 
 def _draw_apart(
-    kind: FaultKind, seed: int, seconds: float, runners: int
+    kind: FaultKind, seed: int, seconds: float, count: int
 ) -> list[Fault]:
     """Draw one fault of a kind for each mixed phase."""
     rng = random.Random(f'{seed} {_DRAWS[kind]}')
@@ -184,7 +195,7 @@
     phase_s = QUIET_START_S
     while phase_s + APART_S < seconds - QUIET_END_S:
         at_s = round(phase_s + rng.uniform(0, MIXED_PHASE_S - APART_S), 2)
-        faults.append(Fault(at_s, kind, rng.randrange(runners), APART_S))
+        faults.append(Fault(at_s, kind, rng.randrange(count), APART_S))
         phase_s += CYCLE_S
     return faults
 
