--- a/bergamotthread/connection/held_bytes.py
+++ b/bergamotthread/connection/held_bytes.py
@@ -19,6 +19,13 @@
 # itself takes half of the smallest machine.
 HELD_MEMORY_FRACTION = 0.2
 
+# Fraction of the limit that callers which are being sent their answers may hold
+# while the answer that is collected for longest still goes on beyond the limit.
+SENDING_FRACTION = 0.5
+# A caller that has taken a part of what it is sent within this time reads. A
+# lost packet on its link is sent again within about that.
+READING_MS = 500
+
 
 class Holder(Protocol):
     """A caller's connection, as seen by the bound."""
@@ -82,6 +89,14 @@
         self.answer_bytes = 0
         self._held.note_collecting(self)
 
+    @property
+    def is_at_fault(self) -> bool:
+        """Return whether the process waits for the caller, beyond its link."""
+        if self.waits_since_ms is None:
+            return False
+        waited_ms = self._held.clock.now_ms() - self.waits_since_ms
+        return self._is_reading or waited_ms > READING_MS
+
     def look(self) -> None:
         """Read again what the caller has not taken yet."""
         unsent_bytes = self.holder.unsent_bytes
@@ -108,10 +123,15 @@
     def has_room(self) -> bool:
         """Return whether more of an answer may be collected.
 
-        The answer that is collected for longest may always go on, so that not
-        all wait for each other.
+        The answer that is collected for longest may go on, so that not all wait
+        for each other, unless callers that are being sent theirs hold too much.
         """
-        return self._held.has_room or self._held.is_first(self)
+        held = self._held
+        held.shed()
+        return held.has_room or (
+            held.is_first(self)
+            and held.unsent_bytes < held.limit_bytes * SENDING_FRACTION
+        )
 
     def _update_waiting(self) -> None:
         if not self._is_reading and not self.unsent_bytes:
@@ -159,6 +179,11 @@
         """Return whether the bound is not reached."""
         return self.total_bytes < self.limit_bytes
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes that callers had not taken at the last look."""
+        return sum(account.unsent_bytes for account in self._unsent)
+
     def shed(self) -> None:
         """Drop callers that keep the process waiting while over the bound."""
         if self.has_room:
@@ -199,7 +224,8 @@
 
     def _victim(self) -> HeldAccount | None:
         """Return the caller that holds most bytes for longest, if any."""
-        return max(self._waiting, key=self._blame, default=None)
+        at_fault = (one for one in self._waiting if one.is_at_fault)
+        return max(at_fault, key=self._blame, default=None)
 
     def _blame(self, account: HeldAccount) -> float:
         """Return byte-milliseconds for which the caller is responsible."""
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -71,6 +71,21 @@
     assert (len(steady.dropped), len(idle.dropped)) == (0, 1)
 
 
+# Guards against sound callers that lose their answers as others are collected.
+def test_caller_that_has_just_been_sent_its_answer_keeps_it():
+    bench = _Bench(10 * MEGABYTE)
+    fresh, fresh_account = bench.connect()
+    fresh.unsent_bytes = 8 * MEGABYTE
+    fresh_account.look()
+    bench.now_s += 0.2
+    _, collecting = bench.connect()
+    collecting.add_answer(4 * MEGABYTE)
+    assert not fresh.dropped
+    bench.now_s += 0.4
+    collecting.add_answer(1)
+    assert fresh.dropped
+
+
 def test_slow_sender_loses_before_a_fresh_one():
     bench = _Bench(10 * MEGABYTE)
     accounts = []
--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+
 import pytest
 
 from bergamotthread.clock import Clock
+from bergamotthread.platform.settings import PlatformSettings
 from bergamotthread.process.machine_limits import MachineLimits
 from bergamotthread.process.overload.rank import Rank
 from bergamotthread.process.relay.own_load import (
@@ -14,7 +18,8 @@
     OwnUse,
 )
 from bergamotthread.testing.memory_http import run_in_memory
-from tests.platform_standins import Deployment
+from standins.platform_settings import entry_settings
+from tests.platform_standins import STORE, Deployment
 
 STEP_MS = 200
 WEAK = MachineLimits(0.271, 128_000_000, 625_000)
@@ -170,3 +175,34 @@
         assert not deployment.ran(deployment.models)
 
     run_in_memory(check())
+
+
+def test_settings_of_the_machine_decide_on_the_platform():
+    async def check():
+        deployment = await Deployment.start()
+        weak_file = entry_settings('weak', '10.1.0.2', 'a-1', STORE)
+        weak_file['limits'] = {'link_mbps': 5, 'cpu_share': 0.271}
+        weak = PlatformSettings.from_json(json.dumps(weak_file).encode())
+        await deployment.add_entry(weak)
+        await deployment.clock.sleep_ms(1000)
+        for plain in deployment.plains:
+            plain.script.answer = b'a' * 500_000
+        for front in ('10.1.0.1:8000', '10.1.0.2:8000'):
+            calls = [deployment.call('/any/x', front) for _ in range(4)]
+            answers = await asyncio.gather(*calls)
+            assert {answer.status for answer in answers} == {200}
+            await deployment.clock.sleep_ms(1500)
+        assert not deployment.events('entry-choked')
+        [choked] = deployment.events('entry-choked', entry=1)
+        assert choked['link_bytes_per_s'] == 625_000
+        assert choked['link_late_ms'] > 2000
+        statuses = [
+            (await deployment.call('/any/x', '10.1.0.2:8000')).status
+            for _ in range(6)
+        ]
+        assert 503 in statuses
+        assert 200 in statuses
+        await deployment.clock.sleep_ms(30_000)
+        assert deployment.events('entry-has-room', entry=1)
+
+    run_in_memory(check())
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -8,7 +8,10 @@
 import pytest
 
 from bergamotthread.clock import Clock
-from bergamotthread.connection.held_bytes import HeldBytes
+from bergamotthread.connection.held_bytes import (
+    SENDING_FRACTION,
+    HeldBytes,
+)
 from bergamotthread.connection.http.caller_connection import (
     CallerConnection,
     CallerLimits,
@@ -239,3 +242,67 @@
         assert statuses <= {200, 503}
 
     run_in_memory(check())
+
+
+# Guards against answers that are collected together beyond the memory.
+def test_answers_wait_at_their_upstreams_while_too_much_is_held():
+    async def check():
+        deployment = await Deployment.start()
+        held = deployment.entries[0]._held
+        held.limit_bytes = 2_000_000
+        deployment.net.window_bytes = 100_000
+        highest = 0
+        for plain in deployment.plains:
+            plain.script.answer = b'a' * 900_000
+        calls = [
+            asyncio.create_task(
+                deployment.call('/once/x', body=b'', remaining_ms=1500)
+            )
+            for _ in range(8)
+        ]
+        while not all(call.done() for call in calls):
+            highest = max(highest, held.total_bytes)
+            await deployment.clock.sleep_ms(1)
+        answers = [await call for call in calls]
+        assert [answer.status for answer in answers] == [200] * 8
+        assert {len(answer.body) for answer in answers} == {900_000}
+        # Each answer may have got one more part when the bound was reached.
+        parts = 8 * deployment.net.window_bytes
+        bound = held.limit_bytes * (1 + SENDING_FRACTION)
+        assert highest < bound + parts + 900_000
+        await deployment.clock.sleep_ms(600)
+        assert held.total_bytes == 0
+
+    run_in_memory(check())
+
+
+def test_body_that_an_upstream_does_not_read_is_held_until_the_deadline():
+    async def check():
+        deployment = await Deployment.start(plains=1)
+        deployment.net.window_bytes = WINDOW
+        held = deployment.entries[0]._held
+        plain = deployment.plains[0]
+        call = asyncio.create_task(
+            deployment.call('/once/x', body=b'b' * 1_000_000)
+        )
+        while not _server_ends(deployment.net, plain.address):
+            await deployment.clock.sleep_ms(1)
+        for transport in _server_ends(deployment.net, plain.address):
+            transport.pause_reading()
+        await deployment.clock.sleep_ms(500)
+        assert held.total_bytes > 1_900_000
+        assert (await call).status == 504
+        await deployment.clock.sleep_ms(100)
+        assert held.total_bytes == 0
+        assert not deployment.entries[0]._directory.get('p0').request_bytes
+
+    run_in_memory(check())
+
+
+def _server_ends(net: MemoryNetwork, address: str) -> list[MemoryTransport]:
+    return [
+        item
+        for item in net.transports
+        if item.address == address
+        and isinstance(item.protocol, CallerConnection)
+    ]
