--- a/bergamotthread/platform/manifest.py
+++ b/bergamotthread/platform/manifest.py
@@ -8,6 +8,7 @@
 
 from bergamotthread.connection.http.caller_connection import CallerLimits
 from bergamotthread.errors import BergamotError, Step
+from bergamotthread.platform.numbers import Number
 from bergamotthread.version.route_table import (
     EngineTraits,
     RelayRoute,
@@ -35,16 +36,16 @@
     traffic_split: tuple[_Split, ...] = ()
     timeout_ms: float = 30_000
     target_latency_ms: float = 1000
-    priority: int = 0
-    max_attempts: int = 1
+    priority: Number = 0
+    max_attempts: Number = 1
     auth_exempt: bool = False
     stream_resume: bool = False
     gap_target_ms: float = 0
 
 
 class _Engine(msgspec.Struct, frozen=True):
-    slots: int = 1
-    kv_capacity_tokens: int = 0
+    slots: Number = 1
+    kv_capacity_tokens: Number = 0
     backups: bool = False
     moves: bool = False
 
@@ -52,13 +53,13 @@
 class _Service(msgspec.Struct, frozen=True):
     name: str
     health_path: str = '/health'
-    max_conns: int = 100
+    max_conns: Number = 100
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
+    max_header_bytes: Number = 16_384
+    max_body_bytes: Number = 4_194_304
     header_timeout_ms: float = 3000
     idle_timeout_ms: float = 15_000
 
@@ -67,7 +68,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     # Goes before the priority of the route.
-    priority: int | None = None
+    priority: Number | None = None
 
 
 class _Manifest(msgspec.Struct, frozen=True):
--- a/bergamotthread/platform/runner_rows.py
+++ b/bergamotthread/platform/runner_rows.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import ipaddress
+
 import msgspec
 from absl import logging
 
+from bergamotthread.platform.numbers import Count, Number
 from bergamotthread.process.relay.upstreams import (
     LoadReport,
     RunProgress,
@@ -14,6 +17,7 @@
 
 # Tokens of a typical prompt, from the users' data sheets.
 TYPICAL_PROMPT_TOKENS = 8200
+PORT_MAX = 65_535
 
 
 class _Row(msgspec.Struct, frozen=True):
@@ -21,20 +25,20 @@
     address: str
     zone: str
     state: str
-    slots: int = 0
-    born: int = 0
+    slots: Count = 0
+    born: Count = 0
     # Of the software; the weights have versions of their own.
     version: str = ''
 
 
 class _Report(msgspec.Struct, frozen=True):
-    queue_depth: int = 0
-    in_flight: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
-    handles: int = 0
-    runs: tuple[tuple[str, int, int, int], ...] = ()
-    born: int = 0
+    queue_depth: Count = 0
+    in_flight: Count = 0
+    kv_used: Count = 0
+    kv_total: Count = 0
+    handles: Count = 0
+    runs: tuple[tuple[str, Count, Count, Number], ...] = ()
+    born: Count = 0
 
 
 def decode_runner(instance: str, encoded: bytes) -> UpstreamRecord | None:
@@ -45,12 +49,13 @@
     try:
         row = msgspec.json.decode(encoded, type=_Row)
         state = UpstreamState(row.state)
+        _check_address(row.address)
     except (msgspec.MsgspecError, ValueError) as error:
         logging.debug(
             'row of %s cannot be decoded as a runner: %s', instance, error
         )
         return None
-    if ':' not in row.address or not row.service:
+    if not row.service:
         return None
     return UpstreamRecord(
         instance=instance,
@@ -64,6 +69,20 @@
     )
 
 
+def _check_address(address: str) -> None:
+    """Check that an address has an IP number and a port; names are not asked.
+
+    Raises
+    ------
+    ValueError
+        If it has not.
+    """
+    host, _, port = address.rpartition(':')
+    ipaddress.ip_address(host)
+    if not port.isdecimal() or not 0 < int(port) <= PORT_MAX:
+        raise ValueError(f'port {port!r}, expected 1 to {PORT_MAX}')
+
+
 def decode_report(encoded: bytes, at_ms: float) -> LoadReport | None:
     """Decode an upstream's load report; return None if it is invalid.
 
--- a/tests/test_operator_faults.py
+++ b/tests/test_operator_faults.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
 from bergamotthread.testing.memory_http import run_in_memory
-from standins.platform_runner import PLAIN, REQUEST_ID, SEAL, runner_row
+from standins.platform_runner import MODEL, PLAIN, REQUEST_ID, SEAL, runner_row
 from tests.platform_standins import Deployment
 from tests.test_unframed_answers import RAW_ADDRESS, RawRunner
 
@@ -295,3 +296,119 @@
         assert deployment.ran(deployment.plains) == 1
 
     run_in_memory(check())
+
+
+HUGE = 10**400
+JUNK_ROW = {
+    'address': '10.9.0.99:8080',
+    'zone': 'a-1',
+    'state': 'ready',
+    'slots': 8,
+    'born': 1,
+}
+JUNK_ROWS = [
+    {'address': '10.9.0.99:99999'},
+    {'address': '10.9.0.99:'},
+    {'address': '10.9.0.99:-1'},
+    {'address': 'no.such.name:8080'},
+    {'address': ':'},
+    {'slots': HUGE},
+    {'slots': -8},
+    {'born': HUGE},
+    {'born': -1},
+    {'zone': ''},
+    {'version': '\x00' * 100},
+]
+
+
+# Rows and reports with values that nobody sends took down all requests.
+@pytest.mark.parametrize('service', [MODEL, PLAIN])
+@pytest.mark.parametrize('junk', JUNK_ROWS)
+def test_row_with_values_that_nobody_sends_harms_nobody(junk, service):
+    async def check():
+        deployment = await Deployment.start(models=2, plains=2)
+        row = {**JUNK_ROW, 'service': service, **junk}
+        deployment.store.put('servers', 'junk', row)
+        await deployment.clock.sleep_ms(1500)
+        path = '/any/x' if service == PLAIN else '/stream/x'
+        for _ in range(4):
+            answer = await deployment.call(path)
+            assert answer.status == 200
+        assert not deployment.events('task-failed')
+
+    run_in_memory(check())
+
+
+@pytest.mark.parametrize('number', [HUGE, 10**30, -5, -(10**30), 1e308])
+@pytest.mark.parametrize(
+    'name', ['queue_depth', 'in_flight', 'kv_used', 'kv_total', 'handles']
+)
+def test_report_with_values_that_nobody_sends_harms_nobody(name, number):
+    async def check():
+        deployment = await Deployment.start()
+        junk = deployment.models[0]
+        serve = junk.answer
+
+        async def answer(exchange):
+            if exchange.request.target != b'/api/report':
+                await serve(exchange)
+                return
+            report = {'kv_total': 88_000, name: number}
+            exchange.respond(200, (), json.dumps(report).encode())
+
+        junk.answer = answer
+        for _ in range(4):
+            answers = await asyncio.gather(
+                *(deployment.call('/stream/x') for _ in range(4))
+            )
+            assert {answer.status for answer in answers} == {200}
+            assert all(answer.is_whole for answer in answers)
+
+    run_in_memory(check())
+
+
+JUNK_BODIES = [
+    b'',
+    b'{',
+    b'null',
+    b'[]',
+    b'{}',
+    b'[1,2,3]',
+    b'"text"',
+    b'\x80',
+    b'\xc1' * 100,
+    b'[' * 100_000,
+    b'{"type":"told"}',
+    b'{"type":null}',
+    b'\xff\xfe' * 50,
+    str(HUGE).encode(),
+]
+
+
+@pytest.mark.parametrize('junk', JUNK_BODIES, ids=range(len(JUNK_BODIES)))
+def test_message_of_a_peer_that_makes_no_sense_is_answered(junk):
+    async def check():
+        deployment = await Deployment.start()
+        for path in (
+            '/api/rows-feed',
+            f'/api/rows-feed?table=op&after=x&wait_ms={HUGE}',
+            f'/api/rows-feed?table=op&after={HUGE}',
+            '/api/upstreams-leaving',
+            '/api/poison',
+            '/api/leases',
+            '/api/limits',
+            '/api/builds',
+            '/api/nothing',
+        ):
+            for method in (b'POST', b'GET', b'DELETE'):
+                answer = await asyncio.wait_for(
+                    deployment.call(
+                        path, '10.1.0.1:7001', method=method, body=junk
+                    ),
+                    20,
+                )
+                assert answer.status, (path, method)
+        assert (await deployment.call('/any/x')).status == 200
+        assert not deployment.events('task-failed')
+
+    run_in_memory(check())
