--- a/bergamotthread/platform/settings.py
+++ b/bergamotthread/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 from dataclasses import dataclass, fields, replace
 from pathlib import Path
@@ -60,10 +61,10 @@
 
 
 class _MachineLimits(msgspec.Struct, frozen=True):
-    cpu_share: float = 1
-    cores: float = 1
-    memory_mb: float = 128
-    link_mbps: float = 1000
+    cpu_share: float | None = 1
+    cores: float | None = 1
+    memory_mb: float | None = 128
+    link_mbps: float | None = 1000
 
 
 class _SettingsFile(msgspec.Struct, frozen=True):
@@ -229,12 +230,17 @@
 
 def _machine(limits: _MachineLimits) -> MachineLimits:
     return MachineLimits(
-        cores=limits.cpu_share * limits.cores,
-        memory_bytes=limits.memory_mb * BYTES_PER_MB,
-        link_bytes_per_s=limits.link_mbps * _BYTES_PER_S_OF_MBPS,
+        cores=_limit(limits.cpu_share) * _limit(limits.cores),
+        memory_bytes=_limit(limits.memory_mb) * BYTES_PER_MB,
+        link_bytes_per_s=_limit(limits.link_mbps) * _BYTES_PER_S_OF_MBPS,
     )
 
 
+def _limit(number: float | None) -> float:
+    """Return a limit of the machine; infinite if none, or 0, is stated."""
+    return number if number and number > 0 else math.inf
+
+
 def _check_bounds(bounds: _Bounds) -> None:
     positive = ['grace_s', 'config_apply_ms', 'budget_window_s', 'rollback_ms']
     if bounds.revoke_everywhere:
--- a/tests/test_operator_faults.py
+++ b/tests/test_operator_faults.py
@@ -412,3 +412,32 @@
         assert not deployment.events('task-failed')
 
     run_in_memory(check())
+
+
+# A settings file that can't be used, as SIGHUP finds it, changes nothing.
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'null',
+        b'\xff\xfe',
+        b'[' * 100_000,
+        b'{"node_name":1}',
+        b'{"bounds":{"grace_s":%d}}' % 10**6,
+        json.dumps({'node_name': 'n', 'zones': HUGE}).encode(),
+    ],
+    ids=range(7),
+)
+def test_settings_that_make_no_sense_change_nothing(
+    content, tmp_path, monkeypatch
+):
+    async def check():
+        deployment = await Deployment.start()
+        path = tmp_path / 'node.json'
+        path.write_bytes(content)
+        monkeypatch.setenv('BERGAMOTTHREAD_CONFIG', str(path))
+        deployment.entries[0].reload()
+        assert deployment.events('reload-failed')
+        assert (await deployment.call('/any/x')).status == 200
+
+    run_in_memory(check())
--- a/tests/test_own_load.py
+++ b/tests/test_own_load.py
@@ -206,3 +206,23 @@
         assert deployment.events('entry-has-room', entry=1)
 
     run_in_memory(check())
+
+
+# Guards against a limit that isn't stated and ends the process or its service.
+@pytest.mark.parametrize('stated', [0, None, -1])
+def test_limit_that_is_not_stated_limits_nothing(stated):
+    async def check():
+        deployment = await Deployment.start()
+        names = ('link_mbps', 'cpu_share', 'cores', 'memory_mb')
+        odd_file = entry_settings('odd', '10.1.0.2', 'a-1', STORE)
+        odd_file['limits'] = dict.fromkeys(names, stated)
+        odd = PlatformSettings.from_json(json.dumps(odd_file).encode())
+        await deployment.add_entry(odd)
+        await deployment.clock.sleep_ms(3000)
+        answers = [
+            await deployment.call('/any/x', '10.1.0.2:8000') for _ in range(3)
+        ]
+        assert [answer.status for answer in answers] == [200] * 3
+        assert not deployment.events('entry-choked', entry=1)
+
+    run_in_memory(check())
