--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -159,12 +159,9 @@
         ):
             tasks.start(name, run)
         while not self._is_finished():
-            due_ms = self._clock.now_ms() + HOUSEKEEPING_INTERVAL_MS
-            await self._clock.sleep_ms(HOUSEKEEPING_INTERVAL_MS)
-            self._record_use(self._clock.now_ms() - due_ms)
-            self._pool.close_stale()
-            if self._life_cycle.is_out_of_rotation:
-                self._server.close_idle()
+            await tasks.step_after(
+                'housekeeping', HOUSEKEEPING_INTERVAL_MS, self._keep_house
+            )
         self._server.end_requests()
         await self._clock.sleep_ms(FINAL_ANSWERS_MS)
         tasks.cancel()
@@ -217,6 +214,12 @@
             version_age_ms=self._freshness.age_ms,
         )
 
+    def _keep_house(self, late_ms: float) -> None:
+        self._record_use(late_ms)
+        self._pool.close_stale()
+        if self._life_cycle.is_out_of_rotation:
+            self._server.close_idle()
+
     def _record_use(self, late_ms: float) -> None:
         """Measure what this process uses; log when it begins to refuse."""
         self._parts.metrics.loop_stall_ms.record(late_ms)
--- a/bergamotthread/process/relay/lasting_tasks.py
+++ b/bergamotthread/process/relay/lasting_tasks.py
@@ -37,6 +37,23 @@
         """Cancel all tasks."""
         self._tasks.cancel()
 
+    async def step_after(
+        self, name: str, interval_ms: float, act: Callable[[float], None]
+    ) -> None:
+        """Wait, then do one step of periodic work, which may fail.
+
+        Parameters
+        ----------
+        act
+            Gets the time in milliseconds by which the step is late.
+        """
+        due_ms = self.clock.now_ms() + interval_ms
+        await self.clock.sleep_ms(interval_ms)
+        try:
+            act(self.clock.now_ms() - due_ms)
+        except Exception as error:
+            self._log_failure(name, error, interval_ms)
+
     async def _keep_running(
         self, name: str, run: Callable[[], Coroutine[None, None, None]]
     ) -> None:
@@ -44,11 +61,16 @@
             try:
                 return await run()
             except Exception as error:
-                logging.exception('task %s failed', name)
-                self.log.write(
-                    'task-failed',
-                    task=name,
-                    detail=repr(error),
-                    runs_again_ms=FAILED_TASK_PAUSE_MS,
-                )
+                self._log_failure(name, error, FAILED_TASK_PAUSE_MS)
             await self.clock.sleep_ms(FAILED_TASK_PAUSE_MS)
+
+    def _log_failure(
+        self, name: str, error: Exception, runs_again_ms: float
+    ) -> None:
+        logging.exception('task %s failed', name)
+        self.log.write(
+            'task-failed',
+            task=name,
+            detail=repr(error),
+            runs_again_ms=runs_again_ms,
+        )
--- a/tests/test_operator_faults.py
+++ b/tests/test_operator_faults.py
@@ -441,3 +441,24 @@
         assert (await deployment.call('/any/x')).status == 200
 
     run_in_memory(check())
+
+
+def test_unexpected_error_in_periodic_work_ends_no_process(monkeypatch):
+    async def check():
+        deployment = await Deployment.start()
+
+        def fail():
+            raise KeyError('unexpected')
+
+        entry = deployment.entries[0]
+        monkeypatch.setattr(entry._pool, 'close_stale', fail)
+        await deployment.clock.sleep_ms(1000)
+        assert (await deployment.call('/any/x')).status == 200
+        [first, *_] = deployment.events('task-failed')
+        assert first['task'] == 'housekeeping'
+        assert not deployment.tasks[0].done()
+        entry.stop()
+        await deployment.clock.sleep_ms(9000)
+        assert deployment.tasks[0].done()
+
+    run_in_memory(check())
