--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -225,7 +225,11 @@
         self._parts.metrics.loop_stall_ms.record(late_ms)
         load = self._load
         was_choked = load.is_choked
-        load.measure(self._held.written_bytes + self._pool.sent_bytes, late_ms)
+        load.measure(
+            self._held.written_bytes + self._pool.sent_bytes,
+            self._held.unsent_bytes,
+            late_ms,
+        )
         if load.is_choked == was_choked:
             return
         self._log.write(
--- a/bergamotthread/process/relay/own_load.py
+++ b/bergamotthread/process/relay/own_load.py
@@ -14,8 +14,8 @@
 from bergamotthread.process.machine_limits import MachineLimits
 from bergamotthread.process.overload.rank import Rank
 
-# Fraction of the processor from which on it counts as used up, and below which
-# it has room again.
+# Fraction of the processor or link from which on it counts as used up, and of
+# the processor below which it has room again.
 USED_UP_SHARE = 0.9
 HAS_ROOM_SHARE = 0.75
 # Lateness of timers from which on callers notice it. A request passes the event
@@ -51,7 +51,9 @@
     at_ms
         Monotonic time.
     processor_ms, sent_bytes
-        Processor time and bytes sent since the start.
+        Processor time, and bytes that the kernel has taken, since the start.
+    unsent_bytes
+        Bytes that wait because the kernel has not taken them.
     late_ms
         Time by which the last timer ran late.
     """
@@ -59,6 +61,7 @@
     at_ms: float
     processor_ms: float
     sent_bytes: float
+    unsent_bytes: float
     late_ms: float
 
 
@@ -70,8 +73,8 @@
     ----------
     room
         Fraction of new work that is taken.
-    processor_share
-        Average use of the machine's processor.
+    processor_share, link_share
+        Average use of the machine's processor and link.
     late_ms
         Average lateness of timers.
     backlog_bytes
@@ -82,26 +85,36 @@
     machine: MachineLimits
     room: float = 1
     processor_share: float = 0
+    link_share: float = 0
     late_ms: float = 0
     backlog_bytes: float = 0
     _last: OwnUse | None = None
+    _unsent_bytes: float = 0
     _least_since_ms: float | None = None
     _unready_ms: float | None = None
     _credit_by_rank: dict[Rank, float] = field(default_factory=dict)
 
-    def measure(self, sent_bytes: float, late_ms: float) -> None:
+    def measure(
+        self, written_bytes: float, unsent_bytes: float, late_ms: float
+    ) -> None:
         """Take in what was used up to now, several times a second.
 
         Parameters
         ----------
-        sent_bytes
-            Bytes sent since the start.
+        written_bytes, unsent_bytes
+            Bytes written since the start, and those that still wait.
         late_ms
             Time by which the last timer ran late.
         """
         clock = self.clock
         self.record(
-            OwnUse(clock.now_ms(), clock.processor_ms(), sent_bytes, late_ms)
+            OwnUse(
+                clock.now_ms(),
+                clock.processor_ms(),
+                written_bytes - unsent_bytes,
+                unsent_bytes,
+                late_ms,
+            )
         )
 
     def record(self, use: OwnUse) -> None:
@@ -112,6 +125,7 @@
             return
         elapsed_ms = use.at_ms - last.at_ms
         self._record_link(use.sent_bytes - last.sent_bytes, elapsed_ms)
+        self._unsent_bytes = use.unsent_bytes
         processor_ms = use.processor_ms - last.processor_ms
         share = processor_ms / elapsed_ms / self.machine.cores
         weight = min(elapsed_ms / AVERAGE_MS, 1)
@@ -158,13 +172,23 @@
 
     @property
     def link_late_ms(self) -> float:
-        """Return the time that the link needs for what was sent."""
-        return self.backlog_bytes / self.machine.link_bytes_per_s * _MS_PER_S
+        """Return the time that the link needs for what was sent.
+
+        Bytes that the kernel doesn't take wait for the link only if it is used
+        up; otherwise for callers that don't read.
+        """
+        waiting_bytes = self.backlog_bytes
+        if self.link_share > USED_UP_SHARE:
+            waiting_bytes += self._unsent_bytes
+        return waiting_bytes / self.machine.link_bytes_per_s * _MS_PER_S
 
     def _record_link(self, sent_bytes: float, elapsed_ms: float) -> None:
         carried_bytes = self.machine.link_bytes_per_s * elapsed_ms / _MS_PER_S
         backlog_bytes = self.backlog_bytes + sent_bytes
         self.backlog_bytes = max(backlog_bytes - carried_bytes, 0)
+        weight = min(elapsed_ms / AVERAGE_MS, 1)
+        share = sent_bytes / carried_bytes
+        self.link_share += weight * (share - self.link_share)
 
     def _adjust(self, elapsed_s: float) -> None:
         """Take less while used up and late, more once there is room."""
