--- a/bergamotthread/connection/http/upstream_connection.py
+++ b/bergamotthread/connection/http/upstream_connection.py
@@ -26,6 +26,8 @@
 )
 
 _MS_PER_S = 1000
+_TRANSFER_ENCODING = b'transfer-encoding'
+_CHUNKED = b'chunked'
 # Bytes of an answer that are buffered before the socket is no longer read.
 BUFFERED_BYTES_MAX = 65_536
 # Bytes of an answer beside its body (heads, framing, other answers), added to
@@ -116,6 +118,12 @@
             if self._framing is Framing.CLOSE:
                 self._report_lost('an answer to another request')
             return
+        coding = headers.get(_TRANSFER_ENCODING, _CHUNKED).strip().lower()
+        if coding != _CHUNKED:
+            self._report_lost(
+                f'transfer coding {coding!r}, expected {_CHUNKED!r}'
+            )
+            return
         self._read_keep_alive(headers)
         self._has_head = True
         self._queue_item(
@@ -178,9 +186,14 @@
     @property
     def is_writing(self) -> bool:
         """Return whether a part of the request is still buffered here."""
-        return bool(
-            self._transport and self._transport.get_write_buffer_size(),
-        )
+        return self.unsent_bytes > 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the bytes of the request that the upstream hasn't taken."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
 
     def close(self) -> None:
         """Abort the connection; the upstream sees that the caller has left."""
@@ -272,7 +285,7 @@
 
 
 def _framing(headers: dict[bytes, bytes]) -> Framing:
-    if b'chunked' in headers.get(b'transfer-encoding', b'').lower():
+    if _CHUNKED in headers.get(_TRANSFER_ENCODING, b'').lower():
         return Framing.CHUNKED
     if b'content-length' in headers:
         return Framing.LENGTH
