--- a/bergamotthread/platform/__main__.py
+++ b/bergamotthread/platform/__main__.py
@@ -7,10 +7,11 @@
 import sys
 
 from bergamotthread.clock import Clock
-from bergamotthread.platform.entry import PlatformEntry, load_settings
+from bergamotthread.platform.entry import PlatformEntry
 from bergamotthread.platform.settings import (
     PlatformSettings,
     PlatformSettingsError,
+    load_settings,
 )
 
 _EXIT_SETTINGS = 2
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 import signal
-from collections.abc import Callable
 from dataclasses import dataclass
-from pathlib import Path
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.build_relay import BuildRelay
 from bergamotthread.platform.crash_parts import CrashParts
+from bergamotthread.platform.entry_gauges import EntryState
 from bergamotthread.platform.headers import PLATFORM_DIALECT
 from bergamotthread.platform.leaving_relay import LeavingRelay
 from bergamotthread.platform.limit_parts import LimitParts
@@ -24,9 +22,9 @@
 from bergamotthread.platform.runner_watch import RunnerWatch
 from bergamotthread.platform.settings import (
     FIXED_SETTINGS,
-    SETTINGS_VARIABLE,
     PlatformSettings,
     PlatformSettingsError,
+    load_settings,
 )
 from bergamotthread.platform.store import PlatformStoreClient
 from bergamotthread.platform.table_watch import WatchContext
@@ -72,9 +70,6 @@
 RETRY_BUDGET_FRACTION = 0.75
 
 
-_Gauge = tuple[str, str, Callable[[], float]]
-
-
 @dataclass(frozen=True)
 class _Watches:
     version: VersionWatch
@@ -267,86 +262,15 @@
         return 200, self._parts.metrics.registry.expose()
 
     def _add_gauges(self) -> None:
-        registry = self._parts.metrics.registry
-        gauges: tuple[_Gauge, ...] = (
-            (
-                'relay_in_flight',
-                'Requests that are being answered.',
-                lambda: self._server.in_flight,
-            ),
-            (
-                'relay_version_age_ms',
-                'Age of the proof of the version.',
-                lambda: self._freshness.age_ms,
-            ),
-            (
-                'relay_upstreams',
-                'Upstreams that the store lists.',
-                lambda: len(self._directory),
-            ),
-            (
-                'relay_upstreams_leaving',
-                'Listed upstreams that said that they are leaving.',
-                lambda: self._directory.leaving_count,
-            ),
-            (
-                'relay_upstreams_paused',
-                'Upstreams that asked for a pause that has not ended.',
-                self._directory.paused_count,
-            ),
-            (
-                'relay_upstreams_limited',
-                'Upstreams that state a limit on requests.',
-                lambda: len(self._directory.limits),
-            ),
-            (
-                'relay_quarantined',
-                'Requests that are refused because upstreams crashed.',
-                lambda: self._parts.crashes.guard.quarantined_count,
-            ),
-            (
-                'relay_suspects',
-                'Requests under which upstreams crashed, not cleared yet.',
-                lambda: self._parts.crashes.guard.suspect_count,
-            ),
-            (
-                'relay_queued',
-                'Requests that wait for a plain service.',
-                self._parts.plain_gate.queued,
-            ),
-            (
-                'store_calls',
-                'Calls to the store since the start.',
-                lambda: self._store.call_count,
-            ),
-            (
-                'store_era',
-                'Era of the store; it rises when the store comes back older.',
-                lambda: self._store.eras.known or 0,
-            ),
-            (
-                'store_rows_rewritten',
-                'Own rows that the store lost and that are written again.',
-                lambda: self._watches.entries.rewritten_count,
-            ),
-            (
-                'upstream_connections_opened',
-                'Connections to upstreams, other entries and the store.',
-                lambda: self._pool.opened,
-            ),
-            (
-                'upstream_probes',
-                'Load reports that were asked for.',
-                lambda: self._parts.liveness.probes_sent,
-            ),
-            (
-                'log_lines_waiting_dropped',
-                'Lines of the log dropped and not reported yet.',
-                lambda: self._log.dropped,
-            ),
+        state = EntryState(
+            self._server,
+            self._parts,
+            self._freshness,
+            self._store,
+            self._watches.entries,
+            self._log,
         )
-        for name, description, read_gauge in gauges:
-            registry.gauge(name, description, read_gauge)
+        state.add_gauges()
 
     def _entry_count(self) -> int:
         return max(len(self._feeds), ENTRIES_MIN)
@@ -445,16 +369,3 @@
         window_ms=settings.repeat_window_ms,
         slack=settings.repeat_slack * RETRY_BUDGET_FRACTION,
     )
-
-
-def load_settings() -> PlatformSettings:
-    """Read the settings file named by the environment variable.
-
-    Raises
-    ------
-    PlatformSettingsError
-        If the file can't be read or decoded.
-    """
-    return PlatformSettings.from_file(
-        Path(os.environ.get(SETTINGS_VARIABLE, '')),
-    )
--- a/bergamotthread/platform/settings.py
+++ b/bergamotthread/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass, fields, replace
 from pathlib import Path
 
@@ -238,3 +239,16 @@
                 f'{getattr(bounds, name):g} at `$.bounds.{name}`, '
                 'expected 0 or more'
             )
+
+
+def load_settings() -> PlatformSettings:
+    """Read the settings file named by the environment variable.
+
+    Raises
+    ------
+    PlatformSettingsError
+        If the file can't be read or decoded.
+    """
+    return PlatformSettings.from_file(
+        Path(os.environ.get(SETTINGS_VARIABLE, '')),
+    )
