--- a/bergamotthread/platform/store.py
+++ b/bergamotthread/platform/store.py
@@ -141,13 +141,13 @@
         New content; None removes the row.
     expected
         Version that the row must have; its number is 0 if the row must not
-        exist.
+        exist. None for any.
     """
 
     table: str
     key: str
     payload: bytes | None
-    expected: StoreVersion
+    expected: StoreVersion | None
 
 
 class _WireNames(msgspec.Struct, frozen=True):
@@ -245,33 +245,44 @@
         Raises
         ------
         PreconditionFailedError
-            If the row has another version, or the expected one is of an era
+            See `change_all`.
+        StoreCallError
+            See `change_all`.
+        """
+        return await self.change_all((change,))
+
+    async def change_all(self, changes: Sequence[RowChange]) -> StoreVersion:
+        """Change all of the rows or none; return their new version.
+
+        Raises
+        ------
+        PreconditionFailedError
+            If a row has another version, or the expected one is of an era
             before the known one; nothing was written.
         StoreCallError
             If the store did not confirm this, or came back older meanwhile and
-            gave the expected number out again; the change may have taken
+            gave an expected number out again; the changes may have taken
             effect.
         """
-        if change.expected.number and change.expected.era != (
-            self.eras.known or 0
-        ):
-            raise PreconditionFailedError(
-                f'{change.key}: expected {change.expected}, '
-                f'the store is in era {self.eras.known}',
-                step=Step.STORE,
-                peer=self.address,
-            )
-        row = _row_reference(change.table, change.key)
-        condition = {**row, 'ver': change.expected.number}
-        if change.payload is None:
-            answer = await self._transact(expected=[condition], removed=[row])
-        else:
-            put = {**row, 'value': _encode_payload(change.payload)}
-            answer = await self._transact(expected=[condition], puts=[put])
-        if change.expected.number and answer.era != change.expected.era:
+        self._check_eras(changes, self.eras.known or 0)
+        answer = await self._transact(
+            expected=[
+                {**_reference(one), 'ver': one.expected.number}
+                for one in changes
+                if one.expected is not None
+            ],
+            puts=[
+                {**_reference(one), 'value': _encode_payload(one.payload)}
+                for one in changes
+                if one.payload is not None
+            ],
+            removed=[_reference(one) for one in changes if one.payload is None],
+        )
+        other_era = _first_of_other_era(changes, answer.era)
+        if other_era is not None:
             raise StoreCallError(
-                f'{change.key}: written in era {answer.era}, '
-                f'expected {change.expected}',
+                f'{other_era.key}: written in era {answer.era}, '
+                f'expected {other_era.expected}',
                 step=Step.STORE,
                 peer=self.address,
             )
@@ -427,6 +438,16 @@
         row = _row_reference(table, key)
         await self._transact(puts=[{**row, 'value': _encode_payload(payload)}])
 
+    def _check_eras(self, changes: Sequence[RowChange], era: int) -> None:
+        other_era = _first_of_other_era(changes, era)
+        if other_era is not None:
+            raise PreconditionFailedError(
+                f'{other_era.key}: expected {other_era.expected}, '
+                f'the store is in era {era}',
+                step=Step.STORE,
+                peer=self.address,
+            )
+
     async def _transact(
         self,
         expected: Sequence[_WireFields] = (),
@@ -525,6 +546,26 @@
     return {'table': table, 'part': '', 'key': key}
 
 
+def _reference(change: RowChange) -> _WireFields:
+    return _row_reference(change.table, change.key)
+
+
+def _first_of_other_era(
+    changes: Sequence[RowChange], era: int
+) -> RowChange | None:
+    """Return the first change that expects a row version of another era."""
+    return next(
+        (
+            change
+            for change in changes
+            if change.expected is not None
+            and change.expected.number
+            and change.expected.era != era
+        ),
+        None,
+    )
+
+
 def _unpack(key: str, packed: bytes) -> bytes:
     try:
         return zlib.decompress(packed)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -180,10 +180,12 @@
             if expected['ver'] != ver:
                 rows = [stored.to_json_object()] if stored else []
                 return _NOT_AS_EXPECTED, {'rows': rows, 'ver': self.ver}
+        ver = self.ver + 1
         for row in body['puts']:
-            self.put(row['table'], row['key'], base64.b64decode(row['value']))
+            payload = base64.b64decode(row['value'])
+            self._change(Row(row['table'], row['key'], payload, ver))
         for row in body['remove']:
-            self.remove(row['table'], row['key'])
+            self._change(Row(row['table'], row['key'], None, ver))
         return _OK, {'ver': self.ver, 'now_ms': 1}
 
     def _answer_object(
