--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -11,7 +11,7 @@
 
 import random
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import nsmallest
 from itertools import islice
 
@@ -110,6 +110,25 @@
     region_by_domain: dict[str, str]
     rng: random.Random = field(default_factory=random.Random)
 
+    def planned(
+        self, request: RelayPlacementRequest, plan: BuildPlan
+    ) -> RelayPlacementRequest:
+        """Return a request that follows a plan.
+
+        The only build of a plan is a preference for a request that is bound to
+        no build: it goes to others if that one has no eligible upstream. An
+        avoided build stays avoided.
+        """
+        planned = replace(request, plan=plan)
+        if plan.only is None or request.build is not None:
+            return planned
+        if any(
+            self._is_eligible(upstream, planned)
+            for upstream in self.directory.of_service(request.service)
+        ):
+            return planned
+        return replace(request, plan=plan.without_target())
+
     def choose(self, request: RelayPlacementRequest) -> Upstream | None:
         """Return the cheapest eligible upstream, or None if there is none.
 
@@ -190,7 +209,7 @@
         upstreams are candidates only if there are no others. For a caller that
         reconnects, entries of all regions draw the same candidates as long as
         they agree on which upstreams are lost or suspected. Streams that begin
-        avoid builds that are being replaced.
+        avoid builds that are being replaced, unless a plan names their build.
         """
         self._record_demand(request)
         directory = self.directory
@@ -252,6 +271,7 @@
         """Return the number of engines that may run a request."""
         return sum(
             _has_build(upstream, request.build)
+            and _follows_plan(upstream, request.plan)
             and not self.directory.is_lost(upstream)
             for upstream in self.directory.of_service(request.service)
         )
@@ -369,8 +389,7 @@
         is_excluded = upstream.record.instance in request.excluded
         if is_excluded or not _has_build(upstream, request.build):
             return False
-        record = upstream.record
-        if not request.plan.admits(record.instance, record.build):
+        if not _follows_plan(upstream, request.plan):
             return False
         return not self.directory.is_lost(upstream)
 
@@ -400,6 +419,10 @@
     return build is None or upstream.record.build == build
 
 
+def _follows_plan(upstream: Upstream, plan: BuildPlan) -> bool:
+    return plan.admits(upstream.record.instance, upstream.record.build)
+
+
 def _kv_fraction(upstream: Upstream, more_tokens: int = 0) -> float:
     """Return the fraction of the KV cache in use; 0 without a load report."""
     report = upstream.report
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -24,6 +24,7 @@
     UpstreamPauses,
 )
 from bergamotthread.process.relay.request_limits import RequestLimits
+from bergamotthread.process.rollouts.build_plan import ANY_BUILD, BuildPlan
 from bergamotthread.process.rollouts.gate import UpstreamBuild
 
 # Urgency of a run whose request names none.
@@ -498,10 +499,18 @@
             for upstream in self._upstream_by_instance.values()
         )
 
-    def slots(self, service: str) -> int:
-        """Return how many requests the upstreams of a service run at a time."""
+    def slots(self, service: str, plan: BuildPlan = ANY_BUILD) -> int:
+        """Return how many requests the upstreams of a service run at a time.
+
+        Parameters
+        ----------
+        plan
+            Upstreams that it rules out are left out.
+        """
         return sum(
-            upstream.record.slots for upstream in self.of_service(service)
+            upstream.record.slots
+            for upstream in self.of_service(service)
+            if plan.admits(upstream.record.instance, upstream.record.build)
         )
 
     def of_service(self, service: str) -> Iterator[Upstream]:
--- a/bergamotthread/process/rollouts/build_plan.py
+++ b/bergamotthread/process/rollouts/build_plan.py
@@ -31,5 +31,15 @@
             return False
         return self.instances is None or instance in self.instances
 
+    def without_target(self) -> BuildPlan:
+        """Return the plan of a request for which the target has no room."""
+        if self.only is None:
+            return self
+        return BuildPlan(avoided=self.avoided | {self.only})
+
+    def for_capacity(self) -> BuildPlan:
+        """Return the plan that most requests follow, for what they share."""
+        return self if self.instances is None else self.without_target()
+
 
 ANY_BUILD = BuildPlan()
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -18,6 +18,7 @@
     ConnectFailedError,
 )
 from bergamotthread.process.relay.upstreams import Upstream
+from bergamotthread.process.rollouts.gate import AnswerSample
 from bergamotthread.request.relay.call import (
     AttemptHeaders,
     RelayedCall,
@@ -30,6 +31,7 @@
     NotRun,
     NotSent,
     OutOfTime,
+    is_pause,
 )
 from bergamotthread.request.relay.parts import RelayParts
 from bergamotthread.request.relay.suspicion import TrackedAttempt
@@ -44,6 +46,10 @@
 MISDIRECTED = 421
 _OK = 200
 _FIRST_REDIRECT = 300
+_NO_PLACE = NotSent('the roll-out has no place for it', is_held=True)
+_SERVER_ERROR = 500
+# Tokens of a prompt to which the time to its first event is scaled.
+_LATENCY_TOKENS = 1000
 _HELD = NotSent('the upstream takes no request now', is_held=True)
 
 
@@ -60,7 +66,16 @@
         call: RelayedCall,
         upstream: Upstream,
         parts: RelayParts,
+        *,
+        is_bound: bool = False,
     ) -> None:
+        """Prepare an attempt.
+
+        Parameters
+        ----------
+        is_bound
+            Whether it continues a stream at the build to which it is bound.
+        """
         self.call = call
         self.upstream = upstream
         self.parts = parts
@@ -69,6 +84,10 @@
         self.tracked = TrackedAttempt(call, upstream, parts)
         self._connection: UpstreamConnection | None = None
         self._is_prefilling = False
+        self._is_bound = is_bound
+        self._build = upstream.record.upstream_build
+        self._is_admitted = False
+        self._is_recorded = False
 
     def __enter__(self) -> Attempt:
         upstream = self.upstream
@@ -81,6 +100,9 @@
         self.upstream.in_flight -= 1
         self.end_prefill()
         self.tracked.abandon()
+        if self._is_admitted:
+            self._is_admitted = False
+            self.parts.rollouts.record_ended(self._build)
         if self._connection is not None:
             self.parts.pool.release(self._connection)
 
@@ -95,6 +117,47 @@
             self._is_prefilling = False
             self.upstream.prefill_tokens -= self.call.prompt_tokens
 
+    def settle(self, outcome: AttemptOutcome) -> None:
+        """Report the outcome of the attempt.
+
+        An answer that doesn't come in time counts with the time for which it
+        was waited for: a slow build would else have no slow answers.
+        """
+        self.tracked.settle(outcome)
+        elapsed_ms = self.parts.clock.now_ms() - self.sent_ms
+        match outcome:
+            case Answered(head) if not is_pause(outcome):
+                is_failed = head.status >= _SERVER_ERROR
+                self.record_answer(elapsed_ms, is_failed=is_failed)
+            case OutOfTime():
+                self.record_answer(elapsed_ms)
+
+    def record_answer(
+        self, latency_ms: float, pace_ms: float = 0, *, is_failed: bool = False
+    ) -> None:
+        """Record the answer for roll-outs; later calls change nothing.
+
+        Parameters
+        ----------
+        latency_ms
+            Time to the answer or, of a stream, to its first event.
+        pace_ms
+            Mean time between the events of a stream.
+        """
+        if self._is_recorded:
+            return
+        self._is_recorded = True
+        prompt_tokens = self.call.prompt_tokens or _LATENCY_TOKENS
+        self.parts.rollouts.record_answer(
+            AnswerSample(
+                self._build,
+                self.call.route.name,
+                is_failed,
+                latency_ms * _LATENCY_TOKENS / prompt_tokens,
+                pace_ms,
+            )
+        )
+
     async def send(self, headers: AttemptHeaders) -> NotSent | None:
         """Send the request; return the outcome if it could not be sent.
 
@@ -166,7 +229,12 @@
         listed = directory.get(record.instance)
         if listed is not None and listed.record.build != record.build:
             return NotSent('the upstream has another build now')
-        return None if directory.admit(self.upstream) else _HELD
+        if not directory.admit(self.upstream):
+            return _HELD
+        self._is_admitted = self.parts.rollouts.admit(
+            self._build, is_bound=self._is_bound
+        )
+        return None if self._is_admitted else _NO_PLACE
 
     def _read_notices(self, head: AnswerHead) -> None:
         if self.lacks_signature(head):
--- a/bergamotthread/request/relay/attempt_loop.py
+++ b/bergamotthread/request/relay/attempt_loop.py
@@ -138,7 +138,9 @@
     bool
         Whether an attempt settled the call.
     """
-    limits.parts.retry_budget.record_first_attempt(limits.call.service.name)
+    service = limits.call.service.name
+    limits.parts.retry_budget.record_first_attempt(service)
+    limits.parts.rollouts.record_request(service)
     try:
         return await _run_all(limits, steps)
     finally:
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -86,14 +86,17 @@
             Whether no attempt of this call was sent yet.
         """
         call = self.call
-        return RelayPlacementRequest(
-            call.service.name,
+        service = call.service.name
+        request = RelayPlacementRequest(
+            service,
             prompt_tokens=call.prompt_tokens,
             excluded=excluded,
             affinity=call.affinity,
             is_reconnect=is_first and call.resume_after is not None,
             build=build,
         )
+        plan = self.parts.rollouts.plan(service, build)
+        return self.parts.choice.planned(request, plan)
 
     def place_at_copy(
         self, copy: KvCacheCopy, request: RelayPlacementRequest
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -135,10 +135,12 @@
     def _choose(self, avoided: frozenset[str]) -> Upstream | None:
         """Choose an upstream; an avoided one only if there is no other."""
         service = self._call.service.name
+        plan = self._parts.rollouts.plan(service)
         choices = (self._excluded | avoided, self._excluded)
         for excluded in choices if avoided else choices[1:]:
             request = RelayPlacementRequest(service, excluded=excluded)
-            upstream = self._parts.choice.choose(request)
+            choice = self._parts.choice
+            upstream = choice.choose(choice.planned(request, plan))
             if upstream is not None:
                 return upstream
         return None
@@ -158,7 +160,8 @@
 
     def _demand(self) -> PlainDemand:
         call = self._call
-        slots = self._parts.directory.slots(call.service.name)
+        plan = self._parts.rollouts.plan(call.service.name).for_capacity()
+        slots = self._parts.directory.slots(call.service.name, plan)
         return PlainDemand(
             call.service.name,
             call.team,
@@ -178,7 +181,7 @@
                 return not_sent
             self._limits.record_sent()
             outcome = await self._read(attempt)
-            attempt.tracked.settle(outcome)
+            attempt.settle(outcome)
             self._latency_ms = self._parts.clock.now_ms() - attempt.sent_ms
             return outcome
 
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -72,6 +72,8 @@
 # Fraction of the first-event target for which a stream waits for an upstream.
 PLACEMENT_TARGET_FRACTION = 0.4
 STREAM_NO_UPSTREAM_RETRY_AFTER_MS = 500
+# Events of a run whose mean interval tells its pace.
+PACE_EVENTS = 8
 _OK = 200
 _MS_PER_S = 1000
 
@@ -159,10 +161,10 @@
             return None if self.may_wait() else self._suspicion.tried_refusal()
         copy = self._copy_manager.pop()
         if copy is not None and self._attempt_times.count:
-            return self._placer.place_at_copy(
-                copy,
-                self._placement_request(copy.holder.record.instance),
-            )
+            holder = copy.holder.record
+            request = self._placement_request(holder.instance)
+            if request.plan.admits(holder.instance, holder.build):
+                return self._placer.place_at_copy(copy, request)
         placement = await self._place_anew(self._suspicion.excluded())
         if placement is None:
             self._excluded = frozenset()
@@ -292,7 +294,10 @@
             copy_source=copy.copy_id if copy else '',
         )
         self._work_ahead = self._forecast_work(placement)
-        with Attempt(self._call, upstream, self._parts) as attempt:
+        is_bound = self._build.build is not None
+        with Attempt(
+            self._call, upstream, self._parts, is_bound=is_bound
+        ) as attempt:
             not_sent = await attempt.send(headers)
             if not_sent is not None:
                 return not_sent
@@ -301,7 +306,9 @@
             self._is_from_copy = copy is not None
             self._copy_manager.start_attempt(upstream, copy_target)
             outcome = await self._relay(attempt)
-            attempt.tracked.settle(outcome)
+            if isinstance(outcome, StreamEnded):
+                self._record_pace(attempt)
+            attempt.settle(outcome)
             return outcome
 
     async def _relay(self, attempt: Attempt) -> AttemptOutcome:
@@ -318,6 +325,8 @@
             self._attempt_times.record(self._parts.clock.now_ms())
             if self._attempt_times.count == 1:
                 self._record_first_event(attempt)
+            if self._attempt_times.count == PACE_EVENTS:
+                self._record_pace(attempt)
             attempt.tracked.report_progress(self._attempt_times.span_ms)
             if self._placer.may_copy:
                 self._copy_manager.renew(self._copy_request)
@@ -366,6 +375,13 @@
                 self._attempt_times.first_ms,
             )
 
+    def _record_pace(self, attempt: Attempt) -> None:
+        """Record the speed of a run that read its whole prompt."""
+        times = self._attempt_times
+        if times.count and not self._is_from_copy:
+            pace_ms = times.span_ms / max(times.count - 1, 1)
+            attempt.record_answer(times.first_ms, pace_ms)
+
     async def _forward_events(
         self,
         attempt: Attempt,
