--- /dev/null
+++ b/bergamotthread/process/rollouts/decider.py
@@ -0,0 +1,397 @@
+"""Decides on one roll-out from the reports of the entries."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from transitions import Machine
+
+from bergamotthread.process.rollouts.entry_counts import EntryCounts
+from bergamotthread.process.rollouts.exposure import (
+    MOVE_MARGIN,
+    TRIAL_DURATION_PART,
+    Exposure,
+    ServiceView,
+    TrialPlaces,
+    trial_instances,
+)
+from bergamotthread.process.rollouts.judgement import Judgement
+from bergamotthread.process.rollouts.order import ExposureBound, RolloutState
+from bergamotthread.process.rollouts.reports import (
+    REPORT_INTERVAL_MS,
+    Directive,
+    End,
+    EntryReport,
+    Reserve,
+    RolloutPhase,
+    RolloutRecord,
+)
+from bergamotthread.process.rollouts.rollout_record import merged_record
+
+# An entry that hears nothing stops sending to the target after this, which
+# leaves room for the judgement within `ExposureBound.rollback_ms`.
+DIRECTIVE_VALID_MS = 3000.0
+# Reports come as often as this while the move ends, and no more often than
+# one each `REPORT_SPACING_MS` from all entries together.
+FAST_REPORT_MS = 100.0
+REPORT_SPACING_MS = 2.0
+# A decider ends nothing before all entries have reported to it or this passed.
+SETTLING_MS = 1500.0
+# Part of the duration before which no move begins, and from which it begins
+# with few answers.
+MOVE_FROM_PART = 0.4
+MOVE_ANYHOW_PART = 0.65
+MIN_TARGET_ANSWERS = 20
+# Factor against the target, as a logarithm, from which it isn't moved to yet.
+SUSPECT_LOG_FACTOR = math.log(100)
+# A completion leaves this part of the duration, and time, for its writes.
+END_PART = 0.1
+MIN_END_MS = 1000.0
+# A suspect target is judged for this long past the time limit.
+SUSPECT_MS = 2000.0
+# Answers are overdue after this many times the former builds' mean time.
+OVERDUE_FACTOR = 3.0
+MIN_OVERDUE_MS = 500.0
+MAX_OVERDUE_PART = 0.2
+MIN_OVERDUE = 3
+
+_TRIAL = RolloutPhase.TRIAL.value
+_MOVING = RolloutPhase.MOVING.value
+_HALTED = RolloutPhase.HALTED.value
+_TRANSITIONS = (
+    ('move', _TRIAL, _MOVING),
+    ('return_to_trial', _MOVING, _TRIAL),
+    ('halt', [_TRIAL, _MOVING], _HALTED),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutFigures:
+    """What an operator sees of a roll-out.
+
+    Parameters
+    ----------
+    counted
+        Requests that the target may have got.
+    limit
+        Requests that it may have got by now.
+    log_factor
+        Logarithm of the largest factor against the target.
+    excess_bad
+        Its bad answers beyond what the former builds explain.
+    waits_for
+        Why it isn't completed yet, or why it ended.
+    """
+
+    phase: RolloutPhase
+    requests: int
+    sent: int
+    target_answered: int
+    former_running: int
+    counted: float
+    limit: float
+    log_factor: float
+    excess_bad: float
+    waits_for: str
+
+
+class RolloutDecider:
+    """Decides on one order; any entry may do so, also several at once.
+
+    Reports come to `apply`. `next_step` is called about each 100 ms; the
+    step that it returns is written as a compare-and-set of the row. If that
+    succeeds the caller tells `record_written`, else it rereads the row and
+    tells `apply_record`.
+
+    Parameters
+    ----------
+    record
+        Row of the roll-out as last read.
+    bound
+        Bound on what a bad target gets.
+    order_ms
+        Monotonic time of the order.
+    now_ms
+        Time from which this entry decides.
+    stream_ms
+        Longest time for which streams at the former builds are waited for
+        after the time limit.
+    """
+
+    def __init__(
+        self,
+        record: RolloutRecord,
+        bound: ExposureBound,
+        order_ms: float,
+        now_ms: float,
+        stream_ms: float,
+    ) -> None:
+        self.record = record
+        self.phase_name = _TRIAL
+        self._bound = bound
+        self._order_ms = order_ms
+        self._began_ms = now_ms
+        self._moved_ms = now_ms
+        self._stream_ms = stream_ms
+        self._view = ServiceView({}, 0, frozenset())
+        self._counts = EntryCounts(now_ms)
+        self._places = TrialPlaces(record.reserved)
+        self._judgement = Judgement(now_ms)
+        self._instances: tuple[str, ...] = ()
+        self._end: End | None = None
+        self._waits_for = 'answers of the target'
+        self._machine = Machine(
+            model=self,
+            model_attribute='phase_name',
+            states=[phase.value for phase in RolloutPhase],
+            initial=_TRIAL,
+            transitions=[list(transition) for transition in _TRANSITIONS],
+            auto_transitions=False,
+        )
+
+    @classmethod
+    def from_record(
+        cls,
+        record: RolloutRecord,
+        bound: ExposureBound,
+        elapsed_ms: float,
+        now_ms: float,
+        stream_ms: float = 30_000,
+    ) -> RolloutDecider:
+        """Return a decider that goes on from a row.
+
+        Parameters
+        ----------
+        elapsed_ms
+            Time since the order, by this entry's calendar.
+        """
+        return cls(record, bound, now_ms - elapsed_ms, now_ms, stream_ms)
+
+    @property
+    def phase(self) -> RolloutPhase:
+        """Phase that reports are answered with."""
+        match self.record.state:
+            case RolloutState.COMPLETED:
+                return RolloutPhase.MOVING
+            case RolloutState.ROLLED_BACK:
+                return RolloutPhase.HALTED
+            case RolloutState.ACTIVE:
+                return RolloutPhase(self.phase_name)
+
+    def figures(self, now_ms: float) -> RolloutFigures:
+        """Return what an operator sees."""
+        exposure = self._exposure(now_ms)
+        totals = exposure.totals
+        return RolloutFigures(
+            phase=self.phase,
+            requests=totals.requests,
+            sent=totals.sent,
+            target_answered=totals.target_answered,
+            former_running=totals.former_running,
+            counted=exposure.counted,
+            limit=exposure.limit,
+            log_factor=self._judgement.log_factor,
+            excess_bad=self._judgement.excess_bad,
+            waits_for=self._waits_for,
+        )
+
+    def apply(self, report: EntryReport, now_ms: float) -> Directive:
+        """Count the report of an entry, and return what it may do."""
+        if report.order_number != self.record.order.number:
+            return self._directive(0)
+        if report.state.is_end and self._end is None:
+            self._end = End(report.state, f'{report.host} has seen this end')
+        self._judgement.add(self._counts.apply(report, now_ms))
+        may_grant = self.phase is RolloutPhase.TRIAL and self._instances
+        if not may_grant:
+            return self._directive(report.granted)
+        entry_count = len(self._view.entries)
+        return self._directive(self._places.grant(report, entry_count))
+
+    def next_step(
+        self, now_ms: float, view: ServiceView
+    ) -> Reserve | End | None:
+        """Return what to write next, if anything.
+
+        An end is returned until it is written or another one is known.
+        """
+        if self.record.state.is_end:
+            return None
+        self._view = view
+        self._counts.set_listed(view.entries, now_ms)
+        self._counts.record_time(now_ms)
+        self._judgement.advance(now_ms)
+        exposure = self._exposure(now_ms)
+        self._places.raise_reserved(exposure.totals.granted)
+        self._choose_instances(exposure)
+        if self._end is None:
+            self._end = self._decide(exposure, now_ms)
+        if self._end is not None:
+            return self._end if self._is_settled(now_ms) else None
+        if self.phase is RolloutPhase.TRIAL and self._instances:
+            return self._places.next_reserve(exposure.allowed_places)
+        return None
+
+    def record_written(
+        self, step: Reserve | End, record: RolloutRecord
+    ) -> None:
+        """Record that the row was written for a step of `next_step`."""
+        if isinstance(step, Reserve):
+            self._places.record_reserved(step.reserved)
+        self.apply_record(record)
+
+    def apply_record(self, record: RolloutRecord) -> None:
+        """Apply a row that was read; an end or a later order stops this."""
+        if record.order.number == self.record.order.number:
+            self.record = merged_record(self.record, record)
+            self._places.raise_reserved(record.reserved)
+
+    def _decide(self, exposure: Exposure, now_ms: float) -> End | None:
+        reason = self._judgement.condemnation()
+        if reason:
+            return self._roll_back(reason)
+        if exposure.elapsed_ms >= exposure.duration_ms:
+            reason = self._failure_at_limit(exposure, now_ms)
+            if reason:
+                return self._roll_back(reason)
+        if self.phase is RolloutPhase.TRIAL:
+            self._waits_for = self._obstacle(exposure, now_ms)
+            if not self._waits_for:
+                self._machine.events['move'].trigger(self)
+                self._moved_ms = now_ms
+            return None
+        if not exposure.fits(1, 0):
+            self._machine.events['return_to_trial'].trigger(self)
+            return None
+        self._waits_for = self._unmoved(exposure, now_ms)
+        if self._waits_for:
+            return None
+        return End(RolloutState.COMPLETED, 'all requests go to the target')
+
+    def _roll_back(self, reason: str) -> End:
+        self._machine.events['halt'].trigger(self)
+        self._waits_for = reason
+        return End(RolloutState.ROLLED_BACK, reason)
+
+    def _failure_at_limit(self, exposure: Exposure, now_ms: float) -> str:
+        """Return why the target fails at the time limit; empty if not."""
+        target = self.record.order.target
+        if not self._view.domain_by_target:
+            return f'{target} has no upstreams at the time limit'
+        overdue = self._overdue(exposure, now_ms)
+        if overdue and self.phase is RolloutPhase.TRIAL:
+            return f'{overdue} answers of {target} are overdue at the limit'
+        return ''
+
+    def _obstacle(self, exposure: Exposure, now_ms: float) -> str:
+        """Return why requests aren't moved to the target yet."""
+        if not self._view.domain_by_target:
+            return 'upstreams of the target'
+        if not self._is_settled(now_ms):
+            return 'reports of the entries'
+        if exposure.elapsed_ms >= exposure.duration_ms:
+            return ''
+        return self._doubt(exposure, now_ms)
+
+    def _doubt(self, exposure: Exposure, now_ms: float) -> str:
+        """Return why the bound or the answers forbid the move so far."""
+        if self._overdue(exposure, now_ms):
+            return 'answers that are overdue'
+        if self._judgement.log_factor >= SUSPECT_LOG_FACTOR:
+            return 'more answers: those seen are suspect'
+        if not self._has_evidence(exposure):
+            return 'answers of the target'
+        if not exposure.fits(MOVE_MARGIN, REPORT_INTERVAL_MS):
+            return 'the bound, which all requests would exceed'
+        return ''
+
+    def _has_evidence(self, exposure: Exposure) -> bool:
+        part = exposure.elapsed_ms / exposure.duration_ms
+        if part >= MOVE_ANYHOW_PART:
+            return True
+        answered = exposure.totals.target_answered
+        return part >= MOVE_FROM_PART and answered >= MIN_TARGET_ANSWERS
+
+    def _unmoved(self, exposure: Exposure, now_ms: float) -> str:
+        """Return why the roll-out isn't completed yet."""
+        remaining_ms = exposure.duration_ms - exposure.elapsed_ms
+        end_ms = max(MIN_END_MS, exposure.duration_ms * END_PART)
+        if remaining_ms > end_ms:
+            return 'later answers, until shortly before the time limit'
+        is_suspect = self._judgement.log_factor >= SUSPECT_LOG_FACTOR
+        if is_suspect and remaining_ms > -SUSPECT_MS:
+            return 'more answers: those seen are suspect'
+        if now_ms - self._moved_ms < FAST_REPORT_MS:
+            return 'reports of the entries'
+        if -remaining_ms >= self._stream_ms:
+            return ''
+        if not self._counts.moved(now_ms):
+            return 'attempts that run at the former builds'
+        silent = self._counts.silent(now_ms)
+        if remaining_ms > 0 and any(
+            now_ms - heard_ms <= DIRECTIVE_VALID_MS
+            for heard_ms in silent.values()
+        ):
+            return f'{min(silent)}, which does not answer'
+        return ''
+
+    def _overdue(self, exposure: Exposure, now_ms: float) -> int:
+        """Return how many answers of the target are overdue, if too many.
+
+        By Little's law the former builds' mean time is what runs there over
+        the rate at which it ends.
+        """
+        totals = exposure.totals
+        ended_per_ms = totals.former_answered / max(1, exposure.elapsed_ms)
+        if not ended_per_ms:
+            return 0
+        mean_ms = totals.former_running / ended_per_ms
+        due_ms = max(MIN_OVERDUE_MS, OVERDUE_FACTOR * mean_ms)
+        sent = self._counts.totals_at(now_ms - due_ms).sent
+        overdue = sent - totals.target_answered
+        is_many = overdue >= max(MIN_OVERDUE, MAX_OVERDUE_PART * sent)
+        return overdue if is_many else 0
+
+    def _is_settled(self, now_ms: float) -> bool:
+        if now_ms - self._began_ms >= SETTLING_MS:
+            return True
+        return bool(self._view.entries) and self._counts.is_complete(now_ms)
+
+    def _choose_instances(self, exposure: Exposure) -> None:
+        trial_ms = exposure.duration_ms * TRIAL_DURATION_PART
+        self._instances = trial_instances(
+            self._view,
+            self.record.order.number,
+            exposure.allowed_places / max(1, trial_ms),
+            exposure.requests_per_ms,
+        )
+
+    def _exposure(self, now_ms: float) -> Exposure:
+        elapsed_ms = now_ms - self._order_ms
+        return Exposure(
+            bound=self._bound,
+            duration_ms=self.record.order.duration_ms,
+            elapsed_ms=elapsed_ms,
+            totals=self._counts.totals(),
+            requests_per_ms=self._counts.requests_per_ms(now_ms, elapsed_ms),
+            reserved=self._places.reserved,
+        )
+
+    def _directive(self, granted: int) -> Directive:
+        phase = self.phase
+        is_trial = phase is RolloutPhase.TRIAL
+        fast_ms = max(
+            FAST_REPORT_MS, REPORT_SPACING_MS * len(self._view.entries)
+        )
+        return Directive(
+            order_number=self.record.order.number,
+            phase=phase,
+            granted=granted,
+            valid_ms=DIRECTIVE_VALID_MS,
+            instances=self._instances if is_trial else (),
+            report_ms=min(
+                REPORT_INTERVAL_MS,
+                REPORT_INTERVAL_MS if is_trial else fast_ms,
+            ),
+        )
--- /dev/null
+++ b/bergamotthread/process/rollouts/exposure.py
@@ -0,0 +1,217 @@
+"""Places of a trial and the bound on what a target gets."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from itertools import chain, zip_longest
+
+import xxhash
+
+from bergamotthread.process.rollouts.entry_counts import Totals
+from bergamotthread.process.rollouts.order import ExposureBound
+from bergamotthread.process.rollouts.reports import EntryReport, Reserve
+
+# Part of the bound that the trial takes; the rest is for the move, which must
+# begin before the time limit.
+TRIAL_PART = 0.4
+# Places of a trial that are enough to judge by.
+MAX_TRIAL_PLACES = 400.0
+# Part of the places that is granted at once, to see gross faults early.
+FIRST_PART = 0.3
+# Part of the duration over which the other places are granted.
+TRIAL_DURATION_PART = 0.7
+# Part of the trial that is reserved with one write.
+RESERVE_PART = 0.1
+MIN_RESERVE_PLACES = 2
+# Part of the free places that one report gets.
+GRANT_PARTS = 4
+# Allowance for requests that repeat, resume, or exceed the rate of late.
+MOVE_MARGIN = 1.25
+# Part of the bound that is kept for counts on the way.
+BOUND_PART = 0.95
+# Failure domains in which a target is tried, where it has so many.
+TRIAL_DOMAINS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceView:
+    """Upstreams and entries of a service, as the one that decides sees them.
+
+    Parameters
+    ----------
+    domain_by_target
+        Failure domain of each upstream of the target.
+    former_count
+        Upstreams of other builds.
+    entries
+        Entries that should report.
+    """
+
+    domain_by_target: Mapping[str, str]
+    former_count: int
+    entries: frozenset[str]
+
+
+@dataclass
+class TrialPlaces:
+    """Places that were reserved in the row and granted to entries.
+
+    Parameters
+    ----------
+    reserved
+        Places that may have been granted, by any decider.
+    free
+        Places that this decider reserved and hasn't granted. Those of former
+        deciders are never granted again.
+    """
+
+    reserved: int
+    free: int = 0
+    unmet: int = 0
+
+    def record_reserved(self, reserved: int) -> None:
+        """Add the places of a row that was written."""
+        self.free += max(0, reserved - self.reserved)
+        self.raise_reserved(reserved)
+        self.unmet = 0
+
+    def raise_reserved(self, reserved: int) -> None:
+        """Count places that others reserved."""
+        self.reserved = max(self.reserved, reserved)
+
+    def grant(self, report: EntryReport, entry_count: int) -> int:
+        """Return the places that an entry has from now on.
+
+        They are counted from what the entry knows of, and not from an earlier
+        directive: that one may have reached a process that has ended and used
+        its places.
+        """
+        lacking = max(0, report.sent - report.granted)
+        needed = max(0, report.sent + report.wanted - report.granted)
+        if not needed:
+            return report.granted
+        parts = max(1, min(GRANT_PARTS, entry_count))
+        part = max(1, math.ceil(self.free / parts))
+        granted = min(needed, part)
+        if granted <= lacking or self.free < granted:
+            self.unmet += needed
+            return report.granted
+        if granted < needed:
+            self.unmet += needed - granted
+        self.free -= granted
+        return report.granted + granted
+
+    def next_reserve(self, allowed: float) -> Reserve | None:
+        """Return what to reserve, if entries want more than is free.
+
+        Parameters
+        ----------
+        allowed
+            Places that may be reserved in all by now.
+        """
+        gain = math.floor(allowed) - self.reserved
+        step = max(MIN_RESERVE_PLACES, math.floor(allowed * RESERVE_PART))
+        if self.unmet and gain >= step and self.free < step:
+            return Reserve(self.reserved + gain)
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Exposure:
+    """What a target has got and may get.
+
+    Parameters
+    ----------
+    elapsed_ms
+        Time since the order.
+    requests_per_ms
+        Rate of requests for the service.
+    reserved
+        Places that may have been granted; all count as used.
+    """
+
+    bound: ExposureBound
+    duration_ms: float
+    elapsed_ms: float
+    totals: Totals
+    requests_per_ms: float
+    reserved: int
+
+    @property
+    def counted(self) -> float:
+        """Requests that the target may have got."""
+        places = max(self.reserved, self.totals.granted)
+        return places + self.totals.beyond_places
+
+    @property
+    def limit(self) -> float:
+        """Requests that it may have got by now, as far as they were seen."""
+        return self._limit(self.totals.requests)
+
+    @property
+    def allowed_places(self) -> float:
+        """Places that may be reserved by now."""
+        places = min(self.limit * TRIAL_PART, MAX_TRIAL_PLACES)
+        trial_ms = self.duration_ms * TRIAL_DURATION_PART
+        progress = min(1.0, self.elapsed_ms / max(1.0, trial_ms))
+        paced = places * (FIRST_PART + (1 - FIRST_PART) * progress)
+        return paced - self.totals.beyond_places
+
+    def fits(self, margin: float, delay_ms: float) -> bool:
+        """Return whether all requests until the time limit may go to it.
+
+        Parameters
+        ----------
+        margin
+            Factor on the requests that are expected.
+        delay_ms
+            Age of the counts.
+        """
+        remaining_ms = self.duration_ms - self.elapsed_ms
+        if remaining_ms <= 0:
+            return True
+        expected = self.requests_per_ms * remaining_ms
+        late = self.requests_per_ms * delay_ms
+        limit = self._limit(self.totals.requests + expected)
+        return self.counted + (expected + late) * margin <= limit
+
+    def _limit(self, requests: float) -> float:
+        bound = self.bound
+        return BOUND_PART * (bound.share * requests + bound.slack)
+
+
+def trial_instances(
+    view: ServiceView,
+    order_number: int,
+    trial_per_ms: float,
+    requests_per_ms: float,
+) -> tuple[str, ...]:
+    """Return the upstreams of the target that are tried.
+
+    They are so few that each has about the load of a former one, but in
+    `TRIAL_DOMAINS` failure domains where there are so many. Whoever decides
+    finds the same ones.
+    """
+    ranked_by_domain: dict[str, list[str]] = {}
+    for instance in _ranked(view.domain_by_target, order_number):
+        domain = view.domain_by_target[instance]
+        ranked_by_domain.setdefault(domain, []).append(instance)
+    turns = zip_longest(*ranked_by_domain.values())
+    by_turns = tuple(filter(None, chain.from_iterable(turns)))
+    load = requests_per_ms / max(1, view.former_count)
+    alike = math.ceil(trial_per_ms / load) if load else 0
+    count = max(alike, min(TRIAL_DOMAINS, len(ranked_by_domain)))
+    return by_turns[:count]
+
+
+def _ranked(
+    domain_by_target: Mapping[str, str], order_number: int
+) -> list[str]:
+    return sorted(
+        domain_by_target,
+        key=lambda instance: xxhash.xxh64_intdigest(
+            f'{order_number}:{instance}'.encode()
+        ),
+    )
--- /dev/null
+++ b/bergamotthread/process/rollouts/participant.py
@@ -0,0 +1,319 @@
+"""What one entry does in the roll-outs under way: counts, places, builds."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+from bergamotthread.clock import Clock
+from bergamotthread.process.rollouts.answer_cells import AnswerCells
+from bergamotthread.process.rollouts.build_plan import ANY_BUILD, BuildPlan
+from bergamotthread.process.rollouts.gate import (
+    AnswerSample,
+    RolloutGate,
+    UpstreamBuild,
+)
+from bergamotthread.process.rollouts.order import RolloutOrder, RolloutState
+from bergamotthread.process.rollouts.reports import (
+    Directive,
+    EntryReport,
+    RolloutPhase,
+)
+
+BuildsOf = Callable[[str], Collection[str]]
+
+
+@dataclass
+class _Participation:
+    """One order, as this entry follows it."""
+
+    order: RolloutOrder
+    state: RolloutState = RolloutState.ACTIVE
+    requests: int = 0
+    reported_requests: int = 0
+    sent: int = 0
+    granted: int = 0
+    directive: Directive | None = None
+    valid_until_ms: float = -math.inf
+    replaced_builds: frozenset[str] = frozenset()
+    answers: AnswerCells = field(default_factory=AnswerCells)
+
+    def phase(self, now_ms: float) -> RolloutPhase:
+        """Return the phase that is followed.
+
+        Without a valid directive it is a trial in which no place is left.
+        """
+        if self.directive is None:
+            return RolloutPhase.TRIAL
+        halted = self.directive.phase is RolloutPhase.HALTED
+        if halted or self.is_valid(now_ms):
+            return self.directive.phase
+        return RolloutPhase.TRIAL
+
+    def is_valid(self, now_ms: float) -> bool:
+        """Return whether the directive still holds."""
+        return now_ms < self.valid_until_ms
+
+    def may_send_new(self, now_ms: float) -> bool:
+        """Return whether a new request may go to the target."""
+        if self.state.is_end:
+            return self.state is RolloutState.COMPLETED
+        match self.phase(now_ms):
+            case RolloutPhase.TRIAL:
+                return self.is_valid(now_ms) and self.sent < self.granted
+            case RolloutPhase.MOVING:
+                return True
+            case RolloutPhase.HALTED:
+                return False
+
+    def may_continue(self, now_ms: float) -> bool:
+        """Return whether a stream that runs at the target may go on there."""
+        if self.state.is_end:
+            return self.state is RolloutState.COMPLETED
+        is_halted = self.phase(now_ms) is RolloutPhase.HALTED
+        return self.is_valid(now_ms) and not is_halted
+
+
+class RolloutParticipant(RolloutGate):
+    """Follows the roll-outs of all services at one entry.
+
+    Parameters
+    ----------
+    host
+        Name of this entry in its reports.
+    clock
+        Clock of the process.
+    builds_of
+        Returns the builds of a service that have upstreams.
+    """
+
+    def __init__(self, host: str, clock: Clock, builds_of: BuildsOf) -> None:
+        self._host = host
+        self._clock = clock
+        self._builds_of = builds_of
+        self._by_service: dict[str, _Participation] = {}
+        self._rejected_by_service: dict[str, frozenset[str]] = {}
+        # Attempts that run, by service and build, also without any order: the
+        # former builds run attempts that began before it.
+        self._running: Counter[tuple[str, str]] = Counter()
+
+    @property
+    def active_orders(self) -> tuple[RolloutOrder, ...]:
+        """Orders whose end this entry hasn't seen."""
+        return tuple(
+            participation.order
+            for participation in self._by_service.values()
+            if not participation.state.is_end
+        )
+
+    def order_of(self, service: str) -> RolloutOrder | None:
+        """Return the latest order for a service, also if it has ended."""
+        participation = self._by_service.get(service)
+        return None if participation is None else participation.order
+
+    def state_of(self, service: str) -> RolloutState | None:
+        """Return the state of the latest order for a service."""
+        participation = self._by_service.get(service)
+        return None if participation is None else participation.state
+
+    def begin(self, order: RolloutOrder) -> None:
+        """Follow an order; one that isn't later than the last is ignored.
+
+        An earlier order for the service counts as ended where it stood: its
+        target stays avoided unless it was completed or is the new target.
+        """
+        previous = self._by_service.get(order.service)
+        rejected = self._rejected_by_service.get(order.service, frozenset())
+        if previous is not None:
+            if previous.order.number >= order.number:
+                return
+            if previous.state is not RolloutState.COMPLETED:
+                rejected |= {previous.order.target}
+        self._rejected_by_service[order.service] = rejected - {order.target}
+        self._by_service[order.service] = _Participation(order)
+
+    def end(self, order: RolloutOrder, state: RolloutState) -> None:
+        """Apply the end of an order; the first end that was seen stays.
+
+        Builds are avoided as replaced only if this entry has followed the
+        order: one that learns of a former end may see builds that came later.
+        """
+        is_followed = self.order_of(order.service) == order
+        self.begin(order)
+        participation = self._by_service[order.service]
+        if participation.order != order or participation.state.is_end:
+            return
+        participation.state = state
+        if state is RolloutState.ROLLED_BACK:
+            rejected = self._rejected_by_service[order.service]
+            self._rejected_by_service[order.service] = rejected | {order.target}
+        elif is_followed:
+            listed = frozenset(self._builds_of(order.service))
+            participation.replaced_builds = listed - {order.target}
+
+    def report(self, service: str, now_ms: float) -> EntryReport | None:
+        """Return the counts since the order; None without an order."""
+        participation = self._by_service.get(service)
+        if participation is None:
+            return None
+        wanted = participation.requests - participation.reported_requests
+        participation.reported_requests = participation.requests
+        return EntryReport(
+            host=self._host,
+            order_number=participation.order.number,
+            requests=participation.requests,
+            sent=participation.sent,
+            granted=participation.granted,
+            wanted=wanted,
+            former_running=self._former_running(participation.order),
+            phase=participation.phase(now_ms),
+            cells=participation.answers.cells(),
+            state=participation.state,
+        )
+
+    def apply(self, service: str, directive: Directive, sent_ms: float) -> None:
+        """Follow a directive.
+
+        Directives of several deciders may cross: none lowers the places that
+        were granted, and a halt stays.
+
+        Parameters
+        ----------
+        sent_ms
+            Time at which the report was sent that the directive answers.
+        """
+        participation = self._by_service.get(service)
+        if participation is None:
+            return
+        if participation.order.number != directive.order_number:
+            return
+        granted = max(participation.granted, directive.granted)
+        participation.granted = granted
+        current = participation.directive
+        if current is not None and current.phase is RolloutPhase.HALTED:
+            return
+        until_ms = sent_ms + directive.valid_ms
+        is_halt = directive.phase is RolloutPhase.HALTED
+        if is_halt or until_ms >= participation.valid_until_ms:
+            participation.directive = directive
+            participation.valid_until_ms = until_ms
+
+    def record_request(self, service: str) -> None:
+        """Record a caller's request for a service, before it is placed."""
+        participation = self._by_service.get(service)
+        if participation is not None:
+            participation.requests += 1
+
+    def plan(self, service: str, bound_build: str | None = None) -> BuildPlan:
+        """Return where a request may run now.
+
+        A new request takes a place of the trial as long as there is one. A
+        stream goes on at its build alone, or nowhere if that one is avoided.
+        """
+        participation = self._by_service.get(service)
+        if participation is None:
+            return ANY_BUILD if bound_build is None else BuildPlan(bound_build)
+        if bound_build is not None:
+            return self._plan_bound(participation, bound_build)
+        if participation.state is RolloutState.COMPLETED:
+            return self._plan_completed(participation)
+        return self._plan_new(participation)
+
+    def admit(self, upstream: UpstreamBuild, *, is_bound: bool) -> bool:
+        """Return whether an attempt may be sent now, and count it if so."""
+        participation = self._by_service.get(upstream.service)
+        if participation is not None:
+            if not self._allows(participation, upstream, is_bound=is_bound):
+                return False
+            is_target = upstream.build == participation.order.target
+            participation.sent += int(is_target)
+        self._running[upstream.service, upstream.build] += 1
+        return True
+
+    def record_ended(self, upstream: UpstreamBuild) -> None:
+        """Record that an attempt that was admitted has ended."""
+        key = (upstream.service, upstream.build)
+        self._running[key] -= 1
+        if self._running[key] <= 0:
+            self._running.pop(key)
+
+    def record_answer(self, sample: AnswerSample) -> None:
+        """Record an answer of an upstream while an order is under way."""
+        participation = self._by_service.get(sample.upstream.service)
+        if participation is None or participation.state.is_end:
+            return
+        is_target = sample.upstream.build == participation.order.target
+        participation.answers.record(sample, is_target=is_target)
+
+    def _allows(
+        self,
+        participation: _Participation,
+        upstream: UpstreamBuild,
+        *,
+        is_bound: bool,
+    ) -> bool:
+        """Return whether an attempt may be sent to an upstream.
+
+        A request that was placed before its entry moved is placed again, so
+        that a former build runs nothing once that was reported.
+        """
+        order = participation.order
+        now_ms = self._clock.now_ms()
+        if upstream.build in self._rejected(order.service):
+            return False
+        if upstream.build == order.target:
+            if is_bound:
+                return participation.may_continue(now_ms)
+            return participation.may_send_new(now_ms)
+        if order.target not in self._builds_of(order.service):
+            return True
+        if participation.state is RolloutState.COMPLETED:
+            return upstream.build not in participation.replaced_builds
+        is_moving = participation.phase(now_ms) is RolloutPhase.MOVING
+        return is_bound or participation.state.is_end or not is_moving
+
+    def _plan_bound(
+        self, participation: _Participation, bound_build: str
+    ) -> BuildPlan:
+        order = participation.order
+        avoided = self._rejected(order.service)
+        is_target = bound_build == order.target
+        if is_target and not participation.may_continue(self._clock.now_ms()):
+            avoided |= {bound_build}
+        return BuildPlan(bound_build, avoided)
+
+    def _plan_completed(self, participation: _Participation) -> BuildPlan:
+        order = participation.order
+        listed = frozenset(self._builds_of(order.service))
+        # A build that went away and comes again is no longer the one that was
+        # replaced.
+        participation.replaced_builds &= listed
+        rejected = self._rejected(order.service)
+        if order.target not in listed:
+            return BuildPlan(avoided=rejected)
+        return BuildPlan(avoided=rejected | participation.replaced_builds)
+
+    def _plan_new(self, participation: _Participation) -> BuildPlan:
+        order = participation.order
+        rejected = self._rejected(order.service)
+        now_ms = self._clock.now_ms()
+        has_target = order.target in self._builds_of(order.service)
+        if not (has_target and participation.may_send_new(now_ms)):
+            return BuildPlan(avoided=rejected | {order.target})
+        directive = participation.directive
+        tried = directive.instances if directive else ()
+        return BuildPlan(
+            order.target, rejected, frozenset(tried) if tried else None
+        )
+
+    def _rejected(self, service: str) -> frozenset[str]:
+        return self._rejected_by_service.get(service, frozenset())
+
+    def _former_running(self, order: RolloutOrder) -> int:
+        return sum(
+            running
+            for (service, build), running in self._running.items()
+            if service == order.service and build != order.target
+        )
--- a/bergamotthread/process/rollouts/reports.py
+++ b/bergamotthread/process/rollouts/reports.py
@@ -7,6 +7,9 @@
 
 from bergamotthread.process.rollouts.order import RolloutOrder, RolloutState
 
+# Interval between the reports of an entry, unless its directive says otherwise.
+REPORT_INTERVAL_MS = 500.0
+
 
 class RolloutPhase(enum.Enum):
     """Who gets the target of a roll-out that is under way.
@@ -69,6 +72,9 @@
         Phase that the entry follows.
     cells
         Answers, by kind.
+    state
+        State of the roll-out as the entry knows it: an end that it has seen is
+        kept, also where the store has come back older.
     """
 
     host: str
@@ -80,6 +86,7 @@
     former_running: int
     phase: RolloutPhase
     cells: tuple[AnswerCell, ...]
+    state: RolloutState = RolloutState.ACTIVE
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +101,8 @@
         Places that the entry was granted in all, used or not.
     instances
         Upstreams of the target that are tried; empty for all of them.
+    report_ms
+        Time after which the next report is due.
     """
 
     order_number: int
@@ -101,6 +110,7 @@
     granted: int
     valid_ms: float
     instances: tuple[str, ...] = ()
+    report_ms: float = REPORT_INTERVAL_MS
 
 
 @dataclass(frozen=True, slots=True)
