--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -18,6 +18,7 @@
 from bergamotthread.platform.limit_relay import LimitRelay
 from bergamotthread.platform.peer_messages import PeerMessages
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
+from bergamotthread.platform.rollout_parts import RolloutParts
 from bergamotthread.platform.runner_calls import RunnerClient
 from bergamotthread.platform.runner_watch import RunnerWatch
 from bergamotthread.platform.settings import (
@@ -51,6 +52,7 @@
 from bergamotthread.process.relay.stream_gate import StreamGate
 from bergamotthread.process.relay.upstreams import UpstreamDirectory
 from bergamotthread.process.relay.version_holder import RouteTableHolder
+from bergamotthread.process.rollouts.gate import NoRollouts
 from bergamotthread.request.relay.admission import Admission
 from bergamotthread.request.relay.leaving_notices import LeavingNotices
 from bergamotthread.request.relay.limit_notices import LimitNotices
@@ -108,6 +110,7 @@
             limits=self._limit_parts.limits,
         )
         self._store = PlatformStoreClient(settings.store_address, self._pool)
+        self._rollouts = self._make_rollouts()
         self._parts = self._make_relay_parts()
         self._server = RelayServer(
             clock,
@@ -150,6 +153,8 @@
                 self._limit_relay.run(),
             )
         ]
+        if self._rollouts is not None:
+            tasks.append(asyncio.create_task(self._rollouts.relay.run()))
         while not self._is_finished():
             due_ms = self._clock.now_ms() + HOUSEKEEPING_INTERVAL_MS
             await self._clock.sleep_ms(HOUSEKEEPING_INTERVAL_MS)
@@ -250,6 +255,11 @@
                 **self._limit_parts.answer_by_path,
                 **self._build_relay.answer_by_path,
                 **self._limit_relay.answer_by_path,
+                **(
+                    self._rollouts.relay.answer_by_path
+                    if self._rollouts
+                    else {}
+                ),
             },
         )
         await listen(feed_server, f'{settings.ip}:{settings.peer_port}')
@@ -271,6 +281,8 @@
             self._log,
         )
         state.add_gauges()
+        if self._rollouts is not None:
+            self._rollouts.add_gauges(self._parts.metrics.registry)
 
     def _entry_count(self) -> int:
         return max(len(self._feeds), ENTRIES_MIN)
@@ -338,8 +350,25 @@
             builds=self._build_relay,
             log=self._log,
             metrics=metrics,
+            rollouts=self._rollouts.gate if self._rollouts else NoRollouts(),
         )
 
+    def _make_rollouts(self) -> RolloutParts | None:
+        """Return what carries out roll-outs, where the deployment has them."""
+        if self._settings.exposure is None:
+            return None
+        parts = RolloutParts.from_connections(
+            self._settings.exposure,
+            self._store,
+            self._limit_parts.relay.view,
+            self._directory,
+            self._holder,
+            self._log,
+            self._rng,
+        )
+        self._limit_parts.activities.append(parts.relay.is_active)
+        return parts
+
     def _make_watches(self) -> _Watches:
         sources = WatchContext(
             self._store,
@@ -351,15 +380,23 @@
         settings = self._settings
         own_address = f'{settings.ip}:{settings.peer_port}'
         own_record = self._feeds.own_record(own_address)
+        rollouts = self._rollouts
+        apply_crashes = self._crashes.rows.apply
+        apply_row = (
+            rollouts.apply_row_after(apply_crashes)
+            if rollouts
+            else apply_crashes
+        )
         return _Watches(
             VersionWatch(
                 sources,
                 self._holder,
                 self._freshness,
                 self._life_cycle,
+                rollouts.rows if rollouts else None,
             ),
             RunnerWatch(sources, self._directory, self._pool),
-            EntryWatch(sources, own_record, self._crashes.rows.apply),
+            EntryWatch(sources, own_record, apply_row),
         )
 
 
--- a/bergamotthread/platform/lease_relay.py
+++ b/bergamotthread/platform/lease_relay.py
@@ -62,6 +62,14 @@
         silent_count = len(others & self._silent)
         return 1 - silent_count / (1 + len(others))
 
+    def present_hosts(self) -> frozenset[str]:
+        """Return the hosts of the entries that have not ended, and the own."""
+        others = self.feeds.others()
+        present = {
+            entry.host for entry in others if entry.address not in self._ended
+        }
+        return frozenset((self.feeds.own_host, *present))
+
     def record_heard(self, address: str, now_ms: float) -> None:
         """Record that an entry sent something."""
         self._silent.discard(address)
--- a/bergamotthread/platform/limit_parts.py
+++ b/bergamotthread/platform/limit_parts.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.lease_relay import LEASE_PATH, LeaseRelay, PeerView
@@ -43,11 +44,19 @@
 
 @dataclass(frozen=True)
 class LimitParts:
-    """Limits of upstreams, with the exchange of their shares."""
+    """Limits of upstreams, with the exchange of their shares.
+
+    Parameters
+    ----------
+    activities
+        Return whether something else relies on the view of the other entries,
+        which are checked only then.
+    """
 
     limits: RequestLimits
     leases: LeaseExchange[RateUsage]
     relay: LeaseRelay
+    activities: list[Callable[[], bool]] = field(default_factory=list)
 
     @classmethod
     def from_connections(
@@ -79,4 +88,5 @@
 
     def _is_active(self) -> bool:
         is_granting = self.leases.home.is_granting
-        return is_granting or bool(self.leases.usage_by_name)
+        is_leasing = is_granting or bool(self.leases.usage_by_name)
+        return is_leasing or any(is_active() for is_active in self.activities)
--- a/bergamotthread/platform/watches.py
+++ b/bergamotthread/platform/watches.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 import msgspec
 from absl import logging
@@ -37,8 +38,18 @@
 REGISTER_SPREAD_MS = 1000
 
 
+class OrderRows(Protocol):
+    """Applies the operator's orders that stand beside the manifest."""
+
+    def begin_era(self, version: StoreVersion) -> None:
+        """Note that rows up to a version may be those of an older copy."""
+
+    def apply_order(self, row: StoredRow) -> None:
+        """Apply a row other than the manifest; unknown ones are ignored."""
+
+
 class VersionWatch(TableWatch):
-    """Applies the operator's manifest when it changes."""
+    """Applies the operator's manifest when it changes, and its orders."""
 
     table = OPERATOR_TABLE
     wait_ms = VERSION_POLL_WAIT_MS
@@ -51,8 +62,17 @@
         holder: RouteTableHolder,
         freshness: VersionFreshness,
         life_cycle: LifeCycle,
+        orders: OrderRows | None = None,
     ) -> None:
+        """Follow the operator's table.
+
+        Parameters
+        ----------
+        orders
+            Applies the orders; None where there are none.
+        """
         super().__init__(sources)
+        self._orders = orders
         self._holder = holder
         self._freshness = freshness
         self._life_cycle = life_cycle
@@ -66,15 +86,19 @@
         self._copy_version = version
         self._is_behind = True
         self._is_rewritten = False
+        if self._orders is not None:
+            self._orders.begin_era(version)
 
     def apply_all(self, rows: Iterable[StoredRow]) -> None:
         """Apply the manifest among the rows."""
         self.apply_changes(rows)
 
     def apply_changes(self, rows: Iterable[StoredRow]) -> None:
-        """Apply the manifest if it changed."""
+        """Apply the manifest if it changed, and changed orders."""
         for row in rows:
-            if row.key == MANIFEST_KEY and row.payload is not None:
+            if row.key != MANIFEST_KEY:
+                self._apply_order(row)
+            elif row.payload is not None:
                 self._apply_manifest(row.payload, row.version)
 
     def record_confirmed(self, requested_ms: float) -> None:
@@ -98,6 +122,10 @@
             self._freshness.age_ms,
         )
 
+    def _apply_order(self, row: StoredRow) -> None:
+        if self._orders is not None:
+            self._orders.apply_order(row)
+
     def _apply_manifest(
         self, encoded: bytes, row_version: StoreVersion
     ) -> None:
--- a/bergamotthread/process/metrics.py
+++ b/bergamotthread/process/metrics.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -87,6 +87,21 @@
         yield f'{name} {self.read():g}'
 
 
+@dataclass
+class LabelledGauge:
+    """Values that are read at each exposition, by the values of one label."""
+
+    label: str
+    read: Callable[[], Mapping[str, float]]
+    kind: str = field(default='gauge', init=False)
+
+    def samples(self, name: str) -> Iterator[str]:
+        """Yield a line for each value of the label."""
+        for label_value, current in sorted(self.read().items()):
+            escaped = _escape(label_value)
+            yield f'{name}{{{self.label}="{escaped}"}} {current:g}'
+
+
 class Percentiles:
     """Distribution of durations over the last one to two minutes.
 
@@ -188,6 +203,16 @@
         """Add a gauge; `read` returns its current value."""
         self._add(name, description, Gauge(read))
 
+    def labelled_gauge(
+        self,
+        name: str,
+        description: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Add a gauge with one label; `read` returns its current values."""
+        self._add(name, description, LabelledGauge(label, read))
+
     def percentiles(self, name: str, description: str) -> Percentiles:
         """Return a new distribution of durations; `name` ends in ``_ms``."""
         percentiles = Percentiles(self.clock)
--- a/bergamotthread/process/rollouts/participant.py
+++ b/bergamotthread/process/rollouts/participant.py
@@ -134,6 +134,12 @@
         self._rejected_by_service[order.service] = rejected - {order.target}
         self._by_service[order.service] = _Participation(order)
 
+    def renumber(self, order: RolloutOrder) -> None:
+        """Follow the current order under the number that others know."""
+        participation = self._by_service.get(order.service)
+        if participation is not None:
+            participation.order = order
+
     def end(self, order: RolloutOrder, state: RolloutState) -> None:
         """Apply the end of an order; the first end that was seen stays.
 
