--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -89,6 +89,8 @@
         Requests per second that all its answers state, if not empty.
     error_every
         Each so many plain answers, one is a 500; 0 for none.
+    error_prefix
+        Only paths that begin with it get errors.
     limits_on_errors
         Whether only answers with 500 state `request_limit`.
     names_itself
@@ -134,6 +136,7 @@
     extra: tuple[Header, ...] = ()
     request_limit: str = ''
     error_every: int = 0
+    error_prefix: bytes = b''
     limits_on_errors: bool = False
     names_itself: bool = False
 
@@ -152,9 +155,10 @@
         """Return the field that states the limit."""
         return (REQUEST_LIMIT, self.request_limit.encode())
 
-    def plain_status(self, number: int) -> int:
+    def plain_status(self, number: int, target: bytes = b'') -> int:
         """Return the status of the plain answer with a number from 1 on."""
         is_error = self.error_every and not number % self.error_every
+        is_error = is_error and target.startswith(self.error_prefix)
         return 500 if is_error else self.status
 
 
@@ -286,7 +290,7 @@
         if self.script.breaks_after is not None:
             exchange.abort()
             return
-        status = self.script.plain_status(len(self.seen))
+        status = self.script.plain_status(len(self.seen), seen.target)
         headers = self._headers(seen)
         if self.script.limits_on_errors and status == _ERROR:
             headers.append(self.script.limit_header)
