--- a/bergamotthread/process/rollouts/decider.py
+++ b/bergamotthread/process/rollouts/decider.py
@@ -9,8 +9,7 @@
 
 from bergamotthread.process.rollouts.entry_counts import EntryCounts
 from bergamotthread.process.rollouts.exposure import (
-    MOVE_MARGIN,
-    TRIAL_DURATION_PART,
+    MOVE_DEVIATIONS,
     Exposure,
     ServiceView,
     TrialPlaces,
@@ -32,10 +31,11 @@
 # An entry that hears nothing stops sending to the target after this, which
 # leaves room for the judgement within `ExposureBound.rollback_ms`.
 DIRECTIVE_VALID_MS = 3000.0
-# Reports come as often as this while the move ends, and no more often than
-# one each `REPORT_SPACING_MS` from all entries together.
-FAST_REPORT_MS = 100.0
-REPORT_SPACING_MS = 2.0
+# Reports come as often as this from shortly before the time limit on and during
+# a move, but no more than one each `REPORT_SPACING_MS` from all entries.
+FAST_REPORT_MS = 200.0
+REPORT_SPACING_MS = 8.0
+FAST_REPORT_PART = 0.8
 # A decider ends nothing before all entries have reported to it or this passed.
 SETTLING_MS = 1500.0
 # Part of the duration before which no move begins, and from which it begins
@@ -46,15 +46,17 @@
 # Factor against the target, as a logarithm, from which it isn't moved to yet.
 SUSPECT_LOG_FACTOR = math.log(100)
 # A completion leaves this part of the duration, and time, for its writes.
-END_PART = 0.1
-MIN_END_MS = 1000.0
+END_PART = 0.05
+MIN_END_MS = 400.0
+# Part of the trial's places that its last pulse grants.
+LAST_PULSE_PART = 0.4
 # A suspect target is judged for this long past the time limit.
 SUSPECT_MS = 2000.0
 # Answers are overdue after this many times the former builds' mean time.
-OVERDUE_FACTOR = 3.0
+OVERDUE_FACTOR = 2.0
 MIN_OVERDUE_MS = 500.0
 MAX_OVERDUE_PART = 0.2
-MIN_OVERDUE = 3
+MIN_OVERDUE = 2
 
 _TRIAL = RolloutPhase.TRIAL.value
 _MOVING = RolloutPhase.MOVING.value
@@ -132,13 +134,13 @@
         self._bound = bound
         self._order_ms = order_ms
         self._began_ms = now_ms
-        self._moved_ms = now_ms
         self._stream_ms = stream_ms
         self._view = ServiceView({}, 0, frozenset())
         self._counts = EntryCounts(now_ms)
         self._places = TrialPlaces(record.reserved)
         self._judgement = Judgement(now_ms)
         self._instances: tuple[str, ...] = ()
+        self._former_mean_ms: float = 0
         self._end: End | None = None
         self._waits_for = 'answers of the target'
         self._machine = Machine(
@@ -199,15 +201,15 @@
     def apply(self, report: EntryReport, now_ms: float) -> Directive:
         """Count the report of an entry, and return what it may do."""
         if report.order_number != self.record.order.number:
-            return self._directive(0)
+            return self._directive(0, now_ms)
         if report.state.is_end and self._end is None:
             self._end = End(report.state, f'{report.host} has seen this end')
         self._judgement.add(self._counts.apply(report, now_ms))
         may_grant = self.phase is RolloutPhase.TRIAL and self._instances
         if not may_grant:
-            return self._directive(report.granted)
-        entry_count = len(self._view.entries)
-        return self._directive(self._places.grant(report, entry_count))
+            return self._directive(report.granted, now_ms)
+        granted = self._places.grant(report, len(self._view.entries))
+        return self._directive(granted, now_ms)
 
     def next_step(
         self, now_ms: float, view: ServiceView
@@ -259,7 +261,6 @@
             self._waits_for = self._obstacle(exposure, now_ms)
             if not self._waits_for:
                 self._machine.events['move'].trigger(self)
-                self._moved_ms = now_ms
             return None
         if not exposure.fits(1, 0):
             self._machine.events['return_to_trial'].trigger(self)
@@ -267,6 +268,10 @@
         self._waits_for = self._unmoved(exposure, now_ms)
         if self._waits_for:
             return None
+        self._judgement.compare(now_ms)
+        reason = self._judgement.condemnation()
+        if reason:
+            return self._roll_back(reason)
         return End(RolloutState.COMPLETED, 'all requests go to the target')
 
     def _roll_back(self, reason: str) -> End:
@@ -302,7 +307,7 @@
             return 'more answers: those seen are suspect'
         if not self._has_evidence(exposure):
             return 'answers of the target'
-        if not exposure.fits(MOVE_MARGIN, REPORT_INTERVAL_MS):
+        if not exposure.fits(MOVE_DEVIATIONS, self._report_ms(now_ms)):
             return 'the bound, which all requests would exceed'
         return ''
 
@@ -322,10 +327,10 @@
         is_suspect = self._judgement.log_factor >= SUSPECT_LOG_FACTOR
         if is_suspect and remaining_ms > -SUSPECT_MS:
             return 'more answers: those seen are suspect'
-        if now_ms - self._moved_ms < FAST_REPORT_MS:
-            return 'reports of the entries'
         if -remaining_ms >= self._stream_ms:
             return ''
+        if self._overdue(exposure, now_ms):
+            return 'answers that are overdue'
         if not self._counts.moved(now_ms):
             return 'attempts that run at the former builds'
         silent = self._counts.silent(now_ms)
@@ -340,16 +345,16 @@
         """Return how many answers of the target are overdue, if too many.
 
         By Little's law the former builds' mean time is what runs there over
-        the rate at which it ends.
+        the rate at which it ends; once requests are moved away from them, the
+        last one counts.
         """
         totals = exposure.totals
-        ended_per_ms = totals.former_answered / max(1, exposure.elapsed_ms)
-        if not ended_per_ms:
-            return 0
-        mean_ms = totals.former_running / ended_per_ms
-        due_ms = max(MIN_OVERDUE_MS, OVERDUE_FACTOR * mean_ms)
+        if self.phase is RolloutPhase.TRIAL and totals.former_answered:
+            ended_per_ms = totals.former_answered / max(1, exposure.elapsed_ms)
+            self._former_mean_ms = totals.former_running / ended_per_ms
+        due_ms = max(MIN_OVERDUE_MS, OVERDUE_FACTOR * self._former_mean_ms)
         sent = self._counts.totals_at(now_ms - due_ms).sent
-        overdue = sent - totals.target_answered
+        overdue = sent - (totals.sent - totals.target_running)
         is_many = overdue >= max(MIN_OVERDUE, MAX_OVERDUE_PART * sent)
         return overdue if is_many else 0
 
@@ -359,11 +364,11 @@
         return bool(self._view.entries) and self._counts.is_complete(now_ms)
 
     def _choose_instances(self, exposure: Exposure) -> None:
-        trial_ms = exposure.duration_ms * TRIAL_DURATION_PART
+        pulse = max(exposure.allowed_places * LAST_PULSE_PART, 1)
         self._instances = trial_instances(
             self._view,
             self.record.order.number,
-            exposure.allowed_places / max(1, trial_ms),
+            pulse,
             exposure.requests_per_ms,
         )
 
@@ -378,20 +383,24 @@
             reserved=self._places.reserved,
         )
 
-    def _directive(self, granted: int) -> Directive:
+    def _directive(self, granted: int, now_ms: float) -> Directive:
         phase = self.phase
         is_trial = phase is RolloutPhase.TRIAL
-        fast_ms = max(
-            FAST_REPORT_MS, REPORT_SPACING_MS * len(self._view.entries)
-        )
         return Directive(
             order_number=self.record.order.number,
             phase=phase,
             granted=granted,
             valid_ms=DIRECTIVE_VALID_MS,
             instances=self._instances if is_trial else (),
-            report_ms=min(
-                REPORT_INTERVAL_MS,
-                REPORT_INTERVAL_MS if is_trial else fast_ms,
-            ),
+            report_ms=self._report_ms(now_ms),
+        )
+
+    def _report_ms(self, now_ms: float) -> float:
+        elapsed_part = (now_ms - self._order_ms) / max(
+            1, self.record.order.duration_ms
         )
+        is_trial = self.phase is RolloutPhase.TRIAL
+        if is_trial and elapsed_part < FAST_REPORT_PART:
+            return REPORT_INTERVAL_MS
+        spaced_ms = REPORT_SPACING_MS * len(self._view.entries)
+        return min(REPORT_INTERVAL_MS, max(FAST_REPORT_MS, spaced_ms))
--- a/bergamotthread/process/rollouts/entry_counts.py
+++ b/bergamotthread/process/rollouts/entry_counts.py
@@ -45,6 +45,7 @@
     target_answered: int = 0
     former_answered: int = 0
     former_running: int = 0
+    target_running: int = 0
 
     def plus(self, other: Totals) -> Totals:
         """Return the sums over more entries."""
@@ -56,6 +57,7 @@
             self.target_answered + other.target_answered,
             self.former_answered + other.former_answered,
             self.former_running + other.former_running,
+            self.target_running + other.target_running,
         )
 
 
@@ -190,6 +192,7 @@
         target_answered=target,
         former_answered=former,
         former_running=report.former_running,
+        target_running=report.target_running,
     )
 
 
--- a/bergamotthread/process/rollouts/exposure.py
+++ b/bergamotthread/process/rollouts/exposure.py
@@ -15,20 +15,25 @@
 
 # Part of the bound that the trial takes; the rest is for the move, which must
 # begin before the time limit.
-TRIAL_PART = 0.4
+TRIAL_PART = 0.3
 # Places of a trial that are enough to judge by.
-MAX_TRIAL_PLACES = 400.0
-# Part of the places that is granted at once, to see gross faults early.
-FIRST_PART = 0.3
-# Part of the duration over which the other places are granted.
-TRIAL_DURATION_PART = 0.7
+MAX_TRIAL_PLACES = 300.0
+# Parts of the places that may be granted by parts of the duration. They come in
+# pulses, each of which gives the tried upstreams about the load of former ones.
+TRIAL_PULSES: tuple[tuple[float, float], ...] = (
+    (0, 0.4),
+    (0.2, 0.5),
+    (0.4, 0.6),
+    (0.6, 1),
+)
+PULSE_MS = 1000.0
 # Part of the trial that is reserved with one write.
 RESERVE_PART = 0.1
 MIN_RESERVE_PLACES = 2
 # Part of the free places that one report gets.
 GRANT_PARTS = 4
-# Allowance for requests that repeat, resume, or exceed the rate of late.
-MOVE_MARGIN = 1.25
+# Standard deviations of the expected requests that a move allows for.
+MOVE_DEVIATIONS = 2.0
 # Part of the bound that is kept for counts on the way.
 BOUND_PART = 0.95
 # Failure domains in which a target is tried, where it has so many.
@@ -113,7 +118,8 @@
         """
         gain = math.floor(allowed) - self.reserved
         step = max(MIN_RESERVE_PLACES, math.floor(allowed * RESERVE_PART))
-        if self.unmet and gain >= step and self.free < step:
+        is_wanted = self.unmet > 0 or not self.reserved
+        if is_wanted and gain >= step and self.free < step:
             return Reserve(self.reserved + gain)
         return None
 
@@ -154,18 +160,19 @@
     def allowed_places(self) -> float:
         """Places that may be reserved by now."""
         places = min(self.limit * TRIAL_PART, MAX_TRIAL_PLACES)
-        trial_ms = self.duration_ms * TRIAL_DURATION_PART
-        progress = min(1.0, self.elapsed_ms / max(1.0, trial_ms))
-        paced = places * (FIRST_PART + (1 - FIRST_PART) * progress)
-        return paced - self.totals.beyond_places
+        elapsed_part = self.elapsed_ms / max(1.0, self.duration_ms)
+        paced = max(
+            part for start, part in TRIAL_PULSES if elapsed_part >= start
+        )
+        return places * paced - self.totals.beyond_places
 
-    def fits(self, margin: float, delay_ms: float) -> bool:
+    def fits(self, deviations: float, delay_ms: float) -> bool:
         """Return whether all requests until the time limit may go to it.
 
         Parameters
         ----------
-        margin
-            Factor on the requests that are expected.
+        deviations
+            Standard deviations beyond the requests that are expected.
         delay_ms
             Age of the counts.
         """
@@ -175,7 +182,8 @@
         expected = self.requests_per_ms * remaining_ms
         late = self.requests_per_ms * delay_ms
         limit = self._limit(self.totals.requests + expected)
-        return self.counted + (expected + late) * margin <= limit
+        margin = deviations * math.sqrt(expected + late)
+        return self.counted + expected + late + margin <= limit
 
     def _limit(self, requests: float) -> float:
         bound = self.bound
@@ -185,7 +193,7 @@
 def trial_instances(
     view: ServiceView,
     order_number: int,
-    trial_per_ms: float,
+    pulse: float,
     requests_per_ms: float,
 ) -> tuple[str, ...]:
     """Return the upstreams of the target that are tried.
@@ -193,6 +201,11 @@
     They are so few that each has about the load of a former one, but in
     `TRIAL_DOMAINS` failure domains where there are so many. Whoever decides
     finds the same ones.
+
+    Parameters
+    ----------
+    pulse
+        Requests that they get within `PULSE_MS`.
     """
     ranked_by_domain: dict[str, list[str]] = {}
     for instance in _ranked(view.domain_by_target, order_number):
@@ -200,8 +213,8 @@
         ranked_by_domain.setdefault(domain, []).append(instance)
     turns = zip_longest(*ranked_by_domain.values())
     by_turns = tuple(filter(None, chain.from_iterable(turns)))
-    load = requests_per_ms / max(1, view.former_count)
-    alike = math.ceil(trial_per_ms / load) if load else 0
+    load = requests_per_ms * PULSE_MS / max(1, view.former_count)
+    alike = math.ceil(pulse / load) if load else 0
     count = max(alike, min(TRIAL_DOMAINS, len(ranked_by_domain)))
     return by_turns[:count]
 
--- a/bergamotthread/process/rollouts/participant.py
+++ b/bergamotthread/process/rollouts/participant.py
@@ -167,10 +167,11 @@
             sent=participation.sent,
             granted=participation.granted,
             wanted=wanted,
-            former_running=self._former_running(participation.order),
+            former_running=self._running_at(participation.order, former=True),
             phase=participation.phase(now_ms),
             cells=participation.answers.cells(),
             state=participation.state,
+            target_running=self._running_at(participation.order, former=False),
         )
 
     def apply(self, service: str, directive: Directive, sent_ms: float) -> None:
@@ -311,9 +312,10 @@
     def _rejected(self, service: str) -> frozenset[str]:
         return self._rejected_by_service.get(service, frozenset())
 
-    def _former_running(self, order: RolloutOrder) -> int:
+    def _running_at(self, order: RolloutOrder, *, former: bool) -> int:
+        """Return the attempts that run at the former builds or the target."""
         return sum(
             running
             for (service, build), running in self._running.items()
-            if service == order.service and build != order.target
+            if service == order.service and (build != order.target) is former
         )
--- a/bergamotthread/process/rollouts/reports.py
+++ b/bergamotthread/process/rollouts/reports.py
@@ -75,6 +75,8 @@
     state
         State of the roll-out as the entry knows it: an end that it has seen is
         kept, also where the store has come back older.
+    target_running
+        Attempts that run at the target.
     """
 
     host: str
@@ -87,6 +89,7 @@
     phase: RolloutPhase
     cells: tuple[AnswerCell, ...]
     state: RolloutState = RolloutState.ACTIVE
+    target_running: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/bergamotthread/process/rollouts/strata.py
+++ b/bergamotthread/process/rollouts/strata.py
@@ -18,8 +18,10 @@
 # Buckets above the former builds' median from which an answer is slow: over
 # two to four times as long, and always so at 2.9 times.
 SLOW_BUCKETS = 3
-# The same if the former builds' answers are of another time.
+# The same if the former builds' answers are of another time, when the load may
+# have been another one. The pace depends on it less than the latency.
 SLOW_BUCKETS_EARLIER = 5
+SLOW_PACE_BUCKETS_EARLIER = 4
 # Former answers of the same time that make a median.
 MIN_FORMER_ANSWERS = 8
 # Former answers of the same time and failure domain that are compared with
@@ -69,8 +71,8 @@
             if key.is_target is is_target
         )
 
-    def slow_limits(self, buckets: int) -> SlowLimits:
-        """Return limits this many buckets above the former builds' medians."""
+    def slow_limits(self, buckets: int, pace_buckets: int) -> SlowLimits:
+        """Return limits so many buckets above the former builds' medians."""
         if self.answered(is_target=False) < MIN_FORMER_ANSWERS:
             return SlowLimits()
         latencies: Counter[int] = Counter()
@@ -83,7 +85,7 @@
         has_paces = paces.total() >= MIN_FORMER_ANSWERS
         return SlowLimits(
             median_bucket(latencies) + buckets,
-            median_bucket(paces) + buckets if has_paces else None,
+            median_bucket(paces) + pace_buckets if has_paces else None,
         )
 
     def tally(
@@ -129,10 +131,12 @@
     earlier
         All answers before it.
     """
-    limits = current.slow_limits(SLOW_BUCKETS)
+    limits = current.slow_limits(SLOW_BUCKETS, SLOW_BUCKETS)
     former = current.tally(limits, is_target=False)
     if former.answered < MIN_FORMER_ANSWERS:
-        limits = earlier.slow_limits(SLOW_BUCKETS_EARLIER)
+        limits = earlier.slow_limits(
+            SLOW_BUCKETS_EARLIER, SLOW_PACE_BUCKETS_EARLIER
+        )
         former = earlier.tally(limits, is_target=False)
     for domain in sorted(current.target_domains()):
         same = current.tally(limits, is_target=False, domain=domain)
