--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -49,7 +49,7 @@
         mean_ms=drawn.choice((20, 50) if is_stream else (10, 50, 200)),
         events=drawn.randint(20, 60) if is_stream else 0,
         base_failed=drawn.choice((0, 0.001, 0.02)),
-        deciding=drawn.choice(tuple(Deciding)),
+        deciding=drawn.choice((Deciding.ONE, Deciding.REPLACED, Deciding.TWO)),
         lost_reports=drawn.choice((0, 0, 0.2)),
     )
 
--- a/bergamotthread/process/rollouts/decider.py
+++ b/bergamotthread/process/rollouts/decider.py
@@ -33,8 +33,8 @@
 DIRECTIVE_VALID_MS = 3000.0
 # Reports come as often as this from shortly before the time limit on and during
 # a move, but no more than one each `REPORT_SPACING_MS` from all entries.
-FAST_REPORT_MS = 200.0
-REPORT_SPACING_MS = 8.0
+FAST_REPORT_MS = 100.0
+REPORT_SPACING_MS = 4.0
 FAST_REPORT_PART = 0.8
 # A decider ends nothing before all entries have reported to it or this passed.
 SETTLING_MS = 1500.0
@@ -43,6 +43,9 @@
 MOVE_FROM_PART = 0.4
 MOVE_ANYHOW_PART = 0.65
 MIN_TARGET_ANSWERS = 20
+# The same from then on, if there have been some times as many requests.
+FEW_TARGET_ANSWERS = 5
+REQUESTS_PER_ANSWER = 10
 # Factor against the target, as a logarithm, from which it isn't moved to yet.
 SUSPECT_LOG_FACTOR = math.log(100)
 # A completion leaves this part of the duration, and time, for its writes.
@@ -138,8 +141,12 @@
         self._view = ServiceView({}, 0, frozenset())
         self._counts = EntryCounts(now_ms)
         self._places = TrialPlaces(record.reserved)
+        self._reserved_before = record.reserved
         self._judgement = Judgement(now_ms)
         self._instances: tuple[str, ...] = ()
+        self._lost_places = 0
+        self._is_settled = False
+        self._saw_move = False
         self._former_mean_ms: float = 0
         self._end: End | None = None
         self._waits_for = 'answers of the target'
@@ -201,15 +208,22 @@
     def apply(self, report: EntryReport, now_ms: float) -> Directive:
         """Count the report of an entry, and return what it may do."""
         if report.order_number != self.record.order.number:
-            return self._directive(0, now_ms)
-        if report.state.is_end and self._end is None:
+            return self._directive(RolloutPhase.TRIAL, 0, now_ms)
+        if report.state.is_end:
             self._end = End(report.state, f'{report.host} has seen this end')
+        if report.phase is RolloutPhase.HALTED and self._end is None:
+            self._roll_back(f'{report.host} was told to halt')
+        self._saw_move |= report.phase is RolloutPhase.MOVING
         self._judgement.add(self._counts.apply(report, now_ms))
-        may_grant = self.phase is RolloutPhase.TRIAL and self._instances
-        if not may_grant:
-            return self._directive(report.granted, now_ms)
-        granted = self._places.grant(report, len(self._view.entries))
-        return self._directive(granted, now_ms)
+        phase = self.phase
+        if phase is RolloutPhase.TRIAL and not self._is_settled:
+            # What another decider has allowed goes on until this one knows
+            # enough.
+            phase = report.phase
+        granted = report.granted
+        if phase is RolloutPhase.TRIAL and self._instances:
+            granted = self._places.grant(report, len(self._view.entries))
+        return self._directive(phase, granted, now_ms)
 
     def next_step(
         self, now_ms: float, view: ServiceView
@@ -224,13 +238,13 @@
         self._counts.set_listed(view.entries, now_ms)
         self._counts.record_time(now_ms)
         self._judgement.advance(now_ms)
+        self._settle(now_ms)
         exposure = self._exposure(now_ms)
         self._places.raise_reserved(exposure.totals.granted)
         self._choose_instances(exposure)
-        if self._end is None:
-            self._end = self._decide(exposure, now_ms)
-        if self._end is not None:
-            return self._end if self._is_settled(now_ms) else None
+        end = self._end or self._decide(exposure, now_ms)
+        if end is not None:
+            return end if self._is_settled else None
         if self.phase is RolloutPhase.TRIAL and self._instances:
             return self._places.next_reserve(exposure.allowed_places)
         return None
@@ -262,8 +276,9 @@
             if not self._waits_for:
                 self._machine.events['move'].trigger(self)
             return None
-        if not exposure.fits(1, 0):
+        if not exposure.fits(0, 0):
             self._machine.events['return_to_trial'].trigger(self)
+            self._saw_move = False
             return None
         self._waits_for = self._unmoved(exposure, now_ms)
         if self._waits_for:
@@ -275,9 +290,11 @@
         return End(RolloutState.COMPLETED, 'all requests go to the target')
 
     def _roll_back(self, reason: str) -> End:
+        """Halt; this decider doesn't go back on it."""
         self._machine.events['halt'].trigger(self)
         self._waits_for = reason
-        return End(RolloutState.ROLLED_BACK, reason)
+        self._end = End(RolloutState.ROLLED_BACK, reason)
+        return self._end
 
     def _failure_at_limit(self, exposure: Exposure, now_ms: float) -> str:
         """Return why the target fails at the time limit; empty if not."""
@@ -293,30 +310,37 @@
         """Return why requests aren't moved to the target yet."""
         if not self._view.domain_by_target:
             return 'upstreams of the target'
-        if not self._is_settled(now_ms):
+        if not self._is_settled:
             return 'reports of the entries'
         if exposure.elapsed_ms >= exposure.duration_ms:
             return ''
         return self._doubt(exposure, now_ms)
 
     def _doubt(self, exposure: Exposure, now_ms: float) -> str:
-        """Return why the bound or the answers forbid the move so far."""
+        """Return why the bound or the answers forbid the move so far.
+
+        A move that another decider has begun goes on if it still fits.
+        """
         if self._overdue(exposure, now_ms):
             return 'answers that are overdue'
         if self._judgement.log_factor >= SUSPECT_LOG_FACTOR:
             return 'more answers: those seen are suspect'
+        if self._saw_move and exposure.fits(0, 0):
+            return ''
         if not self._has_evidence(exposure):
             return 'answers of the target'
-        if not exposure.fits(MOVE_DEVIATIONS, self._report_ms(now_ms)):
+        if not exposure.fits(MOVE_DEVIATIONS, self._report_ms(now_ms) / 2):
             return 'the bound, which all requests would exceed'
         return ''
 
     def _has_evidence(self, exposure: Exposure) -> bool:
         part = exposure.elapsed_ms / exposure.duration_ms
+        totals = exposure.totals
         if part >= MOVE_ANYHOW_PART:
-            return True
-        answered = exposure.totals.target_answered
-        return part >= MOVE_FROM_PART and answered >= MIN_TARGET_ANSWERS
+            expected = totals.requests / REQUESTS_PER_ANSWER
+            return totals.target_answered >= min(FEW_TARGET_ANSWERS, expected)
+        is_enough = totals.target_answered >= MIN_TARGET_ANSWERS
+        return part >= MOVE_FROM_PART and is_enough
 
     def _unmoved(self, exposure: Exposure, now_ms: float) -> str:
         """Return why the roll-out isn't completed yet."""
@@ -333,13 +357,12 @@
             return 'answers that are overdue'
         if not self._counts.moved(now_ms):
             return 'attempts that run at the former builds'
-        silent = self._counts.silent(now_ms)
-        if remaining_ms > 0 and any(
-            now_ms - heard_ms <= DIRECTIVE_VALID_MS
-            for heard_ms in silent.values()
-        ):
-            return f'{min(silent)}, which does not answer'
-        return ''
+        awaited = [
+            host
+            for host, heard_ms in self._counts.silent(now_ms).items()
+            if now_ms - heard_ms <= DIRECTIVE_VALID_MS
+        ]
+        return f'{min(awaited)}, which does not answer' if awaited else ''
 
     def _overdue(self, exposure: Exposure, now_ms: float) -> int:
         """Return how many answers of the target are overdue, if too many.
@@ -349,19 +372,27 @@
         last one counts.
         """
         totals = exposure.totals
-        if self.phase is RolloutPhase.TRIAL and totals.former_answered:
+        is_steady = self.phase is RolloutPhase.TRIAL and not self._saw_move
+        if is_steady and self._is_settled and totals.former_answered:
             ended_per_ms = totals.former_answered / max(1, exposure.elapsed_ms)
             self._former_mean_ms = totals.former_running / ended_per_ms
+        if not self._former_mean_ms:
+            return 0
         due_ms = max(MIN_OVERDUE_MS, OVERDUE_FACTOR * self._former_mean_ms)
         sent = self._counts.totals_at(now_ms - due_ms).sent
         overdue = sent - (totals.sent - totals.target_running)
         is_many = overdue >= max(MIN_OVERDUE, MAX_OVERDUE_PART * sent)
         return overdue if is_many else 0
 
-    def _is_settled(self, now_ms: float) -> bool:
-        if now_ms - self._began_ms >= SETTLING_MS:
-            return True
-        return bool(self._view.entries) and self._counts.is_complete(now_ms)
+    def _settle(self, now_ms: float) -> None:
+        """Find out whether the entries have told what was done before."""
+        if self._is_settled:
+            return
+        has_all = self._view.entries and self._counts.is_complete(now_ms)
+        if has_all or now_ms - self._began_ms >= SETTLING_MS:
+            self._is_settled = True
+            granted = self._counts.totals().granted
+            self._lost_places = max(0, self._reserved_before - granted)
 
     def _choose_instances(self, exposure: Exposure) -> None:
         pulse = max(exposure.allowed_places * LAST_PULSE_PART, 1)
@@ -381,10 +412,12 @@
             totals=self._counts.totals(),
             requests_per_ms=self._counts.requests_per_ms(now_ms, elapsed_ms),
             reserved=self._places.reserved,
+            lost_places=self._lost_places,
         )
 
-    def _directive(self, granted: int, now_ms: float) -> Directive:
-        phase = self.phase
+    def _directive(
+        self, phase: RolloutPhase, granted: int, now_ms: float
+    ) -> Directive:
         is_trial = phase is RolloutPhase.TRIAL
         return Directive(
             order_number=self.record.order.number,
--- a/bergamotthread/process/rollouts/exposure.py
+++ b/bergamotthread/process/rollouts/exposure.py
@@ -16,6 +16,8 @@
 # Part of the bound that the trial takes; the rest is for the move, which must
 # begin before the time limit.
 TRIAL_PART = 0.3
+# The same with the places that were lost.
+MAX_PART = 0.6
 # Places of a trial that are enough to judge by.
 MAX_TRIAL_PLACES = 300.0
 # Parts of the places that may be granted by parts of the duration. They come in
@@ -33,7 +35,7 @@
 # Part of the free places that one report gets.
 GRANT_PARTS = 4
 # Standard deviations of the expected requests that a move allows for.
-MOVE_DEVIATIONS = 2.0
+MOVE_DEVIATIONS = 1.5
 # Part of the bound that is kept for counts on the way.
 BOUND_PART = 0.95
 # Failure domains in which a target is tried, where it has so many.
@@ -136,6 +138,9 @@
         Rate of requests for the service.
     reserved
         Places that may have been granted; all count as used.
+    lost_places
+        Places that a former decider reserved and that no entry knows of; others
+        are reserved instead.
     """
 
     bound: ExposureBound
@@ -144,6 +149,7 @@
     totals: Totals
     requests_per_ms: float
     reserved: int
+    lost_places: int = 0
 
     @property
     def counted(self) -> float:
@@ -164,7 +170,8 @@
         paced = max(
             part for start, part in TRIAL_PULSES if elapsed_part >= start
         )
-        return places * paced - self.totals.beyond_places
+        allowed = min(places * paced + self.lost_places, self.limit * MAX_PART)
+        return allowed - self.totals.beyond_places
 
     def fits(self, deviations: float, delay_ms: float) -> bool:
         """Return whether all requests until the time limit may go to it.
@@ -174,7 +181,7 @@
         deviations
             Standard deviations beyond the requests that are expected.
         delay_ms
-            Age of the counts.
+            Mean age of the counts.
         """
         remaining_ms = self.duration_ms - self.elapsed_ms
         if remaining_ms <= 0:
