--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -202,6 +202,8 @@
         self._store.address = settings.store_address
         self._parts.retry_budget.limits = _retry_limits(settings)
         self._parts.choice.region_by_domain = settings.region_by_domain
+        if self._rollouts is not None and settings.exposure is not None:
+            self._rollouts.home.bound = settings.exposure
 
     def _handle_new_era(self, former: int, era: int) -> None:
         """Log that the store came back older, and end backoffs."""
--- a/bergamotthread/platform/rollout_home.py
+++ b/bergamotthread/platform/rollout_home.py
@@ -130,13 +130,10 @@
             return deciding
         record = self.rows.record(order.service)
         if record is None or record.order != order:
-            record = RolloutRecord(
-                order, RolloutState.ACTIVE, self.rows.started_ms(order)
-            )
+            record = self.rows.first_record(order)
+        elapsed_ms = self.rows.elapsed_ms(record)
         deciding = _Deciding(
-            RolloutDecider.from_record(
-                record, self.bound, self._elapsed_ms(record), now_ms
-            )
+            RolloutDecider.from_record(record, self.bound, elapsed_ms, now_ms)
         )
         self._deciding_by_service[order.service] = deciding
         self.rows.log.write(
@@ -144,24 +141,10 @@
             service=order.service,
             target=order.target,
             reserved=record.reserved,
-            elapsed_ms=round(self._elapsed_ms(record)),
+            elapsed_ms=round(elapsed_ms),
         )
         return deciding
 
-    def _elapsed_ms(self, record: RolloutRecord) -> float:
-        """Return the time since the order.
-
-        A calendar that was set tells a time outside the roll-out; then the time
-        counts for which this entry has known the order.
-        """
-        order = record.order
-        calendar_ms = self.clock.calendar_ms()
-        known_ms = calendar_ms - self.rows.started_ms(order)
-        elapsed_ms = calendar_ms - record.started_ms
-        if elapsed_ms > 2 * order.duration_ms:
-            return max(known_ms, 0)
-        return max(known_ms, elapsed_ms, 0)
-
     async def _step(self, deciding: _Deciding) -> None:
         try:
             await self._take_step(deciding)
--- a/bergamotthread/platform/rollout_relay.py
+++ b/bergamotthread/platform/rollout_relay.py
@@ -48,6 +48,9 @@
 ROLLOUTS_PATH = b'/api/rollouts'
 # Interval between checks for reports and steps that are due.
 TICK_MS = 100
+# Shortest time between two reports of one service to one entry, from all
+# entries together.
+REPORT_SPACING_MS = 3.0
 # Entries that are asked in turn until one answers a report.
 ASKED_MAX = 3
 # Time for which an entry that did not answer a report is asked last.
@@ -221,7 +224,8 @@
         if directive is None:
             return
         self.participant.apply(service, directive, sent_ms)
-        due_ms = sent_ms + directive.report_ms
+        spacing_ms = REPORT_SPACING_MS * len(self.regions.feeds)
+        due_ms = sent_ms + max(directive.report_ms, spacing_ms)
         self._due_ms_by_service[service] = due_ms
 
     def _apply_halt(self, service: str, order_number: int) -> None:
--- a/bergamotthread/platform/rollout_rows.py
+++ b/bergamotthread/platform/rollout_rows.py
@@ -32,12 +32,17 @@
 from bergamotthread.platform.tables import NUMBER_BITS
 from bergamotthread.platform.watches import ENTRY_TABLE
 from bergamotthread.process.relay.decision_log import DecisionLog
-from bergamotthread.process.rollouts.order import RolloutOrder
+from bergamotthread.process.rollouts.order import RolloutOrder, RolloutState
 from bergamotthread.process.rollouts.participant import RolloutParticipant
 from bergamotthread.process.rollouts.reports import RolloutRecord
 from bergamotthread.process.rollouts.rollout_record import merged_record
 
 STATUS_TABLE = 'status'
+# An order that is seen this long after the start of the process has come since,
+# and was not there before.
+LOADING_MS = 2000.0
+# Latest orders of a service that an entry remembers.
+SIGHTS_MAX = 8
 
 
 class _StatusRow(msgspec.Struct, frozen=True):
@@ -53,6 +58,15 @@
     version: StoreVersion = StoreVersion()
 
 
+@dataclass(frozen=True, slots=True)
+class _Sight:
+    """When this entry first saw an order, by both clocks."""
+
+    order: RolloutOrder
+    seen_ms: float
+    calendar_ms: int
+
+
 @dataclass
 class RolloutRows:
     """Applies rows about roll-outs, and writes records with their status.
@@ -76,11 +90,13 @@
     _seen_by_service: dict[str, StoreVersion] = field(default_factory=dict)
     _waiting_by_service: dict[str, StoredRow] = field(default_factory=dict)
     _unsure: set[str] = field(default_factory=set)
-    _started_ms_by_number: dict[tuple[str, int], int] = field(
-        default_factory=dict
-    )
+    _sights_by_service: dict[str, list[_Sight]] = field(default_factory=dict)
+    _created_ms: float = field(init=False)
     _copy_version: StoreVersion = StoreVersion()
 
+    def __post_init__(self) -> None:
+        self._created_ms = self.clock.now_ms()
+
     def begin_era(self, version: StoreVersion) -> None:
         """Note that rows up to a version may be those of an older copy."""
         self._copy_version = version
@@ -137,10 +153,25 @@
         known = self._known_by_service.get(record.order.service)
         self._know(record if known is None else merged_record(known, record))
 
-    def started_ms(self, order: RolloutOrder) -> int:
-        """Return the calendar time at which this entry first saw an order."""
-        return self._started_ms_by_number.setdefault(
-            (order.service, order.number), self.clock.calendar_ms()
+    def elapsed_ms(self, record: RolloutRecord) -> float:
+        """Return the time since an order.
+
+        The own monotonic clock counts if this entry has seen the order come,
+        since calendars of machines differ, and are set.
+        """
+        sight = self._sight(record.order)
+        known_ms = self.clock.now_ms() - sight.seen_ms
+        calendar_ms = float(self.clock.calendar_ms() - record.started_ms)
+        has_seen_it_come = sight.seen_ms - self._created_ms > LOADING_MS
+        is_plausible = 0 <= calendar_ms <= 2 * record.order.duration_ms
+        if has_seen_it_come or not is_plausible:
+            return known_ms
+        return max(known_ms, calendar_ms)
+
+    def first_record(self, order: RolloutOrder) -> RolloutRecord:
+        """Return the record with which an order is taken up."""
+        return RolloutRecord(
+            order, RolloutState.ACTIVE, self._sight(order).calendar_ms
         )
 
     def expect_loss(self) -> None:
@@ -176,6 +207,17 @@
         known = self._known_by_service.get(service)
         return known is None or merged_record(known, record) == record
 
+    def _sight(self, order: RolloutOrder) -> _Sight:
+        """Return when an order was first seen; now if it wasn't."""
+        sights = self._sights_by_service.setdefault(order.service, [])
+        for earlier in sights:
+            if earlier.order == order:
+                return earlier
+        sight = _Sight(order, self.clock.now_ms(), self.clock.calendar_ms())
+        sights.append(sight)
+        del sights[:-SIGHTS_MAX]
+        return sight
+
     async def _change(self, record: RolloutRecord) -> None:
         service = record.order.service
         key = rollout_key(service)
@@ -220,7 +262,7 @@
         if former is None and _is_same_in_other_era(followed, record.order):
             self.participant.renumber(record.order)
         self.participant.begin(record.order)
-        self.started_ms(record.order)
+        self._sight(record.order)
         is_news = former is None or _status(former) != _status(record)
         if record.state.is_end and is_news:
             self.log.write(
@@ -242,7 +284,11 @@
             is_first_of_era = version.era > seen.era
             if is_first_of_era and is_same_content(followed, order):
                 return
-            if version <= self._copy_version:
+            is_known = any(
+                is_same_content(sight.order, order)
+                for sight in self._sights_by_service.get(service, ())
+            )
+            if is_known and version <= self._copy_version:
                 self.log.write(
                     'rollout-order-kept-out',
                     service=service,
@@ -252,7 +298,7 @@
                 return
         if followed is None or followed.number < order.number:
             self.participant.begin(order)
-            self.started_ms(order)
+            self._sight(order)
             self.log.write(
                 'rollout-ordered',
                 service=service,
--- a/tests/test_rollout_relay.py
+++ b/tests/test_rollout_relay.py
@@ -236,6 +236,8 @@
     async def check():
         world = await _begin(service=service)
         assert world.status() == {'state': 'active', 'target': NEW}
+        await world.clock.sleep_ms(DURATION_S * 500)
+        assert 0 < world.exposed() <= world.bound()
         state = await world.until('completed', DURATION_S * 1000)
         took_ms = world.clock.now_ms() - world.ordered_ms
         assert state == 'completed'
