--- a/bergamotthread/platform/rollout_rows.py
+++ b/bergamotthread/platform/rollout_rows.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -41,6 +42,9 @@
 # An order that is seen this long after the start of the process has come since,
 # and was not there before.
 LOADING_MS = 2000.0
+# What the operator writes within this time after the store came back older may
+# be what it wrote before.
+REWRITTEN_MS = 5000.0
 # Latest orders of a service that an entry remembers.
 SIGHTS_MAX = 8
 
@@ -93,6 +97,7 @@
     _sights_by_service: dict[str, list[_Sight]] = field(default_factory=dict)
     _created_ms: float = field(init=False)
     _copy_version: StoreVersion = StoreVersion()
+    _returned_ms: float = -math.inf
 
     def __post_init__(self) -> None:
         self._created_ms = self.clock.now_ms()
@@ -100,6 +105,7 @@
     def begin_era(self, version: StoreVersion) -> None:
         """Note that rows up to a version may be those of an older copy."""
         self._copy_version = version
+        self._returned_ms = self.clock.now_ms()
 
     def apply_order(self, row: StoredRow) -> None:
         """Apply a row of the operator's table; others are ignored.
@@ -281,8 +287,9 @@
         self._seen_by_service[service] = version
         followed = self.participant.order_of(service)
         if followed is not None:
-            is_first_of_era = version.era > seen.era
-            if is_first_of_era and is_same_content(followed, order):
+            since_ms = self.clock.now_ms() - self._returned_ms
+            is_rewritten = version.era > seen.era or since_ms < REWRITTEN_MS
+            if is_rewritten and is_same_content(followed, order):
                 return
             is_known = any(
                 is_same_content(sight.order, order)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -74,6 +74,7 @@
     soak, records = _play(plan)
     findings = findings_of(records)
     _show_counts(plan, records)
+    _show_rollouts(records)
     click.echo(f'  {len(findings)} findings')
     if findings:
         _show(plan, soak, findings)
@@ -95,6 +96,17 @@
     )
 
 
+def _show_rollouts(records: Records) -> None:
+    for rollout in records.rollouts:
+        states = ', '.join(
+            f'{state} after {at_ms - rollout.ordered_ms:.0f} ms'
+            for state, at_ms in rollout.states
+        )
+        kind = 'bad' if rollout.is_bad else 'good'
+        runs = sum(run.runner in rollout.runners for run in records.runs)
+        click.echo(f'  {kind} roll-out, {runs} runs at its target: {states}')
+
+
 def _show(plan: Plan, soak: Soak, findings: list[Finding]) -> None:
     processes = plan.entries + plan.runners + 1
     click.echo(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,7 @@
     limit_checks,
     notice_checks,
     poison_checks,
+    rollout_checks,
     system_checks,
 )
 from soak.findings import Finding
@@ -37,6 +38,7 @@
     poison_checks.check_poison,
     limit_checks.check_limits,
     limit_checks.check_builds,
+    rollout_checks.check_rollouts,
 )
 
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import base64
+import contextlib
 import json
 import os
 import pathlib
+import re
 import socket
 import tempfile
 from dataclasses import dataclass
@@ -50,6 +53,11 @@
 # The first key is never revoked.
 LASTING_KEY = KEYS[0]
 _READY_S = 15
+# Number of the first runner of a target in its addresses.
+TARGETS_FROM = 150
+# Bound on what the target of a roll-out gets.
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50
 _REST_S = 1.0
 # Time after which a runner that crashed is started anew.
 CRASHED_S = 2.0
@@ -89,6 +97,7 @@
     zone: str
     is_changing: bool = False
     behaviour: RunnerOrder = RunnerOrder()
+    build: str = ''
 
     @property
     def instance(self) -> str:
@@ -121,6 +130,7 @@
         )
         self.entries = [self._entry(number) for number in range(plan.entries)]
         self.runners = [self._runner(number) for number in range(plan.runners)]
+        self.targets: list[RunnerNode] = []
         self._version = 0
         self._added: tuple[str, ...] = ()
         self._pending: dict[str, PublicationRecord] = {}
@@ -154,11 +164,11 @@
         await asyncio.sleep(_REST_S)
         programs = [
             self.store,
-            *(runner.program for runner in self.runners),
+            *(runner.program for runner in (*self.runners, *self.targets)),
             *(entry.program for entry in self.entries),
         ]
         await asyncio.gather(*(program.end() for program in programs))
-        for runner in self.runners:
+        for runner in (*self.runners, *self.targets):
             await runner.link.close()
         for entry in self.entries:
             await entry.store_link.close()
@@ -175,9 +185,36 @@
         await program.start()
         await self.list_runner(runner, 'ready')
 
+    async def start_target(self, build: str) -> RunnerNode:
+        """Start a runner of the plain service and of another build."""
+        number = len(self.targets)
+        address = f'{self._net}.3.{TARGETS_FROM + number}:8080'
+        link = LoopbackProxy(
+            f'{self._net}.4.{TARGETS_FROM + number}:8080', address
+        )
+        zone = list(ZONES)[number % len(ZONES)]
+        name = f'target{number}'
+        program = Program(
+            name,
+            _runner_arguments(address, f'{name}-1'),
+            lambda line: self._on_run_line(f'{name}-1', line),
+        )
+        target = RunnerNode(program, link, PLAIN, zone, build=build)
+        self.targets.append(target)
+        await link.start()
+        await self.start_runner(target)
+        return target
+
+    async def read_status(self, key: str) -> str:
+        """Return a row of the status table, as text; empty without one."""
+        with contextlib.suppress(OSError, TimeoutError, ValueError):
+            async with asyncio.timeout(1):
+                return await _read_status(self._store_address, key)
+        return ''
+
     async def list_runner(self, runner: RunnerNode, state: str) -> None:
         """Write the row of a runner to the store."""
-        build = _build_of(runner.instance)
+        build = runner.build or _build_of(runner.instance)
         row = runner_row(
             runner.link.address,
             runner.service,
@@ -264,6 +301,9 @@
             place_ip,
             zone,
             link.address,
+            ('rollout',),
+            exposure_share=EXPOSURE_SHARE,
+            exposure_slack=EXPOSURE_SLACK,
         )
         settings_file.write_text(json.dumps(settings))
         program = Program(
@@ -325,7 +365,9 @@
         series = request.rpartition('-')[0]
         self.records.crashes.append(Crash(series, instance, at_ms))
         runner = next(
-            node for node in self.runners if node.instance == instance
+            node
+            for node in (*self.runners, *self.targets)
+            if node.instance == instance
         )
         if runner.link.is_refusing:
             # Two requests crashed it at the same time.
@@ -415,6 +457,21 @@
         self.holder.close()
 
 
+async def _read_status(store: str, key: str) -> str:
+    query = f'table=status&part=&from={key}&target={key}0&limit=1'
+    request = f'GET /api/rows-get?{query} HTTP/1.1\r\nhost: h\r\n\r\n'
+    reader, writer = await connect(store)
+    writer.write(request.encode())
+    try:
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = re.search(rb'content-length: (\d+)', head.lower())
+        body = await reader.readexactly(int(length[1]) if length else 0)
+    finally:
+        writer.close()
+    rows = json.loads(body)['rows']
+    return base64.b64decode(rows[0]['value']).decode() if rows else ''
+
+
 async def _is_ready(ip: str) -> bool:
     """Probe readiness as the balancer does."""
     try:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 from soak.orders import StoreOrder
 from soak.plan import Fault, FaultKind
 from soak.records import EntryKill, PlannedStop
+from soak.rollout_faults import roll_out
 from soak.runner_faults import ON_RUNNER
 from standins.platform_settings import GRACE_S
 
@@ -220,4 +221,5 @@
     FaultKind.RESTORE_STORE: _restore_store,
     FaultKind.PUBLISH_ROUTE: _publish_route,
     FaultKind.REVOKE_KEY: _revoke_key,
+    FaultKind.ROLL_OUT: roll_out,
 }
--- a/soak/orders.py
+++ b/soak/orders.py
@@ -51,6 +51,7 @@
     leaving: bool = False
     retry_after: str = ''
     request_limit: str = ''
+    error_every: int = 0
 
 
 def encode_order(order: StoreOrder | RunnerOrder) -> bytes:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -25,6 +25,7 @@
     LEAVE_RUNNER = 'leave-runner'
     OVERLOAD_RUNNER = 'overload-runner'
     LIMIT_RUNNER = 'limit-runner'
+    ROLL_OUT = 'roll-out'
     OVERLOAD_SERVICE = 'overload-service'
     RESET_LINK = 'reset-link'
     DELAY_LINK = 'delay-link'
@@ -51,6 +52,7 @@
         FaultKind.DRAIN_RUNNER,
         FaultKind.PUBLISH_ROUTE,
         FaultKind.REVOKE_KEY,
+        FaultKind.ROLL_OUT,
     ),
 )
 _OF_ENTRIES = frozenset(
@@ -63,7 +65,9 @@
         FaultKind.CUT_STORE_LINK,
     ),
 )
-_DRAWN_APART = frozenset((FaultKind.CRASH_RUNNERS, FaultKind.LIMIT_RUNNER))
+_DRAWN_APART = frozenset(
+    (FaultKind.CRASH_RUNNERS, FaultKind.LIMIT_RUNNER, FaultKind.ROLL_OUT)
+)
 _DRAWN_TOGETHER = tuple(kind for kind in FaultKind if kind not in _DRAWN_APART)
 # Length of a series of requests that crash runners, and of a limit: both are
 # judged from 4 s after their start.
@@ -72,7 +76,11 @@
 _DRAWS = {
     FaultKind.CRASH_RUNNERS: 'crashes',
     FaultKind.LIMIT_RUNNER: 'limits',
+    FaultKind.ROLL_OUT: 'roll-outs',
 }
+# Length of a roll-out with the end of its target. It begins at a random time of
+# a phase and the quiet time after it, so that some are disturbed.
+ROLL_OUT_S = 20.0
 # Quiet time at the start and at the end of a soak.
 QUIET_START_S = 2.0
 QUIET_END_S = 3.0
@@ -182,9 +190,12 @@
     rng = random.Random(f'{seed} {_DRAWS[kind]}')
     faults = []
     phase_s = QUIET_START_S
-    while phase_s + APART_S < seconds - QUIET_END_S:
-        at_s = round(phase_s + rng.uniform(0, MIXED_PHASE_S - APART_S), 2)
-        faults.append(Fault(at_s, kind, rng.randrange(runners), APART_S))
+    for_s, last_s = APART_S, MIXED_PHASE_S - APART_S
+    if kind is FaultKind.ROLL_OUT:
+        for_s, last_s = ROLL_OUT_S, CYCLE_S - ROLL_OUT_S
+    while phase_s + for_s < seconds - QUIET_END_S:
+        at_s = round(phase_s + rng.uniform(0, last_s), 2)
+        faults.append(Fault(at_s, kind, rng.randrange(runners), for_s))
         phase_s += CYCLE_S
     return faults
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -184,6 +184,27 @@
     points: tuple[tuple[float, float], ...]
 
 
+@dataclass(frozen=True)
+class Rollout:
+    """A roll-out that was ordered, and what the operator read of it.
+
+    Parameters
+    ----------
+    runners
+        Instances of the target.
+    states
+        States of the status, each with the time at which it was first read.
+    """
+
+    service: str
+    target: str
+    runners: frozenset[str]
+    is_bad: bool
+    ordered_ms: float
+    duration_ms: float
+    states: tuple[tuple[str, float], ...]
+
+
 @dataclass
 class Records:
     """All records of a soak."""
@@ -199,6 +220,7 @@
     memory: list[Memory] = field(default_factory=list)
     lines_by_request: dict[str, list[str]] = field(default_factory=dict)
     dropped_lines: int = 0
+    rollouts: list[Rollout] = field(default_factory=list)
     build_by_runner: dict[str, str] = field(default_factory=dict)
 
     def runs_by_request(self) -> dict[str, list[Run]]:
--- a/soak/runner_process.py
+++ b/soak/runner_process.py
@@ -111,6 +111,7 @@
         runner.script.leaving = order.leaving
         runner.script.retry_after = order.retry_after
         runner.script.request_limit = order.request_limit
+        runner.script.error_every = order.error_every
         # Requests seen were reported already; clearing them bounds the memory
         # of a long soak.
         runner.seen.clear()
--- a/standins/platform_settings.py
+++ b/standins/platform_settings.py
@@ -17,6 +17,8 @@
     ip: str,
     zone: str,
     store: str,
+    contracts: tuple[str, ...] = (),
+    **bounds: float,
 ) -> dict[str, object]:
     """Return the content of an entry's settings file, to be written as JSON."""
     return {
@@ -37,5 +39,7 @@
             'revoke_everywhere': True,
             'retry_budget_ratio': REPEAT_RATIO,
             'retry_budget_slack': REPEAT_SLACK,
+            **bounds,
         },
+        'contracts': list(contracts),
     }
