--- a/tests/test_soak_checks.py
+++ b/tests/test_soak_checks.py
@@ -26,8 +26,10 @@
     PlayedFault,
     PublicationRecord,
     Records,
+    Rollout,
     Run,
 )
+from soak.rollout_checks import check_rollouts
 from standins.platform_runner import event_of
 
 
@@ -475,3 +477,52 @@
     records.calls[1] = replace(records.calls[1], body=other)
     [finding] = check_builds(records)
     assert finding.rule == 'builds'
+
+
+def _rollout_records(runs: int, *states: str, is_bad: bool = True) -> Records:
+    """Return records of a roll-out with 100 requests for its service."""
+    records = Records()
+    records.calls = [
+        _call(f'c{number}', sent_ms=21_000.0) for number in range(100)
+    ]
+    records.runs = [
+        Run(f'c{number}', 'target0-1', 21_000.0) for number in range(runs)
+    ]
+    records.rollouts = [
+        Rollout(
+            'plain-service',
+            'r1',
+            frozenset(['target0-1']),
+            is_bad,
+            20_000.0,
+            12_000.0,
+            tuple(
+                (state, 21_000.0 + 1000 * number)
+                for number, state in enumerate(states)
+            ),
+        )
+    ]
+    return records
+
+
+@pytest.mark.parametrize(
+    ('runs', 'states', 'is_bad', 'rules'),
+    [
+        (60, ['active', 'rolled_back'], True, set()),
+        (61, ['active', 'rolled_back'], True, {'exposure'}),
+        (100, ['active', 'completed'], False, set()),
+        (10, ['active', 'completed'], True, {'rollouts'}),
+        (10, ['active'], False, {'rollouts'}),
+        (10, ['active', 'rolled_back', 'active'], True, {'rollouts'}),
+        (10, ['active', 'rolled_back', 'completed'], True, {'rollouts'}),
+    ],
+)
+def test_rollouts_are_checked(runs, states, is_bad, rules):
+    records = _rollout_records(runs, *states, is_bad=is_bad)
+    assert {finding.rule for finding in check_rollouts(records)} == rules
+
+
+def test_disturbed_rollout_may_end_late():
+    records = _rollout_records(10, 'active')
+    records.played_faults = [PlayedFault('kill-entry', '0', 25_000, 26_000)]
+    assert not list(check_rollouts(records))
