--- a/bergamotthread/process/rollouts/decider.py
+++ b/bergamotthread/process/rollouts/decider.py
@@ -209,11 +209,7 @@
         """Count the report of an entry, and return what it may do."""
         if report.order_number != self.record.order.number:
             return self._directive(RolloutPhase.TRIAL, 0, now_ms)
-        if report.state.is_end:
-            self._end = End(report.state, f'{report.host} has seen this end')
-        if report.phase is RolloutPhase.HALTED and self._end is None:
-            self._roll_back(f'{report.host} was told to halt')
-        self._saw_move |= report.phase is RolloutPhase.MOVING
+        self._follow(report)
         self._judgement.add(self._counts.apply(report, now_ms))
         phase = self.phase
         if phase is RolloutPhase.TRIAL and not self._is_settled:
@@ -263,6 +259,17 @@
             self.record = merged_record(self.record, record)
             self._places.raise_reserved(record.reserved)
 
+    def _follow(self, report: EntryReport) -> None:
+        """Go on with what another decider has decided, as an entry knows it."""
+        self._saw_move |= report.phase is RolloutPhase.MOVING
+        if report.state is RolloutState.COMPLETED:
+            self._end = End(report.state, f'{report.host} has seen this end')
+        elif self._end is None:
+            if report.state is RolloutState.ROLLED_BACK:
+                self._roll_back(f'{report.host} has seen this end')
+            elif report.phase is RolloutPhase.HALTED:
+                self._roll_back(f'{report.host} was told to halt')
+
     def _decide(self, exposure: Exposure, now_ms: float) -> End | None:
         reason = self._judgement.condemnation()
         if reason:
