--- a/bergamotthread/platform/rollout_messages.py
+++ b/bergamotthread/platform/rollout_messages.py
@@ -14,6 +14,8 @@
 
 # Largest message after decompression.
 MESSAGE_BYTES_MAX = 4_194_304
+# Largest count in a report.
+COUNT_MAX = 1_000_000_000
 # The cells of a report are much alike, so that little effort is enough.
 _COMPRESSION_LEVEL = 1
 
@@ -79,9 +81,12 @@
         If it is too long or has no valid form.
     """
     try:
-        return _message_decoder.decode(_decompress(encoded))
+        message = _message_decoder.decode(_decompress(encoded))
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise MessageError(f'message on a roll-out: {error}') from error
+    if isinstance(message, Reported):
+        _check_counts(message.report)
+    return message
 
 
 def decode_answer(encoded: bytes) -> Answered:
@@ -98,6 +103,24 @@
         raise MessageError(f'answer on a roll-out: {error}') from error
 
 
+def _check_counts(report: EntryReport) -> None:
+    counts = [
+        report.requests,
+        report.sent,
+        report.granted,
+        report.wanted,
+        report.former_running,
+    ]
+    for cell in report.cells:
+        counts.extend((cell.answered, cell.failed, cell.answered - cell.failed))
+        counts.extend((cell.latency_bucket, cell.pace_bucket))
+    if min(counts) < 0 or max(counts) > COUNT_MAX:
+        raise MessageError(
+            f'report of {report.host} counts {min(counts)} to {max(counts)}; '
+            f'expected 0 to {COUNT_MAX}, and no more failures than answers'
+        )
+
+
 def _decompress(encoded: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     try:
