--- a/bergamotthread/connection/http/upstream_connection.py
+++ b/bergamotthread/connection/http/upstream_connection.py
@@ -47,6 +47,7 @@
         self.address = address
         self.is_open = False
         self.idle_timeout_ms: float | None = None
+        self.opening_ms: float = 0
         self.last_heard_ms = clock.now_ms()
         self._clock = clock
         self._echo_header = echo_header
--- a/bergamotthread/connection/http/upstream_pool.py
+++ b/bergamotthread/connection/http/upstream_pool.py
@@ -151,6 +151,7 @@
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         self.opened += 1
+        started_ms = self.clock.now_ms()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / _MS_PER_S):
                 transport, connection = await loop.create_connection(
@@ -167,6 +168,7 @@
                 f'no connection to {address}: {error!r}',
             ) from error
         _set_options(transport)
+        connection.opening_ms = self.clock.now_ms() - started_ms
         return connection
 
 
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -140,13 +140,17 @@
         Parameters
         ----------
         latency_ms
-            Time to the answer or, of a stream, to its first event.
+            Time to the answer or, of a stream, to its first event. The time
+            that opening the connection took, a round trip, is taken off: an
+            upstream of another region isn't slow for it.
         pace_ms
             Mean time between the events of a stream.
         """
         if self._is_recorded:
             return
         self._is_recorded = True
+        if self._connection is not None:
+            latency_ms = max(latency_ms - self._connection.opening_ms, 0)
         prompt_tokens = self.call.prompt_tokens or _LATENCY_TOKENS
         self.parts.rollouts.record_answer(
             AnswerSample(
--- a/tests/test_rollout_relay.py
+++ b/tests/test_rollout_relay.py
@@ -20,6 +20,7 @@
     encode,
 )
 from bergamotthread.platform.settings import PlatformSettings
+from bergamotthread.process.rollouts.answer_cells import bucket
 from bergamotthread.process.rollouts.gate import UpstreamBuild
 from bergamotthread.process.rollouts.order import RolloutOrder
 from bergamotthread.process.rollouts.participant import RolloutParticipant
@@ -541,6 +542,20 @@
     assert decode_message(encode(Reported(PLAIN, report))).report == report
 
 
+def test_distance_of_an_upstream_is_not_its_latency():
+    async def check():
+        world = await World.begin()
+        await world.order()
+        world.net.delay_ms = 40
+        for _ in range(8):
+            await world.call('/any/x')
+        cells = world.entries[0]._rollouts.gate.report(PLAIN, 0).cells
+        buckets = {cell.latency_bucket for cell in cells}
+        assert buckets == {bucket(RunnerScript.work_ms + 1)}
+
+    run_in_memory(check())
+
+
 def test_without_the_contract_nothing_is_followed():
     async def check():
         deployment = await Deployment.start()
