--- a/bergamotthread/platform/rollout_rows.py
+++ b/bergamotthread/platform/rollout_rows.py
@@ -39,6 +39,8 @@
 from bergamotthread.process.rollouts.rollout_record import merged_record
 
 STATUS_TABLE = 'status'
+# Time after a failed call of the store without another one for the service.
+STORE_RETRY_MS = 500.0
 # An order that is seen this long after the start of the process has come since,
 # and was not there before.
 LOADING_MS = 2000.0
@@ -94,6 +96,7 @@
     _seen_by_service: dict[str, StoreVersion] = field(default_factory=dict)
     _waiting_by_service: dict[str, StoredRow] = field(default_factory=dict)
     _unsure: set[str] = field(default_factory=set)
+    _retry_ms_by_service: dict[str, float] = field(default_factory=dict)
     _sights_by_service: dict[str, list[_Sight]] = field(default_factory=dict)
     _created_ms: float = field(init=False)
     _copy_version: StoreVersion = StoreVersion()
@@ -191,6 +194,8 @@
         lost is recognised when the row is read again.
         """
         service = record.order.service
+        if self.clock.now_ms() < self._retry_ms_by_service.get(service, 0):
+            return False
         try:
             if service in self._unsure:
                 await self._read_again(service)
@@ -200,6 +205,8 @@
             self._unsure.add(service)
         except StoreCallError as error:
             self._unsure.add(service)
+            retry_ms = self.clock.now_ms() + STORE_RETRY_MS
+            self._retry_ms_by_service[service] = retry_ms
             self.log.write(
                 'rollout-not-saved', service=service, detail=str(error)
             )
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,8 @@
 
 _SHOWN_MAX = 10
 _LINES_MAX = 20
+# Rules whose findings are explained by the lines about roll-outs.
+_ROLLOUT_RULES = frozenset(('rollouts', 'exposure'))
 
 
 @click.command()
@@ -115,6 +117,9 @@
     )
     for line in soak.timeline:
         click.echo(f'  {line}')
+    if any(finding.rule in _ROLLOUT_RULES for finding in findings):
+        for line in soak.records.rollout_lines:
+            click.echo(f'    {line}')
     lines_by_request = soak.records.lines_by_request
     for finding in findings[:_SHOWN_MAX]:
         click.echo(f'  {finding.rule}: {finding.detail} {finding.request}')
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -403,6 +403,8 @@
             return
         if fields['event'] == 'log-lines-dropped':
             self.records.dropped_lines += fields['count']
+        if fields['event'].startswith('rollout-'):
+            self.records.rollout_lines.append(line)
         request = fields.get('request')
         if request:
             lines = self.records.lines_by_request.setdefault(request, [])
--- a/soak/records.py
+++ b/soak/records.py
@@ -221,6 +221,7 @@
     lines_by_request: dict[str, list[str]] = field(default_factory=dict)
     dropped_lines: int = 0
     rollouts: list[Rollout] = field(default_factory=list)
+    rollout_lines: list[str] = field(default_factory=list)
     build_by_runner: dict[str, str] = field(default_factory=dict)
 
     def runs_by_request(self) -> dict[str, list[Run]]:
--- a/tests/test_rollout_rows.py
+++ b/tests/test_rollout_rows.py
@@ -130,6 +130,7 @@
         world.store.lost_writes = 1
         reserved = next_record(first, Reserve(20))
         assert not await rows.write(reserved)
+        await world.clock.sleep_ms(500)
         assert not await rows.write(next_record(first, Reserve(8)))
         assert world.stored('entries')['reserved'] == 20
         assert await rows.write(reserved)
@@ -137,6 +138,25 @@
     run_in_memory(check())
 
 
+def test_store_that_is_away_is_not_asked_at_each_step():
+    async def check():
+        world = await World.start()
+        rows = world.rows()
+        rows.apply_order(world.order())
+        first = rows.first_record(rows.participant.order_of(SERVICE))
+        world.store.status = 503
+        calls = len(world.store.calls)
+        for _ in range(20):
+            assert not await rows.write(first)
+            await world.clock.sleep_ms(100)
+        assert len(world.store.calls) - calls <= 4
+        world.store.status = 0
+        await world.clock.sleep_ms(500)
+        assert await rows.write(first)
+
+    run_in_memory(check())
+
+
 def test_order_written_again_after_a_return_is_the_same():
     async def check():
         world = await World.start()
