--- a/bergamotthread/process/rollouts/decider.py
+++ b/bergamotthread/process/rollouts/decider.py
@@ -7,7 +7,7 @@
 
 from transitions import Machine
 
-from bergamotthread.process.rollouts.entry_counts import EntryCounts
+from bergamotthread.process.rollouts.entry_counts import SILENT_MS, EntryCounts
 from bergamotthread.process.rollouts.exposure import (
     MOVE_DEVIATIONS,
     Exposure,
@@ -28,9 +28,6 @@
 )
 from bergamotthread.process.rollouts.rollout_record import merged_record
 
-# An entry that hears nothing stops sending to the target after this, which
-# leaves room for the judgement within `ExposureBound.rollback_ms`.
-DIRECTIVE_VALID_MS = 3000.0
 # Reports come as often as this from shortly before the time limit on and during
 # a move, but no more than one each `REPORT_SPACING_MS` from all entries.
 FAST_REPORT_MS = 100.0
@@ -139,10 +136,10 @@
         self._began_ms = now_ms
         self._stream_ms = stream_ms
         self._view = ServiceView({}, 0, frozenset())
-        self._counts = EntryCounts(now_ms)
+        self._counts = EntryCounts()
         self._places = TrialPlaces(record.reserved)
         self._reserved_before = record.reserved
-        self._judgement = Judgement(now_ms)
+        self._judgement = Judgement(order_ms, now_ms)
         self._instances: tuple[str, ...] = ()
         self._lost_places = 0
         self._is_settled = False
@@ -233,7 +230,7 @@
         self._view = view
         self._counts.set_listed(view.entries, now_ms)
         self._counts.record_time(now_ms)
-        self._judgement.advance(now_ms)
+        self._judgement.advance(now_ms, self._counts.totals().target_running)
         self._settle(now_ms)
         exposure = self._exposure(now_ms)
         self._places.raise_reserved(exposure.totals.granted)
@@ -282,15 +279,18 @@
             self._waits_for = self._obstacle(exposure, now_ms)
             if not self._waits_for:
                 self._machine.events['move'].trigger(self)
+                self._judgement.set_alone(now_ms, is_alone=True)
             return None
         if not exposure.fits(0, 0):
             self._machine.events['return_to_trial'].trigger(self)
+            self._judgement.set_alone(now_ms, is_alone=False)
             self._saw_move = False
             return None
         self._waits_for = self._unmoved(exposure, now_ms)
         if self._waits_for:
             return None
-        self._judgement.compare(now_ms)
+        running = exposure.totals.target_running
+        self._judgement.advance(now_ms, running, is_last=True)
         reason = self._judgement.condemnation()
         if reason:
             return self._roll_back(reason)
@@ -362,14 +362,8 @@
             return ''
         if self._overdue(exposure, now_ms):
             return 'answers that are overdue'
-        if not self._counts.moved(now_ms):
-            return 'attempts that run at the former builds'
-        awaited = [
-            host
-            for host, heard_ms in self._counts.silent(now_ms).items()
-            if now_ms - heard_ms <= DIRECTIVE_VALID_MS
-        ]
-        return f'{min(awaited)}, which does not answer' if awaited else ''
+        unmoved = self._counts.unmoved(now_ms)
+        return f'{unmoved}, which may use former builds' if unmoved else ''
 
     def _overdue(self, exposure: Exposure, now_ms: float) -> int:
         """Return how many answers of the target are overdue, if too many.
@@ -395,8 +389,7 @@
         """Find out whether the entries have told what was done before."""
         if self._is_settled:
             return
-        has_all = self._view.entries and self._counts.is_complete(now_ms)
-        if has_all or now_ms - self._began_ms >= SETTLING_MS:
+        if self._counts.has_all() or now_ms - self._began_ms >= SETTLING_MS:
             self._is_settled = True
             granted = self._counts.totals().granted
             self._lost_places = max(0, self._reserved_before - granted)
@@ -430,7 +423,7 @@
             order_number=self.record.order.number,
             phase=phase,
             granted=granted,
-            valid_ms=DIRECTIVE_VALID_MS,
+            valid_ms=SILENT_MS,
             instances=self._instances if is_trial else (),
             report_ms=self._report_ms(now_ms),
         )
--- a/bergamotthread/process/rollouts/entry_counts.py
+++ b/bergamotthread/process/rollouts/entry_counts.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from bergamotthread.process.rollouts.answer_cells import (
@@ -16,10 +16,17 @@
 )
 from bergamotthread.process.rollouts.reports import EntryReport, RolloutPhase
 
-# An entry answers while its last report is no older than this.
-ANSWERS_MS = 1500.0
+# An entry that told that it moved sends nothing to former builds for so long,
+# since its directive is valid for longer.
+MOVED_MS = 2000.0
+# An entry that was silent for so long has no valid directive, and sends nothing
+# to the target. This leaves room for the judgement within
+# `ExposureBound.rollback_ms`.
+SILENT_MS = 3000.0
 # Span over which the rate of requests is taken.
 RATE_MS = 2000.0
+# The same for the rate right now, by which a burst is seen early.
+BURST_MS = 400.0
 HISTORY_MS = 30_000.0
 
 
@@ -70,21 +77,16 @@
 
 
 class EntryCounts:
-    """Last reports of the entries, and what was counted over time.
+    """Last reports of the entries, and what was counted over time."""
 
-    Parameters
-    ----------
-    now_ms
-        Time from which reports are collected.
-    """
-
-    def __init__(self, now_ms: float) -> None:
+    def __init__(self) -> None:
         self._entry_by_host: dict[str, _Entry] = {}
         self._listed_ms_by_host: dict[str, float] = {}
         # Counts of processes that ended; their entries began anew at zero.
         self._ended = Totals()
         self._history: deque[tuple[float, Totals]] = deque()
-        self._began_ms = now_ms
+        # Time from which the sums are those of all entries.
+        self._complete_ms = math.inf
         self._total: Totals | None = None
 
     def apply(
@@ -122,6 +124,8 @@
 
     def record_time(self, now_ms: float) -> None:
         """Keep the sums as those of this time."""
+        if self._complete_ms == math.inf and self.has_all():
+            self._complete_ms = now_ms
         self._history.append((now_ms, self.totals()))
         while self._history[0][0] < now_ms - HISTORY_MS:
             self._history.popleft()
@@ -136,39 +140,40 @@
         return found
 
     def requests_per_ms(self, now_ms: float, elapsed_ms: float) -> float:
-        """Return the higher of the rate of late and that since the order."""
-        requests = self.totals().requests
-        overall = requests / max(1, elapsed_ms)
-        since_ms = now_ms - RATE_MS
-        if since_ms < self._began_ms + ANSWERS_MS:
-            return overall
-        recent = (requests - self.totals_at(since_ms).requests) / RATE_MS
-        return max(overall, recent)
-
-    def is_complete(self, now_ms: float) -> bool:
-        """Return whether all listed entries answer."""
-        return not self.silent(now_ms)
-
-    def silent(self, now_ms: float) -> Mapping[str, float]:
-        """Return the listed entries that don't answer, and since when."""
-        heard = {host: self._heard_ms(host) for host in self._listed_ms_by_host}
-        return {
-            host: heard_ms
-            for host, heard_ms in heard.items()
-            if now_ms - heard_ms > ANSWERS_MS or host not in self._entry_by_host
-        }
+        """Return the highest rate since the order, of late, and right now.
 
-    def moved(self, now_ms: float) -> bool:
-        """Return whether nothing runs at the former builds any more.
-
-        Entries that don't answer aren't asked.
+        The last one is taken two standard deviations lower, since it is of few
+        requests.
         """
-        return all(
-            entry.report.phase is RolloutPhase.MOVING
-            and not entry.report.former_running
-            for entry in self._entry_by_host.values()
-            if now_ms - entry.heard_ms <= ANSWERS_MS
-        )
+        requests = self.totals().requests
+        rate = requests / max(1, elapsed_ms)
+        for span_ms, deviations in ((RATE_MS, 0), (BURST_MS, 2)):
+            since_ms = now_ms - span_ms
+            if since_ms >= self._complete_ms:
+                came = requests - self.totals_at(since_ms).requests
+                least = came - deviations * math.sqrt(max(0, came))
+                rate = max(rate, least / span_ms)
+        return rate
+
+    def has_all(self) -> bool:
+        """Return whether all listed entries have reported."""
+        listed = self._listed_ms_by_host
+        return bool(listed) and listed.keys() <= self._entry_by_host.keys()
+
+    def unmoved(self, now_ms: float) -> str:
+        """Return an entry that may run something at former builds, if any.
+
+        One that has reported that it moved goes on so for `MOVED_MS`; one that
+        was silent for `SILENT_MS` isn't waited for.
+        """
+        for host in sorted(self._listed_ms_by_host):
+            silent_ms = now_ms - self._heard_ms(host)
+            entry = self._entry_by_host.get(host)
+            is_moved = entry is not None and _has_moved(entry.report)
+            least_ms = MOVED_MS if is_moved else -math.inf
+            if least_ms < silent_ms <= SILENT_MS:
+                return host
+        return ''
 
     def _heard_ms(self, host: str) -> float:
         entry = self._entry_by_host.get(host)
@@ -177,6 +182,11 @@
         return entry.heard_ms
 
 
+def _has_moved(report: EntryReport) -> bool:
+    is_moving = report.phase is RolloutPhase.MOVING
+    return is_moving and not report.former_running
+
+
 def _totals_of(report: EntryReport, counts: CountByKey) -> Totals:
     target = sum(
         count.answered for key, count in counts.items() if key.is_target
--- a/bergamotthread/process/rollouts/exposure.py
+++ b/bergamotthread/process/rollouts/exposure.py
@@ -37,7 +37,7 @@
 # Standard deviations of the expected requests that a move allows for.
 MOVE_DEVIATIONS = 1.5
 # Part of the bound that is kept for counts on the way.
-BOUND_PART = 0.95
+BOUND_PART = 0.92
 # Failure domains in which a target is tried, where it has so many.
 TRIAL_DOMAINS = 3
 
--- a/bergamotthread/process/rollouts/strata.py
+++ b/bergamotthread/process/rollouts/strata.py
@@ -63,6 +63,11 @@
         """Add answers of one kind."""
         add_count(self.count_by_key, key, count.answered, count.failed)
 
+    def merge(self, other: RouteAnswers) -> None:
+        """Add other answers on the route."""
+        for key, count in other.count_by_key.items():
+            self.add(key, count)
+
     def answered(self, *, is_target: bool) -> int:
         """Return the answers of one build."""
         return sum(
@@ -117,7 +122,11 @@
 
 
 def strata_of(
-    route: str, current: RouteAnswers, earlier: RouteAnswers
+    route: str,
+    current: RouteAnswers,
+    earlier: RouteAnswers | None,
+    *,
+    is_alone: bool,
 ) -> Iterator[Stratum]:
     """Yield what is compared on one route.
 
@@ -129,18 +138,24 @@
     current
         Answers of this span of time.
     earlier
-        All answers before it.
+        All answers before it; None if they came under another load.
+    is_alone
+        Whether the target gets all requests. What former builds still answer
+        then is what took long, and holds fewer failures than usual.
     """
     limits = current.slow_limits(SLOW_BUCKETS, SLOW_BUCKETS)
     former = current.tally(limits, is_target=False)
-    if former.answered < MIN_FORMER_ANSWERS:
+    is_earlier = is_alone or former.answered < MIN_FORMER_ANSWERS
+    if is_earlier:
+        if earlier is None:
+            return
         limits = earlier.slow_limits(
             SLOW_BUCKETS_EARLIER, SLOW_PACE_BUCKETS_EARLIER
         )
         former = earlier.tally(limits, is_target=False)
     for domain in sorted(current.target_domains()):
         same = current.tally(limits, is_target=False, domain=domain)
-        is_enough = same.answered >= MIN_DOMAIN_ANSWERS
+        is_enough = same.answered >= MIN_DOMAIN_ANSWERS and not is_alone
         yield Stratum(
             route,
             domain,
