--- a/tests/test_rollout_decider.py
+++ b/tests/test_rollout_decider.py
@@ -190,6 +190,17 @@
     assert step.state is RolloutState.COMPLETED
 
 
+def test_target_whose_answers_are_overdue_is_rolled_back():
+    deciding = decider()
+    for now_ms in range(0, 12_001, 500):
+        hanging = {'sent': 4, 'granted': 4, 'target_running': 4}
+        report = busy(10 + now_ms // 10, former_running=5, **hanging)
+        assert deciding.apply(report, now_ms).phase is RolloutPhase.TRIAL
+        step = deciding.next_step(now_ms, VIEW)
+    assert isinstance(step, End)
+    assert 'overdue' in step.reason
+
+
 def test_silent_entry_is_waited_for_until_its_directive_has_expired():
     deciding = decider(12_000)
     view = replace(VIEW, entries=frozenset({'e0', 'e1'}))
