--- a/bergamotthread/platform/rollout_rows.py
+++ b/bergamotthread/platform/rollout_rows.py
@@ -41,9 +41,9 @@
 STATUS_TABLE = 'status'
 # Time after a failed call of the store without another one for the service.
 STORE_RETRY_MS = 500.0
-# An order that is seen this long after the start of the process has come since,
-# and was not there before.
-LOADING_MS = 2000.0
+# An order that is seen this long after the first version was read has come since
+# and was not there before the process.
+LOADING_MS = 1000.0
 # What the operator writes within this time after the store came back older may
 # be what it wrote before.
 REWRITTEN_MS = 5000.0
@@ -98,13 +98,10 @@
     _unsure: set[str] = field(default_factory=set)
     _retry_ms_by_service: dict[str, float] = field(default_factory=dict)
     _sights_by_service: dict[str, list[_Sight]] = field(default_factory=dict)
-    _created_ms: float = field(init=False)
+    _loaded_ms: float = math.inf
     _copy_version: StoreVersion = StoreVersion()
     _returned_ms: float = -math.inf
 
-    def __post_init__(self) -> None:
-        self._created_ms = self.clock.now_ms()
-
     def begin_era(self, version: StoreVersion) -> None:
         """Note that rows up to a version may be those of an older copy."""
         self._copy_version = version
@@ -134,7 +131,12 @@
         self._waiting_by_service[order.service] = row
 
     def apply_waiting(self) -> None:
-        """Apply the orders for services that were unknown and are known now."""
+        """Apply the orders for services that were unknown and are known now.
+
+        Called at short intervals; notes when the first version was read.
+        """
+        if self.knows_service('') is not None:
+            self._loaded_ms = min(self._loaded_ms, self.clock.now_ms())
         for service, row in tuple(self._waiting_by_service.items()):
             if self.knows_service(service):
                 self.apply_order(row)
@@ -171,7 +173,7 @@
         sight = self._sight(record.order)
         known_ms = self.clock.now_ms() - sight.seen_ms
         calendar_ms = float(self.clock.calendar_ms() - record.started_ms)
-        has_seen_it_come = sight.seen_ms - self._created_ms > LOADING_MS
+        has_seen_it_come = sight.seen_ms - self._loaded_ms > LOADING_MS
         is_plausible = 0 <= calendar_ms <= 2 * record.order.duration_ms
         if has_seen_it_come or not is_plausible:
             return known_ms
--- a/tests/test_rollout_rows.py
+++ b/tests/test_rollout_rows.py
@@ -200,6 +200,7 @@
     async def check():
         world = await World.start()
         rows = world.rows()
+        rows.apply_waiting()
         await world.clock.sleep_ms(5000)
         rows.apply_order(world.order(duration_s=60))
         order = rows.participant.order_of(SERVICE)
@@ -212,6 +213,23 @@
     run_in_memory(check())
 
 
+def test_entry_that_starts_late_counts_the_time_before_its_start():
+    """The store may answer long after the start of the process."""
+
+    async def check():
+        world = await World.start()
+        rows = world.rows()
+        await world.clock.sleep_ms(5000)
+        rows.apply_order(world.order(duration_s=60))
+        rows.apply_waiting()
+        order = rows.participant.order_of(SERVICE)
+        started_ms = world.clock.calendar_ms() - 9000
+        record = RolloutRecord(order, RolloutState.ACTIVE, started_ms)
+        assert rows.elapsed_ms(record) == pytest.approx(9000, abs=1)
+
+    run_in_memory(check())
+
+
 def _choice(builds):
     directory = UpstreamDirectory(Clock.from_system())
     for number, build in enumerate(builds):
