--- a/bergamotthread/platform/rollout_rows.py
+++ b/bergamotthread/platform/rollout_rows.py
@@ -41,8 +41,8 @@
 STATUS_TABLE = 'status'
 # Time after a failed call of the store without another one for the service.
 STORE_RETRY_MS = 500.0
-# An order that is seen this long after the first version was read has come since
-# and was not there before the process.
+# An order that is seen this long after the first version was read was not there
+# before the process.
 LOADING_MS = 1000.0
 # What the operator writes within this time after the store came back older may
 # be what it wrote before.
