--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -92,6 +92,15 @@
     build: str | None = None
     plan: BuildPlan = ANY_BUILD
 
+    @property
+    def prefers_target(self) -> bool:
+        """Return whether the target of a roll-out is preferred to others."""
+        return self.build is None and self.plan.only is not None
+
+    def without_target(self) -> RelayPlacementRequest:
+        """Return a request for the former builds alone."""
+        return replace(self, plan=self.plan.without_target())
+
 
 @dataclass
 class UpstreamChoice:
@@ -120,14 +129,14 @@
         avoided build stays avoided.
         """
         planned = replace(request, plan=plan)
-        if plan.only is None or request.build is not None:
+        if not planned.prefers_target:
             return planned
         if any(
             self._is_eligible(upstream, planned)
             for upstream in self.directory.of_service(request.service)
         ):
             return planned
-        return replace(request, plan=plan.without_target())
+        return planned.without_target()
 
     def choose(self, request: RelayPlacementRequest) -> Upstream | None:
         """Return the cheapest eligible upstream, or None if there is none.
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -179,7 +179,8 @@
         self, upstream: Upstream, request: RelayPlacementRequest
     ) -> EngineView:
         choice = self.parts.choice
-        engines = max(choice.count_engines(request), 1)
+        shared = replace(request, plan=request.plan.for_capacity())
+        engines = max(choice.count_engines(shared), 1)
         return EngineView(
             choice.forecast(upstream, request),
             report_age_ms=max(self._report_age_ms(upstream), 0),
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -226,15 +226,27 @@
         is_new = self._call.resume_after is None
         in_time = is_new and not self._limits.attempts_sent
         if avoided:
-            placement = await self._placer.place(
+            placement = await self._place_planned(
                 self._placement_request(*avoided), in_time=in_time
             )
             if placement is not None:
                 return placement
-        return await self._placer.place(
+        return await self._place_planned(
             self._placement_request(), in_time=in_time
         )
 
+    async def _place_planned(
+        self, request: RelayPlacementRequest, *, in_time: bool
+    ) -> AttemptPlacement | StreamRefused | None:
+        """Place an attempt; where a target has no room, at former builds."""
+        placement = await self._placer.place(request, in_time=in_time)
+        if not isinstance(placement, StreamRefused):
+            return placement
+        if not request.prefers_target:
+            return placement
+        former = request.without_target()
+        return await self._placer.place(former, in_time=in_time) or placement
+
     def _release(self) -> None:
         """Release the place among those that wait, and the copy."""
         self._opening_wait.end()
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -92,6 +92,8 @@
         Each so many answers, one is a 500; 0 for none.
     slowness
         Factor on the time of all work.
+    queued
+        Requests that its load reports say wait.
     error_prefix
         Only paths that begin with it get errors.
     limits_on_errors
@@ -141,6 +143,7 @@
     error_every: int = 0
     error_prefix: bytes = b''
     slowness: float = 1
+    queued: int = 0
     limits_on_errors: bool = False
     names_itself: bool = False
 
@@ -200,7 +203,11 @@
             self._ask_for_pause(exchange, self.script.report_retry_after, marks)
             return
         if request.target == b'/api/report':
-            report = {'queue_depth': 0, 'in_flight': 0, 'kv_total': 88_000}
+            report = {
+                'queue_depth': self.script.queued,
+                'in_flight': 0,
+                'kv_total': 88_000,
+            }
             exchange.respond(200, marks, json.dumps(report).encode())
             return
         if request.target == b'/api/kv-list':
--- a/tests/test_rollout_relay.py
+++ b/tests/test_rollout_relay.py
@@ -542,6 +542,19 @@
     assert decode_message(encode(Reported(PLAIN, report))).report == report
 
 
+def test_target_without_room_costs_no_stream():
+    """Streams that it can't begin in time begin at the former build."""
+
+    async def check():
+        world = await _begin(RunnerScript(queued=200), MODEL)
+        await world.clock.sleep_ms(5000)
+        assert world.events('rollout-progress', world.home())[-1]['counted']
+        assert set(world.statuses) == {200}
+        world.end()
+
+    run_in_memory(check())
+
+
 def test_distance_of_an_upstream_is_not_its_latency():
     async def check():
         world = await World.begin()
