--- a/bergamotthread/process/rollouts/decider.py
+++ b/bergamotthread/process/rollouts/decider.py
@@ -50,7 +50,8 @@
 MIN_END_MS = 400.0
 # Part of the trial's places that its last pulse grants.
 LAST_PULSE_PART = 0.4
-# A suspect target is judged for this long past the time limit.
+# A target that is suspect or has hardly answered is judged for this long past
+# the time limit.
 SUSPECT_MS = 2000.0
 # Answers are overdue after this many times the former builds' mean time.
 OVERDUE_FACTOR = 2.0
@@ -319,7 +320,9 @@
             return 'upstreams of the target'
         if not self._is_settled:
             return 'reports of the entries'
-        if exposure.elapsed_ms >= exposure.duration_ms:
+        late_ms = exposure.elapsed_ms - exposure.duration_ms
+        is_known = late_ms >= 0 and self._has_evidence(exposure)
+        if is_known or late_ms >= SUSPECT_MS:
             return ''
         return self._doubt(exposure, now_ms)
 
@@ -341,7 +344,7 @@
         return ''
 
     def _has_evidence(self, exposure: Exposure) -> bool:
-        part = exposure.elapsed_ms / exposure.duration_ms
+        part = exposure.elapsed_ms / max(1, exposure.duration_ms)
         totals = exposure.totals
         if part >= MOVE_ANYHOW_PART:
             expected = totals.requests / REQUESTS_PER_ANSWER
--- a/bergamotthread/process/rollouts/likelihood.py
+++ b/bergamotthread/process/rollouts/likelihood.py
@@ -75,16 +75,19 @@
 
     The rate of bad answers may differ between strata; it is conditioned out.
     The target may be worse from the first stratum or from any later one: the
-    weight of the alternatives is spread over the odds and over the first
-    `STARTS` strata. Such a mixture of products of ratios is a test martingale
-    if the builds are alike, so by Ville's inequality it reaches `1 / a` at any
-    time with a probability of at most `a`.
+    weight of the alternatives is spread over the odds and over the strata.
+    `FIRST_WEIGHT` is that of the first, `EARLY_WEIGHT` of the next `STARTS`;
+    the rest falls with the square of the number. Such a mixture of products of
+    ratios is a test martingale if the builds are alike, so by Ville's
+    inequality it reaches `1 / a` at any time with a probability of at most `a`.
     """
 
-    FIRST_WEIGHT = 0.5
+    FIRST_WEIGHT = 0.45
+    EARLY_WEIGHT = 0.45
     STARTS = 24
 
     def __init__(self) -> None:
+        self._count = 0
         self._unused = 1.0
         self._log_factors = [-math.inf for _ in ODDS]
 
@@ -96,6 +99,7 @@
     def copy(self) -> Evidence:
         """Return evidence that goes on separately."""
         copied = Evidence()
+        copied._count = self._count
         copied._unused = self._unused
         copied._log_factors = list(self._log_factors)
         return copied
@@ -110,10 +114,15 @@
 
     def _next_weight(self) -> float:
         """Return the weight of alternatives that begin with this stratum."""
-        if self._unused == 1:
+        number = self._count
+        self._count += 1
+        if number == 0:
             weight = self.FIRST_WEIGHT
+        elif number <= self.STARTS:
+            weight = self.EARLY_WEIGHT / self.STARTS
         else:
-            weight = min(self._unused, (1 - self.FIRST_WEIGHT) / self.STARTS)
+            # Telescopes: what is left after n strata is in proportion to 1 / n.
+            weight = self._unused / number
         self._unused -= weight
         return weight
 
