--- a/bergamotthread/process/rollouts/decider.py
+++ b/bergamotthread/process/rollouts/decider.py
@@ -207,6 +207,7 @@
         """Count the report of an entry, and return what it may do."""
         if report.order_number != self.record.order.number:
             return self._directive(RolloutPhase.TRIAL, 0, now_ms)
+        is_overtaken = self._counts.is_overtaken(report)
         self._follow(report)
         self._judgement.add(self._counts.apply(report, now_ms))
         phase = self.phase
@@ -215,7 +216,8 @@
             # enough.
             phase = report.phase
         granted = report.granted
-        if phase is RolloutPhase.TRIAL and self._instances:
+        is_trial = phase is RolloutPhase.TRIAL and self._instances
+        if is_trial and not is_overtaken:
             granted = self._places.grant(report, len(self._view.entries))
         return self._directive(phase, granted, now_ms)
 
--- a/bergamotthread/process/rollouts/entry_counts.py
+++ b/bergamotthread/process/rollouts/entry_counts.py
@@ -84,6 +84,7 @@
         self._listed_ms_by_host: dict[str, float] = {}
         # Counts of processes that ended; their entries began anew at zero.
         self._ended = Totals()
+        self._ended_processes: set[tuple[str, int]] = set()
         self._history: deque[tuple[float, Totals]] = deque()
         # Time from which the sums are those of all entries.
         self._complete_ms = math.inf
@@ -92,12 +93,18 @@
     def apply(
         self, report: EntryReport, now_ms: float
     ) -> dict[CellKey, AnswerCount]:
-        """Replace the report of an entry, and return its new answers."""
+        """Replace the report of an entry, and return its new answers.
+
+        A report that was overtaken by a later one is ignored.
+        """
+        if self.is_overtaken(report):
+            return {}
         latest = counts_by_key(report.cells)
         entry = self._entry_by_host.get(report.host)
         earlier: dict[CellKey, AnswerCount] = {}
         if entry is not None:
-            if report.requests < entry.report.requests:
+            if report.began_ms != entry.report.began_ms:
+                self._ended_processes.add((report.host, entry.report.began_ms))
                 self._ended = self._ended.plus(_without_running(entry.totals))
             else:
                 earlier = entry.count_by_key
@@ -107,6 +114,15 @@
         self._total = None
         return counts_since(latest, earlier)
 
+    def is_overtaken(self, report: EntryReport) -> bool:
+        """Return whether a later report of the entry is known."""
+        if (report.host, report.began_ms) in self._ended_processes:
+            return True
+        entry = self._entry_by_host.get(report.host)
+        if entry is None or entry.report.began_ms != report.began_ms:
+            return False
+        return report.number < entry.report.number
+
     def set_listed(self, hosts: Iterable[str], now_ms: float) -> None:
         """Set the entries that should report."""
         self._listed_ms_by_host = {
--- a/bergamotthread/process/rollouts/participant.py
+++ b/bergamotthread/process/rollouts/participant.py
@@ -30,6 +30,8 @@
     """One order, as this entry follows it."""
 
     order: RolloutOrder
+    began_ms: int
+    reports: int = 0
     state: RolloutState = RolloutState.ACTIVE
     requests: int = 0
     reported_requests: int = 0
@@ -132,7 +134,9 @@
             if previous.state is not RolloutState.COMPLETED:
                 rejected |= {previous.order.target}
         self._rejected_by_service[order.service] = rejected - {order.target}
-        self._by_service[order.service] = _Participation(order)
+        self._by_service[order.service] = _Participation(
+            order, self._clock.calendar_ms()
+        )
 
     def end(self, order: RolloutOrder, state: RolloutState) -> None:
         """Apply the end of an order; the first end that was seen stays.
@@ -160,6 +164,7 @@
             return None
         wanted = participation.requests - participation.reported_requests
         participation.reported_requests = participation.requests
+        participation.reports += 1
         return EntryReport(
             host=self._host,
             order_number=participation.order.number,
@@ -172,6 +177,8 @@
             cells=participation.answers.cells(),
             state=participation.state,
             target_running=self._running_at(participation.order, former=False),
+            began_ms=participation.began_ms,
+            number=participation.reports,
         )
 
     def apply(self, service: str, directive: Directive, sent_ms: float) -> None:
--- a/bergamotthread/process/rollouts/reports.py
+++ b/bergamotthread/process/rollouts/reports.py
@@ -77,6 +77,11 @@
         kept, also where the store has come back older.
     target_running
         Attempts that run at the target.
+    began_ms
+        Calendar time from which this process has counted, which tells it from
+        one before it at the same host.
+    number
+        Number of the report; of two, the one with the higher number is later.
     """
 
     host: str
@@ -90,6 +95,8 @@
     cells: tuple[AnswerCell, ...]
     state: RolloutState = RolloutState.ACTIVE
     target_running: int = 0
+    began_ms: int = 0
+    number: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_rollout_decider.py
+++ b/tests/test_rollout_decider.py
@@ -133,6 +133,17 @@
     assert places.unmet
 
 
+def test_counts_of_a_process_that_ended_stay_and_overtaken_reports_do_not():
+    deciding = decider()
+    late = busy(100, began_ms=5, number=1)
+    deciding.apply(busy(300, began_ms=5, number=2), 0)
+    deciding.apply(late, 100)
+    assert deciding.figures(100).requests == 300
+    deciding.apply(busy(40, began_ms=9, number=1), 200)
+    deciding.apply(late, 300)
+    assert deciding.figures(300).requests == 340
+
+
 def test_former_decider_s_move_goes_on_until_this_one_knows_enough():
     deciding = decider(11_500)
     view = replace(VIEW, entries=frozenset({'e0', 'e1'}))
