--- a/bergamotthread/process/rollouts/decider.py
+++ b/bergamotthread/process/rollouts/decider.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 
 from transitions import Machine
@@ -43,8 +42,6 @@
 # The same from then on, if there have been some times as many requests.
 FEW_TARGET_ANSWERS = 5
 REQUESTS_PER_ANSWER = 10
-# Factor against the target, as a logarithm, from which it isn't moved to yet.
-SUSPECT_LOG_FACTOR = math.log(100)
 # A completion leaves this part of the duration, and time, for its writes.
 END_PART = 0.05
 MIN_END_MS = 400.0
@@ -311,6 +308,9 @@
         target = self.record.order.target
         if not self._view.domain_by_target:
             return f'{target} has no upstreams at the time limit'
+        late_ms = exposure.elapsed_ms - exposure.duration_ms
+        if late_ms >= SUSPECT_MS and self._judgement.is_suspect():
+            return f'{target} is still suspect after the limit'
         overdue = self._overdue(exposure, now_ms)
         if overdue and self.phase is RolloutPhase.TRIAL:
             return f'{overdue} answers of {target} are overdue at the limit'
@@ -335,7 +335,7 @@
         """
         if self._overdue(exposure, now_ms):
             return 'answers that are overdue'
-        if self._judgement.log_factor >= SUSPECT_LOG_FACTOR:
+        if self._judgement.is_doubtful():
             return 'more answers: those seen are suspect'
         if self._saw_move and exposure.fits(0, 0):
             return ''
@@ -360,8 +360,7 @@
         end_ms = max(MIN_END_MS, exposure.duration_ms * END_PART)
         if remaining_ms > end_ms:
             return 'later answers, until shortly before the time limit'
-        is_suspect = self._judgement.log_factor >= SUSPECT_LOG_FACTOR
-        if is_suspect and remaining_ms > -SUSPECT_MS:
+        if self._judgement.is_doubtful() and remaining_ms > -SUSPECT_MS:
             return 'more answers: those seen are suspect'
         if -remaining_ms >= self._stream_ms:
             return ''
--- a/bergamotthread/process/rollouts/entry_counts.py
+++ b/bergamotthread/process/rollouts/entry_counts.py
@@ -103,11 +103,11 @@
         entry = self._entry_by_host.get(report.host)
         earlier: dict[CellKey, AnswerCount] = {}
         if entry is not None:
-            if report.began_ms != entry.report.began_ms:
+            if report.began_ms == entry.report.began_ms:
+                earlier = entry.count_by_key
+            else:
                 self._ended_processes.add((report.host, entry.report.began_ms))
                 self._ended = self._ended.plus(_without_running(entry.totals))
-            else:
-                earlier = entry.count_by_key
         self._entry_by_host[report.host] = _Entry(
             report, now_ms, latest, _totals_of(report, latest)
         )
