--- a/bergamotthread/process/rollouts/strata.py
+++ b/bergamotthread/process/rollouts/strata.py
@@ -18,10 +18,9 @@
 # Buckets above the former builds' median from which an answer is slow: over
 # two to four times as long, and always so at 2.9 times.
 SLOW_BUCKETS = 3
-# The same if the former builds' answers are of another time, when the load may
-# have been another one. The pace depends on it less than the latency.
-SLOW_BUCKETS_EARLIER = 5
-SLOW_PACE_BUCKETS_EARLIER = 4
+# The same for the latency if the former builds' answers are of another time, when
+# the load may have been another one. The pace depends on it less.
+SLOW_BUCKETS_EARLIER = 4
 # Former answers of the same time that make a median.
 MIN_FORMER_ANSWERS = 8
 # Former answers of the same time and failure domain that are compared with
@@ -149,9 +148,7 @@
     if is_earlier:
         if earlier is None:
             return
-        limits = earlier.slow_limits(
-            SLOW_BUCKETS_EARLIER, SLOW_PACE_BUCKETS_EARLIER
-        )
+        limits = earlier.slow_limits(SLOW_BUCKETS_EARLIER, SLOW_BUCKETS)
         former = earlier.tally(limits, is_target=False)
     for domain in sorted(current.target_domains()):
         same = current.tally(limits, is_target=False, domain=domain)
