--- a/bergamotthread/process/rollouts/decider.py
+++ b/bergamotthread/process/rollouts/decider.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 
 from transitions import Machine
@@ -43,14 +42,13 @@
 # The same from then on, if there have been some times as many requests.
 FEW_TARGET_ANSWERS = 5
 REQUESTS_PER_ANSWER = 10
-# Factor against the target, as a logarithm, from which it isn't moved to yet.
-SUSPECT_LOG_FACTOR = math.log(100)
 # A completion leaves this part of the duration, and time, for its writes.
 END_PART = 0.05
 MIN_END_MS = 400.0
 # Part of the trial's places that its last pulse grants.
 LAST_PULSE_PART = 0.4
-# A suspect target is judged for this long past the time limit.
+# A target that is suspect or has hardly answered is judged for this long past
+# the time limit.
 SUSPECT_MS = 2000.0
 # Answers are overdue after this many times the former builds' mean time.
 OVERDUE_FACTOR = 2.0
@@ -206,6 +204,7 @@
         """Count the report of an entry, and return what it may do."""
         if report.order_number != self.record.order.number:
             return self._directive(RolloutPhase.TRIAL, 0, now_ms)
+        is_overtaken = self._counts.is_overtaken(report)
         self._follow(report)
         self._judgement.add(self._counts.apply(report, now_ms))
         phase = self.phase
@@ -214,7 +213,8 @@
             # enough.
             phase = report.phase
         granted = report.granted
-        if phase is RolloutPhase.TRIAL and self._instances:
+        is_trial = phase is RolloutPhase.TRIAL and self._instances
+        if is_trial and not is_overtaken:
             granted = self._places.grant(report, len(self._view.entries))
         return self._directive(phase, granted, now_ms)
 
@@ -308,6 +308,9 @@
         target = self.record.order.target
         if not self._view.domain_by_target:
             return f'{target} has no upstreams at the time limit'
+        late_ms = exposure.elapsed_ms - exposure.duration_ms
+        if late_ms >= SUSPECT_MS and self._judgement.is_suspect():
+            return f'{target} is still suspect after the limit'
         overdue = self._overdue(exposure, now_ms)
         if overdue and self.phase is RolloutPhase.TRIAL:
             return f'{overdue} answers of {target} are overdue at the limit'
@@ -319,7 +322,9 @@
             return 'upstreams of the target'
         if not self._is_settled:
             return 'reports of the entries'
-        if exposure.elapsed_ms >= exposure.duration_ms:
+        late_ms = exposure.elapsed_ms - exposure.duration_ms
+        is_known = late_ms >= 0 and self._has_evidence(exposure)
+        if is_known or late_ms >= SUSPECT_MS:
             return ''
         return self._doubt(exposure, now_ms)
 
@@ -330,7 +335,7 @@
         """
         if self._overdue(exposure, now_ms):
             return 'answers that are overdue'
-        if self._judgement.log_factor >= SUSPECT_LOG_FACTOR:
+        if self._judgement.is_doubtful():
             return 'more answers: those seen are suspect'
         if self._saw_move and exposure.fits(0, 0):
             return ''
@@ -341,7 +346,7 @@
         return ''
 
     def _has_evidence(self, exposure: Exposure) -> bool:
-        part = exposure.elapsed_ms / exposure.duration_ms
+        part = exposure.elapsed_ms / max(1, exposure.duration_ms)
         totals = exposure.totals
         if part >= MOVE_ANYHOW_PART:
             expected = totals.requests / REQUESTS_PER_ANSWER
@@ -355,8 +360,7 @@
         end_ms = max(MIN_END_MS, exposure.duration_ms * END_PART)
         if remaining_ms > end_ms:
             return 'later answers, until shortly before the time limit'
-        is_suspect = self._judgement.log_factor >= SUSPECT_LOG_FACTOR
-        if is_suspect and remaining_ms > -SUSPECT_MS:
+        if self._judgement.is_doubtful() and remaining_ms > -SUSPECT_MS:
             return 'more answers: those seen are suspect'
         if -remaining_ms >= self._stream_ms:
             return ''
