--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import signal
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from bergamotthread.clock import Clock
@@ -13,12 +12,14 @@
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.build_relay import BuildRelay
 from bergamotthread.platform.crash_parts import CrashParts
+from bergamotthread.platform.entry_gauges import EntryState
 from bergamotthread.platform.headers import PLATFORM_DIALECT
 from bergamotthread.platform.leaving_relay import LeavingRelay
 from bergamotthread.platform.limit_parts import LimitParts
 from bergamotthread.platform.limit_relay import LimitRelay
 from bergamotthread.platform.peer_messages import PeerMessages
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
+from bergamotthread.platform.rollout_parts import RolloutParts
 from bergamotthread.platform.runner_calls import RunnerClient
 from bergamotthread.platform.runner_watch import RunnerWatch
 from bergamotthread.platform.settings import (
@@ -53,6 +54,7 @@
 from bergamotthread.process.relay.stream_gate import StreamGate
 from bergamotthread.process.relay.upstreams import UpstreamDirectory
 from bergamotthread.process.relay.version_holder import RouteTableHolder
+from bergamotthread.process.rollouts.gate import NoRollouts
 from bergamotthread.request.relay.admission import Admission
 from bergamotthread.request.relay.leaving_notices import LeavingNotices
 from bergamotthread.request.relay.limit_notices import LimitNotices
@@ -72,9 +74,6 @@
 RETRY_BUDGET_FRACTION = 0.75
 
 
-_Gauge = tuple[str, str, Callable[[], float]]
-
-
 @dataclass(frozen=True)
 class _Watches:
     version: VersionWatch
@@ -115,6 +114,7 @@
             limits=self._limit_parts.limits,
         )
         self._store = PlatformStoreClient(settings.store_address, self._pool)
+        self._rollouts = self._make_rollouts()
         self._parts = self._make_relay_parts()
         self._server = RelayServer(
             clock,
@@ -158,6 +158,8 @@
             ('limit-notices', self._limit_relay.run),
         ):
             tasks.start(name, run)
+        if self._rollouts is not None:
+            tasks.start('rollouts', self._rollouts.relay.run)
         while not self._is_finished():
             await tasks.step_after(
                 'housekeeping', HOUSEKEEPING_INTERVAL_MS, self._keep_house
@@ -200,6 +202,8 @@
         self._store.address = settings.store_address
         self._parts.retry_budget.limits = _retry_limits(settings)
         self._parts.choice.region_by_domain = settings.region_by_domain
+        if self._rollouts is not None and settings.exposure is not None:
+            self._rollouts.home.bound = settings.exposure
 
     def _handle_new_era(self, former: int, era: int) -> None:
         """Log that the store came back older, and end backoffs."""
@@ -276,6 +280,11 @@
                 **self._limit_parts.answer_by_path,
                 **self._build_relay.answer_by_path,
                 **self._limit_relay.answer_by_path,
+                **(
+                    self._rollouts.relay.answer_by_path
+                    if self._rollouts
+                    else {}
+                ),
             },
         )
         await listen(
@@ -294,111 +303,19 @@
         return 200, self._parts.metrics.registry.expose()
 
     def _add_gauges(self) -> None:
-        registry = self._parts.metrics.registry
-        gauges: tuple[_Gauge, ...] = (
-            (
-                'relay_in_flight',
-                'Requests that are being answered.',
-                lambda: self._server.in_flight,
-            ),
-            (
-                'relay_held_bytes',
-                'Bytes that are held for callers.',
-                lambda: self._held.total_bytes,
-            ),
-            (
-                'relay_callers_dropped',
-                'Callers that lost what was held for them, for its bound.',
-                lambda: self._held.dropped,
-            ),
-            (
-                'relay_own_processor_share',
-                'Use of the processor that the settings name.',
-                lambda: self._load.processor_share,
-            ),
-            (
-                'relay_own_link_late_ms',
-                'Time that the link needs for what was sent.',
-                lambda: self._load.link_late_ms,
-            ),
-            (
-                'relay_own_room',
-                'Fraction of new work that is taken.',
-                lambda: self._load.room,
-            ),
-            (
-                'relay_version_age_ms',
-                'Age of the proof of the version.',
-                lambda: self._freshness.age_ms,
-            ),
-            (
-                'relay_upstreams',
-                'Upstreams that the store lists.',
-                lambda: len(self._directory),
-            ),
-            (
-                'relay_upstreams_leaving',
-                'Listed upstreams that said that they are leaving.',
-                lambda: self._directory.leaving_count,
-            ),
-            (
-                'relay_upstreams_paused',
-                'Upstreams that asked for a pause that has not ended.',
-                self._directory.paused_count,
-            ),
-            (
-                'relay_upstreams_limited',
-                'Upstreams that state a limit on requests.',
-                lambda: len(self._directory.limits),
-            ),
-            (
-                'relay_quarantined',
-                'Requests that are refused because upstreams crashed.',
-                lambda: self._parts.crashes.guard.quarantined_count,
-            ),
-            (
-                'relay_suspects',
-                'Requests under which upstreams crashed, not cleared yet.',
-                lambda: self._parts.crashes.guard.suspect_count,
-            ),
-            (
-                'relay_queued',
-                'Requests that wait for a plain service.',
-                self._parts.plain_gate.queued,
-            ),
-            (
-                'store_calls',
-                'Calls to the store since the start.',
-                lambda: self._store.call_count,
-            ),
-            (
-                'store_era',
-                'Era of the store; it rises when the store comes back older.',
-                lambda: self._store.eras.known or 0,
-            ),
-            (
-                'store_rows_rewritten',
-                'Own rows that the store lost and that are written again.',
-                lambda: self._watches.entries.rewritten_count,
-            ),
-            (
-                'upstream_connections_opened',
-                'Connections to upstreams, other entries and the store.',
-                lambda: self._pool.opened,
-            ),
-            (
-                'upstream_probes',
-                'Load reports that were asked for.',
-                lambda: self._parts.liveness.probes_sent,
-            ),
-            (
-                'log_lines_waiting_dropped',
-                'Lines of the log dropped and not reported yet.',
-                lambda: self._log.dropped,
-            ),
+        state = EntryState(
+            self._server,
+            self._parts,
+            self._freshness,
+            self._store,
+            self._watches.entries,
+            self._log,
+            self._held,
+            self._load,
         )
-        for name, description, read_gauge in gauges:
-            registry.gauge(name, description, read_gauge)
+        state.add_gauges()
+        if self._rollouts is not None:
+            self._rollouts.add_gauges(self._parts.metrics.registry)
 
     def _entry_count(self) -> int:
         return max(len(self._feeds), ENTRIES_MIN)
@@ -466,7 +383,24 @@
             builds=self._build_relay,
             log=self._log,
             metrics=metrics,
+            rollouts=self._rollouts.gate if self._rollouts else NoRollouts(),
+        )
+
+    def _make_rollouts(self) -> RolloutParts | None:
+        """Return what carries out roll-outs, where the deployment has them."""
+        if self._settings.exposure is None:
+            return None
+        parts = RolloutParts.from_connections(
+            self._settings.exposure,
+            self._store,
+            self._limit_parts.relay.view,
+            self._directory,
+            self._holder,
+            self._log,
+            self._rng,
         )
+        self._limit_parts.activities.append(parts.relay.is_active)
+        return parts
 
     def _make_watches(self) -> _Watches:
         sources = WatchContext(
@@ -479,15 +413,23 @@
         settings = self._settings
         own_address = f'{settings.ip}:{settings.peer_port}'
         own_record = self._feeds.own_record(own_address)
+        rollouts = self._rollouts
+        apply_crashes = self._crashes.rows.apply
+        apply_row = (
+            rollouts.apply_row_after(apply_crashes)
+            if rollouts
+            else apply_crashes
+        )
         return _Watches(
             VersionWatch(
                 sources,
                 self._holder,
                 self._freshness,
                 self._life_cycle,
+                rollouts.rows if rollouts else None,
             ),
             RunnerWatch(sources, self._directory, self._pool),
-            EntryWatch(sources, own_record, self._crashes.rows.apply),
+            EntryWatch(sources, own_record, apply_row),
         )
 
 
--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -11,7 +11,7 @@
 
 import random
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from heapq import nsmallest
 from itertools import islice
 
@@ -97,6 +97,15 @@
     output_tokens: float = 0
     plan: BuildPlan = ANY_BUILD
 
+    @property
+    def prefers_target(self) -> bool:
+        """Return whether the target of a roll-out is preferred to others."""
+        return self.build is None and self.plan.only is not None
+
+    def without_target(self) -> RelayPlacementRequest:
+        """Return a request for the former builds alone."""
+        return replace(self, plan=self.plan.without_target())
+
 
 @dataclass
 class UpstreamChoice:
@@ -121,6 +130,25 @@
     def __post_init__(self) -> None:
         self.kept = KeptPrompts(self.directory.clock)
 
+    def planned(
+        self, request: RelayPlacementRequest, plan: BuildPlan
+    ) -> RelayPlacementRequest:
+        """Return a request that follows a plan.
+
+        The only build of a plan is a preference for a request that is bound to
+        no build: it goes to others if that one has no eligible upstream. An
+        avoided build stays avoided.
+        """
+        planned = replace(request, plan=plan)
+        if not planned.prefers_target:
+            return planned
+        if any(
+            self._is_eligible(upstream, planned)
+            for upstream in self.directory.of_service(request.service)
+        ):
+            return planned
+        return planned.without_target()
+
     def choose(self, request: RelayPlacementRequest) -> Upstream | None:
         """Return the cheapest eligible upstream, or None if there is none.
 
@@ -212,7 +240,7 @@
         upstreams are candidates only if there are no others. For a caller that
         reconnects, entries of all regions draw the same candidates as long as
         they agree on which upstreams are lost or suspected. Streams that begin
-        avoid builds that are being replaced.
+        avoid builds that are being replaced, unless a plan names their build.
         """
         self._record_demand(request)
         directory = self.directory
@@ -261,6 +289,7 @@
         """Return the number of engines that may run a request."""
         return sum(
             _has_build(upstream, request.build)
+            and _follows_plan(upstream, request.plan)
             and not self.directory.is_lost(upstream)
             for upstream in self.directory.of_service(request.service)
         )
@@ -409,8 +438,7 @@
         is_excluded = upstream.record.instance in request.excluded
         if is_excluded or not _has_build(upstream, request.build):
             return False
-        record = upstream.record
-        if not request.plan.admits(record.instance, record.build):
+        if not _follows_plan(upstream, request.plan):
             return False
         return not self.directory.is_lost(upstream)
 
@@ -454,6 +482,10 @@
     return build is None or upstream.record.build == build
 
 
+def _follows_plan(upstream: Upstream, plan: BuildPlan) -> bool:
+    return plan.admits(upstream.record.instance, upstream.record.build)
+
+
 def _kv_fraction(upstream: Upstream, more_tokens: int = 0) -> float:
     """Return the fraction of the KV cache in use; 0 without a load report."""
     report = upstream.report
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -86,8 +86,9 @@
             Whether no attempt of this call was sent yet.
         """
         call = self.call
-        return RelayPlacementRequest(
-            call.service.name,
+        service = call.service.name
+        request = RelayPlacementRequest(
+            service,
             prompt_tokens=call.prompt_tokens,
             excluded=excluded,
             affinity=call.affinity,
@@ -100,6 +101,8 @@
                 call.output_tokens_max,
             ),
         )
+        plan = self.parts.rollouts.plan(service, build)
+        return self.parts.choice.planned(request, plan)
 
     def place_at_copy(
         self, copy: KvCacheCopy, request: RelayPlacementRequest
@@ -182,7 +185,8 @@
         self, upstream: Upstream, request: RelayPlacementRequest
     ) -> EngineView:
         choice = self.parts.choice
-        engines = max(choice.count_engines(request), 1)
+        shared = replace(request, plan=request.plan.for_capacity())
+        engines = max(choice.count_engines(shared), 1)
         return EngineView(
             choice.forecast(upstream, request),
             report_age_ms=max(self._report_age_ms(upstream), 0),
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,8 @@
 
 _SHOWN_MAX = 10
 _LINES_MAX = 20
+# Rules whose findings are explained by the lines about roll-outs.
+_ROLLOUT_RULES = frozenset(('rollouts', 'exposure'))
 
 
 @click.command()
@@ -74,6 +76,7 @@
     soak, records = _play(plan)
     findings = findings_of(records)
     _show_counts(plan, records)
+    _show_rollouts(records)
     click.echo(f'  {len(findings)} findings')
     if findings:
         _show(plan, soak, findings)
@@ -95,6 +98,17 @@
     )
 
 
+def _show_rollouts(records: Records) -> None:
+    for rollout in records.rollouts:
+        states = ', '.join(
+            f'{state} after {at_ms - rollout.ordered_ms:.0f} ms'
+            for state, at_ms in rollout.states
+        )
+        kind = 'bad' if rollout.is_bad else 'good'
+        runs = sum(run.runner in rollout.runners for run in records.runs)
+        click.echo(f'  {kind} roll-out, {runs} runs at its target: {states}')
+
+
 def _show(plan: Plan, soak: Soak, findings: list[Finding]) -> None:
     processes = plan.entries + plan.runners + 1
     click.echo(
@@ -103,6 +117,9 @@
     )
     for line in soak.timeline:
         click.echo(f'  {line}')
+    if any(finding.rule in _ROLLOUT_RULES for finding in findings):
+        for line in soak.records.rollout_lines:
+            click.echo(f'    {line}')
     lines_by_request = soak.records.lines_by_request
     for finding in findings[:_SHOWN_MAX]:
         click.echo(f'  {finding.rule}: {finding.detail} {finding.request}')
