--- a/bergamotthread/connection/http/caller_connection.py
+++ b/bergamotthread/connection/http/caller_connection.py
@@ -524,6 +524,9 @@
         self._timer = None
         if self._transport is None or self._task is not None:
             return
+        if self._queue:
+            # They wait for the caller to read, which has a timeout of its own.
+            return
         if self._in_message:
             self._set_bad_status(408)
             self._start_next()
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -132,6 +132,22 @@
     run_in_memory(check())
 
 
+def test_requests_behind_an_answer_that_is_read_slowly_are_answered():
+    async def check():
+        server = _listen()
+        transport, caller = await _open()
+        transport.write(GET + GET + GET)
+        for _ in range(90):
+            transport.pause_reading()
+            await asyncio.sleep(0.3)
+            transport.resume_reading()
+            await asyncio.sleep(0)
+        assert caller.received.count(ANSWER) == 3
+        assert server.answered == 3
+
+    run_in_memory(check())
+
+
 # Guards against requests with a long body that are sent slowly and fill the
 # memory, so that the callers beside them are refused.
 def test_slow_senders_lose_and_a_sound_request_is_answered():
