--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -15,6 +15,10 @@
 from heapq import nsmallest
 from itertools import islice
 
+from bergamotthread.process.overload.rank_use import (
+    ARRIVAL_ORDER,
+    Precedence,
+)
 from bergamotthread.process.relay.engine_forecast import (
     EngineForecast,
     forecast_engine,
@@ -82,6 +86,8 @@
         The only build that may be chosen; None if any may.
     plan
         Where the roll-out under way allows the request to run.
+    precedence
+        How requests of other ranks change the wait.
     """
 
     service: str
@@ -91,6 +97,7 @@
     is_reconnect: bool = False
     build: str | None = None
     plan: BuildPlan = ANY_BUILD
+    precedence: Precedence = ARRIVAL_ORDER
 
 
 @dataclass
@@ -288,7 +295,9 @@
     ) -> EngineForecast:
         """Return the expected first event of a prompt at an engine."""
         outputs = self.directory.outputs(request.service)
-        return forecast_engine(upstream, request.prompt_tokens, outputs)
+        return forecast_engine(
+            upstream, request.prompt_tokens, outputs, request.precedence
+        )
 
     def _engine_cost_ms(
         self, upstream: Upstream, request: RelayPlacementRequest
--- a/bergamotthread/process/relay/engine_forecast.py
+++ b/bergamotthread/process/relay/engine_forecast.py
@@ -7,9 +7,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from bergamotthread.process.overload.expected_wait import EngineWork, Holding
+from bergamotthread.process.overload.rank_use import (
+    ARRIVAL_ORDER,
+    Precedence,
+)
 from bergamotthread.process.overload.run_statistics import RunStatistics
 from bergamotthread.process.relay.upstreams import LoadReport, Upstream
 
@@ -31,21 +36,62 @@
     occupancy_ms
         Time of the engine that the stream takes: for its prefill, or for its
         share of the KV cache while it runs, whichever is longer.
+    precedence
+        What requests of other ranks change; the work ahead is without those
+        that wait and go behind the prompt.
+    waiting_tokens
+        Prompt tokens that hold no memory of the engine yet.
+    prompt_tokens
+        Tokens of the prompt.
     """
 
     work: EngineWork
     prompt_ms: float
     run_ms: float
     occupancy_ms: float
+    precedence: Precedence = ARRIVAL_ORDER
+    waiting_tokens: int = 0
+    prompt_tokens: int = 0
+
+    @property
+    def shows_speed(self) -> bool:
+        """Return whether the first event will show the engine's speed.
+
+        It does not where the prompt waits for room, or may overtake others or
+        be overtaken.
+        """
+        if not self.work.is_prefill_bound:
+            return False
+        return self.precedence == ARRIVAL_ORDER or not self.waiting_tokens
+
+    @property
+    def free_prompts(self) -> float:
+        """Return how many such prompts find memory beside that which is kept.
+
+        Where none is kept, prompts may wait for memory.
+        """
+        kept = self.precedence.kept_prompts
+        if not kept:
+            return math.inf
+        free = 1 - self.work.missing_tokens / max(self.prompt_tokens, 1)
+        return max(free - kept, 0)
+
+    @property
+    def wait_ms(self) -> float:
+        """Return the time until the prefill of the prompt starts."""
+        return self.work.wait_ms * self.precedence.stretch
 
     @property
     def first_event_ms(self) -> float:
         """Return the time from now to the first event."""
-        return self.work.wait_ms + self.prompt_ms
+        return self.wait_ms + self.prompt_ms
 
 
 def forecast_engine(
-    upstream: Upstream, prompt_tokens: int, outputs: RunStatistics
+    upstream: Upstream,
+    prompt_tokens: int,
+    outputs: RunStatistics,
+    precedence: Precedence = ARRIVAL_ORDER,
 ) -> EngineForecast:
     """Return the forecast of a prompt at an upstream.
 
@@ -60,18 +106,21 @@
     report = upstream.report
     if report is None:
         work = EngineWork(upstream.prefill_tokens, rate_per_s)
-        return EngineForecast(work, prompt_ms, 0, prompt_ms)
+        return EngineForecast(work, prompt_ms, 0, prompt_ms, precedence)
+    # Prompts that hold memory are read in the order in which they got it.
+    waiting_tokens = report.waiting_tokens + upstream.sent_since_report
+    behind_tokens = round(waiting_tokens * (1 - precedence.ahead_share))
+    waiting_tokens -= behind_tokens
     unread_tokens = max(
         upstream.prefill_tokens,
         report.unread_tokens + upstream.sent_since_report,
     )
     run_ms = _run_ms(upstream, outputs)
-    waiting_tokens = report.waiting_tokens + upstream.sent_since_report
     needed_tokens = report.kv_used + waiting_tokens + prompt_tokens
     work = EngineWork(
-        unread_tokens,
+        max(unread_tokens - behind_tokens, 0),
         rate_per_s,
-        missing_slots=_missing_slots(upstream, report),
+        missing_slots=_missing_slots(upstream, report, precedence),
         slot_ms=run_ms / max(upstream.record.slots, 1),
         missing_tokens=needed_tokens - report.kv_total,
         holdings=_holdings(upstream, report, outputs),
@@ -83,6 +132,9 @@
         prompt_ms,
         outputs.output_tokens * event_ms if outputs.has_ended else 0,
         max(prompt_ms, memory_ms),
+        precedence,
+        report.waiting_tokens,
+        prompt_tokens,
     )
 
 
@@ -94,11 +146,14 @@
     return outputs.output_tokens * event_ms
 
 
-def _missing_slots(upstream: Upstream, report: LoadReport) -> int:
+def _missing_slots(
+    upstream: Upstream, report: LoadReport, precedence: Precedence
+) -> int:
     if not upstream.record.slots:
         return 0
     free_slots = upstream.record.slots - report.running
-    return report.queued + 1 - free_slots
+    ahead = math.ceil(report.queued * precedence.ahead_share)
+    return ahead + 1 - free_slots
 
 
 def _holdings(
--- a/bergamotthread/process/relay/stream_gate.py
+++ b/bergamotthread/process/relay/stream_gate.py
@@ -9,6 +9,10 @@
 old. Those that see room for one prompt would all place one. An entry therefore
 estimates how many streams the others place meanwhile, and takes its share of
 the room at random.
+
+Where streams of several ranks compete, the wait of each counts only the prompts
+that go before it, and is longer by the more urgent ones that still arrive. So a
+less urgent stream is refused while a more urgent one still fits.
 """
 
 from __future__ import annotations
@@ -25,6 +29,14 @@
     OverloadGuard,
     OverloadLimits,
 )
+from bergamotthread.process.overload.rank import SINGLE_RANK, Rank
+from bergamotthread.process.overload.rank_use import (
+    DecayedSum,
+    Precedence,
+    RankUse,
+    kept_prompts,
+    stretch_of,
+)
 from bergamotthread.process.overload.retry_after import RetryAfterRange
 from bergamotthread.process.relay.engine_forecast import EngineForecast
 
@@ -71,6 +83,8 @@
         Monotonic time at which the request arrived.
     time_limit_ms
         Time that the request had when it arrived.
+    rank
+        Rank of the request, or that as which it competes.
     """
 
     service: str
@@ -79,6 +93,7 @@
     target_ms: float
     received_ms: float
     time_limit_ms: float
+    rank: Rank = SINGLE_RANK
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,21 +184,26 @@
 
 
 @dataclass
-class OfferedRate:
-    """Smoothed rate of requests, per millisecond."""
+class OfferedRates:
+    """Smoothed rates of requests for a service, by position of their rank."""
 
-    updated_ms: float = 0
-    per_ms: float = 0
+    _by_position: dict[int, DecayedSum] = field(default_factory=dict)
 
-    def record(self, now_ms: float) -> None:
+    def record(self, rank: Rank, now_ms: float) -> None:
         """Count a request."""
-        self.per_ms = self.at(now_ms) + 1 / RATE_SMOOTHING_MS
-        self.updated_ms = now_ms
-
-    def at(self, now_ms: float) -> float:
-        """Return the rate at a time."""
-        elapsed_ms = now_ms - self.updated_ms
-        return self.per_ms * math.exp(-elapsed_ms / RATE_SMOOTHING_MS)
+        rate = self._by_position.get(rank.position)
+        if rate is None:
+            rate = DecayedSum(RATE_SMOOTHING_MS)
+            self._by_position[rank.position] = rate
+        rate.add(1 / RATE_SMOOTHING_MS, now_ms)
+
+    def per_ms(self, rank: Rank, now_ms: float) -> float:
+        """Return the rate of a rank and all more urgent ones."""
+        return sum(
+            rate.at(now_ms)
+            for position, rate in self._by_position.items()
+            if position <= rank.position
+        )
 
 
 @dataclass
@@ -199,19 +219,49 @@
     clock: Clock
     rng: random.Random
     count_entries: Callable[[], int]
-    _rate_by_service: dict[str, OfferedRate] = field(default_factory=dict)
-    _backlogged_rate_by_service: dict[str, OfferedRate] = field(
+    _rates_by_service: dict[str, OfferedRates] = field(default_factory=dict)
+    _backlogged_rates_by_service: dict[str, OfferedRates] = field(
         default_factory=dict
     )
     _guard_by_service: dict[str, OverloadGuard] = field(default_factory=dict)
     _time_limits_by_route: dict[str, deque[float]] = field(default_factory=dict)
+    _ranks_by_service: dict[str, RankUse] = field(default_factory=dict)
+
+    def offer(self, demand: StreamDemand) -> Rank:
+        """Count a stream before it is decided on.
 
-    def offer(self, demand: StreamDemand) -> None:
-        """Count a stream before it is decided on."""
-        rates = self._rate_by_service
-        rate = rates.setdefault(demand.service, OfferedRate())
-        rate.record(self.clock.now_ms())
+        Returns
+        -------
+        Rank
+            Rank as which it competes.
+        """
+        rank = self._ranks(demand.service).offer(demand.rank)
+        rates = self._rates_by_service
+        service_rates = rates.setdefault(demand.service, OfferedRates())
+        service_rates.record(rank, self.clock.now_ms())
         self._record_time_limit(demand)
+        return rank
+
+    def precedence(
+        self, service: str, rank: Rank, engines: int, occupancy_ms: float
+    ) -> Precedence:
+        """Return how streams of other ranks change the wait of a stream.
+
+        Parameters
+        ----------
+        occupancy_ms
+            Time of an engine that a stream takes.
+        """
+        if not rank.matters:
+            return Precedence()
+        ranks = self._ranks(service)
+        per_ms = ranks.per_ms_before(rank) * self.count_entries()
+        utilisation = per_ms * occupancy_ms / max(engines, 1)
+        return Precedence(
+            ranks.ahead_share(rank),
+            stretch_of(utilisation),
+            kept_prompts(utilisation),
+        )
 
     def check(
         self, demand: StreamDemand, view: EngineView
@@ -221,7 +271,7 @@
         if times.is_late(view.forecast.prompt_ms):
             has_room = self._has_spare_time(demand, view)
         else:
-            rivals = self._expected_rivals(demand.service, view)
+            rivals = self._expected_rivals(demand, view)
             has_room = self._may_use(_room(view.forecast, times), rivals)
         if has_room and times.allow_end(view.forecast):
             return None
@@ -245,14 +295,14 @@
         int or StreamRefused
             Index of the engine.
         """
-        self._record_backlogged(demand.service)
+        self._record_backlogged(demand)
         best = views[0]
         times = self._times(demand)
         if times.is_late(best.forecast.prompt_ms):
             refused = self.check(demand, best)
             return 0 if refused is None else refused
         rooms = [_room(view.forecast, times) for view in views]
-        rivals = self._expected_backlogged(demand.service, best)
+        rivals = self._expected_backlogged(demand, best)
         if not self._may_use(sum(rooms), rivals):
             return self._refuse('engines', demand, best)
         return self.rng.choices(range(len(views)), rooms)[0]
@@ -274,6 +324,22 @@
             return None
         return self._refuse(verdict.decided_by, demand, view)
 
+    def record_admitted(self, service: str, own: Rank, competing: Rank) -> None:
+        """Record that a new stream was placed.
+
+        Parameters
+        ----------
+        own
+            Rank of the stream.
+        competing
+            Rank as which it competes.
+        """
+        self._ranks(service).admit(own, competing)
+
+    def record_wait(self, service: str, rank: Rank, wait_ms: float) -> None:
+        """Record how long a new stream waited for its prefill."""
+        self._ranks(service).record_wait(rank, wait_ms)
+
     def record_start(self, service: str, team: str) -> None:
         """Record the start of a stream."""
         self._guard(service).record_start(team)
@@ -293,16 +359,16 @@
         )
         retry_after_ms = bounds.spread(
             max(expected_ms - limit_ms, 0),
-            view.forecast.work.wait_ms,
+            view.forecast.wait_ms,
             self.rng,
         )
         return StreamRefused(
             decided_by,
             expected_ms,
             limit_ms,
-            view.forecast.work.wait_ms,
+            view.forecast.wait_ms,
             view.report_age_ms,
-            self._expected_rivals(demand.service, view),
+            self._expected_rivals(demand, view),
             retry_after_ms,
         )
 
@@ -345,43 +411,58 @@
         Engines with work ahead take it only in the time that they have left
         beside all streams that are offered.
         """
-        wait_ms = view.forecast.work.wait_ms
+        wait_ms = view.forecast.wait_ms
         if wait_ms <= 0:
             return True
         if wait_ms > demand.target_ms * LATE_WAIT_FRACTION:
             return False
-        rate = self._rate_by_service.get(demand.service, OfferedRate())
-        offered_per_ms = rate.at(self.clock.now_ms()) * self.count_entries()
+        rates = self._rates_by_service.get(demand.service, OfferedRates())
+        own_per_ms = rates.per_ms(demand.rank, self.clock.now_ms())
+        offered_per_ms = own_per_ms * self.count_entries()
         taken_per_ms = max(view.engines, 1) / view.forecast.occupancy_ms
         return self.rng.random() > offered_per_ms / taken_per_ms
 
-    def _expected_rivals(self, service: str, view: EngineView) -> float:
+    def _expected_rivals(self, demand: StreamDemand, view: EngineView) -> float:
         """Return the streams that others place before a report shows them.
 
         Others draw the engine as a first candidate, or as one of the least
-        loaded.
+        loaded. Less urgent ones go behind the stream and are no rivals.
         """
-        rate = self._rate_by_service.get(service, OfferedRate())
-        first = self._unseen(rate, view) * view.draw_fraction
-        backlogged = self._expected_backlogged(service, view)
+        rates = self._rates_by_service.get(demand.service, OfferedRates())
+        unseen = self._unseen(rates, demand.rank, view)
+        first = unseen * view.draw_fraction
+        backlogged = self._expected_backlogged(demand, view)
         return first + backlogged / view.least_loaded_count
 
-    def _expected_backlogged(self, service: str, view: EngineView) -> float:
+    def _expected_backlogged(
+        self, demand: StreamDemand, view: EngineView
+    ) -> float:
         """Return the same for all of the least loaded engines."""
-        rate = self._backlogged_rate_by_service.get(service, OfferedRate())
-        return self._unseen(rate, view) * BACKLOGGED_BURST
+        rates = self._backlogged_rates_by_service.get(
+            demand.service, OfferedRates()
+        )
+        return self._unseen(rates, demand.rank, view) * BACKLOGGED_BURST
 
-    def _unseen(self, rate: OfferedRate, view: EngineView) -> float:
+    def _unseen(
+        self, rates: OfferedRates, rank: Rank, view: EngineView
+    ) -> float:
         others = max(self.count_entries() - 1, 0)
         # The stream has been counted, and says nothing of the others.
-        per_ms = rate.at(self.clock.now_ms()) - 1 / RATE_SMOOTHING_MS
+        per_ms = rates.per_ms(rank, self.clock.now_ms()) - 1 / RATE_SMOOTHING_MS
         unseen_ms = view.report_age_ms + REPORT_DELAY_MS
         return max(per_ms, 0) * others * unseen_ms
 
-    def _record_backlogged(self, service: str) -> None:
-        rates = self._backlogged_rate_by_service
-        rate = rates.setdefault(service, OfferedRate())
-        rate.record(self.clock.now_ms())
+    def _record_backlogged(self, demand: StreamDemand) -> None:
+        rates = self._backlogged_rates_by_service
+        service_rates = rates.setdefault(demand.service, OfferedRates())
+        service_rates.record(demand.rank, self.clock.now_ms())
+
+    def _ranks(self, service: str) -> RankUse:
+        ranks = self._ranks_by_service.get(service)
+        if ranks is None:
+            ranks = RankUse(self.clock, self.rng)
+            self._ranks_by_service[service] = ranks
+        return ranks
 
     def _guard(self, service: str) -> OverloadGuard:
         guard = self._guard_by_service.get(service)
@@ -397,4 +478,4 @@
     spare_ms = times.limit_ms(prompt_ms) - forecast.first_event_ms
     if spare_ms < 0 or not times.allow_end(forecast):
         return 0
-    return 1 + spare_ms / prompt_ms
+    return min(1 + spare_ms / prompt_ms, forecast.free_prompts)
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -4,13 +4,15 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
+from bergamotthread.process.overload.rank import Rank
 from bergamotthread.process.relay.choice import (
     LEAST_LOADED_UPSTREAMS,
     SAMPLED_CANDIDATES,
     RelayPlacementRequest,
 )
+from bergamotthread.process.relay.engine_forecast import EngineForecast
 from bergamotthread.process.relay.stream_gate import (
     EngineView,
     StreamDemand,
@@ -54,12 +56,23 @@
     cost_ms: float
 
 
-@dataclass(frozen=True)
+@dataclass
 class StreamPlacer:
-    """Chooses the upstreams for the attempts of one stream."""
+    """Chooses the upstreams for the attempts of one stream.
+
+    Parameters
+    ----------
+    rank
+        Rank as which the stream competes, from its first placement on.
+    """
 
     call: RelayedCall
     parts: RelayParts
+    rank: Rank = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin with the rank of the call."""
+        self.rank = self.call.rank
 
     @property
     def may_copy(self) -> bool:
@@ -128,13 +141,21 @@
             # it said that it leaves. If the attempt fails as well or is not
             # sent, the next one is placed at others.
             return AttemptPlacement(candidates[0])
+        if in_time:
+            return await self._place_in_time(usable, request)
+        request = self._with_precedence(usable[0], request)
         ranked = self._rank(usable, request)
-        if not in_time:
-            return self._make_placement(ranked[0], ranked, request)
-        return await self._place_in_time(ranked, request)
+        return self._make_placement(ranked[0], ranked, request)
+
+    def forecast(
+        self, upstream: Upstream, request: RelayPlacementRequest
+    ) -> EngineForecast:
+        """Return the forecast of the stream at an upstream."""
+        request = self._with_precedence(upstream, request)
+        return self.parts.choice.forecast(upstream, request)
 
     async def _place_in_time(
-        self, ranked: list[Candidate], request: RelayPlacementRequest
+        self, usable: list[Upstream], request: RelayPlacementRequest
     ) -> AttemptPlacement | StreamRefused:
         """Place at an upstream that is in time, or refuse the stream.
 
@@ -143,7 +164,10 @@
         """
         gate = self.parts.stream_gate
         demand = self._demand()
-        gate.offer(demand)
+        self.rank = gate.offer(demand)
+        demand = replace(demand, rank=self.rank)
+        request = self._with_precedence(usable[0], request)
+        ranked = self._rank(usable, request)
         chosen = ranked[0]
         view = self._view(chosen.upstream, request)
         refused = gate.check(demand, view)
@@ -159,7 +183,25 @@
             chosen = ranked[drawn]
             view = views[drawn]
         team_refused = gate.check_team(demand, view)
-        return team_refused or self._make_placement(chosen, ranked, request)
+        if team_refused is not None:
+            return team_refused
+        gate.record_admitted(demand.service, self.call.rank, self.rank)
+        return self._make_placement(chosen, ranked, request)
+
+    def _with_precedence(
+        self, upstream: Upstream, request: RelayPlacementRequest
+    ) -> RelayPlacementRequest:
+        """Return a request whose forecasts heed the ranks of others."""
+        if not self.rank.matters:
+            return request
+        choice = self.parts.choice
+        precedence = self.parts.stream_gate.precedence(
+            request.service,
+            self.rank,
+            choice.count_engines(request),
+            choice.forecast(upstream, request).occupancy_ms,
+        )
+        return replace(request, precedence=precedence)
 
     def _demand(self) -> StreamDemand:
         call = self.call
@@ -170,6 +212,7 @@
             target_ms=call.route.first_event_target_ms,
             received_ms=call.request.received_ms,
             time_limit_ms=call.time_limit_ms,
+            rank=call.rank,
         )
 
     def _view(
@@ -275,6 +318,7 @@
             ),
             report_age_ms=round(self._report_age_ms(upstream)),
             is_return=request.is_reconnect,
+            urgency=self.rank.urgency,
             prompt_tokens=request.prompt_tokens,
             time_limit_ms=round(self.call.time_limit_ms),
         )
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -18,8 +18,8 @@
     AnswerPart,
     Framing,
 )
-from bergamotthread.process.overload.expected_wait import EngineWork
 from bergamotthread.process.relay.choice import RelayPlacementRequest
+from bergamotthread.process.relay.engine_forecast import EngineForecast
 from bergamotthread.process.relay.liveness import (
     PREFILL_SILENCE_MS,
     STREAM_SILENCE_MS,
@@ -73,7 +73,6 @@
 PLACEMENT_TARGET_FRACTION = 0.4
 STREAM_NO_UPSTREAM_RETRY_AFTER_MS = 500
 _OK = 200
-_MS_PER_S = 1000
 
 
 class StreamRelay:
@@ -94,7 +93,7 @@
         self._caller_times = ArrivalTimes(call.request.received_ms)
         self._is_from_copy = False
         self._attempt_build = ''
-        self._work_ahead: EngineWork | None = None
+        self._forecast: EngineForecast | None = None
         self._run_ms: float = 0
         self._last_outcome = ''
         target_ms = call.route.first_event_target_ms
@@ -290,8 +289,9 @@
             resume_after=self._last_event,
             copy_target=copy_target.address if copy_target else '',
             copy_source=copy.copy_id if copy else '',
+            urgency=self._placer.rank.urgency,
         )
-        self._work_ahead = self._forecast_work(placement)
+        self._forecast = self._forecast_attempt(placement)
         with Attempt(self._call, upstream, self._parts) as attempt:
             not_sent = await attempt.send(headers)
             if not_sent is not None:
@@ -344,26 +344,33 @@
             return ended
         return Broken('the stream ended with its upstream')
 
-    def _forecast_work(self, placement: AttemptPlacement) -> EngineWork | None:
-        """Return the work ahead; None if little of the prompt is prefilled."""
+    def _forecast_attempt(
+        self, placement: AttemptPlacement
+    ) -> EngineForecast | None:
+        """Return the forecast; None if little of the prompt is prefilled."""
         if placement.copy is not None or self._call.resume_after is not None:
             return None
         request = self._placement_request()
-        return self._parts.choice.forecast(placement.upstream, request).work
+        return self._placer.forecast(placement.upstream, request)
 
     def _record_first_event(self, attempt: Attempt) -> None:
         attempt.end_prefill()
-        work = self._work_ahead
-        if work is None:
+        forecast = self._forecast
+        if forecast is None:
             return
-        prompt_ms = self._call.prompt_tokens / work.prefill_per_s * _MS_PER_S
-        error_ms = self._attempt_times.first_ms - work.wait_ms - prompt_ms
+        first_ms = self._attempt_times.first_ms
+        error_ms = first_ms - forecast.first_event_ms
         self._parts.metrics.forecast_error_ms.record(abs(error_ms))
-        if work.is_prefill_bound:
+        self._parts.stream_gate.record_wait(
+            self._call.service.name,
+            self._placer.rank,
+            first_ms - forecast.prompt_ms,
+        )
+        if forecast.shows_speed:
             self._parts.directory.record_prefill(
                 attempt.upstream,
-                work.prefill_tokens + self._call.prompt_tokens,
-                self._attempt_times.first_ms,
+                forecast.work.prefill_tokens + self._call.prompt_tokens,
+                first_ms,
             )
 
     async def _forward_events(
--- a/bergamotthread/version/route_table.py
+++ b/bergamotthread/version/route_table.py
@@ -9,6 +9,9 @@
 from bergamotthread.connection.http.caller_connection import CallerLimits
 from bergamotthread.process.overload.rank import SINGLE_RANK, Rank
 
+# Priority of the team, or else of the route; priority of the route.
+_Priorities = tuple[int, int]
+
 
 class Repeatability(enum.Enum):
     """Whether a request may be repeated after it was sent to an upstream."""
@@ -99,7 +102,8 @@
     """Routes, services, limits and keys of one version.
 
     `team_by_key` is None if requests need no key. The priority of a team goes
-    before that of the route.
+    before that of the route, which decides between teams of one priority. The
+    requests of a team without a priority have that of the route.
     """
 
     version: int
@@ -112,23 +116,26 @@
         init=False,
         repr=False,
     )
-    _priorities_by_service: dict[str, tuple[int, ...]] = field(
+    _ranks_by_service: dict[str, tuple[_Priorities, ...]] = field(
         init=False,
         repr=False,
     )
 
     def __post_init__(self) -> None:
         object.__setattr__(self, 'routes_by_host', _by_host(self.routes))
-        priorities = _priorities_by_service(self.routes, self.priority_by_team)
-        object.__setattr__(self, '_priorities_by_service', priorities)
+        ranks_by_service = _ranks_by_service(
+            self.routes, self.priority_by_team, self._has_unranked_teams()
+        )
+        object.__setattr__(self, '_ranks_by_service', ranks_by_service)
 
     def rank(self, route: RelayRoute, service: str, team: str) -> Rank:
         """Return the rank of a team's request among those for a service."""
-        priorities = self._priorities_by_service.get(service, ())
+        ranks = self._ranks_by_service.get(service, ())
         priority = self.priority_by_team.get(team, route.priority)
-        if priority not in priorities:
+        priorities = (priority, route.priority)
+        if priorities not in ranks:
             return SINGLE_RANK
-        return Rank(priorities.index(priority), len(priorities))
+        return Rank(ranks.index(priorities), len(ranks))
 
     def match(self, host: bytes, target: bytes) -> RelayRoute | None:
         """Return the route with the longest matching prefix, or None."""
@@ -138,6 +145,11 @@
                 return route
         return None
 
+    def _has_unranked_teams(self) -> bool:
+        """Return whether some teams have no priority of their own."""
+        teams = set((self.team_by_key or {}).values())
+        return not teams or not teams <= self.priority_by_team.keys()
+
 
 def _host_name(host: bytes) -> bytes:
     return host.strip().lower().partition(b':')[0]
@@ -155,23 +167,27 @@
     }
 
 
-def _priorities_by_service(
-    routes: Iterable[RelayRoute], priority_by_team: dict[str, int]
-) -> dict[str, tuple[int, ...]]:
-    """Return the priorities of each service, the most urgent in front.
+def _ranks_by_service(
+    routes: Iterable[RelayRoute],
+    priority_by_team: dict[str, int],
+    has_unranked_teams: bool,
+) -> dict[str, tuple[_Priorities, ...]]:
+    """Return the ranks of each service, the most urgent in front.
 
     Any team may use any route.
     """
     of_teams = set(priority_by_team.values())
-    grouped: dict[str, set[int]] = {}
+    grouped: dict[str, set[_Priorities]] = {}
     for route in routes:
+        own = (
+            set()
+            if route.needs_key and not has_unranked_teams
+            else {route.priority}
+        )
         for weighted in route.services:
-            priorities = grouped.setdefault(weighted.service, set(of_teams))
-            priorities.add(route.priority)
-    return {
-        service: tuple(sorted(priorities))
-        for service, priorities in grouped.items()
-    }
+            ranks = grouped.setdefault(weighted.service, set())
+            ranks.update((first, route.priority) for first in of_teams | own)
+    return {service: tuple(sorted(ranks)) for service, ranks in grouped.items()}
 
 
 def _prefix_length(route: RelayRoute) -> int:
