--- a/bergamotthread/process/overload/rank_use.py
+++ b/bergamotthread/process/overload/rank_use.py
@@ -39,19 +39,35 @@
         Fraction of the requests that wait that goes before it.
     stretch
         Factor of its wait, by more urgent requests that still arrive.
-    kept_prompts
-        Prompts of more urgent requests for which it must leave memory of the
-        upstream.
+    kept_tokens
+        Tokens of the upstream's memory that it must leave to more urgent
+        requests.
     """
 
     ahead_share: float = 1
     stretch: float = 1
-    kept_prompts: int = 0
+    kept_tokens: float = 0
 
 
 ARRIVAL_ORDER = Precedence()
 
 
+@dataclass(frozen=True, slots=True)
+class ArrivalsBefore:
+    """Admitted requests of more urgent ranks than one.
+
+    Parameters
+    ----------
+    per_ms
+        Their rate at this entry.
+    mean_tokens
+        Mean tokens of their prompts.
+    """
+
+    per_ms: float
+    mean_tokens: float
+
+
 @dataclass
 class DecayedSum:
     """Sum whose summands decay exponentially."""
@@ -84,6 +100,9 @@
     arrivals: DecayedSum = field(
         default_factory=lambda: DecayedSum(MIX_SMOOTHING_MS)
     )
+    arrived_tokens: DecayedSum = field(
+        default_factory=lambda: DecayedSum(MIX_SMOOTHING_MS)
+    )
     waited_ms: DecayedSum = field(
         default_factory=lambda: DecayedSum(MIX_SMOOTHING_MS)
     )
@@ -113,7 +132,7 @@
         use.offered.add(1, now_ms)
         return Rank(0, rank.count) if promoted else rank
 
-    def admit(self, own: Rank, competing: Rank) -> None:
+    def admit(self, own: Rank, competing: Rank, tokens: int = 0) -> None:
         """Count a request that was admitted.
 
         Parameters
@@ -122,12 +141,16 @@
             Rank of the request.
         competing
             Rank as which it was admitted.
+        tokens
+            Tokens of its prompt.
         """
         if not own.matters:
             return
         now_ms = self.clock.now_ms()
         self._by_position[own.position].admitted.add(1, now_ms)
-        self._by_position[competing.position].arrivals.add(1, now_ms)
+        use = self._by_position[competing.position]
+        use.arrivals.add(1, now_ms)
+        use.arrived_tokens.add(tokens, now_ms)
 
     def record_wait(self, rank: Rank, wait_ms: float) -> None:
         """Record how long an admitted request waited."""
@@ -158,15 +181,19 @@
         )
         return ahead_ms / total_ms
 
-    def per_ms_before(self, rank: Rank) -> float:
-        """Return the rate of admitted requests of more urgent ranks."""
+    def before(self, rank: Rank) -> ArrivalsBefore:
+        """Return the admitted requests of more urgent ranks."""
         now_ms = self.clock.now_ms()
-        arrivals = sum(
-            use.arrivals.at(now_ms)
+        uses = [
+            use
             for position, use in self._by_position.items()
             if position < rank.position
+        ]
+        arrivals = sum(use.arrivals.at(now_ms) for use in uses)
+        tokens = sum(use.arrived_tokens.at(now_ms) for use in uses)
+        return ArrivalsBefore(
+            arrivals / MIX_SMOOTHING_MS, tokens / arrivals if arrivals else 0
         )
-        return arrivals / MIX_SMOOTHING_MS
 
     def _is_starved(self, use: _PositionUse) -> bool:
         now_ms = self.clock.now_ms()
--- a/bergamotthread/process/relay/engine_forecast.py
+++ b/bergamotthread/process/relay/engine_forecast.py
@@ -64,17 +64,21 @@
             return False
         return self.precedence == ARRIVAL_ORDER or not self.waiting_tokens
 
+    @property
+    def lacks_memory(self) -> bool:
+        """Return whether runs hold the memory that the prompt needs."""
+        return self.work.missing_tokens > 0
+
     @property
     def free_prompts(self) -> float:
         """Return how many such prompts find memory beside that which is kept.
 
         Where none is kept, prompts may wait for memory.
         """
-        kept = self.precedence.kept_prompts
-        if not kept:
+        if not self.precedence.kept_tokens:
             return math.inf
-        free = 1 - self.work.missing_tokens / max(self.prompt_tokens, 1)
-        return max(free - kept, 0)
+        missing = self.work.missing_tokens / max(self.prompt_tokens, 1)
+        return 1 - missing if missing <= 0 else 0
 
     @property
     def wait_ms(self) -> float:
@@ -116,7 +120,11 @@
         report.unread_tokens + upstream.sent_since_report,
     )
     run_ms = _run_ms(upstream, outputs)
+    # Memory that is kept for others is as good as in use, but an idle engine
+    # takes any prompt.
+    kept_tokens = min(precedence.kept_tokens, report.kv_total - prompt_tokens)
     needed_tokens = report.kv_used + waiting_tokens + prompt_tokens
+    needed_tokens += max(round(kept_tokens), 0)
     work = EngineWork(
         max(unread_tokens - behind_tokens, 0),
         rate_per_s,
--- a/bergamotthread/process/relay/relay_metrics.py
+++ b/bergamotthread/process/relay/relay_metrics.py
@@ -11,6 +11,7 @@
     Metrics,
     Percentiles,
 )
+from bergamotthread.process.overload.rank import Rank
 
 
 @dataclass(frozen=True)
@@ -23,6 +24,10 @@
         Responses of upstreams that were sent to callers, by status.
     refusals
         Requests that the entry refused itself, by reason.
+    admitted_by_rank, overloaded_by_rank
+        Streams and plain requests that were admitted, and refused for
+        overload, by the position of their rank; 0 is the most urgent. Only
+        those of services with several ranks are counted.
     attempts
         Attempts, by outcome.
     ended_by_limit
@@ -54,6 +59,8 @@
     registry: Metrics
     answers: LabelledCounter
     refusals: LabelledCounter
+    admitted_by_rank: LabelledCounter
+    overloaded_by_rank: LabelledCounter
     attempts: LabelledCounter
     ended_by_limit: LabelledCounter
     answer_ms: Percentiles
@@ -68,6 +75,14 @@
     pauses: LabelledCounter
     request_limits: LabelledCounter
 
+    def record_admission(self, rank: Rank, *, admitted: bool) -> None:
+        """Count a request that was admitted or refused for overload."""
+        if rank.matters:
+            by_rank = (
+                self.admitted_by_rank if admitted else self.overloaded_by_rank
+            )
+            by_rank.increment(str(rank.position))
+
     @classmethod
     def from_clock(cls, clock: Clock) -> RelayMetrics:
         """Return metrics that have counted nothing yet."""
@@ -84,6 +99,16 @@
                 'Requests that the entry answered itself.',
                 'reason',
             ),
+            admitted_by_rank=registry.labelled_counter(
+                'relay_admitted_by_rank_total',
+                'Requests admitted to services with several ranks.',
+                'rank',
+            ),
+            overloaded_by_rank=registry.labelled_counter(
+                'relay_overloaded_by_rank_total',
+                'Requests refused for overload at services with ranks.',
+                'rank',
+            ),
             attempts=registry.labelled_counter(
                 'relay_attempts_total',
                 'Attempts at upstreams.',
--- a/bergamotthread/process/relay/stream_gate.py
+++ b/bergamotthread/process/relay/stream_gate.py
@@ -255,12 +255,13 @@
         if not rank.matters:
             return Precedence()
         ranks = self._ranks(service)
-        per_ms = ranks.per_ms_before(rank) * self.count_entries()
+        before = ranks.before(rank)
+        per_ms = before.per_ms * self.count_entries()
         utilisation = per_ms * occupancy_ms / max(engines, 1)
         return Precedence(
             ranks.ahead_share(rank),
             stretch_of(utilisation),
-            kept_prompts(utilisation),
+            kept_prompts(utilisation) * before.mean_tokens,
         )
 
     def check(
@@ -277,13 +278,18 @@
             return None
         return self._refuse('engines', demand, view)
 
+    def preempts(self, demand: StreamDemand, view: EngineView) -> bool:
+        """Return whether an engine would preempt a run for the stream."""
+        return demand.rank.matters and view.forecast.lacks_memory
+
     def draw(
         self, demand: StreamDemand, views: Sequence[EngineView]
     ) -> int | StreamRefused:
         """Draw one of the least loaded engines, or return a refusal.
 
         All entries whose first candidates have a backlog turn to these engines,
-        so they are drawn by the room that they have.
+        so they are drawn by the room that they have. Those that would preempt
+        a run are drawn only if there are no others.
 
         Parameters
         ----------
@@ -302,6 +308,8 @@
             refused = self.check(demand, best)
             return 0 if refused is None else refused
         rooms = [_room(view.forecast, times) for view in views]
+        if demand.rank.matters:
+            rooms = _without_preemption(views, rooms)
         rivals = self._expected_backlogged(demand, best)
         if not self._may_use(sum(rooms), rivals):
             return self._refuse('engines', demand, best)
@@ -324,17 +332,19 @@
             return None
         return self._refuse(verdict.decided_by, demand, view)
 
-    def record_admitted(self, service: str, own: Rank, competing: Rank) -> None:
+    def record_admitted(
+        self, demand: StreamDemand, own: Rank, tokens: int
+    ) -> None:
         """Record that a new stream was placed.
 
         Parameters
         ----------
         own
-            Rank of the stream.
-        competing
-            Rank as which it competes.
+            Rank of the stream, whatever it competes as.
+        tokens
+            Tokens of its prompt.
         """
-        self._ranks(service).admit(own, competing)
+        self._ranks(demand.service).admit(own, demand.rank, tokens)
 
     def record_wait(self, service: str, rank: Rank, wait_ms: float) -> None:
         """Record how long a new stream waited for its prefill."""
@@ -357,6 +367,7 @@
         bounds = RetryAfterRange.from_remaining(
             RETRY_AFTER_MIN_MS, times.remaining_ms
         )
+        # The waits of less urgent streams are longer, so they return later.
         retry_after_ms = bounds.spread(
             max(expected_ms - limit_ms, 0),
             view.forecast.wait_ms,
@@ -414,6 +425,8 @@
         wait_ms = view.forecast.wait_ms
         if wait_ms <= 0:
             return True
+        if view.forecast.free_prompts < 1:
+            return False
         if wait_ms > demand.target_ms * LATE_WAIT_FRACTION:
             return False
         rates = self._rates_by_service.get(demand.service, OfferedRates())
@@ -472,6 +485,17 @@
         return guard
 
 
+def _without_preemption(
+    views: Sequence[EngineView], rooms: list[float]
+) -> list[float]:
+    """Return the room of the engines that would preempt no run, if any."""
+    free = [
+        0 if view.forecast.lacks_memory else room
+        for view, room in zip(views, rooms, strict=True)
+    ]
+    return free if sum(free) else rooms
+
+
 def _room(forecast: EngineForecast, times: StreamTimes) -> float:
     """Return how many such prompts an engine can take in time; 0 if none."""
     prompt_ms = max(forecast.prompt_ms, _PROMPT_MS_MIN)
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -157,7 +157,17 @@
     async def _place_in_time(
         self, usable: list[Upstream], request: RelayPlacementRequest
     ) -> AttemptPlacement | StreamRefused:
-        """Place at an upstream that is in time, or refuse the stream.
+        """Place at an upstream that is in time, or refuse the stream."""
+        placement = await self._decide(usable, request)
+        self.parts.metrics.record_admission(
+            self.call.rank, admitted=isinstance(placement, AttemptPlacement)
+        )
+        return placement
+
+    async def _decide(
+        self, usable: list[Upstream], request: RelayPlacementRequest
+    ) -> AttemptPlacement | StreamRefused:
+        """Return the placement of a new stream, or its refusal.
 
         The first candidates may be the only engines with a backlog. All entries
         whose first candidates have one ask the least loaded upstreams.
@@ -171,7 +181,7 @@
         chosen = ranked[0]
         view = self._view(chosen.upstream, request)
         refused = gate.check(demand, view)
-        if refused is not None:
+        if refused is not None or gate.preempts(demand, view):
             others = self.parts.choice.draw_least_loaded(request)
             alive = await self._alive_candidates(others)
             ranked = self._rank(alive, request) or ranked
@@ -185,7 +195,7 @@
         team_refused = gate.check_team(demand, view)
         if team_refused is not None:
             return team_refused
-        gate.record_admitted(demand.service, self.call.rank, self.rank)
+        gate.record_admitted(demand, self.call.rank, request.prompt_tokens)
         return self._make_placement(chosen, ranked, request)
 
     def _with_precedence(
@@ -319,6 +329,7 @@
             report_age_ms=round(self._report_age_ms(upstream)),
             is_return=request.is_reconnect,
             urgency=self.rank.urgency,
+            is_promoted=self.rank != self.call.rank,
             prompt_tokens=request.prompt_tokens,
             time_limit_ms=round(self.call.time_limit_ms),
         )
--- a/bergamotthread/request/relay/plain_relay.py
+++ b/bergamotthread/request/relay/plain_relay.py
@@ -70,6 +70,9 @@
             return
         gate = self._parts.plain_gate
         refused = await gate.enter(self._demand())
+        self._parts.metrics.record_admission(
+            self._call.rank, admitted=refused is None
+        )
         waited_ms = self._parts.clock.now_ms() - self._call.request.received_ms
         self._parts.metrics.queue_wait_ms.record(waited_ms)
         if refused is not None:
@@ -165,6 +168,7 @@
             target_ms=call.route.first_event_target_ms,
             remaining_ms=self._limits.remaining_ms,
             slots=slots,
+            rank=call.rank,
         )
 
     async def _attempt(self, upstream: Upstream) -> AttemptOutcome:
@@ -283,6 +287,7 @@
             version=self._call.version,
             sent=self._limits.attempts_sent,
             retry_after_ms=refusal.retry_after_ms,
+            urgency=self._call.rank.urgency,
             **refusal.figures,
         )
         send_refusal(self._call.exchange, refusal)
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -581,6 +581,7 @@
             version=self._call.version,
             sent=self._limits.attempts_sent,
             last_event=self._last_event,
+            urgency=self._call.rank.urgency,
             **refusal.figures,
         )
 
--- a/tests/test_plain_gate.py
+++ b/tests/test_plain_gate.py
@@ -16,6 +16,7 @@
     WINDOW_REQUESTS,
     ConcurrencyLimit,
 )
+from bergamotthread.process.overload.rank import Rank
 from bergamotthread.process.relay.plain_gate import (
     QUEUE_LIMIT_FRACTION,
     PlainDemand,
@@ -184,6 +185,59 @@
     run_virtual(check())
 
 
+def test_more_urgent_request_goes_before_those_that_wait():
+    async def check():
+        _, gate = await _full_gate()
+        order = []
+
+        async def wait(rank):
+            if await gate.enter(_demand(slots=1, rank=rank)) is None:
+                order.append(rank.position)
+
+        ranks = [Rank(2, 3), Rank(1, 3), Rank(0, 3)]
+        tasks = [asyncio.create_task(wait(rank)) for rank in ranks]
+        await asyncio.sleep(0)
+        for _ in ranks:
+            gate.leave('plain', None)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        await asyncio.gather(*tasks)
+        assert order == [0, 1, 2]
+
+    run_virtual(check())
+
+
+def test_less_urgent_request_is_displaced_at_once():
+    """The queue is full of less urgent requests when urgent ones come."""
+
+    async def check():
+        clock, gate = await _full_gate()
+        less = [
+            asyncio.create_task(gate.enter(_demand(slots=1, rank=Rank(1, 2))))
+            for _ in range(30)
+        ]
+        await asyncio.sleep(0)
+        waited = gate.queued()
+        assert 0 < waited < len(less)
+        urgent = [
+            asyncio.create_task(gate.enter(_demand(slots=1, rank=Rank(0, 2))))
+            for _ in range(3)
+        ]
+        for _ in range(3):
+            await asyncio.sleep(0)
+        assert not any(task.done() for task in urgent)
+        refused = sum(task.done() for task in less)
+        assert refused == len(less) - waited + len(urgent)
+        assert gate.queued() == waited
+        assert clock.now_ms() == 0
+        for task in (*less, *urgent):
+            task.cancel()
+        await asyncio.gather(*less, *urgent, return_exceptions=True)
+        assert gate.queued() == 0
+
+    run_virtual(check())
+
+
 def test_caller_that_leaves_gives_up_its_place():
     async def check():
         _, gate = await _full_gate()
