--- a/tests/test_rank.py
+++ b/tests/test_rank.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from functools import lru_cache
 
@@ -25,12 +26,15 @@
     stretch_of,
 )
 from bergamotthread.process.relay.stream_gate import StreamGate
+from bergamotthread.testing.memory_http import run_in_memory
 from bergamotthread.version.route_table import (
     RelayRoute,
     Repeatability,
     RouteTable,
     WeightedService,
 )
+from standins.platform_runner import MODEL, route_of
+from tests.platform_standins import Deployment
 
 ENTRIES = 24
 ENGINES = 44
@@ -240,3 +244,47 @@
     others = gate.count_entries() - 1
     per_ms = rates.per_ms(last, gate.clock.now_ms())
     return per_ms * others * (view.report_age_ms + 150)
+
+
+URGENCY = b'bergamotthread-request-urgency'
+FORGED = ((URGENCY, b'0'),)
+
+
+def test_attempts_carry_the_urgency_of_their_rank_after_a_loss_too():
+    async def check():
+        batch = route_of(
+            '/batch-stream/', 'streaming', MODEL, stream_resume=True, priority=2
+        )
+        deployment = await Deployment.start(routes=(batch,))
+        task = asyncio.create_task(
+            deployment.call('/batch-stream/x', extra=FORGED)
+        )
+        await deployment.clock.sleep_ms(1500)
+        next(model for model in deployment.models if model.seen).kill()
+        assert (await task).is_whole
+        assert (await deployment.call('/stream/x')).is_whole
+        urgencies = [
+            seen.headers[URGENCY]
+            for model in deployment.models
+            for seen in model.seen
+        ]
+        *resumed, urgent = sorted(urgencies, reverse=True)
+        assert urgent == b'0'
+        assert len(resumed) > 1
+        assert set(resumed) == {b'1'}
+        *of_batch, of_urgent = deployment.events('placed')
+        assert {line['urgency'] for line in of_batch} == {1}
+        assert of_urgent['urgency'] == 0
+        assert not of_urgent['is_promoted']
+
+    run_in_memory(check())
+
+
+def test_service_with_one_rank_is_told_no_urgency():
+    async def check():
+        deployment = await Deployment.start()
+        assert (await deployment.call('/stream/x', extra=FORGED)).is_whole
+        [seen] = [one for model in deployment.models for one in model.seen]
+        assert URGENCY not in seen.headers
+
+    run_in_memory(check())
