--- a/bergamotthread/process/overload/rank_use.py
+++ b/bergamotthread/process/overload/rank_use.py
@@ -42,11 +42,15 @@
     kept_tokens
         Tokens of the upstream's memory that it must leave to more urgent
         requests.
+    urgency
+        Urgency that upstreams are told. Less urgent runs give way, but only
+        to requests that no more urgent one is likely to follow.
     """
 
     ahead_share: float = 1
     stretch: float = 1
     kept_tokens: float = 0
+    urgency: int | None = None
 
 
 ARRIVAL_ORDER = Precedence()
--- a/bergamotthread/process/relay/engine_forecast.py
+++ b/bergamotthread/process/relay/engine_forecast.py
@@ -41,6 +41,8 @@
         that wait and go behind the prompt.
     waiting_tokens
         Prompt tokens that hold no memory of the engine yet.
+    missing_tokens
+        Tokens of memory that are missing unless runs are preempted.
     prompt_tokens
         Tokens of the prompt.
     """
@@ -51,6 +53,7 @@
     occupancy_ms: float
     precedence: Precedence = ARRIVAL_ORDER
     waiting_tokens: int = 0
+    missing_tokens: int = 0
     prompt_tokens: int = 0
 
     @property
@@ -67,7 +70,7 @@
     @property
     def lacks_memory(self) -> bool:
         """Return whether runs hold the memory that the prompt needs."""
-        return self.work.missing_tokens > 0
+        return self.missing_tokens > 0
 
     @property
     def free_prompts(self) -> float:
@@ -77,7 +80,7 @@
         """
         if not self.precedence.kept_tokens:
             return math.inf
-        missing = self.work.missing_tokens / max(self.prompt_tokens, 1)
+        missing = self.missing_tokens / max(self.prompt_tokens, 1)
         return 1 - missing if missing <= 0 else 0
 
     @property
@@ -111,10 +114,10 @@
     if report is None:
         work = EngineWork(upstream.prefill_tokens, rate_per_s)
         return EngineForecast(work, prompt_ms, 0, prompt_ms, precedence)
-    # Prompts that hold memory are read in the order in which they got it.
-    waiting_tokens = report.waiting_tokens + upstream.sent_since_report
-    behind_tokens = round(waiting_tokens * (1 - precedence.ahead_share))
-    waiting_tokens -= behind_tokens
+    ahead_share = precedence.ahead_share
+    waiting_tokens = round(
+        (report.waiting_tokens + upstream.sent_since_report) * ahead_share
+    )
     unread_tokens = max(
         upstream.prefill_tokens,
         report.unread_tokens + upstream.sent_since_report,
@@ -125,12 +128,13 @@
     kept_tokens = min(precedence.kept_tokens, report.kv_total - prompt_tokens)
     needed_tokens = report.kv_used + waiting_tokens + prompt_tokens
     needed_tokens += max(round(kept_tokens), 0)
+    missing_tokens = needed_tokens - report.kv_total
     work = EngineWork(
-        max(unread_tokens - behind_tokens, 0),
+        unread_tokens * ahead_share,
         rate_per_s,
         missing_slots=_missing_slots(upstream, report, precedence),
         slot_ms=run_ms / max(upstream.record.slots, 1),
-        missing_tokens=needed_tokens - report.kv_total,
+        missing_tokens=missing_tokens - _preempted_tokens(report, precedence),
         holdings=_holdings(upstream, report, outputs),
     )
     memory_ms = run_ms * prompt_tokens / max(report.kv_total, 1)
@@ -142,10 +146,19 @@
         max(prompt_ms, memory_ms),
         precedence,
         report.waiting_tokens,
+        missing_tokens,
         prompt_tokens,
     )
 
 
+def _preempted_tokens(report: LoadReport, precedence: Precedence) -> int:
+    """Return the memory of the runs that an engine would preempt."""
+    urgency = precedence.urgency
+    if urgency is None or precedence.kept_tokens:
+        return 0
+    return sum(run.tokens for run in report.runs if run.urgency > urgency)
+
+
 def _run_ms(upstream: Upstream, outputs: RunStatistics) -> float:
     """Return the expected time from the first event to the last."""
     event_ms = upstream.statistics.between_tokens_ms
--- a/bergamotthread/process/relay/stream_gate.py
+++ b/bergamotthread/process/relay/stream_gate.py
@@ -262,6 +262,7 @@
             ranks.ahead_share(rank),
             stretch_of(utilisation),
             kept_prompts(utilisation) * before.mean_tokens,
+            rank.urgency,
         )
 
     def check(
