--- a/bergamotthread/process/overload/rank_use.py
+++ b/bergamotthread/process/overload/rank_use.py
@@ -26,7 +26,7 @@
 UTILISATION_BEFORE_MAX = 0.8
 # Fraction of all times in which more urgent requests arrive than room is kept
 # for; then an upstream preempts less urgent ones.
-UNEXPECTED_SHARE_MAX = 0.1
+UNEXPECTED_SHARE_MAX = 0.2
 
 
 @dataclass(frozen=True, slots=True)
--- a/bergamotthread/process/relay/stream_gate.py
+++ b/bergamotthread/process/relay/stream_gate.py
@@ -61,6 +61,8 @@
 REPORT_DELAY_MS = 150.0
 # Time constant of the rate at which streams are offered.
 RATE_SMOOTHING_MS = 1500.0
+# Time constant of the parts of the ranks in that rate.
+PARTS_SMOOTHING_MS = 5000.0
 # Streams whose first candidates have a backlog come in bursts, and all turn to
 # the same few engines; so many times the mean rate is expected of them.
 BACKLOGGED_BURST = 2.0
@@ -185,25 +187,47 @@
 
 @dataclass
 class OfferedRates:
-    """Smoothed rates of requests for a service, by position of their rank."""
+    """Smoothed rate of requests for a service, and its parts by rank.
 
+    One entry gets few requests of each rank, so the parts are those of a
+    longer time than the rate.
+    """
+
+    _total: DecayedSum = field(
+        default_factory=lambda: DecayedSum(RATE_SMOOTHING_MS)
+    )
     _by_position: dict[int, DecayedSum] = field(default_factory=dict)
 
     def record(self, rank: Rank, now_ms: float) -> None:
         """Count a request."""
-        rate = self._by_position.get(rank.position)
-        if rate is None:
-            rate = DecayedSum(RATE_SMOOTHING_MS)
-            self._by_position[rank.position] = rate
-        rate.add(1 / RATE_SMOOTHING_MS, now_ms)
-
-    def per_ms(self, rank: Rank, now_ms: float) -> float:
-        """Return the rate of a rank and all more urgent ones."""
-        return sum(
-            rate.at(now_ms)
-            for position, rate in self._by_position.items()
+        self._total.add(1 / RATE_SMOOTHING_MS, now_ms)
+        part = self._by_position.get(rank.position)
+        if part is None:
+            part = DecayedSum(PARTS_SMOOTHING_MS)
+            self._by_position[rank.position] = part
+        part.add(1, now_ms)
+
+    def per_ms(self, rank: Rank, now_ms: float, counted: int = 0) -> float:
+        """Return the rate of a rank and all more urgent ones.
+
+        Parameters
+        ----------
+        counted
+            Requests counted just now that are to be left out.
+        """
+        per_ms = self._total.at(now_ms) - counted / RATE_SMOOTHING_MS
+        parts = {
+            position: part.at(now_ms)
+            for position, part in self._by_position.items()
+        }
+        if per_ms <= 0 or not parts:
+            return 0
+        before = sum(
+            part
+            for position, part in parts.items()
             if position <= rank.position
         )
+        return per_ms * before / sum(parts.values())
 
 
 @dataclass
@@ -462,9 +486,9 @@
     ) -> float:
         others = max(self.count_entries() - 1, 0)
         # The stream has been counted, and says nothing of the others.
-        per_ms = rates.per_ms(rank, self.clock.now_ms()) - 1 / RATE_SMOOTHING_MS
+        per_ms = rates.per_ms(rank, self.clock.now_ms(), counted=1)
         unseen_ms = view.report_age_ms + REPORT_DELAY_MS
-        return max(per_ms, 0) * others * unseen_ms
+        return per_ms * others * unseen_ms
 
     def _record_backlogged(self, demand: StreamDemand) -> None:
         rates = self._backlogged_rates_by_service
