--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 
 from bergamotthread.clock import Clock
-from bergamotthread.connection.held_bytes import HeldBytes
 from bergamotthread.connection.http.upstream_pool import UpstreamPool
 from bergamotthread.platform.build_relay import BuildRelay
 from bergamotthread.platform.crash_parts import CrashParts
@@ -17,6 +16,7 @@
 from bergamotthread.platform.leaving_relay import LeavingRelay
 from bergamotthread.platform.limit_parts import LimitParts
 from bergamotthread.platform.limit_relay import LimitRelay
+from bergamotthread.platform.own_use import OwnUse
 from bergamotthread.platform.peer_messages import PeerMessages
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
 from bergamotthread.platform.rollout_parts import RolloutParts
@@ -37,15 +37,11 @@
 from bergamotthread.process.relay.lasting_tasks import LastingTasks
 from bergamotthread.process.relay.life_cycle import LifeCycle
 from bergamotthread.process.relay.liveness import LivenessWatch
-from bergamotthread.process.relay.own_load import OwnLoad
 from bergamotthread.process.relay.pause_recorder import PauseRecorder
 from bergamotthread.process.relay.pauses import UpstreamPauses
 from bergamotthread.process.relay.plain_gate import PlainGate
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
-from bergamotthread.process.relay.repeat_budget import (
-    ServiceRetryBudget,
-    ServiceRetryLimits,
-)
+from bergamotthread.process.relay.repeat_budget import ServiceRetryBudget
 from bergamotthread.process.relay.servers import (
     RelayServer,
     StatusServer,
@@ -69,9 +65,6 @@
 # The slack of the retry budget is divided by at least this many entries, which
 # allows for entries that have not registered yet.
 ENTRIES_MIN = 8
-# Fraction of the bound on retries that the entries use. The rest covers the
-# differences between their sliding windows, which are not aligned.
-RETRY_BUDGET_FRACTION = 0.75
 
 
 @dataclass(frozen=True)
@@ -95,12 +88,13 @@
         self._clock = clock
         self._log = log or DecisionLog(clock, settings.host)
         self._rng = rng or random.Random()
-        self._held = HeldBytes.from_memory(clock, settings.machine.memory_bytes)
-        self._load = OwnLoad(clock, settings.machine)
         self._holder = RouteTableHolder()
         self._life_cycle = LifeCycle(clock, settings.stop_grace_ms)
         self._freshness = VersionFreshness(clock, settings.revoke_bound_ms)
         self._pool = UpstreamPool(clock, PLATFORM_DIALECT.request_id)
+        self._use = OwnUse.from_limits(
+            clock, settings.machine, self._pool, self._log
+        )
         self._feeds = FeedSources(clock, settings.host, settings.region)
         self._limit_parts = LimitParts.from_connections(
             self._pool,
@@ -127,8 +121,8 @@
             ),
             self._parts,
             self._life_cycle,
-            self._held,
-            self._load,
+            self._use.held,
+            self._use.load,
         )
         self._store.eras.listeners.append(self._handle_new_era)
         self._watches = self._make_watches()
@@ -200,7 +194,7 @@
         self._life_cycle.grace_ms = settings.stop_grace_ms
         self._freshness.revoke_bound_ms = settings.revoke_bound_ms
         self._store.address = settings.store_address
-        self._parts.retry_budget.limits = _retry_limits(settings)
+        self._parts.retry_budget.limits = settings.retry_limits
         self._parts.choice.region_by_domain = settings.region_by_domain
         if self._rollouts is not None and settings.exposure is not None:
             self._rollouts.home.bound = settings.exposure
@@ -219,32 +213,12 @@
         )
 
     def _keep_house(self, late_ms: float) -> None:
-        self._record_use(late_ms)
+        self._parts.metrics.loop_stall_ms.record(late_ms)
+        self._use.measure(late_ms)
         self._pool.close_stale()
         if self._life_cycle.is_out_of_rotation:
             self._server.close_idle()
 
-    def _record_use(self, late_ms: float) -> None:
-        """Measure what this process uses; log when it begins to refuse."""
-        self._parts.metrics.loop_stall_ms.record(late_ms)
-        load = self._load
-        was_choked = load.is_choked
-        load.measure(
-            self._held.written_bytes + self._pool.sent_bytes,
-            self._held.unsent_bytes,
-            late_ms,
-        )
-        if load.is_choked == was_choked:
-            return
-        self._log.write(
-            'entry-choked' if load.is_choked else 'entry-has-room',
-            processor_share=round(load.processor_share, 2),
-            late_ms=round(load.late_ms),
-            link_late_ms=round(load.link_late_ms),
-            cores=load.machine.cores,
-            link_bytes_per_s=load.machine.link_bytes_per_s,
-        )
-
     def _is_finished(self) -> bool:
         if self._life_cycle.must_end:
             return True
@@ -261,7 +235,7 @@
                 METRICS_PATH: self._metrics_response,
             },
         )
-        await listen(self._server, settings.front, self._held)
+        await listen(self._server, settings.front, self._use.held)
         await listen(status_server, settings.ready)
         await listen(status_server, f'{settings.ip}:{settings.metrics_port}')
         feed_server = RelayedFeedServer(
@@ -288,14 +262,14 @@
             },
         )
         await listen(
-            feed_server, f'{settings.ip}:{settings.peer_port}', self._held
+            feed_server, f'{settings.ip}:{settings.peer_port}', self._use.held
         )
 
     def _readiness_response(self) -> tuple[int, str]:
         is_ready = (
             self._life_cycle.is_ready
             and self._freshness.is_ready
-            and self._load.is_ready
+            and self._use.load.is_ready
         )
         return (200 if is_ready else 503), ''
 
@@ -310,8 +284,8 @@
             self._store,
             self._watches.entries,
             self._log,
-            self._held,
-            self._load,
+            self._use.held,
+            self._use.load,
         )
         state.add_gauges()
         if self._rollouts is not None:
@@ -359,7 +333,7 @@
                 self._rng,
             ),
             retry_budget=ServiceRetryBudget(
-                self._clock, _retry_limits(settings), self._entry_count
+                self._clock, settings.retry_limits, self._entry_count
             ),
             stream_gate=StreamGate(
                 self._clock, self._rng, lambda: len(self._feeds)
@@ -431,11 +405,3 @@
             RunnerWatch(sources, self._directory, self._pool),
             EntryWatch(sources, own_record, apply_row),
         )
-
-
-def _retry_limits(settings: PlatformSettings) -> ServiceRetryLimits:
-    return ServiceRetryLimits(
-        ratio=settings.repeat_ratio * RETRY_BUDGET_FRACTION,
-        window_ms=settings.repeat_window_ms,
-        slack=settings.repeat_slack * RETRY_BUDGET_FRACTION,
-    )
--- a/bergamotthread/platform/settings.py
+++ b/bergamotthread/platform/settings.py
@@ -11,9 +11,13 @@
 
 from bergamotthread.errors import BergamotError, Step
 from bergamotthread.process.machine_limits import MachineLimits
+from bergamotthread.process.relay.repeat_budget import ServiceRetryLimits
 from bergamotthread.process.rollouts.order import ExposureBound
 
 SETTINGS_VARIABLE = 'BERGAMOTTHREAD_CONFIG'
+# Fraction of the bound on retries that the entries use. The rest covers the
+# differences between their sliding windows, which are not aligned.
+RETRY_BUDGET_FRACTION = 0.75
 # Part of the platform's rules that is in force where roll-outs are ordered.
 ROLLOUT_CONTRACT = 'rollout'
 BYTES_PER_MB = 1_000_000
@@ -133,6 +137,15 @@
         """Return the region of this process."""
         return self.region_by_domain.get(self.failure_domain, '')
 
+    @property
+    def retry_limits(self) -> ServiceRetryLimits:
+        """Return the limits on the retries of a service."""
+        return ServiceRetryLimits(
+            ratio=self.repeat_ratio * RETRY_BUDGET_FRACTION,
+            window_ms=self.repeat_window_ms,
+            slack=self.repeat_slack * RETRY_BUDGET_FRACTION,
+        )
+
     def changed_names(self, other: PlatformSettings) -> frozenset[str]:
         """Return the names of the settings that differ from another set."""
         return frozenset(
--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -15,6 +15,10 @@
 from heapq import nsmallest
 from itertools import islice
 
+from bergamotthread.process.overload.rank_use import (
+    ARRIVAL_ORDER,
+    Precedence,
+)
 from bergamotthread.process.relay.copy_room import (
     has_room_for_copy,
     mean_prompt_tokens,
@@ -85,6 +89,8 @@
         Expected output; 0 for the usual one of the service.
     plan
         Where the roll-out under way allows the request to run.
+    precedence
+        How requests of other ranks change the wait.
     """
 
     service: str
@@ -96,6 +102,7 @@
     target_ms: float = 0
     output_tokens: float = 0
     plan: BuildPlan = ANY_BUILD
+    precedence: Precedence = ARRIVAL_ORDER
 
     @property
     def prefers_target(self) -> bool:
@@ -355,6 +362,7 @@
             upstream,
             request.prompt_tokens,
             outputs,
+            request.precedence,
             output_tokens=request.output_tokens,
         )
 
--- a/bergamotthread/process/relay/engine_forecast.py
+++ b/bergamotthread/process/relay/engine_forecast.py
@@ -13,6 +13,10 @@
 
 from bergamotthread.process.overload.engine_room import Holding
 from bergamotthread.process.overload.expected_wait import EngineWork
+from bergamotthread.process.overload.rank_use import (
+    ARRIVAL_ORDER,
+    Precedence,
+)
 from bergamotthread.process.overload.run_statistics import RunStatistics
 from bergamotthread.process.relay.upstreams import LoadReport, Upstream
 
@@ -37,23 +41,69 @@
     occupancy_ms
         Time of the engine that the stream takes: for its prefill, or for its
         share of the KV cache while it runs, whichever is longer.
+    precedence
+        What requests of other ranks change; the work ahead is without those
+        that wait and go behind the prompt.
+    waiting_tokens
+        Prompt tokens that hold no memory of the engine yet.
+    missing_tokens
+        Tokens of memory that are missing unless runs are preempted.
+    prompt_tokens
+        Tokens of the prompt.
     """
 
     work: EngineWork
     prompt_ms: float
     run_ms: float
     occupancy_ms: float
+    precedence: Precedence = ARRIVAL_ORDER
+    waiting_tokens: int = 0
+    missing_tokens: int = 0
+    prompt_tokens: int = 0
+
+    @property
+    def shows_speed(self) -> bool:
+        """Return whether the first event will show the engine's speed.
+
+        It does not where the prompt waits for room, or may overtake others or
+        be overtaken.
+        """
+        if not self.work.is_prefill_bound:
+            return False
+        return self.precedence == ARRIVAL_ORDER or not self.waiting_tokens
+
+    @property
+    def lacks_memory(self) -> bool:
+        """Return whether runs hold the memory that the prompt needs."""
+        return self.missing_tokens > 0
+
+    @property
+    def free_prompts(self) -> float:
+        """Return how many such prompts find memory beside that which is kept.
+
+        Where none is kept, prompts may wait for memory.
+        """
+        if not self.precedence.kept_tokens:
+            return math.inf
+        missing = self.missing_tokens / max(self.prompt_tokens, 1)
+        return 1 - missing if missing <= 0 else 0
+
+    @property
+    def wait_ms(self) -> float:
+        """Return the time until the prefill of the prompt starts."""
+        return self.work.wait_ms * self.precedence.stretch
 
     @property
     def first_event_ms(self) -> float:
         """Return the time from now to the first event."""
-        return self.work.wait_ms + self.prompt_ms
+        return self.wait_ms + self.prompt_ms
 
 
 def forecast_engine(
     upstream: Upstream,
     prompt_tokens: int,
     outputs: RunStatistics,
+    precedence: Precedence = ARRIVAL_ORDER,
     output_tokens: float = 0,
 ) -> EngineForecast:
     """Return the forecast of a prompt at an upstream.
@@ -71,22 +121,32 @@
     report = upstream.report
     if report is None:
         work = EngineWork(upstream.prefill_tokens, rate_per_s)
-        return EngineForecast(work, prompt_ms, 0, prompt_ms)
+        return EngineForecast(work, prompt_ms, 0, prompt_ms, precedence)
+    ahead_share = precedence.ahead_share
+    waiting_tokens = round(
+        (report.waiting_tokens + upstream.sent_since_report) * ahead_share
+    )
     unread_tokens = max(
         upstream.prefill_tokens,
         report.unread_tokens + upstream.sent_since_report,
     )
     run_ms = _run_ms(upstream, outputs)
-    waiting_tokens = report.waiting_tokens + upstream.sent_since_report
+    # Memory that is kept for others is as good as in use, but an idle engine
+    # takes any prompt.
+    kept_tokens = min(precedence.kept_tokens, report.kv_total - prompt_tokens)
     needed_tokens = report.kv_used + waiting_tokens + prompt_tokens
+    needed_tokens += max(round(kept_tokens), 0)
+    missing_tokens = needed_tokens - report.kv_total
     usual_tokens = usual_output_tokens(upstream, outputs)
-    waiting = report.queued + upstream.sends_since_report
+    waiting = math.ceil(
+        (report.queued + upstream.sends_since_report) * precedence.ahead_share
+    )
     work = EngineWork(
-        unread_tokens,
+        unread_tokens * ahead_share,
         rate_per_s,
-        missing_slots=_missing_slots(upstream, report),
+        missing_slots=_missing_slots(upstream, report, precedence),
         slot_ms=run_ms / max(upstream.record.slots, 1),
-        missing_tokens=needed_tokens - report.kv_total,
+        missing_tokens=missing_tokens - _preempted_tokens(report, precedence),
         holdings=(
             *_holdings(upstream, report, outputs, rate_per_s),
             *_waiting(
@@ -108,6 +168,10 @@
         prompt_ms,
         outputs.output_tokens * event_ms if outputs.has_ended else 0,
         max(prompt_ms, memory_ms),
+        precedence,
+        report.waiting_tokens,
+        missing_tokens,
+        prompt_tokens,
     )
 
 
@@ -121,6 +185,14 @@
     return outputs.output_tokens * event_tokens(upstream, outputs)
 
 
+def _preempted_tokens(report: LoadReport, precedence: Precedence) -> int:
+    """Return the memory of the runs that an engine would preempt."""
+    urgency = precedence.urgency
+    if urgency is None or precedence.kept_tokens:
+        return 0
+    return sum(run.tokens for run in report.runs if run.urgency > urgency)
+
+
 def _run_ms(upstream: Upstream, outputs: RunStatistics) -> float:
     """Return the expected time from the first event to the last."""
     event_ms = upstream.statistics.between_tokens_ms
@@ -129,11 +201,14 @@
     return outputs.output_tokens * event_ms
 
 
-def _missing_slots(upstream: Upstream, report: LoadReport) -> int:
+def _missing_slots(
+    upstream: Upstream, report: LoadReport, precedence: Precedence
+) -> int:
     if not upstream.record.slots:
         return 0
     free_slots = upstream.record.slots - report.running
-    return report.queued + 1 - free_slots
+    ahead = math.ceil(report.queued * precedence.ahead_share)
+    return ahead + 1 - free_slots
 
 
 def _spread_tokens(
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -4,13 +4,15 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
+from bergamotthread.process.overload.rank import Rank
 from bergamotthread.process.relay.choice import (
     LEAST_LOADED_UPSTREAMS,
     RelayPlacementRequest,
 )
 from bergamotthread.process.relay.distance import SAMPLED_CANDIDATES
+from bergamotthread.process.relay.engine_forecast import EngineForecast
 from bergamotthread.process.relay.stream_gate import (
     EngineView,
     StreamDemand,
@@ -54,12 +56,24 @@
     cost_ms: float
 
 
-@dataclass(frozen=True)
+@dataclass
 class StreamPlacer:
-    """Chooses the upstreams for the attempts of one stream."""
+    """Chooses the upstreams for the attempts of one stream.
+
+    Parameters
+    ----------
+    rank
+        Rank as which the stream competes, from its first placement on.
+    """
 
     call: RelayedCall
     parts: RelayParts
+    rank: Rank = field(init=False)
+    _is_offered: bool = field(default=False, init=False)
+
+    def __post_init__(self) -> None:
+        """Begin with the rank of the call."""
+        self.rank = self.call.rank
 
     @property
     def may_copy(self) -> bool:
@@ -137,26 +151,65 @@
             # it said that it leaves. If the attempt fails as well or is not
             # sent, the next one is placed at others.
             return AttemptPlacement(candidates[0])
+        if in_time:
+            return await self._place_in_time(usable, request)
+        request = self.with_precedence(usable[0], request)
         ranked = self._rank(usable, request)
-        if not in_time:
-            return self._make_placement(ranked[0], ranked, request)
-        return await self._place_in_time(ranked, request)
+        return self._make_placement(ranked[0], ranked, request)
+
+    def forecast(
+        self, upstream: Upstream, request: RelayPlacementRequest
+    ) -> EngineForecast:
+        """Return the forecast of the stream at an upstream."""
+        request = self.with_precedence(upstream, request)
+        return self.parts.choice.forecast(upstream, request)
+
+    def with_precedence(
+        self, upstream: Upstream, request: RelayPlacementRequest
+    ) -> RelayPlacementRequest:
+        """Return a request whose forecasts heed the ranks of others."""
+        if not self.rank.matters:
+            return request
+        choice = self.parts.choice
+        precedence = self.parts.stream_gate.precedence(
+            request.service,
+            self.rank,
+            choice.count_engines(request),
+            choice.forecast(upstream, request).occupancy_ms,
+        )
+        return replace(request, precedence=precedence)
 
     async def _place_in_time(
-        self, ranked: list[Candidate], request: RelayPlacementRequest
+        self, usable: list[Upstream], request: RelayPlacementRequest
     ) -> AttemptPlacement | StreamRefused:
-        """Place at an upstream that is in time, or refuse the stream.
+        """Place at an upstream that is in time, or refuse the stream."""
+        placement = await self._decide(usable, request)
+        self.parts.metrics.record_admission(
+            self.call.rank, admitted=isinstance(placement, AttemptPlacement)
+        )
+        return placement
+
+    async def _decide(
+        self, usable: list[Upstream], request: RelayPlacementRequest
+    ) -> AttemptPlacement | StreamRefused:
+        """Return the placement of a new stream, or its refusal.
 
         The first candidates may be the only engines with a backlog. All entries
         whose first candidates have one ask the least loaded upstreams.
         """
         gate = self.parts.stream_gate
         demand = self._demand()
-        gate.offer(demand)
+        # A stream that is placed again, as where there was no room, was offered.
+        if not self._is_offered:
+            self._is_offered = True
+            self.rank = gate.offer(demand)
+        demand = replace(demand, rank=self.rank)
+        request = self.with_precedence(usable[0], request)
+        ranked = self._rank(usable, request)
         chosen = ranked[0]
         view = self._view(chosen.upstream, request)
         refused = gate.check(demand, view)
-        if refused is not None:
+        if refused is not None or gate.preempts(demand, view):
             others = self.parts.choice.draw_least_loaded(request)
             alive = await self._alive_candidates(others)
             ranked = self._rank(alive, request) or ranked
@@ -168,7 +221,10 @@
             chosen = ranked[drawn]
             view = views[drawn]
         team_refused = gate.check_team(demand, view)
-        return team_refused or self._make_placement(chosen, ranked, request)
+        if team_refused is not None:
+            return team_refused
+        gate.record_admitted(demand, self.call.rank, request.prompt_tokens)
+        return self._make_placement(chosen, ranked, request)
 
     def _demand(self) -> StreamDemand:
         call = self.call
@@ -179,6 +235,7 @@
             target_ms=call.route.first_event_target_ms,
             received_ms=call.request.received_ms,
             time_limit_ms=call.time_limit_ms,
+            rank=call.rank,
         )
 
     def _view(
@@ -288,6 +345,8 @@
             ),
             report_age_ms=round(self._report_age_ms(upstream)),
             is_return=request.is_reconnect,
+            urgency=self.rank.urgency,
+            is_promoted=self.rank != self.call.rank,
             prompt_tokens=request.prompt_tokens,
             time_limit_ms=round(self.call.time_limit_ms),
         )
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -18,8 +18,8 @@
     AnswerPart,
     Framing,
 )
-from bergamotthread.process.overload.expected_wait import EngineWork
 from bergamotthread.process.relay.choice import RelayPlacementRequest
+from bergamotthread.process.relay.engine_forecast import EngineForecast
 from bergamotthread.process.relay.liveness import (
     PREFILL_SILENCE_MS,
     STREAM_SILENCE_MS,
@@ -86,7 +86,6 @@
 # Events of a run whose mean interval tells its pace.
 PACE_EVENTS = 8
 _OK = 200
-_MS_PER_S = 1000
 
 
 class StreamRelay:
@@ -109,7 +108,7 @@
         self._progress_ms: float = 0
         self._unread_until_ms: float = -math.inf
         self._attempt_build = ''
-        self._work_ahead: EngineWork | None = None
+        self._forecast: EngineForecast | None = None
         self._run_ms: float = 0
         self._last_outcome = ''
         target_ms = call.route.first_event_target_ms
@@ -258,7 +257,9 @@
         if self._limits.attempts_sent or self._call.resume_after is not None:
             return True
         upstream = placement.upstream
-        request = self._placement_request()
+        request = self._placer.with_precedence(
+            upstream, self._placement_request()
+        )
         if await self._room_wait.wait(upstream, request):
             return True
         self._excluded |= {upstream.record.instance}
@@ -333,8 +334,9 @@
             resume_after=self._last_event,
             copy_target=copy_target.address if copy_target else '',
             copy_source=copy.copy_id if copy else '',
+            urgency=self._placer.rank.urgency,
         )
-        self._work_ahead = self._forecast_work(placement)
+        self._forecast = self._forecast_attempt(placement)
         is_bound = self._build.build is not None
         with Attempt(
             self._call, upstream, self._parts, is_bound=is_bound
@@ -391,12 +393,14 @@
             return ended
         return Broken('the stream ended with its upstream')
 
-    def _forecast_work(self, placement: AttemptPlacement) -> EngineWork | None:
-        """Return the work ahead; None if little of the prompt is prefilled."""
+    def _forecast_attempt(
+        self, placement: AttemptPlacement
+    ) -> EngineForecast | None:
+        """Return the forecast; None if little of the prompt is prefilled."""
         if placement.copy is not None or self._call.resume_after is not None:
             return None
         request = self._placement_request()
-        return self._parts.choice.forecast(placement.upstream, request).work
+        return self._placer.forecast(placement.upstream, request)
 
     def _record_first_event(self, attempt: Attempt) -> None:
         attempt.end_prefill()
@@ -408,17 +412,22 @@
             is_new=self._limits.attempts_sent == 1
             and call.resume_after is None,
         )
-        work = self._work_ahead
-        if work is None:
+        forecast = self._forecast
+        if forecast is None:
             return
-        prompt_ms = self._call.prompt_tokens / work.prefill_per_s * _MS_PER_S
-        error_ms = self._attempt_times.first_ms - work.wait_ms - prompt_ms
+        first_ms = self._attempt_times.first_ms
+        error_ms = first_ms - forecast.first_event_ms
         self._parts.metrics.forecast_error_ms.record(abs(error_ms))
-        if work.is_prefill_bound:
+        self._parts.stream_gate.record_wait(
+            self._call.service.name,
+            self._placer.rank,
+            first_ms - forecast.prompt_ms,
+        )
+        if forecast.shows_speed:
             self._parts.directory.record_prefill(
                 attempt.upstream,
-                work.prefill_tokens + self._call.prompt_tokens,
-                self._attempt_times.first_ms,
+                forecast.work.prefill_tokens + self._call.prompt_tokens,
+                first_ms,
             )
 
     def _record_pace(self, attempt: Attempt) -> None:
@@ -687,6 +696,7 @@
             version=self._call.version,
             sent=self._limits.attempts_sent,
             last_event=self._last_event,
+            urgency=self._call.rank.urgency,
             **refusal.figures,
         )
 
