--- a/bergamotthread/process/rollouts/decider.py
+++ b/bergamotthread/process/rollouts/decider.py
@@ -8,7 +8,6 @@
 
 from bergamotthread.process.rollouts.entry_counts import SILENT_MS, EntryCounts
 from bergamotthread.process.rollouts.exposure import (
-    MOVE_DEVIATIONS,
     Exposure,
     ServiceView,
     TrialPlaces,
@@ -16,6 +15,7 @@
 )
 from bergamotthread.process.rollouts.judgement import Judgement
 from bergamotthread.process.rollouts.order import ExposureBound, RolloutState
+from bergamotthread.process.rollouts.readiness import Readiness
 from bergamotthread.process.rollouts.reports import (
     REPORT_INTERVAL_MS,
     Directive,
@@ -34,27 +34,8 @@
 FAST_REPORT_PART = 0.8
 # A decider ends nothing before all entries have reported to it or this passed.
 SETTLING_MS = 1500.0
-# Part of the duration before which no move begins, and from which it begins
-# with few answers.
-MOVE_FROM_PART = 0.4
-MOVE_ANYHOW_PART = 0.65
-MIN_TARGET_ANSWERS = 20
-# The same from then on, if there have been some times as many requests.
-FEW_TARGET_ANSWERS = 5
-REQUESTS_PER_ANSWER = 10
-# A completion leaves this part of the duration, and time, for its writes.
-END_PART = 0.05
-MIN_END_MS = 400.0
 # Part of the trial's places that its last pulse grants.
 LAST_PULSE_PART = 0.4
-# A target that is suspect or has hardly answered is judged for this long past
-# the time limit.
-SUSPECT_MS = 2000.0
-# Answers are overdue after this many times the former builds' mean time.
-OVERDUE_FACTOR = 2.0
-MIN_OVERDUE_MS = 500.0
-MAX_OVERDUE_PART = 0.2
-MIN_OVERDUE = 2
 
 _TRIAL = RolloutPhase.TRIAL.value
 _MOVING = RolloutPhase.MOVING.value
@@ -132,17 +113,15 @@
         self._bound = bound
         self._order_ms = order_ms
         self._began_ms = now_ms
-        self._stream_ms = stream_ms
         self._view = ServiceView({}, 0, frozenset())
         self._counts = EntryCounts()
         self._places = TrialPlaces(record.reserved)
         self._reserved_before = record.reserved
         self._judgement = Judgement(order_ms, now_ms)
+        self._readiness = Readiness(self._counts, self._judgement, stream_ms)
         self._instances: tuple[str, ...] = ()
         self._lost_places = 0
         self._is_settled = False
-        self._saw_move = False
-        self._former_mean_ms: float = 0
         self._end: End | None = None
         self._waits_for = 'answers of the target'
         self._machine = Machine(
@@ -235,6 +214,8 @@
         exposure = self._exposure(now_ms)
         self._places.raise_reserved(exposure.totals.granted)
         self._choose_instances(exposure)
+        if self._is_settled and self.phase is RolloutPhase.TRIAL:
+            self._readiness.record_steady(exposure)
         end = self._end or self._decide(exposure, now_ms)
         if end is not None:
             return end if self._is_settled else None
@@ -258,7 +239,8 @@
 
     def _follow(self, report: EntryReport) -> None:
         """Go on with what another decider has decided, as an entry knows it."""
-        self._saw_move |= report.phase is RolloutPhase.MOVING
+        if report.phase is RolloutPhase.MOVING:
+            self._readiness.saw_move = True
         if report.state is RolloutState.COMPLETED:
             self._end = End(report.state, f'{report.host} has seen this end')
         elif self._end is None:
@@ -269,12 +251,9 @@
 
     def _decide(self, exposure: Exposure, now_ms: float) -> End | None:
         reason = self._judgement.condemnation()
+        reason = reason or self._failure(exposure, now_ms)
         if reason:
             return self._roll_back(reason)
-        if exposure.elapsed_ms >= exposure.duration_ms:
-            reason = self._failure_at_limit(exposure, now_ms)
-            if reason:
-                return self._roll_back(reason)
         if self.phase is RolloutPhase.TRIAL:
             self._waits_for = self._obstacle(exposure, now_ms)
             if not self._waits_for:
@@ -284,9 +263,9 @@
         if not exposure.fits(0, 0):
             self._machine.events['return_to_trial'].trigger(self)
             self._judgement.set_alone(now_ms, is_alone=False)
-            self._saw_move = False
+            self._readiness.saw_move = False
             return None
-        self._waits_for = self._unmoved(exposure, now_ms)
+        self._waits_for = self._readiness.unmoved(exposure, now_ms)
         if self._waits_for:
             return None
         running = exposure.totals.target_running
@@ -303,18 +282,14 @@
         self._end = End(RolloutState.ROLLED_BACK, reason)
         return self._end
 
-    def _failure_at_limit(self, exposure: Exposure, now_ms: float) -> str:
+    def _failure(self, exposure: Exposure, now_ms: float) -> str:
         """Return why the target fails at the time limit; empty if not."""
         target = self.record.order.target
-        if not self._view.domain_by_target:
+        if exposure.remaining_ms <= 0 and not self._view.domain_by_target:
             return f'{target} has no upstreams at the time limit'
-        late_ms = exposure.elapsed_ms - exposure.duration_ms
-        if late_ms >= SUSPECT_MS and self._judgement.is_suspect():
-            return f'{target} is still suspect after the limit'
-        overdue = self._overdue(exposure, now_ms)
-        if overdue and self.phase is RolloutPhase.TRIAL:
-            return f'{overdue} answers of {target} are overdue at the limit'
-        return ''
+        is_moving = self.phase is RolloutPhase.MOVING
+        reason = self._readiness.failure(exposure, now_ms, is_moving=is_moving)
+        return f'{target} fails: {reason}' if reason else ''
 
     def _obstacle(self, exposure: Exposure, now_ms: float) -> str:
         """Return why requests aren't moved to the target yet."""
@@ -322,72 +297,8 @@
             return 'upstreams of the target'
         if not self._is_settled:
             return 'reports of the entries'
-        late_ms = exposure.elapsed_ms - exposure.duration_ms
-        is_known = late_ms >= 0 and self._has_evidence(exposure)
-        if is_known or late_ms >= SUSPECT_MS:
-            return ''
-        return self._doubt(exposure, now_ms)
-
-    def _doubt(self, exposure: Exposure, now_ms: float) -> str:
-        """Return why the bound or the answers forbid the move so far.
-
-        A move that another decider has begun goes on if it still fits.
-        """
-        if self._overdue(exposure, now_ms):
-            return 'answers that are overdue'
-        if self._judgement.is_doubtful():
-            return 'more answers: those seen are suspect'
-        if self._saw_move and exposure.fits(0, 0):
-            return ''
-        if not self._has_evidence(exposure):
-            return 'answers of the target'
-        if not exposure.fits(MOVE_DEVIATIONS, self._report_ms(now_ms) / 2):
-            return 'the bound, which all requests would exceed'
-        return ''
-
-    def _has_evidence(self, exposure: Exposure) -> bool:
-        part = exposure.elapsed_ms / max(1, exposure.duration_ms)
-        totals = exposure.totals
-        if part >= MOVE_ANYHOW_PART:
-            expected = totals.requests / REQUESTS_PER_ANSWER
-            return totals.target_answered >= min(FEW_TARGET_ANSWERS, expected)
-        is_enough = totals.target_answered >= MIN_TARGET_ANSWERS
-        return part >= MOVE_FROM_PART and is_enough
-
-    def _unmoved(self, exposure: Exposure, now_ms: float) -> str:
-        """Return why the roll-out isn't completed yet."""
-        remaining_ms = exposure.duration_ms - exposure.elapsed_ms
-        end_ms = max(MIN_END_MS, exposure.duration_ms * END_PART)
-        if remaining_ms > end_ms:
-            return 'later answers, until shortly before the time limit'
-        if self._judgement.is_doubtful() and remaining_ms > -SUSPECT_MS:
-            return 'more answers: those seen are suspect'
-        if -remaining_ms >= self._stream_ms:
-            return ''
-        if self._overdue(exposure, now_ms):
-            return 'answers that are overdue'
-        unmoved = self._counts.unmoved(now_ms)
-        return f'{unmoved}, which may use former builds' if unmoved else ''
-
-    def _overdue(self, exposure: Exposure, now_ms: float) -> int:
-        """Return how many answers of the target are overdue, if too many.
-
-        By Little's law the former builds' mean time is what runs there over
-        the rate at which it ends; once requests are moved away from them, the
-        last one counts.
-        """
-        totals = exposure.totals
-        is_steady = self.phase is RolloutPhase.TRIAL and not self._saw_move
-        if is_steady and self._is_settled and totals.former_answered:
-            ended_per_ms = totals.former_answered / max(1, exposure.elapsed_ms)
-            self._former_mean_ms = totals.former_running / ended_per_ms
-        if not self._former_mean_ms:
-            return 0
-        due_ms = max(MIN_OVERDUE_MS, OVERDUE_FACTOR * self._former_mean_ms)
-        sent = self._counts.totals_at(now_ms - due_ms).sent
-        overdue = sent - (totals.sent - totals.target_running)
-        is_many = overdue >= max(MIN_OVERDUE, MAX_OVERDUE_PART * sent)
-        return overdue if is_many else 0
+        report_ms = self._report_ms(now_ms)
+        return self._readiness.obstacle(exposure, now_ms, report_ms)
 
     def _settle(self, now_ms: float) -> None:
         """Find out whether the entries have told what was done before."""
--- a/bergamotthread/process/rollouts/exposure.py
+++ b/bergamotthread/process/rollouts/exposure.py
@@ -151,6 +151,11 @@
     reserved: int
     lost_places: int = 0
 
+    @property
+    def remaining_ms(self) -> float:
+        """Time until the limit; negative after it."""
+        return self.duration_ms - self.elapsed_ms
+
     @property
     def counted(self) -> float:
         """Requests that the target may have got."""
@@ -183,10 +188,9 @@
         delay_ms
             Mean age of the counts.
         """
-        remaining_ms = self.duration_ms - self.elapsed_ms
-        if remaining_ms <= 0:
+        if self.remaining_ms <= 0:
             return True
-        expected = self.requests_per_ms * remaining_ms
+        expected = self.requests_per_ms * self.remaining_ms
         late = self.requests_per_ms * delay_ms
         limit = self._limit(self.totals.requests + expected)
         margin = deviations * math.sqrt(expected + late)
--- a/bergamotthread/process/rollouts/strata.py
+++ b/bergamotthread/process/rollouts/strata.py
@@ -18,8 +18,8 @@
 # Buckets above the former builds' median from which an answer is slow: over
 # two to four times as long, and always so at 2.9 times.
 SLOW_BUCKETS = 3
-# The same for the latency if the former builds' answers are of another time, when
-# the load may have been another one. The pace depends on it less.
+# The same for the latency if the former builds' answers are of another time,
+# when the load may have been another one. The pace depends on it less.
 SLOW_BUCKETS_EARLIER = 4
 # Former answers of the same time that make a median.
 MIN_FORMER_ANSWERS = 8
