--- a/bergamotthread/process/rollouts/participant.py
+++ b/bergamotthread/process/rollouts/participant.py
@@ -31,6 +31,8 @@
 
     order: RolloutOrder
     began_ms: int
+    # Attempts that ran at the target before the order and may still do so.
+    earlier_running: int
     reports: int = 0
     state: RolloutState = RolloutState.ACTIVE
     requests: int = 0
@@ -135,7 +137,9 @@
                 rejected |= {previous.order.target}
         self._rejected_by_service[order.service] = rejected - {order.target}
         self._by_service[order.service] = _Participation(
-            order, self._clock.calendar_ms()
+            order,
+            self._clock.calendar_ms(),
+            self._running_at(order, former=False),
         )
 
     def end(self, order: RolloutOrder, state: RolloutState) -> None:
@@ -162,6 +166,10 @@
         participation = self._by_service.get(service)
         if participation is None:
             return None
+        target_running = self._running_at(participation.order, former=False)
+        # No more of them can run than run at the target now.
+        earlier = min(participation.earlier_running, target_running)
+        participation.earlier_running = earlier
         wanted = participation.requests - participation.reported_requests
         participation.reported_requests = participation.requests
         participation.reports += 1
@@ -176,7 +184,7 @@
             phase=participation.phase(now_ms),
             cells=participation.answers.cells(),
             state=participation.state,
-            target_running=self._running_at(participation.order, former=False),
+            target_running=target_running - earlier,
             began_ms=participation.began_ms,
             number=participation.reports,
         )
--- a/tests/test_rollout_participant.py
+++ b/tests/test_rollout_participant.py
@@ -138,6 +138,23 @@
     assert made.report().former_running == 0
 
 
+def test_report_leaves_out_what_ran_at_the_target_before_the_order():
+    made = Entry()
+    made.gate.admit(NEW, is_bound=False)
+    made.gate.begin(ORDER)
+    assert made.report().target_running == 0
+    made.follow(MOVING)
+    made.gate.admit(NEW, is_bound=False)
+    assert made.report().target_running == 1
+    assert made.report().sent == 1
+
+
+def test_reports_of_a_process_have_rising_numbers(entry):
+    first, second = entry.report(), entry.report()
+    assert first.number < second.number
+    assert first.began_ms == second.began_ms
+
+
 def test_report_wants_as_many_places_as_requests_since_the_last(entry):
     for _ in range(3):
         entry.gate.record_request('chat')
