--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -199,7 +199,7 @@
         """
         gate = self.parts.stream_gate
         demand = self._demand()
-        # A stream that is placed again, as where there was no room, was offered.
+        # A stream that is placed again, as without room, was offered before.
         if not self._is_offered:
             self._is_offered = True
             self.rank = gate.offer(demand)
