--- a/bergamotthread/platform/rollout_rows.py
+++ b/bergamotthread/platform/rollout_rows.py
@@ -192,16 +192,16 @@
     async def write(self, record: RolloutRecord) -> bool:
         """Write a record, and its status with it; return whether it is stored.
 
-        If not, `record` returns what is known then. A write whose answer was
-        lost is recognised when the row is read again.
+        If not, `record` returns what is known then; a row that was read again
+        and says something new is to be decided on first. A write whose answer
+        was lost is recognised when the row is read again.
         """
         service = record.order.service
         if self.clock.now_ms() < self._retry_ms_by_service.get(service, 0):
             return False
         try:
-            if service in self._unsure:
-                await self._read_again(service)
-            if self._may_follow(record):
+            is_news = await self._read_if_unsure(service)
+            if self._may_follow(record) and not is_news:
                 await self._change(record)
         except PreconditionFailedError:
             self._unsure.add(service)
@@ -247,6 +247,14 @@
         version = await self.store.change_all(changes)
         self._apply_row(service, StoredRow(key, payload, version))
 
+    async def _read_if_unsure(self, service: str) -> bool:
+        """Read a row again if needed; return whether it says something new."""
+        if service not in self._unsure:
+            return False
+        former = self._known_by_service.get(service)
+        await self._read_again(service)
+        return self._known_by_service.get(service) != former
+
     async def _read_again(self, service: str) -> None:
         key = rollout_key(service)
         read = await self.store.read_rows(ENTRY_TABLE, key, f'{key}\0', 1)
--- a/tests/test_rollout_rows.py
+++ b/tests/test_rollout_rows.py
@@ -280,3 +280,81 @@
     assert directory.slots(SERVICE, avoided.for_capacity()) == 8
     assert directory.slots(SERVICE, BuildPlan('v2').for_capacity()) == 8
     assert directory.slots(SERVICE) == 16
+
+
+class Explorer:
+    """Several entries that write and read at random, with lost answers."""
+
+    def __init__(self, world, seed):
+        self.world = world
+        self.rng = random.Random(seed)
+        self.entries = [world.rows(host) for host in ('a', 'b', 'c')]
+
+    async def step(self):
+        rows = self.rng.choice(self.entries)
+        match self.rng.randrange(6):
+            case 0:
+                self.read(rows)
+            case 1:
+                self.world.store.lost_writes = self.rng.randrange(2)
+            case 2:
+                await self.world.clock.sleep_ms(600)
+            case _:
+                await self.write(rows)
+
+    def read(self, rows):
+        row = self.world.store._row_by_key.get(('entries', KEY))
+        if row is not None:
+            version = StoreVersion(0, row.ver)
+            rows.apply_record(StoredRow(KEY, row.payload, version))
+
+    async def write(self, rows):
+        order = rows.participant.order_of(SERVICE)
+        known = rows.record(SERVICE)
+        if known is None or known.order != order:
+            known = rows.first_record(order)
+        more = Reserve(known.reserved + self.rng.randrange(1, 9))
+        step = self.rng.choice([more, more, more, COMPLETED, ROLLED_BACK])
+        record = next_record(known, step)
+        if record is not None:
+            await rows.write(record)
+
+    def history(self, table):
+        return [
+            json.loads(row.payload)
+            for row in self.world.store._all_changes
+            if row.table == table and row.key == KEY
+        ]
+
+
+@pytest.mark.parametrize('first_seed', range(0, 200, 50))
+def test_no_order_has_two_ends_however_writes_interleave(first_seed):
+    async def check(seed):
+        world = await World.start()
+        explorer = Explorer(world, seed)
+        for target in ('v2', 'v3'):
+            row = world.order(target)
+            for rows in explorer.entries:
+                rows.apply_order(row)
+            for _ in range(30):
+                await explorer.step()
+        ends_by_order = {}
+        reserved_by_order = {}
+        for stored in explorer.history('entries'):
+            number = stored['order']['number']
+            assert stored['reserved'] >= reserved_by_order.get(number, 0)
+            reserved_by_order[number] = stored['reserved']
+            if stored['state'] != 'active':
+                ends_by_order.setdefault(number, set()).add(stored['state'])
+            else:
+                assert number not in ends_by_order
+        assert all(len(ends) == 1 for ends in ends_by_order.values())
+        for rows in explorer.entries:
+            explorer.read(rows)
+        records = {rows.record(SERVICE) for rows in explorer.entries}
+        assert len(records) == 1
+        last = explorer.history('entries')[-1]
+        assert world.stored('status')['state'] == last['state']
+
+    for seed in range(first_seed, first_seed + 50):
+        run_in_memory(check(seed))
