--- a/bergamotthread/process/relay/choice.py
+++ b/bergamotthread/process/relay/choice.py
@@ -424,13 +424,20 @@
         """Return the cost of the distance to an upstream.
 
         Streams weigh failure domains only where the own one has enough engines
-        to choose among; a plain request queues for milliseconds.
+        to choose among; a plain request queues for milliseconds. Engines that
+        are lost or suspected are no candidates.
         """
         distance = self._distance
         target_ms = request.target_ms
         if target_ms and request.prompt_tokens:
-            accepting = self.directory.accepting(request.service)
-            target_ms *= distance.prefers_domain(accepting)
+            directory = self.directory
+            usable = (
+                one
+                for one in directory.accepting(request.service)
+                if not directory.is_lost(one)
+                and not directory.is_suspected(one)
+            )
+            target_ms *= distance.prefers_domain(usable)
         return distance.cost_ms(upstream, target_ms)
 
 
--- a/tests/test_domain_choice.py
+++ b/tests/test_domain_choice.py
@@ -195,3 +195,30 @@
         drawn = choice.draw_candidates(request)
         domains = {upstream.record.failure_domain for upstream in drawn}
         assert len(domains) >= 2
+
+
+def test_domain_most_of_whose_engines_are_lost_is_not_preferred():
+    """The few that are left would get the streams of the whole domain."""
+    fleet = _play(0.27, TARGET_MS, seconds=1)
+    choice = fleet.choices['a-1'][0]
+    request = RelayPlacementRequest('s', 8200, target_ms=TARGET_MS)
+    own, other = (
+        [
+            upstream
+            for upstream in choice.directory.of_service('s')
+            if upstream.record.failure_domain == domain
+        ]
+        for domain in ('a-1', 'a-2')
+    )
+
+    def difference_ms() -> float:
+        return choice.cost_ms(other[0], request) - choice.cost_ms(
+            own[0], request
+        )
+
+    for upstream in (*own, *other):
+        upstream.report = None
+    assert difference_ms() > 0.09 * TARGET_MS
+    for upstream in own[1:]:
+        choice.directory.record_lost(upstream)
+    assert abs(difference_ms()) < 2
