--- a/tests/test_domain_choice.py
+++ b/tests/test_domain_choice.py
@@ -195,3 +195,46 @@
         drawn = choice.draw_candidates(request)
         domains = {upstream.record.failure_domain for upstream in drawn}
         assert len(domains) >= 2
+
+
+def test_domain_most_of_whose_engines_are_lost_is_not_preferred():
+    """The few that are left would get the streams of the whole domain."""
+    fleet = _play(0.27, TARGET_MS, seconds=1)
+    choice = fleet.choices['a-1'][0]
+    request = RelayPlacementRequest('s', 8200, target_ms=TARGET_MS)
+    own, other = (
+        [
+            upstream
+            for upstream in choice.directory.of_service('s')
+            if upstream.record.failure_domain == domain
+        ]
+        for domain in ('a-1', 'a-2')
+    )
+
+    def difference_ms() -> float:
+        return choice.cost_ms(other[0], request) - choice.cost_ms(
+            own[0], request
+        )
+
+    for upstream in (*own, *other):
+        upstream.report = None
+    assert difference_ms() > 0.09 * TARGET_MS
+    for upstream in own[1:]:
+        choice.directory.record_lost(upstream)
+    assert abs(difference_ms()) < 2
+
+
+def test_regions_of_one_domain_are_weighed_as_before():
+    regions = {domain: domain for domain in DOMAINS}
+    fleet = _Fleet(0, dict.fromkeys(DOMAINS, ENGINES_PER_DOMAIN))
+    choice = fleet.choices['a-1'][0]
+    request = RelayPlacementRequest('s', 8200, target_ms=TARGET_MS)
+    other = next(
+        upstream
+        for upstream in choice.directory.of_service('s')
+        if upstream.record.failure_domain == 'b-1'
+    )
+    with_domains_ms = choice.cost_ms(other, request)
+    choice.region_by_domain = regions
+    nearer_ms = with_domains_ms - choice.cost_ms(other, request)
+    assert nearer_ms == pytest.approx(0.1 * TARGET_MS, abs=2)
