--- a/bergamotthread/platform/rollout_parts.py
+++ b/bergamotthread/platform/rollout_parts.py
@@ -76,6 +76,12 @@
             'service',
             lambda: {order.service: 1 for order in self.gate.active_orders},
         )
+        registry.labelled_gauge(
+            'relay_rollout_used_again',
+            'Services whose target was rolled back and is used again.',
+            'service',
+            lambda: {order.service: 1 for order in self.gate.used_again},
+        )
         for name, description, read in _GAUGES:
             registry.labelled_gauge(
                 f'relay_rollout_{name}',
--- a/bergamotthread/platform/rollout_relay.py
+++ b/bergamotthread/platform/rollout_relay.py
@@ -35,7 +35,10 @@
 from bergamotthread.process.background_tasks import BackgroundTasks
 from bergamotthread.process.relay.feed_sources import EntryRecord
 from bergamotthread.process.rollouts.order import RolloutOrder
-from bergamotthread.process.rollouts.participant import RolloutParticipant
+from bergamotthread.process.rollouts.participant import (
+    ALONE_MS,
+    RolloutParticipant,
+)
 from bergamotthread.process.rollouts.reports import (
     REPORT_INTERVAL_MS,
     Directive,
@@ -136,6 +139,7 @@
         while True:
             await self.clock.sleep_ms(TICK_MS)
             self.rows.apply_waiting()
+            self._use_again()
             for order in self.participant.active_orders:
                 self._report_if_due(order.service)
             if self.home is not None:
@@ -157,6 +161,15 @@
                 return
             await self.clock.sleep_ms(REWRITE_RETRY_MS)
 
+    def _use_again(self) -> None:
+        for service, build in self.participant.use_again():
+            self.rows.log.write(
+                'rollout-build-used-again',
+                service=service,
+                build=build,
+                alone_ms=ALONE_MS,
+            )
+
     def _start(self, telling: Coroutine[Any, Any, object]) -> None:
         self._tasks.start(_await(telling))
 
--- a/bergamotthread/platform/rollout_rows.py
+++ b/bergamotthread/platform/rollout_rows.py
@@ -296,7 +296,9 @@
                 reason=record.reason,
             )
         if record.state.is_end:
-            self.participant.end(record.order, record.state)
+            self.participant.end(
+                record.order, record.state, self.elapsed_ms(record)
+            )
 
     def _apply_valid(self, order: RolloutOrder, version: StoreVersion) -> None:
         service = order.service
--- a/bergamotthread/process/rollouts/participant.py
+++ b/bergamotthread/process/rollouts/participant.py
@@ -22,15 +22,46 @@
     RolloutPhase,
 )
 
+# A rejected build is used again after the time limit of its order, once no
+# other one had upstreams for this long: longer than an entry that begins takes
+# to read all of them.
+ALONE_MS = 5000.0
+
 BuildsOf = Callable[[str], Collection[str]]
 
 
+@dataclass
+class _Rejected:
+    """Build that gets nothing.
+
+    Parameters
+    ----------
+    until_ms
+        Time limit of the order that it was the target of.
+    alone_ms
+        Time from which no other build has upstreams; infinite if one has.
+    """
+
+    until_ms: float
+    alone_ms: float = math.inf
+
+    def note_alone(self, now_ms: float, *, is_alone: bool) -> None:
+        """Note whether no other build has upstreams now."""
+        self.alone_ms = min(self.alone_ms, now_ms) if is_alone else math.inf
+
+    def is_over(self, now_ms: float) -> bool:
+        """Return whether the build is to be used again."""
+        return now_ms >= max(self.until_ms, self.alone_ms + ALONE_MS)
+
+
 @dataclass
 class _Participation:
     """One order, as this entry follows it."""
 
     order: RolloutOrder
     began_ms: int
+    # Time limit of the order, by the monotonic clock.
+    until_ms: float
     # Attempts that ran at the target before the order and may still do so.
     earlier_running: int
     reports: int = 0
@@ -42,6 +73,8 @@
     directive: Directive | None = None
     valid_until_ms: float = -math.inf
     replaced_builds: frozenset[str] = frozenset()
+    # Whether the target, which was rolled back, is a build like any other.
+    is_used_again: bool = False
     answers: AnswerCells = field(default_factory=AnswerCells)
 
     def phase(self, now_ms: float) -> RolloutPhase:
@@ -60,10 +93,15 @@
         """Return whether the directive still holds."""
         return now_ms < self.valid_until_ms
 
+    @property
+    def is_target_kept(self) -> bool:
+        """Return whether the target gets requests after the end."""
+        return self.is_used_again or self.state is RolloutState.COMPLETED
+
     def may_send_new(self, now_ms: float) -> bool:
         """Return whether a new request may go to the target."""
         if self.state.is_end:
-            return self.state is RolloutState.COMPLETED
+            return self.is_target_kept
         match self.phase(now_ms):
             case RolloutPhase.TRIAL:
                 return self.is_valid(now_ms) and self.sent < self.granted
@@ -75,7 +113,7 @@
     def may_continue(self, now_ms: float) -> bool:
         """Return whether a stream that runs at the target may go on there."""
         if self.state.is_end:
-            return self.state is RolloutState.COMPLETED
+            return self.is_target_kept
         is_halted = self.phase(now_ms) is RolloutPhase.HALTED
         return self.is_valid(now_ms) and not is_halted
 
@@ -98,7 +136,7 @@
         self._clock = clock
         self._builds_of = builds_of
         self._by_service: dict[str, _Participation] = {}
-        self._rejected_by_service: dict[str, frozenset[str]] = {}
+        self._rejected_by_service: dict[str, dict[str, _Rejected]] = {}
         # Attempts that run, by service and build, also without any order: the
         # former builds run attempts that began before it.
         self._running: Counter[tuple[str, str]] = Counter()
@@ -112,6 +150,15 @@
             if not participation.state.is_end
         )
 
+    @property
+    def used_again(self) -> tuple[RolloutOrder, ...]:
+        """Latest orders whose target was rolled back and is used again."""
+        return tuple(
+            participation.order
+            for participation in self._by_service.values()
+            if participation.is_used_again
+        )
+
     def order_of(self, service: str) -> RolloutOrder | None:
         """Return the latest order for a service, also if it has ended."""
         participation = self._by_service.get(service)
@@ -129,16 +176,16 @@
         target stays avoided unless it was completed or is the new target.
         """
         previous = self._by_service.get(order.service)
-        rejected = self._rejected_by_service.get(order.service, frozenset())
         if previous is not None:
             if previous.order.number >= order.number:
                 return
-            if previous.state is not RolloutState.COMPLETED:
-                rejected |= {previous.order.target}
-        self._rejected_by_service[order.service] = rejected - {order.target}
+            if not previous.is_target_kept:
+                self._reject(previous)
+        self._rejected_by_service.get(order.service, {}).pop(order.target, None)
         self._by_service[order.service] = _Participation(
             order,
             self._clock.calendar_ms(),
+            self._clock.now_ms() + order.duration_ms,
             self._running_at(order, former=False),
         )
 
@@ -148,11 +195,21 @@
         if participation is not None:
             participation.order = order
 
-    def end(self, order: RolloutOrder, state: RolloutState) -> None:
+    def end(
+        self,
+        order: RolloutOrder,
+        state: RolloutState,
+        elapsed_ms: float = 0,
+    ) -> None:
         """Apply the end of an order; the first end that was seen stays.
 
         Builds are avoided as replaced only if this entry has followed the
         order: one that learns of a former end may see builds that came later.
+
+        Parameters
+        ----------
+        elapsed_ms
+            Time since the order, which may be from before this process.
         """
         is_followed = self.order_of(order.service) == order
         self.begin(order)
@@ -161,12 +218,42 @@
             return
         participation.state = state
         if state is RolloutState.ROLLED_BACK:
-            rejected = self._rejected_by_service[order.service]
-            self._rejected_by_service[order.service] = rejected | {order.target}
+            left_ms = order.duration_ms - elapsed_ms
+            until_ms = self._clock.now_ms() + left_ms
+            participation.until_ms = min(participation.until_ms, until_ms)
+            self._reject(participation)
         elif is_followed:
             listed = frozenset(self._builds_of(order.service))
             participation.replaced_builds = listed - {order.target}
 
+    def use_again(self) -> tuple[tuple[str, str], ...]:
+        """Use rejected builds again that are the only ones left for long.
+
+        What a bad build gets is bounded until the time limit of its order.
+        Whoever releases it alone after that wants it rather than nothing.
+        Called at short intervals.
+
+        Returns
+        -------
+        tuple of tuple
+            Services and their builds that are used again from now on.
+        """
+        now_ms = self._clock.now_ms()
+        used_again: list[tuple[str, str]] = []
+        for service, rejected in self._rejected_by_service.items():
+            listed = frozenset(self._builds_of(service))
+            for build, one in rejected.items():
+                is_alone = build in listed and listed <= rejected.keys()
+                one.note_alone(now_ms, is_alone=is_alone)
+                if one.is_over(now_ms):
+                    used_again.append((service, build))
+        for service, build in used_again:
+            self._rejected_by_service[service].pop(build)
+            participation = self._by_service[service]
+            if participation.order.target == build:
+                participation.is_used_again = True
+        return tuple(used_again)
+
     def report(self, service: str, now_ms: float) -> EntryReport | None:
         """Return the counts since the order; None without an order."""
         participation = self._by_service.get(service)
@@ -241,6 +328,8 @@
             return self._plan_bound(participation, bound_build)
         if participation.state is RolloutState.COMPLETED:
             return self._plan_completed(participation)
+        if participation.is_used_again:
+            return BuildPlan(avoided=self._rejected(service))
         return self._plan_new(participation)
 
     def admit(self, upstream: UpstreamBuild, *, is_bound: bool) -> bool:
@@ -331,7 +420,12 @@
         )
 
     def _rejected(self, service: str) -> frozenset[str]:
-        return self._rejected_by_service.get(service, frozenset())
+        return frozenset(self._rejected_by_service.get(service, ()))
+
+    def _reject(self, participation: _Participation) -> None:
+        order = participation.order
+        rejected = self._rejected_by_service.setdefault(order.service, {})
+        rejected[order.target] = _Rejected(participation.until_ms)
 
     def _running_at(self, order: RolloutOrder, *, former: bool) -> int:
         """Return the attempts that run at the former builds or the target."""
--- a/tests/test_rollout_participant.py
+++ b/tests/test_rollout_participant.py
@@ -10,7 +10,10 @@
 from bergamotthread.process.rollouts.build_plan import ANY_BUILD, BuildPlan
 from bergamotthread.process.rollouts.gate import AnswerSample, UpstreamBuild
 from bergamotthread.process.rollouts.order import RolloutOrder, RolloutState
-from bergamotthread.process.rollouts.participant import RolloutParticipant
+from bergamotthread.process.rollouts.participant import (
+    ALONE_MS,
+    RolloutParticipant,
+)
 from bergamotthread.process.rollouts.reports import Directive, RolloutPhase
 
 ORDER = RolloutOrder('chat', 1, 'new', 12_000)
@@ -235,3 +238,58 @@
     assert entry.gate.plan('chat').admits('new-0', 'new')
     entry.gate.admit(NEW, is_bound=False)
     assert entry.report().former_running == 1
+
+
+def _advance(entry, until_ms):
+    """Let time pass with a check each 100 ms; return what is used again."""
+    used = []
+    while entry.now_ms < until_ms:
+        entry.now_ms += 100
+        used += entry.gate.use_again()
+    return used
+
+
+def test_rejected_build_is_used_again_after_the_limit_if_it_is_alone(entry):
+    entry.gate.end(ORDER, RolloutState.ROLLED_BACK)
+    entry.builds = {'new'}
+    assert not _advance(entry, ORDER.duration_ms - 100)
+    assert not entry.gate.admit(NEW, is_bound=False)
+    assert _advance(entry, ORDER.duration_ms + 100) == [('chat', 'new')]
+    assert entry.gate.used_again == (ORDER,)
+    entry.builds = {'old', 'new'}
+    assert entry.gate.plan('chat') == ANY_BUILD
+    assert entry.gate.plan('chat', 'new') == BuildPlan('new')
+    assert entry.gate.admit(NEW, is_bound=False)
+    assert entry.gate.admit(NEW, is_bound=True)
+    assert entry.gate.admit(OLD, is_bound=False)
+    entry.gate.begin(replace(ORDER, number=2))
+    assert not entry.gate.used_again
+    assert not entry.gate.admit(NEW, is_bound=False)
+
+
+@pytest.mark.parametrize('between', [{'old', 'new'}, {'old'}, set()])
+def test_rejected_build_is_to_be_alone_without_a_break(entry, between):
+    entry.gate.end(ORDER, RolloutState.ROLLED_BACK)
+    assert not _advance(entry, ORDER.duration_ms)
+    for _ in range(3):
+        entry.builds = {'new'}
+        assert not _advance(entry, entry.now_ms + ALONE_MS - 100)
+        entry.builds = between
+        assert not _advance(entry, entry.now_ms + ALONE_MS)
+    assert not entry.gate.admit(NEW, is_bound=False)
+
+
+def test_limit_counts_from_the_order_also_at_an_entry_that_began_later():
+    made = Entry()
+    made.gate.end(ORDER, RolloutState.ROLLED_BACK, ORDER.duration_ms - 7000)
+    made.builds = {'new'}
+    assert not _advance(made, 6900)
+    assert _advance(made, 7000) == [('chat', 'new')]
+
+
+def test_replaced_target_is_used_again_only_after_its_own_limit(entry):
+    entry.gate.begin(RolloutOrder('chat', 2, 'next', 90_000))
+    entry.builds = {'new'}
+    assert not _advance(entry, ORDER.duration_ms - 100)
+    assert _advance(entry, ORDER.duration_ms) == [('chat', 'new')]
+    assert entry.gate.plan('chat').admits('new-0', 'new')
--- a/tests/test_rollout_relay.py
+++ b/tests/test_rollout_relay.py
@@ -23,7 +23,10 @@
 from bergamotthread.process.rollouts.answer_cells import bucket
 from bergamotthread.process.rollouts.gate import UpstreamBuild
 from bergamotthread.process.rollouts.order import RolloutOrder
-from bergamotthread.process.rollouts.participant import RolloutParticipant
+from bergamotthread.process.rollouts.participant import (
+    ALONE_MS,
+    RolloutParticipant,
+)
 from bergamotthread.process.rollouts.reports import AnswerCell
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import MODEL, PLAIN, RunnerScript, manifest
@@ -444,6 +447,32 @@
     run_in_memory(check())
 
 
+def test_rejected_build_that_is_released_alone_later_gets_requests():
+    async def check():
+        world = await _begin(BAD['fails always'])
+        assert await world.until('rolled_back', 6000) == 'rolled_back'
+        exposed = world.exposed()
+        for runner in world.formers:
+            runner.kill()
+            world.store.remove('servers', runner.instance)
+        end_ms = world.ordered_ms + DURATION_S * 1000
+        await world.clock.sleep_ms(end_ms - world.clock.now_ms())
+        assert world.exposed() - exposed <= 1
+        await world.clock.sleep_ms(ALONE_MS)
+        for number in range(3):
+            assert world.events('rollout-build-used-again', number)
+        for runner in world.targets:
+            runner.script = RunnerScript()
+        await world.clock.sleep_ms(500)
+        world.statuses.clear()
+        await world.clock.sleep_ms(2000)
+        assert set(world.statuses) == {200}
+        assert world.states() == ['active', 'rolled_back']
+        world.end()
+
+    run_in_memory(check())
+
+
 @pytest.mark.parametrize(
     'row',
     [
