--- a/bergamotthread/process/rollouts/gate.py
+++ b/bergamotthread/process/rollouts/gate.py
@@ -61,6 +61,13 @@
             Build to which a stream under way is bound; None for a new request.
         """
 
+    @abstractmethod
+    def has_withdrawn(self, service: str, build: str) -> bool:
+        """Return whether a build gets nothing more, streams under way included.
+
+        One that only lacks a directive for now may get more.
+        """
+
     @abstractmethod
     def admit(self, upstream: UpstreamBuild, *, is_bound: bool) -> bool:
         """Return whether an attempt may be sent now, and count it if so.
@@ -89,6 +96,10 @@
         """Return that any build may be chosen."""
         return ANY_BUILD
 
+    def has_withdrawn(self, service: str, build: str) -> bool:
+        """Return False."""
+        return False
+
     def admit(self, upstream: UpstreamBuild, *, is_bound: bool) -> bool:
         """Return True."""
         return True
--- a/bergamotthread/process/rollouts/participant.py
+++ b/bergamotthread/process/rollouts/participant.py
@@ -332,6 +332,19 @@
             return BuildPlan(avoided=self._rejected(service))
         return self._plan_new(participation)
 
+    def has_withdrawn(self, service: str, build: str) -> bool:
+        """Return whether a build gets nothing more, also no bound attempt."""
+        participation = self._by_service.get(service)
+        if participation is None:
+            return False
+        if build in self._rejected(service):
+            return True
+        if build == participation.order.target:
+            phase = participation.phase(self._clock.now_ms())
+            is_active = not participation.state.is_end
+            return is_active and phase is RolloutPhase.HALTED
+        return self._is_replaced(participation, build)
+
     def admit(self, upstream: UpstreamBuild, *, is_bound: bool) -> bool:
         """Return whether an attempt may be sent now, and count it if so."""
         participation = self._by_service.get(upstream.service)
@@ -381,10 +394,16 @@
         if order.target not in self._builds_of(order.service):
             return True
         if participation.state is RolloutState.COMPLETED:
-            return upstream.build not in participation.replaced_builds
+            return not self._is_replaced(participation, upstream.build)
         is_moving = participation.phase(now_ms) is RolloutPhase.MOVING
         return is_bound or participation.state.is_end or not is_moving
 
+    def _is_replaced(self, participation: _Participation, build: str) -> bool:
+        """Return whether the target replaced a build, and is there."""
+        order = participation.order
+        is_replaced = build in participation.replaced_builds
+        return is_replaced and order.target in self._builds_of(order.service)
+
     def _plan_bound(
         self, participation: _Participation, bound_build: str
     ) -> BuildPlan:
--- a/bergamotthread/request/relay/stream_build.py
+++ b/bergamotthread/request/relay/stream_build.py
@@ -68,16 +68,22 @@
         return self.gone_refusal()
 
     def gone_refusal(self) -> RelayRefusal | None:
-        """Return a refusal if no upstream of the stream's build is left."""
+        """Return a refusal if the stream can't go on at its build."""
         directory = self._parts.directory
         service = self._call.service.name
-        if self.build is None or not directory.lacks_build(service, self.build):
+        if self.build is None:
+            return None
+        if directory.lacks_build(service, self.build):
+            reason = 'no upstream of it is left'
+        elif self._parts.rollouts.has_withdrawn(service, self.build):
+            reason = 'a roll-out has withdrawn it'
+        else:
             return None
         offered = ' '.join(sorted(directory.accepting_builds(service)))
         return self._refuse(
             'build-gone',
-            f'the stream began at build {self.build!r}, and no upstream of it '
-            f'is left; builds offered: {offered or "none"}',
+            f'the stream began at build {self.build!r}, and {reason}; builds '
+            f'offered: {offered or "none"}',
         )
 
     def record_event(self, upstream: Upstream) -> None:
--- a/tests/test_rollout_participant.py
+++ b/tests/test_rollout_participant.py
@@ -293,3 +293,35 @@
     assert not _advance(entry, ORDER.duration_ms - 100)
     assert _advance(entry, ORDER.duration_ms) == [('chat', 'new')]
     assert entry.gate.plan('chat').admits('new-0', 'new')
+
+
+def test_build_is_withdrawn_once_nothing_more_goes_there(entry):
+    def withdrawn():
+        return {
+            build
+            for build in ('old', 'new', 'next')
+            if entry.gate.has_withdrawn('chat', build)
+        }
+
+    assert not withdrawn()
+    entry.follow(TRIAL)
+    entry.now_ms = TRIAL.valid_ms
+    assert not entry.gate.admit(NEW, is_bound=True)
+    assert not withdrawn()
+    entry.follow(HALTED)
+    assert withdrawn() == {'new'}
+    entry.gate.end(ORDER, RolloutState.ROLLED_BACK)
+    assert withdrawn() == {'new'}
+    entry.gate.begin(RolloutOrder('chat', 2, 'next', 12_000))
+    assert withdrawn() == {'new'}
+    entry.gate.end(entry.gate.order_of('chat'), RolloutState.COMPLETED)
+    entry.builds = {'old', 'new', 'next'}
+    assert withdrawn() == {'old', 'new'}
+
+
+def test_replaced_build_is_withdrawn_while_the_target_is_there(entry):
+    entry.gate.end(ORDER, RolloutState.COMPLETED)
+    assert entry.gate.has_withdrawn('chat', 'old')
+    assert not entry.gate.has_withdrawn('chat', 'new')
+    entry.builds = {'old'}
+    assert not entry.gate.has_withdrawn('chat', 'old')
--- a/tests/test_rollout_relay.py
+++ b/tests/test_rollout_relay.py
@@ -27,7 +27,11 @@
     ALONE_MS,
     RolloutParticipant,
 )
-from bergamotthread.process.rollouts.reports import AnswerCell
+from bergamotthread.process.rollouts.reports import (
+    AnswerCell,
+    Directive,
+    RolloutPhase,
+)
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import MODEL, PLAIN, RunnerScript, manifest
 from standins.platform_settings import ZONES, entry_settings
@@ -598,6 +602,37 @@
     run_in_memory(check())
 
 
+@pytest.mark.parametrize('is_taken_up', [False, True])
+def test_stream_that_breaks_at_a_halted_build_is_refused_at_once(is_taken_up):
+    async def check():
+        world = await World.begin(MODEL)
+        await world.order()
+        await world.add_targets(RunnerScript(breaks_after=10))
+        await world.clock.sleep_ms(1000)
+        relay = world.entries[0]._rollouts.relay
+        order = relay.participant.order_of(MODEL)
+        moving = Directive(order.number, RolloutPhase.MOVING, 0, 30_000)
+        relay.participant.apply(MODEL, moving, world.clock.now_ms())
+        reading = asyncio.create_task(world.call('/stream/x'))
+        await world.clock.sleep_ms(300)
+        assert world.exposed() == 1
+        relay.tell(order, None)
+        began_ms = world.clock.now_ms()
+        answer = await reading
+        assert len(answer.event_ids) == 10
+        assert world.clock.now_ms() - began_ms < 2000
+        if is_taken_up:
+            began_ms = world.clock.now_ms()
+            last = (b'last-event-id', b'10')
+            answer = await world.call('/stream/x', extra=(last,))
+            assert answer.status == 503
+            assert float(answer.headers[b'retry-after']) > 0
+            assert world.clock.now_ms() - began_ms < 200
+        assert world.exposed() == 1
+
+    run_in_memory(check())
+
+
 def test_without_the_contract_nothing_is_followed():
     async def check():
         deployment = await Deployment.start()
