--- a/bergamotthread/platform/rollout_home.py
+++ b/bergamotthread/platform/rollout_home.py
@@ -202,16 +202,22 @@
 
     def _service_view(self, order: RolloutOrder) -> ServiceView:
         domain_by_target: dict[str, str] = {}
+        lost: set[str] = set()
         former_count = 0
         for upstream in self.directory.accepting(order.service):
             upstream_record = upstream.record
             if upstream_record.build == order.target:
                 domain = upstream_record.failure_domain
                 domain_by_target[upstream_record.instance] = domain
+                if self.directory.is_lost(upstream):
+                    lost.add(upstream_record.instance)
             else:
                 former_count += 1
         return ServiceView(
-            domain_by_target, former_count, self.view.present_hosts()
+            domain_by_target,
+            former_count,
+            self.view.present_hosts(),
+            frozenset(lost),
         )
 
     def _log_progress(self, deciding: _Deciding, now_ms: float) -> None:
--- a/bergamotthread/process/rollouts/decider.py
+++ b/bergamotthread/process/rollouts/decider.py
@@ -15,7 +15,7 @@
 )
 from bergamotthread.process.rollouts.judgement import Judgement
 from bergamotthread.process.rollouts.order import ExposureBound, RolloutState
-from bergamotthread.process.rollouts.readiness import Readiness
+from bergamotthread.process.rollouts.readiness import SUSPECT_MS, Readiness
 from bergamotthread.process.rollouts.reports import (
     REPORT_INTERVAL_MS,
     Directive,
@@ -260,7 +260,7 @@
                 self._machine.events['move'].trigger(self)
                 self._judgement.set_alone(now_ms, is_alone=True)
             return None
-        if not exposure.fits(0, 0):
+        if not (exposure.fits(0, 0) and self._view.has_target):
             self._machine.events['return_to_trial'].trigger(self)
             self._judgement.set_alone(now_ms, is_alone=False)
             self._readiness.saw_move = False
@@ -287,13 +287,15 @@
         target = self.record.order.target
         if exposure.remaining_ms <= 0 and not self._view.domain_by_target:
             return f'{target} has no upstreams at the time limit'
+        if exposure.remaining_ms <= -SUSPECT_MS and not self._view.has_target:
+            return f'{target} has no upstreams that answer after the limit'
         is_moving = self.phase is RolloutPhase.MOVING
         reason = self._readiness.failure(exposure, now_ms, is_moving=is_moving)
         return f'{target} fails: {reason}' if reason else ''
 
     def _obstacle(self, exposure: Exposure, now_ms: float) -> str:
         """Return why requests aren't moved to the target yet."""
-        if not self._view.domain_by_target:
+        if not self._view.has_target:
             return 'upstreams of the target'
         if not self._is_settled:
             return 'reports of the entries'
--- a/bergamotthread/process/rollouts/exposure.py
+++ b/bergamotthread/process/rollouts/exposure.py
@@ -54,11 +54,20 @@
         Upstreams of other builds.
     entries
         Entries that should report.
+    lost
+        Upstreams of the target that don't answer, as far as the one that
+        decides has seen.
     """
 
     domain_by_target: Mapping[str, str]
     former_count: int
     entries: frozenset[str]
+    lost: frozenset[str] = frozenset()
+
+    @property
+    def has_target(self) -> bool:
+        """Return whether an upstream of the target may answer."""
+        return bool(self.domain_by_target.keys() - self.lost)
 
 
 @dataclass
--- a/tests/test_rollout_relay.py
+++ b/tests/test_rollout_relay.py
@@ -602,6 +602,26 @@
     run_in_memory(check())
 
 
+# Guards against: former upstreams are stopped while no other one answers.
+def test_target_whose_upstreams_are_all_lost_during_the_move_is_not_kept():
+    async def check():
+        world = await _begin()
+        gate = world.entries[1]._rollouts.gate
+        while gate.report(PLAIN, 0).phase is not RolloutPhase.MOVING:
+            await world.clock.sleep_ms(100)
+        for runner in world.targets:
+            runner.kill()
+        await world.clock.sleep_ms(1000)
+        world.statuses.clear()
+        assert await world.until('rolled_back', 5000) == 'rolled_back'
+        await world.clock.sleep_ms(500)
+        assert set(world.statuses) == {200}
+        assert world.states() == ['active', 'rolled_back']
+        world.end()
+
+    run_in_memory(check())
+
+
 @pytest.mark.parametrize('is_taken_up', [False, True])
 def test_stream_that_breaks_at_a_halted_build_is_refused_at_once(is_taken_up):
     async def check():
