--- a/bergamotthread/process/rollouts/strata.py
+++ b/bergamotthread/process/rollouts/strata.py
@@ -126,6 +126,7 @@
     earlier: RouteAnswers | None,
     *,
     is_alone: bool,
+    failures_only: bool = False,
 ) -> Iterator[Stratum]:
     """Yield what is compared on one route.
 
@@ -141,14 +142,19 @@
     is_alone
         Whether the target gets all requests. What former builds still answer
         then is what took long, and holds fewer failures than usual.
+    failures_only
+        Whether slow answers that didn't fail are good ones.
     """
-    limits = current.slow_limits(SLOW_BUCKETS, SLOW_BUCKETS)
+    no_limits = SlowLimits() if failures_only else None
+    limits = no_limits or current.slow_limits(SLOW_BUCKETS, SLOW_BUCKETS)
     former = current.tally(limits, is_target=False)
     is_earlier = is_alone or former.answered < MIN_FORMER_ANSWERS
     if is_earlier:
         if earlier is None:
             return
-        limits = earlier.slow_limits(SLOW_BUCKETS_EARLIER, SLOW_BUCKETS)
+        limits = no_limits or earlier.slow_limits(
+            SLOW_BUCKETS_EARLIER, SLOW_BUCKETS
+        )
         former = earlier.tally(limits, is_target=False)
     for domain in sorted(current.target_domains()):
         same = current.tally(limits, is_target=False, domain=domain)
--- a/tests/test_rollout_judgement.py
+++ b/tests/test_rollout_judgement.py
@@ -191,6 +191,16 @@
     assert slices(Judged(), 2, slow=slow)
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_target_that_fails_beside_slow_former_builds_is_condemned(seed):
+    """Answers that are late by a cut link explain no failures."""
+    judged = Judged(seed)
+    slow = {('a', False), ('a', True), ('b', False)}
+    few = {'target': 2, 'former': 12, 'slow': slow}
+    assert not slices(judged, 40, **few)
+    assert slices(judged, 15, target_bad=1 / 3, **few)
+
+
 def test_target_is_compared_with_earlier_answers_once_none_are_left():
     judged = Judged()
     assert not slices(judged, 5)
