--- a/tests/test_rollout_relay.py
+++ b/tests/test_rollout_relay.py
@@ -23,8 +23,15 @@
 from bergamotthread.process.rollouts.answer_cells import bucket
 from bergamotthread.process.rollouts.gate import UpstreamBuild
 from bergamotthread.process.rollouts.order import RolloutOrder
-from bergamotthread.process.rollouts.participant import RolloutParticipant
-from bergamotthread.process.rollouts.reports import AnswerCell
+from bergamotthread.process.rollouts.participant import (
+    ALONE_MS,
+    RolloutParticipant,
+)
+from bergamotthread.process.rollouts.reports import (
+    AnswerCell,
+    Directive,
+    RolloutPhase,
+)
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import MODEL, PLAIN, RunnerScript, manifest
 from standins.platform_settings import ZONES, entry_settings
@@ -444,6 +451,32 @@
     run_in_memory(check())
 
 
+def test_rejected_build_that_is_released_alone_later_gets_requests():
+    async def check():
+        world = await _begin(BAD['fails always'])
+        assert await world.until('rolled_back', 6000) == 'rolled_back'
+        exposed = world.exposed()
+        for runner in world.formers:
+            runner.kill()
+            world.store.remove('servers', runner.instance)
+        end_ms = world.ordered_ms + DURATION_S * 1000
+        await world.clock.sleep_ms(end_ms - world.clock.now_ms())
+        assert world.exposed() - exposed <= 1
+        await world.clock.sleep_ms(ALONE_MS)
+        for number in range(3):
+            assert world.events('rollout-build-used-again', number)
+        for runner in world.targets:
+            runner.script = RunnerScript()
+        await world.clock.sleep_ms(500)
+        world.statuses.clear()
+        await world.clock.sleep_ms(2000)
+        assert set(world.statuses) == {200}
+        assert world.states() == ['active', 'rolled_back']
+        world.end()
+
+    run_in_memory(check())
+
+
 @pytest.mark.parametrize(
     'row',
     [
@@ -569,6 +602,57 @@
     run_in_memory(check())
 
 
+# Guards against: former upstreams are stopped while no other one answers.
+def test_target_whose_upstreams_are_all_lost_during_the_move_is_not_kept():
+    async def check():
+        world = await _begin()
+        gate = world.entries[1]._rollouts.gate
+        while gate.report(PLAIN, 0).phase is not RolloutPhase.MOVING:
+            await world.clock.sleep_ms(100)
+        for runner in world.targets:
+            runner.kill()
+        await world.clock.sleep_ms(1000)
+        world.statuses.clear()
+        assert await world.until('rolled_back', 5000) == 'rolled_back'
+        await world.clock.sleep_ms(500)
+        assert set(world.statuses) == {200}
+        assert world.states() == ['active', 'rolled_back']
+        world.end()
+
+    run_in_memory(check())
+
+
+@pytest.mark.parametrize('is_taken_up', [False, True])
+def test_stream_that_breaks_at_a_halted_build_is_refused_at_once(is_taken_up):
+    async def check():
+        world = await World.begin(MODEL)
+        await world.order()
+        await world.add_targets(RunnerScript(breaks_after=10))
+        await world.clock.sleep_ms(1000)
+        relay = world.entries[0]._rollouts.relay
+        order = relay.participant.order_of(MODEL)
+        moving = Directive(order.number, RolloutPhase.MOVING, 0, 30_000)
+        relay.participant.apply(MODEL, moving, world.clock.now_ms())
+        reading = asyncio.create_task(world.call('/stream/x'))
+        await world.clock.sleep_ms(300)
+        assert world.exposed() == 1
+        relay.tell(order, None)
+        began_ms = world.clock.now_ms()
+        answer = await reading
+        assert len(answer.event_ids) == 10
+        assert world.clock.now_ms() - began_ms < 2000
+        if is_taken_up:
+            began_ms = world.clock.now_ms()
+            last = (b'last-event-id', b'10')
+            answer = await world.call('/stream/x', extra=(last,))
+            assert answer.status == 503
+            assert float(answer.headers[b'retry-after']) > 0
+            assert world.clock.now_ms() - began_ms < 200
+        assert world.exposed() == 1
+
+    run_in_memory(check())
+
+
 def test_without_the_contract_nothing_is_followed():
     async def check():
         deployment = await Deployment.start()
