--- a/bergamotthread/process/relay/engine_forecast.py
+++ b/bergamotthread/process/relay/engine_forecast.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from bergamotthread.process.overload.engine_room import Holding
@@ -18,7 +18,11 @@
     Precedence,
 )
 from bergamotthread.process.overload.run_statistics import RunStatistics
-from bergamotthread.process.relay.upstreams import LoadReport, Upstream
+from bergamotthread.process.relay.upstreams import (
+    LoadReport,
+    RunProgress,
+    Upstream,
+)
 
 # Standard deviations by which the outputs of all runs at an engine may exceed
 # their expectation: they do so once in forty times.
@@ -137,6 +141,8 @@
     needed_tokens = report.kv_used + waiting_tokens + prompt_tokens
     needed_tokens += max(round(kept_tokens), 0)
     missing_tokens = needed_tokens - report.kv_total
+    staying = _staying_runs(report, precedence)
+    preempted_tokens = _tokens(report.runs) - _tokens(staying)
     usual_tokens = usual_output_tokens(upstream, outputs)
     waiting = math.ceil(
         (report.queued + upstream.sends_since_report) * precedence.ahead_share
@@ -146,9 +152,9 @@
         rate_per_s,
         missing_slots=_missing_slots(upstream, report, precedence),
         slot_ms=run_ms / max(upstream.record.slots, 1),
-        missing_tokens=missing_tokens - _preempted_tokens(report, precedence),
+        missing_tokens=missing_tokens - preempted_tokens,
         holdings=(
-            *_holdings(upstream, report, outputs, rate_per_s),
+            *_holdings(upstream, report, outputs, rate_per_s, staying),
             *_waiting(
                 waiting,
                 usual_tokens,
@@ -185,12 +191,18 @@
     return outputs.output_tokens * event_tokens(upstream, outputs)
 
 
-def _preempted_tokens(report: LoadReport, precedence: Precedence) -> int:
-    """Return the memory of the runs that an engine would preempt."""
+def _staying_runs(
+    report: LoadReport, precedence: Precedence
+) -> tuple[RunProgress, ...]:
+    """Return the runs that an engine would not preempt for a prompt."""
     urgency = precedence.urgency
     if urgency is None or precedence.kept_tokens:
-        return 0
-    return sum(run.tokens for run in report.runs if run.urgency > urgency)
+        return report.runs
+    return tuple(run for run in report.runs if run.urgency <= urgency)
+
+
+def _tokens(runs: Iterable[RunProgress]) -> int:
+    return sum(run.tokens for run in runs)
 
 
 def _run_ms(upstream: Upstream, outputs: RunStatistics) -> float:
@@ -237,9 +249,13 @@
     report: LoadReport,
     outputs: RunStatistics,
     rate_per_s: float,
+    staying: Sequence[RunProgress],
 ) -> tuple[Holding, ...]:
     """Return what the KV cache holds, and what is still added to it.
 
+    Runs that give way to the prompt release their memory before it starts; only
+    those that stay release it later.
+
     Copies of other upstreams' runs are halfway on average, and grow with these
     runs. Prompts that are still prefilled hold as much as copies do.
     """
@@ -249,14 +265,13 @@
     # A run at the usual length or beyond is expected to go on for a while.
     missing_min = max(outputs.output_deviation, 1)
     missing_events = [
-        max(outputs.output_tokens - run.events, missing_min)
-        for run in report.runs
+        max(outputs.output_tokens - run.events, missing_min) for run in staying
     ]
     holdings = [
         Holding(run.tokens, missing * event_ms, missing * per_event)
-        for run, missing in zip(report.runs, missing_events, strict=True)
+        for run, missing in zip(staying, missing_events, strict=True)
     ]
-    other_tokens = report.kv_used - sum(run.tokens for run in report.runs)
+    other_tokens = report.kv_used - _tokens(report.runs)
     prefilling = max(report.running - len(report.runs), 0)
     other_count = report.copies + prefilling
     if not other_count or other_tokens <= 0:
--- a/tests/test_expected_wait.py
+++ b/tests/test_expected_wait.py
@@ -6,6 +6,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.overload.expected_wait import EngineWork, Holding
+from bergamotthread.process.overload.rank_use import Precedence
 from bergamotthread.process.overload.run_statistics import RunStatistics
 from bergamotthread.process.relay.engine_forecast import forecast_engine
 from bergamotthread.process.relay.upstreams import (
@@ -173,3 +174,17 @@
     assert not plain._recent_sends
     engine.apply_report(LoadReport(0, 0, 0, 88_000, at_ms=2000))
     assert not engine._recent_sends
+
+
+def test_run_that_gives_way_releases_its_memory_once():
+    """Less urgent runs give way, but the prompt needs more than they hold."""
+    less_urgent = (RunProgress('r0', 16_000, 110, urgency=1),)
+    urgent = (RunProgress('r1', 72_000, 20, urgency=0),)
+    upstream = _upstream(running=2, kv_used=88_000, runs=less_urgent + urgent)
+    upstream.statistics.record_interval(50)
+    outputs = RunStatistics(output_tokens=120)
+    first = Precedence(urgency=0)
+    work = forecast_engine(upstream, 20_000, outputs, first).work
+    assert work.memory_ms == pytest.approx((120 - 20) * 50)
+    work = forecast_engine(upstream, 16_000, outputs, first).work
+    assert work.memory_ms == 0
