--- a/bergamotthread/process/overload/overload.py
+++ b/bergamotthread/process/overload/overload.py
@@ -95,16 +95,22 @@
         total = Usage(self.clock.now_ms())
         self._teams = TeamUsage(self.weight_of, total)
 
-    def check(self, team: str, utilisation: float) -> Admitted | Overloaded:
+    def check(
+        self, team: str, utilisation: float, *, is_again: bool = False
+    ) -> Admitted | Overloaded:
         """Decide on new work of a team.
 
         Parameters
         ----------
         utilisation
             Running and queued attempts per slot of the subset.
+        is_again
+            Whether the same work was decided on before, so that it counts in
+            the demand of the team already.
         """
         now_ms = self.clock.now_ms()
-        self._teams.offer(team, now_ms)
+        if not is_again:
+            self._teams.offer(team, now_ms)
         if utilisation > self.limits.utilisation_max:
             return self._overloaded(
                 'process',
--- a/bergamotthread/process/relay/stream_gate.py
+++ b/bergamotthread/process/relay/stream_gate.py
@@ -341,17 +341,24 @@
         return self.rng.choices(range(len(views)), rooms)[0]
 
     def check_team(
-        self, demand: StreamDemand, view: EngineView
+        self, demand: StreamDemand, view: EngineView, *, is_again: bool = False
     ) -> StreamRefused | None:
         """Return a refusal if a team uses more than its share of busy engines.
 
-        Called once for each stream, also if the engines decided before, since
-        the share depends on what each team asks for.
+        Called also if the engines decided before, since the share depends on
+        what each team asks for.
+
+        Parameters
+        ----------
+        is_again
+            Whether this was called for the stream before; it counts once.
         """
         forecast = view.forecast
         limit_ms = self._times(demand).limit_ms(forecast.prompt_ms)
         verdict = self._guard(demand.service).check(
-            demand.team, forecast.first_event_ms / limit_ms
+            demand.team,
+            forecast.first_event_ms / limit_ms,
+            is_again=is_again,
         )
         if isinstance(verdict, Admitted):
             return None
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -70,6 +70,7 @@
     parts: RelayParts
     rank: Rank = field(init=False)
     _is_offered: bool = field(default=False, init=False)
+    _is_settled: bool = field(default=False, init=False)
 
     def __post_init__(self) -> None:
         """Begin with the rank of the call."""
@@ -152,11 +153,28 @@
             # sent, the next one is placed at others.
             return AttemptPlacement(candidates[0])
         if in_time:
-            return await self._place_in_time(usable, request)
+            return await self._decide(usable, request)
         request = self.with_precedence(usable[0], request)
         ranked = self._rank(usable, request)
         return self._make_placement(ranked[0], ranked, request)
 
+    def settle(self, *, is_admitted: bool) -> None:
+        """Count a new stream as admitted or refused, at most once.
+
+        A stream may be placed several times before it is sent or refused, as
+        at a former build, or without room.
+        """
+        if self._is_settled or not self._is_offered:
+            return
+        self._is_settled = True
+        own = self.call.rank
+        self.parts.metrics.record_admission(own, admitted=is_admitted)
+        if is_admitted:
+            demand = replace(self._demand(), rank=self.rank)
+            self.parts.stream_gate.record_admitted(
+                demand, own, self.call.prompt_tokens
+            )
+
     def forecast(
         self, upstream: Upstream, request: RelayPlacementRequest
     ) -> EngineForecast:
@@ -179,16 +197,6 @@
         )
         return replace(request, precedence=precedence)
 
-    async def _place_in_time(
-        self, usable: list[Upstream], request: RelayPlacementRequest
-    ) -> AttemptPlacement | StreamRefused:
-        """Place at an upstream that is in time, or refuse the stream."""
-        placement = await self._decide(usable, request)
-        self.parts.metrics.record_admission(
-            self.call.rank, admitted=isinstance(placement, AttemptPlacement)
-        )
-        return placement
-
     async def _decide(
         self, usable: list[Upstream], request: RelayPlacementRequest
     ) -> AttemptPlacement | StreamRefused:
@@ -200,7 +208,8 @@
         gate = self.parts.stream_gate
         demand = self._demand()
         # A stream that is placed again, as without room, was offered before.
-        if not self._is_offered:
+        is_again = self._is_offered
+        if not is_again:
             self._is_offered = True
             self.rank = gate.offer(demand)
         demand = replace(demand, rank=self.rank)
@@ -216,14 +225,13 @@
             views = [self._view(one.upstream, request) for one in ranked]
             drawn = gate.draw(demand, views)
             if isinstance(drawn, StreamRefused):
-                gate.check_team(demand, views[0])
+                gate.check_team(demand, views[0], is_again=is_again)
                 return drawn
             chosen = ranked[drawn]
             view = views[drawn]
-        team_refused = gate.check_team(demand, view)
+        team_refused = gate.check_team(demand, view, is_again=is_again)
         if team_refused is not None:
             return team_refused
-        gate.record_admitted(demand, self.call.rank, request.prompt_tokens)
         return self._make_placement(chosen, ranked, request)
 
     def _demand(self) -> StreamDemand:
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -182,11 +182,15 @@
         if placement is None:
             self._excluded = frozenset()
         if isinstance(placement, StreamRefused):
+            self._placer.settle(is_admitted=False)
             return self._overload_refusal(placement)
         if placement is None:
             return self._pause_refusal()
         self._opening_wait.end()
-        return placement if await self._has_room(placement) else None
+        if not await self._has_room(placement):
+            return None
+        self._placer.settle(is_admitted=True)
+        return placement
 
     def may_wait(self) -> bool:
         """Return whether placement may be tried again after a pause.
--- a/tests/test_rollout_relay.py
+++ b/tests/test_rollout_relay.py
@@ -20,11 +20,13 @@
     encode,
 )
 from bergamotthread.platform.settings import PlatformSettings
+from bergamotthread.process.relay.relay_metrics import RelayMetrics
 from bergamotthread.process.rollouts.answer_cells import bucket
 from bergamotthread.process.rollouts.gate import UpstreamBuild
 from bergamotthread.process.rollouts.order import RolloutOrder
 from bergamotthread.process.rollouts.participant import RolloutParticipant
 from bergamotthread.process.rollouts.reports import AnswerCell
+from bergamotthread.process.shares.team_usage import TeamUsage
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import MODEL, PLAIN, RunnerScript, manifest
 from standins.platform_settings import ZONES, entry_settings
@@ -555,6 +557,33 @@
     run_in_memory(check())
 
 
+def test_stream_that_is_placed_at_a_former_build_counts_once(monkeypatch):
+    """The share of a team follows from what it asks for, not from tries."""
+    offered, outcomes = [], []
+
+    def offer(_usage, team, _now_ms):
+        offered.append(team)
+
+    def record_admission(_metrics, _rank, *, admitted: bool):
+        outcomes.append(admitted)
+
+    monkeypatch.setattr(TeamUsage, 'offer', offer)
+    monkeypatch.setattr(RelayMetrics, 'record_admission', record_admission)
+
+    async def check():
+        world = await World.begin(MODEL)
+        world.call_steadily(interval_ms=120)
+        await world.order()
+        await world.add_targets(RunnerScript(queued=200))
+        await world.clock.sleep_ms(5000)
+        assert world.statuses[200] > 10
+        assert len(offered) == len(outcomes) <= world.requests
+        assert all(outcomes)
+        world.end()
+
+    run_in_memory(check())
+
+
 def test_distance_of_an_upstream_is_not_its_latency():
     async def check():
         world = await World.begin()
