--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -10,6 +10,7 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.overload.output_length import OutputLengths
+from bergamotthread.process.overload.rank import Rank
 from bergamotthread.process.overload.run_statistics import RunStatistics
 from bergamotthread.process.relay.build_history import (
     BuildHistory,
@@ -152,6 +153,13 @@
     started_ms: int = 0
 
 
+@dataclass(frozen=True, eq=False, slots=True)
+class RoomClaim:
+    """Claim of one stream to the next room in an upstream's KV cache."""
+
+    rank: Rank
+
+
 @dataclass(slots=True)
 class Upstream:
     """Listed upstream with what this process observed of it.
@@ -171,8 +179,9 @@
         Bodies of this process's requests that it holds.
     held_tokens
         Prompt tokens of this process's streams whose copies the upstream holds.
-    is_awaited
-        Whether a stream of this process waits for room in its KV cache.
+    room_claim
+        Claim of the stream of this process that waits for room in its KV cache;
+        None if none does.
     is_unlisted
         Whether its row disappeared in an outage of the store and may return.
     is_leaving
@@ -204,7 +213,7 @@
     sent_since_report: int = 0
     request_bytes: int = 0
     held_tokens: int = 0
-    is_awaited: bool = False
+    room_claim: RoomClaim | None = None
     is_unlisted: bool = False
     is_leaving: bool = False
     is_restarted: bool = False
--- a/bergamotthread/request/relay/room_wait.py
+++ b/bergamotthread/request/relay/room_wait.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
+from bergamotthread.process.overload.rank import SINGLE_RANK, Rank
 from bergamotthread.process.relay.choice import RelayPlacementRequest
 from bergamotthread.process.relay.liveness import REPORT_AGE_MAX_MS
-from bergamotthread.process.relay.upstreams import Upstream
+from bergamotthread.process.relay.upstreams import RoomClaim, Upstream
 from bergamotthread.request.relay.attempt_loop import PLACEMENT_RETRY_MS
 from bergamotthread.request.relay.call import RelayedCall
 from bergamotthread.request.relay.parts import RelayParts
@@ -35,27 +36,35 @@
         self._ends_ms = deadline_ms - PLACE_ELSEWHERE_MS
 
     async def wait(
-        self, upstream: Upstream, request: RelayPlacementRequest
+        self,
+        upstream: Upstream,
+        request: RelayPlacementRequest,
+        rank: Rank = SINGLE_RANK,
     ) -> bool:
         """Wait for room; return whether the prompt may be sent.
 
         One prompt of this process waits for an engine at a time, so that the
-        room that is awaited isn't promised twice. Others look elsewhere after
-        the age that a load report may have.
+        room that is awaited isn't promised twice. A more urgent one takes its
+        place. Others look elsewhere after the age that a load report may have.
         """
         overfill_ms = self._overfill_ms(upstream, request)
         if not overfill_ms:
             return True
         clock = self._parts.clock
         started_ms = clock.now_ms()
-        if upstream.is_awaited:
+        other = upstream.room_claim
+        if other is not None and other.rank.position <= rank.position:
             await clock.sleep_ms(REPORT_AGE_MAX_MS)
         else:
-            upstream.is_awaited = True
+            claim = RoomClaim(rank)
+            upstream.room_claim = claim
             try:
-                overfill_ms = await self._wait_until_ends(upstream, request)
+                overfill_ms = await self._wait_until_ends(
+                    upstream, request, claim
+                )
             finally:
-                upstream.is_awaited = False
+                if upstream.room_claim is claim:
+                    upstream.room_claim = None
         self._parts.log.write(
             'room-awaited',
             request=self._call.request_label,
@@ -69,9 +78,12 @@
         return not overfill_ms
 
     async def _wait_until_ends(
-        self, upstream: Upstream, request: RelayPlacementRequest
+        self,
+        upstream: Upstream,
+        request: RelayPlacementRequest,
+        claim: RoomClaim,
     ) -> float:
-        """Wait for room until the time is over; return how long it lacks."""
+        """Wait for room while the claim lasts; return how long it lacks."""
         clock = self._parts.clock
         overfill_ms = self._overfill_ms(upstream, request)
         while overfill_ms:
@@ -81,6 +93,8 @@
             await clock.sleep_ms(max(overfill_ms, REPORT_AGE_MAX_MS))
             if not await self._parts.liveness.refresh_report(upstream):
                 return overfill_ms
+            if upstream.room_claim is not claim:
+                return overfill_ms
             overfill_ms = self._overfill_ms(upstream, request)
         return 0
 
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -264,7 +264,7 @@
         request = self._placer.with_precedence(
             upstream, self._placement_request()
         )
-        if await self._room_wait.wait(upstream, request):
+        if await self._room_wait.wait(upstream, request, self._placer.rank):
             return True
         self._excluded |= {upstream.record.instance}
         return False
