--- a/bergamotthread/process/poison/death_log.py
+++ b/bergamotthread/process/poison/death_log.py
@@ -174,6 +174,8 @@
         fingerprint: int,
         death_ids: Iterable[int],
         culprits: Container[int] = (),
+        *,
+        counts_waiting: bool = False,
     ) -> int:
         """Return how many deaths count against a fingerprint.
 
@@ -191,12 +193,15 @@
             against other requests, nor one under a quarantined part against the
             rest of its request, unless the rest crashed upstreams without it
             `UNTIED_DEATHS_MIN` times.
+        counts_waiting
+            Whether a death also counts against a content that waited beside
+            others.
         """
         deaths = [
             death
             for death in map(self.get, death_ids)
             if death is not None
-            and death.is_charged_to(fingerprint)
+            and (counts_waiting or death.is_charged_to(fingerprint))
             and not _has_other_culprit(death, fingerprint, culprits)
         ]
         untied = [
--- a/bergamotthread/process/poison/guard.py
+++ b/bergamotthread/process/poison/guard.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from itertools import chain
@@ -39,6 +39,10 @@
 RECORDS_MAX = 4096
 # Deaths under a part from which it is compared with the parts beside it.
 SHARED_DEATHS_MIN = 2
+# Deaths from which a content is charged that waited with others in each, and by
+# how many more than each of them it has.
+WAITING_DEATHS_MIN = 4
+WAITING_LEAD_MIN = 2
 DEFAULT_DOMAIN_SIZE = 2
 
 
@@ -520,8 +524,34 @@
 
     def _counted_deaths(self, content_hash: int, record: _Record) -> int:
         own = self._own_deaths(content_hash, record)
+        if self._is_always_waiting(content_hash, record):
+            own = self.deaths.count_for(
+                content_hash,
+                record.death_ids,
+                self._quarantined_hashes,
+                counts_waiting=True,
+            )
         return own + sum(record.deaths_by_peer.values())
 
+    def _is_always_waiting(self, fingerprint: int, record: _Record) -> bool:
+        """Return whether a content was at far more deaths than those beside it.
+
+        Of those that wait at one death each may be the cause. Of those that
+        waited at several, the sound ones were resumed at different upstreams.
+        """
+        needed = len(record.death_ids)
+        if needed < WAITING_DEATHS_MIN:
+            return False
+        requests = chain.from_iterable(
+            death.suspects
+            for death in map(self.deaths.get, record.death_ids)
+            if death is not None
+        )
+        deaths_by_content = Counter(request[0] for request in requests)
+        own = deaths_by_content.pop(fingerprint, 0)
+        others = max(deaths_by_content.values(), default=0)
+        return own - others >= WAITING_LEAD_MIN
+
     def _own_deaths(self, content_hash: int, record: _Record) -> int:
         return self.deaths.count_for(
             content_hash, record.death_ids, self._quarantined_hashes
--- a/tests/test_poison_ledger.py
+++ b/tests/test_poison_ledger.py
@@ -300,3 +300,29 @@
     assert len(guard._record_by_fingerprint) == RECORDS_MAX
     assert len(guard._changed_fingerprints) <= RECORDS_MAX
     assert not guard._attempts_by_agent
+
+
+# Guards against: a request that crashes upstreams before its head, each time
+# beside others that wait, ends upstream after upstream.
+def test_content_that_waits_at_each_death_is_quarantined():
+    shared = _Entries()
+    guard = shared.guards[1]
+    for number in range(4):
+        assert guard.check(_POISON) == Clear()
+        waiting = (_POISON, _SOUND if number == 1 else 20 + number)
+        shared.tell(shared.crash(0, number, waiting=waiting))
+        shared.time.advance_ms(_APART_MS)
+    assert isinstance(guard.check(_POISON), Quarantined)
+    assert isinstance(shared.guards[0].check(_POISON), Quarantined)
+    assert guard.check(_SOUND) == Clear()
+    assert guard.check(20) == Clear()
+
+
+def test_contents_that_wait_together_at_each_death_are_not_charged():
+    shared = _Entries(1)
+    guard = shared.guards[0]
+    for number in range(5):
+        shared.crash(0, number, waiting=(_POISON, _SOUND, 20 + number))
+        shared.time.advance_ms(_APART_MS)
+    assert guard.check(_POISON) == Clear()
+    assert guard.check(_SOUND) == Clear()
