--- a/bergamotthread/request/relay/events.py
+++ b/bergamotthread/request/relay/events.py
@@ -8,6 +8,8 @@
 EVENT_BYTES_MAX = 1_048_576
 # Bytes of events without a number that may follow one another.
 UNNUMBERED_BYTES_MAX = 65_536
+# Digits of a number of 64 bits; a longer one is not the number of an event.
+_EVENT_ID_DIGITS_MAX = 18
 _BLANK_LINES = (b'\n\n', b'\r\n\r\n')
 
 
@@ -100,6 +102,8 @@
     for line in payload.splitlines():
         name, _, text = line.partition(b':')
         text = text.strip()
-        if name == b'id' and text.isdigit():
+        if name != b'id' or len(text) > _EVENT_ID_DIGITS_MAX:
+            continue
+        if text.isdigit():
             return int(text)
     return None
