--- a/bergamotthread/platform/runner_rows.py
+++ b/bergamotthread/platform/runner_rows.py
@@ -79,7 +79,8 @@
     """
     host, _, port = address.rpartition(':')
     ipaddress.ip_address(host)
-    if not port.isdecimal() or not 0 < int(port) <= PORT_MAX:
+    is_number = port.isascii() and port.isdecimal()
+    if not is_number or not 0 < int(port) <= PORT_MAX:
         raise ValueError(f'port {port!r}, expected 1 to {PORT_MAX}')
 
 
