--- a/bergamotthread/process/poison/death_log.py
+++ b/bergamotthread/process/poison/death_log.py
@@ -174,6 +174,8 @@
         fingerprint: int,
         death_ids: Iterable[int],
         culprits: Container[int] = (),
+        *,
+        counts_waiting: bool = False,
     ) -> int:
         """Return how many deaths count against a fingerprint.
 
@@ -191,12 +193,15 @@
             against other requests, nor one under a quarantined part against the
             rest of its request, unless the rest crashed upstreams without it
             `UNTIED_DEATHS_MIN` times.
+        counts_waiting
+            Whether a death also counts against a content that waited beside
+            others.
         """
         deaths = [
             death
             for death in map(self.get, death_ids)
             if death is not None
-            and death.is_charged_to(fingerprint)
+            and (counts_waiting or death.is_charged_to(fingerprint))
             and not _has_other_culprit(death, fingerprint, culprits)
         ]
         untied = [
@@ -215,6 +220,20 @@
             case SimultaneousDeaths(window_ms):
                 return _count_apart(sorted(deaths, key=_at_ms), window_ms)
 
+    def without_culprit_beside(
+        self,
+        part_hash: int,
+        death_ids: Iterable[int],
+        culprits: Container[int],
+    ) -> set[int]:
+        """Return the deaths under no request with it and a quarantined part."""
+        return {
+            death_id
+            for death_id in death_ids
+            if (death := self.get(death_id)) is not None
+            and not _has_culprit_beside(death, part_hash, culprits)
+        }
+
     def is_simultaneous_loss(self, death_ids: Iterable[int]) -> bool:
         """Return whether each death coincides with many others.
 
