--- a/bergamotthread/platform/rollout_home.py
+++ b/bergamotthread/platform/rollout_home.py
@@ -164,8 +164,14 @@
         is_stored = known == decider.record or await self._store(deciding)
         if step is None or not is_stored or decider.record.state.is_end:
             return
-        if _completes(step) and not self._hears_enough(deciding):
-            return
+        if _completes(step):
+            if not self._hears_enough(deciding):
+                return
+            if self.rows.is_unsure(order.service):
+                # The reading may last as long as the directives that the step
+                # was decided on.
+                await self._store(deciding)
+                return
         record = next_record(decider.record, step)
         if record is None:
             return
--- a/bergamotthread/platform/rollout_rows.py
+++ b/bergamotthread/platform/rollout_rows.py
@@ -185,6 +185,10 @@
             order, RolloutState.ACTIVE, self._sight(order).calendar_ms
         )
 
+    def is_unsure(self, service: str) -> bool:
+        """Return whether a record is read again before it is written next."""
+        return service in self._unsure
+
     def expect_loss(self) -> None:
         """Read each record again before it is written next."""
         self._unsure.update(self._known_by_service)
@@ -249,7 +253,7 @@
 
     async def _read_if_unsure(self, service: str) -> bool:
         """Read a row again if needed; return whether it says something new."""
-        if service not in self._unsure:
+        if not self.is_unsure(service):
             return False
         former = self._known_by_service.get(service)
         await self._read_again(service)
--- a/tests/test_rollout_relay.py
+++ b/tests/test_rollout_relay.py
@@ -22,7 +22,7 @@
 from bergamotthread.platform.settings import PlatformSettings
 from bergamotthread.process.rollouts.answer_cells import bucket
 from bergamotthread.process.rollouts.gate import UpstreamBuild
-from bergamotthread.process.rollouts.order import RolloutOrder
+from bergamotthread.process.rollouts.order import RolloutOrder, RolloutState
 from bergamotthread.process.rollouts.participant import (
     ALONE_MS,
     RolloutParticipant,
@@ -30,6 +30,7 @@
 from bergamotthread.process.rollouts.reports import (
     AnswerCell,
     Directive,
+    End,
     RolloutPhase,
 )
 from bergamotthread.testing.memory_http import run_in_memory
@@ -622,6 +623,26 @@
     run_in_memory(check())
 
 
+# Guards against: entries that have gone on meanwhile use what is stopped.
+def test_completion_is_decided_again_once_the_row_was_read_again():
+    async def check():
+        world = await _begin()
+        await world.clock.sleep_ms(2000)
+        home = world.entries[world.home()]._rollouts.home
+        (deciding,) = home._deciding_by_service.values()
+        steps = [End(RolloutState.COMPLETED, 'good'), None, None]
+        deciding.decider.next_step = lambda *_: steps.pop(0) if steps else None
+        home.rows._unsure.add(PLAIN)
+        await world.clock.sleep_ms(1000)
+        assert not steps
+        assert world.state == 'active'
+        steps.append(End(RolloutState.COMPLETED, 'good'))
+        assert await world.until('completed', 1000) == 'completed'
+        world.end()
+
+    run_in_memory(check())
+
+
 @pytest.mark.parametrize('is_taken_up', [False, True])
 def test_stream_that_breaks_at_a_halted_build_is_refused_at_once(is_taken_up):
     async def check():
