--- a/bergamotthread/platform/rollout_rows.py
+++ b/bergamotthread/platform/rollout_rows.py
@@ -182,7 +182,10 @@
     def first_record(self, order: RolloutOrder) -> RolloutRecord:
         """Return the record with which an order is taken up."""
         return RolloutRecord(
-            order, RolloutState.ACTIVE, self._sight(order).calendar_ms
+            order,
+            RolloutState.ACTIVE,
+            self._sight(order).calendar_ms,
+            rejected=self.participant.rejected(order),
         )
 
     def is_unsure(self, service: str) -> bool:
@@ -289,6 +292,8 @@
         if former is None and _is_same_in_other_era(followed, record.order):
             self.participant.renumber(record.order)
         self.participant.begin(record.order)
+        if former is None:
+            self.participant.learn_rejected(record.order, record.rejected)
         self._sight(record.order)
         is_news = former is None or _status(former) != _status(record)
         if record.state.is_end and is_news:
--- a/bergamotthread/process/rollouts/participant.py
+++ b/bergamotthread/process/rollouts/participant.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
@@ -226,6 +226,23 @@
             listed = frozenset(self._builds_of(order.service))
             participation.replaced_builds = listed - {order.target}
 
+    def rejected(self, order: RolloutOrder) -> tuple[str, ...]:
+        """Return the avoided targets of the orders before one."""
+        rejected = self._rejected(order.service) - {order.target}
+        return tuple(sorted(rejected))
+
+    def learn_rejected(
+        self, order: RolloutOrder, rejected: Iterable[str]
+    ) -> None:
+        """Avoid targets of the orders before one that this entry begins with.
+
+        Their time limits aren't known; that of the order holds for them.
+        """
+        participation = self._by_service[order.service]
+        known = self._rejected_by_service.setdefault(order.service, {})
+        for build in rejected:
+            known.setdefault(build, _Rejected(participation.until_ms))
+
     def use_again(self) -> tuple[tuple[str, str], ...]:
         """Use rejected builds again that are the only ones left for long.
 
--- a/bergamotthread/process/rollouts/reports.py
+++ b/bergamotthread/process/rollouts/reports.py
@@ -137,6 +137,9 @@
         counts all of them.
     reason
         Why the roll-out ended; empty before.
+    rejected
+        Targets of earlier orders that are avoided: an entry that begins later
+        knows the last order alone.
     """
 
     order: RolloutOrder
@@ -144,6 +147,7 @@
     started_ms: int
     reserved: int = 0
     reason: str = ''
+    rejected: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_rollout_rows.py
+++ b/tests/test_rollout_rows.py
@@ -138,6 +138,31 @@
     run_in_memory(check())
 
 
+# Guards against: an entry that begins sends to a target half way replaced.
+def test_entry_that_begins_avoids_what_earlier_orders_rejected():
+    async def check():
+        world = await World.start()
+        rows = world.rows()
+        rows.apply_order(world.order('v1'))
+        rows.apply_order(world.order('v2'))
+        first = rows.first_record(rows.participant.order_of(SERVICE))
+        assert await rows.write(first)
+        assert await rows.write(next_record(first, ROLLED_BACK))
+        begun = world.rows('later')
+        begun.apply_order(world.operator_row())
+        stored = world.store._row_by_key['entries', KEY]
+        version = StoreVersion(world.store.era, stored.ver)
+        begun.apply_record(StoredRow(KEY, stored.payload, version))
+        for one in (rows, begun):
+            avoided = one.participant.plan(SERVICE).avoided
+            assert avoided == {'v1', 'v2'}
+        begun.apply_order(world.order('v1'))
+        assert begun.participant.has_withdrawn(SERVICE, 'v2')
+        assert not begun.participant.has_withdrawn(SERVICE, 'v1')
+
+    run_in_memory(check())
+
+
 def test_store_that_is_away_is_not_asked_at_each_step():
     async def check():
         world = await World.start()
