--- a/bergamotthread/platform/rollout_rows.py
+++ b/bergamotthread/platform/rollout_rows.py
@@ -182,9 +182,16 @@
     def first_record(self, order: RolloutOrder) -> RolloutRecord:
         """Return the record with which an order is taken up."""
         return RolloutRecord(
-            order, RolloutState.ACTIVE, self._sight(order).calendar_ms
+            order,
+            RolloutState.ACTIVE,
+            self._sight(order).calendar_ms,
+            rejected=self.participant.rejected(order),
         )
 
+    def is_unsure(self, service: str) -> bool:
+        """Return whether a record is read again before it is written next."""
+        return service in self._unsure
+
     def expect_loss(self) -> None:
         """Read each record again before it is written next."""
         self._unsure.update(self._known_by_service)
@@ -249,7 +256,7 @@
 
     async def _read_if_unsure(self, service: str) -> bool:
         """Read a row again if needed; return whether it says something new."""
-        if service not in self._unsure:
+        if not self.is_unsure(service):
             return False
         former = self._known_by_service.get(service)
         await self._read_again(service)
@@ -285,6 +292,8 @@
         if former is None and _is_same_in_other_era(followed, record.order):
             self.participant.renumber(record.order)
         self.participant.begin(record.order)
+        if former is None:
+            self.participant.learn_rejected(record.order, record.rejected)
         self._sight(record.order)
         is_news = former is None or _status(former) != _status(record)
         if record.state.is_end and is_news:
