--- a/tests/test_poison_search.py
+++ b/tests/test_poison_search.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import random
+
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
 from tests.poison_model import DEADLY_PARTS, Case, World
 
 CASES = 200
+RANDOM_CASES = 150
 SENT_MAX = 3
 SERVED_MIN = 0.9
 
@@ -63,3 +66,28 @@
 @given(_cases(deadly_parts=2))
 def test_two_deadly_parts_are_found_and_the_sound_are_served(case):
     _check(case)
+
+
+def _random_case(seed: int) -> Case:
+    rng = random.Random(seed)
+    return Case(
+        seed=seed,
+        entries=rng.randint(1, 6),
+        upstreams=rng.randint(6, 16),
+        deadly_share=rng.uniform(0.05, 0.5),
+        deadly_parts=1,
+        crash_ms=rng.uniform(0, 2000),
+        has_head=rng.random() < 0.5,
+        interval_ms=rng.uniform(100, 600),
+        sound_ms=rng.uniform(600, 4000),
+        is_shared=rng.random() < 0.5,
+        cut_from_ms=rng.uniform(0, 5000),
+        cut_ms=rng.choice((0, 2000, 8000)),
+        resends=rng.randint(0, 3),
+        streams=rng.randint(80, 160),
+    )
+
+
+def test_bounds_hold_in_cases_at_random():
+    for seed in range(RANDOM_CASES):
+        _check(_random_case(seed))
