--- a/bergamotthread/platform/rollout_relay.py
+++ b/bergamotthread/platform/rollout_relay.py
@@ -35,10 +35,8 @@
 from bergamotthread.process.background_tasks import BackgroundTasks
 from bergamotthread.process.relay.feed_sources import EntryRecord
 from bergamotthread.process.rollouts.order import RolloutOrder
-from bergamotthread.process.rollouts.participant import (
-    ALONE_MS,
-    RolloutParticipant,
-)
+from bergamotthread.process.rollouts.participant import RolloutParticipant
+from bergamotthread.process.rollouts.participation import ALONE_MS
 from bergamotthread.process.rollouts.reports import (
     REPORT_INTERVAL_MS,
     Directive,
--- a/bergamotthread/process/rollouts/participant.py
+++ b/bergamotthread/process/rollouts/participant.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
-from bergamotthread.process.rollouts.answer_cells import AnswerCells
 from bergamotthread.process.rollouts.build_plan import ANY_BUILD, BuildPlan
 from bergamotthread.process.rollouts.gate import (
     AnswerSample,
@@ -16,108 +13,19 @@
     UpstreamBuild,
 )
 from bergamotthread.process.rollouts.order import RolloutOrder, RolloutState
+from bergamotthread.process.rollouts.participation import (
+    Participation,
+    RejectedBuild,
+)
 from bergamotthread.process.rollouts.reports import (
     Directive,
     EntryReport,
     RolloutPhase,
 )
 
-# A rejected build is used again after the time limit of its order, once no
-# other one had upstreams for this long: longer than an entry that begins takes
-# to read all of them.
-ALONE_MS = 5000.0
-
 BuildsOf = Callable[[str], Collection[str]]
 
 
-@dataclass
-class _Rejected:
-    """Build that gets nothing.
-
-    Parameters
-    ----------
-    until_ms
-        Time limit of the order that it was the target of.
-    alone_ms
-        Time from which no other build has upstreams; infinite if one has.
-    """
-
-    until_ms: float
-    alone_ms: float = math.inf
-
-    def note_alone(self, now_ms: float, *, is_alone: bool) -> None:
-        """Note whether no other build has upstreams now."""
-        self.alone_ms = min(self.alone_ms, now_ms) if is_alone else math.inf
-
-    def is_over(self, now_ms: float) -> bool:
-        """Return whether the build is to be used again."""
-        return now_ms >= max(self.until_ms, self.alone_ms + ALONE_MS)
-
-
-@dataclass
-class _Participation:
-    """One order, as this entry follows it."""
-
-    order: RolloutOrder
-    began_ms: int
-    # Time limit of the order, by the monotonic clock.
-    until_ms: float
-    # Attempts that ran at the target before the order and may still do so.
-    earlier_running: int
-    reports: int = 0
-    state: RolloutState = RolloutState.ACTIVE
-    requests: int = 0
-    reported_requests: int = 0
-    sent: int = 0
-    granted: int = 0
-    directive: Directive | None = None
-    valid_until_ms: float = -math.inf
-    replaced_builds: frozenset[str] = frozenset()
-    # Whether the target, which was rolled back, is a build like any other.
-    is_used_again: bool = False
-    answers: AnswerCells = field(default_factory=AnswerCells)
-
-    def phase(self, now_ms: float) -> RolloutPhase:
-        """Return the phase that is followed.
-
-        Without a valid directive it is a trial in which no place is left.
-        """
-        if self.directive is None:
-            return RolloutPhase.TRIAL
-        halted = self.directive.phase is RolloutPhase.HALTED
-        if halted or self.is_valid(now_ms):
-            return self.directive.phase
-        return RolloutPhase.TRIAL
-
-    def is_valid(self, now_ms: float) -> bool:
-        """Return whether the directive still holds."""
-        return now_ms < self.valid_until_ms
-
-    @property
-    def is_target_kept(self) -> bool:
-        """Return whether the target gets requests after the end."""
-        return self.is_used_again or self.state is RolloutState.COMPLETED
-
-    def may_send_new(self, now_ms: float) -> bool:
-        """Return whether a new request may go to the target."""
-        if self.state.is_end:
-            return self.is_target_kept
-        match self.phase(now_ms):
-            case RolloutPhase.TRIAL:
-                return self.is_valid(now_ms) and self.sent < self.granted
-            case RolloutPhase.MOVING:
-                return True
-            case RolloutPhase.HALTED:
-                return False
-
-    def may_continue(self, now_ms: float) -> bool:
-        """Return whether a stream that runs at the target may go on there."""
-        if self.state.is_end:
-            return self.is_target_kept
-        is_halted = self.phase(now_ms) is RolloutPhase.HALTED
-        return self.is_valid(now_ms) and not is_halted
-
-
 class RolloutParticipant(RolloutGate):
     """Follows the roll-outs of all services at one entry.
 
@@ -135,8 +43,8 @@
         self._host = host
         self._clock = clock
         self._builds_of = builds_of
-        self._by_service: dict[str, _Participation] = {}
-        self._rejected_by_service: dict[str, dict[str, _Rejected]] = {}
+        self._by_service: dict[str, Participation] = {}
+        self._rejected_by_service: dict[str, dict[str, RejectedBuild]] = {}
         # Attempts that run, by service and build, also without any order: the
         # former builds run attempts that began before it.
         self._running: Counter[tuple[str, str]] = Counter()
@@ -182,7 +90,7 @@
             if not previous.is_target_kept:
                 self._reject(previous)
         self._rejected_by_service.get(order.service, {}).pop(order.target, None)
-        self._by_service[order.service] = _Participation(
+        self._by_service[order.service] = Participation(
             order,
             self._clock.calendar_ms(),
             self._clock.now_ms() + order.duration_ms,
@@ -241,7 +149,7 @@
         participation = self._by_service[order.service]
         known = self._rejected_by_service.setdefault(order.service, {})
         for build in rejected:
-            known.setdefault(build, _Rejected(participation.until_ms))
+            known.setdefault(build, RejectedBuild(participation.until_ms))
 
     def use_again(self) -> tuple[tuple[str, str], ...]:
         """Use rejected builds again that are the only ones left for long.
@@ -390,7 +298,7 @@
 
     def _allows(
         self,
-        participation: _Participation,
+        participation: Participation,
         upstream: UpstreamBuild,
         *,
         is_bound: bool,
@@ -415,14 +323,14 @@
         is_moving = participation.phase(now_ms) is RolloutPhase.MOVING
         return is_bound or participation.state.is_end or not is_moving
 
-    def _is_replaced(self, participation: _Participation, build: str) -> bool:
+    def _is_replaced(self, participation: Participation, build: str) -> bool:
         """Return whether the target replaced a build, and is there."""
         order = participation.order
         is_replaced = build in participation.replaced_builds
         return is_replaced and order.target in self._builds_of(order.service)
 
     def _plan_bound(
-        self, participation: _Participation, bound_build: str
+        self, participation: Participation, bound_build: str
     ) -> BuildPlan:
         order = participation.order
         avoided = self._rejected(order.service)
@@ -431,7 +339,7 @@
             avoided |= {bound_build}
         return BuildPlan(bound_build, avoided)
 
-    def _plan_completed(self, participation: _Participation) -> BuildPlan:
+    def _plan_completed(self, participation: Participation) -> BuildPlan:
         order = participation.order
         listed = frozenset(self._builds_of(order.service))
         # A build that went away and comes again is no longer the one that was
@@ -442,7 +350,7 @@
             return BuildPlan(avoided=rejected)
         return BuildPlan(avoided=rejected | participation.replaced_builds)
 
-    def _plan_new(self, participation: _Participation) -> BuildPlan:
+    def _plan_new(self, participation: Participation) -> BuildPlan:
         order = participation.order
         rejected = self._rejected(order.service)
         now_ms = self._clock.now_ms()
@@ -458,10 +366,10 @@
     def _rejected(self, service: str) -> frozenset[str]:
         return frozenset(self._rejected_by_service.get(service, ()))
 
-    def _reject(self, participation: _Participation) -> None:
+    def _reject(self, participation: Participation) -> None:
         order = participation.order
         rejected = self._rejected_by_service.setdefault(order.service, {})
-        rejected[order.target] = _Rejected(participation.until_ms)
+        rejected[order.target] = RejectedBuild(participation.until_ms)
 
     def _running_at(self, order: RolloutOrder, *, former: bool) -> int:
         """Return the attempts that run at the former builds or the target."""
