--- a/bergamotthread/process/relay/stream_gate.py
+++ b/bergamotthread/process/relay/stream_gate.py
@@ -24,6 +24,7 @@
 from dataclasses import dataclass, field
 
 from bergamotthread.clock import Clock
+from bergamotthread.process.overload.length_use import LengthUse
 from bergamotthread.process.overload.overload import (
     Admitted,
     OverloadGuard,
@@ -87,6 +88,8 @@
         Time that the request had when it arrived.
     rank
         Rank of the request, or that as which it competes.
+    prompt_tokens
+        Tokens of its prompt, or those as which it is judged.
     """
 
     service: str
@@ -96,6 +99,7 @@
     received_ms: float
     time_limit_ms: float
     rank: Rank = SINGLE_RANK
+    prompt_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,6 +254,7 @@
     _guard_by_service: dict[str, OverloadGuard] = field(default_factory=dict)
     _time_limits_by_route: dict[str, deque[float]] = field(default_factory=dict)
     _ranks_by_service: dict[str, RankUse] = field(default_factory=dict)
+    _lengths_by_route: dict[str, LengthUse] = field(default_factory=dict)
 
     def offer(self, demand: StreamDemand) -> Rank:
         """Count a stream before it is decided on.
@@ -266,6 +271,28 @@
         self._record_time_limit(demand)
         return rank
 
+    def judged_tokens(self, demand: StreamDemand) -> int:
+        """Count the prompt of a stream, once, before it is decided on.
+
+        Where ranks decide, the most urgent streams don't make room for long
+        ones of their route, since less urgent ones would take it.
+
+        Returns
+        -------
+        int
+            Tokens as which it is judged.
+        """
+        by_route = self._lengths_by_route
+        lengths = by_route.pop(demand.route, None)
+        if lengths is None:
+            lengths = LengthUse(self.clock, self.rng)
+        by_route[demand.route] = lengths
+        if len(by_route) > ROUTES_KEPT:
+            by_route.pop(next(iter(by_route)))
+        judged_tokens = lengths.offer(demand.prompt_tokens)
+        is_most_urgent = demand.rank.matters and not demand.rank.position
+        return demand.prompt_tokens if is_most_urgent else judged_tokens
+
     def precedence(
         self, service: str, rank: Rank, engines: int, occupancy_ms: float
     ) -> Precedence:
@@ -298,7 +325,7 @@
             has_room = self._has_spare_time(demand, view)
         else:
             rivals = self._expected_rivals(demand, view)
-            has_room = self._may_use(_room(view.forecast, times), rivals)
+            has_room = self._may_use(_room(view, times, demand), rivals)
         if has_room and times.allow_end(view.forecast):
             return None
         return self._refuse('engines', demand, view)
@@ -332,7 +359,7 @@
         if times.is_late(best.forecast.prompt_ms):
             refused = self.check(demand, best)
             return 0 if refused is None else refused
-        rooms = [_room(view.forecast, times) for view in views]
+        rooms = [_room(view, times, demand) for view in views]
         if demand.rank.matters:
             rooms = _without_preemption(views, rooms)
         rivals = self._expected_backlogged(demand, best)
@@ -377,6 +404,9 @@
             Tokens of its prompt.
         """
         self._ranks(demand.service).admit(own, demand.rank, tokens)
+        lengths = self._lengths_by_route.get(demand.route)
+        if lengths is not None:
+            lengths.admit(tokens)
 
     def record_wait(self, service: str, rank: Rank, wait_ms: float) -> None:
         """Record how long a new stream waited for its prefill."""
@@ -528,10 +558,21 @@
     return free if sum(free) else rooms
 
 
-def _room(forecast: EngineForecast, times: StreamTimes) -> float:
-    """Return how many such prompts an engine can take in time; 0 if none."""
+def _room(view: EngineView, times: StreamTimes, demand: StreamDemand) -> float:
+    """Return how many such prompts an engine can take in time; 0 if none.
+
+    A prompt that is judged as a longer one must leave the time for that one,
+    if it could be in time at all.
+    """
+    forecast = view.forecast
     prompt_ms = max(forecast.prompt_ms, _PROMPT_MS_MIN)
-    spare_ms = times.limit_ms(prompt_ms) - forecast.first_event_ms
+    limit_ms = times.limit_ms(prompt_ms)
+    spare_ms = limit_ms - forecast.first_event_ms
+    longer_tokens = demand.prompt_tokens - forecast.prompt_tokens
+    if forecast.prompt_tokens and longer_tokens > 0:
+        longer_ms = prompt_ms * longer_tokens / forecast.prompt_tokens
+        if prompt_ms + longer_ms <= limit_ms:
+            spare_ms -= longer_ms
     if spare_ms < 0 or not times.allow_end(forecast):
         return 0
     return min(1 + spare_ms / prompt_ms, forecast.free_prompts)
--- a/bergamotthread/request/relay/placement.py
+++ b/bergamotthread/request/relay/placement.py
@@ -71,6 +71,7 @@
     rank: Rank = field(init=False)
     _is_offered: bool = field(default=False, init=False)
     _is_settled: bool = field(default=False, init=False)
+    _judged_tokens: int = field(default=0, init=False)
 
     def __post_init__(self) -> None:
         """Begin with the rank of the call."""
@@ -212,7 +213,10 @@
         if not is_again:
             self._is_offered = True
             self.rank = gate.offer(demand)
-        demand = replace(demand, rank=self.rank)
+            self._judged_tokens = gate.judged_tokens(demand)
+        demand = replace(
+            demand, rank=self.rank, prompt_tokens=self._judged_tokens
+        )
         request = self.with_precedence(usable[0], request)
         ranked = self._rank(usable, request)
         chosen = ranked[0]
@@ -244,6 +248,7 @@
             received_ms=call.request.received_ms,
             time_limit_ms=call.time_limit_ms,
             rank=call.rank,
+            prompt_tokens=call.prompt_tokens,
         )
 
     def _view(
@@ -356,6 +361,7 @@
             urgency=self.rank.urgency,
             is_promoted=self.rank != self.call.rank,
             prompt_tokens=request.prompt_tokens,
+            judged_tokens=self._judged_tokens,
             time_limit_ms=round(self.call.time_limit_ms),
         )
         return AttemptPlacement(upstream, copy_target=copy_target)
