--- a/bergamotthread/process/overload/rank_use.py
+++ b/bergamotthread/process/overload/rank_use.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.overload.rank import Rank
@@ -52,6 +52,17 @@
     kept_tokens: float = 0
     urgency: int | None = None
 
+    @property
+    def while_waiting(self) -> Precedence:
+        """Return the precedence of a request that waits for memory.
+
+        Its admission has left the kept memory to others. No run gives way to
+        it in place of that memory.
+        """
+        if not self.kept_tokens:
+            return self
+        return replace(self, kept_tokens=0, urgency=None)
+
 
 ARRIVAL_ORDER = Precedence()
 
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -264,6 +264,8 @@
         request = self._placer.with_precedence(
             upstream, self._placement_request()
         )
+        waiting = request.precedence.while_waiting
+        request = replace(request, precedence=waiting)
         if await self._room_wait.wait(upstream, request, self._placer.rank):
             return True
         self._excluded |= {upstream.record.instance}
--- a/tests/test_room_wait.py
+++ b/tests/test_room_wait.py
@@ -9,7 +9,15 @@
 
 from bergamotthread.clock import Clock
 from bergamotthread.process.overload.rank import SINGLE_RANK, Rank
-from bergamotthread.process.relay.upstreams import RoomClaim, Upstream
+from bergamotthread.process.overload.rank_use import Precedence
+from bergamotthread.process.overload.run_statistics import RunStatistics
+from bergamotthread.process.relay.engine_forecast import forecast_engine
+from bergamotthread.process.relay.upstreams import (
+    LoadReport,
+    RoomClaim,
+    RunProgress,
+    Upstream,
+)
 from bergamotthread.request.relay.room_wait import (
     PLACE_ELSEWHERE_MS,
     RoomWait,
@@ -112,3 +120,35 @@
         ticking.cancel()
 
     run_in_memory(check())
+
+
+# Guards against: a less urgent stream, for which the gate has found memory
+# beside that which is kept for others, waits for memory that stays free.
+def test_memory_that_is_kept_for_others_is_not_waited_for():
+    report = LoadReport(
+        queued=0,
+        running=5,
+        kv_used=42_000,
+        kv_total=88_000,
+        at_ms=0,
+        runs=tuple(RunProgress(f'{n}', 8400, 50, 1) for n in range(5)),
+    )
+    upstream = upstream_with(report)
+    outputs = RunStatistics()
+    outputs.record_end(130, 4300)
+    outputs.record_growth(6)
+    kept = Precedence(kept_tokens=37_000, urgency=1)
+    gate = forecast_engine(upstream, 8200, outputs, kept)
+    assert gate.free_prompts >= 1
+    assert gate.work.overfill_ms
+    waits = forecast_engine(upstream, 8200, outputs, kept.while_waiting)
+    assert not waits.work.overfill_ms
+
+
+# Guards against: what no longer counts as kept preempts the runs of less urgent
+# streams in its place.
+def test_stream_that_leaves_memory_to_others_preempts_none():
+    kept = Precedence(kept_tokens=37_000, urgency=1)
+    assert kept.while_waiting.urgency is None
+    most_urgent = Precedence(urgency=0)
+    assert most_urgent.while_waiting == most_urgent
