--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -16,7 +16,7 @@
 from bergamotthread.platform.leaving_relay import LeavingRelay
 from bergamotthread.platform.limit_parts import LimitParts
 from bergamotthread.platform.limit_relay import LimitRelay
-from bergamotthread.platform.own_use import OwnUse
+from bergamotthread.platform.machine_use import MachineUse
 from bergamotthread.platform.peer_messages import PeerMessages
 from bergamotthread.platform.relayed_feed import RelayedFeedServer
 from bergamotthread.platform.rollout_parts import RolloutParts
@@ -92,7 +92,7 @@
         self._life_cycle = LifeCycle(clock, settings.stop_grace_ms)
         self._freshness = VersionFreshness(clock, settings.revoke_bound_ms)
         self._pool = UpstreamPool(clock, PLATFORM_DIALECT.request_id)
-        self._use = OwnUse.from_limits(
+        self._use = MachineUse.from_limits(
             clock, settings.machine, self._pool, self._log
         )
         self._feeds = FeedSources(clock, settings.host, settings.region)
--- a/bergamotthread/platform/own_use.py
+++ b/bergamotthread/platform/machine_use.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(frozen=True)
-class OwnUse:
+class MachineUse:
     """Bytes that are held, and the load of the machine of an entry.
 
     Parameters
@@ -34,7 +34,7 @@
         machine: MachineLimits,
         pool: UpstreamPool,
         log: DecisionLog,
-    ) -> OwnUse:
+    ) -> MachineUse:
         """Return the use of a machine, of which nothing is measured yet."""
         held = HeldBytes.from_memory(clock, machine.memory_bytes)
         return cls(held, OwnLoad(clock, machine), pool, log)
