--- a/bergamotthread/process/relay/distance.py
+++ b/bergamotthread/process/relay/distance.py
@@ -58,18 +58,6 @@
     own_domain: str
     region_by_domain: dict[str, str]
 
-    @property
-    def has_near_domains(self) -> bool:
-        """Return whether the region has other failure domains.
-
-        Where it hasn't, the distance of regions says all.
-        """
-        region = self.region_by_domain.get(self.own_domain)
-        return any(
-            other == region and domain != self.own_domain
-            for domain, other in self.region_by_domain.items()
-        )
-
     def tier(self, upstream: Upstream) -> Tier:
         """Return how far an upstream is."""
         domain = upstream.record.failure_domain
@@ -93,7 +81,7 @@
             Target of the request; 0 to weigh regions alone.
         """
         cost_ms = self.region_cost_ms(upstream)
-        if self.tier(upstream) is Tier.DOMAIN or not self.has_near_domains:
+        if self.tier(upstream) is Tier.DOMAIN:
             return cost_ms
         return cost_ms + target_ms * DOMAIN_WAIT_FRACTION
 
