--- a/bergamotthread/platform/rollout_relay.py
+++ b/bergamotthread/platform/rollout_relay.py
@@ -7,9 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Coroutine
 from dataclasses import dataclass, field
-from typing import Any
 
 import msgspec
 from absl import logging
@@ -109,7 +107,7 @@
                 self.rows.learn(record)
         if message.forward:
             passed_on = msgspec.structs.replace(message, forward=False)
-            self._start(
+            self._tasks.start(
                 self.regions.tell_region(ROLLOUTS_PATH, encode(passed_on))
             )
         return b''
@@ -126,7 +124,7 @@
         else:
             message = Ended(record)
         forwarded = msgspec.structs.replace(message, forward=True)
-        self._start(
+        self._tasks.start(
             self.regions.tell_all(
                 ROLLOUTS_PATH, encode(message), encode(forwarded)
             )
@@ -168,9 +166,6 @@
                 alone_ms=ALONE_MS,
             )
 
-    def _start(self, telling: Coroutine[Any, Any, object]) -> None:
-        self._tasks.start(_await(telling))
-
     def _report_if_due(self, service: str) -> None:
         now_ms = self.clock.now_ms()
         if now_ms < self._due_ms_by_service.get(service, 0):
@@ -242,7 +237,3 @@
     def _apply_halt(self, service: str, order_number: int) -> None:
         halt = Directive(order_number, RolloutPhase.HALTED, 0, valid_ms=0)
         self.participant.apply(service, halt, self.clock.now_ms())
-
-
-async def _await(telling: Coroutine[Any, Any, object]) -> None:
-    await telling
--- a/bergamotthread/process/background_tasks.py
+++ b/bergamotthread/process/background_tasks.py
@@ -5,15 +5,16 @@
 import asyncio
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 
 @dataclass
 class BackgroundTasks:
     """Keeps references to the tasks; an event loop keeps only weak ones."""
 
-    _running: set[asyncio.Task[None]] = field(default_factory=set)
+    _running: set[asyncio.Task[object]] = field(default_factory=set)
 
-    def start(self, coroutine: Coroutine[None, None, None]) -> None:
+    def start(self, coroutine: Coroutine[Any, Any, object]) -> None:
         """Start a coroutine as a task."""
         task = asyncio.create_task(coroutine)
         self._running.add(task)
