--- a/bergamotthread/connection/http/upstream_connection.py
+++ b/bergamotthread/connection/http/upstream_connection.py
@@ -33,11 +33,19 @@
 # Bytes of an answer beside its body (heads, framing, other answers), added to
 # as many as its body has. Upstreams may send other bytes without end.
 OVERHEAD_BYTES_MAX = 65_536
+# Bytes that are read and parsed in one turn of the event loop, so that an
+# answer in tiny pieces does not hold up the other connections.
+READ_BYTES_MAX = 16_384
+# Shared by all connections: what is read is parsed before the next read.
+_READ_BUFFER = memoryview(bytearray(READ_BYTES_MAX))
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.Protocol, asyncio.BufferedProtocol):
     """Sends requests to one address and queues the items of their answers.
 
+    Parts of a body that arrive before they are read become one item, so that
+    the work and the memory do not depend on how the upstream cuts them.
+
     Parameters
     ----------
     echo_header
@@ -64,6 +72,14 @@
         self._transport = cast(asyncio.Transport, transport)
         self.is_open = True
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer into which the event loop reads next."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read into the buffer."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, received: bytes) -> None:
         """Parse a part of an answer."""
         self.last_heard_ms = self._clock.now_ms()
@@ -136,10 +152,10 @@
         if not self._is_waiting or self._is_skipping or not self._has_head:
             return
         self._body_bytes += len(payload)
-        self._buffered += len(payload)
-        if self._buffered > BUFFERED_BYTES_MAX and self._transport:
-            self._transport.pause_reading()
-        self._queue_item(AnswerPart(payload))
+        self._arrived += payload
+        if len(self._arrived) > BUFFERED_BYTES_MAX:
+            self._pause_reading()
+        self._wake()
 
     def on_message_complete(self) -> None:
         """Queue the end of the answer."""
@@ -168,11 +184,9 @@
 
     async def receive(self, timeout_ms: float) -> AnswerItem | None:
         """Return the next item of the answer, or None after `timeout_ms`."""
-        if not self._pending_items:
+        if not self._has_item:
             await self._wait(timeout_ms)
-        if not self._pending_items:
-            return None
-        return self._next_item()
+        return self._next_item() if self._has_item else None
 
     @property
     def is_reusable(self) -> bool:
@@ -210,7 +224,8 @@
         self._headers = []
         self._request_id = b''
         self._framing = Framing.LENGTH
-        self._buffered = 0
+        self._arrived = bytearray()
+        self._is_full = False
         self._received_bytes = 0
         self._body_bytes = 0
         self._is_waiting = False
@@ -229,20 +244,36 @@
             timer.cancel()
             self._waiter = None
 
+    @property
+    def _has_item(self) -> bool:
+        return bool(self._pending_items or self._arrived)
+
     def _next_item(self) -> AnswerItem:
+        if not self._pending_items:
+            self._queue_arrived()
         answer_item = self._pending_items.popleft()
-        if isinstance(answer_item, AnswerPart):
-            was_full = self._buffered > BUFFERED_BYTES_MAX
-            self._buffered -= len(answer_item.payload)
-            if was_full and self._buffered <= BUFFERED_BYTES_MAX:
-                self._resume_reading()
+        if not self._arrived:
+            self._resume_reading()
         return answer_item
 
+    def _queue_arrived(self) -> None:
+        """Queue what has arrived of the body as one part."""
+        if self._arrived:
+            self._pending_items.append(AnswerPart(bytes(self._arrived)))
+            self._arrived.clear()
+
+    def _pause_reading(self) -> None:
+        if self._transport is not None and not self._is_full:
+            self._is_full = True
+            self._transport.pause_reading()
+
     def _resume_reading(self) -> None:
-        if self.is_open and self._transport is not None:
+        if self._is_full and self.is_open and self._transport is not None:
+            self._is_full = False
             self._transport.resume_reading()
 
     def _queue_item(self, answer_item: AnswerItem) -> None:
+        self._queue_arrived()
         self._pending_items.append(answer_item)
         self._wake()
 
--- a/bergamotthread/request/relay/events.py
+++ b/bergamotthread/request/relay/events.py
@@ -4,13 +4,17 @@
 
 from dataclasses import dataclass
 
-# Largest event; an event of a model's response takes some hundred bytes.
-EVENT_BYTES_MAX = 1_048_576
+from bergamotthread.connection.event_buffer import (
+    EventBuffer,
+    EventTooLongError,
+)
+
 # Bytes of events without a number that may follow one another.
 UNNUMBERED_BYTES_MAX = 65_536
+# Each of them counts as so many bytes at least, for the work that it takes.
+UNNUMBERED_BYTES_MIN = 16
 # Digits of a number of 64 bits; a longer one is not the number of an event.
 _EVENT_ID_DIGITS_MAX = 18
-_BLANK_LINES = (b'\n\n', b'\r\n\r\n')
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,21 +38,22 @@
         )
 
 
-class EventTooLongError(ValueError):
-    """A stream went on without the end, or the number, of an event."""
-
-
 class EventSplitter:
     """Splits the bytes of a stream into complete events."""
 
     def __init__(self) -> None:
-        self._pending = b''
+        self._buffer = EventBuffer()
         self._unnumbered_bytes = 0
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the length of the incomplete event that is buffered."""
+        return self._buffer.partial_bytes
+
     @property
     def has_partial(self) -> bool:
         """Return whether an incomplete event is buffered."""
-        return bool(self._pending)
+        return self.partial_bytes > 0
 
     def feed(self, received: bytes) -> list[StreamEvent]:
         """Return the events that end in `received`.
@@ -59,29 +64,19 @@
             If an event does not end within `EVENT_BYTES_MAX` bytes, or those
             without a number go on for more than `UNNUMBERED_BYTES_MAX`.
         """
-        self._pending += received
         events = []
-        while True:
-            end = _end_of_event(self._pending)
-            if not end:
-                break
-            payload = self._pending[:end]
-            self._pending = self._pending[end:]
+        for payload in self._buffer.feed(received):
             event = StreamEvent(payload, _event_id(payload))
             events.append(event)
             self._count_unnumbered(event)
-        if len(self._pending) > EVENT_BYTES_MAX:
-            raise EventTooLongError(
-                f'event of {len(self._pending)} bytes, '
-                f'expected at most {EVENT_BYTES_MAX}',
-            )
         return events
 
     def _count_unnumbered(self, event: StreamEvent) -> None:
         if event.event_id is not None:
             self._unnumbered_bytes = 0
             return
-        self._unnumbered_bytes += len(event.payload)
+        event_bytes = max(len(event.payload), UNNUMBERED_BYTES_MIN)
+        self._unnumbered_bytes += event_bytes
         if self._unnumbered_bytes > UNNUMBERED_BYTES_MAX:
             raise EventTooLongError(
                 f'{self._unnumbered_bytes} bytes of events without a number, '
@@ -89,15 +84,6 @@
             )
 
 
-def _end_of_event(pending: bytes) -> int:
-    ends = [
-        pending.find(blank) + len(blank)
-        for blank in _BLANK_LINES
-        if blank in pending
-    ]
-    return min(ends, default=0)
-
-
 def _event_id(payload: bytes) -> int | None:
     for line in payload.splitlines():
         name, _, text = line.partition(b':')
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from dataclasses import replace
 
+from bergamotthread.connection.event_buffer import EventTooLongError
 from bergamotthread.connection.http.messages import (
     AnswerEnd,
     AnswerHead,
@@ -35,7 +37,6 @@
 from bergamotthread.request.relay.copies import CopyManager
 from bergamotthread.request.relay.events import (
     EventSplitter,
-    EventTooLongError,
     StreamEvent,
 )
 from bergamotthread.request.relay.opening_wait import OpeningWait
@@ -85,6 +86,8 @@
 STREAM_NO_UPSTREAM_RETRY_AFTER_MS = 500
 # Events of a run whose mean interval tells its pace.
 PACE_EVENTS = 8
+# Events that are forwarded before other calls have their turn.
+EVENTS_PER_TURN = 64
 _OK = 200
 
 
@@ -447,11 +450,10 @@
         self, attempt: Attempt, events: list[StreamEvent]
     ) -> AttemptOutcome | None:
         """Forward what a part completes; return an outcome to end with."""
-        if any(map(self._is_progress, events)):
-            self._record_events(attempt)
-        for event in events:
-            self._build.record_event(attempt.upstream)
-            self._forward(event)
+        for start in range(0, len(events), EVENTS_PER_TURN):
+            if start:
+                await asyncio.sleep(0)
+            self._forward_turn(attempt, events[start : start + EVENTS_PER_TURN])
         clock = self._parts.clock
         began_ms = clock.now_ms()
         exchange = self._call.exchange
@@ -467,6 +469,22 @@
             return Broken(f'no whole event for {silent_ms:.0f} ms')
         return None
 
+    def _forward_turn(
+        self, attempt: Attempt, events: list[StreamEvent]
+    ) -> None:
+        """Forward events in one write, without handing back the loop."""
+        forwarded = bytearray()
+        progress = 0
+        for event in events:
+            progress += self._is_progress(event)
+            self._build.record_event(attempt.upstream)
+            if self._is_new(event):
+                forwarded += event.payload
+        if progress:
+            self._record_events(attempt, progress)
+        if forwarded:
+            self._call.exchange.write(bytes(forwarded))
+
     def _is_progress(self, event: StreamEvent) -> bool:
         """Return whether the stream has got on by an event.
 
@@ -478,15 +496,16 @@
             return last_event is None and event.has_data
         return last_event is None or event.event_id > last_event
 
-    def _record_events(self, attempt: Attempt) -> None:
-        """Record that a part completed at least one event."""
+    def _record_events(self, attempt: Attempt, progress: int) -> None:
+        """Record that so many events have arrived."""
         now_ms = self._parts.clock.now_ms()
         self._progress_ms = now_ms
-        self._attempt_times.record(now_ms)
-        if self._attempt_times.count == 1:
-            self._record_first_event(attempt)
-        if self._attempt_times.count == PACE_EVENTS:
-            self._record_pace(attempt)
+        for _ in range(progress):
+            self._attempt_times.record(now_ms)
+            if self._attempt_times.count == 1:
+                self._record_first_event(attempt)
+            if self._attempt_times.count == PACE_EVENTS:
+                self._record_pace(attempt)
         attempt.tracked.report_progress(self._attempt_times.span_ms)
         if self._placer.may_copy:
             self._copy_manager.renew(self._copy_request)
@@ -578,14 +597,15 @@
             self._call.exchange.start(_OK, headers)
         return None
 
-    def _forward(self, event: StreamEvent) -> None:
+    def _is_new(self, event: StreamEvent) -> bool:
+        """Count an event that is forwarded; False if the caller has it."""
         last_event = self._last_event
         if event.event_id is not None:
             if last_event is not None and event.event_id <= last_event:
-                return
+                return False
             self._last_event = event.event_id
         self._caller_times.record(self._parts.clock.now_ms())
-        self._call.exchange.write(event.payload)
+        return True
 
     def _end_outcome(
         self,
--- a/tests/test_fuzzing_of_platform_input.py
+++ b/tests/test_fuzzing_of_platform_input.py
@@ -11,12 +11,14 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from bergamotthread.connection.event_buffer import (
+    EVENT_BYTES_MAX,
+    EventTooLongError,
+)
 from bergamotthread.platform.manifest import ManifestError, read_manifest
 from bergamotthread.platform.runner_rows import decode_report, decode_runner
 from bergamotthread.request.relay.events import (
-    EVENT_BYTES_MAX,
     EventSplitter,
-    EventTooLongError,
 )
 from tests.platform_standins import manifest
 
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -7,11 +7,11 @@
 
 import pytest
 
+from bergamotthread.connection.event_buffer import EVENT_BYTES_MAX
 from bergamotthread.platform.store import StoreCallError
 from bergamotthread.platform.store_version import StoreVersion
 from bergamotthread.process.relay.choice import RelayPlacementRequest
 from bergamotthread.request.relay.attempt import BUFFERED_RESPONSE_BYTES_MAX
-from bergamotthread.request.relay.events import EVENT_BYTES_MAX
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import (
     KEY,
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -12,6 +12,10 @@
 from hypothesis import strategies as st
 
 from bergamotthread.clock import Clock
+from bergamotthread.connection.event_buffer import (
+    EVENT_BYTES_MAX,
+    EventTooLongError,
+)
 from bergamotthread.process.relay.choice import (
     RelayPlacementRequest,
     UpstreamChoice,
@@ -43,9 +47,7 @@
     UpstreamState,
 )
 from bergamotthread.request.relay.events import (
-    EVENT_BYTES_MAX,
     EventSplitter,
-    EventTooLongError,
 )
 
 
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -204,6 +204,7 @@
 
 
 _FIELD = b'x-%b: y\r\n' % (b'a' * 1000)
+_PIECE = b'2d\r\n%b\r\n' % (b'p' * 45)
 ENDLESS = {
     'head': _endless(_status_line, _FIELD * 8),
     'interim': _endless(lambda _: b'', b'HTTP/1.1 103 Early\r\n\r\n' * 300),
@@ -212,6 +213,7 @@
     'chunk extension': _endless(_chunked_head, b'1;' + b'e' * BLOCK_BYTES),
     'body': _endless(_unframed_head, b'b' * BLOCK_BYTES),
     'events': _endless(_unframed_head, b': nothing\n\n' * 700),
+    'event in small pieces': _endless(_chunked_head, _PIECE * 160),
 }
 
 
