--- a/bergamotthread/connection/http/upstream_connection.py
+++ b/bergamotthread/connection/http/upstream_connection.py
@@ -3,7 +3,9 @@
 One request is sent at a time. Bytes after the complete answer make the
 connection unusable for another request. An answer that echoes the identifier
 of another request is skipped, or breaks the connection if only the close marks
-its end.
+its end. A second copy of an answer may arrive where the next one is expected,
+so no request is sent twice on one connection, and an answer without identifier
+may be a copy where one was received before.
 """
 
 from __future__ import annotations
@@ -33,6 +35,9 @@
 # Bytes of an answer beside its body (heads, framing, other answers), added to
 # as many as its body has. Upstreams may send other bytes without end.
 OVERHEAD_BYTES_MAX = 65_536
+# Last requests of a connection that are not sent on it again. A copy of an
+# earlier answer has arrived by then.
+SENT_IDS_KEPT = 16
 # Bytes that are read and parsed in one turn of the event loop, so that an
 # answer in tiny pieces does not hold up the other connections.
 READ_BYTES_MAX = 16_384
@@ -59,6 +64,8 @@
         self.idle_timeout_ms: float | None = None
         self.opening_ms: float = 0
         self.last_heard_ms = clock.now_ms()
+        self._sent_ids: deque[bytes] = deque(maxlen=SENT_IDS_KEPT)
+        self._has_sent_unnamed = False
         self._clock = clock
         self._echo_header = echo_header
         self._transport: asyncio.Transport | None = None
@@ -129,6 +136,9 @@
             return
         headers = dict(self._headers)
         echoed = headers.get(self._echo_header)
+        if echoed is None and self._request_id and self._has_sent_unnamed:
+            self._report_lost('an answer that names no request')
+            return
         self._is_skipping = echoed not in {None, self._request_id}
         self._framing = _framing(headers)
         if self._is_skipping:
@@ -170,6 +180,11 @@
     def send(self, encoded: bytes, request_id: bytes) -> None:
         """Send a complete request and expect its answer.
 
+        Parameters
+        ----------
+        request_id
+            Identifier that the answer repeats; empty if the request has none.
+
         Raises
         ------
         ConnectionError
@@ -180,8 +195,16 @@
         self._reset()
         self._is_waiting = True
         self._request_id = request_id
+        if request_id:
+            self._sent_ids.append(request_id)
+        else:
+            self._has_sent_unnamed = True
         self._transport.write(encoded)
 
+    def has_sent(self, request_id: bytes) -> bool:
+        """Return whether one of the last requests had this identifier."""
+        return request_id in self._sent_ids
+
     async def receive(self, timeout_ms: float) -> AnswerItem | None:
         """Return the next item of the answer, or None after `timeout_ms`."""
         if not self._has_item:
--- a/bergamotthread/connection/http/upstream_pool.py
+++ b/bergamotthread/connection/http/upstream_pool.py
@@ -66,26 +66,34 @@
         self,
         address: str,
         idle_max_ms: float = IDLE_MAX_MS,
+        request_id: bytes = b'',
     ) -> UpstreamConnection:
         """Return the idle connection released last, or open a new one.
 
+        A connection on which the same request was sent before is left out: a
+        second copy of that answer can't be told from the next answer.
+
         Parameters
         ----------
         idle_max_ms
             Maximum idle time of a connection that is used again; less if the
             upstream announces a shorter idle timeout.
+        request_id
+            Identifier of the request to be sent; empty if it has none.
 
         Raises
         ------
         ConnectFailedError
             If the connection could not be opened in time.
         """
-        idle = self._idle_by_address.get(address)
-        while idle:
-            connection = idle.pop()
-            if self._is_fresh(connection, idle_max_ms):
+        idle = self._idle_by_address.get(address, deque())
+        for connection in tuple(reversed(idle)):
+            if not self._is_fresh(connection, idle_max_ms):
+                idle.remove(connection)
+                connection.close()
+            elif not connection.has_sent(request_id):
+                idle.remove(connection)
                 return connection
-            connection.close()
         return await self._open(address)
 
     async def reach(self, address: str) -> Reachability:
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -187,6 +187,7 @@
             self._connection = await self.parts.pool.acquire(
                 self.upstream.address,
                 idle_max_ms,
+                self.call.request_id,
             )
             not_sent = self._reason_not_to_send()
             if not_sent is not None:
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -269,21 +269,22 @@
 
     async def _serve(self, exchange: Exchange, seen: Seen) -> None:
         expected = seen.headers.get(b'bergamotthread-expect-instance')
+        echoed = (REQUEST_ID, seen.request_id)
         if expected not in {None, self.instance.encode()}:
-            exchange.respond(421, self.script.headers)
+            exchange.respond(421, (echoed, *self.script.headers))
             return
         if self.script.retry_after:
             status, headers = self.script.turns_away_with
             self._ask_for_pause(
                 exchange,
                 self.script.retry_after,
-                (*headers, *self.script.headers),
+                (echoed, *headers, *self.script.headers),
                 status,
             )
             return
         if self.script.not_run or not self.has_copy(seen):
             not_run = (b'bergamotthread-not-executed', b'1')
-            exchange.respond(503, (not_run, *self.script.headers))
+            exchange.respond(503, (echoed, not_run, *self.script.headers))
             return
         await self.run(exchange, seen)
 
