--- a/bergamotthread/platform/poison_relay.py
+++ b/bergamotthread/platform/poison_relay.py
@@ -48,6 +48,8 @@
 # Requests of one crash that are told, and fingerprints of each.
 REQUESTS_TOLD_MAX = 32
 HASHES_TOLD_MAX = 32
+# Requests of one crash that are told although they had made progress.
+PROGRESSED_TOLD_MAX = 8
 # Time for which an entry that starts looks for one to ask, and the pause
 # between two attempts.
 ASK_TIMEOUT_MS = 10_000
@@ -72,6 +74,7 @@
     running: _Requests
     waiting: _Requests = ()
     sent_age_ms: _Duration = 0
+    progressed: _Requests = ()
 
 
 class _Quarantine(msgspec.Struct, frozen=True, array_like=True):
@@ -87,13 +90,23 @@
 
 
 class PoisonMessage(msgspec.Struct, frozen=True, omit_defaults=True):
-    """What one entry learned; `forward` asks to pass it on in the region."""
+    """What one entry learned.
+
+    Parameters
+    ----------
+    cleared, completed
+        Fingerprints that are sound as an attempt made progress, and those of
+        them of which an attempt was completed.
+    forward
+        Whether to pass the message on in the region.
+    """
 
     host: str
     deaths: _Deaths = ()
     cleared: _Cleared = ()
     quarantines: _Quarantines = ()
     forward: bool = False
+    completed: _Cleared = ()
 
     @property
     def is_empty(self) -> bool:
@@ -135,7 +148,7 @@
     _regions: RegionMessages = field(init=False)
     _deaths: deque[DeathNotice] = field(default_factory=deque)
     _recorded_ms: deque[float] = field(default_factory=deque)
-    _cleared: list[int] = field(default_factory=list)
+    _is_completed_by_cleared: dict[int, bool] = field(default_factory=dict)
     _quarantines: list[Quarantine] = field(default_factory=list)
     _learned: asyncio.Event = field(default_factory=asyncio.Event)
     _tokens: float = DEATHS_TOLD_MAX
@@ -156,9 +169,10 @@
             self.dropped += 1
         self._learned.set()
 
-    def request_cleared(self, fingerprint: int) -> None:
+    def request_cleared(self, fingerprint: int, *, completed: bool) -> None:
         """Tell the other entries soon that a content or a part is sound."""
-        self._cleared.append(fingerprint)
+        was_completed = self._is_completed_by_cleared.get(fingerprint, False)
+        self._is_completed_by_cleared[fingerprint] = completed or was_completed
         self._learned.set()
 
     def quarantined(self, notice: Quarantine) -> None:
@@ -198,7 +212,11 @@
             await self.clock.sleep_ms(TELL_INTERVAL_MS)
             self._learned.clear()
             await self._tell(self._next_message())
-            if self._deaths or self._cleared or self._quarantines:
+            if (
+                self._deaths
+                or self._is_completed_by_cleared
+                or self._quarantines
+            ):
                 self._learned.set()
 
     def apply_message(self, message: PoisonMessage, age_ms: float = 0) -> None:
@@ -212,12 +230,17 @@
                     frozenset(death.running),
                     frozenset(death.waiting),
                     death.sent_age_ms + age_ms,
+                    frozenset(death.progressed),
                 )
             )
         for fingerprint in message.cleared:
-            if self.guard.is_quarantined(fingerprint):
+            was_quarantined = self.guard.is_quarantined(fingerprint)
+            if fingerprint in message.completed:
+                self.guard.merge_completion(fingerprint)
+            else:
+                self.guard.merge_clear(fingerprint)
+            if was_quarantined and not self.guard.is_quarantined(fingerprint):
                 self._log_lifted(fingerprint, message.host)
-            self.guard.merge_clear(fingerprint)
         for told in message.quarantines:
             notice = Quarantine(told.content_hash, told.deaths, confirmed=True)
             self.apply_quarantine(
@@ -245,13 +268,18 @@
             self._log_lifted(fingerprint, 'row removed')
 
     def _next_message(self) -> PoisonMessage:
+        cleared = tuple(islice(self._is_completed_by_cleared, TOLD_MAX))
         message = PoisonMessage(
             self.feeds.own_host,
             self._next_deaths(),
-            tuple(self._cleared[:TOLD_MAX]),
+            cleared,
             tuple(self._encode_quarantines(self._quarantines[:TOLD_MAX])),
+            completed=tuple(
+                one for one in cleared if self._is_completed_by_cleared[one]
+            ),
         )
-        del self._cleared[:TOLD_MAX]
+        for fingerprint in cleared:
+            self._is_completed_by_cleared.pop(fingerprint)
         del self._quarantines[:TOLD_MAX]
         return message
 
@@ -263,7 +291,7 @@
         while self._deaths and self._tokens >= 1:
             self._tokens -= 1
             waited_ms = now_ms - self._recorded_ms.popleft()
-            deaths.append(_encode_death(self._deaths.popleft(), waited_ms))
+            deaths.append(self._encode_death(self._deaths.popleft(), waited_ms))
         return tuple(deaths)
 
     def _refill(self) -> None:
@@ -279,8 +307,10 @@
         return PoisonMessage(
             self.feeds.own_host,
             tuple(
-                _encode_death(notice, 0)
-                for notice in guard.open_deaths()[-TOLD_MAX:]
+                self._encode_death(notice, 0)
+                for notice in (*guard.charged_deaths(), *guard.open_deaths())[
+                    -TOLD_MAX:
+                ]
             ),
             (),
             tuple(
@@ -289,6 +319,17 @@
             ),
         )
 
+    def _encode_death(self, notice: DeathNotice, waited_ms: float) -> _Death:
+        return _Death(
+            notice.death_id,
+            notice.failure_domain,
+            notice.age_ms + waited_ms,
+            tuple(sorted(notice.running))[:REQUESTS_TOLD_MAX],
+            tuple(sorted(notice.waiting))[:REQUESTS_TOLD_MAX],
+            notice.sent_age_ms + waited_ms,
+            self.guard.most_charged(notice.progressed, PROGRESSED_TOLD_MAX),
+        )
+
     def _encode_quarantines(
         self, notices: Iterable[Quarantine]
     ) -> Iterable[_Quarantine]:
@@ -363,14 +404,3 @@
             deaths=notice.deaths,
             decided_by=host,
         )
-
-
-def _encode_death(notice: DeathNotice, waited_ms: float) -> _Death:
-    return _Death(
-        notice.death_id,
-        notice.failure_domain,
-        notice.age_ms + waited_ms,
-        tuple(sorted(notice.running))[:REQUESTS_TOLD_MAX],
-        tuple(sorted(notice.waiting))[:REQUESTS_TOLD_MAX],
-        notice.sent_age_ms + waited_ms,
-    )
--- a/bergamotthread/process/poison/death_log.py
+++ b/bergamotthread/process/poison/death_log.py
@@ -39,6 +39,8 @@
         content of one is charged only if it was alone; their parts always are.
     sent_ms
         Monotonic time at which the first of them was sent.
+    progressed
+        Contents of the requests that had made progress on it.
     """
 
     failure_domain: str
@@ -46,6 +48,7 @@
     running: frozenset[RequestHashes]
     waiting: frozenset[RequestHashes] = frozenset()
     sent_ms: float = -math.inf
+    progressed: frozenset[RequestHashes] = frozenset()
 
     @property
     def charged(self) -> frozenset[RequestHashes]:
@@ -59,6 +62,16 @@
         """Return the requests whose parts may have caused it."""
         return self.running | self.waiting
 
+    @property
+    def begun(self) -> frozenset[RequestHashes]:
+        """Return the requests that ran on it, with or without progress."""
+        return self.running | self.progressed
+
+    @property
+    def present(self) -> frozenset[RequestHashes]:
+        """Return all requests that were sent to it and had not ended."""
+        return self.suspects | self.progressed
+
     def is_charged_to(self, fingerprint: int) -> bool:
         """Return whether it may count against a content or a part."""
         if any(fingerprint in request for request in self.charged):
@@ -73,6 +86,7 @@
             self.running | other.running,
             self.waiting | other.waiting,
             min(self.sent_ms, other.sent_ms),
+            self.progressed | other.progressed,
         )
 
 
@@ -86,7 +100,7 @@
         Identifier of the death, the same in all processes.
     age_ms
         Time since the death.
-    running, waiting
+    running, waiting, progressed
         See `Death`.
     sent_age_ms
         Time since the first of these requests was sent.
@@ -98,6 +112,12 @@
     running: frozenset[RequestHashes]
     waiting: frozenset[RequestHashes] = frozenset()
     sent_age_ms: float = math.inf
+    progressed: frozenset[RequestHashes] = frozenset()
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the upstream had no request."""
+        return not (self.running or self.waiting or self.progressed)
 
     @classmethod
     def from_death(
@@ -111,6 +131,7 @@
             death.running,
             death.waiting,
             now_ms - death.sent_ms,
+            death.progressed,
         )
 
     def to_death(self, now_ms: float) -> Death:
@@ -121,6 +142,7 @@
             self.running,
             self.waiting,
             now_ms - self.sent_age_ms,
+            self.progressed,
         )
 
 
@@ -220,6 +242,29 @@
             case SimultaneousDeaths(window_ms):
                 return _count_apart(sorted(deaths, key=_at_ms), window_ms)
 
+    def count_of_any_kind(
+        self,
+        fingerprint: int,
+        death_ids: Iterable[int],
+        culprits: Container[int],
+    ) -> int:
+        """Return how many deaths a content ran through, also with progress.
+
+        With `SimultaneousDeaths`, neither a loss of many upstreams at once
+        counts nor a death under a quarantined request. With
+        `DomainCorrelation`, all deaths count.
+        """
+        match self.correlation:
+            case DomainCorrelation():
+                return sum(1 for _ in death_ids)
+            case SimultaneousDeaths():
+                return sum(
+                    not _has_other_culprit(death, fingerprint, culprits)
+                    and self._count_nearby(death) <= CORRELATED_DEATHS_THRESHOLD
+                    for death in map(self.get, death_ids)
+                    if death is not None
+                )
+
     def without_culprit_beside(
         self,
         part_hash: int,
@@ -304,7 +349,7 @@
     """Return whether a request without a fingerprint is quarantined."""
     return any(
         fingerprint not in request and any(one in culprits for one in request)
-        for request in death.suspects
+        for request in death.present
     )
 
 
--- a/bergamotthread/process/poison/guard.py
+++ b/bergamotthread/process/poison/guard.py
@@ -6,7 +6,9 @@
 deaths, its completion all charged ones. A fingerprint is quarantined after a
 number of counted deaths without progress in between, or of deaths of any kind
 without a completion, see `PoisonLimits`. After the quarantine it is on
-probation: it is quarantined again by the next counted death.
+probation: it is quarantined again by the next counted death, or by one of any
+kind if these were the reason, since such a request makes progress before it
+crashes its upstream.
 """
 
 from __future__ import annotations
@@ -44,6 +46,9 @@
 WAITING_DEATHS_MIN = 4
 WAITING_LEAD_MIN = 2
 DEFAULT_DOMAIN_SIZE = 2
+# Deaths of any kind below their limit from which a content may be one that
+# makes progress before it crashes its upstream.
+LATE_MARGIN = 2
 
 
 class QuarantineSink(Protocol):
@@ -70,7 +75,9 @@
     death_ids: list[int] = field(default_factory=list)
     cleared_ms: float = -math.inf
     is_on_probation: bool = False
-    charged: int = 0
+    begun_death_ids: list[int] = field(default_factory=list)
+    completed_ms: float = -math.inf
+    needs_completion: bool = False
     deaths_by_peer: dict[str, int] = field(default_factory=dict)
     peer_ms: float = -math.inf
     quarantines: int = 0
@@ -158,8 +165,9 @@
     def agents_with_other_suspects(self, content_hash: int) -> frozenset[str]:
         """Return the agents that run another suspect request.
 
-        Only requests that this process sent are known, and an attempt that has
-        made progress is no longer suspect.
+        Only requests that this process sent are known. An attempt that has made
+        progress is no longer suspect, unless its content may crash upstreams
+        late.
         """
         return frozenset(
             agent
@@ -233,9 +241,16 @@
         generation: str,
         *,
         completed: bool,
+        is_whole: bool = True,
     ) -> tuple[int, ...]:
         """Record that an attempt ended while its upstream was alive.
 
+        Parameters
+        ----------
+        is_whole
+            Whether the attempt began at the start. The rest of a request is no
+            proof that the whole of it crashes no upstream.
+
         Returns
         -------
         tuple of int
@@ -247,10 +262,12 @@
             self._attempts_by_agent.pop(agent, None)
         if attempt is None or not completed:
             return ()
-        record = self._record_by_fingerprint.get(attempt.hashes[0])
-        if record is not None and not record.quarantined_until_ms:
-            record.charged = 0
-        return self._clear_sound(attempt.hashes)
+        content_hash = attempt.hashes[0]
+        has_completed = is_whole and self._clear_begun_deaths(content_hash)
+        cleared = self._clear_sound(attempt.hashes)
+        if has_completed and content_hash not in cleared:
+            return (content_hash, *cleared)
+        return cleared
 
     def record_death(
         self,
@@ -272,20 +289,20 @@
         """
         attempts = self._attempts_by_agent.pop(agent, {}).values()
         begun = [attempt for attempt in attempts if attempt.has_begun]
-        for request in _hashes_of(begun):
-            self._record(request[0]).charged += 1
-        counted = begun
+        progressed = []
         if not self.limits.counts_progressed:
-            counted = [one for one in begun if not self._has_progressed(one)]
+            progressed = list(filter(self._has_progressed, begun))
+        counted = [one for one in begun if one not in progressed]
         waiting = [attempt for attempt in attempts if not attempt.has_begun]
         now_ms = self.clock.now_ms()
-        suspects = counted or waiting
+        suspects = counted or waiting or progressed
         death = Death(
             failure_domain,
             now_ms,
             _hashes_of(counted),
             _hashes_of(waiting),
             min((one.sent_ms for one in suspects), default=now_ms),
+            frozenset((one.hashes[0],) for one in progressed),
         )
         death_id = self._record_death(death, death_id)
         return DeathNotice.from_death(death_id, death, now_ms)
@@ -295,29 +312,56 @@
         death = notice.to_death(self.clock.now_ms())
         self._record_death(death, notice.death_id)
 
+    def merge_completion(self, fingerprint: int) -> None:
+        """Clear a content that was completed, also if it is quarantined."""
+        self._record(fingerprint).quarantined_until_ms = 0
+        self._clear_begun_deaths(fingerprint)
+        self.merge_clear(fingerprint)
+
     def merge_clear(self, fingerprint: int) -> None:
         """Clear a fingerprint that made progress, also if it is quarantined.
 
         Deaths before now are not counted either if they are told later.
+        Progress is no proof for a content that crashes upstreams after it.
         """
+        if self._record(fingerprint).needs_completion:
+            return
         self._record(fingerprint).quarantined_until_ms = 0
         self._quarantined_hashes.discard(fingerprint)
         self._clear_counted_deaths(fingerprint)
 
     def open_deaths(self) -> tuple[DeathNotice, ...]:
         """Return the deaths that are charged and not cleared."""
-        death_ids = {
+        return self._notices(self._open_death_ids())
+
+    def charged_deaths(self) -> tuple[DeathNotice, ...]:
+        """Return the other deaths of requests that were not completed since.
+
+        They are told as deaths of requests that had made progress, which do
+        not count where progress has cleared them.
+        """
+        begun_ids = {
             death_id
             for record in self._record_by_fingerprint.values()
-            for death_id in record.death_ids
+            for death_id in record.begun_death_ids
         }
-        now_ms = self.clock.now_ms()
+        notices = self._notices(begun_ids - self._open_death_ids())
         return tuple(
-            DeathNotice.from_death(death_id, death, now_ms)
-            for death_id in sorted(death_ids)
-            if (death := self.deaths.get(death_id)) is not None
+            replace(
+                notice,
+                running=frozenset(),
+                waiting=frozenset(),
+                progressed=notice.running | notice.progressed,
+            )
+            for notice in notices
         )
 
+    def most_charged(
+        self, requests: Iterable[RequestHashes], count: int
+    ) -> tuple[RequestHashes, ...]:
+        """Return the requests whose contents ran through most deaths."""
+        return tuple(sorted(requests, key=self._begun_deaths)[-count:])
+
     def quarantines(self) -> tuple[tuple[Quarantine, float], ...]:
         """Return the quarantines in force with their remaining times, in ms."""
         now_ms = self.clock.now_ms()
@@ -363,6 +407,8 @@
         """Apply an existing quarantine, such as one read from the table."""
         record = self._record(notice.fingerprint)
         record.confirmed_deaths = max(record.confirmed_deaths, notice.deaths)
+        if self._is_over_charged(notice.fingerprint, record):
+            record.needs_completion = True
         record.quarantined_until_ms = self.clock.now_ms() + remaining_ms
         self._quarantined_hashes.add(notice.fingerprint)
         for fingerprint in self._blamed_for(notice.fingerprint):
@@ -374,6 +420,26 @@
         self._quarantined_hashes.discard(content_hash)
         self._changed_fingerprints.discard(content_hash)
 
+    def _begun_deaths(self, request: RequestHashes) -> tuple[int, int]:
+        """Return the deaths of any kind of a content, and the content."""
+        record = self._record_by_fingerprint.get(request[0], _Record())
+        return len(record.begun_death_ids), request[0]
+
+    def _open_death_ids(self) -> set[int]:
+        return {
+            death_id
+            for record in self._record_by_fingerprint.values()
+            for death_id in record.death_ids
+        }
+
+    def _notices(self, death_ids: Iterable[int]) -> tuple[DeathNotice, ...]:
+        now_ms = self.clock.now_ms()
+        return tuple(
+            DeathNotice.from_death(death_id, death, now_ms)
+            for death_id in sorted(death_ids)
+            if (death := self.deaths.get(death_id)) is not None
+        )
+
     def _check_content(self, content_hash: int) -> PoisonVerdict:
         record = self._record_by_fingerprint.get(content_hash)
         if record is None:
@@ -385,20 +451,65 @@
         limits = self.limits
         counted = self._counted_deaths(content_hash, record)
         counted_max = 1 if record.is_on_probation else limits.counted_deaths_max
-        is_over_charged = record.charged >= limits.charged_deaths_max
+        is_over_charged = self._is_over_charged(content_hash, record)
         if counted < counted_max and not is_over_charged:
-            if not self._needs_isolation(record, counted):
-                return Clear()
-            is_last = counted == counted_max - 1
-            return Suspect(counted, is_last and self._is_tried(content_hash))
+            return self._suspect_or_clear(
+                content_hash,
+                record,
+                counted,
+                is_last=counted == counted_max - 1,
+            )
         if not is_over_charged:
             wait_ms = self._correlation_wait_ms(record)
             if wait_ms > 0:
                 return Undecided(counted, wait_ms)
-        return self._quarantine(
-            content_hash, record, max(counted, record.charged)
+        charged = self._charged_deaths(content_hash, record)
+        return self._quarantine(content_hash, record, max(counted, charged))
+
+    def _suspect_or_clear(
+        self, content_hash: int, record: _Record, counted: int, *, is_last: bool
+    ) -> PoisonVerdict:
+        """Return the verdict on a content below the limits.
+
+        Parameters
+        ----------
+        is_last
+            Whether the next counted death reaches the limit.
+        """
+        is_tried = is_last and self._is_tried(content_hash)
+        if self._may_crash_late(content_hash, record):
+            charged = self._charged_deaths(content_hash, record)
+            if charged >= self._charged_max(record) - 1:
+                is_tried = is_tried or self._is_under_way(content_hash)
+            return Suspect(max(counted, charged), is_tried)
+        if not self._needs_isolation(record, counted):
+            return Clear()
+        return Suspect(counted, is_tried)
+
+    def _charged_deaths(self, content_hash: int, record: _Record) -> int:
+        """Return the deaths of any kind since the last completion."""
+        return self.deaths.count_of_any_kind(
+            content_hash, record.begun_death_ids, self._quarantined_hashes
         )
 
+    def _charged_max(self, record: _Record) -> int:
+        return 1 if record.needs_completion else self.limits.charged_deaths_max
+
+    def _is_over_charged(self, content_hash: int, record: _Record) -> bool:
+        charged = self._charged_deaths(content_hash, record)
+        return charged >= self._charged_max(record)
+
+    def _may_crash_late(self, content_hash: int, record: _Record) -> bool:
+        """Return whether a content may crash upstreams despite its progress.
+
+        Its attempts are kept apart from other suspects, and the last one before
+        the limit runs alone.
+        """
+        if self.limits.counts_progressed:
+            return False
+        charged = self._charged_deaths(content_hash, record)
+        return charged >= self._charged_max(record) - LATE_MARGIN
+
     def _check_part(self, part_hash: int) -> PoisonVerdict:
         record = self._record_by_fingerprint.get(part_hash)
         if record is None:
@@ -521,6 +632,11 @@
         known = death_id is not None and self.deaths.get(death_id)
         death_id = self.deaths.record(death, death_id)
         at_ms = known.at_ms if known else death.at_ms
+        for request in death.begun:
+            record = self._record(request[0])
+            is_known = death_id in record.begun_death_ids
+            if at_ms >= record.completed_ms and not is_known:
+                record.begun_death_ids.append(death_id)
         for fingerprint in chain.from_iterable(death.running | death.waiting):
             record = self._record(fingerprint)
             if at_ms >= record.cleared_ms and death_id not in record.death_ids:
@@ -571,7 +687,11 @@
     def _is_suspect_attempt(self, attempt: _Attempt) -> bool:
         content_hash = attempt.hashes[0]
         record = self._record_by_fingerprint.get(content_hash)
-        if record is None or self._has_progressed(attempt):
+        if record is None:
+            return False
+        if self._may_crash_late(content_hash, record):
+            return True
+        if self._has_progressed(attempt):
             return False
         counted = self._counted_deaths(content_hash, record)
         return self._needs_isolation(record, counted)
@@ -598,6 +718,14 @@
             for attempt in attempts.values()
         )
 
+    def _is_under_way(self, content_hash: int) -> bool:
+        """Return whether an attempt of a content is under way."""
+        return any(
+            content_hash == attempt.hashes[0]
+            for attempts in self._attempts_by_agent.values()
+            for attempt in attempts.values()
+        )
+
     def _has_progressed(self, attempt: _Attempt) -> bool:
         return attempt.produced >= self.limits.progress_min
 
@@ -618,11 +746,24 @@
         until_ms = record.quarantined_until_ms
         if until_ms and until_ms <= self.clock.now_ms():
             record.quarantined_until_ms = 0
-            record.charged = 0
+            later_ids = self._since(until_ms, record.death_ids)
             self._clear_counted_deaths(content_hash)
+            record.death_ids = later_ids
+            record.begun_death_ids = self._since(
+                until_ms, record.begun_death_ids
+            )
             record.is_on_probation = True
             self._quarantined_hashes.discard(content_hash)
 
+    def _since(self, start_ms: float, death_ids: Iterable[int]) -> list[int]:
+        """Return the deaths from a time on."""
+        return [
+            death_id
+            for death_id in death_ids
+            if (death := self.deaths.get(death_id)) is not None
+            and death.at_ms >= start_ms
+        ]
+
     def _clear_sound(self, hashes: RequestHashes) -> tuple[int, ...]:
         """Clear content and parts; return those that had deaths."""
         content_hash, *part_hashes = hashes
@@ -642,6 +783,17 @@
                 cleared.append(part_hash)
         return tuple(cleared)
 
+    def _clear_begun_deaths(self, content_hash: int) -> bool:
+        """Clear the deaths of any kind; return whether there were any."""
+        record = self._record_by_fingerprint.get(content_hash)
+        if record is None or record.quarantined_until_ms:
+            return False
+        has_cleared = bool(record.begun_death_ids) or record.needs_completion
+        record.begun_death_ids.clear()
+        record.needs_completion = False
+        record.completed_ms = self.clock.now_ms()
+        return has_cleared
+
     def _clear_counted_deaths(self, content_hash: int) -> bool:
         """Clear the counted deaths; return whether there were any."""
         record = self._record_by_fingerprint.get(content_hash)
--- a/bergamotthread/process/relay/crash_watch.py
+++ b/bergamotthread/process/relay/crash_watch.py
@@ -32,11 +32,15 @@
 # Time from the first event on for which an attempt must run to count as sound;
 # crashes follow the first event within a tenth of a second.
 PROGRESS_MIN_MS = 500
+# Deaths of any kind, at all entries together, after which a request is
+# quarantined that has not been completed.
+RELAYED_CHARGED_MAX = 4
 # Time after which a quarantined request is tried again, and the factor by which
 # it grows each time the trial fails.
 RELAYED_QUARANTINE_MS = 120_000
 RELAYED_QUARANTINE_GROWTH = 4
 RELAYED_LIMITS = PoisonLimits(
+    charged_deaths_max=RELAYED_CHARGED_MAX,
     progress_min=PROGRESS_MIN_MS,
     quarantine_ms=RELAYED_QUARANTINE_MS,
     quarantine_growth=RELAYED_QUARANTINE_GROWTH,
@@ -51,8 +55,14 @@
     def upstream_crashed(self, notice: DeathNotice) -> None:
         """Tell other processes of the crash of an upstream."""
 
-    def request_cleared(self, fingerprint: int) -> None:
-        """Tell other processes that a suspect content or part is sound."""
+    def request_cleared(self, fingerprint: int, *, completed: bool) -> None:
+        """Tell other processes that a suspect content or part is sound.
+
+        Parameters
+        ----------
+        completed
+            Whether an attempt of it was completed, beyond mere progress.
+        """
 
 
 @dataclass
@@ -101,15 +111,30 @@
         """Record for how long an attempt has sent events."""
         instance = upstream.record.instance
         cleared = self.guard.record_progress(instance, run, progress_ms)
-        self._record_cleared(cleared, run, 'progress')
+        self._record_cleared(cleared, run, completed=False)
 
     def record_end(
-        self, upstream: Upstream, run: str, *, completed: bool
+        self,
+        upstream: Upstream,
+        run: str,
+        *,
+        completed: bool,
+        is_whole: bool = True,
     ) -> None:
-        """Record that an attempt ended while its upstream was alive."""
-        instance = upstream.record.instance
-        cleared = self.guard.record_end(instance, run, completed=completed)
-        self._record_cleared(cleared, run, 'completion')
+        """Record that an attempt ended while its upstream was alive.
+
+        Parameters
+        ----------
+        is_whole
+            Whether the attempt began at the start of its request.
+        """
+        cleared = self.guard.record_end(
+            upstream.record.instance,
+            run,
+            completed=completed,
+            is_whole=is_whole,
+        )
+        self._record_cleared(cleared, run, completed=is_whole)
 
     def record_broken(self, upstream: Upstream, run: str) -> None:
         """Find out whether the upstream of a broken attempt crashed.
@@ -154,22 +179,23 @@
             service=record.service,
             running=_labels(notice.running),
             waiting=_labels(notice.waiting),
+            progressed=_labels(notice.progressed),
             detail='its answers broke off and it refuses connections',
         )
-        if notice.running or notice.waiting:
+        if not notice.is_empty:
             self.listener.upstream_crashed(notice)
 
     def _record_cleared(
-        self, cleared: tuple[int, ...], run: str, cause: str
+        self, cleared: tuple[int, ...], run: str, *, completed: bool
     ) -> None:
         for fingerprint in cleared:
             self.log.write(
                 'suspect-cleared',
                 fingerprint=f'{fingerprint:016x}',
                 run=run,
-                detail=cause,
+                detail='completion' if completed else 'progress',
             )
-            self.listener.request_cleared(fingerprint)
+            self.listener.request_cleared(fingerprint, completed=completed)
 
 
 def _death_id(record: UpstreamRecord) -> int:
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -200,6 +200,7 @@
         except ConnectionError as error:
             return NotSent(str(error))
         self._record_sent(self._connection, len(encoded))
+        self.tracked.start(is_whole=headers.resume_after is None)
         return None
 
     async def receive(self, timeout_ms: float) -> AnswerItem | None:
@@ -255,7 +256,6 @@
         self.upstream.request_bytes += self._request_bytes
         self.sent_ms = self.parts.clock.now_ms()
         self.upstream.record_send(self.call.prompt_tokens, self.sent_ms)
-        self.tracked.start()
 
     def _reason_not_to_send(self) -> NotSent | None:
         """Return what was learned while the connection was opened."""
--- a/bergamotthread/request/relay/suspicion.py
+++ b/bergamotthread/request/relay/suspicion.py
@@ -110,13 +110,20 @@
         self._clock = parts.clock
         self._run = ''
         self._is_open = False
+        self._is_whole = True
 
-    def start(self) -> None:
+    def start(self, *, is_whole: bool) -> None:
         """Report that the attempt was sent.
 
         Another attempt of the call at the same upstream has another name.
+
+        Parameters
+        ----------
+        is_whole
+            Whether it begins at the start of the request.
         """
         self._is_open = True
+        self._is_whole = is_whole
         self._run = f'{self._call.request_label}@{self._clock.now_ms():.0f}'
         self._crashes.record_start(
             self._upstream,
@@ -149,4 +156,9 @@
             self._end(completed=False)
 
     def _end(self, *, completed: bool) -> None:
-        self._crashes.record_end(self._upstream, self._run, completed=completed)
+        self._crashes.record_end(
+            self._upstream,
+            self._run,
+            completed=completed,
+            is_whole=self._is_whole,
+        )
--- a/tests/test_poison_ledger.py
+++ b/tests/test_poison_ledger.py
@@ -52,6 +52,15 @@
             guard.record_start(agent, f'r{one}', one, has_begun=False)
         return guard.record_death(agent, 'd', death_id)
 
+    def crash_late(self, entry, death_id, *content) -> DeathNotice:
+        """Crash an upstream under requests that have made progress."""
+        guard = self.guards[entry]
+        agent = f'u{death_id}'
+        for one in content:
+            guard.record_start(agent, f'r{one}', one)
+            guard.record_progress(agent, f'r{one}', 600)
+        return guard.record_death(agent, 'd', death_id)
+
     def tell(self, notice: DeathNotice) -> None:
         for guard in self.guards:
             guard.merge_death(notice)
@@ -341,3 +350,70 @@
         _crash_with_parts(shared, number, 5, _FIRST, _OTHER)
     assert guard.check(51, (_FIRST, 904)) == Clear()
     assert isinstance(guard.check(52, (_FIRST, _DEADLY)), Quarantined)
+
+
+@pytest.mark.parametrize('entries', [1, 2, 3])
+def test_crashes_after_progress_are_counted_by_all_entries_together(entries):
+    shared = _Entries(entries)
+    for number in range(_LIMITS.charged_deaths_max):
+        for guard in shared.guards:
+            assert not isinstance(guard.check(_POISON), Quarantined)
+        shared.tell(shared.crash_late(number % entries, number, _POISON))
+        shared.time.advance_ms(_APART_MS)
+    for guard in shared.guards:
+        assert isinstance(guard.check(_POISON), Quarantined)
+
+
+def test_progress_does_not_end_a_quarantine_for_crashes_after_progress():
+    shared = _Entries()
+    first, second = shared.guards
+    for number in range(_LIMITS.charged_deaths_max):
+        shared.tell(shared.crash_late(0, number, _POISON))
+        shared.time.advance_ms(_APART_MS)
+    assert isinstance(first.check(_POISON), Quarantined)
+    second.restore_quarantine(first.quarantines()[0][0], 60_000)
+    second.merge_clear(_POISON)
+    assert isinstance(second.check(_POISON), Quarantined)
+    shared.time.advance_ms(_LIMITS.quarantine_ms + 1)
+    assert first.check(_POISON) == Suspect(0)
+    shared.tell(shared.crash_late(0, 99, _POISON))
+    for guard in shared.guards:
+        assert isinstance(guard.check(_POISON), Quarantined)
+
+
+def test_completion_at_one_entry_clears_crashes_after_progress_at_all():
+    shared = _Entries()
+    first, second = shared.guards
+    for number in range(_LIMITS.charged_deaths_max - 1):
+        shared.tell(shared.crash_late(0, number, _SOUND))
+        shared.time.advance_ms(_APART_MS)
+    assert second.check(_SOUND) == Suspect(_LIMITS.charged_deaths_max - 1)
+    first.record_start('u9', 'r', _SOUND)
+    assert first.record_end('u9', 'r', completed=True) == (_SOUND,)
+    second.merge_completion(_SOUND)
+    for guard in shared.guards:
+        assert guard.check(_SOUND) == Clear()
+        assert not guard.charged_deaths()
+
+
+def test_losses_of_many_upstreams_do_not_count_after_progress():
+    """A long stream runs through one such loss after another."""
+    shared = _Entries(1)
+    for loss in range(2 * _LIMITS.charged_deaths_max):
+        for other in range(1, 5):
+            shared.crash_late(0, 10 * loss + other, 100 * loss + other)
+        shared.crash_late(0, 10 * loss, _SOUND)
+        shared.time.advance_ms(_APART_MS)
+    assert shared.guards[0].check(_SOUND) == Clear()
+
+
+def test_entry_that_starts_learns_of_crashes_after_progress():
+    shared = _Entries()
+    first, second = shared.guards
+    for number in range(_LIMITS.charged_deaths_max - 1):
+        shared.crash_late(0, number, _POISON)
+        shared.time.advance_ms(_APART_MS)
+    for notice in first.charged_deaths():
+        second.merge_death(notice)
+    assert second.check(_POISON) == first.check(_POISON)
+    assert not second.open_deaths()
--- a/tests/test_relayed_poison.py
+++ b/tests/test_relayed_poison.py
@@ -92,6 +92,39 @@
     run_in_memory(check())
 
 
+# Guards against: a request that crashes its upstreams after it has made
+# progress ends one after another, as its progress, or a rest of it that another
+# upstream completes, counts as proof that it is sound.
+@pytest.mark.parametrize('crash_ms', [200, 400, 600, 700, 1500, 4000])
+@pytest.mark.parametrize('copies', [1, 2])
+def test_request_that_crashes_upstreams_late_is_soon_sent_to_no_more(
+    crash_ms, copies
+):
+    async def resend(deployment, fronts, statuses):
+        for front in itertools.islice(fronts, 20):
+            answer = await deployment.call(
+                f'/stream/poison-{MARK.decode()}', front, method=b'POST'
+            )
+            statuses.append(answer.status)
+            await deployment.clock.sleep_ms(RESEND_MS)
+
+    async def check():
+        deployment = await _start(models=8)
+        for runner in deployment.models:
+            runner.script.event_ms = 100
+            runner.script.events = 80
+            runner.script.crash_events = crash_ms // 100
+        statuses = []
+        fronts = _fronts(deployment)
+        senders = (resend(deployment, fronts, statuses) for _ in range(copies))
+        await asyncio.gather(*senders)
+        assert len(_crashes(deployment.models)) >= CRASHES
+        assert _sent_after(deployment.models, CRASHES) <= SENT_MAX
+        assert set(statuses[-10:]) == {503}
+
+    run_in_memory(check())
+
+
 async def _crash_until_quarantined(deployment: Deployment, path: str) -> None:
     for front in itertools.islice(_fronts(deployment), 12):
         await deployment.call(path, front, method=b'GET')
