--- a/bergamotthread/platform/build_relay.py
+++ b/bergamotthread/platform/build_relay.py
@@ -21,17 +21,18 @@
 from absl import logging
 
 from bergamotthread.clock import Clock
+from bergamotthread.platform.build_rows import BuildRows
 from bergamotthread.platform.peer_messages import PeerMessages
 from bergamotthread.platform.relayed_feed import MessageAnswer
+from bergamotthread.platform.store import PlatformStoreClient
+from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.feed_sources import EntryRecord, FeedSources
 from bergamotthread.process.relay.hash_ring import HashRing
 from bergamotthread.process.relay.stream_builds import (
-    SINGLE,
     STREAM_MAX_MS,
     TOLD,
     KnownBuild,
     StreamBuilds,
-    StreamKey,
 )
 from bergamotthread.process.relay.upstreams import UpstreamDirectory
 from bergamotthread.request.relay.build_source import BuildSource
@@ -49,6 +50,8 @@
 ASK_TIMEOUT_MS = 250
 # Time for which an entry that did not accept a message is passed over.
 FAILED_MS = 3000
+# Time for the store's answer where no entry knows.
+READ_TIMEOUT_MS = 400
 _MS_PER_S = 1000
 
 
@@ -87,6 +90,7 @@
     peers: PeerMessages
     feeds: FeedSources
     builds: StreamBuilds
+    rows: BuildRows
     _begun_by_service: defaultdict[str, dict[int, _Begun]] = field(
         default_factory=lambda: defaultdict(dict)
     )
@@ -100,9 +104,13 @@
         peers: PeerMessages,
         feeds: FeedSources,
         directory: UpstreamDirectory,
+        store: PlatformStoreClient,
+        log: DecisionLog,
     ) -> BuildRelay:
         """Return a relay of the builds of a directory's upstreams."""
-        return cls(peers, feeds, StreamBuilds(directory.clock, directory))
+        builds = StreamBuilds(directory.clock, directory)
+        rows = BuildRows(store, builds, feeds, log)
+        return cls(peers, feeds, builds, rows)
 
     @property
     def clock(self) -> Clock:
@@ -112,16 +120,16 @@
     def tell(self, service: str, stream: int, build: str) -> None:
         """Tell other entries of a stream that begins here, if needed."""
         self._add(stream, _Begun(service, build, self.clock.now_ms()))
+        self.rows.save(service, stream, build)
 
-    async def find(self, service: str, key: StreamKey) -> KnownBuild | None:
+    async def find(self, service: str, stream: int) -> KnownBuild | None:
         """Return the build at which a stream began, or None if unknown.
 
         What an entry was told outweighs what an entry concludes from the
         service having a single build. The conclusion of another one counts only
-        if this one has seen no other build either. A caller that names no
-        request gets the only build that was seen, for however short a time.
+        if this one has seen no other build either. What all entries forgot, as
+        they ended at once, is in the store.
         """
-        stream = key.hashed
         known = self.builds.get(stream)
         if known is not None or self.builds.is_ambiguous(stream):
             return known
@@ -131,9 +139,12 @@
             self.builds.record(stream, told.build, told.source)
             return told
         single = self.builds.single(service) or self._concluded(service, found)
-        if single is None and not key.is_named:
-            return self._only_seen(service)
-        return single
+        if single is not None:
+            return single
+        stored = await self.rows.find(service, stream, READ_TIMEOUT_MS)
+        if stored is not None:
+            self.builds.record(stream, stored.build, stored.source)
+        return stored
 
     @property
     def answer_by_path(self) -> dict[bytes, MessageAnswer]:
@@ -155,7 +166,12 @@
                 return self._answer_asked(service, stream)
 
     async def run(self) -> None:
-        """Tell other entries of the streams that begin here."""
+        """Tell other entries of the streams that begin here, and the store."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._tell_untold())
+            group.create_task(self.rows.run())
+
+    async def _tell_untold(self) -> None:
         while True:
             await self._has_begun.wait()
             await self.clock.sleep_ms(TELL_INTERVAL_MS)
@@ -167,12 +183,6 @@
         self._begun_by_service[begun.service][stream] = begun
         self._has_begun.set()
 
-    def _only_seen(self, service: str) -> KnownBuild | None:
-        seen = self.builds.directory.builds_since(service, STREAM_MAX_MS)
-        if len(seen) != 1:
-            return None
-        return KnownBuild(seen.pop(), SINGLE)
-
     def _concluded(
         self, service: str, found: Iterable[KnownBuild]
     ) -> KnownBuild | None:
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -320,7 +320,7 @@
         )
         runners = RunnerClient(self._pool, self._clock, leaving, limits, pauses)
         self._build_relay = BuildRelay.from_directory(
-            peers, self._feeds, self._directory
+            peers, self._feeds, self._directory, self._store, self._log
         )
         return RelayParts(
             clock=self._clock,
--- a/bergamotthread/process/relay/stream_builds.py
+++ b/bergamotthread/process/relay/stream_builds.py
@@ -43,24 +43,6 @@
     is_ambiguous: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class StreamKey:
-    """Key of a stream that its caller takes up.
-
-    Parameters
-    ----------
-    hashed
-        Hash of the request that began the stream, or of the content of the
-        stream's requests.
-    is_named
-        Whether the caller named the request that began it. Callers that don't
-        send the same content in each try; others may send it too.
-    """
-
-    hashed: int
-    is_named: bool
-
-
 def stream_key(request_id: bytes) -> int:
     """Return the hash of the request that began a stream."""
     return xxhash.xxh3_64_intdigest(request_id)
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -439,6 +439,12 @@
         listed = self.accepting_by_build(service)
         return history.since(listed, self.clock.now_ms() - within_ms)
 
+    def builds_by_service(self, within_ms: float) -> dict[str, set[str]]:
+        """Return the builds that were listed lately, of all services."""
+        services = tuple(self._history_by_service)
+        builds = {one: self.builds_since(one, within_ms) for one in services}
+        return {service: seen for service, seen in builds.items() if seen}
+
     def lacks_build(self, service: str, build: str) -> bool:
         """Return whether a service has upstreams of other builds alone.
 
--- a/bergamotthread/request/relay/build_source.py
+++ b/bergamotthread/request/relay/build_source.py
@@ -7,7 +7,6 @@
 from bergamotthread.process.relay.stream_builds import (
     KnownBuild,
     StreamBuilds,
-    StreamKey,
 )
 
 
@@ -21,5 +20,12 @@
         """Tell other entries of a stream that begins here."""
 
     @abc.abstractmethod
-    async def find(self, service: str, key: StreamKey) -> KnownBuild | None:
-        """Return the build at which a stream began, or None if unknown."""
+    async def find(self, service: str, stream: int) -> KnownBuild | None:
+        """Return the build at which a stream began, or None if unknown.
+
+        Parameters
+        ----------
+        stream
+            Hash of the request that began the stream, or of the content of the
+            stream's requests.
+        """
--- a/bergamotthread/request/relay/stream_build.py
+++ b/bergamotthread/request/relay/stream_build.py
@@ -4,7 +4,6 @@
 
 from bergamotthread.process.relay.stream_builds import (
     OWN,
-    StreamKey,
     stream_key,
 )
 from bergamotthread.process.relay.upstreams import Upstream
@@ -96,11 +95,16 @@
             self._record(stream_key(call.request_id), self.build)
             self._record(call.fingerprints.content_hash, self.build)
 
-    def _key(self) -> StreamKey:
+    def _key(self) -> int:
+        """Return the hash of the request that began the stream, or its content.
+
+        Callers that do not name that request send the same content in each try;
+        others may send it too.
+        """
         call = self._call
         if call.origin:
-            return StreamKey(stream_key(call.origin), is_named=True)
-        return StreamKey(call.fingerprints.content_hash, is_named=False)
+            return stream_key(call.origin)
+        return call.fingerprints.content_hash
 
     def _record(self, stream: int, build: str) -> None:
         source = self._parts.builds
