--- a/bergamotthread/connection/http/upstream_connection.py
+++ b/bergamotthread/connection/http/upstream_connection.py
@@ -33,7 +33,8 @@
 # Bytes of an answer that are buffered before the socket is no longer read.
 BUFFERED_BYTES_MAX = 65_536
 # Bytes of an answer beside its body (heads, framing, other answers), added to
-# as many as its body has. Upstreams may send other bytes without end.
+# half of those of its body. Upstreams may send other bytes, and tiny chunks,
+# without end.
 OVERHEAD_BYTES_MAX = 65_536
 # Last requests of a connection that are not sent on it again. A copy of an
 # earlier answer has arrived by then.
@@ -221,6 +222,11 @@
             and not self._will_close
         )
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether more of the answer is still to arrive."""
+        return self._is_waiting
+
     @property
     def is_writing(self) -> bool:
         """Return whether a part of the request is still buffered here."""
@@ -320,7 +326,7 @@
     def _check_overhead(self) -> None:
         """Break the connection if too little of what arrives is an answer."""
         overhead = self._received_bytes - self._body_bytes
-        limit = OVERHEAD_BYTES_MAX + self._body_bytes
+        limit = OVERHEAD_BYTES_MAX + self._body_bytes // 2
         if self._is_waiting and overhead > limit:
             self._report_lost(
                 f'bytes that are no answer: {overhead} bytes beside the body, '
--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -217,6 +217,11 @@
             )
         return received
 
+    @property
+    def is_receiving(self) -> bool:
+        """Return whether more of the response is still to arrive."""
+        return self._connection is not None and self._connection.is_receiving
+
     def not_run_outcome(self, head: AnswerHead) -> NotRun | None:
         """Return `NotRun` if the head says that the request was not run."""
         has_not_run_header = (
@@ -319,6 +324,9 @@
         outcome: AttemptOutcome | None = None
         while outcome is None:
             remaining_ms = end_ms - clock.now_ms()
+            # Bytes without end would else be read beyond the timeout.
+            if remaining_ms <= 0 and self._attempt.is_receiving:
+                return OutOfTime()
             outcome = self.add(await self._attempt.receive(remaining_ms))
             if outcome is None:
                 await self._wait_for_room(end_ms)
--- a/bergamotthread/request/relay/events.py
+++ b/bergamotthread/request/relay/events.py
@@ -12,7 +12,7 @@
 # Bytes of events without a number that may follow one another.
 UNNUMBERED_BYTES_MAX = 65_536
 # Each of them counts as so many bytes at least, for the work that it takes.
-UNNUMBERED_BYTES_MIN = 16
+UNNUMBERED_BYTES_MIN = 64
 # Digits of a number of 64 bits; a longer one is not the number of an event.
 _EVENT_ID_DIGITS_MAX = 18
 
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 from dataclasses import replace
 
@@ -86,8 +85,13 @@
 STREAM_NO_UPSTREAM_RETRY_AFTER_MS = 500
 # Events of a run whose mean interval tells its pace.
 PACE_EVENTS = 8
-# Events that are forwarded before other calls have their turn.
-EVENTS_PER_TURN = 64
+# Bytes of an incomplete event that each stream may hold, also where the memory
+# for all callers is used up.
+PARTIAL_BYTES_MIN = 65_536
+# Events that are forwarded at once, and the pause before the next ones: other
+# calls have their turn beside streams that send events without end.
+EVENTS_PER_TURN = 128
+TURN_PAUSE_MS = 40
 _OK = 200
 
 
@@ -113,6 +117,7 @@
         self._attempt_build = ''
         self._forecast: EngineForecast | None = None
         self._run_ms: float = 0
+        self._partial_bytes = 0
         self._last_outcome = ''
         target_ms = call.route.first_event_target_ms
         received_ms = call.request.received_ms
@@ -366,6 +371,7 @@
 
     async def _relay(self, attempt: Attempt) -> AttemptOutcome:
         splitter = EventSplitter()
+        self._partial_bytes = 0
         head = await self._receive_next(attempt)
         if not isinstance(head, AnswerHead):
             return self._end_outcome(head, None, splitter)
@@ -380,6 +386,10 @@
                 events = splitter.feed(received.payload)
             except EventTooLongError as error:
                 return Broken(str(error))
+            if not self._hold_partial(splitter.partial_bytes):
+                return Broken(
+                    f'event of {splitter.partial_bytes} bytes, and no memory'
+                )
             part_outcome = await self._forward_events(attempt, events)
             if part_outcome is not None:
                 return part_outcome
@@ -390,6 +400,13 @@
             return await self._unframed_outcome(attempt, outcome)
         return outcome
 
+    def _hold_partial(self, partial_bytes: int) -> bool:
+        """Count an incomplete event; return whether it may go on."""
+        exchange = self._call.exchange
+        exchange.hold(partial_bytes - self._partial_bytes)
+        self._partial_bytes = partial_bytes
+        return partial_bytes <= PARTIAL_BYTES_MIN or exchange.has_room
+
     async def _unframed_outcome(
         self, attempt: Attempt, ended: StreamEnded
     ) -> AttemptOutcome:
@@ -452,7 +469,7 @@
         """Forward what a part completes; return an outcome to end with."""
         for start in range(0, len(events), EVENTS_PER_TURN):
             if start:
-                await asyncio.sleep(0)
+                await self._parts.clock.sleep_ms(TURN_PAUSE_MS)
             self._forward_turn(attempt, events[start : start + EVENTS_PER_TURN])
         clock = self._parts.clock
         began_ms = clock.now_ms()
--- a/tests/test_pieces_of_answers.py
+++ b/tests/test_pieces_of_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 
 from bergamotthread.clock import Clock
 from bergamotthread.connection.event_buffer import EVENT_BYTES_MAX
@@ -13,11 +14,19 @@
     READ_BYTES_MAX,
     UpstreamConnection,
 )
+from bergamotthread.request.relay.attempt import (
+    ROOM_CHECK_MS,
+    BufferedResponse,
+)
 from bergamotthread.request.relay.events import EventSplitter
-from bergamotthread.request.relay.stream_relay import EVENTS_PER_TURN
+from bergamotthread.request.relay.outcomes import OutOfTime
+from bergamotthread.request.relay.stream_relay import (
+    EVENTS_PER_TURN,
+    PARTIAL_BYTES_MIN,
+)
 from bergamotthread.testing.memory_http import run_in_memory
 from standins.platform_runner import MODEL
-from tests.test_unframed_answers import _chunked_head, _start
+from tests.test_unframed_answers import _chunked_head, _endless, _start
 
 PIECE_BYTES = 45
 # Rule CONFIG: requests are answered half a second after their limit at most.
@@ -78,3 +87,66 @@
         assert max(events_by_turn) <= EVENTS_PER_TURN
 
     run_in_memory(check())
+
+
+class _EndlessAttempt:
+    """Attempt whose next part has always arrived."""
+
+    is_receiving = True
+
+    def __init__(self, clock: Clock) -> None:
+        self.parts = SimpleNamespace(clock=clock)
+        exchange = SimpleNamespace(hold=lambda _: None, has_room=False)
+        self.call = SimpleNamespace(exchange=exchange)
+        self.read_bytes = 0
+
+    async def receive(self, timeout_ms: float) -> AnswerPart:
+        self.read_bytes += READ_BYTES_MAX
+        return AnswerPart(b'x' * READ_BYTES_MAX)
+
+
+# Guards against: answers without end that are read beyond the time and the
+# memory for all answers, each up to what one answer may take.
+def test_answer_without_end_is_read_no_longer_than_its_timeout():
+    async def check():
+        clock = Clock.from_loop(asyncio.get_running_loop())
+        attempt = _EndlessAttempt(clock)
+        outcome = await BufferedResponse(attempt).read(100)
+        assert outcome == OutOfTime()
+        assert clock.now_ms() <= 100 + ROOM_CHECK_MS
+        assert attempt.read_bytes <= READ_BYTES_MAX
+
+    run_in_memory(check())
+
+
+# Guards against: incomplete events that nobody counts, up to the longest one
+# for each stream.
+def test_incomplete_events_are_bounded_in_all():
+    memory_bytes = 4 * PARTIAL_BYTES_MIN
+    held_bytes = []
+
+    async def check():
+        script = _endless(_chunked_head, encode_chunk(b'x' * 2048))
+        deployment, _ = await _start(script, MODEL, others=0)
+        held = deployment.entries[0]._use.held
+        held.limit_bytes = memory_bytes
+        calls = [
+            asyncio.create_task(
+                deployment.call(
+                    f'/stream/{number}', method=b'POST', remaining_ms=3000
+                )
+            )
+            for number in range(8)
+        ]
+        while not all(call.done() for call in calls):
+            held_bytes.append(held.total_bytes)
+            await deployment.clock.sleep_ms(5)
+        assert any(
+            'and no memory' in event['detail']
+            for event in deployment.events('attempt')
+        )
+        assert held.total_bytes == 0
+
+    run_in_memory(check())
+    largest = 8 * PARTIAL_BYTES_MIN + EVENT_BYTES_MAX
+    assert memory_bytes < max(held_bytes) <= largest
