--- a/bergamotthread/process/relay/servers.py
+++ b/bergamotthread/process/relay/servers.py
@@ -33,7 +33,8 @@
 from bergamotthread.request.relay.stream_relay import StreamRelay
 
 LISTEN_BACKLOG = 1024
-# Target times of a plain request that must be left before the process ends.
+# Target times of a plain request that must be left before the process ends, as
+# long as the balancer sends connections.
 DRAIN_TARGETS_LEFT = 4
 # Least Retry-After of an entry whose machine is used up; callers come back to
 # another one.
@@ -112,13 +113,20 @@
             connection.close_idle(REQUEST_UNDER_WAY_MS)
 
     def _is_too_late(self, call: RelayedCall) -> bool:
-        """Return whether the process is likely to end before the answer."""
+        """Return whether the process is likely to end before the answer.
+
+        Once the balancer has stopped sending connections, the caller's next
+        attempt is at another entry, so only what is sure to end is taken.
+        """
         if self.is_ending:
             return True
         if call.route.is_stream:
             return self.life_cycle.refuses_streams
-        target_ms = call.route.first_event_target_ms * DRAIN_TARGETS_LEFT
-        return self.life_cycle.remaining_ms < min(target_ms, call.time_limit_ms)
+        needed_ms = call.time_limit_ms
+        if not self.life_cycle.is_out_of_rotation:
+            target_ms = call.route.first_event_target_ms * DRAIN_TARGETS_LEFT
+            needed_ms = min(target_ms, needed_ms)
+        return self.life_cycle.remaining_ms < needed_ms
 
     def _may_take(self, call: RelayedCall) -> bool:
         """Return whether the machine has room for a request.
--- a/tests/test_operator_faults.py
+++ b/tests/test_operator_faults.py
@@ -12,7 +12,15 @@
 import pytest
 
 from bergamotthread.testing.memory_http import run_in_memory
-from standins.platform_runner import MODEL, PLAIN, REQUEST_ID, SEAL, runner_row
+from standins.platform_runner import (
+    MODEL,
+    PLAIN,
+    REQUEST_ID,
+    SEAL,
+    manifest,
+    route_of,
+    runner_row,
+)
 from tests.platform_standins import Deployment
 from tests.test_unframed_answers import RAW_ADDRESS, RawRunner
 
@@ -462,3 +470,81 @@
         assert deployment.tasks[0].done()
 
     run_in_memory(check())
+
+
+class _Caller:
+    """Sends one request after another until nothing accepts its connection."""
+
+    def __init__(self, deployment: Deployment, *, keeps: bool) -> None:
+        self.deployment = deployment
+        self.keeps = keeps
+        self.statuses: dict[str, int] = {}
+
+    async def run(self, starts_after_ms: float) -> None:
+        await self.deployment.clock.sleep_ms(starts_after_ms)
+        connection = await self.deployment.connect()
+        while True:
+            encoded = self.deployment.request('/slow/x')
+            request_id = f'r{self.deployment._next_id}'
+            try:
+                connection.send(encoded, b'')
+            except ConnectionError:
+                return
+            answer = await self.deployment.read(connection)
+            if answer.is_whole:
+                self.statuses[request_id] = answer.status
+            await self.deployment.clock.sleep_ms(7)
+            if not self.keeps or not connection.is_reusable:
+                connection.close()
+                try:
+                    connection = await self.deployment.connect()
+                except ConnectionError:
+                    return
+
+
+# Guards against: requests that come late in the grace of a planned stop are
+# passed on and get no answer of their upstream, as the process ends.
+@pytest.mark.parametrize('work_ms', [20, 400, 900, 1400])
+def test_request_passed_on_in_a_planned_stop_gets_its_answer(work_ms):
+    async def check():
+        deployment = await Deployment.start()
+        for plain in deployment.plains:
+            plain.script.work_ms = work_ms
+        slow = route_of(
+            '/slow/',
+            'non_idempotent',
+            PLAIN,
+            timeout_ms=1500,
+            target_latency_ms=100,
+        )
+        deployment.store.put('op', 'config', manifest(2, routes=(slow,)))
+        await deployment.clock.sleep_ms(1000)
+        callers = [
+            _Caller(deployment, keeps=number % 2 == 0) for number in range(16)
+        ]
+        tasks = [
+            asyncio.create_task(caller.run(90 * number))
+            for number, caller in enumerate(callers)
+        ]
+        # Keeps the entry from ending before its grace is over.
+        for model in deployment.models:
+            model.script.events = 400
+        stream = asyncio.create_task(deployment.call('/stream/x'))
+        await deployment.clock.sleep_ms(2000)
+        deployment.entries[0].stop()
+        await deployment.tasks[0]
+        deployment.net.kill('10.1.0.1:8000')
+        await asyncio.wait([stream, *tasks])
+        statuses: dict[str, int] = {}
+        for caller in callers:
+            statuses |= caller.statuses
+        ran = {
+            seen.request_id.decode()
+            for plain in deployment.plains
+            for seen in plain.seen
+        }
+        assert ran
+        assert {statuses.get(one) for one in ran} == {200}
+        assert set(statuses.values()) <= {200, 503}
+
+    run_in_memory(check())
