--- a/bergamotthread/request/relay/attempt.py
+++ b/bergamotthread/request/relay/attempt.py
@@ -8,6 +8,7 @@
     AnswerItem,
     AnswerLost,
     AnswerPart,
+    Framing,
 )
 from bergamotthread.connection.http.upstream_connection import (
     UpstreamConnection,
@@ -217,6 +218,15 @@
             )
         return received
 
+    async def has_ended_whole(self, head: AnswerHead | None) -> bool:
+        """Return whether a response that has ended is whole.
+
+        Where only the close marks the end, a process that crashes marks it too.
+        """
+        if head is None or head.framing is not Framing.CLOSE:
+            return True
+        return await self.parts.crashes.is_listening(self.upstream)
+
     @property
     def is_receiving(self) -> bool:
         """Return whether more of the response is still to arrive."""
@@ -319,17 +329,10 @@
 
         After `OutOfTime`, another call goes on reading.
         """
-        clock = self._attempt.parts.clock
-        end_ms = clock.now_ms() + timeout_ms
-        outcome: AttemptOutcome | None = None
-        while outcome is None:
-            remaining_ms = end_ms - clock.now_ms()
-            # Bytes without end would else be read beyond the timeout.
-            if remaining_ms <= 0 and self._attempt.is_receiving:
-                return OutOfTime()
-            outcome = self.add(await self._attempt.receive(remaining_ms))
-            if outcome is None:
-                await self._wait_for_room(end_ms)
+        outcome = await self._read(timeout_ms)
+        is_answered = isinstance(outcome, Answered)
+        if is_answered and not await self._attempt.has_ended_whole(self._head):
+            return Broken('the response ended with its upstream')
         return outcome
 
     def add(self, received: AnswerItem | None) -> AttemptOutcome | None:
@@ -346,6 +349,20 @@
             case _:
                 return OutOfTime()
 
+    async def _read(self, timeout_ms: float) -> AttemptOutcome:
+        clock = self._attempt.parts.clock
+        end_ms = clock.now_ms() + timeout_ms
+        outcome: AttemptOutcome | None = None
+        while outcome is None:
+            remaining_ms = end_ms - clock.now_ms()
+            # Bytes without end would else be read beyond the timeout.
+            if remaining_ms <= 0 and self._attempt.is_receiving:
+                return OutOfTime()
+            outcome = self.add(await self._attempt.receive(remaining_ms))
+            if outcome is None:
+                await self._wait_for_room(end_ms)
+        return outcome
+
     async def _wait_for_room(self, end_ms: float) -> None:
         """Leave the rest at the upstream while too much is held in all."""
         clock = self._attempt.parts.clock
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -17,7 +17,6 @@
     AnswerItem,
     AnswerLost,
     AnswerPart,
-    Framing,
 )
 from bergamotthread.process.relay.choice import RelayPlacementRequest
 from bergamotthread.process.relay.engine_forecast import EngineForecast
@@ -395,9 +394,9 @@
                 return part_outcome
             received = await self._receive_next(attempt)
         outcome = self._end_outcome(received, head, splitter)
-        is_unframed = head.framing is Framing.CLOSE
-        if is_unframed and isinstance(outcome, StreamEnded):
-            return await self._unframed_outcome(attempt, outcome)
+        is_ended = isinstance(outcome, StreamEnded)
+        if is_ended and not await attempt.has_ended_whole(head):
+            return Broken('the stream ended with its upstream')
         return outcome
 
     def _hold_partial(self, partial_bytes: int) -> bool:
@@ -407,18 +406,6 @@
         self._partial_bytes = partial_bytes
         return partial_bytes <= PARTIAL_BYTES_MIN or exchange.has_room
 
-    async def _unframed_outcome(
-        self, attempt: Attempt, ended: StreamEnded
-    ) -> AttemptOutcome:
-        """Return the outcome of a stream whose end only the close marks.
-
-        A process that crashes between two events closes the connection too.
-        """
-        upstream = attempt.upstream
-        if await self._parts.crashes.is_listening(upstream):
-            return ended
-        return Broken('the stream ended with its upstream')
-
     def _forecast_attempt(
         self, placement: AttemptPlacement
     ) -> EngineForecast | None:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -112,6 +112,12 @@
     runner.net.factory_by_address.pop(RAW_ADDRESS)
 
 
+def _crash_in_answer(runner, transport, received):
+    transport.write(_unframed_head(received) + b'half of an ans')
+    runner.net.factory_by_address.pop(RAW_ADDRESS)
+    transport.close()
+
+
 async def _start(script, service: str, others: int = 1):
     """Start a deployment whose first choice is the raw runner."""
     deployment = await Deployment.start(models=0, plains=0)
@@ -152,6 +158,29 @@
     run_in_memory(check())
 
 
+# Guards against: a part of an answer without a length that is passed on as the
+# whole, as the kernel closes the connections of a process that has crashed.
+@pytest.mark.parametrize(
+    ('path', 'status', 'body'),
+    [('/once/x', 502, None), ('/any/x', 200, b'whole')],
+)
+def test_plain_answer_that_ends_with_its_upstream_is_not_whole(
+    path, status, body
+):
+    async def check():
+        deployment, raw = await _start(_crash_in_answer, PLAIN)
+        task = asyncio.create_task(deployment.call(path, method=b'POST'))
+        await deployment.clock.sleep_ms(20)
+        sound = await deployment.add_runner('sound', PLAIN, 'b-1')
+        sound.script.answer = b'whole'
+        answer = await task
+        assert answer.status == status
+        assert body in {None, answer.body}
+        assert SEAL in answer.headers or status == 502
+
+    run_in_memory(check())
+
+
 @pytest.mark.parametrize('script', [_cut_in_event, _crash_between_events])
 def test_stream_that_is_broken_off_without_framing_is_resumed(script):
     async def check():
