--- a/bergamotthread/connection/http/upstream_connection.py
+++ b/bergamotthread/connection/http/upstream_connection.py
@@ -157,6 +157,8 @@
         self._queue_item(
             AnswerHead(status, tuple(self._headers), self._framing)
         )
+        if self._has_no_body:
+            self._complete_answer()
 
     def on_body(self, payload: bytes) -> None:
         """Queue a part of the body."""
@@ -195,6 +197,7 @@
             raise ConnectionError(f'connection to {self.address} is closed')
         self._reset()
         self._is_waiting = True
+        self._has_no_body = encoded.startswith(b'HEAD ')
         self._request_id = request_id
         if request_id:
             self._sent_ids.append(request_id)
@@ -262,6 +265,7 @@
         self._is_unusable = False
         self._has_head = False
         self._will_close = False
+        self._has_no_body = False
 
     async def _wait(self, timeout_ms: float) -> None:
         loop = asyncio.get_running_loop()
--- a/bergamotthread/connection/http_engine.py
+++ b/bergamotthread/connection/http_engine.py
@@ -3,15 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 
 import msgspec
-from aiosonic import HTTPClient, TCPConnector
-from aiosonic.client import HttpResponse
-from aiosonic.exceptions import AiosonicError
-from aiosonic.timeout import Timeouts
 
+from bergamotthread.clock import Clock
 from bergamotthread.connection.engine_client import (
     EngineClient,
     EngineLostError,
@@ -19,22 +17,36 @@
     EngineRefusedError,
     GenerateRequest,
 )
-from bergamotthread.connection.http_service import CONNECT_ERRORS
+from bergamotthread.connection.event_buffer import EventBuffer
+from bergamotthread.connection.http.fetch import (
+    FetchRequest,
+    FetchResponse,
+    fetch,
+)
+from bergamotthread.connection.http.messages import (
+    AnswerEnd,
+    AnswerHead,
+    AnswerPart,
+    encode_request,
+)
+from bergamotthread.connection.http.upstream_connection import (
+    UpstreamConnection,
+)
+from bergamotthread.connection.http.upstream_pool import (
+    ConnectFailedError,
+    UpstreamPool,
+)
 from bergamotthread.errors import Step
 from bergamotthread.wire.messages import LoadReport, Pin
 
-CONNECT_TIMEOUT_S = 1
-STREAM_CONNECTIONS = 1
-CONTROL_CONNECTIONS = 4
+# Time for the answer to a load report or an order.
+CONTROL_TIMEOUT_MS = 10_000
+# Largest answer to a load report or an order.
+CONTROL_BYTES_MAX = 1_048_576
 
 _EVENT_PREFIX = b'data: '
-_EVENT_END = b'\n\n'
-_CONNECTION_ERRORS = (
-    AiosonicError,
-    OSError,
-    ValueError,
-    asyncio.IncompleteReadError,
-)
+_JSON = (b'content-type', b'application/json')
+_STREAM_ERRORS = (ConnectionError, ValueError)
 
 
 class OrderRequest(msgspec.Struct, frozen=True):
@@ -54,7 +66,7 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._client = _http_client(CONTROL_CONNECTIONS)
+        self._clock = Clock.from_system()
         self._decode = msgspec.json.Decoder(EngineOutput).decode
 
     async def generate(
@@ -66,89 +78,88 @@
         Each stream opens its own connection, because a kept connection may
         lead to an earlier process of the engine.
         """
-        async with _http_client(STREAM_CONNECTIONS) as client:
-            async for output in self._stream(client, request):
+        connection = await self._open_stream(request)
+        finished = False
+        try:
+            async for event in _read_events(connection):
+                output = self._decode(event)
+                finished = bool(output.finish)
                 yield output
+        except _STREAM_ERRORS as error:
+            raise self._lost_error(error) from error
+        finally:
+            connection.close()
+        if not finished:
+            raise self._lost_error('stream ended without a finish')
 
     async def load(self) -> LoadReport:
         """Return the engine's load report."""
         try:
-            response = await self._client.get(f'http://{self._address}/load')
-            body = await response.content()
-            return msgspec.json.decode(body, type=LoadReport)
-        except _CONNECTION_ERRORS as error:
+            response = await self._fetch(FetchRequest(b'GET', b'/load'))
+            return msgspec.json.decode(response.body, type=LoadReport)
+        except _STREAM_ERRORS as error:
             raise self._lost_error(error) from error
 
     async def order(self, action: str, pin: Pin, fence: int) -> bool:
         """Send an order; return whether the engine answered 200."""
         order = msgspec.json.encode(OrderRequest(action, pin, fence))
         try:
-            response = await self._client.post(
-                f'http://{self._address}/orders',
-                data=order,
+            response = await self._fetch(
+                FetchRequest(b'POST', b'/orders', order, (_JSON,))
             )
-        except _CONNECTION_ERRORS as error:
+        except ConnectionError as error:
             raise self._lost_error(error) from error
-        return bool(response.status_code == HTTPStatus.OK)
+        return response.status == HTTPStatus.OK
 
-    async def _stream(
-        self,
-        client: HTTPClient,
-        request: GenerateRequest,
-    ) -> AsyncIterator[EngineOutput]:
-        response = await self._open_stream(client, request)
-        finished = False
+    async def _fetch(self, request: FetchRequest) -> FetchResponse:
+        pool = UpstreamPool(self._clock, b'')
         try:
-            async for event in self._read_events(response):
-                output = self._decode(event)
-                finished = bool(output.finish)
-                yield output
-        except _CONNECTION_ERRORS as error:
-            raise self._lost_error(error) from error
+            return await fetch(
+                pool,
+                self._address,
+                request,
+                CONTROL_TIMEOUT_MS,
+                body_bytes_max=CONTROL_BYTES_MAX,
+            )
         finally:
-            await response.aclose()
-        if not finished:
-            raise self._lost_error('stream ended without a finish')
+            pool.close()
 
     async def _open_stream(
-        self,
-        client: HTTPClient,
-        request: GenerateRequest,
-    ) -> HttpResponse:
+        self, request: GenerateRequest
+    ) -> UpstreamConnection:
+        """Send the request; return the connection behind the head."""
+        encoded = encode_request(
+            b'POST',
+            b'/generate',
+            ((b'host', self._address.encode()), _JSON),
+            msgspec.json.encode(request),
+        )
         try:
-            response = await client.request(
-                f'http://{self._address}/generate',
-                method='POST',
-                data=msgspec.json.encode(request),
-                stream=True,
-            )
-        except CONNECT_ERRORS as error:
-            raise EngineRefusedError(
-                f'no connection: {error!r}',
-                step=Step.DISPATCH,
-                peer=self._address,
-            ) from error
-        except _CONNECTION_ERRORS as error:
+            pool = UpstreamPool(self._clock, b'')
+            connection = await pool.acquire(self._address)
+        except ConnectFailedError as error:
+            raise self._refused_error(str(error)) from error
+        try:
+            connection.send(encoded, b'')
+            head = await connection.receive(math.inf)
+        except ConnectionError as error:
+            connection.close()
             raise self._lost_error(error) from error
-        if response.status_code != HTTPStatus.OK:
-            await response.aclose()
-            raise EngineRefusedError(
-                f'engine answered {response.status_code}',
-                step=Step.DISPATCH,
-                peer=self._address,
-            )
-        return response
-
-    async def _read_events(
-        self, response: HttpResponse
-    ) -> AsyncIterator[bytes]:
-        pending = b''
-        async for chunk in response.read_chunks():
-            pending += chunk
-            *events, pending = pending.split(_EVENT_END)
-            for event in events:
-                if event.startswith(_EVENT_PREFIX):
-                    yield event[len(_EVENT_PREFIX) :]
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        if not isinstance(head, AnswerHead):
+            connection.close()
+            raise self._lost_error(head)
+        if head.status != HTTPStatus.OK:
+            connection.close()
+            raise self._refused_error(f'engine answered {head.status}')
+        return connection
+
+    def _refused_error(self, reason: str) -> EngineRefusedError:
+        return EngineRefusedError(
+            reason, step=Step.DISPATCH, peer=self._address
+        )
 
     def _lost_error(self, cause: object) -> EngineLostError:
         return EngineLostError(
@@ -158,18 +169,22 @@
         )
 
 
-def _http_client(connections: int) -> HTTPClient:
-    """Return a client with a pool of `connections`.
+async def _read_events(connection: UpstreamConnection) -> AsyncIterator[bytes]:
+    """Yield the data of each event.
 
-    The pool creates all its connections at once, so it is kept small.
+    Raises
+    ------
+    ConnectionError
+        If the connection breaks.
+    ValueError
+        If an event is too long.
     """
-    timeouts = Timeouts(
-        sock_connect=CONNECT_TIMEOUT_S,
-        sock_read=None,
-        request_timeout=None,
-    )
-    connector = TCPConnector(
-        timeouts=timeouts,
-        pool_configs={':default': {'size': connections}},
-    )
-    return HTTPClient(connector=connector)
+    buffer = EventBuffer()
+    received = await connection.receive(math.inf)
+    while isinstance(received, AnswerPart):
+        for event in buffer.feed(received.payload):
+            if event.startswith(_EVENT_PREFIX):
+                yield event[len(_EVENT_PREFIX) :].strip()
+        received = await connection.receive(math.inf)
+    if not isinstance(received, AnswerEnd):
+        raise ConnectionError(str(received))
--- a/bergamotthread/connection/http_service.py
+++ b/bergamotthread/connection/http_service.py
@@ -1,17 +1,22 @@
-"""HTTP client of a plain service.
+"""HTTP client of a plain service; it repeats nothing.
 
-The HTTP library retries a request with an idempotent method by itself when a
-kept connection drops. A `PUT` or `DELETE` call that must not be retried could
-then run twice, so each call uses its own client and connection.
+Each call has its own connection, since a kept one may have been dropped.
 """
 
 from __future__ import annotations
 
 import asyncio
 
-from aiosonic import HTTPClient, HttpResponse, Timeouts
-from aiosonic.exceptions import AiosonicError, ConnectTimeout
-
+from bergamotthread.clock import Clock
+from bergamotthread.connection.http.fetch import (
+    FetchRequest,
+    FetchResponse,
+    fetch,
+)
+from bergamotthread.connection.http.upstream_pool import (
+    ConnectFailedError,
+    UpstreamPool,
+)
 from bergamotthread.connection.service_client import (
     ServiceAnswer,
     ServiceClient,
@@ -21,16 +26,8 @@
 )
 from bergamotthread.errors import Step
 
-CONNECT_TIMEOUT_S = 1
 ANSWER_LIMIT_BYTES = 8_388_608
 _MS_PER_S = 1000
-_CONNECTION_ERRORS = (
-    AiosonicError,
-    OSError,
-    ValueError,
-    asyncio.IncompleteReadError,
-)
-CONNECT_ERRORS = (ConnectionRefusedError, ConnectTimeout)
 _HOP_HEADERS = frozenset(
     (
         'connection',
@@ -50,65 +47,57 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
+        self._clock = Clock.from_system()
 
     async def call(self, request: ServiceRequest) -> ServiceAnswer:
         """Send a call and return its answer."""
         try:
-            return await self._call(request)
-        except CONNECT_ERRORS as error:
+            async with asyncio.timeout(request.remaining_ms / _MS_PER_S):
+                response = await self._fetch(request)
+        except ConnectFailedError as error:
             raise ServiceUnreachableError(
                 f'no connection: {error!r}',
                 step=Step.DISPATCH,
                 peer=self._address,
             ) from error
-        except _CONNECTION_ERRORS as error:
+        except (OSError, TimeoutError) as error:
             raise ServiceLostError(
                 f'no answer: {error!r}',
                 step=Step.DISPATCH,
                 peer=self._address,
             ) from error
+        headers = tuple(
+            (name.decode('latin-1'), text.decode('latin-1'))
+            for name, text in response.headers
+        )
+        return ServiceAnswer(
+            response.status, _end_to_end(headers), response.body
+        )
 
     async def close(self) -> None:
         """Do nothing; every call closes its own connection."""
 
-    async def _call(self, request: ServiceRequest) -> ServiceAnswer:
-        async with HTTPClient() as client:
-            return await self._exchange(client, request)
-
-    async def _exchange(
-        self,
-        client: HTTPClient,
-        request: ServiceRequest,
-    ) -> ServiceAnswer:
-        remaining_s = request.remaining_ms / _MS_PER_S
-        response: HttpResponse = await client.request(
-            f'http://{self._address}{request.path}',
-            request.method,
-            headers=dict(_end_to_end(request.headers)),
-            data=request.body,
-            timeouts=Timeouts(
-                sock_connect=CONNECT_TIMEOUT_S,
-                sock_read=remaining_s,
-                pool_acquire=remaining_s,
-                request_timeout=remaining_s,
-            ),
-            max_decompressed_size=ANSWER_LIMIT_BYTES,
+    async def _fetch(self, request: ServiceRequest) -> FetchResponse:
+        headers = tuple(
+            (name.lower().encode('latin-1'), text.encode('latin-1'))
+            for name, text in _end_to_end(request.headers)
         )
-        return ServiceAnswer(
-            response.status_code,
-            _end_to_end(tuple(response.headers.items())),
-            await self._read(response),
-        )
-
-    async def _read(self, response: HttpResponse) -> bytes:
-        body = await response.content()
-        if len(body) > ANSWER_LIMIT_BYTES:
-            raise ServiceLostError(
-                f'answer of {len(body)} bytes, at most {ANSWER_LIMIT_BYTES}',
-                step=Step.DISPATCH,
-                peer=self._address,
+        pool = UpstreamPool(self._clock, b'')
+        try:
+            return await fetch(
+                pool,
+                self._address,
+                FetchRequest(
+                    request.method.encode(),
+                    request.path.encode(),
+                    request.body,
+                    headers,
+                ),
+                request.remaining_ms,
+                body_bytes_max=ANSWER_LIMIT_BYTES,
             )
-        return bytes(body)
+        finally:
+            pool.close()
 
 
 def _end_to_end(
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -280,3 +280,14 @@
     items, connection = _talk([WHOLE], before=unnamed)
     assert _body(items) == b'body'
     assert connection.is_reusable
+
+
+def test_answer_to_a_head_request_ends_with_its_head():
+    async def check(net, clock, pool):
+        connection = await pool.acquire(ADDRESS)
+        connection.send(b'HEAD / HTTP/1.1\r\n\r\n', b'r1')
+        connection.data_received(WHOLE.removesuffix(b'body'))
+        assert isinstance(await connection.receive(9), AnswerHead)
+        assert isinstance(await connection.receive(9), AnswerEnd)
+
+    _run_with_pool(check)
