--- a/bergamotthread/connection/http/upstream_pool.py
+++ b/bergamotthread/connection/http/upstream_pool.py
@@ -96,14 +96,28 @@
                 return connection
         return await self._open(address)
 
-    async def reach(self, address: str) -> Reachability:
-        """Open a connection to see whether something listens, and keep it."""
+    async def reach(
+        self, address: str, stays_open_ms: float = 0
+    ) -> Reachability:
+        """Open a connection to see whether something listens, and keep it.
+
+        Parameters
+        ----------
+        stays_open_ms
+            Time for which it must stay open. The kernel closes the sockets of a
+            process that ends one after another, and may accept a connection
+            between two.
+        """
         try:
             connection = await self._open(address)
         except ConnectFailedError as error:
             if isinstance(error.__cause__, ConnectionRefusedError):
                 return Reachability.REFUSED
             return Reachability.UNKNOWN
+        if stays_open_ms:
+            await self.clock.sleep_ms(stays_open_ms)
+        if not connection.is_open:
+            return Reachability.REFUSED
         self.release(connection)
         return Reachability.LISTENING
 
--- a/bergamotthread/process/relay/crash_watch.py
+++ b/bergamotthread/process/relay/crash_watch.py
@@ -29,6 +29,8 @@
 # connection by up to 60 ms; another entry tells of it 50 ms and a round trip
 # between regions later.
 SIMULTANEOUS_MS = 250
+# Time for which a new connection stays open if its upstream has not ended.
+STAYS_OPEN_MS = 40
 # Time from the first event on for which an attempt must run to count as sound;
 # crashes follow the first event within a tenth of a second.
 PROGRESS_MIN_MS = 500
@@ -72,11 +74,12 @@
     Parameters
     ----------
     connect
-        Opens a connection to an address to see whether something listens.
+        Opens a connection to an address to see whether something listens, and
+        whether it stays open for so many milliseconds.
     """
 
     guard: PoisonGuard
-    connect: Callable[[str], Awaitable[Reachability]]
+    connect: Callable[[str, float], Awaitable[Reachability]]
     listener: CrashListener
     log: DecisionLog
     metrics: RelayMetrics
@@ -151,13 +154,13 @@
 
     async def is_listening(self, upstream: Upstream) -> bool:
         """Return whether something listens at the address of an upstream."""
-        reachability = await self.connect(upstream.address)
+        reachability = await self.connect(upstream.address, STAYS_OPEN_MS)
         return reachability is Reachability.LISTENING
 
     async def _check(self, upstream: Upstream) -> None:
         record = upstream.record
         try:
-            reachability = await self.connect(record.address)
+            reachability = await self.connect(record.address, 0)
         finally:
             runs = self._broken_runs_by_instance.pop(record.instance)
         if reachability is Reachability.REFUSED:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import TypeVar
 
 from soak.deployment import EntryNode, RunnerNode, SoakDeployment
@@ -20,6 +21,8 @@
 # probes each second and removes a process after two failed probes.
 BALANCER_REMOVAL_S = 2.0
 OUT_AFTER_KILL_S = 0.5
+# Time for which all entries are away at once.
+ALL_DOWN_S = 0.5
 LATE_STORE_MS = 700
 HELD_FRACTION = 0.1
 # Time until connections that a held entry opens are held too.
@@ -100,6 +103,16 @@
     await _start_entry(soak, entry)
 
 
+async def _kill_entries(
+    soak: SoakDeployment, entry: EntryNode, fault: Fault
+) -> None:
+    """Kill all entries at once, and start them anew."""
+    kill = replace(fault, kind=FaultKind.KILL_ENTRY, for_s=ALL_DOWN_S)
+    await asyncio.gather(
+        *(_strike_node(soak, one, kill, _kill_entry) for one in soak.entries)
+    )
+
+
 async def _stop_entry(
     soak: SoakDeployment, entry: EntryNode, fault: Fault
 ) -> None:
@@ -207,6 +220,7 @@
 
 _ON_ENTRY: dict[FaultKind, _OnEntry] = {
     FaultKind.KILL_ENTRY: _kill_entry,
+    FaultKind.KILL_ENTRIES: _kill_entries,
     FaultKind.STOP_ENTRY: _stop_entry,
     FaultKind.PAUSE_ENTRY: _pause_entry,
     FaultKind.RELOAD_ENTRY: _reload_entry,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,6 +12,7 @@
     """Kind of fault of a process, its connections or the configuration."""
 
     KILL_ENTRY = 'kill-entry'
+    KILL_ENTRIES = 'kill-entries'
     STOP_ENTRY = 'stop-entry'
     PAUSE_ENTRY = 'pause-entry'
     RELOAD_ENTRY = 'reload-entry'
@@ -60,6 +61,7 @@
 _OF_ENTRIES = frozenset(
     (
         FaultKind.KILL_ENTRY,
+        FaultKind.KILL_ENTRIES,
         FaultKind.STOP_ENTRY,
         FaultKind.PAUSE_ENTRY,
         FaultKind.RELOAD_ENTRY,
@@ -71,6 +73,7 @@
 _DRAWN_APART = frozenset(
     (
         FaultKind.CRASH_RUNNERS,
+        FaultKind.KILL_ENTRIES,
         FaultKind.LIMIT_RUNNER,
         FaultKind.ROLL_OUT,
         FaultKind.SLOW_CALLERS,
@@ -83,6 +86,7 @@
 # Name of the draw of each kind that is drawn apart.
 _DRAWS = {
     FaultKind.CRASH_RUNNERS: 'crashes',
+    FaultKind.KILL_ENTRIES: 'kills',
     FaultKind.LIMIT_RUNNER: 'limits',
     FaultKind.SLOW_CALLERS: 'slow callers',
     FaultKind.ROLL_OUT: 'roll-outs',
--- a/tests/test_upstream_connection.py
+++ b/tests/test_upstream_connection.py
@@ -20,6 +20,7 @@
 )
 from bergamotthread.connection.http.upstream_pool import (
     ConnectFailedError,
+    Reachability,
     UpstreamPool,
 )
 from bergamotthread.testing.memory_http import memory_network, run_in_memory
@@ -291,3 +292,27 @@
         assert isinstance(await connection.receive(9), AnswerEnd)
 
     _run_with_pool(check)
+
+
+class _Ending(asyncio.Protocol):
+    """Process that ends while it still accepts a connection."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        net = memory_network()
+        net.loop.call_later(0.01, net.kill, ADDRESS)
+
+
+# Guards against: a cut answer that looks whole as the process that wrote it has
+# not closed its listening socket yet.
+def test_process_that_is_ending_does_not_count_as_listening():
+    async def check():
+        net = memory_network()
+        clock = Clock.from_loop(net.loop)
+        pool = UpstreamPool(clock, ECHO)
+        net.listen(_Ending, ADDRESS)
+        assert await pool.reach(ADDRESS, 40) is Reachability.REFUSED
+        net.listen(lambda: Scripted([WHOLE], ''), ADDRESS)
+        assert await pool.reach(ADDRESS, 40) is Reachability.LISTENING
+        pool.close()
+
+    run_in_memory(check())
