--- a/bergamotthread/platform/crash_parts.py
+++ b/bergamotthread/platform/crash_parts.py
@@ -16,6 +16,7 @@
 from bergamotthread.process.relay.decision_log import DecisionLog
 from bergamotthread.process.relay.feed_sources import FeedSources
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
+from bergamotthread.process.relay.upstreams import UpstreamDirectory
 
 
 @dataclass(frozen=True)
@@ -35,13 +36,16 @@
         log: DecisionLog,
         metrics: RelayMetrics,
         rng: random.Random,
+        directory: UpstreamDirectory,
     ) -> CrashParts:
         """Return components that use the connections of an entry."""
         clock = pool.clock
         relay = PoisonRelay(clock, PeerMessages(pool), feeds, log, metrics, rng)
         rows = PoisonRows(clock, store, relay, log)
         relay.rows = rows
-        watch = CrashWatch(relay.guard, pool.reach, relay, log, metrics)
+        watch = CrashWatch(
+            relay.guard, pool.reach, relay, log, metrics, directory
+        )
         return cls(watch, relay, rows)
 
     @property
--- a/bergamotthread/platform/entry.py
+++ b/bergamotthread/platform/entry.py
@@ -310,6 +310,7 @@
             self._log,
             metrics,
             self._rng,
+            self._directory,
         )
         pauses = PauseRecorder(self._directory, self._log, metrics)
         limits = LimitNotices(
--- a/bergamotthread/process/poison/death_log.py
+++ b/bergamotthread/process/poison/death_log.py
@@ -17,6 +17,8 @@
 
 DEATH_RETENTION_MS = 3_600_000
 DEATHS_MAX = 4096
+# Deaths of silent upstreams are known, and then recorded, so much later.
+TOLD_LATE_MS = 20_000
 # Deaths without a quarantined part that show that it was not the cause of the
 # others either.
 UNTIED_DEATHS_MIN = 2
@@ -307,9 +309,9 @@
         window_ms = self.correlation.window_ms
         count = 0
         for other in reversed(self._death_by_id.values()):
-            if other.at_ms < death.at_ms - window_ms:
+            if other.at_ms < death.at_ms - window_ms - TOLD_LATE_MS:
                 break
-            count += other.at_ms <= death.at_ms + window_ms
+            count += abs(other.at_ms - death.at_ms) <= window_ms
         return count
 
     def _is_correlated(self, fingerprint: int, death: Death) -> bool:
--- a/bergamotthread/process/poison/guard.py
+++ b/bergamotthread/process/poison/guard.py
@@ -274,6 +274,7 @@
         agent: str,
         failure_domain: str,
         death_id: int | None = None,
+        at_ms: float | None = None,
     ) -> DeathNotice:
         """Charge the death of an upstream to the requests that ran on it.
 
@@ -286,6 +287,8 @@
         death_id
             Identifier by which several processes name the same death; a new
             one if None.
+        at_ms
+            Monotonic time of the death, if it is known only later.
         """
         attempts = self._attempts_by_agent.pop(agent, {}).values()
         begun = [attempt for attempt in attempts if attempt.has_begun]
@@ -298,7 +301,7 @@
         suspects = counted or waiting or progressed
         death = Death(
             failure_domain,
-            now_ms,
+            now_ms if at_ms is None else at_ms,
             _hashes_of(counted),
             _hashes_of(waiting),
             min((one.sent_ms for one in suspects), default=now_ms),
--- a/bergamotthread/process/relay/crash_watch.py
+++ b/bergamotthread/process/relay/crash_watch.py
@@ -2,7 +2,9 @@
 
 A broken answer alone does not show it: upstreams also spoil single answers, and
 connections are reset on the way. Nothing listens at the address of a process
-that has ended, so a new connection is refused.
+that has ended, so a new connection is refused. A process that falls silent, or
+something before it, may go on to accept connections; it has crashed if it is
+not heard again before another incarnation replaces it.
 """
 
 from __future__ import annotations
@@ -22,8 +24,13 @@
     SimultaneousDeaths,
 )
 from bergamotthread.process.relay.decision_log import DecisionLog
+from bergamotthread.process.relay.liveness import STREAM_SILENCE_MS
 from bergamotthread.process.relay.relay_metrics import RelayMetrics
-from bergamotthread.process.relay.upstreams import Upstream, UpstreamRecord
+from bergamotthread.process.relay.upstreams import (
+    Upstream,
+    UpstreamDirectory,
+    UpstreamRecord,
+)
 
 # Deaths closer than this count once against a request. Links delay the end of a
 # connection by up to 60 ms; another entry tells of it 50 ms and a round trip
@@ -31,6 +38,10 @@
 SIMULTANEOUS_MS = 250
 # Time for which a new connection stays open if its upstream has not ended.
 STAYS_OPEN_MS = 40
+# Time for which an upstream that has fallen silent is watched, and the pause
+# between two looks.
+SILENT_WATCH_MS = 10_000
+SILENT_LOOK_MS = 100
 # Time from the first event on for which an attempt must run to count as sound;
 # crashes follow the first event within a tenth of a second.
 PROGRESS_MIN_MS = 500
@@ -51,6 +62,10 @@
 )
 
 
+REFUSES = 'its answers broke off and it refuses connections'
+REPLACED = 'it fell silent and another incarnation has replaced it'
+
+
 class CrashListener(QuarantineSink):
     """Receiver of what this process learns of crashes."""
 
@@ -83,6 +98,7 @@
     listener: CrashListener
     log: DecisionLog
     metrics: RelayMetrics
+    directory: UpstreamDirectory
     _broken_runs_by_instance: dict[str, set[str]] = field(default_factory=dict)
     _tasks: BackgroundTasks = field(default_factory=BackgroundTasks)
 
@@ -159,20 +175,55 @@
 
     async def _check(self, upstream: Upstream) -> None:
         record = upstream.record
+        heard_ms = upstream.heard_ms
         try:
-            reachability = await self.connect(record.address, 0)
+            reason = await self._crash_reason(upstream)
         finally:
             runs = self._broken_runs_by_instance.pop(record.instance)
-        if reachability is Reachability.REFUSED:
-            self._record_crash(upstream)
+        if reason:
+            self._record_crash(upstream, heard_ms, reason)
             return
         for run in runs:
             self.guard.record_end(record.instance, run, completed=False)
 
-    def _record_crash(self, upstream: Upstream) -> None:
+    async def _crash_reason(self, upstream: Upstream) -> str:
+        """Return how it is known that an upstream crashed; empty if it is not.
+
+        One that was heard lately is alive if it accepts a connection.
+        """
+        record = upstream.record
+        heard_ms = upstream.heard_ms
+        runs = self._broken_runs_by_instance[record.instance]
+        runs_seen = 0
+        end_ms = self.guard.clock.now_ms() + SILENT_WATCH_MS
+        while self.guard.clock.now_ms() < end_ms:
+            if len(runs) > runs_seen:
+                runs_seen = len(runs)
+                reachability = await self.connect(record.address, 0)
+                if reachability is Reachability.REFUSED:
+                    return REFUSES
+            silent_ms = self.guard.clock.now_ms() - heard_ms
+            if silent_ms < STREAM_SILENCE_MS:
+                return ''
+            is_replaced = self.directory.is_replaced(record)
+            if is_replaced or upstream.is_restarted:
+                return REPLACED
+            if upstream.heard_ms > heard_ms:
+                return ''
+            await self.guard.clock.sleep_ms(SILENT_LOOK_MS)
+        return ''
+
+    def _record_crash(
+        self, upstream: Upstream, heard_ms: float, reason: str
+    ) -> None:
+        """Record a crash; a silent upstream crashed when it was last heard."""
         record = upstream.record
+        now_ms = self.guard.clock.now_ms()
         notice = self.guard.record_death(
-            record.instance, record.failure_domain, _death_id(record)
+            record.instance,
+            record.failure_domain,
+            _death_id(record),
+            heard_ms if reason == REPLACED else now_ms,
         )
         self.metrics.upstream_crashes.increment()
         self.log.write(
@@ -183,7 +234,7 @@
             running=_labels(notice.running),
             waiting=_labels(notice.waiting),
             progressed=_labels(notice.progressed),
-            detail='its answers broke off and it refuses connections',
+            detail=reason,
         )
         if not notice.is_empty:
             self.listener.upstream_crashed(notice)
--- a/bergamotthread/process/relay/upstreams.py
+++ b/bergamotthread/process/relay/upstreams.py
@@ -324,6 +324,14 @@
         """Return one upstream, or None if it is not listed."""
         return self._upstream_by_instance.get(instance)
 
+    def is_replaced(self, record: UpstreamRecord) -> bool:
+        """Return whether a later process is listed at an upstream's address."""
+        return any(
+            one.record.address == record.address
+            and one.record.started_ms > record.started_ms
+            for one in self._upstream_by_instance.values()
+        )
+
     def update(self, record: UpstreamRecord) -> Upstream | None:
         """Add or update an upstream; return the one that it replaces.
 
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -195,6 +195,7 @@
         self.address = address
         self.script = RunnerScript()
         self.seen: list[Seen] = []
+        self.born = 0
         self.crash_ms: list[float] = []
         self.reports = 0
         self.arrivals: list[tuple[float, bytes]] = []
@@ -220,6 +221,8 @@
                 'in_flight': 0,
                 'kv_total': 88_000,
             }
+            if self.born:
+                report['born'] = self.born
             exchange.respond(200, marks, json.dumps(report).encode())
             return
         if request.target == b'/api/kv-list':
--- a/tests/test_relayed_poison.py
+++ b/tests/test_relayed_poison.py
@@ -125,6 +125,31 @@
     run_in_memory(check())
 
 
+# Guards against: a request whose upstreams fall silent in place of refusing
+# connections is sent on and on.
+@pytest.mark.parametrize('crash_ms', [100, 300, 700])
+def test_request_that_silences_upstreams_is_soon_sent_to_no_more(crash_ms):
+    async def check():
+        deployment = await _start(models=8)
+        for runner in deployment.models:
+            runner.falls_silent = True
+            runner.script.event_ms = 100
+            runner.script.events = 80
+            runner.script.crash_events = crash_ms // 100
+        statuses = []
+        for front in itertools.islice(_fronts(deployment), 10):
+            answer = await deployment.call(
+                f'/stream/poison-{MARK.decode()}', front, method=b'POST'
+            )
+            statuses.append(answer.status)
+            await deployment.clock.sleep_ms(2000)
+        assert len(_crashes(deployment.models)) >= CRASHES
+        assert _sent_after(deployment.models, CRASHES) <= SENT_MAX
+        assert set(statuses[-5:]) == {503}
+
+    run_in_memory(check())
+
+
 async def _crash_until_quarantined(deployment: Deployment, path: str) -> None:
     for front in itertools.islice(_fronts(deployment), 12):
         await deployment.call(path, front, method=b'GET')
