--- a/bergamotthread/platform/build_rows.py
+++ b/bergamotthread/platform/build_rows.py
@@ -12,8 +12,9 @@
 import math
 import struct
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from itertools import chain
 
 import msgspec
 from absl import logging
@@ -44,11 +45,14 @@
 RETRY_MS = 1000
 # Age up to which rows that were read are used again.
 READ_AGE_MAX_MS = 1000
+# Time within which all entries write their rows when builds come or go: as long
+# as a build counts after its last upstream has left, and the pause of writes.
+ROWS_APART_MS = 2 * STREAM_MAX_MS
 _AGE_UNIT_MS = 200
 _STREAM = struct.Struct('<QB')
 
 
-class _BuildRow(msgspec.Struct, frozen=True):
+class BuildRow(msgspec.Struct, frozen=True):
     """Builds as one entry knows them; `written_ms` is calendar time.
 
     `streams_by_build` packs the key of each stream and its age.
@@ -67,7 +71,7 @@
 
 
 @dataclass(frozen=True)
-class _StoredBuilds:
+class StoredBuilds:
     """What all rows say.
 
     Parameters
@@ -81,24 +85,17 @@
     builds_by_service: dict[str, set[str]]
 
     @classmethod
-    def from_rows(
-        cls, rows: Iterable[_BuildRow], now_ms: float
-    ) -> _StoredBuilds:
+    def from_rows(cls, rows: Iterable[BuildRow], now_ms: float) -> StoredBuilds:
         """Join rows; streams that are over by calendar time are left out."""
+        rows = tuple(rows)
         build_by_stream: dict[int, str] = {}
         ambiguous: set[int] = set()
-        builds_by_service: defaultdict[str, set[str]] = defaultdict(set)
-        for row in rows:
-            for service, builds in row.builds_by_service.items():
-                builds_by_service[service].update(builds)
-            for stream, build, begun_ms in _unpack(row):
-                if now_ms - begun_ms > STREAM_MAX_MS:
-                    continue
-                if build_by_stream.setdefault(stream, build) != build:
-                    ambiguous.add(stream)
-        return cls(
-            build_by_stream, frozenset(ambiguous), dict(builds_by_service)
-        )
+        for stream, build, begun_ms in chain.from_iterable(map(_unpack, rows)):
+            if now_ms - begun_ms > STREAM_MAX_MS:
+                continue
+            if build_by_stream.setdefault(stream, build) != build:
+                ambiguous.add(stream)
+        return cls(build_by_stream, frozenset(ambiguous), _join_builds(rows))
 
 
 @dataclass
@@ -114,9 +111,9 @@
     _former_until_ms: float = -math.inf
     _has_new_streams: bool = False
     _written: dict[str, tuple[str, ...]] = field(default_factory=dict)
-    _stored: _StoredBuilds | None = None
+    _stored: StoredBuilds | None = None
     _read_ms: float = -math.inf
-    _reading: asyncio.Task[_StoredBuilds | None] | None = None
+    _reading: asyncio.Task[StoredBuilds | None] | None = None
 
     @property
     def clock(self) -> Clock:
@@ -172,7 +169,7 @@
             rows = await self._read_rows()
         now_ms = self.clock.now_ms()
         calendar_ms = self.clock.calendar_ms()
-        stored = _StoredBuilds.from_rows(rows.values(), calendar_ms)
+        stored = StoredBuilds.from_rows(rows.values(), calendar_ms)
         self._former_by_service = stored.builds_by_service
         self._former_until_ms = now_ms + STREAM_MAX_MS
         own = rows.get(self.feeds.own_host)
@@ -206,7 +203,7 @@
         else:
             self._written = seen
 
-    def _row(self, seen: dict[str, tuple[str, ...]]) -> _BuildRow:
+    def _row(self, seen: dict[str, tuple[str, ...]]) -> BuildRow:
         now_ms = self.clock.now_ms()
         streams_by_build: defaultdict[str, bytearray] = defaultdict(bytearray)
         latest = tuple(self._saved_by_stream.items())[-SAVED_MAX:]
@@ -214,7 +211,7 @@
             if len(seen.get(saved.service, ())) != 1:
                 age = int((now_ms - saved.begun_ms) // _AGE_UNIT_MS)
                 streams_by_build[saved.build] += _STREAM.pack(stream, age)
-        return _BuildRow(
+        return BuildRow(
             self.clock.calendar_ms(),
             seen,
             {
@@ -239,7 +236,7 @@
         for stream in over:
             saved.pop(stream)
 
-    async def _read_recent(self, timeout_ms: float) -> _StoredBuilds | None:
+    async def _read_recent(self, timeout_ms: float) -> StoredBuilds | None:
         """Return what the rows say; calls at the same time share one read."""
         if self.clock.now_ms() - self._read_ms <= READ_AGE_MAX_MS:
             return self._stored
@@ -252,20 +249,20 @@
         except TimeoutError:
             return None
 
-    async def _read(self) -> _StoredBuilds | None:
+    async def _read(self) -> StoredBuilds | None:
         try:
             rows = await self._read_rows()
         finally:
             self._reading = None
         if rows is None:
             return None
-        self._stored = _StoredBuilds.from_rows(
+        self._stored = StoredBuilds.from_rows(
             rows.values(), self.clock.calendar_ms()
         )
         self._read_ms = self.clock.now_ms()
         return self._stored
 
-    async def _read_rows(self) -> dict[str, _BuildRow] | None:
+    async def _read_rows(self) -> dict[str, BuildRow] | None:
         """Return the valid rows by host; None if the store can't be read."""
         try:
             read = await self.store.read_rows(BUILD_TABLE)
@@ -276,9 +273,9 @@
         return {host: row for host, row in decoded if row is not None}
 
 
-def _decode(stored: StoredRow) -> _BuildRow | None:
+def _decode(stored: StoredRow) -> BuildRow | None:
     try:
-        row = msgspec.msgpack.decode(stored.payload or b'', type=_BuildRow)
+        row = msgspec.msgpack.decode(stored.payload or b'', type=BuildRow)
     except msgspec.MsgspecError as error:
         logging.warning('row of builds of %s is ignored: %s', stored.key, error)
         return None
@@ -286,7 +283,22 @@
     return None if any(size % _STREAM.size for size in sizes) else row
 
 
-def _unpack(row: _BuildRow) -> Iterable[tuple[int, str, float]]:
+def _join_builds(rows: Sequence[BuildRow]) -> dict[str, set[str]]:
+    """Return the builds of each service that the rows of current hosts name.
+
+    All entries write when builds come or go. A row that is older than the last
+    such change is of a host that is gone.
+    """
+    newest_ms = max((row.written_ms for row in rows), default=0)
+    joined: defaultdict[str, set[str]] = defaultdict(set)
+    for row in rows:
+        if row.written_ms >= newest_ms - ROWS_APART_MS:
+            for service, builds in row.builds_by_service.items():
+                joined[service].update(builds)
+    return dict(joined)
+
+
+def _unpack(row: BuildRow) -> Iterable[tuple[int, str, float]]:
     """Yield each stream with its build and the calendar time of its begin."""
     for build, packed in row.streams_by_build.items():
         for stream, age in _STREAM.iter_unpack(packed):
--- a/bergamotthread/request/relay/stream_relay.py
+++ b/bergamotthread/request/relay/stream_relay.py
@@ -482,7 +482,7 @@
         for event in events:
             progress += self._is_progress(event)
             self._build.record_event(attempt.upstream)
-            if self._is_new(event):
+            if self._accept(event):
                 forwarded += event.payload
         if progress:
             self._record_events(attempt, progress)
@@ -601,8 +601,8 @@
             self._call.exchange.start(_OK, headers)
         return None
 
-    def _is_new(self, event: StreamEvent) -> bool:
-        """Count an event that is forwarded; False if the caller has it."""
+    def _accept(self, event: StreamEvent) -> bool:
+        """Count an event to be forwarded; return False if the caller has it."""
         last_event = self._last_event
         if event.event_id is not None:
             if last_event is not None and event.event_id <= last_event:
--- a/tests/test_stream_builds.py
+++ b/tests/test_stream_builds.py
@@ -11,6 +11,7 @@
 import pytest
 
 from bergamotthread.clock import Clock
+from bergamotthread.platform.build_rows import BuildRow, StoredBuilds
 from bergamotthread.process.relay.stream_builds import (
     KnownBuild,
     StreamBuilds,
@@ -314,6 +315,18 @@
     run_in_memory(check())
 
 
+# Guards against: streams refused after a start of all entries for the builds of
+# a host that is gone.
+def test_row_of_a_host_that_is_gone_names_no_build():
+    gone = BuildRow(1_000_000, {'a': ('v1',)}, {})
+    current = [
+        BuildRow(9_000_000 + late_ms, {'a': builds}, {})
+        for late_ms, builds in ((0, ('v2',)), (31_000, ('v2', 'v3')))
+    ]
+    stored = StoredBuilds.from_rows([gone, *current], 9_100_000)
+    assert stored.builds_by_service == {'a': {'v2', 'v3'}}
+
+
 def _end_entry(deployment: Deployment, number: int) -> None:
     deployment.tasks[number - 1].cancel()
     for port in (7000, 7001, 8000, 8001):
