--- a/bergamotthread/connection/http/fetch.py
+++ b/bergamotthread/connection/http/fetch.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bergamotthread.clock import Clock
 from bergamotthread.connection.http.messages import (
     AnswerEnd,
     AnswerHead,
@@ -99,6 +100,26 @@
         pool.release(connection)
 
 
+async def fetch_once(
+    clock: Clock,
+    address: str,
+    request: FetchRequest,
+    timeout_ms: float,
+    body_bytes_max: int = FETCH_BODY_BYTES_MAX,
+) -> FetchResponse:
+    """Send a request on a connection of its own; see `fetch`.
+
+    A kept connection may have been dropped, or lead to an earlier process.
+    """
+    pool = UpstreamPool(clock, b'')
+    try:
+        return await fetch(
+            pool, address, request, timeout_ms, body_bytes_max=body_bytes_max
+        )
+    finally:
+        pool.close()
+
+
 async def _read(
     connection: UpstreamConnection,
     timeout_ms: float,
--- a/bergamotthread/connection/http_engine.py
+++ b/bergamotthread/connection/http_engine.py
@@ -21,7 +21,7 @@
 from bergamotthread.connection.http.fetch import (
     FetchRequest,
     FetchResponse,
-    fetch,
+    fetch_once,
 )
 from bergamotthread.connection.http.messages import (
     AnswerEnd,
@@ -112,17 +112,13 @@
         return response.status == HTTPStatus.OK
 
     async def _fetch(self, request: FetchRequest) -> FetchResponse:
-        pool = UpstreamPool(self._clock, b'')
-        try:
-            return await fetch(
-                pool,
-                self._address,
-                request,
-                CONTROL_TIMEOUT_MS,
-                body_bytes_max=CONTROL_BYTES_MAX,
-            )
-        finally:
-            pool.close()
+        return await fetch_once(
+            self._clock,
+            self._address,
+            request,
+            CONTROL_TIMEOUT_MS,
+            CONTROL_BYTES_MAX,
+        )
 
     async def _open_stream(
         self, request: GenerateRequest
--- a/bergamotthread/connection/http_service.py
+++ b/bergamotthread/connection/http_service.py
@@ -11,12 +11,9 @@
 from bergamotthread.connection.http.fetch import (
     FetchRequest,
     FetchResponse,
-    fetch,
-)
-from bergamotthread.connection.http.upstream_pool import (
-    ConnectFailedError,
-    UpstreamPool,
+    fetch_once,
 )
+from bergamotthread.connection.http.upstream_pool import ConnectFailedError
 from bergamotthread.connection.service_client import (
     ServiceAnswer,
     ServiceClient,
@@ -82,22 +79,18 @@
             (name.lower().encode('latin-1'), text.encode('latin-1'))
             for name, text in _end_to_end(request.headers)
         )
-        pool = UpstreamPool(self._clock, b'')
-        try:
-            return await fetch(
-                pool,
-                self._address,
-                FetchRequest(
-                    request.method.encode(),
-                    request.path.encode(),
-                    request.body,
-                    headers,
-                ),
-                request.remaining_ms,
-                body_bytes_max=ANSWER_LIMIT_BYTES,
-            )
-        finally:
-            pool.close()
+        return await fetch_once(
+            self._clock,
+            self._address,
+            FetchRequest(
+                request.method.encode(),
+                request.path.encode(),
+                request.body,
+                headers,
+            ),
+            request.remaining_ms,
+            ANSWER_LIMIT_BYTES,
+        )
 
 
 def _end_to_end(
--- a/bergamotthread/process/poison/guard.py
+++ b/bergamotthread/process/poison/guard.py
@@ -292,10 +292,10 @@
         """
         attempts = self._attempts_by_agent.pop(agent, {}).values()
         begun = [attempt for attempt in attempts if attempt.has_begun]
-        progressed = []
+        counted, progressed = begun, []
         if not self.limits.counts_progressed:
+            counted = [one for one in begun if not self._has_progressed(one)]
             progressed = list(filter(self._has_progressed, begun))
-        counted = [one for one in begun if one not in progressed]
         waiting = [attempt for attempt in attempts if not attempt.has_begun]
         now_ms = self.clock.now_ms()
         suspects = counted or waiting or progressed
--- a/bergamotthread/process/relay/crash_watch.py
+++ b/bergamotthread/process/relay/crash_watch.py
@@ -177,7 +177,7 @@
         record = upstream.record
         heard_ms = upstream.heard_ms
         try:
-            reason = await self._crash_reason(upstream)
+            reason = await self._crash_reason(upstream, heard_ms)
         finally:
             runs = self._broken_runs_by_instance.pop(record.instance)
         if reason:
@@ -186,13 +186,17 @@
         for run in runs:
             self.guard.record_end(record.instance, run, completed=False)
 
-    async def _crash_reason(self, upstream: Upstream) -> str:
+    async def _crash_reason(self, upstream: Upstream, heard_ms: float) -> str:
         """Return how it is known that an upstream crashed; empty if it is not.
 
         One that was heard lately is alive if it accepts a connection.
+
+        Parameters
+        ----------
+        heard_ms
+            Monotonic time at which it was last heard before its answer broke.
         """
         record = upstream.record
-        heard_ms = upstream.heard_ms
         runs = self._broken_runs_by_instance[record.instance]
         runs_seen = 0
         end_ms = self.guard.clock.now_ms() + SILENT_WATCH_MS
